Step over a request that only a faster upstream can answer in time

The owner checked a request against the fastest upstream only, then placed it on whichever was free, so long answers began on the slow engine and could not end.

The engine stand-in now holds 16 answers at a time and queues the rest inside, first come first served, as the memory of a real engine forces it to; before, its batch grew without bound and no policy was ever overloaded.

--- a/hornbeamdeck/demo/fleet.py
+++ b/hornbeamdeck/demo/fleet.py
@@ -39,7 +39,7 @@
     instances: int = 3
     speeds: tuple[float, ...] = (1, 0.7, 0.5)
     policy: str = 'grant'
-    max_running: int = 8
+    max_running: int = 16
     max_prompt_tokens: int = 4096
     entries_ttl_ms: int = 200
 
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -1,7 +1,7 @@
 """A cell: a group of upstreams and the tiered queue before them."""
 
 import heapq
-from collections.abc import Iterator, Mapping
+from collections.abc import Generator, Iterator, Mapping
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.ticket import Deliver, Ticket
@@ -21,6 +21,7 @@
 __all__ = ('Cell', 'Granted', 'Refused')
 
 MAX_WAIT_MS: Final = 60_000
+MAX_STEPPED_OVER: Final = 8
 MIN_RETRY_MS: Final = 500
 MAX_RETRY_MS: Final = 30_000
 
@@ -129,20 +130,39 @@
 
         A lower tier gets nothing while the next request of a higher one can't
         be placed: small ones slipping past would hold the place it waits for.
+        Only a request that needs a faster upstream than those free is stepped
+        over, since what is free now is of no use to it.
         """
         for rank in sorted(self._tiers):
             queue = self._tiers[rank]
-            while queue:
-                ticket = queue.next_ticket()
-                load = self._place(ticket, now)
-                if load is None:
-                    return
-                queue.serve(
-                    ticket.request.request_id,
-                    self._weights.get(ticket.request.team, 1),
-                )
-                load.add(_to_register(ticket, load), ticket.sender)
-                yield Granted(ticket, load.upstream.name)
+            stepped_over: list[Ticket] = []
+            is_full = yield from self._grants_of_tier(queue, stepped_over, now)
+            for ticket in stepped_over:
+                queue.push(ticket)
+            if is_full:
+                return
+
+    def _grants_of_tier(
+        self,
+        queue: TierQueue,
+        stepped_over: list[Ticket],
+        now: float,
+    ) -> Generator[Granted, None, bool]:
+        while queue and len(stepped_over) < MAX_STEPPED_OVER:
+            ticket = queue.next_ticket()
+            request = ticket.request
+            load = self._place(ticket, now)
+            if load is None:
+                return True
+            if now + _service_ms(load, request) > ticket.deadline_ms:
+                # Run there it would come too late, its prefill wasted.
+                stepped_over.append(queue.remove(request.request_id))
+                continue
+            weight = self._weights.get(request.team, 1)
+            queue.serve(request.request_id, weight)
+            load.add(_to_register(ticket, load), ticket.sender)
+            yield Granted(ticket, load.upstream.name)
+        return False
 
     def withdraw(self, request_id: str) -> None:
         """Forget a waiting request whose caller has left."""
@@ -197,7 +217,7 @@
         return min(
             fitting,
             key=lambda load: (
-                load.service_ms(request.prompt_tokens, request.output_tokens),
+                _service_ms(load, request),
                 len(load.runs) / load.upstream.max_running,
             ),
             default=None,
@@ -235,6 +255,10 @@
         return Refused(ticket, refusal)
 
 
+def _service_ms(load: UpstreamLoad, request: Enqueue) -> float:
+    return load.service_ms(request.prompt_tokens, request.output_tokens)
+
+
 def _to_register(ticket: Ticket, load: UpstreamLoad) -> Register:
     return Register(
         request_id=ticket.request.request_id,
--- a/hornbeamdeck/standin/batch.py
+++ b/hornbeamdeck/standin/batch.py
@@ -23,6 +23,8 @@
     """How an engine spends its time.
 
     :param speed: divides every duration; 1 is the reference engine.
+    :param max_batch: answers that its memory holds; the rest of what it has
+        admitted waits inside it, first come, first served.
     """
 
     speed: float = 1
@@ -31,6 +33,7 @@
     prefill_token_ms: float = 0.05
     prefill_chunk_tokens: int = 512
     cache_blocks: int = 256
+    max_batch: int = 16
 
     @classmethod
     def from_config(cls, raw: dict[str, float]) -> Self:
@@ -120,8 +123,9 @@
             await self._async_step()
 
     async def _async_step(self) -> None:
-        decoding = [each for each in self._sequences if not each.prefill_left]
-        prefilled = self._prefill()
+        active = self._sequences[: self.model.max_batch]
+        decoding = [each for each in active if not each.prefill_left]
+        prefilled = self._prefill(active)
         model = self.model
         step_ms = model.step_ms + model.step_per_answer_ms * len(decoding)
         step_ms += model.prefill_token_ms * prefilled
@@ -129,9 +133,9 @@
         for sequence in decoding:
             await self._async_decode(sequence)
 
-    def _prefill(self) -> int:
+    def _prefill(self, active: list[Sequence]) -> int:
         budget = self.model.prefill_chunk_tokens
-        for sequence in self._sequences:
+        for sequence in active:
             taken = min(budget, sequence.prefill_left)
             sequence.prefill_left -= taken
             sequence.prefilled_tokens += taken
