Keep a refusal readable, and do not let a dead platform hold a planned stop

Cause: (1) a request with too large a header or body was answered and its connection closed with bytes unread, which resets it; the caller lost the 431 or 413. Found by the new bad-input test. (2) With the platform down a planned stop lasted until its drain deadline and reported requests cut off: writing the own status was counted as work in flight.

Nothing was weakened; the resets were real faults.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,19 +1,16 @@
 """Runs a fleet as separate processes on loopback ports from the system."""
 
 import json
-import os
 import pathlib
-import signal
-import subprocess
-import sys
 import tempfile
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from typing import Any, Final, NamedTuple
 
 import curio
 
+from bench.running import Running, end, start, wait_for
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest
@@ -24,8 +21,6 @@
 from hornbeamdeck.process.rendezvous import owner_of
 
 ANY_PORT: Final = '127.0.0.1:0'
-START_TIMEOUT_S: Final = 20.0
-POLL_S: Final = 0.05
 CALL_TIMEOUT_MS: Final = 5000
 ROLE: Final = 'bench'
 
@@ -41,35 +36,6 @@
     entries_ttl_ms: int = 200
 
 
-class Running(NamedTuple):
-    """One started process."""
-
-    process: subprocess.Popen[bytes]
-    log: pathlib.Path
-    address: Address
-
-    def cpu_s(self) -> float:
-        """Tell the processor time used so far, seconds."""
-        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
-        fields = stat.rpartition(')')[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return ticks / os.sysconf('SC_CLK_TCK')
-
-    def resident_kib(self) -> int:
-        """Tell the resident memory, KiB."""
-        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
-        line = next(
-            each for each in status.splitlines() if each.startswith('VmRSS')
-        )
-        return int(line.split()[1])
-
-    def log_events(self) -> Iterator[dict[str, Any]]:
-        """Read what the process has logged."""
-        for line in self.log.read_text().splitlines():
-            if line.startswith('{'):
-                yield json.loads(line)
-
-
 class ProcessFleet(NamedTuple):
     """All processes of a bench."""
 
@@ -95,7 +61,7 @@
         }
         path = self.folder / f'instance-{number}.json'
         path.write_text(json.dumps(settings))
-        started = _start(
+        started = start(
             self.folder,
             f'instance-{number}',
             ['serve', '--settings', str(path)],
@@ -106,7 +72,7 @@
     def wait_ready(self) -> None:
         """Wait until every instance has the configuration."""
         for instance in self.instances:
-            _wait_for(lambda: _is_ready(instance.address))
+            wait_for(partial(_is_ready, instance.address))
 
     def owner_of(self, cell: str) -> int:
         """Find the index of the instance that owns a cell."""
@@ -123,7 +89,7 @@
         started: list[Running] = []
 
         def _standin(kind: str, *more: str) -> Running:
-            running = _start(
+            running = start(
                 folder,
                 f'{kind}-{len(started)}',
                 ['standin', kind, *more],
@@ -149,7 +115,7 @@
             yield fleet
         finally:
             for running in (*fleet.instances, *started):
-                _end(running)
+                end(running)
 
 
 def ask(address: Address, path: str, body: Any = None) -> Any:
@@ -171,37 +137,6 @@
     return got.unwrap().body
 
 
-def _start(folder: pathlib.Path, name: str, arguments: list[str]) -> Running:
-    log = folder / f'{name}.log'
-    with log.open('wb') as sink:
-        process = subprocess.Popen(
-            [sys.executable, '-m', 'hornbeamdeck', *arguments],
-            stdout=subprocess.DEVNULL,
-            stderr=sink,
-        )
-    running = Running(process, log, Address('127.0.0.1', 0))
-    _wait_for(lambda: _listening(running) is not None)
-    address = _listening(running)
-    return running._replace(address=Address.from_text(str(address)))
-
-
-def _listening(running: Running) -> str | None:
-    if running.process.poll() is not None:
-        raise RuntimeError(running.log.read_text())
-    for event in running.log_events():
-        if 'listens' in event['event']:
-            return str(event['address'])
-    return None
-
-
-def _wait_for(is_done: Any) -> None:
-    until = time.monotonic() + START_TIMEOUT_S
-    while not is_done():
-        if time.monotonic() > until:
-            raise TimeoutError('the fleet did not start')
-        time.sleep(POLL_S)
-
-
 def _is_ready(address: Address) -> bool:
     return bool(ask(address, '/healthz')['state'] == 'ready')
 
@@ -226,10 +161,3 @@
     )
     written.unwrap()
     await client.async_close()
-
-
-def _end(running: Running) -> None:
-    if running.process.poll() is None:
-        running.process.send_signal(signal.SIGCONT)
-        running.process.kill()
-    running.process.wait()
--- a/hornbeamdeck/connection/exchange.py
+++ b/hornbeamdeck/connection/exchange.py
@@ -6,7 +6,7 @@
 from curio import Task, current_task, socket, spawn
 from result import Err
 
-from hornbeamdeck.connection.errors import BadRequest
+from hornbeamdeck.connection.errors import BadRequest, ReadError
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
 
@@ -30,8 +30,7 @@
     while True:
         request = await connection.async_read_request()
         if isinstance(request, Err):
-            if isinstance(request.err_value, BadRequest):
-                await connection.async_respond(refusal(request.err_value))
+            await _async_refuse(connection, request.err_value, refusal)
             return
         await _async_answer(connection, request.ok_value, answer)
         if not connection.may_reuse:
@@ -39,6 +38,16 @@
         connection.start_next()
 
 
+async def _async_refuse(
+    connection: ServerConnection,
+    error: ReadError,
+    refusal: Refusal,
+) -> None:
+    if isinstance(error, BadRequest):
+        await connection.async_respond(refusal(error))
+        await connection.async_linger()
+
+
 async def _async_answer(
     connection: ServerConnection,
     request: HttpRequest,
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -97,6 +97,12 @@
             kept_bytes += len(received)
             self._protocol.receive_data(received)
 
+    async def async_discard(self) -> None:
+        """Read and forget until the caller closes."""
+        received = await self._sock.recv(READ_BYTES)
+        while received:
+            received = await self._sock.recv(READ_BYTES)
+
     async def _async_first(self) -> Result[None, ReadError]:
         if self._protocol.trailing_data[0]:
             return Ok(None)
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -21,6 +21,7 @@
 __all__ = ('ServerConnection',)
 
 WRITE_TIMEOUT_MS: Final = 30_000
+LINGER_MS: Final = 2000
 
 
 class ServerConnection:
@@ -117,6 +118,18 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
         self._protocol.send_failed()
 
+    async def async_linger(self) -> None:
+        """Discard what still comes after a refusal, for a short while.
+
+        To close with bytes unread resets the connection, and the caller loses
+        the response that says what was wrong with its request.
+        """
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            await async_within(LINGER_MS, self._reader.async_discard())
+        except (OSError, TaskTimeout):
+            return
+
     def _head(self, status: int, headers: Headers) -> bytes:
         if self._will_close:
             headers = {**headers, 'connection': 'close'}
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -142,28 +142,6 @@
             if is_full:
                 return
 
-    def _grants_of_tier(
-        self,
-        queue: TierQueue,
-        stepped_over: list[Ticket],
-        now: float,
-    ) -> Generator[Granted, None, bool]:
-        while queue and len(stepped_over) < MAX_STEPPED_OVER:
-            ticket = queue.next_ticket()
-            request = ticket.request
-            load = self._place(ticket, now)
-            if load is None:
-                return True
-            if now + _service_ms(load, request) > ticket.deadline_ms:
-                # Run there it would come too late, its prefill wasted.
-                stepped_over.append(queue.remove(request.request_id))
-                continue
-            weight = self._weights.get(request.team, 1)
-            queue.serve(request.request_id, weight)
-            load.add(_to_register(ticket, load), ticket.sender)
-            yield Granted(ticket, load.upstream.name)
-        return False
-
     def withdraw(self, request_id: str) -> None:
         """Forget a waiting request whose caller has left."""
         for queue in self._tiers.values():
@@ -200,6 +178,28 @@
         for load in self.loads.values():
             load.drop_sender(sender)
 
+    def _grants_of_tier(
+        self,
+        queue: TierQueue,
+        stepped_over: list[Ticket],
+        now: float,
+    ) -> Generator[Granted, None, bool]:
+        while queue and len(stepped_over) < MAX_STEPPED_OVER:
+            ticket = queue.next_ticket()
+            request = ticket.request
+            load = self._place(ticket, now)
+            if load is None:
+                return True
+            if now + _service_ms(load, request) > ticket.deadline_ms:
+                # Run there it would come too late, its prefill wasted.
+                stepped_over.append(queue.remove(request.request_id))
+                continue
+            weight = self._weights.get(request.team, 1)
+            queue.serve(request.request_id, weight)
+            load.add(_to_register(ticket, load), ticket.sender)
+            yield Granted(ticket, load.upstream.name)
+        return False
+
     def _place(self, ticket: Ticket, now: float) -> UpstreamLoad | None:
         request = ticket.request
         is_top_tier = request.tier_rank == self._top_rank
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -1,8 +1,8 @@
 """One running instance: opens its addresses and takes them down in order."""
 
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
-from typing import Final
+from typing import Any, Final
 
 import structlog
 from curio import Task, sleep, socket, spawn
@@ -92,7 +92,9 @@
         self.is_leaving = True
         parts.membership.own = self.own._replace(state=STATE_LEAVING)
         _LOGGER.info('planned stop begins', pending=self._pending())
-        await parts.background.async_spawn(parts.presence.async_publish())
+        # Not counted as work to be drained: with the platform down it would
+        # hold the stop until its deadline though no caller waits for it.
+        await self._async_spawn_task(parts.presence.async_publish())
         await parts.grants.async_review()
         deadline_ms = now_ms() + parts.settings.drain_ms
         # Callers keep an addresses answer so long and connect here meanwhile.
@@ -169,9 +171,12 @@
         ]
         if parts.settings.policy == 'least_reported_load':
             forever.append(parts.reports.async_poll())
+        forever.append(parts.presence.async_publish())
         for coroutine in forever:
-            self._tasks.append(await spawn(coroutine, daemon=True))
-        await parts.background.async_spawn(parts.presence.async_publish())
+            await self._async_spawn_task(coroutine)
+
+    async def _async_spawn_task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(await spawn(work, daemon=True))
 
     def _pending(self) -> int:
         return self.in_flight + self.parts.background.pending
--- /dev/null
+++ b/tests/request/test_bad_input.py
@@ -0,0 +1,152 @@
+"""Input that must get a clear error and leave the instance going."""
+
+import json
+
+import pytest
+from curio import socket
+
+from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.http import HttpRequest
+from hornbeamdeck.const import HEADER_OUTCOME, HEADER_TIER
+from hornbeamdeck.demo.caller import async_call
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from tests.support import GUIDES_KEY, async_fetch, desk_entry, on_fleet
+
+ONE = FleetPlan(instances=1, speeds=(1.0,))
+GOOD = {'model': 'desk', 'messages': [{'role': 'user', 'content': 'cap?'}]}
+DEEP = b'[' * 100_000
+
+
+def _post(body: bytes, **headers: str) -> HttpRequest:
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    return HttpRequest(
+        'POST',
+        '/v1/chat/completions',
+        '',
+        {'authorization': GUIDES_KEY, **named},
+        body,
+    )
+
+
+def _changed(**changes: object) -> bytes:
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+CASES = [
+    ('not JSON', _post(b'{"model":'), 400, 'bad_request'),
+    ('too deep', _post(DEEP), 400, 'bad_request'),
+    ('no object', _post(b'[]'), 400, 'bad_request'),
+    ('wrong type', _post(_changed(max_tokens='many')), 400, 'bad_request'),
+    ('no messages', _post(_changed(messages=[])), 400, 'bad_request'),
+    ('two prompts', _post(_changed(prompt='a')), 400, 'bad_request'),
+    ('no model', _post(_changed(model='oak')), 404, 'unknown_service'),
+    ('plain service', _post(_changed(model='counter')), 404, 'unknown_service'),
+    ('no key', _post(_changed(), authorization=''), 401, 'unauthorized'),
+    (
+        'wrong key',
+        _post(_changed(), authorization='Bearer x'),
+        401,
+        'unauthorized',
+    ),
+    (
+        'no tier',
+        _post(_changed(), **{HEADER_TIER: 'royal'}),
+        400,
+        'unknown_tier',
+    ),
+    (
+        'bad deadline',
+        _post(_changed(), hornbeamdeck_deadline_ms='soon'),
+        400,
+        'bad_request',
+    ),
+    (
+        'GET',
+        _post(_changed())._replace(method='GET'),
+        405,
+        'method_not_allowed',
+    ),
+    (
+        'no such path',
+        _post(b'')._replace(path='/v2'),
+        404,
+        'no_such_path',
+    ),
+    (
+        'booking without key',
+        _post(b'{}')._replace(path='/services/counter/bookings'),
+        400,
+        'idempotency_key_needed',
+    ),
+    (
+        'booking in disguise',
+        _post(b'{}')._replace(path='/services/counter/x/..//%62ookings'),
+        400,
+        'idempotency_key_needed',
+    ),
+]
+
+
+@on_fleet(ONE)
+async def test_each_bad_request_gets_its_word(fleet: Fleet) -> None:
+    """Clients of every kind send requests that can't be served. Each is told
+    in a stable code what is wrong, and that nothing ran.
+    """
+    address = fleet.instances[0].own.address
+    for name, request, status, code in CASES:
+        response = await async_fetch(address, request)
+        problem = json.loads(response.body)
+        seen = (response.status, problem['type'])
+        assert seen == (status, f'urn:hornbeamdeck:{code}'), name
+        assert response.headers[HEADER_OUTCOME] == 'not_run', name
+    assert fleet.engines[0].batch.records.runs == {}
+    assert fleet.booking.runs == {}
+
+
+async def _async_raw(address: Address, sent: bytes) -> bytes:
+    connected = await async_connect(address, timeout_ms=1000)
+    sock = connected.unwrap()
+    async with sock:
+        await sock.sendall(sent)
+        await sock.shutdown(socket.SHUT_WR)
+        return b''.join([piece async for piece in _pieces(sock)])
+
+
+async def _pieces(sock: socket.socket):  # type: ignore[no-untyped-def]
+    while piece := await sock.recv(65536):
+        yield piece
+
+
+@on_fleet(ONE)
+async def test_unreadable_bytes_leave_the_instance_going(fleet: Fleet) -> None:
+    """Scanners and broken proxies send what is no HTTP, headers without end,
+    or less of a body than they announced. The next caller must notice nothing.
+    """
+    address = fleet.instances[0].own.address
+    head = b'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+    endless = b'GET / HTTP/1.1\r\nx: ' + b'a' * 70_000
+    large = head + b'content-length: 5000000\r\n\r\n' + b'a' * 5_000_000
+    assert b' 400 ' in await _async_raw(address, b'\x16\x03\x01 hello\r\n\r\n')
+    assert b' 431 ' in await _async_raw(address, endless)
+    assert b' 413 ' in await _async_raw(address, large)
+    cut = head + b'content-length: 9\r\n\r\n{'
+    assert b' 400 ' in await _async_raw(address, cut)
+    assert (await async_call(desk_entry(), 1, address)).is_whole
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [b'\x00\x00\x00\x05hello', b'\xff\xff\xff\xff', b'GET / HTTP/1.1\r\n\r\n'],
+)
+def test_malformed_peer_frame_ends_its_connection(sent: bytes) -> None:
+    """Something that is no instance connects to the port for peers. It loses
+    its connection; callers and true peers notice nothing.
+    """
+
+    @on_fleet(ONE)
+    async def _scenario(fleet: Fleet) -> None:
+        own = fleet.instances[0].own
+        await _async_raw(own.peer_address, sent)
+        assert (await async_call(desk_entry(), 1, own.address)).is_whole
+
+    _scenario()
