--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,137 @@
+"""What an instance adds and uses: latency, requests a second, CPU.
+
+python -m bench.cost latency --json
+python -m bench.cost throughput --json
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+from typing import Any, Final
+
+import curio
+import fire
+
+from bench.processes import Plan, ProcessFleet, process_fleet
+from bench.running import Running
+from bench.worker import SHORT
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.demo.caller import async_call
+from hornbeamdeck.demo.report import P50, P95, percentile
+
+FAST: Final = Plan(speeds=(50.0, 50.0, 50.0), max_running=64)
+WORKERS: Final = 3
+DIGITS: Final = 2
+
+
+def latency(pairs: int = 400, json: bool = False) -> None:
+    """Call an engine direct and through an instance by turns.
+
+    The instance asked does not own the cell, so each call gets its grant from
+    another process.
+    """
+    with process_fleet(FAST) as fleet:
+        ingress = _ingress(fleet)
+        direct, through = curio.run(
+            _async_pairs,
+            fleet.engines[0].address,
+            ingress.address,
+            pairs,
+        )
+    added = [late - early for early, late in zip(direct, through, strict=True)]
+    _print(
+        {
+            'pairs': pairs,
+            'direct_p50_ms': _round(percentile(sorted(direct), P50)),
+            'through_p50_ms': _round(percentile(sorted(through), P50)),
+            'added_p50_ms': _round(statistics.median(added)),
+            'added_p95_ms': _round(percentile(sorted(added), P95)),
+        },
+        as_json=json,
+    )
+
+
+def throughput(
+    seconds: float = 8,
+    callers: int = 8,
+    json: bool = False,
+) -> None:
+    """Load one instance from several processes and read its CPU time.
+
+    :param callers: in each of the worker processes.
+    """
+    with process_fleet(FAST) as fleet:
+        ingress = _ingress(fleet)
+        owner = fleet.instances[fleet.owner_of('desk')]
+        before = ingress.cpu_s(), owner.cpu_s()
+        calls = _run_workers(ingress.address, seconds, callers)
+        ingress_s = ingress.cpu_s() - before[0]
+        owner_s = owner.cpu_s() - before[1]
+        resident_kib = ingress.resident_kib()
+    _print(
+        {
+            'calls': calls,
+            'calls_per_s': _round(calls / seconds),
+            'ingress_cpu_ms_per_call': _round(ingress_s * 1000 / calls),
+            'owner_cpu_ms_per_call': _round(owner_s * 1000 / calls),
+            'ingress_core_share': _round(ingress_s / seconds),
+            'ingress_resident_mib': _round(resident_kib / 1024),
+        },
+        as_json=json,
+    )
+
+
+def _ingress(fleet: ProcessFleet) -> Running:
+    owner = fleet.owner_of('desk')
+    return fleet.instances[(owner + 1) % len(fleet.instances)]
+
+
+async def _async_pairs(
+    engine: Address,
+    instance: Address,
+    pairs: int,
+) -> tuple[list[float], list[float]]:
+    direct: list[float] = []
+    through: list[float] = []
+    for number in range(pairs):
+        for address, times in ((engine, direct), (instance, through)):
+            begin_ms = now_ms()
+            record = await async_call(SHORT, number, address)
+            assert record.is_whole, record
+            times.append(now_ms() - begin_ms)
+    return direct, through
+
+
+def _run_workers(address: Address, seconds: float, callers: int) -> int:
+    command = [
+        sys.executable,
+        '-m',
+        'bench.worker',
+        str(address),
+        f'--seconds={seconds}',
+        f'--callers={callers}',
+    ]
+    workers = [
+        subprocess.Popen(command, stdout=subprocess.PIPE)
+        for _ in range(WORKERS)
+    ]
+    outputs = [worker.communicate()[0] for worker in workers]
+    return sum(json.loads(output)['calls'] for output in outputs)
+
+
+def _round(figure: float) -> float:
+    return round(figure, DIGITS)
+
+
+def _print(figures: dict[str, Any], *, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(figures))
+        return
+    for name, figure in figures.items():
+        print(f'{name:28} {figure}')
+
+
+if __name__ == '__main__':
+    fire.Fire({'latency': latency, 'throughput': throughput})
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.clock import now_ms
@@ -75,14 +76,27 @@
 
     def __init__(self, own: InstanceStatus) -> None:
         """Start knowing this process alone."""
-        self.own = own
+        self._own = own
         self._statuses: dict[str, InstanceStatus] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._listed: dict[str, str] = {}
         self._suspicions: dict[str, _Suspicion] = {}
+        self._owners: dict[str, str] = {}
+        self._owners_until_ms = 0.0
+
+    @property
+    def own(self) -> InstanceStatus:
+        """What this process tells of itself."""
+        return self._own
+
+    @own.setter
+    def own(self, status: InstanceStatus) -> None:
+        self._owners.clear()
+        self._own = status
 
     def note_status(self, change: StoredObject) -> None:
         """Take in a status object that was written or deleted."""
+        self._owners.clear()
         instance_id = change.key.rpartition('/')[2]
         if change.body is None:
             self._statuses.pop(instance_id, None)
@@ -99,10 +113,14 @@
 
     def note_listed(self, listed: tuple[ListedInstance, ...]) -> None:
         """Take in the platform's lagging list."""
-        self._listed = {each.address: each.state for each in listed}
+        states = {each.address: each.state for each in listed}
+        if states != self._listed:
+            self._owners.clear()
+        self._listed = states
 
     def suspect(self, instance_id: str) -> None:
         """Pass over an instance that a connection showed to be dead."""
+        self._owners.clear()
         before = self._suspicions.get(instance_id)
         period_ms = SUSPECT_MS
         if before is not None:
@@ -114,7 +132,8 @@
 
     def clear(self, instance_id: str) -> None:
         """Trust an instance again that has answered."""
-        self._suspicions.pop(instance_id, None)
+        if self._suspicions.pop(instance_id, None) is not None:
+            self._owners.clear()
 
     def status_of(self, instance_id: str) -> InstanceStatus | None:
         """Give what is known of an instance."""
@@ -134,9 +153,19 @@
         return others
 
     def owner_of(self, cell: str) -> str:
-        """Pick the instance that owns a cell; itself where no other lives."""
-        live = [status.instance_id for status in self.live()]
-        return owner_of(cell, live) or self.own.instance_id
+        """Pick the instance that owns a cell; itself where no other lives.
+
+        What was picked is kept until something changes that could change it:
+        to score hundreds of instances costs near a millisecond, and every
+        request asks.
+        """
+        if now_ms() >= self._owners_until_ms:
+            self._owners.clear()
+        owner = self._owners.get(cell)
+        if owner is None:
+            owner = self._find_owner(cell)
+            self._owners[cell] = owner
+        return owner
 
     def entries(self, caller: str, count: int) -> list[InstanceStatus]:
         """Pick addresses for a caller: own zone first, spread over callers."""
@@ -157,6 +186,21 @@
             if state == STATE_LEAVING
         ]
 
+    def _find_owner(self, cell: str) -> str:
+        self._owners_until_ms = self._next_expiry_ms()
+        live = [status.instance_id for status in self.live()]
+        return owner_of(cell, live) or self.own.instance_id
+
+    def _next_expiry_ms(self) -> float:
+        now = now_ms()
+        expiries = [each.until_ms for each in self._suspicions.values()]
+        expiries += [
+            seen_ms + UNLISTED_GRACE_MS
+            for seen_ms in self._first_seen_ms.values()
+        ]
+        coming = (each for each in expiries if each > now)
+        return min(coming, default=math.inf)
+
     def _is_live(self, status: InstanceStatus, now: float) -> bool:
         if status.state != STATE_LIVE:
             return False
