--- a/bench/cost.py
+++ b/bench/cost.py
@@ -20,6 +20,7 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.report import P50, P95, percentile
+from hornbeamdeck.demo.trace import TraceEntry
 
 FAST: Final = Plan(speeds=(50.0, 50.0, 50.0), max_running=64)
 WORKERS: Final = 3
@@ -83,6 +84,34 @@
     )
 
 
+def stream(calls: int = 60, tokens: int = 200, json: bool = False) -> None:
+    """Read the CPU time of one instance for each streamed token."""
+    entry = SHORT._replace(is_stream=True, output_tokens=tokens)
+    with process_fleet(FAST) as fleet:
+        ingress = _ingress(fleet)
+        before_s = ingress.cpu_s()
+        curio.run(_async_stream, entry, ingress.address, calls)
+        spent_s = ingress.cpu_s() - before_s
+    _print(
+        {
+            'calls': calls,
+            'tokens_each': tokens,
+            'cpu_us_per_token': _round(spent_s * 1_000_000 / calls / tokens),
+        },
+        as_json=json,
+    )
+
+
+async def _async_stream(
+    entry: TraceEntry,
+    address: Address,
+    calls: int,
+) -> None:
+    for number in range(calls):
+        record = await async_call(entry, number, address)
+        assert record.is_whole, record
+
+
 def _ingress(fleet: ProcessFleet) -> Running:
     owner = fleet.owner_of('desk')
     return fleet.instances[(owner + 1) % len(fleet.instances)]
@@ -134,4 +163,4 @@
 
 
 if __name__ == '__main__':
-    fire.Fire({'latency': latency, 'throughput': throughput})
+    fire.Fire({'latency': latency, 'stream': stream, 'throughput': throughput})
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -3,6 +3,8 @@
 import uuid
 from typing import NamedTuple, Self
 
+from result import Result
+
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.platform import PlatformClient
 from hornbeamdeck.process.background import Background
@@ -25,7 +27,9 @@
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.configuration import Configuration
+from hornbeamdeck.wire import Enqueue
 
 __all__ = ('Parts',)
 
@@ -79,7 +83,10 @@
             reports=reports,
             presence=Presence(platform, membership, scheduler, grants),
             identity=identity,
-            policy=_make_policy(settings.policy, grants, follower, reports),
+            policy=_timed(
+                _make_policy(settings.policy, grants, follower, reports),
+                metrics,
+            ),
         )
 
 
@@ -119,6 +126,14 @@
     )
 
 
+def _timed(policy: Policy, metrics: Metrics) -> Policy:
+    async def _async_acquire(request: Enqueue) -> Result[str, NotRun]:
+        with metrics.grant_wait_seconds.time():
+            return await policy.acquire(request)
+
+    return policy._replace(acquire=_async_acquire)
+
+
 def _make_policy(
     name: str,
     grants: Grants,
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,55 @@
+"""The pages say what the code does."""
+
+import pathlib
+
+from hornbeamdeck.demo.caller import async_call
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from hornbeamdeck.process.metrics import Metrics
+from tests.support import booking_entry, desk_entry, on_fleet
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def _names() -> set[str]:
+    names = set()
+    for family in Metrics().registry.collect():
+        suffix = '_total' if family.type == 'counter' else ''
+        names.add(f'{family.name}{suffix}')
+    return names
+
+
+def test_every_metric_is_on_its_page() -> None:
+    page = (ROOT / 'docs/operators/metrics.md').read_text()
+    listed = {
+        line.split('`')[1]
+        for line in page.splitlines()
+        if line.startswith('| `')
+    }
+    assert listed == _names()
+
+
+@on_fleet(FleetPlan(instances=2, speeds=(1.0,)))
+async def test_every_metric_moves(fleet: Fleet) -> None:
+    """An operator looks at a metric in the night that no code ever sets, and
+    concludes from its zero that all is well.
+    """
+    for number, instance in enumerate(fleet.instances):
+        await async_call(desk_entry(), number, instance.own.address)
+        await async_call(
+            booking_entry(f'key-{number}'),
+            number,
+            instance.own.address,
+        )
+        await async_call(
+            desk_entry(service='oak'),
+            number,
+            instance.own.address,
+        )
+    moved = {
+        sample.name.removesuffix('_count')
+        for instance in fleet.instances
+        for family in instance.parts.metrics.registry.collect()
+        for sample in family.samples
+        if sample.value
+    }
+    assert _names() - {'hornbeamdeck_in_flight'} <= moved
