Isolate requests that upstreams die of; two engines lost at most

Change: breaks are held against fingerprints at the cell's owner; suspects run one at a time; a second break with one suspect names the culprit, which is refused with 422 not_run; an answer clears. Ingress instances keep what they were told and tell the next owner.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,6 +49,7 @@
 CALLS: Final = 200
 CELL: Final = 'desk'
 ID_CHARS: Final = 32
+FINGERPRINT_CHARS: Final = 16
 EXTRA: Final = range(1_000_000, 1_000_500)
 
 Figures = dict[str, Any]
@@ -145,6 +146,7 @@
         prompt_tokens=300,
         output_tokens=100,
         excluded=[],
+        fingerprint='a' * FINGERPRINT_CHARS,
     )
 
 
@@ -246,6 +248,7 @@
             prompt_tokens=300,
             output_tokens=100,
             is_prefilling=True,
+            fingerprint='a' * FINGERPRINT_CHARS,
         ),
     }
     return {name: len(encode_frame(each)) for name, each in frames.items()}
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator, Iterator, Mapping
 from typing import Final, NamedTuple
 
+from hornbeamdeck.process.suspicion import Suspicions
 from hornbeamdeck.process.ticket import Deliver, Ticket
 from hornbeamdeck.process.tier_queue import TierQueue
 from hornbeamdeck.process.upstream_load import UpstreamLoad
@@ -16,6 +17,7 @@
     Register,
     Release,
     RunEnd,
+    Suspect,
 )
 
 __all__ = ('Cell', 'Granted', 'Refused')
@@ -46,6 +48,7 @@
     def __init__(self) -> None:
         """Start without upstreams; `adopt` brings them."""
         self.loads: dict[str, UpstreamLoad] = {}
+        self.suspicions = Suspicions()
         self._tiers: dict[int, TierQueue] = {}
         self._latest_start: list[tuple[float, str, int]] = []
         self._weights: Mapping[str, int] = {}
@@ -94,6 +97,8 @@
         )
         if not self.loads:
             return self._refuse(ticket, RefusalReason.NO_UPSTREAM)
+        if self.suspicions.is_culprit(request.fingerprint, now):
+            return self._refuse(ticket, RefusalReason.CULPRIT)
         wait_ms = self._wait_ms(request.tier_rank)
         if wait_ms + ticket.service_ms > request.deadline_ms:
             return self._refuse(ticket, RefusalReason.DEADLINE)
@@ -160,14 +165,28 @@
         for load in self.loads.values():
             load.first_token(message.request_id, message.first_token_ms)
 
-    def release(self, message: Release, now: float) -> None:
-        """Note the end of a run."""
+    def release(self, message: Release, now: float) -> Suspect | None:
+        """Note the end of a run.
+
+        :returns: whom a break of the upstream is now held against, if any.
+        """
         for load in self.loads.values():
-            if message.request_id not in load.runs:
+            together = load.fingerprints()
+            run = load.release(
+                message.request_id, message.end, message.total_ms
+            )
+            if run is None:
                 continue
-            load.release(message.request_id, message.end, message.total_ms)
             if message.end == RunEnd.NOT_DISPATCHED:
                 load.rest(now)
+            return self.suspicions.note_end(
+                load.upstream,
+                run.fingerprint,
+                message.end,
+                together=together,
+                now=now,
+            )
+        return None
 
     def drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
@@ -190,8 +209,7 @@
             load = self._place(ticket, now)
             if load is None:
                 return True
-            if now + _service_ms(load, request) > ticket.deadline_ms:
-                # Run there it would come too late, its prefill wasted.
+            if self._must_wait(ticket, load, now):
                 stepped_over.append(queue.remove(request.request_id))
                 continue
             weight = self._weights.get(request.team, 1)
@@ -200,6 +218,25 @@
             yield Granted(ticket, load.upstream.name)
         return False
 
+    def _must_wait(
+        self,
+        ticket: Ticket,
+        load: UpstreamLoad,
+        now: float,
+    ) -> bool:
+        request = ticket.request
+        if now + _service_ms(load, request) > ticket.deadline_ms:
+            # Run there it would come too late, its prefill wasted.
+            return True
+        if not self.suspicions.crashes(request.fingerprint, now):
+            return False
+        # Two suspects at a time, and a second crash would name neither.
+        return any(
+            self.suspicions.crashes(fingerprint, now)
+            for other in self.loads.values()
+            for fingerprint in other.fingerprints()
+        )
+
     def _place(self, ticket: Ticket, now: float) -> UpstreamLoad | None:
         request = ticket.request
         is_top_tier = request.tier_rank == self._top_rank
@@ -267,4 +304,5 @@
         prompt_tokens=ticket.request.prompt_tokens,
         output_tokens=ticket.request.output_tokens,
         is_prefilling=True,
+        fingerprint=ticket.request.fingerprint,
     )
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_within, now_ms
+from hornbeamdeck.process.held_suspects import HeldSuspects
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.process.owner_link import OwnerLink
 from hornbeamdeck.process.owner_watch import OwnerWatch
@@ -29,6 +30,7 @@
     Register,
     Release,
     RunEnd,
+    Suspect,
     Withdraw,
 )
 
@@ -62,6 +64,7 @@
         self._link.listen(self.async_receive)
         self._waiting: dict[str, _Waiting] = {}
         self._running: dict[str, _Running] = {}
+        self._suspects = HeldSuspects(membership, self._link)
         self.watch = OwnerWatch(peers, self._asked_owners)
 
     @property
@@ -140,6 +143,8 @@
                 await self._async_granted(sender, message)
             case Refuse():
                 await self._async_refused(sender, message)
+            case Suspect():
+                self._suspects.note(sender, message)
 
     async def async_owner_lost(self, owner: str) -> None:
         """Move all that an owner held to the next one.
@@ -154,6 +159,7 @@
         """Move what membership changes have given to another owner."""
         owners = {each.owner for each in self._waiting.values()}
         owners |= {each.owner for each in self._running.values()}
+        owners |= self._suspects.owners()
         for owner in owners:
             await self._async_move(owner)
 
@@ -222,6 +228,7 @@
         for running in moved:
             await self._async_move_run(running)
         held = [each for each in self._waiting.values() if each.owner == owner]
+        await self._suspects.async_move(owner)
         for waiting in held:
             if self._membership.owner_of(waiting.request.cell) != owner:
                 await self._async_leave_queue(waiting)
@@ -255,4 +262,5 @@
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         is_prefilling=True,
+        fingerprint=request.fingerprint,
     )
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -19,6 +19,7 @@
     Refuse,
     Register,
     Release,
+    Suspect,
     ToOwner,
     Withdraw,
 )
@@ -95,7 +96,15 @@
             case Progress():
                 cell.progress(message)
             case Release():
-                cell.release(message, now_ms())
+                suspect = cell.release(message, now_ms())
+                if suspect is not None:
+                    await deliver(suspect)
+            case Suspect():
+                cell.suspicions.note(
+                    message.fingerprint,
+                    message.crashes,
+                    now_ms(),
+                )
         await self._async_grant(cell)
 
     async def async_drop_sender(self, sender: str) -> None:
--- a/hornbeamdeck/process/upstream_load.py
+++ b/hornbeamdeck/process/upstream_load.py
@@ -6,15 +6,18 @@
 from hornbeamdeck.version.entities import Upstream
 from hornbeamdeck.wire import Register, RunEnd
 
-__all__ = ('UpstreamLoad',)
+__all__ = ('Run', 'UpstreamLoad')
 
 HEADROOM_SHARE: Final = 8
 FIRST_REST_MS: Final = 500
 MAX_REST_MS: Final = 8000
 
 
-class _Run(NamedTuple):
+class Run(NamedTuple):
+    """A run as the owner accounts for it."""
+
     sender: str
+    fingerprint: str
     prompt_tokens: int
     output_tokens: int
     queued_tokens: int
@@ -29,7 +32,7 @@
         """Start idle."""
         self.upstream = upstream
         self.speed = SpeedEstimate()
-        self.runs: dict[str, _Run] = {}
+        self.runs: dict[str, Run] = {}
         self.prompt_tokens = 0
         self.is_leaving = False
         self._rest_until_ms = 0.0
@@ -72,8 +75,9 @@
         self.remove(run.request_id)
         if run.is_prefilling:
             self.prompt_tokens += run.prompt_tokens
-        self.runs[run.request_id] = _Run(
+        self.runs[run.request_id] = Run(
             sender=sender,
+            fingerprint=run.fingerprint,
             prompt_tokens=run.prompt_tokens,
             output_tokens=run.output_tokens,
             queued_tokens=self.prompt_tokens,
@@ -93,16 +97,26 @@
             first_token_ms=first_token_ms,
         )
 
-    def release(self, request_id: str, end: RunEnd, total_ms: float) -> None:
-        """Take a run off and learn from how it ended."""
+    def fingerprints(self) -> list[str]:
+        """List the fingerprints of all runs."""
+        return [run.fingerprint for run in self.runs.values()]
+
+    def release(
+        self,
+        request_id: str,
+        end: RunEnd,
+        total_ms: float,
+    ) -> Run | None:
+        """Take a run off and learn from how it ended; `None` if not here."""
         run = self.remove(request_id)
         if run is None or end != RunEnd.ANSWERED:
-            return
+            return run
         self._rest_ms = 0
         before_ms = run.first_token_ms
         if not before_ms:
             before_ms = self.speed.first_token_ms(run.queued_tokens)
         self.speed.learn_output(total_ms - before_ms, run.output_tokens)
+        return run
 
     def rest(self, now: float) -> None:
         """Give no work for a while, twice as long each time it fails again.
@@ -115,7 +129,7 @@
         self._rest_ms = min(max(self._rest_ms * 2, FIRST_REST_MS), MAX_REST_MS)
         self._rest_until_ms = now + self._rest_ms
 
-    def remove(self, request_id: str) -> _Run | None:
+    def remove(self, request_id: str) -> Run | None:
         """Forget a run without learning from it."""
         run = self.runs.pop(request_id, None)
         if run is not None and run.is_prefilling:
--- a/hornbeamdeck/request/admission.py
+++ b/hornbeamdeck/request/admission.py
@@ -1,5 +1,6 @@
 """Who asks for what, and until when: checked before anything is queued."""
 
+import hashlib
 import json
 import uuid
 from collections.abc import Mapping
@@ -10,7 +11,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.http import Headers, HttpRequest
-from hornbeamdeck.const import HEADER_DEADLINE, HEADER_TIER
+from hornbeamdeck.const import ENCODING, HEADER_DEADLINE, HEADER_TIER
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import (
     bad_request,
@@ -61,6 +62,7 @@
     :param deadline_ms: end of its time on this process's clock.
     :param prompt_tokens: estimated from the prompt's length.
     :param output_tokens: the bound that the caller set, or the default.
+    :param fingerprint: digest of the call, the same when it is sent again.
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     prompt_tokens: int
     output_tokens: int
     is_stream: bool
+    fingerprint: str
 
     @property
     def left_ms(self) -> int:
@@ -180,10 +183,19 @@
             prompt_tokens=1,
             output_tokens=1,
             is_stream=False,
+            fingerprint=_fingerprint(request),
         ),
     )
 
 
+def _fingerprint(request: HttpRequest) -> str:
+    digest = hashlib.sha256()
+    for part in (request.method, request.path, request.query):
+        digest.update(f'{part}\x00'.encode(ENCODING))
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
 def _tier(
     configuration: Configuration,
     headers: Headers,
--- a/hornbeamdeck/request/claim_record.py
+++ b/hornbeamdeck/request/claim_record.py
@@ -36,7 +36,7 @@
         """Begin the record of a call, with a nonce of its own."""
         return cls(
             nonce=uuid.uuid4().hex,
-            fingerprint=_fingerprint(admission),
+            fingerprint=admission.fingerprint,
             state=STATE_CLAIMED,
             created_s=int(time.time()),
         )
@@ -56,12 +56,3 @@
     digest = hashlib.sha256(key.encode(ENCODING)).hexdigest()
     service = admission.service.name
     return f'{PREFIX_CLAIM}{service}/{admission.team.name}/{digest}'
-
-
-def _fingerprint(admission: Admission) -> str:
-    request = admission.request
-    digest = hashlib.sha256()
-    for part in (request.method, admission.path, request.query):
-        digest.update(f'{part}\x00'.encode(ENCODING))
-    digest.update(request.body)
-    return digest.hexdigest()
--- a/hornbeamdeck/request/placement.py
+++ b/hornbeamdeck/request/placement.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_TRIES: Final = 5
 RETRY_MS: Final = 1000
+FINGERPRINT_CHARS: Final = 16
 
 
 class Placement(NamedTuple):
@@ -110,4 +111,5 @@
         prompt_tokens=admission.prompt_tokens,
         output_tokens=admission.output_tokens,
         excluded=list(excluded),
+        fingerprint=admission.fingerprint[:FINGERPRINT_CHARS],
     )
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -40,6 +40,8 @@
 
 def from_refuse(refusal: Refuse) -> NotRun:
     """Turn an owner's refusal into the caller's."""
+    if refusal.reason == RefusalReason.CULPRIT:
+        return unprocessable('upstreams have died of this request')
     code, detail = _CODES[RefusalReason(refusal.reason)]
     return NotRun(
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/hornbeamdeck/standin/engine.py
+++ b/hornbeamdeck/standin/engine.py
@@ -59,6 +59,7 @@
         self.batch = Batch(model)
         self.crash_mark = ''
         self.on_crash: OnCrash | None = None
+        self.has_crashed = False
         self._reports: deque[dict[str, int]] = deque(maxlen=2)
 
     async def async_report(self) -> None:
@@ -110,6 +111,7 @@
         body = json.loads(request.body)
         prompt = prompt_of(body)
         if self.crash_mark and self.crash_mark in prompt and self.on_crash:
+            self.has_crashed = True
             await self.on_crash()
             return
         self._count_run(request)
--- a/hornbeamdeck/wire/__init__.py
+++ b/hornbeamdeck/wire/__init__.py
@@ -22,6 +22,7 @@
     Refuse,
     Register,
     Release,
+    Suspect,
     Withdraw,
 )
 
@@ -41,6 +42,7 @@
     'Register',
     'Release',
     'RunEnd',
+    'Suspect',
     'ToIngress',
     'ToOwner',
     'Withdraw',
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -21,6 +21,7 @@
     Refuse,
     Register,
     Release,
+    Suspect,
     Withdraw,
 )
 
@@ -49,8 +50,10 @@
 )
 LENGTH: Final = struct.Struct('>I')
 
-ToOwner: TypeAlias = Enqueue | Withdraw | Register | Progress | Release
-ToIngress: TypeAlias = Grant | Refuse
+ToOwner: TypeAlias = (
+    Enqueue | Withdraw | Register | Progress | Release | Suspect
+)
+ToIngress: TypeAlias = Grant | Refuse | Suspect
 Message: TypeAlias = ToOwner | ToIngress | Hello | Proof | Heartbeat
 
 _FIELDS: Final[Mapping[type, str]] = MappingProxyType(
@@ -65,6 +68,7 @@
         Progress: 'progress',
         Release: 'release',
         Heartbeat: 'heartbeat',
+        Suspect: 'suspect',
     }
 )
 
--- a/hornbeamdeck/wire/enums.py
+++ b/hornbeamdeck/wire/enums.py
@@ -15,6 +15,7 @@
     NO_UPSTREAM = ttypes.RefusalReason.NO_UPSTREAM
     UNKNOWN_CELL = ttypes.RefusalReason.UNKNOWN_CELL
     TEAM_LIMIT = ttypes.RefusalReason.TEAM_LIMIT
+    CULPRIT = ttypes.RefusalReason.CULPRIT
 
 
 class RunEnd(enum.IntEnum):
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -22,6 +22,7 @@
     NO_UPSTREAM = 3
     UNKNOWN_CELL = 4
     TEAM_LIMIT = 5
+    CULPRIT = 6
 
     _VALUES_TO_NAMES = {
         1: "DEADLINE",
@@ -29,6 +30,7 @@
         3: "NO_UPSTREAM",
         4: "UNKNOWN_CELL",
         5: "TEAM_LIMIT",
+        6: "CULPRIT",
     }
 
     _NAMES_TO_VALUES = {
@@ -37,6 +39,7 @@
         "NO_UPSTREAM": 3,
         "UNKNOWN_CELL": 4,
         "TEAM_LIMIT": 5,
+        "CULPRIT": 6,
     }
 
 
@@ -226,6 +229,7 @@
      - prompt_tokens
      - output_tokens
      - excluded
+     - fingerprint
 
     """
 
@@ -238,10 +242,11 @@
         'prompt_tokens',
         'output_tokens',
         'excluded',
+        'fingerprint',
     )
 
 
-    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None,):
+    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None,):
         self.request_id = request_id
         self.cell = cell
         self.team = team
@@ -250,6 +255,7 @@
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.excluded = excluded
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -305,6 +311,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -350,6 +361,10 @@
                 oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 9)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -368,6 +383,8 @@
             raise TProtocolException(message='Required field prompt_tokens is unset!')
         if self.output_tokens is None:
             raise TProtocolException(message='Required field output_tokens is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
         return
 
     def __repr__(self):
@@ -678,6 +695,7 @@
      - prompt_tokens
      - output_tokens
      - is_prefilling
+     - fingerprint
 
     """
 
@@ -688,16 +706,18 @@
         'prompt_tokens',
         'output_tokens',
         'is_prefilling',
+        'fingerprint',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None, prompt_tokens=None, output_tokens=None, is_prefilling=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, prompt_tokens=None, output_tokens=None, is_prefilling=None, fingerprint=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.is_prefilling = is_prefilling
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -738,6 +758,11 @@
                     self.is_prefilling = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -772,6 +797,10 @@
             oprot.writeFieldBegin('is_prefilling', TType.BOOL, 6)
             oprot.writeBool(self.is_prefilling)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 7)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -788,6 +817,106 @@
             raise TProtocolException(message='Required field output_tokens is unset!')
         if self.is_prefilling is None:
             raise TProtocolException(message='Required field is_prefilling is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspect(object):
+    """
+    Attributes:
+     - cell
+     - fingerprint
+     - crashes
+
+    """
+
+    __slots__ = (
+        'cell',
+        'fingerprint',
+        'crashes',
+    )
+
+
+    def __init__(self, cell=None, fingerprint=None, crashes=None,):
+        self.cell = cell
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I16:
+                    self.crashes = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspect')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 2)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I16, 3)
+            oprot.writeI16(self.crashes)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
         return
 
     def __repr__(self):
@@ -1118,6 +1247,7 @@
      - progress
      - release
      - heartbeat
+     - suspect
 
     """
 
@@ -1134,10 +1264,11 @@
         'progress',
         'release',
         'heartbeat',
+        'suspect',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -1150,6 +1281,7 @@
         self.progress = progress
         self.release = release
         self.heartbeat = heartbeat
+        self.suspect = suspect
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1230,6 +1362,12 @@
                     self.heartbeat.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.suspect = Suspect()
+                    self.suspect.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1288,6 +1426,10 @@
             oprot.writeFieldBegin('heartbeat', TType.STRUCT, 12)
             self.heartbeat.write(oprot)
             oprot.writeFieldEnd()
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.STRUCT, 13)
+            self.suspect.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1337,6 +1479,7 @@
     (6, TType.I32, 'prompt_tokens', None, None, ),  # 6
     (7, TType.I32, 'output_tokens', None, None, ),  # 7
     (8, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 9
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -1367,6 +1510,14 @@
     (4, TType.I32, 'prompt_tokens', None, None, ),  # 4
     (5, TType.I32, 'output_tokens', None, None, ),  # 5
     (6, TType.BOOL, 'is_prefilling', None, None, ),  # 6
+    (7, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 7
+)
+all_structs.append(Suspect)
+Suspect.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 2
+    (3, TType.I16, 'crashes', None, None, ),  # 3
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
@@ -1404,6 +1555,7 @@
     (10, TType.STRUCT, 'progress', [Progress, None], None, ),  # 10
     (11, TType.STRUCT, 'release', [Release, None], None, ),  # 11
     (12, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 12
+    (13, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -6,7 +6,8 @@
   OVERLOADED = 2,     // displaced by a higher tier or too long a queue
   NO_UPSTREAM = 3,    // the cell has no upstream that takes work
   UNKNOWN_CELL = 4,   // the owner's configuration lacks the cell
-  TEAM_LIMIT = 5
+  TEAM_LIMIT = 5,
+  CULPRIT = 6         // upstreams have died of this very request
 }
 
 enum RunEnd {
@@ -35,6 +36,7 @@
   6: required i32 prompt_tokens
   7: required i32 output_tokens    // upper bound asked for
   8: optional list<string> excluded
+  9: required string fingerprint   // equal for equal requests
 }
 
 struct Grant {
@@ -61,6 +63,15 @@
   4: required i32 prompt_tokens
   5: required i32 output_tokens
   6: required bool is_prefilling
+  7: required string fingerprint
+}
+
+// From an owner: what it now holds against a request; from an ingress, to the
+// next owner: what it was told.
+struct Suspect {
+  1: required string cell
+  2: required string fingerprint
+  3: required i16 crashes
 }
 
 struct Progress {
@@ -95,4 +106,5 @@
   10: optional Progress progress
   11: optional Release release
   12: optional Heartbeat heartbeat
+  13: optional Suspect suspect
 }
--- a/tests/process/test_cell.py
+++ b/tests/process/test_cell.py
@@ -53,6 +53,7 @@
         'deadline_ms': 10_000,
         'prompt_tokens': 10,
         'output_tokens': 10,
+        'fingerprint': name,
         **changes,
     }
     return Enqueue(**fields)
@@ -159,6 +160,7 @@
                 prompt_tokens=10,
                 output_tokens=10,
                 is_prefilling=False,
+                fingerprint=f'run{number}',
             ),
             'other',
         )
--- a/tests/process/test_tier_queue.py
+++ b/tests/process/test_tier_queue.py
@@ -26,6 +26,7 @@
         deadline_ms=int(deadline_ms),
         prompt_tokens=tokens,
         output_tokens=0,
+        fingerprint=name,
     )
     return Ticket(request, 'sender', _async_nowhere, deadline_ms, tokens)
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -29,6 +29,7 @@
         prompt_tokens=tokens,
         output_tokens=1,
         excluded=[name],
+        fingerprint=name,
     )
     frame = encode_frame(sent, configuration_version=version)
     envelope = decode_frame(frame[LENGTH.size :]).unwrap()
