--- a/bench/processes.py
+++ b/bench/processes.py
@@ -26,7 +26,10 @@
 
 
 class Plan(NamedTuple):
-    """What to start; the fields mean what they mean in the demo's fleet."""
+    """What to start; the fields mean what they mean in the demo's fleet.
+
+    :param module: what `python -m` runs as an instance, with first arguments.
+    """
 
     instances: int = 3
     speeds: tuple[float, ...] = (1.0, 0.7, 0.5)
@@ -34,6 +37,7 @@
     max_running: int = 16
     max_prompt_tokens: int = 4096
     entries_ttl_ms: int = 200
+    module: tuple[str, ...] = ('hornbeamdeck',)
 
 
 class ProcessFleet(NamedTuple):
@@ -61,13 +65,12 @@
         }
         path = self.folder / f'instance-{number}.json'
         path.write_text(json.dumps(settings))
-        started = start(
+        return start(
             self.folder,
             f'instance-{number}',
             ['serve', '--settings', str(path)],
+            module=self.plan.module,
         )
-        self.instances.append(started)
-        return started
 
     def wait_ready(self) -> None:
         """Wait until every instance has the configuration."""
@@ -110,7 +113,7 @@
         try:
             _configure(fleet)
             for number in range(plan.instances):
-                fleet.start_instance(number)
+                fleet.instances.append(fleet.start_instance(number))
             fleet.wait_ready()
             yield fleet
         finally:
@@ -126,6 +129,19 @@
     return json.loads(curio.run(_async_ask, address, request))
 
 
+async def async_put(address: Address, path: str, body: Any) -> Any:
+    """Change a stand-in, from within curio."""
+    encoded = json.dumps(body).encode(ENCODING)
+    request = HttpRequest('PUT', path, '', {}, encoded)
+    return json.loads(await _async_ask(address, request))
+
+
+async def async_get(address: Address, path: str) -> Any:
+    """Read a page, from within curio."""
+    request = HttpRequest('GET', path, '', {}, b'')
+    return json.loads(await _async_ask(address, request))
+
+
 async def _async_ask(address: Address, request: HttpRequest) -> bytes:
     opened = await ClientConnection.async_open(
         address,
--- a/bench/running.py
+++ b/bench/running.py
@@ -47,12 +47,18 @@
                 yield json.loads(line)
 
 
-def start(folder: pathlib.Path, name: str, arguments: list[str]) -> Running:
+def start(
+    folder: pathlib.Path,
+    name: str,
+    arguments: list[str],
+    *,
+    module: tuple[str, ...] = ('hornbeamdeck',),
+) -> Running:
     """Start a process and wait until it listens."""
     log = folder / f'{name}.log'
     with log.open('wb') as sink:
         process = subprocess.Popen(
-            [sys.executable, '-m', 'hornbeamdeck', *arguments],
+            [sys.executable, '-m', *module, *arguments],
             stdout=subprocess.DEVNULL,
             stderr=sink,
         )
--- a/hornbeamdeck/standin/batch.py
+++ b/hornbeamdeck/standin/batch.py
@@ -17,6 +17,12 @@
 
 END_OF_ANSWER: Final = -1
 CACHE_BLOCK_CHARS: Final = 256
+COUNTED: Final = (
+    'prefilled_tokens',
+    'wasted_prefill_tokens',
+    'output',
+    'breaks',
+)
 
 
 class EngineModel(NamedTuple):
@@ -70,9 +76,8 @@
         self.model = model
         self.records = EngineRecords(
             {},
-            {'prefilled_tokens': 0, 'wasted_prefill_tokens': 0, 'output': 0},
+            dict.fromkeys(COUNTED, 0),
         )
-        self.is_crashed = False
         self._sequences: list[Sequence] = []
         self._arrived = Event()
         self._cache: OrderedDict[str, None] = OrderedDict()
--- a/hornbeamdeck/standin/engine.py
+++ b/hornbeamdeck/standin/engine.py
@@ -1,7 +1,8 @@
 """Stand-in of a model engine: OpenAI-compatible completions over a batch.
 
-`PUT /standin/switches` changes the speed, crashes the engine or names a mark
-whose prompts crash it; `GET /standin/records` gives its own counts.
+`PUT /standin/switches` changes the speed, breaks all connections and refuses
+new ones for a while, or names a mark whose prompts crash or break the engine;
+`GET /standin/records` gives its own counts.
 """
 
 import json
@@ -35,9 +36,11 @@
 DEFAULT_OUTPUT_TOKENS: Final = 16
 CHARS_PER_TOKEN: Final = 4
 REPORT_LAG_MS: Final = 500
+BREAK_MS: Final = 300
 WORDS: Final = ('oak ', 'elm ', 'ash ', 'yew ', 'fir ', 'bay ', 'box ')
 
 OnCrash: TypeAlias = Callable[[], Awaitable[None]]
+OnOutage: TypeAlias = Callable[[int], Awaitable[None]]
 
 
 def expected_answer(prompt: str, output_tokens: int) -> str:
@@ -58,7 +61,9 @@
         """Start idle."""
         self.batch = Batch(model)
         self.crash_mark = ''
+        self.break_mark = ''
         self.on_crash: OnCrash | None = None
+        self.on_outage: OnOutage | None = None
         self.has_crashed = False
         self._reports: deque[dict[str, int]] = deque(maxlen=2)
 
@@ -101,6 +106,9 @@
         speed = asked.get('speed', model.speed)
         self.batch.model = model._replace(speed=speed)
         self.crash_mark = asked.get('crash_mark', self.crash_mark)
+        self.break_mark = asked.get('break_mark', self.break_mark)
+        if 'down_ms' in asked and self.on_outage is not None:
+            await spawn(self.on_outage, asked['down_ms'], daemon=True)
         return json_response(HTTPStatus.OK, {})
 
     async def _async_complete(
@@ -114,6 +122,11 @@
             self.has_crashed = True
             await self.on_crash()
             return
+        if self.break_mark and self.break_mark in prompt and self.on_outage:
+            self.batch.records.counts['breaks'] += 1
+            await spawn(self.on_outage, BREAK_MS, daemon=True)
+            await sleep(1)
+            return
         self._count_run(request)
         output_tokens = body.get('max_tokens') or DEFAULT_OUTPUT_TOKENS
         sequence = self._sequence(prompt, output_tokens)
@@ -185,18 +198,25 @@
 ) -> tuple[EngineStandin, Listener]:
     """Start an engine; a crash closes its listener and connections."""
     engine = EngineStandin(model)
-    listener = await async_setup_web(address, engine.async_answer)
+    listeners = [await async_setup_web(address, engine.async_answer)]
+    bound = listeners[0].address
     stepping = await spawn(engine.batch.async_run, daemon=True)
     reporting = await spawn(engine.async_report, daemon=True)
 
     async def _async_unload() -> None:
         await stepping.cancel()
         await reporting.cancel()
-        await listener.async_unload()
+        await listeners[-1].async_unload()
 
     async def _async_crash() -> None:
         await spawn(_async_unload, daemon=True)
         await sleep(1)
 
+    async def _async_outage(down_ms: int) -> None:
+        await listeners[-1].async_unload()
+        await sleep(down_ms / MILLIS_PER_SECOND)
+        listeners.append(await async_setup_web(bound, engine.async_answer))
+
     engine.on_crash = _async_crash
-    return engine, listener._replace(async_unload=_async_unload)
+    engine.on_outage = _async_outage
+    return engine, listeners[0]._replace(async_unload=_async_unload)
