Peers give the configuration while the platform is down

Cause: an instance that started in an outage of the platform knew no configuration and no peers, and refused everything; one whose watch hung stayed at its old version until the platform was back.

Bookings in an outage still need system-issued keys.

--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.wire import (
     MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_BYTES,
     Envelope,
     Hello,
     Message,
@@ -58,6 +59,7 @@
     def __init__(self, sock: socket.socket, identity: PeerIdentity) -> None:
         """Take a connected socket; no byte has passed yet."""
         self.peer_id = ''
+        self._max_frame_bytes = MAX_HANDSHAKE_BYTES
         self._sock = sock
         self._identity = identity
         self._received = bytearray()
@@ -110,7 +112,7 @@
         try:
             header = await self._async_take(LENGTH.size)
             length = LENGTH.unpack(header)[0]
-            if length > MAX_FRAME_BYTES:
+            if length > self._max_frame_bytes:
                 return Err(ConnectionBroken(f'a frame of {length} bytes'))
             frame = await self._async_take(length)
         except (OSError, EOFError) as error:
@@ -180,6 +182,7 @@
         if proved is None or not hmac.compare_digest(proved.mac, expected):
             return Err(ConnectionBroken('wrong proof'))
         self.peer_id = theirs.instance_id
+        self._max_frame_bytes = MAX_FRAME_BYTES
         return Ok(None)
 
     def _mac(self, own: Hello, other: Hello, *, is_caller: bool) -> bytes:
--- a/hornbeamdeck/demo/fleet.py
+++ b/hornbeamdeck/demo/fleet.py
@@ -118,7 +118,12 @@
         if isinstance(written, Err):
             raise RuntimeError(f'document not written: {written.err_value}')
 
-    async def async_add_instance(self, instance_id: str) -> Instance:
+    async def async_add_instance(
+        self,
+        instance_id: str,
+        *,
+        seed_peers: tuple[Address, ...] = (),
+    ) -> Instance:
         """Start one more instance."""
         settings = Settings.from_config(
             {
@@ -130,6 +135,7 @@
                 'fleet_secret': SECRET,
                 'operator_token': OPERATOR_TOKEN,
                 'policy': self.plan.policy,
+                'seed_peers': [str(each) for each in seed_peers],
                 'entries_ttl_ms': self.plan.entries_ttl_ms,
             },
         )
--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/process/follower.py
@@ -22,9 +22,11 @@
 
 WATCH_MS: Final = 30_000
 WATCH_PAUSE_S: Final = 0.05
+HINT_PAUSE_S: Final = 0.1
 ROLE: Final = 'configuration'
 
 OnChange: TypeAlias = Callable[[StoredObject], Awaitable[None]]
+TakeFromPeer: TypeAlias = Callable[[str], Awaitable[None]]
 OnAdopted: TypeAlias = Callable[[Configuration], Awaitable[None]]
 
 
@@ -93,7 +95,7 @@
         self.configuration = Configuration.empty()
         self._platform = platform
         self._on_adopted = on_adopted
-        self._hinted_version = 0
+        self._hinting_peer = ''
         self._hinted = Event()
 
     async def async_note(self, change: StoredObject) -> None:
@@ -115,21 +117,29 @@
         _LOGGER.info('configuration adopted', version=change.version)
         await self._on_adopted(parsed.ok_value)
 
-    async def async_hint(self, version: int) -> None:
+    async def async_hint(self, peer_id: str, version: int) -> None:
         """Take note that a peer has a version."""
-        if version > max(self._hinted_version, self.configuration.version):
-            self._hinted_version = version
+        if version > self.configuration.version:
+            self._hinting_peer = peer_id
             await self._hinted.set()
 
-    async def async_fetch_hinted(self) -> None:
+    async def async_fetch_hinted(self, take_from_peer: TakeFromPeer) -> None:
         """Fetch, for ever, what peers are known to have already.
 
-        A watch may hang on a dead connection for its whole wait; peers that
-        learned of the change in time would leave this process behind.
+        A watch may hang on a dead connection for its whole wait, and the
+        platform may be down; peers that learned of the change in time would
+        leave this process behind.
+
+        :param take_from_peer: asks the peer, where the platform fails.
         """
         while True:
             await self._hinted.wait()
-            self._hinted.clear()
             got = await self._platform.async_get(KEY_CONFIGURATION, role=ROLE)
-            if not isinstance(got, Err) and got.ok_value is not None:
+            if isinstance(got, Err):
+                await take_from_peer(self._hinting_peer)
+            elif got.ok_value is not None:
                 await self.async_note(got.ok_value)
+            # A hint that could not be followed comes again with the next
+            # message; the pause keeps that from becoming a storm.
+            await sleep(HINT_PAUSE_S)
+            self._hinted.clear()
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -66,6 +66,7 @@
             parts.identity,
             parts.scheduler,
             parts.follower,
+            parts.snapshots,
         )
         peers = await async_setup_listener(
             parts.settings.peer_address,
@@ -163,7 +164,10 @@
                 parts.follower.async_note,
                 role=ROLE,
             ),
-            parts.follower.async_fetch_hinted(),
+            parts.follower.async_fetch_hinted(
+                parts.snapshots.async_take_from_peer,
+            ),
+            parts.snapshots.async_seed(parts.settings.seed_peers),
             parts.presence.async_follow_statuses(),
             parts.presence.async_poll_list(),
             parts.scheduler.async_sweep(),
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -77,6 +77,7 @@
     def __init__(self, own: InstanceStatus) -> None:
         """Start knowing this process alone."""
         self._own = own
+        self.is_published = False
         self._statuses: dict[str, InstanceStatus] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._listed: dict[str, str] = {}
@@ -148,10 +149,18 @@
             if status.instance_id != self.own.instance_id
             and self._is_live(status, now)
         ]
-        if self.own.state == STATE_LIVE:
+        # Until its status is written nobody else counts this process among
+        # the owners; were it to count itself, its cells would have two.
+        is_owner = self.is_published or not others
+        if self.own.state == STATE_LIVE and is_owner:
             others.append(self.own)
         return others
 
+    def note_published(self) -> None:
+        """Take note that the others can know of this process."""
+        self._owners.clear()
+        self.is_published = True
+
     def owner_of(self, cell: str) -> str:
         """Pick the instance that owns a cell; itself where no other lives.
 
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -26,6 +26,7 @@
 from hornbeamdeck.process.presence import Presence
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.settings import Settings
+from hornbeamdeck.process.snapshot import Snapshots
 from hornbeamdeck.request.claim import Claims
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.configuration import Configuration
@@ -50,6 +51,7 @@
     reports: LoadReports
     presence: Presence
     identity: PeerIdentity
+    snapshots: Snapshots
     policy: Policy
 
     @classmethod
@@ -83,6 +85,7 @@
             reports=reports,
             presence=Presence(platform, membership, scheduler, grants),
             identity=identity,
+            snapshots=Snapshots(follower, membership, identity),
             policy=_timed(
                 _make_policy(settings.policy, grants, follower, reports),
                 metrics,
--- a/hornbeamdeck/process/peer_server.py
+++ b/hornbeamdeck/process/peer_server.py
@@ -14,7 +14,15 @@
 )
 from hornbeamdeck.process.follower import ConfigurationFollower
 from hornbeamdeck.process.scheduler import Scheduler
-from hornbeamdeck.wire import Envelope, Heartbeat, ToOwner, body_of
+from hornbeamdeck.process.snapshot import Snapshots
+from hornbeamdeck.wire import (
+    AskSnapshot,
+    Envelope,
+    Heartbeat,
+    Message,
+    ToOwner,
+    body_of,
+)
 
 __all__ = ('make_peer_server',)
 
@@ -25,6 +33,7 @@
     identity: PeerIdentity,
     scheduler: Scheduler,
     follower: ConfigurationFollower,
+    snapshots: Snapshots,
 ) -> ServeConnection:
     """Make the function that serves one peer's connection."""
     sequence = itertools.count()
@@ -38,23 +47,36 @@
         sender = f'{connection.peer_id}#{next(sequence)}'
 
         async def _async_received(envelope: Envelope) -> None:
-            await follower.async_hint(envelope.configuration_version)
+            version = envelope.configuration_version
+            await follower.async_hint(connection.peer_id, version)
             message = body_of(envelope)
-            if isinstance(message, Heartbeat):
-                reply = Heartbeat(sequence=message.sequence, is_reply=True)
-                await connection.async_send(reply)
-                return
             if isinstance(message, ToOwner):
                 await scheduler.async_receive(
                     message,
                     sender=sender,
                     deliver=connection.async_send,
                 )
+                return
+            await _async_reply(message, connection, snapshots)
 
         try:
             broken = await async_run_peer(connection, _async_received)
-            _LOGGER.info('peer gone', peer=sender, cause=broken.cause)
         finally:
+            # Also where the serving fails: what a lost ingress had asked for
+            # would hold places for ever.
             await scheduler.async_drop_sender(sender)
+        _LOGGER.info('peer gone', peer=sender, cause=broken.cause)
 
     return _async_serve
+
+
+async def _async_reply(
+    message: Message,
+    connection: PeerConnection,
+    snapshots: Snapshots,
+) -> None:
+    if isinstance(message, Heartbeat):
+        reply = Heartbeat(sequence=message.sequence, is_reply=True)
+        await connection.async_send(reply)
+    if isinstance(message, AskSnapshot):
+        await connection.async_send(snapshots.give(message))
--- a/hornbeamdeck/process/peers.py
+++ b/hornbeamdeck/process/peers.py
@@ -21,7 +21,7 @@
 
 OnMessage: TypeAlias = Callable[[str, Message], Awaitable[None]]
 OnLost: TypeAlias = Callable[[str], Awaitable[None]]
-OnVersion: TypeAlias = Callable[[int], Awaitable[None]]
+OnVersion: TypeAlias = Callable[[str, int], Awaitable[None]]
 
 
 class Peers:
@@ -36,7 +36,7 @@
     ) -> None:
         """Open nothing yet.
 
-        :param on_version: told the configuration version of each message.
+        :param on_version: told each message's peer and configuration version.
         """
         self._membership = membership
         self._identity = identity
@@ -106,7 +106,7 @@
         connection.take_over(outbox)
 
         async def _async_received(envelope: Envelope) -> None:
-            await self._on_version(envelope.configuration_version)
+            await self._on_version(peer_id, envelope.configuration_version)
             if self._on_message is not None:
                 await self._on_message(peer_id, body_of(envelope))
 
--- a/hornbeamdeck/process/presence.py
+++ b/hornbeamdeck/process/presence.py
@@ -44,6 +44,7 @@
         status = self._membership.own
         while status == self._membership.own:
             if await self._async_write(status):
+                self._membership.note_published()
                 return
             await sleep(next(waits))
 
--- a/hornbeamdeck/process/settings.py
+++ b/hornbeamdeck/process/settings.py
@@ -38,6 +38,10 @@
         vol.Required('platform_address'): vol.All(str, _address),
         vol.Required('fleet_secret'): _SECRET,
         vol.Required('operator_token'): _SECRET,
+        vol.Optional('seed_peers', default=list): vol.All(
+            [vol.All(str, _address)],
+            vol.Coerce(tuple),
+        ),
         vol.Optional('policy', default='grant'): vol.In(POLICIES),
         vol.Optional('drain_ms', default=DEFAULT_DRAIN_MS): vol.All(
             int,
@@ -59,6 +63,7 @@
 
     :param address: where callers connect; port 0 lets the system choose.
     :param peer_address: where other instances connect.
+    :param seed_peers: peer addresses to ask while the platform is down.
     :param drain_ms: longest planned stop, milliseconds.
     :param entries_ttl_ms: how long callers may keep an addresses answer.
     """
@@ -70,6 +75,7 @@
     platform_address: Address
     fleet_secret: str
     operator_token: str
+    seed_peers: tuple[Address, ...]
     policy: str
     drain_ms: int
     entries_ttl_ms: int
--- a/hornbeamdeck/wire/__init__.py
+++ b/hornbeamdeck/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from hornbeamdeck.wire.codec import (
     MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_BYTES,
     MalformedFrame,
     Message,
     ToIngress,
@@ -12,6 +13,7 @@
 )
 from hornbeamdeck.wire.enums import RefusalReason, RunEnd
 from hornbeamdeck.wire.gen.peer.ttypes import (
+    AskSnapshot,
     Enqueue,
     Envelope,
     Grant,
@@ -22,12 +24,15 @@
     Refuse,
     Register,
     Release,
+    Snapshot,
     Suspect,
     Withdraw,
 )
 
 __all__ = (
     'MAX_FRAME_BYTES',
+    'MAX_HANDSHAKE_BYTES',
+    'AskSnapshot',
     'Enqueue',
     'Envelope',
     'Grant',
@@ -42,6 +47,7 @@
     'Register',
     'Release',
     'RunEnd',
+    'Snapshot',
     'Suspect',
     'ToIngress',
     'ToOwner',
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -11,6 +11,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from hornbeamdeck.wire.gen.peer.ttypes import (
+    AskSnapshot,
     Enqueue,
     Envelope,
     Grant,
@@ -21,12 +22,14 @@
     Refuse,
     Register,
     Release,
+    Snapshot,
     Suspect,
     Withdraw,
 )
 
 __all__ = (
     'MAX_FRAME_BYTES',
+    'MAX_HANDSHAKE_BYTES',
     'MalformedFrame',
     'Message',
     'ToIngress',
@@ -36,7 +39,10 @@
     'encode_frame',
 )
 
-MAX_FRAME_BYTES: Final = 65_536
+# A stranger may make this process hold so much before it has proved itself;
+# a peer may send a configuration document.
+MAX_HANDSHAKE_BYTES: Final = 4096
+MAX_FRAME_BYTES: Final = 2_097_152
 _READ_FAILURES: Final = (
     TException,
     EOFError,
@@ -54,7 +60,9 @@
     Enqueue | Withdraw | Register | Progress | Release | Suspect
 )
 ToIngress: TypeAlias = Grant | Refuse | Suspect
-Message: TypeAlias = ToOwner | ToIngress | Hello | Proof | Heartbeat
+Message: TypeAlias = (
+    ToOwner | ToIngress | Hello | Proof | Heartbeat | AskSnapshot | Snapshot
+)
 
 _FIELDS: Final[Mapping[type, str]] = MappingProxyType(
     {
@@ -69,6 +77,8 @@
         Release: 'release',
         Heartbeat: 'heartbeat',
         Suspect: 'suspect',
+        AskSnapshot: 'ask_snapshot',
+        Snapshot: 'snapshot',
     }
 )
 
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1232,6 +1232,182 @@
         return not (self == other)
 
 
+class AskSnapshot(object):
+    """
+    Attributes:
+     - known_version
+
+    """
+
+    __slots__ = (
+        'known_version',
+    )
+
+
+    def __init__(self, known_version=None,):
+        self.known_version = known_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskSnapshot')
+        if self.known_version is not None:
+            oprot.writeFieldBegin('known_version', TType.I64, 1)
+            oprot.writeI64(self.known_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known_version is None:
+            raise TProtocolException(message='Required field known_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Snapshot(object):
+    """
+    Attributes:
+     - configuration_version
+     - document
+     - statuses
+
+    """
+
+    __slots__ = (
+        'configuration_version',
+        'document',
+        'statuses',
+    )
+
+
+    def __init__(self, configuration_version=None, document=None, statuses=None,):
+        self.configuration_version = configuration_version
+        self.document = document
+        self.statuses = statuses
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.document = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.statuses = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Snapshot')
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 1)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 2)
+            oprot.writeString(self.document.encode('utf-8') if sys.version_info[0] == 2 else self.document)
+            oprot.writeFieldEnd()
+        if self.statuses is not None:
+            oprot.writeFieldBegin('statuses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.statuses))
+            for iter13 in self.statuses:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.configuration_version is None:
+            raise TProtocolException(message='Required field configuration_version is unset!')
+        if self.document is None:
+            raise TProtocolException(message='Required field document is unset!')
+        if self.statuses is None:
+            raise TProtocolException(message='Required field statuses is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1248,6 +1424,8 @@
      - release
      - heartbeat
      - suspect
+     - ask_snapshot
+     - snapshot
 
     """
 
@@ -1265,10 +1443,12 @@
         'release',
         'heartbeat',
         'suspect',
+        'ask_snapshot',
+        'snapshot',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -1282,6 +1462,8 @@
         self.release = release
         self.heartbeat = heartbeat
         self.suspect = suspect
+        self.ask_snapshot = ask_snapshot
+        self.snapshot = snapshot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1368,6 +1550,18 @@
                     self.suspect.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.ask_snapshot = AskSnapshot()
+                    self.ask_snapshot.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.snapshot = Snapshot()
+                    self.snapshot.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1430,6 +1624,14 @@
             oprot.writeFieldBegin('suspect', TType.STRUCT, 13)
             self.suspect.write(oprot)
             oprot.writeFieldEnd()
+        if self.ask_snapshot is not None:
+            oprot.writeFieldBegin('ask_snapshot', TType.STRUCT, 14)
+            self.ask_snapshot.write(oprot)
+            oprot.writeFieldEnd()
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.STRUCT, 15)
+            self.snapshot.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1540,6 +1742,18 @@
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.BOOL, 'is_reply', None, None, ),  # 2
 )
+all_structs.append(AskSnapshot)
+AskSnapshot.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_version', None, None, ),  # 1
+)
+all_structs.append(Snapshot)
+Snapshot.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'configuration_version', None, None, ),  # 1
+    (2, TType.STRING, 'document', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'statuses', (TType.STRING, 'UTF8', False), None, ),  # 3
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1556,6 +1770,8 @@
     (11, TType.STRUCT, 'release', [Release, None], None, ),  # 11
     (12, TType.STRUCT, 'heartbeat', [Heartbeat, None], None, ),  # 12
     (13, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 13
+    (14, TType.STRUCT, 'ask_snapshot', [AskSnapshot, None], None, ),  # 14
+    (15, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -92,6 +92,17 @@
   2: required bool is_reply
 }
 
+// What an instance asks a peer for while the platform does not answer.
+struct AskSnapshot {
+  1: required i64 known_version
+}
+
+struct Snapshot {
+  1: required i64 configuration_version
+  2: required string document       // empty where the asker's is as new
+  3: required list<string> statuses // status objects of known instances
+}
+
 // Exactly one of the fields from 3 on is set.
 struct Envelope {
   1: required i64 configuration_version
@@ -107,4 +118,6 @@
   11: optional Release release
   12: optional Heartbeat heartbeat
   13: optional Suspect suspect
+  14: optional AskSnapshot ask_snapshot
+  15: optional Snapshot snapshot
 }
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -78,6 +78,7 @@
     clock = [0.0]
     with mock.patch.object(module, 'now_ms', lambda: clock[0]):
         members = Membership(status('a'))
+        members.note_published()
         for step in steps:
             if step[0] == 'pass':
                 clock[0] += step[1]
@@ -105,6 +106,7 @@
     all be sent to the same one, nor to another zone while the own one serves.
     """
     members = Membership(status('a'))
+    members.note_published()
     near = status('b')._replace(availability_zone='zone-a')
     members.note_status(StoredObject('instances/b', 1, near.to_text()))
     members.note_status(stored('c'))
@@ -117,5 +119,6 @@
 
 def test_leaving_instance_is_in_no_answer() -> None:
     members = Membership(status('a'))
+    members.note_published()
     members.note_status(stored('b', 'leaving'))
     assert [each.instance_id for each in members.entries('x', 3)] == ['a']
