System-issued idempotency keys: bookings go on while the platform is down

Cause: a booking needs a claim in the platform; in a 30 s outage none of 150 bookings with callers' own keys was answered.

Change: keys signed and bound to one incarnation of an instance, whose memory is the record; other instances forward such calls to it; if it is gone nobody runs them and the answer is unknown. The claim and the issued key give the same typed right (Once). The list of leaving upstreams is read again soon after a failed reading.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -30,6 +30,7 @@
 SPEEDS: Final = (1.0, 1.0, 0.7, 0.5)
 CALLS_PER_S: Final = 25.0
 BOOKING_SHARE: Final = 0.4
+IMPATIENT_SHARE: Final = 0.3
 MAX_SENDS: Final = 8
 RESEND_S: Final = 0.4
 FAULT_EVERY_S: Final = 2.5
@@ -78,6 +79,7 @@
         self.cut_off_by_stop = 0
         self.sent_to_leaving = 0
         self.crashes = 0
+        self.is_engine_leaving = False
         self.down: set[int] = set()
 
     def address(self) -> Address:
@@ -105,11 +107,24 @@
             idempotency_key=key,
         )
         seen = self.by_key.setdefault(key, [])
+        group = curio.TaskGroup()
+        if self.draw.random() < IMPATIENT_SHARE:
+            await group.spawn(self._async_send, entry, number, seen)
         for _ in range(MAX_SENDS):
-            seen.append(await self.async_call(entry, number))
-            if seen[-1].is_whole:
-                return
+            if await self._async_send(entry, number, seen):
+                break
             await curio.sleep(RESEND_S)
+        await group.join()
+
+    async def _async_send(
+        self,
+        entry: TraceEntry,
+        number: int,
+        seen: list[CallRecord],
+    ) -> bool:
+        record = await self.async_call(entry, number)
+        seen.append(record)
+        return record.is_whole
 
 
 def _entry(tier: str, deadline_ms: int) -> TraceEntry:
@@ -201,6 +216,10 @@
 
 
 async def _async_leaving(scene: Scene) -> None:
+    if scene.is_engine_leaving:
+        # Two at once would take each other's entry off the list.
+        return
+    scene.is_engine_leaving = True
     engine = scene.fleet.engines[0]
     platform = scene.fleet.platform.address
     listed = {str(engine.address): 'leaving'}
@@ -212,6 +231,7 @@
     scene.sent_to_leaving += len(after['runs']) - len(before['runs'])
     listed[str(engine.address)] = 'live'
     await async_put(platform, '/standin/instances', listed)
+    scene.is_engine_leaving = False
 
 
 Fault = Callable[[Scene], Awaitable[None]]
--- a/bench/weakened.py
+++ b/bench/weakened.py
@@ -16,22 +16,20 @@
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.process import instance, scheduler, suspicion
 from hornbeamdeck.request import answer, claim, relay
-from hornbeamdeck.request.claim_record import ClaimRecord
+from hornbeamdeck.request.once import Once
 
 
-def _without_claim() -> None:
-    """Let every call that must not repeat run at once."""
+async def _async_nothing(*_args: Any) -> None:
+    """Record and release nothing."""
+
 
-    async def _async_claim(self: Any, admission: Any) -> Any:
-        record = ClaimRecord.from_admission(admission)
-        return Ok(claim.Claim('none', record, 0))
+async def _async_anyone(*_args: Any) -> Result[Once, Any]:
+    return Ok(Once(record=_async_nothing, release=_async_nothing))
 
-    async def _async_nothing(self: Any, *_args: Any) -> None:
-        """Record and release nothing."""
 
-    _patch(claim.Claims, 'async_claim', _async_claim)
-    _patch(claim.Claims, 'async_record', _async_nothing)
-    _patch(claim.Claims, 'async_release', _async_nothing)
+def _without_claim() -> None:
+    """Let every call that must not repeat run at once."""
+    _patch(claim.Claims, 'async_claim', _async_anyone)
 
 
 def _without_isolation() -> None:
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -125,7 +125,7 @@
         return Answering(
             configuration=parts.follower.configuration,
             policy=parts.policy,
-            claims=parts.claims,
+            once=parts.once,
             metrics=parts.metrics,
             background=parts.background,
         )
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -15,6 +15,7 @@
 )
 from hornbeamdeck.process.follower import ConfigurationFollower
 from hornbeamdeck.process.grants import Grants
+from hornbeamdeck.process.issued_calls import IssuedCalls
 from hornbeamdeck.process.membership import (
     STATE_LIVE,
     InstanceStatus,
@@ -28,6 +29,7 @@
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.process.snapshot import Snapshots
 from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.once_sources import OnceSources
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import Enqueue
@@ -47,7 +49,7 @@
     peers: Peers
     grants: Grants
     background: Background
-    claims: Claims
+    once: OnceSources
     reports: LoadReports
     presence: Presence
     identity: PeerIdentity
@@ -81,7 +83,12 @@
             peers=peers,
             grants=grants,
             background=background,
-            claims=Claims(platform, background),
+            once=OnceSources(
+                Claims(platform, background),
+                IssuedCalls(),
+                membership,
+                settings.fleet_secret,
+            ),
             reports=reports,
             presence=Presence(platform, membership, scheduler, grants),
             identity=identity,
--- a/hornbeamdeck/process/presence.py
+++ b/hornbeamdeck/process/presence.py
@@ -59,14 +59,20 @@
 
     async def async_poll_list(self) -> None:
         """Read, for ever, the platform's list of live and leaving ones."""
+        waits = backoff_s()
         while True:
             listed = await self._platform.async_instances(role=ROLE)
-            if not isinstance(listed, Err):
-                self._membership.note_listed(listed.ok_value)
-                self._scheduler.note_leaving(
-                    self._membership.leaving_addresses(),
-                )
-                await self._grants.async_review()
+            if isinstance(listed, Err):
+                # A leaving upstream is to get nothing after a few seconds, so
+                # a failed reading is not made up for only a period later.
+                await sleep(next(waits))
+                continue
+            waits = backoff_s()
+            self._membership.note_listed(listed.ok_value)
+            self._scheduler.note_leaving(
+                self._membership.leaving_addresses(),
+            )
+            await self._grants.async_review()
             await sleep(LIST_PERIOD_MS / MILLIS_PER_SECOND)
 
     async def _async_write(self, status: InstanceStatus) -> bool:
--- a/hornbeamdeck/request/answer.py
+++ b/hornbeamdeck/request/answer.py
@@ -14,7 +14,8 @@
 from hornbeamdeck.process.metrics import Metrics
 from hornbeamdeck.process.policy import Policy
 from hornbeamdeck.request.admission import Admission
-from hornbeamdeck.request.claim import Claim, Claims, Recorded
+from hornbeamdeck.request.once import Once, Recorded
+from hornbeamdeck.request.once_sources import OnceSources, async_take_once
 from hornbeamdeck.request.outcome import (
     Failure,
     Outcome,
@@ -40,7 +41,7 @@
 
     configuration: Configuration
     policy: Policy
-    claims: Claims
+    once: OnceSources
     metrics: Metrics
     background: Background
 
@@ -51,25 +52,31 @@
     caller: ServerConnection,
 ) -> None:
     """Answer a request; every way out gives the caller one final word."""
-    claim: Claim | None = None
-    if not admission.may_repeat:
-        claimed = await parts.claims.async_claim(admission)
-        if isinstance(claimed, Err):
-            await async_fail(
-                parts.metrics, admission, claimed.err_value, caller
-            )
-            return
-        if isinstance(claimed.ok_value, Recorded):
-            await _async_replay(parts, admission, claimed.ok_value, caller)
-            return
-        claim = claimed.ok_value
-    await _async_run(parts, admission, claim, caller)
+    if admission.may_repeat:
+        await _async_run(parts, admission, None, caller)
+        return
+    taken = await async_take_once(parts.once, admission)
+    if isinstance(taken, Err):
+        await async_fail(parts.metrics, admission, taken.err_value, caller)
+        return
+    match taken.ok_value:
+        case Once() as once:
+            await _async_run(parts, admission, once, caller)
+        case Recorded() as recorded:
+            await _async_replay(parts, admission, recorded, caller)
+        case HttpResponse() as forwarded:
+            parts.metrics.count(*_labels(admission), 'forwarded')
+            await caller.async_respond(forwarded)
+
+
+def _labels(admission: Admission) -> tuple[str, str]:
+    return admission.service.name, admission.tier.name
 
 
 async def _async_run(
     parts: Answering,
     admission: Admission,
-    claim: Claim | None,
+    once: Once | None,
     caller: ServerConnection,
 ) -> None:
     placed = None
@@ -81,12 +88,12 @@
         )
     finally:
         # Reached by refusals and by callers that leave while they wait.
-        if claim is not None and not isinstance(placed, Ok):
-            await parts.claims.async_release(claim)
+        if once is not None and not isinstance(placed, Ok):
+            await once.release()
     if isinstance(placed, Err):
         await async_fail(parts.metrics, admission, placed.err_value, caller)
         return
-    if claim is None:
+    if once is None:
         relayed = await async_relay(
             admission,
             placed.ok_value,
@@ -99,12 +106,12 @@
             parts,
             admission,
             placed.ok_value,
-            claim,
+            once,
         )
     if isinstance(relayed, Err):
         await async_fail(parts.metrics, admission, relayed.err_value, caller)
         return
-    parts.metrics.count(admission.service.name, admission.tier.name, 'ran')
+    parts.metrics.count(*_labels(admission), 'ran')
     if not caller.has_started:
         await caller.async_respond(relayed.ok_value)
 
@@ -113,7 +120,7 @@
     parts: Answering,
     admission: Admission,
     placement: Placement,
-    claim: Claim,
+    once: Once,
 ) -> Result[HttpResponse, Unknown]:
     """Run a call that must not repeat to its end, with or without its caller.
 
@@ -131,7 +138,7 @@
             limit_ms=admission.left_ms + CLAIMED_GRACE_MS,
         )
         if not isinstance(relayed, Err):
-            await parts.claims.async_record(claim, relayed.ok_value)
+            await once.record(relayed.ok_value)
         return relayed
 
     work = await parts.background.async_spawn(_async_work())
@@ -152,11 +159,7 @@
     caller: ServerConnection,
 ) -> None:
     """Tell the caller of a failure, on its connection or by breaking it."""
-    metrics.count(
-        admission.service.name,
-        admission.tier.name,
-        failure.outcome.value,
-    )
+    metrics.count(*_labels(admission), failure.outcome.value)
     _LOGGER.info(
         'request failed',
         request_id=admission.request_id,
@@ -176,7 +179,7 @@
     recorded: Recorded,
     caller: ServerConnection,
 ) -> None:
-    parts.metrics.count(admission.service.name, admission.tier.name, 'replay')
+    parts.metrics.count(*_labels(admission), 'replay')
     response = recorded.response
     headers = {
         **response.headers,
--- a/hornbeamdeck/request/claim.py
+++ b/hornbeamdeck/request/claim.py
@@ -6,7 +6,7 @@
 """
 
 import base64
-from http import HTTPStatus
+from functools import partial
 from typing import Final, NamedTuple
 
 import structlog
@@ -32,14 +32,15 @@
     ClaimRecord,
     claim_key,
 )
-from hornbeamdeck.request.outcome import Failure, Unknown
+from hornbeamdeck.request.once import Once, Recorded, in_progress
+from hornbeamdeck.request.outcome import Failure
 from hornbeamdeck.request.refusal import (
     bad_request,
     platform_down,
     unprocessable,
 )
 
-__all__ = ('Claim', 'Claims', 'Recorded')
+__all__ = ('Claim', 'Claims')
 
 _LOGGER = structlog.get_logger(prefix='claims')
 
@@ -47,7 +48,6 @@
 MAX_KEY_CHARS: Final = 256
 MAX_RECORDED_BYTES: Final = 262_144
 SETTLE_MS: Final = 60_000
-RETRY_IN_PROGRESS_MS: Final = 1000
 
 
 class Claim(NamedTuple):
@@ -61,12 +61,6 @@
     version: int
 
 
-class Recorded(NamedTuple):
-    """The outcome of a first call, for those that repeat it."""
-
-    response: HttpResponse
-
-
 class Claims:
     """Makes, settles and releases claims."""
 
@@ -82,7 +76,7 @@
     async def async_claim(
         self,
         admission: Admission,
-    ) -> Result[Claim | Recorded, Failure]:
+    ) -> Result[Once | Recorded, Failure]:
         """Claim a call, or find who has claimed it before."""
         key = admission.request.headers.get(HEADER_IDEMPOTENCY_KEY, '')
         if not key or len(key) > MAX_KEY_CHARS:
@@ -92,14 +86,26 @@
                     'idempotency_key_needed',
                 ),
             )
-        return await self._async_create(
+        claimed = await self._async_create(
             admission,
             claim_key(admission, key),
             ClaimRecord.from_admission(admission),
         )
+        return claimed.map(self._to_once)
+
+    def _to_once(self, claimed: Claim | Recorded) -> Once | Recorded:
+        if isinstance(claimed, Recorded):
+            return claimed
+        return Once(
+            record=partial(self._async_record, claimed),
+            release=partial(self._async_release, claimed),
+        )
 
-    async def async_record(self, claim: Claim, response: HttpResponse) -> None:
-        """Keep an outcome for those that repeat the call."""
+    async def _async_record(
+        self,
+        claim: Claim,
+        response: HttpResponse,
+    ) -> None:
         if len(response.body) > MAX_RECORDED_BYTES:
             return
         record = claim.record._replace(
@@ -112,8 +118,7 @@
             self._async_settle_record(claim, record.to_text()),
         )
 
-    async def async_release(self, claim: Claim) -> None:
-        """Give up a claim whose call was surely not dispatched."""
+    async def _async_release(self, claim: Claim) -> None:
         await self._background.async_spawn(
             self._async_settle_release(claim.object_key, claim.record.nonce),
         )
@@ -225,11 +230,4 @@
             headers['content-type'] = found.content_type
         body = base64.b64decode(found.body_base64)
         return Ok(Recorded(HttpResponse(found.status, headers, body)))
-    return Err(
-        Unknown(
-            HTTPStatus.CONFLICT,
-            'in_progress',
-            'an earlier call with this key has no recorded outcome',
-            RETRY_IN_PROGRESS_MS,
-        ),
-    )
+    return Err(in_progress())
--- /dev/null
+++ b/hornbeamdeck/request/once_sources.py
@@ -0,0 +1,88 @@
+"""Where the right to run a call once comes from: a claim, or an issued key."""
+
+from typing import NamedTuple
+
+from result import Err, Result
+
+from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.const import HEADER_IDEMPOTENCY_KEY
+from hornbeamdeck.process.issued_calls import IssuedCalls
+from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.request.admission import Admission
+from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.forward import (
+    HEADER_FORWARDED,
+    async_forward,
+    issuer_gone,
+)
+from hornbeamdeck.request.issued_key import (
+    IssuedKey,
+    is_issued,
+    issue_key,
+    read_key,
+)
+from hornbeamdeck.request.once import Once, Recorded
+from hornbeamdeck.request.outcome import Failure
+
+__all__ = ('OnceSources', 'async_take_once', 'issue_for')
+
+
+class OnceSources(NamedTuple):
+    """Both sources, and who this process is."""
+
+    claims: Claims
+    issued: IssuedCalls
+    membership: Membership
+    secret: str
+
+
+def issue_for(sources: OnceSources, team: str) -> str:
+    """Issue a key that only this incarnation will run."""
+    own = sources.membership.own
+    return issue_key(
+        instance_id=own.instance_id,
+        incarnation=own.incarnation,
+        team=team,
+        secret=sources.secret,
+    )
+
+
+async def async_take_once(
+    sources: OnceSources,
+    admission: Admission,
+) -> Result[Once | Recorded | HttpResponse, Failure]:
+    """Take the right to run a call, or find its outcome, here or elsewhere.
+
+    :returns: the right; an outcome kept here; or the issuer's own response.
+    """
+    text = admission.request.headers.get(HEADER_IDEMPOTENCY_KEY, '')
+    if not is_issued(text):
+        return await sources.claims.async_claim(admission)
+    read = read_key(text, team=admission.team.name, secret=sources.secret)
+    if isinstance(read, Err):
+        return read
+    if _is_own(sources, read.ok_value):
+        return sources.issued.begin(read.ok_value, admission.fingerprint)
+    return await _async_ask_issuer(sources, admission, read.ok_value)
+
+
+def _is_own(sources: OnceSources, key: IssuedKey) -> bool:
+    own = sources.membership.own
+    return (key.instance_id, key.incarnation) == (
+        own.instance_id,
+        own.incarnation,
+    )
+
+
+async def _async_ask_issuer(
+    sources: OnceSources,
+    admission: Admission,
+    key: IssuedKey,
+) -> Result[Once | Recorded | HttpResponse, Failure]:
+    issuer = sources.membership.status_of(key.instance_id)
+    if issuer is None or issuer.incarnation != key.incarnation:
+        return Err(issuer_gone())
+    if HEADER_FORWARDED in admission.request.headers:
+        # Forwarded here by one that still takes this address for the issuer's.
+        return Err(issuer_gone())
+    return await async_forward(admission, issuer)
--- a/hornbeamdeck/request/relay.py
+++ b/hornbeamdeck/request/relay.py
@@ -24,7 +24,7 @@
 from hornbeamdeck.request.placement import Placement
 from hornbeamdeck.wire import RunEnd
 
-__all__ = ('Relay', 'async_relay', 'too_late')
+__all__ = ('Relay', 'async_relay', 'too_late', 'without_hop_by_hop')
 
 HOP_BY_HOP: Final = frozenset(
     (
@@ -192,22 +192,26 @@
     )
 
 
+def without_hop_by_hop(headers: Headers) -> dict[str, str]:
+    """Drop the fields that concern one connection only."""
+    return {
+        name: text for name, text in headers.items() if name not in HOP_BY_HOP
+    }
+
+
 def _to_upstream(admission: Admission) -> HttpRequest:
     headers = {
         name: text
-        for name, text in admission.request.headers.items()
-        if name not in HOP_BY_HOP and name not in WITHHELD
+        for name, text in without_hop_by_hop(admission.request.headers).items()
+        if name not in WITHHELD
     }
     headers[HEADER_REQUEST_ID] = admission.request_id
     return admission.request._replace(path=admission.path, headers=headers)
 
 
 def _to_caller(headers: Headers, request_id: str) -> Headers:
-    kept = {
-        name: text for name, text in headers.items() if name not in HOP_BY_HOP
-    }
     return {
-        **kept,
+        **without_hop_by_hop(headers),
         HEADER_OUTCOME: Outcome.RAN.value,
         HEADER_REQUEST_ID: request_id,
     }
--- a/hornbeamdeck/request/router.py
+++ b/hornbeamdeck/request/router.py
@@ -23,6 +23,7 @@
     new_id,
 )
 from hornbeamdeck.request.answer import Answering, async_answer_admitted
+from hornbeamdeck.request.once_sources import issue_for
 from hornbeamdeck.request.outcome import NotRun, to_response
 from hornbeamdeck.request.refusal import bad_request
 
@@ -117,6 +118,8 @@
             return HttpResponse(HTTPStatus.OK, headers, parts.metrics.render())
         case '/v1/entries':
             return _entries(routing, parts, request, request_id)
+        case '/v1/idempotency-keys':
+            return _issue(routing, parts, request, request_id)
         case '/v1/models':
             return _models(parts, request, request_id)
     refusal = NotRun(HTTPStatus.NOT_FOUND, 'no_such_path', 'no such path')
@@ -155,6 +158,27 @@
     )
 
 
+def _issue(
+    routing: Routing,
+    parts: Answering,
+    request: HttpRequest,
+    request_id: str,
+) -> HttpResponse:
+    team = identify(parts.configuration, request.headers)
+    if isinstance(team, Err):
+        return to_response(team.err_value, request_id)
+    if routing.is_leaving():
+        # What this process remembers goes with it.
+        refusal = NotRun(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'leaving',
+            'this instance is leaving; ask another',
+        )
+        return to_response(refusal, request_id)
+    key = issue_for(parts.once, team.ok_value.name)
+    return _json(HTTPStatus.CREATED, {'idempotency_key': key})
+
+
 def _models(
     parts: Answering,
     request: HttpRequest,
--- /dev/null
+++ b/tests/request/test_issued_key.py
@@ -0,0 +1,121 @@
+"""Idempotency keys that the system issues."""
+
+import json
+
+from curio import TaskGroup
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeamdeck.connection.http import HttpRequest
+from hornbeamdeck.demo.caller import async_call
+from hornbeamdeck.demo.document import team_key
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from hornbeamdeck.process.instance import Instance
+from hornbeamdeck.request.issued_key import is_issued, issue_key, read_key
+from tests.support import async_fetch, booking_entry, on_fleet
+
+PLAN = FleetPlan(instances=3, speeds=(1.0,))
+SECRET = 'a-secret-of-the-fleet'
+FAMILIES = {'authorization': f'Bearer {team_key("families")}'}
+
+
+def _issue(team: str = 'families') -> str:
+    return issue_key(
+        instance_id='i',
+        incarnation='x',
+        team=team,
+        secret=SECRET,
+    )
+
+
+def test_own_key_is_read_back() -> None:
+    read = read_key(_issue(), team='families', secret=SECRET).unwrap()
+    assert (read.instance_id, read.incarnation) == ('i', 'x')
+
+
+def test_key_of_another_team_is_refused() -> None:
+    assert read_key(_issue(), team='sales', secret=SECRET).is_err()
+
+
+@given(st.integers(0, 400), st.characters(codec='utf-8'))
+def test_changed_key_is_refused(place: int, letter: str) -> None:
+    """A caller changes a key that it was given, to have a call run under an
+    incarnation of its choice. Only keys with a whole signature are heeded.
+    """
+    key = _issue()
+    place %= len(key)
+    changed = key[:place] + letter + key[place + 1 :]
+    if changed != key and is_issued(changed):
+        assert read_key(changed, team='families', secret=SECRET).is_err()
+
+
+async def _async_key(instance: Instance) -> str:
+    request = HttpRequest('POST', '/v1/idempotency-keys', '', FAMILIES, b'')
+    response = await async_fetch(instance.own.address, request)
+    return str(json.loads(response.body)['idempotency_key'])
+
+
+@on_fleet(PLAN)
+async def test_bookings_go_on_while_the_platform_is_down(
+    fleet: Fleet,
+) -> None:
+    """The platform is down all morning. A family books with a key from the
+    system, and sends the booking again to the other instances: it is made
+    once, everybody tells the same, and the platform is not asked.
+    """
+    key = await _async_key(fleet.instances[0])
+    fleet.platform.switches = fleet.platform.switches._replace(is_down=True)
+    before = fleet.platform.calls.get('claims', 0)
+    entry = booking_entry(key)
+    for instance in fleet.instances:
+        record = await async_call(entry, 1, instance.own.address)
+        assert record.is_whole
+        assert record.outcome == 'ran'
+    assert fleet.booking.runs == {key: 1}
+    assert fleet.platform.calls.get('claims', 0) == before
+
+
+@on_fleet(PLAN)
+async def test_issued_key_sent_at_once_to_all_runs_once(
+    fleet: Fleet,
+) -> None:
+    key = await _async_key(fleet.instances[0])
+    async with TaskGroup() as calls:
+        for instance in fleet.instances * 3:
+            address = instance.own.address
+            await calls.spawn(async_call, booking_entry(key), 1, address)
+    assert fleet.booking.runs == {key: 1}
+    assert {each.outcome for each in calls.results} <= {'ran', 'unknown'}
+
+
+@on_fleet(PLAN)
+async def test_key_of_a_dead_instance_is_run_by_nobody(fleet: Fleet) -> None:
+    """The instance that issued a key has died, with it the memory of what ran.
+    Another one that ran the booking could charge the family a second time; it
+    says `unknown` instead.
+    """
+    issuer = fleet.instances[0]
+    key = await _async_key(issuer)
+    await issuer.async_kill()
+    record = await async_call(
+        booking_entry(key),
+        1,
+        fleet.instances[1].own.address,
+    )
+    assert record.outcome == 'unknown'
+    assert fleet.booking.runs == {}
+
+
+@on_fleet(PLAN)
+async def test_key_used_for_another_call_is_refused(fleet: Fleet) -> None:
+    """An app uses one key for two different bookings. The second family must
+    not be given the first one's confirmation.
+    """
+    key = await _async_key(fleet.instances[0])
+    address = fleet.instances[0].own.address
+    first = await async_call(booking_entry(key), 1, address)
+    other = booking_entry(key)._replace(path='/bookings/special')
+    second = await async_call(other, 1, address)
+    assert first.is_whole
+    assert (second.status, second.outcome) == (422, 'not_run')
+    assert fleet.booking.runs == {key: 1}
