--- a/hornbeamdeck/demo/caller.py
+++ b/hornbeamdeck/demo/caller.py
@@ -36,6 +36,7 @@
     :param status: 0 where the connection broke or the caller gave up.
     :param is_whole: the answer is exactly the one expected.
     :param first_token_ms: since the call began; 0 where none came.
+    :param retry_after_s: when a refusal says to come back; 0 where it doesn't.
     """
 
     entry: TraceEntry
@@ -46,6 +47,7 @@
     is_whole: bool
     first_token_ms: float
     total_ms: float
+    retry_after_s: int
 
     @property
     def in_time(self) -> bool:
@@ -171,6 +173,7 @@
         is_whole=is_good and _is_whole(entry, number, answer),
         first_token_ms=answer.first_ms - begin_ms if answer.first_ms else 0,
         total_ms=now_ms() - begin_ms,
+        retry_after_s=int(answer.headers.get('retry-after', 0)),
     )
 
 
--- a/hornbeamdeck/standin/batch.py
+++ b/hornbeamdeck/standin/batch.py
@@ -78,6 +78,7 @@
             {},
             dict.fromkeys(COUNTED, 0),
         )
+        self.most_running = 0
         self._sequences: list[Sequence] = []
         self._arrived = Event()
         self._cache: OrderedDict[str, None] = OrderedDict()
@@ -109,6 +110,7 @@
     async def async_admit(self, sequence: Sequence) -> None:
         """Take a request in, as engines do, whatever the load."""
         self._sequences.append(sequence)
+        self.most_running = max(self.most_running, self.running)
         await self._arrived.set()
 
     def cancel(self, sequence: Sequence) -> None:
