Coordination parts for embedding; lease and hybrid clock; claims given up

Cause: (1) a caller that left while its claim was being made left the claim behind, and every resend of that booking got in_progress for ever (found by reading; the new test fails without the change: 100 resends, none ran). (2) Others are to embed the parts without the daemon.

Change: a claim is given up on every way out that gives no right to run. The claim no longer knows of requests (ClaimCall). Hybrid clock, on every peer message. hornbeamdeck.coordination exports them, with a page and three programs that a test runs. The platform stand-in's delay now lies between a call's effect and its answer, which is what (1) needs to happen.

--- /dev/null
+++ b/examples/claim.py
@@ -0,0 +1,54 @@
+"""Runs a payment once, however often and by whomever it is sent."""
+
+import curio
+from prometheus_client import CollectorRegistry, Counter
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.coordination import (
+    Address,
+    Background,
+    ClaimCall,
+    Claims,
+    Once,
+    PlatformClient,
+    Recorded,
+)
+from hornbeamdeck.standin.platform import async_setup_platform
+
+
+async def async_pay(claims: Claims, payments: list[str]) -> str:
+    """Pay, unless somebody has paid under this key."""
+    call = ClaimCall('claims/shop/42', 'digest-of-the-call', now_ms() + 2000)
+    match (await claims.async_claim(call)).unwrap():
+        case Once() as once:
+            payments.append('paid')
+            await once.record(HttpResponse(201, {}, b'receipt 1'))
+            return 'receipt 1'
+        case Recorded(response):
+            return response.body.decode()
+
+
+async def async_main() -> None:
+    """Send one payment from two places."""
+    _, listener = await async_setup_platform(Address('127.0.0.1', 0))
+    calls = Counter(
+        'platform_calls',
+        'Calls.',
+        ('role',),
+        registry=CollectorRegistry(),
+    )
+    background = Background()
+    payments: list[str] = []
+    for _ in range(2):
+        platform = PlatformClient(listener.address, calls=calls)
+        receipt = await async_pay(Claims(platform, background), payments)
+        while background.pending:
+            await curio.sleep(0.01)
+        await platform.async_close()
+        print(receipt, 'after', len(payments), 'payment')
+    await listener.async_unload()
+
+
+if __name__ == '__main__':
+    curio.run(async_main)
--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.connection.address import Address, async_connect
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
 from hornbeamdeck.const import ENCODING
+from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.wire import (
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_BYTES,
@@ -39,6 +40,7 @@
     """Who this process is to its peers.
 
     :param version: tells the configuration version in force.
+    :param clock: stamps what is sent, and follows what is received.
     :param count_bytes: told of bytes that passed, with their direction.
     """
 
@@ -46,6 +48,7 @@
     fleet_secret: str
     version: Callable[[], int]
     count_bytes: Callable[[str, int], None]
+    clock: HybridClock
 
 
 class PeerConnection:
@@ -118,6 +121,8 @@
         except (OSError, EOFError) as error:
             return Err(ConnectionBroken(repr(error)))
         decoded = decode_frame(frame)
+        if isinstance(decoded, Ok):
+            self._identity.clock.observe(decoded.ok_value.clock_us)
         return decoded.map_err(lambda bad: ConnectionBroken(bad.cause))
 
     async def async_write(self) -> None:
@@ -155,6 +160,7 @@
         return encode_frame(
             message,
             configuration_version=self._identity.version(),
+            clock_us=self._identity.clock.stamp(),
         )
 
     async def _async_handshake(
--- /dev/null
+++ b/hornbeamdeck/coordination/__init__.py
@@ -0,0 +1,36 @@
+"""The coordination parts for embedding; none of them needs the daemon.
+
+`docs/coordination.md` has a page on each, `examples/` a program.
+"""
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.platform import PlatformClient, StoredObject
+from hornbeamdeck.hybrid_clock import HybridClock
+from hornbeamdeck.process.background import Background
+from hornbeamdeck.process.follower import (
+    ConfigurationFollower,
+    async_follow,
+)
+from hornbeamdeck.process.lease import Lease, LeaseTerms
+from hornbeamdeck.process.rendezvous import owner_of, ranking
+from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.claim_record import ClaimCall
+from hornbeamdeck.request.once import Once, Recorded
+
+__all__ = (
+    'Address',
+    'Background',
+    'ClaimCall',
+    'Claims',
+    'ConfigurationFollower',
+    'HybridClock',
+    'Lease',
+    'LeaseTerms',
+    'Once',
+    'PlatformClient',
+    'Recorded',
+    'StoredObject',
+    'async_follow',
+    'owner_of',
+    'ranking',
+)
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -7,6 +7,7 @@
 
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.platform import PlatformClient
+from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.process.background import Background
 from hornbeamdeck.process.baselines import (
     LoadReports,
@@ -133,6 +134,7 @@
         fleet_secret=settings.fleet_secret,
         version=lambda: follower.configuration.version,
         count_bytes=metrics.count_peer_bytes,
+        clock=HybridClock(),
     )
 
 
--- a/hornbeamdeck/request/claim.py
+++ b/hornbeamdeck/request/claim.py
@@ -20,32 +20,23 @@
     PlatformDown,
     StoredObject,
 )
-from hornbeamdeck.const import (
-    HEADER_IDEMPOTENCY_KEY,
-    MILLIS_PER_SECOND,
-)
+from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.process.background import Background
 from hornbeamdeck.process.backoff import backoff_s
-from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.claim_record import (
     STATE_DONE,
+    ClaimCall,
     ClaimRecord,
-    claim_key,
 )
 from hornbeamdeck.request.once import Once, Recorded, in_progress
 from hornbeamdeck.request.outcome import Failure
-from hornbeamdeck.request.refusal import (
-    bad_request,
-    platform_down,
-    unprocessable,
-)
+from hornbeamdeck.request.refusal import platform_down, unprocessable
 
 __all__ = ('Claim', 'Claims')
 
 _LOGGER = structlog.get_logger(prefix='claims')
 
 ROLE: Final = 'claims'
-MAX_KEY_CHARS: Final = 256
 MAX_RECORDED_BYTES: Final = 262_144
 SETTLE_MS: Final = 60_000
 
@@ -75,22 +66,18 @@
 
     async def async_claim(
         self,
-        admission: Admission,
+        call: ClaimCall,
     ) -> Result[Once | Recorded, Failure]:
         """Claim a call, or find who has claimed it before."""
-        key = admission.request.headers.get(HEADER_IDEMPOTENCY_KEY, '')
-        if not key or len(key) > MAX_KEY_CHARS:
-            return Err(
-                bad_request(
-                    'this call needs an Idempotency-Key of 1 to 256 characters',
-                    'idempotency_key_needed',
-                ),
-            )
-        claimed = await self._async_create(
-            admission,
-            claim_key(admission, key),
-            ClaimRecord.from_admission(admission),
-        )
+        record = ClaimRecord.from_call(call)
+        claimed: Result[Claim | Recorded, Failure] | None = None
+        try:
+            claimed = await self._async_create(call, record)
+        finally:
+            # Also where the caller leaves meanwhile: a claim that was made, or
+            # is still on its way, would answer `in_progress` to every resend.
+            if claimed is None or claimed == Err(platform_down()):
+                await self._async_give_up(call.object_key, record.nonce)
         return claimed.map(self._to_once)
 
     def _to_once(self, claimed: Claim | Recorded) -> Once | Recorded:
@@ -119,40 +106,39 @@
         )
 
     async def _async_release(self, claim: Claim) -> None:
+        await self._async_give_up(claim.object_key, claim.record.nonce)
+
+    async def _async_give_up(self, object_key: str, nonce: str) -> None:
         await self._background.async_spawn(
-            self._async_settle_release(claim.object_key, claim.record.nonce),
+            self._async_settle_release(object_key, nonce),
         )
 
     async def _async_create(
         self,
-        admission: Admission,
-        object_key: str,
+        call: ClaimCall,
         record: ClaimRecord,
     ) -> Result[Claim | Recorded, Failure]:
         waits = backoff_s()
         try_again = True
         while try_again:
             written = await self._platform.async_put(
-                object_key,
+                call.object_key,
                 record.to_text(),
                 expected=None,
                 role=ROLE,
-                timeout_ms=admission.left_ms,
+                timeout_ms=call.left_ms,
             )
             if isinstance(written, Ok):
-                return Ok(Claim(object_key, record, written.ok_value))
+                return Ok(Claim(call.object_key, record, written.ok_value))
             if not isinstance(written.err_value, PlatformDown):
-                found = await self._async_find(object_key, record)
+                found = await self._async_find(call.object_key, record)
                 if found is not None:
                     return found
             # The answer may be lost though the write took effect. The same
             # create again is safe: it then conflicts with this very nonce.
             wait_s = next(waits)
-            try_again = wait_s * MILLIS_PER_SECOND < admission.left_ms
+            try_again = wait_s * MILLIS_PER_SECOND < call.left_ms
             await sleep(wait_s if try_again else 0)
-        await self._background.async_spawn(
-            self._async_settle_release(object_key, record.nonce),
-        )
         return Err(platform_down())
 
     async def _async_find(
--- a/hornbeamdeck/request/claim_record.py
+++ b/hornbeamdeck/request/claim_record.py
@@ -6,15 +6,39 @@
 import uuid
 from typing import Final, NamedTuple, Self
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import ENCODING, PREFIX_CLAIM
-from hornbeamdeck.request.admission import Admission
 
-__all__ = ('STATE_CLAIMED', 'STATE_DONE', 'ClaimRecord', 'claim_key')
+__all__ = (
+    'STATE_CLAIMED',
+    'STATE_DONE',
+    'ClaimCall',
+    'ClaimRecord',
+    'claim_key',
+)
 
 STATE_CLAIMED: Final = 'claimed'
 STATE_DONE: Final = 'done'
 
 
+class ClaimCall(NamedTuple):
+    """A call that is to run once.
+
+    :param object_key: the claim object's key in the platform.
+    :param fingerprint: digest of the call, the same when it is sent again.
+    :param deadline_ms: until when to try, on this process's clock.
+    """
+
+    object_key: str
+    fingerprint: str
+    deadline_ms: float
+
+    @property
+    def left_ms(self) -> int:
+        """Time left until the deadline, at least 0, milliseconds."""
+        return max(int(self.deadline_ms - now_ms()), 0)
+
+
 class ClaimRecord(NamedTuple):
     """What the claim object holds.
 
@@ -32,11 +56,11 @@
     body_base64: str = ''
 
     @classmethod
-    def from_admission(cls, admission: Admission) -> Self:
+    def from_call(cls, call: ClaimCall) -> Self:
         """Begin the record of a call, with a nonce of its own."""
         return cls(
             nonce=uuid.uuid4().hex,
-            fingerprint=admission.fingerprint,
+            fingerprint=call.fingerprint,
             state=STATE_CLAIMED,
             created_s=int(time.time()),
         )
@@ -51,8 +75,7 @@
         return json.dumps(self._asdict())
 
 
-def claim_key(admission: Admission, key: str) -> str:
+def claim_key(service: str, team: str, idempotency_key: str) -> str:
     """Name the object of an idempotency key, apart for each team."""
-    digest = hashlib.sha256(key.encode(ENCODING)).hexdigest()
-    service = admission.service.name
-    return f'{PREFIX_CLAIM}{service}/{admission.team.name}/{digest}'
+    digest = hashlib.sha256(idempotency_key.encode(ENCODING)).hexdigest()
+    return f'{PREFIX_CLAIM}{service}/{team}/{digest}'
--- a/hornbeamdeck/request/once_sources.py
+++ b/hornbeamdeck/request/once_sources.py
@@ -1,6 +1,6 @@
 """Where the right to run a call once comes from: a claim, or an issued key."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from result import Err, Result
 
@@ -10,6 +10,7 @@
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.claim_record import ClaimCall, claim_key
 from hornbeamdeck.request.forward import (
     HEADER_FORWARDED,
     async_forward,
@@ -23,10 +24,14 @@
 )
 from hornbeamdeck.request.once import Once, Recorded
 from hornbeamdeck.request.outcome import Failure
+from hornbeamdeck.request.refusal import bad_request
 
 __all__ = ('OnceSources', 'async_take_once', 'issue_for')
 
 
+MAX_KEY_CHARS: Final = 256
+
+
 class OnceSources(NamedTuple):
     """Both sources, and who this process is."""
 
@@ -56,8 +61,15 @@
     :returns: the right; an outcome kept here; or the issuer's own response.
     """
     text = admission.request.headers.get(HEADER_IDEMPOTENCY_KEY, '')
+    if not text or len(text) > MAX_KEY_CHARS:
+        return Err(
+            bad_request(
+                'this call needs an Idempotency-Key of 1 to 256 characters',
+                'idempotency_key_needed',
+            ),
+        )
     if not is_issued(text):
-        return await sources.claims.async_claim(admission)
+        return await sources.claims.async_claim(_to_call(admission, text))
     read = read_key(text, team=admission.team.name, secret=sources.secret)
     if isinstance(read, Err):
         return read
@@ -66,6 +78,19 @@
     return await _async_ask_issuer(sources, admission, read.ok_value)
 
 
+def _to_call(admission: Admission, idempotency_key: str) -> ClaimCall:
+    object_key = claim_key(
+        admission.service.name,
+        admission.team.name,
+        idempotency_key,
+    )
+    return ClaimCall(
+        object_key,
+        admission.fingerprint,
+        admission.deadline_ms,
+    )
+
+
 def _is_own(sources: OnceSources, key: IssuedKey) -> bool:
     own = sources.membership.own
     return (key.instance_id, key.incarnation) == (
--- a/hornbeamdeck/standin/platform.py
+++ b/hornbeamdeck/standin/platform.py
@@ -40,7 +40,7 @@
 class Switches(NamedTuple):
     """Faults in force.
 
-    :param delay_ms: added to each call, milliseconds.
+    :param delay_ms: from a call's effect to its answer, milliseconds.
     :param lost_answers: how many of the next writes lose their answer.
     """
 
@@ -76,8 +76,8 @@
         self.calls[role] = self.calls.get(role, 0) + 1
         if self.switches.is_down:
             return
-        await sleep(self.switches.delay_ms / MILLIS_PER_SECOND)
         response = await self._async_route(request)
+        await sleep(self.switches.delay_ms / MILLIS_PER_SECOND)
         if request.method in {'PUT', 'DELETE'} and self.switches.lost_answers:
             left = self.switches.lost_answers - 1
             self.switches = self.switches._replace(lost_answers=left)
--- a/tests/process/test_outages.py
+++ b/tests/process/test_outages.py
@@ -2,7 +2,7 @@
 
 import json
 
-from curio import sleep
+from curio import sleep, spawn
 
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
@@ -88,6 +88,30 @@
     assert fleet.booking.runs == {'outage-1': 1}
 
 
+@on_fleet(PLAN)
+async def test_caller_that_leaves_during_the_claim_can_come_back(
+    fleet: Fleet,
+) -> None:
+    """The platform is slow, and a family's phone drops the connection while
+    the claim of its booking is being made. Were that claim left, the family
+    could never book with this key again.
+    """
+    _set(fleet, delay_ms=300)
+    address = fleet.instances[0].own.address
+    hasty = await spawn(async_call, booking_entry('hasty'), 1, address)
+    await sleep(0.1)
+    await hasty.cancel()
+    await sleep(0.5)
+    _set(fleet, delay_ms=0)
+    outcomes = []
+    while 'ran' not in outcomes:
+        record = await async_call(booking_entry('hasty'), 1, address)
+        outcomes.append(record.outcome)
+        assert len(outcomes) < 100
+        await sleep(0.05)
+    assert fleet.booking.runs == {'hasty': 1}
+
+
 @on_fleet(PLAN)
 async def test_leaving_engine_gets_no_new_work(fleet: Fleet) -> None:
     """The platform lists the engine as leaving. A request sent to it would be
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,57 @@
+"""The programs that the pages show."""
+
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+EXPECTED = {
+    'claim.py': 'receipt 1 after 1 payment\n' * 2,
+    'lease.py': (
+        'first holds True\n'
+        'first holds False - second holds True\n'
+        'token grew True\n'
+    ),
+    'ownership.py': (
+        'moved only what it owned True\n'
+        'each to its second True\n'
+        'effect after cause True\n'
+    ),
+}
+
+
+@pytest.mark.parametrize('name', sorted(EXPECTED))
+def test_example_prints_what_its_page_says(name: str) -> None:
+    ran = subprocess.run(
+        [sys.executable, EXAMPLES / name],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert ran.stdout == EXPECTED[name]
+
+
+def test_every_example_is_run() -> None:
+    assert {each.name for each in EXAMPLES.glob('*.py')} == set(EXPECTED)
+
+
+def test_parts_come_without_the_daemon() -> None:
+    """A project embeds the lease alone. Were the whole daemon imported with
+    it, that project would pay its memory and meet its names.
+    """
+    code = (
+        'import sys, hornbeamdeck.coordination as c\n'
+        'assert all(hasattr(c, name) for name in c.__all__)\n'
+        'print([m for m in sys.modules if m in (\n'
+        '"hornbeamdeck.process.instance", "hornbeamdeck.cli",\n'
+        '"hornbeamdeck.process.scheduler")])'
+    )
+    ran = subprocess.run(
+        [sys.executable, '-c', code],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert ran.stdout == '[]\n'
