Resume a broken stream on its engine

Cause: a connection that broke between instance and engine cut the caller's answer though the engine went on with it.

Change: an engine that can resume names its stream; the rest is asked for on a new connection, by bytes received, and the run is cancelled by a call of its own when nobody waits for it. The stand-in keeps such runs, can cut its connections, and loses its streams when it goes down.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -49,6 +49,11 @@
         connected = await async_connect(address, timeout_ms=timeout_ms)
         return connected.map(lambda sock: cls(sock, address))
 
+    @property
+    def address(self) -> Address:
+        """Where this connection leads."""
+        return self._address
+
     @property
     def may_reuse(self) -> bool:
         """Whether another request can go out on this connection."""
--- a/hornbeamdeck/request/relay.py
+++ b/hornbeamdeck/request/relay.py
@@ -12,6 +12,10 @@
 
 from hornbeamdeck.clock import async_within, now_ms
 from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.engine_stream import (
+    HEADER_RESUMABLE,
+    EngineStream,
+)
 from hornbeamdeck.connection.http import Headers, HttpRequest, HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import (
@@ -54,6 +58,7 @@
     def __init__(self, admission: Admission, placement: Placement) -> None:
         """Begin before anything is written."""
         self.end = RunEnd.FAILED
+        self._stream: EngineStream | None = None
         self._admission = admission
         self._upstream: ClientConnection = placement.connection
         self._granted_ms = placement.granted_ms
@@ -79,6 +84,14 @@
             return await self._async_stream(answer, caller, policy)
         return await self._async_whole(answer)
 
+    async def async_close(self) -> None:
+        """End the upstream's part; closing cancels a run that has not ended."""
+        if self._stream is not None:
+            await self._stream.async_close()
+            if self.end == RunEnd.CANCELLED:
+                await self._stream.async_cancel()
+        await self._upstream.async_close()
+
     async def _async_whole(
         self,
         answer: HttpResponse,
@@ -97,10 +110,12 @@
         caller: ServerConnection,
         policy: Policy,
     ) -> Result[HttpResponse, Unknown]:
+        stream = EngineStream(self._upstream, answer)
+        self._stream = stream
         started = await caller.async_start(answer.status, answer.headers)
         tail = b''
         while not isinstance(started, Err):
-            piece = await self._upstream.async_read_piece()
+            piece = await stream.async_read_piece()
             if isinstance(piece, Err):
                 return Err(_broken())
             if not piece.ok_value:
@@ -162,8 +177,7 @@
         relay.end = RunEnd.CANCELLED
         raise
     finally:
-        # Closing is what cancels a run at the engine.
-        await placement.connection.async_close()
+        await relay.async_close()
         await policy.release(
             admission.request_id,
             relay.end,
@@ -206,6 +220,8 @@
         if name not in WITHHELD
     }
     headers[HEADER_REQUEST_ID] = admission.request_id
+    if admission.is_stream:
+        headers[HEADER_RESUMABLE] = 'true'
     return admission.request._replace(path=admission.path, headers=headers)
 
 
--- a/hornbeamdeck/standin/engine.py
+++ b/hornbeamdeck/standin/engine.py
@@ -1,7 +1,8 @@
 """Stand-in of a model engine: OpenAI-compatible completions over a batch.
 
 `PUT /standin/switches` changes the speed, breaks all connections and refuses
-new ones for a while, or names a mark whose prompts crash or break the engine;
+new ones for a while, cuts all connections while its runs go on, or names a
+mark whose prompts crash or break the engine;
 `GET /standin/records` gives its own counts.
 """
 
@@ -14,6 +15,7 @@
 from curio import sleep, spawn
 
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.engine_stream import HEADER_RESUMABLE
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.listener import Listener
 from hornbeamdeck.connection.server import ServerConnection
@@ -29,6 +31,7 @@
     Sequence,
 )
 from hornbeamdeck.standin.completion import event, make_choice, prompt_of, whole
+from hornbeamdeck.standin.streams import Streams
 from hornbeamdeck.standin.web import async_setup_web, json_response
 
 __all__ = ('EngineStandin', 'async_setup_engine', 'expected_answer')
@@ -60,10 +63,12 @@
     def __init__(self, model: EngineModel) -> None:
         """Start idle."""
         self.batch = Batch(model)
+        self.streams = Streams(self.batch)
         self.crash_mark = ''
         self.break_mark = ''
         self.on_crash: OnCrash | None = None
         self.on_outage: OnOutage | None = None
+        self.on_cut: OnCrash | None = None
         self.has_crashed = False
         self._reports: deque[dict[str, int]] = deque(maxlen=2)
 
@@ -87,6 +92,9 @@
         if request.path in {'/v1/chat/completions', '/v1/completions'}:
             await self._async_complete(request, connection)
             return
+        if request.path.startswith('/v1/streams/'):
+            await self.streams.async_answer(request, connection)
+            return
         await connection.async_respond(await self._async_route(request))
 
     async def _async_route(self, request: HttpRequest) -> HttpResponse:
@@ -109,6 +117,8 @@
         self.break_mark = asked.get('break_mark', self.break_mark)
         if 'down_ms' in asked and self.on_outage is not None:
             await spawn(self.on_outage, asked['down_ms'], daemon=True)
+        if 'is_cut' in asked and self.on_cut is not None:
+            await spawn(self.on_cut, daemon=True)
         return json_response(HTTPStatus.OK, {})
 
     async def _async_complete(
@@ -132,6 +142,13 @@
         sequence = self._sequence(prompt, output_tokens)
         await self.batch.async_admit(sequence)
         words = _async_words(sequence, prompt, output_tokens)
+        if body.get('stream') and HEADER_RESUMABLE in request.headers:
+            await self.streams.async_write_new(
+                sequence,
+                _async_events(words, body),
+                connection,
+            )
+            return
         try:
             await _async_write(words, body, connection)
         finally:
@@ -182,14 +199,21 @@
     body: dict[str, Any],
     connection: ServerConnection,
 ) -> None:
-    await connection.async_start(
-        HTTPStatus.OK, {'content-type': 'text/event-stream'}
-    )
+    headers = {'content-type': 'text/event-stream'}
+    await connection.async_start(HTTPStatus.OK, headers)
+    async for encoded in _async_events(words, body):
+        await connection.async_send(encoded)
+    await connection.async_end()
+
+
+async def _async_events(
+    words: AsyncIterator[str],
+    body: dict[str, Any],
+) -> AsyncIterator[bytes]:
     async for word in words:
-        await connection.async_send(event(make_choice(word, body, None), body))
+        yield event(make_choice(word, body, None), body)
     last = event(make_choice('', body, 'stop'), body)
-    await connection.async_send(b'%sdata: [DONE]\n\n' % last)
-    await connection.async_end()
+    yield b'%sdata: [DONE]\n\n' % last
 
 
 async def async_setup_engine(
@@ -212,11 +236,17 @@
         await spawn(_async_unload, daemon=True)
         await sleep(1)
 
+    async def _async_cut() -> None:
+        await listeners[-1].async_unload()
+        listeners.append(await async_setup_web(bound, engine.async_answer))
+
     async def _async_outage(down_ms: int) -> None:
         await listeners[-1].async_unload()
+        await engine.streams.async_forget_all()
         await sleep(down_ms / MILLIS_PER_SECOND)
         listeners.append(await async_setup_web(bound, engine.async_answer))
 
     engine.on_crash = _async_crash
     engine.on_outage = _async_outage
+    engine.on_cut = _async_cut
     return engine, listeners[0]._replace(async_unload=_async_unload)
--- /dev/null
+++ b/tests/connection/test_engine_stream.py
@@ -0,0 +1,75 @@
+"""Streams whose connection breaks on the way."""
+
+from curio import TaskGroup, sleep, spawn
+
+from hornbeamdeck.demo.caller import async_call
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from tests.support import desk_entry, on_fleet
+
+PLAN = FleetPlan(instances=2, speeds=(1.0,))
+CALLS = 6
+
+
+async def _async_until_running(fleet: Fleet, count: int) -> None:
+    while fleet.engines[0].batch.running < count:
+        await sleep(0.005)
+
+
+@on_fleet(PLAN)
+async def test_cut_stream_goes_on_where_it_was(fleet: Fleet) -> None:
+    """A switch between instances and engines restarts while six answers are
+    under way. The engine goes on with them; the callers get each word once,
+    and nothing is run a second time.
+    """
+    engine = fleet.engines[0]
+    async with TaskGroup() as calls:
+        for number in range(CALLS):
+            address = fleet.instances[number % 2].own.address
+            entry = desk_entry(output_tokens=60)
+            await calls.spawn(async_call, entry, number, address)
+        await _async_until_running(fleet, CALLS)
+        for _ in range(2):
+            await sleep(0.15)
+            assert engine.on_cut is not None
+            await engine.on_cut()
+    assert [each.is_whole for each in calls.results] == [True] * CALLS
+    assert set(engine.batch.records.runs.values()) == {1}
+
+
+@on_fleet(PLAN)
+async def test_crashed_engine_breaks_the_stream(fleet: Fleet) -> None:
+    """The engine itself dies in the middle of an answer and comes back without
+    it. The caller must see its answer broken, not ended.
+    """
+    address = fleet.instances[0].own.address
+    call = await spawn(async_call, desk_entry(output_tokens=200), 1, address)
+    await _async_until_running(fleet, 1)
+    await sleep(0.1)
+    outage = fleet.engines[0].on_outage
+    assert outage is not None
+    await outage(50)
+    record = await call.join()
+    assert record.outcome == 'unknown'
+    assert not record.is_whole
+
+
+@on_fleet(PLAN)
+async def test_run_of_a_caller_that_left_is_cancelled(fleet: Fleet) -> None:
+    """A guide closes the app in the middle of a long answer. The engine must
+    not go on writing it for nobody.
+    """
+    # By itself this engine would wait a minute for somebody to resume.
+    fleet.engines[0].streams.grace_s = 60
+    address = fleet.instances[0].own.address
+    entry = desk_entry(output_tokens=5000)
+    call = await spawn(async_call, entry, 1, address)
+    await _async_until_running(fleet, 1)
+    await sleep(0.1)
+    await call.cancel()
+    for _ in range(500):
+        if not fleet.engines[0].batch.running:
+            break
+        await sleep(0.01)
+    assert not fleet.engines[0].batch.running
+    load = fleet.owner_of('desk').parts.scheduler.cells['desk'].loads
+    assert not load['engine-0'].runs
