--- a/tests/process/test_lease.py
+++ b/tests/process/test_lease.py
@@ -3,66 +3,19 @@
 import curio
 from hypothesis import given
 from hypothesis import strategies as st
-from result import Err, Ok, Result
 
-from hornbeamdeck.connection.platform import (
-    PlatformDown,
-    PlatformError,
-    StoredObject,
-    VersionConflict,
-)
 from hornbeamdeck.process.lease import Lease, LeaseTerms
+from tests.fakes import DOWN, LOST, FakePlatform
 
 NAMES = ('a', 'b', 'c')
 TERMS = LeaseTerms(duration_ms=1000, margin_ms=100)
 
 
-class FakePlatform:
-    """One object with conditional writes; the next answers may be lost."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self.stored: StoredObject | None = None
-        self.version = 0
-        self.fault = ''
-
-    async def async_get(
-        self,
-        _key: str,
-        *,
-        role: str,
-    ) -> Result[StoredObject | None, PlatformDown]:
-        """Read the object."""
-        if self.fault == 'down':
-            return Err(PlatformDown(role))
-        return Ok(self.stored)
-
-    async def async_put(
-        self,
-        key: str,
-        body: str,
-        *,
-        expected: int | None,
-        role: str,
-    ) -> Result[int, PlatformError]:
-        """Write the object on a condition."""
-        if self.fault == 'down':
-            return Err(PlatformDown(role))
-        version = self.stored.version if self.stored else None
-        if expected != version:
-            return Err(VersionConflict())
-        self.version += 1
-        self.stored = StoredObject(key, self.version, body)
-        if self.fault == 'lost':
-            return Err(PlatformDown('the answer was lost'))
-        return Ok(self.version)
-
-
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(NAMES),
         st.sampled_from(('try', 'try', 'try', 'release')),
-        st.sampled_from(('', '', '', 'lost', 'down')),
+        st.sampled_from(('', '', '', LOST, DOWN)),
         st.integers(0, 700),
     ),
     max_size=60,
