Let the count of double dispatches rise where its mechanism is missing

Change: a fault that cuts the connections of all engines while their runs go on, as a switch that restarts does; three in ten model calls are not streams; the weakened instance dispatches again in place of a resume.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -31,6 +31,7 @@
 CALLS_PER_S: Final = 25.0
 BOOKING_SHARE: Final = 0.4
 IMPATIENT_SHARE: Final = 0.3
+STREAM_SHARE: Final = 0.7
 MAX_SENDS: Final = 8
 RESEND_S: Final = 0.4
 FAULT_EVERY_S: Final = 2.5
@@ -148,7 +149,8 @@
             await group.spawn(scene.async_book, number)
         else:
             tier = scene.draw.choice(('urgent', 'standard', 'long'))
-            entry = _entry(tier, 6000)
+            is_stream = scene.draw.random() < STREAM_SHARE
+            entry = _entry(tier, 6000)._replace(is_stream=is_stream)
             await group.spawn(scene.async_call, entry, number)
     await group.join()
 
@@ -215,6 +217,12 @@
     await async_put(engine.address, SWITCHES, {'down_ms': 1500})
 
 
+async def _async_engine_cut(scene: Scene) -> None:
+    # As a switch does that restarts between instances and engines.
+    for engine in scene.fleet.engines:
+        await async_put(engine.address, SWITCHES, {'is_cut': True})
+
+
 async def _async_leaving(scene: Scene) -> None:
     if scene.is_engine_leaving:
         # Two at once would take each other's entry off the list.
@@ -244,6 +252,7 @@
     _async_slow_platform,
     _async_lost_answers,
     _async_engine_outage,
+    _async_engine_cut,
     _async_leaving,
 )
 
--- a/bench/weakened.py
+++ b/bench/weakened.py
@@ -14,6 +14,8 @@
 
 from hornbeamdeck import cli
 from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.engine_stream import EngineStream
+from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.process import instance, scheduler, suspicion
 from hornbeamdeck.request import answer, claim, relay
 from hornbeamdeck.request.once import Once
@@ -54,7 +56,12 @@
 
 
 def _without_single_dispatch() -> None:
-    """Dispatch again, to the same upstream, after a broken answer."""
+    """Dispatch again, in place of a resume, after a broken answer."""
+
+    async def _async_no_resume(_self: Any) -> Result[None, ConnectionBroken]:
+        return Err(ConnectionBroken('resume is taken out'))
+
+    _patch(EngineStream, '_async_resume', _async_no_resume)
     relay_once = relay.async_relay
 
     async def _async_twice(
