One call on its own connection written once; pages apart; README by hand

Cause: the newcomer's reading of the tree: the same open, fetch, close stood in six places, each page checked its team by itself, the router did two jobs, an embedder had to make a metric to reach the platform, and the README had no way to try an instance by hand.

Change: async_fetch_once; request/pages.py with one table of the pages that need a team; the platform client's counter is optional; README with a picture, the steps by hand and its two example files, which a test checks. Behaviour stays.

Conclusion: smaller by what stood twice.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,7 @@
 from bench.processes import Plan, ProcessFleet, ask, process_fleet
 from bench.worker import SHORT
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.connection.platform import StoredObject
 from hornbeamdeck.const import ENCODING, PREFIX_INSTANCE
@@ -307,12 +307,11 @@
 
 
 async def _async_metrics(address: Address) -> str:
-    opened = await ClientConnection.async_open(address, timeout_ms=2000)
-    connection = opened.unwrap()
-    got = await connection.async_fetch(
+    got = await async_fetch_once(
+        address,
         HttpRequest('GET', '/metrics', '', {}, b''),
+        timeout_ms=2000,
     )
-    await connection.async_close()
     return got.unwrap().body.decode(ENCODING)
 
 
--- a/bench/outage.py
+++ b/bench/outage.py
@@ -11,7 +11,7 @@
 
 from bench.processes import Plan, ProcessFleet, async_put, process_fleet
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.document import team_key
@@ -24,13 +24,12 @@
 
 
 async def _async_issue(address: Address) -> str:
-    opened = await ClientConnection.async_open(address, timeout_ms=2000)
-    connection = opened.unwrap()
     headers = {'authorization': f'Bearer {team_key(TEAM)}'}
-    got = await connection.async_fetch(
+    got = await async_fetch_once(
+        address,
         HttpRequest('POST', '/v1/idempotency-keys', '', headers, b''),
+        timeout_ms=2000,
     )
-    await connection.async_close()
     return str(json.loads(got.unwrap().body)['idempotency_key'])
 
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,12 +12,11 @@
 
 from bench.running import Running, end, start, wait_for
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.connection.platform import PlatformClient
 from hornbeamdeck.const import ENCODING, KEY_CONFIGURATION
 from hornbeamdeck.demo.document import make_document
-from hornbeamdeck.process.metrics import Metrics
 from hornbeamdeck.process.rendezvous import owner_of
 
 ANY_PORT: Final = '127.0.0.1:0'
@@ -143,13 +142,11 @@
 
 
 async def _async_ask(address: Address, request: HttpRequest) -> bytes:
-    opened = await ClientConnection.async_open(
+    got = await async_fetch_once(
         address,
+        request,
         timeout_ms=CALL_TIMEOUT_MS,
     )
-    connection = opened.unwrap()
-    got = await connection.async_fetch(request)
-    await connection.async_close()
     return got.unwrap().body
 
 
@@ -168,7 +165,7 @@
 
 
 async def _async_configure(address: Address, document: str) -> None:
-    client = PlatformClient(address, calls=Metrics().platform_calls)
+    client = PlatformClient(address)
     written = await client.async_put(
         KEY_CONFIGURATION,
         document,
--- a/examples/claim.py
+++ b/examples/claim.py
@@ -1,7 +1,6 @@
 """Runs a payment once, however often and by whomever it is sent."""
 
 import curio
-from prometheus_client import CollectorRegistry, Counter
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.http import HttpResponse
@@ -32,16 +31,10 @@
 async def async_main() -> None:
     """Send one payment from two places."""
     _, listener = await async_setup_platform(Address('127.0.0.1', 0))
-    calls = Counter(
-        'platform_calls',
-        'Calls.',
-        ('role',),
-        registry=CollectorRegistry(),
-    )
     background = Background()
     payments: list[str] = []
     for _ in range(2):
-        platform = PlatformClient(listener.address, calls=calls)
+        platform = PlatformClient(listener.address)
         receipt = await async_pay(Claims(platform, background), payments)
         while background.pending:
             await curio.sleep(0.01)
--- a/examples/lease.py
+++ b/examples/lease.py
@@ -1,7 +1,6 @@
 """Two contenders for one lease; the second gets it after the first is gone."""
 
 import curio
-from prometheus_client import CollectorRegistry, Counter
 
 from hornbeamdeck.coordination import (
     Address,
@@ -17,13 +16,7 @@
 async def async_main() -> None:
     """Let the first holder fall silent."""
     _, listener = await async_setup_platform(Address('127.0.0.1', 0))
-    calls = Counter(
-        'platform_calls',
-        'Calls.',
-        ('role',),
-        registry=CollectorRegistry(),
-    )
-    platform = PlatformClient(listener.address, calls=calls)
+    platform = PlatformClient(listener.address)
     first, second = (
         Lease(platform, 'leases/orders', name, terms=TERMS)
         for name in ('first', 'second')
--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -4,8 +4,10 @@
 
 import h11
 from curio import socket
+from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
+from hornbeamdeck.clock import async_within
 from hornbeamdeck.connection.address import Address, async_connect
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
 from hornbeamdeck.connection.http import (
@@ -16,7 +18,7 @@
     join_headers,
 )
 
-__all__ = ('ClientConnection',)
+__all__ = ('ClientConnection', 'async_fetch_once')
 
 MAX_HEADER_BYTES: Final = 65_536
 MAX_WHOLE_BODY_BYTES: Final = 16_777_216
@@ -160,6 +162,30 @@
             return Err(ConnectionBroken(repr(error)))
 
 
+async def async_fetch_once(
+    address: Address,
+    request: HttpRequest,
+    *,
+    timeout_ms: int,
+) -> Result[HttpResponse, ConnectFailed | ConnectionBroken]:
+    """Make one call on a connection of its own.
+
+    :param timeout_ms: for connecting and for the answer, each, milliseconds.
+    """
+    opened = await ClientConnection.async_open(address, timeout_ms=timeout_ms)
+    if isinstance(opened, Err):
+        return opened
+    try:
+        return await async_within(
+            timeout_ms,
+            opened.ok_value.async_fetch(request),
+        )
+    except TaskTimeout:
+        return Err(ConnectionBroken('no answer in time'))
+    finally:
+        await opened.ok_value.async_close()
+
+
 def _to_head(event: h11.Response) -> HttpResponse:
     headers = join_headers(event.headers)
     return HttpResponse(event.status_code, headers, b'')
--- a/hornbeamdeck/connection/platform.py
+++ b/hornbeamdeck/connection/platform.py
@@ -50,8 +50,16 @@
     :param role: which part calls, for the budget metric.
     """
 
-    def __init__(self, address: Address, *, calls: Counter) -> None:
-        """Remember where the platform is; nothing is opened yet."""
+    def __init__(
+        self,
+        address: Address,
+        *,
+        calls: Counter | None = None,
+    ) -> None:
+        """Remember where the platform is; nothing is opened yet.
+
+        :param calls: counts the calls by role, where somebody wants to know.
+        """
         self._address = address
         self._calls = calls
         self._idle: list[ClientConnection] = []
@@ -176,7 +184,8 @@
         body: bytes = b'',
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
     ) -> Result[HttpResponse, PlatformDown]:
-        self._calls.labels(role=role).inc()
+        if self._calls is not None:
+            self._calls.labels(role=role).inc()
         sent_headers = {**(headers or {}), 'hornbeamdeck-role': role}
         request = HttpRequest(method, path, query, sent_headers, body)
         try:
--- a/hornbeamdeck/demo/fleet.py
+++ b/hornbeamdeck/demo/fleet.py
@@ -12,7 +12,6 @@
 from hornbeamdeck.const import KEY_CONFIGURATION
 from hornbeamdeck.demo.document import make_document
 from hornbeamdeck.process.instance import Instance, async_setup_instance
-from hornbeamdeck.process.metrics import Metrics
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.standin.batch import EngineModel
 from hornbeamdeck.standin.booking import BookingStandin, async_setup_booking
@@ -102,10 +101,7 @@
 
     async def async_put_document(self, document: str) -> None:
         """Put a configuration document in the platform."""
-        client = PlatformClient(
-            self.platform_address,
-            calls=Metrics().platform_calls,
-        )
+        client = PlatformClient(self.platform_address)
         before = await client.async_get(KEY_CONFIGURATION, role='demo')
         stored = before.unwrap()
         written = await client.async_put(
--- a/hornbeamdeck/demo/run.py
+++ b/hornbeamdeck/demo/run.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.demo.caller import CallRecord
@@ -72,16 +72,12 @@
 
 async def async_entries(address: Address, team: str) -> list[Address]:
     """Ask an instance which addresses a caller is to use."""
-    opened = await ClientConnection.async_open(
-        address,
-        timeout_ms=CONNECT_TIMEOUT_MS,
-    )
     headers = {'authorization': f'Bearer {team_key(team)}'}
-    connection = opened.unwrap()
-    got = await connection.async_fetch(
+    got = await async_fetch_once(
+        address,
         HttpRequest('GET', '/v1/entries', '', headers, b''),
+        timeout_ms=CONNECT_TIMEOUT_MS,
     )
-    await connection.async_close()
     answer = json.loads(got.unwrap().body.decode(ENCODING))
     return [Address.from_text(each['address']) for each in answer['entries']]
 
--- a/hornbeamdeck/process/baselines.py
+++ b/hornbeamdeck/process/baselines.py
@@ -13,7 +13,7 @@
 from curio import sleep
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.process.policy import Acquire, Policy
@@ -52,16 +52,11 @@
             await sleep(REPORT_PERIOD_MS / MILLIS_PER_SECOND)
 
     async def _async_ask(self, upstream: Upstream) -> None:
-        opened = await ClientConnection.async_open(
+        got = await async_fetch_once(
             upstream.address,
-            timeout_ms=REPORT_TIMEOUT_MS,
-        )
-        if isinstance(opened, Err):
-            return
-        got = await opened.ok_value.async_fetch(
             HttpRequest('GET', '/load', '', {}, b''),
+            timeout_ms=REPORT_TIMEOUT_MS,
         )
-        await opened.ok_value.async_close()
         if isinstance(got, Err) or got.ok_value.status != HTTPStatus.OK:
             return
         report = json.loads(got.ok_value.body)
--- /dev/null
+++ b/hornbeamdeck/request/pages.py
@@ -0,0 +1,143 @@
+"""What an instance answers itself, without an upstream."""
+
+import json
+from collections.abc import Callable, Mapping
+from contextlib import AbstractContextManager
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final, NamedTuple, TypeAlias
+
+from result import Err
+
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.const import ENCODING
+from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.request.admission import identify
+from hornbeamdeck.request.answer import Answering
+from hornbeamdeck.request.once_sources import issue_for
+from hornbeamdeck.request.outcome import NotRun, to_response
+from hornbeamdeck.version.entities import Team
+
+__all__ = ('Routing', 'own_page')
+
+ENTRIES_COUNT: Final = 3
+MODEL_FIELDS: Final[Mapping[str, object]] = MappingProxyType(
+    {'object': 'model', 'created': 0, 'owned_by': 'hornbeamdeck'},
+)
+METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+class Routing(NamedTuple):
+    """What the router needs of the process.
+
+    :param answering: gives the parts, with the configuration in force now.
+    :param is_leaving: whether a planned stop has begun.
+    :param in_flight: counts a request while it is being answered.
+    """
+
+    answering: Callable[[], Answering]
+    membership: Membership
+    entries_ttl_ms: int
+    is_leaving: Callable[[], bool]
+    in_flight: Callable[[], AbstractContextManager[None]]
+
+
+TeamPage: TypeAlias = Callable[[Routing, Answering, Team, str], HttpResponse]
+
+
+def own_page(
+    routing: Routing,
+    parts: Answering,
+    request: HttpRequest,
+    request_id: str,
+) -> HttpResponse:
+    """Answer a path that leads to no upstream."""
+    match request.path:
+        case '/healthz':
+            return _health(routing, parts)
+        case '/metrics':
+            headers = {'content-type': METRICS_TYPE}
+            return HttpResponse(HTTPStatus.OK, headers, parts.metrics.render())
+    page = _TEAM_PAGES.get(request.path)
+    if page is None:
+        refusal = NotRun(HTTPStatus.NOT_FOUND, 'no_such_path', 'no such path')
+        return to_response(refusal, request_id)
+    team = identify(parts.configuration, request.headers)
+    if isinstance(team, Err):
+        return to_response(team.err_value, request_id)
+    return page(routing, parts, team.ok_value, request_id)
+
+
+def _health(routing: Routing, parts: Answering) -> HttpResponse:
+    version = parts.configuration.version
+    if routing.is_leaving():
+        return _json(HTTPStatus.SERVICE_UNAVAILABLE, {'state': 'leaving'})
+    state = 'ready' if version else 'no configuration'
+    status = HTTPStatus.OK if version else HTTPStatus.SERVICE_UNAVAILABLE
+    return _json(status, {'state': state, 'configuration_version': version})
+
+
+def _entries(
+    routing: Routing,
+    _parts: Answering,
+    _team: Team,
+    request_id: str,
+) -> HttpResponse:
+    chosen = routing.membership.entries(request_id, ENTRIES_COUNT)
+    entries = [
+        {
+            'address': str(status.address),
+            'availability_zone': status.availability_zone,
+        }
+        for status in chosen
+    ]
+    return _json(
+        HTTPStatus.OK,
+        {'entries': entries, 'ttl_ms': routing.entries_ttl_ms},
+    )
+
+
+def _issue(
+    routing: Routing,
+    parts: Answering,
+    team: Team,
+    request_id: str,
+) -> HttpResponse:
+    if routing.is_leaving():
+        # What this process remembers goes with it.
+        refusal = NotRun(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'leaving',
+            'this instance is leaving; ask another',
+        )
+        return to_response(refusal, request_id)
+    key = issue_for(parts.once, team.name)
+    return _json(HTTPStatus.CREATED, {'idempotency_key': key})
+
+
+def _models(
+    _routing: Routing,
+    parts: Answering,
+    team: Team,
+    _request_id: str,
+) -> HttpResponse:
+    models = [
+        {**MODEL_FIELDS, 'id': name}
+        for name in team.services
+        if parts.configuration.services[name].is_model
+    ]
+    return _json(HTTPStatus.OK, {'object': 'list', 'data': models})
+
+
+def _json(status: HTTPStatus, body: object) -> HttpResponse:
+    headers = {'content-type': 'application/json'}
+    return HttpResponse(status, headers, json.dumps(body).encode(ENCODING))
+
+
+_TEAM_PAGES: Final[Mapping[str, TeamPage]] = MappingProxyType(
+    {
+        '/v1/entries': _entries,
+        '/v1/idempotency-keys': _issue,
+        '/v1/models': _models,
+    },
+)
--- a/tests/support.py
+++ b/tests/support.py
@@ -7,7 +7,7 @@
 import curio
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.client import async_fetch_once
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.demo.document import team_key
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
@@ -51,15 +51,12 @@
 
 async def async_fetch(address: Address, request: HttpRequest) -> HttpResponse:
     """Make one call on a connection of its own."""
-    opened = await ClientConnection.async_open(
+    got = await async_fetch_once(
         address,
+        request,
         timeout_ms=CONNECT_TIMEOUT_MS,
     )
-    connection = opened.unwrap()
-    try:
-        return (await connection.async_fetch(request)).unwrap()
-    finally:
-        await connection.async_close()
+    return got.unwrap()
 
 
 def desk_entry(**changes: Any) -> TraceEntry:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from hornbeamdeck.process.settings import load_settings
+from hornbeamdeck.version.configuration import parse_document
+
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 EXPECTED = {
     'claim.py': 'receipt 1 after 1 payment\n' * 2,
@@ -55,3 +58,11 @@
         check=True,
     )
     assert ran.stdout == '[]\n'
+
+
+def test_example_files_pass_the_checks() -> None:
+    """A newcomer follows the README; its files must be taken as they are."""
+    assert load_settings(str(EXAMPLES / 'instance.json')).is_ok()
+    document = (EXAMPLES / 'configuration.json').read_text()
+    configuration = parse_document(document, version=1).unwrap()
+    assert configuration.team_of_key('key-of-guides') is not None
