--- a/hornbeamdeck/standin/batch.py
+++ b/hornbeamdeck/standin/batch.py
@@ -6,7 +6,6 @@
 batch.
 """
 
-from collections import OrderedDict
 from typing import Final, NamedTuple, Self
 
 from curio import Event, Queue, sleep
@@ -16,7 +15,6 @@
 __all__ = ('Batch', 'EngineModel', 'EngineRecords', 'Sequence')
 
 END_OF_ANSWER: Final = -1
-CACHE_BLOCK_CHARS: Final = 256
 COUNTED: Final = (
     'prefilled_tokens',
     'wasted_prefill_tokens',
@@ -81,7 +79,6 @@
         self.most_running = 0
         self._sequences: list[Sequence] = []
         self._arrived = Event()
-        self._cache: OrderedDict[str, None] = OrderedDict()
 
     @property
     def running(self) -> int:
@@ -93,20 +90,6 @@
         """Prompt tokens not yet prefilled."""
         return sum(each.prefill_left for each in self._sequences)
 
-    def cached_tokens(self, prompt: str, prompt_tokens: int) -> int:
-        """Count the prompt's leading tokens in the cache, then cache it."""
-        hits = 0
-        missed = False
-        for end in range(CACHE_BLOCK_CHARS, len(prompt), CACHE_BLOCK_CHARS):
-            block = prompt[:end]
-            missed = missed or block not in self._cache
-            hits += not missed
-            self._cache[block] = None
-            self._cache.move_to_end(block)
-        while len(self._cache) > self.model.cache_blocks:
-            self._cache.popitem(last=False)
-        return prompt_tokens * hits * CACHE_BLOCK_CHARS // max(len(prompt), 1)
-
     async def async_admit(self, sequence: Sequence) -> None:
         """Take a request in, as engines do, whatever the load."""
         self._sequences.append(sequence)
--- a/hornbeamdeck/standin/engine.py
+++ b/hornbeamdeck/standin/engine.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, Final, TypeAlias
+from urllib.parse import parse_qs
 
 from curio import sleep, spawn
 
@@ -30,6 +31,7 @@
     EngineModel,
     Sequence,
 )
+from hornbeamdeck.standin.cache import PrefixCache
 from hornbeamdeck.standin.completion import event, make_choice, prompt_of, whole
 from hornbeamdeck.standin.streams import Streams
 from hornbeamdeck.standin.web import async_setup_web, json_response
@@ -63,6 +65,7 @@
     def __init__(self, model: EngineModel) -> None:
         """Start idle."""
         self.batch = Batch(model)
+        self.cache = PrefixCache(max_blocks=model.cache_blocks)
         self.streams = Streams(self.batch)
         self.crash_mark = ''
         self.break_mark = ''
@@ -100,6 +103,10 @@
     async def _async_route(self, request: HttpRequest) -> HttpResponse:
         if request.path == '/load':
             return json_response(HTTPStatus.OK, self._reports[0])
+        if request.path == '/cache-events':
+            after = int(parse_qs(request.query)['after'][0])
+            events = [each._asdict() for each in self.cache.events(after)]
+            return json_response(HTTPStatus.OK, {'events': events})
         if request.path == '/standin/records':
             records = self.batch.records
             return json_response(
@@ -162,7 +169,7 @@
 
     def _sequence(self, prompt: str, output_tokens: int) -> Sequence:
         prompt_tokens = max(len(prompt) // CHARS_PER_TOKEN, 1)
-        cached = self.batch.cached_tokens(prompt, prompt_tokens)
+        cached = self.cache.take(prompt) // CHARS_PER_TOKEN
         return Sequence(
             prompt_tokens=prompt_tokens - cached,
             output_tokens=output_tokens,
