Tell an owner that lost a cell to forget its runs

Cause: found by reading the grants as a newcomer: when an ingress turned from a living owner to the next, it registered its runs there and never told the first, which counted them until the connection closed. When the cell came back, its engines looked full. Ruled out: a dead owner, whose knowledge is gone anyway. The new test fails without the change: runs that had ended were still counted 2 s later.

Change: the old owner is told that the run is no longer its to count. A release also looked at the runs of every upstream; it looks for the one that has it.

--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -1,7 +1,7 @@
 """A cell: a group of upstreams and the tiered queue before them."""
 
 import heapq
-from collections.abc import Generator, Iterator, Mapping
+from collections.abc import Generator, Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.suspicion import Suspicions
@@ -93,7 +93,7 @@
             sender=sender,
             deliver=deliver,
             deadline_ms=now + request.deadline_ms,
-            service_ms=self._best_service_ms(request),
+            service_ms=_best_service_ms(self.loads.values(), request),
         )
         if not self.loads:
             return self._refuse(ticket, RefusalReason.NO_UPSTREAM)
@@ -162,7 +162,8 @@
 
     def progress(self, message: Progress) -> None:
         """Note a first token."""
-        for load in self.loads.values():
+        load = self._load_running(message.request_id)
+        if load is not None:
             load.first_token(message.request_id, message.first_token_ms)
 
     def release(self, message: Release, now: float) -> Suspect | None:
@@ -170,23 +171,20 @@
 
         :returns: whom a break of the upstream is now held against, if any.
         """
-        for load in self.loads.values():
-            together = load.fingerprints()
-            run = load.release(
-                message.request_id, message.end, message.total_ms
-            )
-            if run is None:
-                continue
-            if message.end == RunEnd.NOT_DISPATCHED:
-                load.rest(now)
-            return self.suspicions.note_end(
-                load.upstream,
-                run.fingerprint,
-                message.end,
-                together=together,
-                now=now,
-            )
-        return None
+        load = self._load_running(message.request_id)
+        if load is None:
+            return None
+        together = load.fingerprints()
+        run = load.release(message.request_id, message.end, message.total_ms)
+        if message.end == RunEnd.NOT_DISPATCHED:
+            load.rest(now)
+        return self.suspicions.note_end(
+            load.upstream,
+            run.fingerprint,
+            message.end,
+            together=together,
+            now=now,
+        )
 
     def drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
@@ -197,6 +195,12 @@
         for load in self.loads.values():
             load.drop_sender(sender)
 
+    def _load_running(self, request_id: str) -> UpstreamLoad | None:
+        for load in self.loads.values():
+            if request_id in load.runs:
+                return load
+        return None
+
     def _grants_of_tier(
         self,
         queue: TierQueue,
@@ -260,18 +264,6 @@
             default=None,
         )
 
-    def _best_service_ms(self, request: Enqueue) -> float:
-        return min(
-            (
-                load.speed.service_ms(
-                    request.prompt_tokens,
-                    request.output_tokens,
-                )
-                for load in self.loads.values()
-            ),
-            default=0,
-        )
-
     def _wait_ms(self, rank: int) -> float:
         ahead_ms = sum(
             queue.service_ms
@@ -292,6 +284,19 @@
         return Refused(ticket, refusal)
 
 
+def _best_service_ms(
+    loads: Iterable[UpstreamLoad],
+    request: Enqueue,
+) -> float:
+    return min(
+        (
+            load.speed.service_ms(request.prompt_tokens, request.output_tokens)
+            for load in loads
+        ),
+        default=0,
+    )
+
+
 def _service_ms(load: UpstreamLoad, request: Enqueue) -> float:
     return load.service_ms(request.prompt_tokens, request.output_tokens)
 
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -208,13 +208,7 @@
         running = self._running.get(grant.request_id)
         if running is not None and running.owner == sender:
             return
-        decline = Release(
-            request_id=grant.request_id,
-            cell=grant.cell,
-            end=RunEnd.CANCELLED,
-            total_ms=0,
-        )
-        await self._link.async_send(sender, decline)
+        await self._link.async_send(sender, _to_cancelled(grant))
 
     async def _async_refused(self, sender: str, refusal: Refuse) -> None:
         waiting = self._waiting.get(refusal.request_id)
@@ -241,6 +235,11 @@
             return
         self._running[run.request_id] = _Running(run, owner)
         await self._link.async_send(owner, run)
+        if self._link.is_open(running.owner):
+            # The old owner lives and only lost the cell. Untold, it would
+            # count this run for ever, and find its upstreams full of runs long
+            # ended when the cell comes back to it.
+            await self._link.async_send(running.owner, _to_cancelled(run))
 
     async def _async_leave_queue(self, waiting: _Waiting) -> None:
         if self._link.is_open(waiting.owner):
@@ -254,6 +253,15 @@
     return Withdraw(request_id=request.request_id, cell=request.cell)
 
 
+def _to_cancelled(run: Grant | Register) -> Release:
+    return Release(
+        request_id=run.request_id,
+        cell=run.cell,
+        end=RunEnd.CANCELLED,
+        total_ms=0,
+    )
+
+
 def _to_register(request: Enqueue, upstream: str) -> Register:
     return Register(
         request_id=request.request_id,
--- a/hornbeamdeck/process/upstream_load.py
+++ b/hornbeamdeck/process/upstream_load.py
@@ -106,10 +106,14 @@
         request_id: str,
         end: RunEnd,
         total_ms: float,
-    ) -> Run | None:
-        """Take a run off and learn from how it ended; `None` if not here."""
-        run = self.remove(request_id)
-        if run is None or end != RunEnd.ANSWERED:
+    ) -> Run:
+        """Take a run off and learn from how it ended.
+
+        :raises KeyError: where there is no such run.
+        """
+        run = self.runs[request_id]
+        self.remove(request_id)
+        if end != RunEnd.ANSWERED:
             return run
         self._rest_ms = 0
         before_ms = run.first_token_ms
@@ -129,12 +133,11 @@
         self._rest_ms = min(max(self._rest_ms * 2, FIRST_REST_MS), MAX_REST_MS)
         self._rest_until_ms = now + self._rest_ms
 
-    def remove(self, request_id: str) -> Run | None:
-        """Forget a run without learning from it."""
+    def remove(self, request_id: str) -> None:
+        """Forget a run, if it is here, without learning from it."""
         run = self.runs.pop(request_id, None)
         if run is not None and run.is_prefilling:
             self.prompt_tokens -= run.prompt_tokens
-        return run
 
     def drop_sender(self, sender: str) -> None:
         """Forget the runs that came by a connection that has gone."""
--- a/tests/process/test_owner_loss.py
+++ b/tests/process/test_owner_loss.py
@@ -107,6 +107,35 @@
     assert all(record.is_whole for record in group.results)
 
 
+@on_fleet(PLAN)
+async def test_owner_that_lost_the_cell_forgets_its_runs(
+    fleet: Fleet,
+) -> None:
+    """One instance takes the owner for dead for a moment, as after a short
+    break in the network, and turns to the next. The first owner lives on; when
+    the cell comes back to it, it must not take the engine for full of answers
+    that ended long ago.
+    """
+    owner = fleet.owner_of('desk')
+    ingress = _others(fleet, owner)[0]
+    address = ingress.own.address
+    async with TaskGroup() as group:
+        for number in range(PLAN.max_running):
+            entry = desk_entry(output_tokens=60)
+            await group.spawn(async_call, entry, number, address)
+        load = owner.parts.scheduler.cells['desk'].loads['engine-0']
+        while len(load.runs) < PLAN.max_running:
+            await sleep(0.005)
+        ingress.parts.membership.suspect(owner.own.instance_id)
+        await ingress.parts.grants.async_review()
+    assert all(record.is_whole for record in group.results)
+    for _ in range(200):
+        if not load.runs:
+            break
+        await sleep(0.01)
+    assert not load.runs
+
+
 @on_fleet(PLAN)
 async def test_planned_stop_of_owner_cuts_nothing(fleet: Fleet) -> None:
     """An operator replaces the instance that owns the cell, while callers wait
