Trust old estimates less and less when refusing

Cause: found by reading: a request is refused when every upstream's estimate passes its deadline, and estimates change only by runs. An upstream that was slow for a while, asked only for short deadlines, was so refused for ever. The new test, 30 s after one slow run, was refused.

Change: refusals scale an estimate down as it grows old (2 s of full trust, then half in every 5 s); the choice between upstreams still uses it whole, so that a slow one is not preferred for being little known.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -201,6 +201,7 @@
         ended = running.pop(0)
         cell.progress(
             Progress(request_id=ended, cell=CELL, first_token_ms=50),
+            now=0,
         )
         cell.release(
             Release(
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -93,7 +93,7 @@
             sender=sender,
             deliver=deliver,
             deadline_ms=now + request.deadline_ms,
-            service_ms=_best_service_ms(self.loads.values(), request),
+            service_ms=_best_service_ms(self.loads.values(), request, now),
         )
         if not self.loads:
             return self._refuse(ticket, RefusalReason.NO_UPSTREAM)
@@ -160,11 +160,11 @@
         if load is not None:
             load.add(run, sender)
 
-    def progress(self, message: Progress) -> None:
+    def progress(self, message: Progress, now: float) -> None:
         """Note a first token."""
         load = self._load_running(message.request_id)
         if load is not None:
-            load.first_token(message.request_id, message.first_token_ms)
+            load.first_token(message.request_id, message.first_token_ms, now)
 
     def release(self, message: Release, now: float) -> Suspect | None:
         """Note the end of a run.
@@ -175,7 +175,12 @@
         if load is None:
             return None
         together = load.fingerprints()
-        run = load.release(message.request_id, message.end, message.total_ms)
+        run = load.release(
+            message.request_id,
+            message.end,
+            message.total_ms,
+            now,
+        )
         if message.end == RunEnd.NOT_DISPATCHED:
             load.rest(now)
         return self.suspicions.note_end(
@@ -229,7 +234,8 @@
         now: float,
     ) -> bool:
         request = ticket.request
-        if now + _service_ms(load, request) > ticket.deadline_ms:
+        needed_ms = load.trust(now) * _service_ms(load, request)
+        if now + needed_ms > ticket.deadline_ms:
             # Run there it would come too late, its prefill wasted.
             return True
         if not self.suspicions.crashes(request.fingerprint, now):
@@ -287,10 +293,15 @@
 def _best_service_ms(
     loads: Iterable[UpstreamLoad],
     request: Enqueue,
+    now: float,
 ) -> float:
     return min(
         (
-            load.speed.service_ms(request.prompt_tokens, request.output_tokens)
+            load.trust(now)
+            * load.speed.service_ms(
+                request.prompt_tokens,
+                request.output_tokens,
+            )
             for load in loads
         ),
         default=0,
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -94,7 +94,7 @@
             case Register():
                 cell.register(message, sender)
             case Progress():
-                cell.progress(message)
+                cell.progress(message, now_ms())
             case Release():
                 suspect = cell.release(message, now_ms())
                 if suspect is not None:
--- a/hornbeamdeck/process/upstream_load.py
+++ b/hornbeamdeck/process/upstream_load.py
@@ -11,6 +11,9 @@
 HEADROOM_SHARE: Final = 8
 FIRST_REST_MS: Final = 500
 MAX_REST_MS: Final = 8000
+TRUST_MS: Final = 2000
+HALF_LIFE_MS: Final = 5000
+HALF: Final = 0.5
 
 
 class Run(NamedTuple):
@@ -35,6 +38,7 @@
         self.runs: dict[str, Run] = {}
         self.prompt_tokens = 0
         self.is_leaving = False
+        self._learned_ms = 0.0
         self._rest_until_ms = 0.0
         self._rest_ms = 0
 
@@ -63,6 +67,16 @@
             return True
         return self.prompt_tokens + prompt_tokens <= max_prompt_tokens
 
+    def trust(self, now: float) -> float:
+        """Tell how far the estimates hold, from 1 down, as they grow old.
+
+        Refusals multiply by this. Where nothing is run because nothing seems
+        possible, nothing new is learned either, and an upstream that was slow
+        once would be refused for ever.
+        """
+        age_ms = max(now - self._learned_ms - TRUST_MS, 0)
+        return float(HALF ** (age_ms / HALF_LIFE_MS))
+
     def service_ms(self, prompt_tokens: int, output_tokens: int) -> float:
         """Estimate a run's duration behind what is being prefilled now."""
         return self.speed.service_ms(
@@ -85,11 +99,17 @@
             is_prefilling=run.is_prefilling,
         )
 
-    def first_token(self, request_id: str, first_token_ms: float) -> None:
+    def first_token(
+        self,
+        request_id: str,
+        first_token_ms: float,
+        now: float,
+    ) -> None:
         """Learn from a first token; the run's prompt is prefilled now."""
         run = self.runs.get(request_id)
         if run is None or not run.is_prefilling:
             return
+        self._learned_ms = now
         self.speed.learn_first_token(first_token_ms, run.queued_tokens)
         self.prompt_tokens -= run.prompt_tokens
         self.runs[request_id] = run._replace(
@@ -106,6 +126,7 @@
         request_id: str,
         end: RunEnd,
         total_ms: float,
+        now: float,
     ) -> Run:
         """Take a run off and learn from how it ended.
 
@@ -116,6 +137,7 @@
         if end != RunEnd.ANSWERED:
             return run
         self._rest_ms = 0
+        self._learned_ms = now
         before_ms = run.first_token_ms
         if not before_ms:
             before_ms = self.speed.first_token_ms(run.queued_tokens)
--- a/tests/process/test_cell.py
+++ b/tests/process/test_cell.py
@@ -71,7 +71,8 @@
 
 def end(cell: Cell, name: str, how: RunEnd = RunEnd.ANSWERED) -> None:
     """End a run after 100 ms."""
-    cell.progress(Progress(request_id=name, cell='desk', first_token_ms=20))
+    progress = Progress(request_id=name, cell='desk', first_token_ms=20)
+    cell.progress(progress, now=0)
     release = Release(request_id=name, cell='desk', end=how, total_ms=100)
     cell.release(release, now=0)
 
@@ -126,6 +127,7 @@
     assert granted(cell) == ['first']
     cell.progress(
         Progress(request_id='first', cell='desk', first_token_ms=500),
+        now=0,
     )
     assert granted(cell) == ['second']
 
@@ -198,3 +200,27 @@
     assert len(cell) == 0
     assert not cell.loads['a'].runs
     assert cell.loads['a'].prompt_tokens == 0
+
+
+def test_recovered_engine_is_tried_again() -> None:
+    """An engine was slow for a while, so that guides' requests with short
+    deadlines are refused as hopeless. With nothing run there is nothing to
+    learn from: unless old times are trusted less and less, the guides would
+    be refused for ever, long after the engine has recovered.
+    """
+    cell = make_cell('a')
+    offer(cell, enqueue('slow'))
+    granted(cell)
+    cell.release(
+        Release(
+            request_id='slow',
+            cell='desk',
+            end=RunEnd.ANSWERED,
+            total_ms=8000,
+        ),
+        now=0,
+    )
+    refused = offer(cell, enqueue('soon', deadline_ms=3000), now=100)
+    assert refused.refusal.reason == RefusalReason.DEADLINE
+    assert offer(cell, enqueue('later', deadline_ms=3000), now=30_000) is None
+    assert granted(cell, now=30_000) == ['later']
