--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -81,6 +81,7 @@
         self._statuses: dict[str, InstanceStatus] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._listed: dict[str, str] = {}
+        self._listed_ms = -math.inf
         self._suspicions: dict[str, _Suspicion] = {}
         self._owners: dict[str, str] = {}
         self._owners_until_ms = 0.0
@@ -115,9 +116,10 @@
     def note_listed(self, listed: tuple[ListedInstance, ...]) -> None:
         """Take in the platform's lagging list."""
         states = {each.address: each.state for each in listed}
-        if states != self._listed:
+        if states != self._listed or self._has_unlisted_in_grace():
             self._owners.clear()
         self._listed = states
+        self._listed_ms = now_ms()
 
     def suspect(self, instance_id: str) -> None:
         """Pass over an instance that a connection showed to be dead."""
@@ -202,11 +204,7 @@
 
     def _next_expiry_ms(self) -> float:
         now = now_ms()
-        expiries = [each.until_ms for each in self._suspicions.values()]
-        expiries += [
-            seen_ms + UNLISTED_GRACE_MS
-            for seen_ms in self._first_seen_ms.values()
-        ]
+        expiries = (each.until_ms for each in self._suspicions.values())
         coming = (each for each in expiries if each > now)
         return min(coming, default=math.inf)
 
@@ -219,6 +217,19 @@
         listed = self._listed.get(str(status.address))
         if listed is not None:
             return listed == STATE_LIVE
+        return self._is_in_grace(status)
+
+    def _is_in_grace(self, status: InstanceStatus) -> bool:
         # The list lags: an instance that has just started is not on it yet.
-        age_ms = now - self._first_seen_ms[status.instance_id]
-        return age_ms < UNLISTED_GRACE_MS
+        # What counts is how old it was at the last reading: while the platform
+        # is down nothing can be concluded from an old list, and an instance
+        # that dropped its peers would take over all their cells.
+        seen_ms = self._first_seen_ms[status.instance_id]
+        return self._listed_ms - seen_ms < UNLISTED_GRACE_MS
+
+    def _has_unlisted_in_grace(self) -> bool:
+        return any(
+            str(status.address) not in self._listed
+            and self._is_in_grace(status)
+            for status in self._statuses.values()
+        )
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -101,6 +101,23 @@
     assert owner_of(key, members - {order[0]}) == order[1]
 
 
+def test_peers_are_kept_while_no_list_can_be_read() -> None:
+    """The platform goes down just after an instance has started. Were its
+    peers dropped because an old list lacks them, it would think itself alone,
+    take every cell, and engines would get twice their limits all morning.
+    """
+    clock = [0.0]
+    with mock.patch.object(module, 'now_ms', lambda: clock[0]):
+        members = Membership(status('a'))
+        members.note_published()
+        members.note_status(stored('b'))
+        members.note_listed(())
+        clock[0] = 3_600_000
+        assert len(members.live()) == 2
+        members.note_listed(())
+        assert len(members.live()) == 1
+
+
 def test_entries_prefer_the_own_zone_and_spread() -> None:
     """A hundred callers ask one instance which addresses to use. They must not
     all be sent to the same one, nor to another zone while the own one serves.
