Show that each outcome the demo states can fail

Cause: the demo ends non-zero when a stated outcome fails, and no test had one fail.

Change: each outcome is broken once and must be named; the table and the percentile are checked.

--- /dev/null
+++ b/tests/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the demo: that it can fail."""
--- /dev/null
+++ b/tests/demo/test_report.py
@@ -0,0 +1,68 @@
+"""The demo's stated outcomes, each shown able to fail."""
+
+from typing import Any
+
+from hornbeamdeck.demo.caller import CallRecord
+from hornbeamdeck.demo.report import (
+    failed_outcomes,
+    format_table,
+    percentile,
+    tier_rows,
+)
+from tests.support import desk_entry
+
+
+def _record(**changes: Any) -> CallRecord:
+    record = CallRecord(
+        entry=desk_entry(),
+        status=200,
+        outcome='ran',
+        code='',
+        request_id='r1',
+        is_whole=True,
+        first_token_ms=20,
+        total_ms=100,
+        retry_after_s=0,
+    )
+    return record._replace(**changes)
+
+
+def test_all_well_names_nothing() -> None:
+    assert failed_outcomes([_record()], {'r1': 1}, {'k': 1}) == []
+
+
+def test_each_broken_promise_is_named() -> None:
+    """The demo is what a newcomer judges the system by. A promise that breaks
+    in it must not end in `every stated outcome was met`.
+    """
+    refused = _record(status=503, outcome='not_run', is_whole=False)
+    cut = _record(is_whole=False)
+    late = _record(total_ms=11_000)
+    whole = [_record()] * 100
+    cases = [
+        ([_record()], {'r1': 2}, {}, 'request r1 ran 2 times'),
+        ([_record()], {}, {'k': 2}, 'idempotency key k ran 2 times'),
+        ([*whole, refused], {'r1': 1}, {}, 'said not to run, and ran'),
+        ([*whole, cut], {'r1': 1}, {}, 'wrong or cut answer'),
+        ([late], {'r1': 1}, {}, 'only 0 came in time'),
+    ]
+    for records, runs, keys, expected in cases:
+        failures = failed_outcomes(records, runs, keys)
+        assert len(failures) == 1
+        assert expected in failures[0]
+
+
+def test_table_counts_by_tier() -> None:
+    long = desk_entry(tier='long')
+    rows = tier_rows([_record(), _record(entry=long, status=503)])
+    assert [(row.tier, row.asked, row.shed) for row in rows] == [
+        ('long', 1, 1),
+        ('urgent', 1, 0),
+    ]
+    assert len(format_table(rows).splitlines()) == 3
+
+
+def test_percentile_is_the_nearest_rank() -> None:
+    numbers = [float(each) for each in range(1, 101)]
+    assert percentile(numbers, 0.95) == 95
+    assert percentile([], 0.5) == 0
