Read over once more: one way to give a claim up, one count of runs

A claim was given up where its error equalled a newly made one, which would break with any change of that error's words; a relayed stream closed its connection twice; the runs of all engines were counted by three copies of one loop; two constants were used by nothing.

Change: making a claim says `None` where it can't tell whose it is, and that alone gives it up; the relay closes the connection that is in use; Fleet.runs_by_request; the constants are gone. Behaviour stays, no assertion changed.

--- a/hornbeamdeck/const.py
+++ b/hornbeamdeck/const.py
@@ -13,7 +13,6 @@
 PREFIX_INSTANCE: Final = 'instances/'
 
 MILLIS_PER_SECOND: Final = 1000
-KIBIBYTE: Final = 1024
 MEBIBYTE: Final = 1024 * 1024
 
 ENCODING: Final = 'utf-8'
--- a/hornbeamdeck/demo/fleet.py
+++ b/hornbeamdeck/demo/fleet.py
@@ -1,6 +1,7 @@
 """Instances and stand-ins in one process, on ports from the system."""
 
 import json
+from collections import Counter
 from typing import Final, NamedTuple, Self
 
 from curio import sleep
@@ -144,6 +145,13 @@
         while not all(map(self._is_ready, self.instances)):
             await sleep(READY_POLL_S)
 
+    def runs_by_request(self) -> Counter[str]:
+        """Count the runs of each request over all engines."""
+        runs: Counter[str] = Counter()
+        for engine in self.engines:
+            runs.update(engine.batch.records.runs)
+        return runs
+
     def owner_of(self, cell: str) -> Instance:
         """Find the instance that owns a cell, as the first one sees it."""
         membership = self.instances[0].parts.membership
--- a/hornbeamdeck/demo/report.py
+++ b/hornbeamdeck/demo/report.py
@@ -7,13 +7,18 @@
 
 from hornbeamdeck.demo.caller import CallRecord
 
-__all__ = ('TierRow', 'failed_outcomes', 'format_table', 'tier_rows')
+__all__ = (
+    'TierRow',
+    'failed_outcomes',
+    'format_table',
+    'percentile',
+    'tier_rows',
+)
 
 P50: Final = 0.5
 P95: Final = 0.95
 TOP_TIER: Final = 'urgent'
 TOP_TIER_IN_TIME: Final = 0.95
-UPSTREAM_KINDS: Final = ('engine', 'booking')
 
 
 class TierRow(NamedTuple):
--- a/hornbeamdeck/demo/run.py
+++ b/hornbeamdeck/demo/run.py
@@ -1,7 +1,6 @@
 """The demo: both traces replayed on an embedded fleet, outcomes checked."""
 
 import json
-from collections import Counter
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -63,7 +62,7 @@
         say(format_table(rows_by_trace[name]))
         failed += failed_outcomes(
             records,
-            _runs_by_request(fleet),
+            fleet.runs_by_request(),
             fleet.booking.runs,
         )
     await fleet.async_stop()
@@ -102,10 +101,3 @@
     say(f'{name}: {len(trace)} calls')
     await async_replay(trace, addresses, _note)
     return records
-
-
-def _runs_by_request(fleet: Fleet) -> Counter[str]:
-    runs: Counter[str] = Counter()
-    for engine in fleet.engines:
-        runs.update(engine.batch.records.runs)
-    return runs
--- a/hornbeamdeck/request/claim.py
+++ b/hornbeamdeck/request/claim.py
@@ -76,8 +76,10 @@
         finally:
             # Also where the caller leaves meanwhile: a claim that was made, or
             # is still on its way, would answer `in_progress` to every resend.
-            if claimed is None or claimed == Err(platform_down()):
+            if claimed is None:
                 await self._async_give_up(call.object_key, record.nonce)
+        if claimed is None:
+            return Err(platform_down())
         return claimed.map(self._to_once)
 
     def _to_once(self, claimed: Claim | Recorded) -> Once | Recorded:
@@ -117,7 +119,8 @@
         self,
         call: ClaimCall,
         record: ClaimRecord,
-    ) -> Result[Claim | Recorded, Failure]:
+    ) -> Result[Claim | Recorded, Failure] | None:
+        """Create the claim object, or find whose it is; `None`: can't tell."""
         waits = backoff_s()
         try_again = True
         while try_again:
@@ -139,7 +142,7 @@
             wait_s = next(waits)
             try_again = wait_s * MILLIS_PER_SECOND < call.left_ms
             await sleep(wait_s if try_again else 0)
-        return Err(platform_down())
+        return None
 
     async def _async_find(
         self,
--- a/hornbeamdeck/request/relay.py
+++ b/hornbeamdeck/request/relay.py
@@ -86,11 +86,12 @@
 
     async def async_close(self) -> None:
         """End the upstream's part; closing cancels a run that has not ended."""
-        if self._stream is not None:
-            await self._stream.async_close()
-            if self.end == RunEnd.CANCELLED:
-                await self._stream.async_cancel()
-        await self._upstream.async_close()
+        if self._stream is None:
+            await self._upstream.async_close()
+            return
+        await self._stream.async_close()
+        if self.end == RunEnd.CANCELLED:
+            await self._stream.async_cancel()
 
     async def _async_whole(
         self,
--- a/tests/process/test_owner_loss.py
+++ b/tests/process/test_owner_loss.py
@@ -1,7 +1,5 @@
 """Owners of cells that die, freeze or are cut off while requests wait."""
 
-from collections import Counter
-
 from curio import TaskGroup, sleep
 
 from hornbeamdeck.demo.caller import CallRecord, async_call
@@ -17,13 +15,6 @@
     return [each for each in fleet.instances if each is not owner]
 
 
-def _runs(fleet: Fleet) -> Counter[str]:
-    runs: Counter[str] = Counter()
-    for engine in fleet.engines:
-        runs.update(engine.batch.records.runs)
-    return runs
-
-
 async def _async_ask_others(
     group: TaskGroup,
     others: list[Instance],
@@ -45,7 +36,7 @@
 ) -> None:
     assert len(records) == WAITING
     assert all(record.is_whole for record in records)
-    runs = _runs(fleet)
+    runs = fleet.runs_by_request()
     assert set(runs.values()) == {1}
     assert {record.request_id for record in records} == set(runs)
 
@@ -96,7 +87,7 @@
     async with TaskGroup() as group:
         for number in range(PLAN.max_running):
             await group.spawn(async_call, entry, number, others[0].own.address)
-        while sum(_runs(fleet).values()) < PLAN.max_running:
+        while sum(fleet.runs_by_request().values()) < PLAN.max_running:
             await sleep(0.005)
         await owner.async_kill()
         await sleep(0.2)
--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -56,9 +56,7 @@
         assert outage is not None
         await outage(200)
     await replay.join()
-    runs: Counter[str] = Counter()
-    for engine in fleet.engines:
-        runs.update(engine.batch.records.runs)
+    runs = fleet.runs_by_request()
     await fleet.async_stop()
     most = max(each.batch.most_running for each in fleet.engines)
     return Seen(records, runs, dict(fleet.booking.runs), most)
