--- a/hornbeamdeck/clock.py
+++ b/hornbeamdeck/clock.py
@@ -1,4 +1,4 @@
-"""Monotonic time in milliseconds, and limits on how long work may take."""
+"""Milliseconds since the machine started, and limits on how long work takes."""
 
 import time
 from collections.abc import Coroutine
@@ -16,8 +16,13 @@
 
 
 def now_ms() -> float:
-    """Tell the time since an arbitrary start, never set back."""
-    return time.monotonic_ns() / _NANOS_PER_MILLI
+    """Tell the time since an arbitrary start, never set back.
+
+    It runs on while the machine is suspended. On a clock that stands still
+    meanwhile, a process that wakes would hold leases and proofs that ran out
+    during its sleep for fresh.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NANOS_PER_MILLI
 
 
 async def async_within(
--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -72,8 +72,8 @@
         if self._protocol.our_state is h11.DONE:
             self._protocol.start_next_cycle()
         headers = {
-            **request.headers,
             'host': str(self._address),
+            **request.headers,
             'content-length': str(len(request.body)),
         }
         target = request.path
--- a/hornbeamdeck/connection/exchange.py
+++ b/hornbeamdeck/connection/exchange.py
@@ -8,6 +8,7 @@
 
 from hornbeamdeck.connection.errors import BadRequest, ReadError
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.reader import ReadLimits
 from hornbeamdeck.connection.server import ServerConnection
 
 __all__ = ('Answer', 'Refusal', 'async_serve_requests')
@@ -20,13 +21,15 @@
     sock: socket.socket,
     answer: Answer,
     refusal: Refusal,
+    limits: ReadLimits | None = None,
 ) -> None:
     """Read requests until the caller leaves or one can't be answered.
 
     :param answer: writes the whole response to a request.
     :param refusal: makes the response to a request that can't be read.
+    :param limits: what the caller may cost.
     """
-    connection = ServerConnection(sock)
+    connection = ServerConnection(sock, limits)
     while True:
         request = await connection.async_read_request()
         if isinstance(request, Err):
--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -29,7 +29,7 @@
 
 __all__ = ('PeerConnection', 'PeerIdentity', 'PeerError')
 
-HANDSHAKE_TIMEOUT_MS: Final = 2000
+HANDSHAKE_TIMEOUT_MS: Final = 1000
 NONCE_BYTES: Final = 16
 READ_BYTES: Final = 65536
 
--- a/hornbeamdeck/connection/platform.py
+++ b/hornbeamdeck/connection/platform.py
@@ -1,17 +1,17 @@
 """Client of the platform; `platform_wire` reads its answers."""
 
 from http import HTTPStatus
-from typing import Final
 from urllib.parse import quote, urlencode
 
-from curio.errors import TaskTimeout
 from prometheus_client import Counter
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_within
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.platform_calls import (
+    DEFAULT_TIMEOUT_MS,
+    PlatformCalls,
+)
 from hornbeamdeck.connection.platform_wire import (
     ListedInstance,
     PlatformDown,
@@ -40,9 +40,6 @@
     'WatchGap',
 )
 
-DEFAULT_TIMEOUT_MS: Final = 2000
-MAX_IDLE: Final = 4
-
 
 class PlatformClient:
     """Calls the object API over a few kept connections.
@@ -60,9 +57,7 @@
 
         :param calls: counts the calls by role, where somebody wants to know.
         """
-        self._address = address
-        self._calls = calls
-        self._idle: list[ClientConnection] = []
+        self._calls = PlatformCalls(address, count=calls)
 
     async def async_get(
         self,
@@ -170,8 +165,7 @@
 
     async def async_close(self) -> None:
         """Close the kept connections."""
-        while self._idle:
-            await self._idle.pop().async_close()
+        await self._calls.async_close()
 
     async def _async_call(
         self,
@@ -184,57 +178,10 @@
         body: bytes = b'',
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
     ) -> Result[HttpResponse, PlatformDown]:
-        if self._calls is not None:
-            self._calls.labels(role=role).inc()
         sent_headers = {**(headers or {}), 'hornbeamdeck-role': role}
         request = HttpRequest(method, path, query, sent_headers, body)
-        try:
-            return await async_within(
-                timeout_ms,
-                self._async_exchange(request),
-            )
-        except TaskTimeout:
-            return Err(PlatformDown('no answer in time'))
-
-    async def _async_exchange(
-        self,
-        request: HttpRequest,
-    ) -> Result[HttpResponse, PlatformDown]:
-        connection = await self._async_connection()
-        if isinstance(connection, Err):
-            return connection
-        keep = False
-        try:
-            got = await connection.ok_value.async_fetch(request)
-            keep = connection.ok_value.may_reuse
-        finally:
-            # A call that was cancelled or failed leaves a connection on which
-            # a late answer could be taken for the next call's, so it is closed.
-            await self._async_put_back(connection.ok_value, keep=keep)
-        if isinstance(got, Err):
-            return Err(PlatformDown(got.err_value.cause))
-        if got.ok_value.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            return Err(PlatformDown(f'status {got.ok_value.status}'))
-        return Ok(got.ok_value)
-
-    async def _async_connection(
-        self,
-    ) -> Result[ClientConnection, PlatformDown]:
-        if self._idle:
-            return Ok(self._idle.pop())
-        opened = await ClientConnection.async_open(
-            self._address,
-            timeout_ms=DEFAULT_TIMEOUT_MS,
+        return await self._calls.async_call(
+            request,
+            role=role,
+            timeout_ms=timeout_ms,
         )
-        return opened.map_err(lambda failed: PlatformDown(failed.cause))
-
-    async def _async_put_back(
-        self,
-        connection: ClientConnection,
-        *,
-        keep: bool,
-    ) -> None:
-        if keep and len(self._idle) < MAX_IDLE:
-            self._idle.append(connection)
-            return
-        await connection.async_close()
--- /dev/null
+++ b/hornbeamdeck/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product."""
--- /dev/null
+++ b/hornbeamdeck/platform/documents.py
@@ -0,0 +1,237 @@
+"""Reads the platform's configuration and engine entries."""
+
+import json
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+import structlog
+import voluptuous as vol
+from result import Err, Ok, Result
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.platform.names import (
+    FIELD_NAME,
+    FIELD_SERVICE,
+    STATE_DRAINING,
+    STATE_READY,
+)
+from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.version.routed import (
+    EdgeLimits,
+    EngineTraits,
+    Route,
+    RoutedConfiguration,
+    RoutedTeam,
+    RouteKind,
+    ServiceShare,
+    key_digest,
+)
+
+__all__ = ('parse_configuration', 'to_engine')
+
+_LOGGER = structlog.get_logger(prefix='documents')
+
+_UNREADABLE: Final = (ValueError, TypeError, LookupError, RecursionError)
+
+_COUNT: Final = vol.All(vol.Coerce(int), vol.Range(min=0))
+_AMOUNT: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
+_NAME: Final = vol.All(str, vol.Length(min=1))
+
+_ROUTE: Final = vol.Schema(
+    {
+        vol.Required(FIELD_NAME): str,
+        vol.Required('host'): _NAME,
+        vol.Required('path_prefix'): _NAME,
+        vol.Required('kind'): vol.In([kind.value for kind in RouteKind]),
+        vol.Required('timeout_ms'): _COUNT,
+        vol.Optional('target_latency_ms', default=1000): _COUNT,
+        vol.Optional('target_gap_ms', default=0): vol.Any(None, _COUNT),
+        vol.Optional('priority', default=0): vol.Any(None, _COUNT),
+        vol.Optional('max_attempts', default=1): vol.Any(None, _COUNT),
+        vol.Optional('public_access', default=False): bool,
+        vol.Optional('stream_resume', default=False): bool,
+        vol.Optional(FIELD_SERVICE): vol.Any(None, str),
+        vol.Optional('traffic_split'): vol.Any(
+            None,
+            [
+                vol.Schema(
+                    {
+                        vol.Required(FIELD_SERVICE): _NAME,
+                        vol.Required('weight'): _AMOUNT,
+                    },
+                    extra=vol.REMOVE_EXTRA,
+                ),
+            ],
+        ),
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_TEAM: Final = vol.Schema(
+    {
+        vol.Required(FIELD_NAME): _NAME,
+        vol.Optional('api_keys', default=list): [str],
+        vol.Optional('priority'): vol.Any(None, _COUNT),
+        vol.Optional('rate_per_s', default=0): vol.Any(None, _AMOUNT),
+        vol.Optional('burst', default=0): vol.Any(None, _AMOUNT),
+        vol.Optional('plain_tokens', default=1): vol.Any(None, _COUNT),
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_ENGINE_TRAITS: Final = vol.Schema(
+    {
+        vol.Optional('slots', default=0): _COUNT,
+        vol.Optional('stride', default=1): _COUNT,
+        vol.Optional('kv_tokens', default=0): _COUNT,
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_SERVICE: Final = vol.Schema(
+    {
+        vol.Required(FIELD_NAME): _NAME,
+        vol.Optional('engine'): vol.Any(None, dict),
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_LIMITS: Final = vol.Schema(
+    {
+        vol.Optional('max_header_bytes'): _COUNT,
+        vol.Optional('max_body_bytes'): _COUNT,
+        vol.Optional('header_timeout_ms'): _COUNT,
+        vol.Optional('idle_timeout_ms'): _COUNT,
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_DOCUMENT: Final = vol.Schema(
+    {
+        vol.Required('routes'): [dict],
+        vol.Required('services'): [dict],
+        vol.Optional('limits', default=dict): vol.Any(None, dict),
+        vol.Optional('tenants', default=list): vol.Any(None, [dict]),
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+_ENTRY: Final = vol.Schema(
+    {
+        vol.Required(FIELD_SERVICE): _NAME,
+        vol.Required('address'): _NAME,
+        vol.Optional('zone', default=''): str,
+        vol.Optional('slots', default=0): vol.All(int, vol.Range(min=0)),
+        vol.Required('state'): vol.In((STATE_READY, STATE_DRAINING)),
+        # The start of the engine's incarnation, Unix milliseconds.
+        vol.Optional('born', default=0): int,
+    },
+    extra=vol.REMOVE_EXTRA,
+)
+
+
+def parse_configuration(
+    text: str,
+    version: int,
+) -> Result[RoutedConfiguration, tuple[object, ...]]:
+    """Read the text of a stored configuration."""
+    try:
+        return Ok(_to_configuration(text, version))
+    except vol.MultipleInvalid as invalid:
+        return Err(tuple(invalid.errors))
+    except _UNREADABLE as error:
+        return Err((repr(error),))
+
+
+def to_engine(name: str, spec: Any) -> Engine | None:
+    """Read an engine's entry; `None` where it names no engine to use.
+
+    Entries may come from other writers. Each is judged alone: one that can't
+    be read must not cost the fleet the others.
+    """
+    try:
+        entry = _ENTRY(spec)
+        address = Address.from_text(entry['address'])
+    except (vol.Invalid, ValueError) as error:
+        _LOGGER.info('entry ignored', engine=name, cause=str(error))
+        return None
+    return Engine(
+        name=name,
+        service=entry[FIELD_SERVICE],
+        address=address,
+        availability_zone=entry['zone'],
+        slots=entry['slots'],
+        is_leaving=entry['state'] == STATE_DRAINING,
+        born_ms=entry['born'],
+    )
+
+
+def _to_configuration(text: str, version: int) -> RoutedConfiguration:
+    raw = _DOCUMENT(json.loads(text))
+    teams = [
+        (_to_team(team), team['api_keys'])
+        for team in map(_TEAM, raw['tenants'] or ())
+    ]
+    return RoutedConfiguration(
+        version=version,
+        document=text,
+        routes=_by_host(map(_to_route, raw['routes'])),
+        services=MappingProxyType(
+            {
+                service[FIELD_NAME]: _to_traits(service.get('engine'))
+                for service in map(_SERVICE, raw['services'])
+            },
+        ),
+        teams_by_key=MappingProxyType(
+            {key_digest(key): team for team, keys in teams for key in keys},
+        ),
+        teams=MappingProxyType({team.name: team for team, _ in teams}),
+        limits=EdgeLimits(**_LIMITS(raw['limits'] or {})),
+    )
+
+
+def _by_host(routes: Iterable[Route]) -> Mapping[str, Mapping[str, Route]]:
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, {})[route.path_prefix] = route
+    return MappingProxyType(by_host)
+
+
+def _to_route(raw: Any) -> Route:
+    checked = _ROUTE(raw)
+    shares = tuple(
+        ServiceShare(share[FIELD_SERVICE], share['weight'])
+        for share in checked.get('traffic_split') or ()
+    )
+    if not shares:
+        shares = (ServiceShare(checked[FIELD_SERVICE], 1),)
+    return Route(
+        name=checked[FIELD_NAME],
+        host=checked['host'].lower(),
+        path_prefix=checked['path_prefix'],
+        kind=RouteKind(checked['kind']),
+        shares=shares,
+        objective_ms=checked['target_latency_ms'],
+        gap_ms=checked['target_gap_ms'] or 0,
+        timeout_ms=checked['timeout_ms'],
+        priority=checked['priority'] or 0,
+        max_dispatches=checked['max_attempts'] or 1,
+        is_public=checked['public_access'],
+        is_resumable=checked['stream_resume'],
+    )
+
+
+def _to_team(checked: Mapping[str, Any]) -> RoutedTeam:
+    return RoutedTeam(
+        name=checked[FIELD_NAME],
+        priority=checked.get('priority'),
+        rate_per_s=checked['rate_per_s'] or 0,
+        burst=checked['burst'] or 0,
+        plain_tokens=checked['plain_tokens'] or 0,
+    )
+
+
+def _to_traits(raw: Any) -> EngineTraits:
+    if raw is None:
+        return EngineTraits(slots=0, tokens_per_event=0, memory_tokens=0)
+    checked = _ENGINE_TRAITS(raw)
+    return EngineTraits(
+        slots=checked['slots'],
+        tokens_per_event=max(checked['stride'], 1),
+        memory_tokens=checked['kv_tokens'],
+    )
--- /dev/null
+++ b/hornbeamdeck/process/beats.py
@@ -0,0 +1,254 @@
+"""Beats between instances: who lives, what the store holds, how fresh.
+
+Every instance beats to the few that rank first for the fleet's cells, the
+owner among them, and these answer. So each instance has links to the next
+owners before it needs them, those know of all others, and what one instance
+has read from the store reaches all within two beats. Messages grow with the
+fleet, not with its square, and reads of the store do not grow at all.
+"""
+
+import math
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple
+
+import structlog
+from curio import sleep
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.platform import StoredObject
+from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
+from hornbeamdeck.process.attendance import (
+    FLEET_CELL,
+    INFORMED,
+    Attendance,
+)
+from hornbeamdeck.process.engine_directory import EngineDirectory, from_wire
+from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.process.membership import InstanceStatus, Membership
+from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.process.ticket import Deliver
+from hornbeamdeck.wire import Beat, EngineList, Message
+
+__all__ = ('BeatParts', 'Beats')
+
+_LOGGER = structlog.get_logger(prefix='beats')
+
+BEAT_MS: Final = 300
+# Two beats and some: an instance that is silent for longer has stopped, is cut
+# off or so slow that waiting for it costs more than turning to the next.
+SILENCE_MS: Final = 800
+# How often a silent instance that ranks before the owner is tried again.
+PROBE_MS: Final = 1000
+# What stands for a proof that was never had, milliseconds.
+NEVER_MS: Final = 1_000_000_000
+
+
+class BeatParts(NamedTuple):
+    """What beats are made from and go to.
+
+    :param version: tells the version of the configuration held here.
+    :param slowness: tells what was learned of each engine's speed.
+    :param on_engines: told that the list of engines has changed.
+    """
+
+    membership: Membership
+    peers: Peers
+    freshness: Freshness
+    directory: EngineDirectory
+    spending: SpendingLog
+    reports: SpendingReports
+    version: Callable[[], int]
+    slowness: Callable[[], Mapping[str, float]]
+    learn_slowness: Callable[[Mapping[str, float]], None]
+    on_engines: Callable[[], None]
+
+
+class Beats:
+    """Sends beats, answers them and takes in what they tell."""
+
+    def __init__(self, parts: BeatParts) -> None:
+        """Begin to count this process's age."""
+        self._parts = parts
+        self.attendance = Attendance(parts.membership, parts.version)
+        self._unanswered_ms: dict[str, float] = {}
+        self._told: dict[str, frozenset[str]] = {}
+        self._probed_ms = 0.0
+
+    async def async_run(self) -> None:
+        """Beat for ever."""
+        while True:
+            await self.async_beat()
+            await sleep(BEAT_MS / MILLIS_PER_SECOND)
+
+    async def async_beat(self) -> None:
+        """Beat once to each instance that is to be kept informed."""
+        targets = self._targets()
+        for forgotten in self._unanswered_ms.keys() - set(targets):
+            self._unanswered_ms.pop(forgotten)
+        for peer_id in targets:
+            await self._async_beat_to(peer_id)
+
+    async def async_answer(
+        self,
+        peer_id: str,
+        message: Message,
+        deliver: Deliver,
+    ) -> None:
+        """Take in a peer's beat or list, and answer a beat."""
+        if isinstance(message, EngineList):
+            self._take_engines(message)
+            return
+        if not isinstance(message, Beat):
+            return
+        self._take(peer_id, message)
+        beat = self._make(peer_id)
+        beat.present = sorted(self.attendance.present())
+        beat.statuses = self._untold(peer_id)
+        await deliver(beat)
+        await self._async_send_engines(message, deliver)
+
+    async def async_receive(self, peer_id: str, message: Message) -> None:
+        """Take in a peer's answer to a beat."""
+        if isinstance(message, EngineList):
+            self._take_engines(message)
+            return
+        if not isinstance(message, Beat):
+            return
+        self._unanswered_ms.pop(peer_id, None)
+        self._take(peer_id, message)
+        if peer_id == self._parts.membership.owner_of(FLEET_CELL):
+            self.attendance.take_present(message.present or ())
+
+        async def _async_deliver(reply: Message) -> None:
+            await self._parts.peers.async_send(peer_id, reply)
+
+        await self._async_send_engines(message, _async_deliver)
+
+    def forget_told(self, peer_id: str) -> None:
+        """Tell a peer everything again, since its connection has gone."""
+        self._told.pop(peer_id, None)
+
+    def _targets(self) -> list[str]:
+        membership = self._parts.membership
+        own_id = membership.own.instance_id
+        ranked = membership.ranked(FLEET_CELL)
+        trusted = [each for each in ranked if each not in membership.suspects]
+        targets = trusted[:INFORMED]
+        suspects = [
+            each
+            for each in ranked[: INFORMED + 1]
+            if each in membership.suspects
+        ]
+        now = now_ms()
+        if suspects and now - self._probed_ms > PROBE_MS:
+            # Without a probe the first to find out whether a lost owner is
+            # back would be a request.
+            self._probed_ms = now
+            targets += suspects
+        return [each for each in targets if each != own_id]
+
+    async def _async_beat_to(self, peer_id: str) -> None:
+        peers = self._parts.peers
+        now = now_ms()
+        since_ms = self._unanswered_ms.setdefault(peer_id, now)
+        if now - since_ms > SILENCE_MS:
+            _LOGGER.warning(
+                'peer is silent',
+                peer=peer_id,
+                silent_ms=int(now - since_ms),
+            )
+            self._unanswered_ms.pop(peer_id)
+            self.attendance.forget(peer_id)
+            await peers.async_drop(peer_id)
+            return
+        await peers.async_send(peer_id, self._make(peer_id))
+
+    def _make(self, peer_id: str) -> Beat:
+        parts = self._parts
+        now = now_ms()
+        heard = self.attendance.heard(peer_id)
+        version = parts.version()
+        confirmed_ms = parts.freshness.confirmed_ms(version)
+        return Beat(
+            stamp_ms=int(now),
+            echo_ms=heard.stamp_ms,
+            configuration_version=version,
+            configuration_age_ms=_age_ms(heard.at_ms, confirmed_ms),
+            engines_version=parts.directory.version,
+            engines_age_ms=_age_ms(
+                heard.at_ms,
+                parts.directory.confirmed_ms,
+            ),
+            status=parts.membership.own.to_text(),
+            memory_ms=int(now - self.attendance.started_ms),
+            spent=parts.spending.report(now),
+        )
+
+    def _take(self, peer_id: str, beat: Beat) -> None:
+        parts = self._parts
+        self._note_status(beat.status)
+        for text in beat.statuses or ():
+            self._note_status(text)
+        self.attendance.hear(
+            peer_id,
+            beat.stamp_ms,
+            is_usable=beat.configuration_version > 0,
+        )
+        parts.reports.note(peer_id, beat.spent, beat.memory_ms)
+        if not beat.echo_ms:
+            return
+        # The peer counted its ages back from the arrival of the beat that it
+        # echoes; that was sent here no later than at the echoed stamp.
+        parts.freshness.confirm(
+            beat.configuration_version,
+            beat.echo_ms - beat.configuration_age_ms,
+        )
+        parts.directory.confirm(
+            beat.engines_version,
+            beat.echo_ms - beat.engines_age_ms,
+        )
+
+    def _note_status(self, text: str) -> None:
+        try:
+            status = InstanceStatus.from_text(text)
+        except ValueError:
+            _LOGGER.warning('no status object', text=text)
+            return
+        membership = self._parts.membership
+        if status.instance_id == membership.own.instance_id:
+            return
+        key = f'{PREFIX_INSTANCE}{status.instance_id}'
+        if membership.status_of(status.instance_id) != status:
+            membership.note_status(StoredObject(key, 0, text))
+
+    def _untold(self, peer_id: str) -> list[str]:
+        membership = self._parts.membership
+        known = frozenset(each.to_text() for each in membership.known())
+        untold = known - self._told.get(peer_id, frozenset())
+        self._told[peer_id] = known
+        return sorted(untold)
+
+    async def _async_send_engines(self, beat: Beat, deliver: Deliver) -> None:
+        directory = self._parts.directory
+        if beat.engines_version < directory.version:
+            await deliver(directory.to_wire(self._parts.slowness()))
+
+    def _take_engines(self, message: EngineList) -> None:
+        parts = self._parts
+        try:
+            engines = [from_wire(entry) for entry in message.engines]
+        except ValueError:
+            _LOGGER.warning('a peer told of an engine without an address')
+            return
+        if parts.directory.adopt(message.version, engines):
+            parts.learn_slowness(
+                {entry.name: entry.slowness for entry in message.engines},
+            )
+            parts.on_engines()
+
+
+def _age_ms(at_ms: float, confirmed_ms: float) -> int:
+    if math.isinf(confirmed_ms):
+        return NEVER_MS
+    return math.ceil(at_ms - confirmed_ms)
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/process/cell.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections.abc import Generator, Iterable, Iterator, Mapping
+from types import MappingProxyType
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.suspicion import Suspicions
@@ -33,13 +34,18 @@
 
     ticket: Ticket
     upstream: str
+    address: str = ''
 
 
 class Refused(NamedTuple):
-    """A ticket given up on, and what its ingress is told."""
+    """A ticket given up on, and what its ingress is told.
+
+    :param facts: what decided it, for the log.
+    """
 
     ticket: Ticket
     refusal: Refuse
+    facts: Mapping[str, object] = MappingProxyType({})
 
 
 class Cell:
@@ -238,14 +244,12 @@
         if now + needed_ms > ticket.deadline_ms:
             # Run there it would come too late, its prefill wasted.
             return True
-        if not self.suspicions.crashes(request.fingerprint, now):
-            return False
-        # Two suspects at a time, and a second crash would name neither.
-        return any(
-            self.suspicions.crashes(fingerprint, now)
+        running = (
+            fingerprint
             for other in self.loads.values()
             for fingerprint in other.fingerprints()
         )
+        return self.suspicions.must_wait(request.fingerprint, running, now)
 
     def _place(self, ticket: Ticket, now: float) -> UpstreamLoad | None:
         request = ticket.request
--- /dev/null
+++ b/hornbeamdeck/process/cell_door.py
@@ -0,0 +1,113 @@
+"""Who is let in to wait before the engines of one service, and who is not.
+
+A request is refused at once where it could not be served in time, where its
+team is over its limit, or where the budget of second tries is spent; each with
+the time after which it is worth coming back.
+"""
+
+from typing import Final, NamedTuple
+
+from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.token_quota import TokenQuotas
+from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.version.routed import RoutedTeam
+from hornbeamdeck.wire import Enqueue, RefusalReason
+
+__all__ = ('CellDoor', 'Shared')
+
+# A caller that comes back sooner meets the same wall, later than this its
+# objective is lost anyway.
+MIN_RETRY_MS: Final = 100
+MAX_RETRY_MS: Final = 5000
+# Tries beyond the first that one request may cost its service.
+MAX_TRIES: Final = 4
+
+
+class Shared(NamedTuple):
+    """What the cells of one owner share.
+
+    :param teams: the teams of the configuration in force, by name.
+    """
+
+    quotas: TokenQuotas
+    teams: dict[str, RoutedTeam]
+
+
+class CellDoor:
+    """Decides on admission alone."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        budget: RetryBudget,
+        waiting: WaitingRoom,
+    ) -> None:
+        """Take what admission depends on."""
+        self._shared = shared
+        self._budget = budget
+        self._waiting = waiting
+
+    def reason_to_refuse(
+        self,
+        request: Enqueue,
+        places: int,
+        fastest_ms: float,
+        now: float,
+    ) -> RefusalReason | None:
+        """Say why a request may not wait; `None` where it may.
+
+        :param places: engines with a free place.
+        :param fastest_ms: least time to its first token, once started.
+        """
+        if request.excluded:
+            return self._reason_against_another(request, now)
+        self._budget.note_request(now)
+        if not places and not self._waiting.is_worth(request, fastest_ms, now):
+            return RefusalReason.OVERLOADED
+        if not self._take_quota(request, now):
+            return RefusalReason.TEAM_LIMIT
+        return None
+
+    def give_back(self, request: Enqueue) -> None:
+        """Return what a request took from its team's limit."""
+        if request.quota_tokens and not request.excluded:
+            self._shared.quotas.give_back(request.team, request.quota_tokens)
+
+    def wait_ms(
+        self,
+        request: Enqueue,
+        reason: RefusalReason,
+        now: float,
+    ) -> int:
+        """Tell after which time it is worth coming back."""
+        wait_ms = int(self._waiting.drain_ms())
+        team = self._shared.teams.get(request.team)
+        if reason == RefusalReason.TEAM_LIMIT and team is not None:
+            wait_ms = self._shared.quotas.retry_after_ms(
+                team,
+                request.quota_tokens or 0,
+                now,
+            )
+        return min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS)
+
+    def describe_quota(self, team: str) -> str:
+        """Tell the state of a team's limit, for the log."""
+        return self._shared.quotas.describe(team)
+
+    def _reason_against_another(
+        self,
+        request: Enqueue,
+        now: float,
+    ) -> RefusalReason | None:
+        # A try that never reached its engine adds load to none.
+        tries = request.dispatches or 0
+        if tries > MAX_TRIES or len(request.excluded) > MAX_TRIES:
+            return RefusalReason.TOO_MANY_TRIES
+        if tries and not self._budget.take(now):
+            return RefusalReason.TOO_MANY_TRIES
+        return None
+
+    def _take_quota(self, request: Enqueue, now: float) -> bool:
+        team = self._shared.teams.get(request.team)
+        tokens = request.quota_tokens or 0
+        return team is None or self._shared.quotas.take(team, tokens, now)
--- /dev/null
+++ b/hornbeamdeck/process/engine_cell.py
@@ -0,0 +1,255 @@
+"""The waiting requests of one service, and who runs next on which engine.
+
+Decisions alone: time is given, nothing is sent or read here.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from hornbeamdeck.process.cell import Granted, Refused
+from hornbeamdeck.process.cell_door import CellDoor, Shared
+from hornbeamdeck.process.engine_choice import choose_engine
+from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.process.engine_load import EngineLoad
+from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.suspicion import Suspicions
+from hornbeamdeck.process.ticket import Deliver, Ticket
+from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.version.routed import EngineTraits
+from hornbeamdeck.wire import (
+    Enqueue,
+    Progress,
+    RefusalReason,
+    Refuse,
+    Register,
+    Release,
+    RunEnd,
+    Suspect,
+)
+
+__all__ = ('EngineCell',)
+
+
+class EngineCell:
+    """Holds what waits for one service and places it on its engines."""
+
+    def __init__(self, shared: Shared, budget: RetryBudget) -> None:
+        """Start without engines; `adopt` brings them."""
+        self.loads: dict[str, EngineLoad] = {}
+        self.suspicions = Suspicions()
+        self._waiting = WaitingRoom()
+        self._door = CellDoor(shared, budget, self._waiting)
+
+    def __len__(self) -> int:
+        """Count the waiting requests."""
+        return len(self._waiting)
+
+    def adopt(
+        self,
+        engines: Iterable[Engine],
+        traits: EngineTraits,
+        slowness: dict[str, float],
+    ) -> None:
+        """Take over a list of engines.
+
+        An engine that started again under its name holds nothing of before,
+        so its runs are forgotten here too.
+
+        :param slowness: learned elsewhere, for engines that are new here.
+        """
+        named = {engine.name: engine for engine in engines}
+        for gone in self.loads.keys() - named.keys():
+            self.loads.pop(gone)
+        for name, engine in named.items():
+            load = self.loads.get(name)
+            if load is None or load.engine.born_ms != engine.born_ms:
+                load = EngineLoad(engine, traits)
+                load.slowness = slowness.get(name, 1.0)
+                self.loads[name] = load
+            load.engine = engine
+            load.traits = traits
+
+    def offer(
+        self,
+        request: Enqueue,
+        *,
+        sender: str,
+        deliver: Deliver,
+        now: float,
+    ) -> Refused | None:
+        """Queue a request, or refuse it where it can't be answered in time."""
+        self.withdraw(request.request_id)
+        ticket = Ticket(
+            request=request,
+            sender=sender,
+            deliver=deliver,
+            deadline_ms=now + (request.patience_ms or request.deadline_ms),
+            service_ms=0,
+        )
+        fastest_ms = self._fastest_ms(request, now)
+        reason = self._reason_to_refuse(request, fastest_ms, now)
+        if reason is not None:
+            return self._refuse(ticket, reason, now)
+        self._waiting.push(ticket, now, fastest_ms)
+        return None
+
+    def displace(self) -> Iterator[Refused]:
+        """Give nothing up: what waits was admitted by its expected wait."""
+        return iter(())
+
+    def expire(self, now: float) -> Iterator[Refused]:
+        """Give up on what has no use any more."""
+        for ticket in self._waiting.expired(now):
+            self._door.give_back(ticket.request)
+            yield self._refuse(ticket, RefusalReason.DEADLINE, now)
+
+    def grants(self, now: float) -> Iterator[Granted]:
+        """Place waiting requests until no engine has a place for any."""
+        if not len(self._waiting):
+            return
+        free = [load for load in self.loads.values() if load.has_place()]
+        for ticket in self._waiting.in_order(now):
+            if not free:
+                return
+            request = ticket.request
+            load = choose_engine(free, ticket, now, self._waiting.is_late)
+            running = (
+                fingerprint
+                for each in self.loads.values()
+                for fingerprint in each.fingerprints()
+            )
+            fingerprint = request.fingerprint
+            must_wait = self.suspicions.must_wait(fingerprint, running, now)
+            if load is None or must_wait:
+                continue
+            self._waiting.remove(request.request_id)
+            self._waiting.note_grant(now)
+            self._start(load, ticket, now)
+            if not load.has_place():
+                free.remove(load)
+            address = str(load.engine.address)
+            yield Granted(ticket, load.engine.name, address)
+
+    def withdraw(self, request_id: str) -> None:
+        """Forget a waiting request whose caller has left."""
+        ticket = self._waiting.remove(request_id)
+        if ticket is not None:
+            self._door.give_back(ticket.request)
+
+    def register(self, run: Register, sender: str) -> None:
+        """Account for a run that another owner granted."""
+        self._waiting.remove(run.request_id)
+        load = self.loads.get(run.upstream)
+        if load is not None:
+            load.add(run, sender, '', 0)
+
+    def progress(self, message: Progress, now: float) -> None:
+        """Note a first token."""
+        load = self._load_running(message.request_id)
+        if load is not None:
+            load.first_token(message.request_id, message.first_token_ms, now)
+
+    def release(self, message: Release, now: float) -> Suspect | None:
+        """Note the end of a run.
+
+        :returns: whom a break of the engine is now held against, if any.
+        """
+        load = self._load_running(message.request_id)
+        if load is None:
+            return None
+        together = load.fingerprints()
+        end = RunEnd(message.end)
+        run = load.end(message.request_id, end, now)
+        if run is None:
+            return None
+        return self.suspicions.note_end(
+            _Named(load.engine.name, load.engine.service),
+            run.fingerprint,
+            end,
+            together=together,
+            now=now,
+        )
+
+    def drop_sender(self, sender: str) -> None:
+        """Forget all that came by a connection that has gone."""
+        for ticket in self._waiting.remove_sender(sender):
+            self._door.give_back(ticket.request)
+        for load in self.loads.values():
+            load.drop_sender(sender)
+
+    def _reason_to_refuse(
+        self,
+        request: Enqueue,
+        fastest_ms: float,
+        now: float,
+    ) -> RefusalReason | None:
+        if not self.loads:
+            return RefusalReason.NO_UPSTREAM
+        if self.suspicions.is_culprit(request.fingerprint, now):
+            return RefusalReason.CULPRIT
+        places = sum(load.has_place() for load in self.loads.values())
+        return self._door.reason_to_refuse(request, places, fastest_ms, now)
+
+    def _fastest_ms(self, request: Enqueue, now: float) -> float:
+        return min(
+            (
+                load.first_token_ms(request.prompt_tokens, now)
+                for load in self.loads.values()
+                if not load.engine.is_leaving
+            ),
+            default=0.0,
+        )
+
+    def _start(self, load: EngineLoad, ticket: Ticket, now: float) -> None:
+        request = ticket.request
+        run = Register(
+            request_id=request.request_id,
+            cell=request.cell,
+            upstream=load.engine.name,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            is_prefilling=True,
+            fingerprint=request.fingerprint,
+        )
+        zone = request.zone or ''
+        load.add(run, ticket.sender, zone, request.gap_ms or 0)
+        load.start(request.request_id, now)
+
+    def _load_running(self, request_id: str) -> EngineLoad | None:
+        for load in self.loads.values():
+            if request_id in load.runs:
+                return load
+        return None
+
+    def _refuse(
+        self,
+        ticket: Ticket,
+        reason: RefusalReason,
+        now: float,
+    ) -> Refused:
+        request = ticket.request
+        wait_ms = self._door.wait_ms(request, reason, now)
+        refusal = Refuse(
+            request_id=request.request_id,
+            reason=reason,
+            retry_after_ms=wait_ms,
+        )
+        return Refused(ticket, refusal, self._facts(request, now))
+
+    def _facts(self, request: Enqueue, now: float) -> dict[str, object]:
+        """Tell what a refusal was decided on."""
+        return {
+            'waiting': len(self._waiting),
+            'engines': len(self.loads),
+            'places': sum(load.has_place() for load in self.loads.values()),
+            'fastest_ms': int(self._fastest_ms(request, now)),
+            'objective_ms': request.objective_ms,
+            'quota': self._door.describe_quota(request.team),
+        }
+
+
+class _Named(NamedTuple):
+    """What a suspicion needs to know of an engine."""
+
+    name: str
+    service: str
--- /dev/null
+++ b/hornbeamdeck/process/engine_cells.py
@@ -0,0 +1,75 @@
+"""The engine cells of this process, kept in step with what the store says."""
+
+from collections.abc import Mapping
+
+from hornbeamdeck.process.cell_door import Shared
+from hornbeamdeck.process.engine_cell import EngineCell
+from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.front_settings import Bounds
+from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.process.token_quota import TokenQuotas
+from hornbeamdeck.version.routed import RoutedConfiguration
+
+__all__ = ('EngineCells',)
+
+
+class EngineCells:
+    """One cell for each service, all under the scheduler of this process."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        directory: EngineDirectory,
+        bounds: Bounds,
+        quotas: TokenQuotas,
+    ) -> None:
+        """Start without cells; `adopt` brings them."""
+        self.quotas = quotas
+        self._scheduler = scheduler
+        self._directory = directory
+        self._bounds = bounds
+        self._shared = Shared(quotas=quotas, teams={})
+        self._cells: dict[str, EngineCell] = {}
+        self._learned: dict[str, float] = {}
+        self._configuration = RoutedConfiguration.empty()
+
+    def adopt(self, configuration: RoutedConfiguration) -> None:
+        """Take over a new configuration."""
+        self._configuration = configuration
+        self._shared.teams.clear()
+        self._shared.teams.update(configuration.teams)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Take over the list of engines as it is now."""
+        for service, traits in self._configuration.services.items():
+            cell = self._cells.get(service)
+            if cell is None:
+                cell = EngineCell(self._shared, self._budget())
+                self._cells[service] = cell
+                self._scheduler.cells[service] = cell
+            engines = self._directory.of_service(service)
+            cell.adopt(engines, traits, self._learned)
+
+    def slowness(self) -> dict[str, float]:
+        """Tell what is known of each engine's speed."""
+        return {
+            **self._learned,
+            **{
+                name: load.slowness
+                for cell in self._cells.values()
+                for name, load in cell.loads.items()
+            },
+        }
+
+    def learn_slowness(self, learned: Mapping[str, float]) -> None:
+        """Take over what another owner has learned."""
+        self._learned.update(learned)
+
+    def _budget(self) -> RetryBudget:
+        return RetryBudget(
+            ratio=self._bounds.retry_ratio,
+            slack=self._bounds.retry_slack,
+            window_ms=self._bounds.retry_window_ms,
+        )
--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/process/follower.py
@@ -1,14 +1,15 @@
 """Follows objects of the platform, and adopts configurations."""
 
 from collections.abc import Awaitable, Callable
-from typing import Final, TypeAlias
+from typing import Final, Generic, NamedTuple, Protocol, TypeAlias, TypeVar
 
 import structlog
 from curio import Event, sleep
-from result import Err
+from result import Err, Result
 
 from hornbeamdeck.connection.platform import (
     PlatformClient,
+    PlatformDown,
     StoredObject,
     WatchAnswer,
 )
@@ -16,7 +17,13 @@
 from hornbeamdeck.process.backoff import backoff_s
 from hornbeamdeck.version.configuration import Configuration, parse_document
 
-__all__ = ('ConfigurationFollower', 'async_follow')
+__all__ = (
+    'ConfigurationFollower',
+    'DocumentKind',
+    'HeldDocument',
+    'async_follow',
+    'follow_platform',
+)
 
 _LOGGER = structlog.get_logger(prefix='follower')
 
@@ -27,7 +34,6 @@
 
 OnChange: TypeAlias = Callable[[StoredObject], Awaitable[None]]
 TakeFromPeer: TypeAlias = Callable[[str], Awaitable[None]]
-OnAdopted: TypeAlias = Callable[[Configuration], Awaitable[None]]
 
 
 async def async_follow(
@@ -83,18 +89,47 @@
         await on_change(change)
 
 
-class ConfigurationFollower:
+_Fetched: TypeAlias = Result[StoredObject | None, PlatformDown]
+
+
+class HeldDocument(Protocol):
+    """What every kind of configuration tells of its document."""
+
+    @property
+    def version(self) -> int:
+        """Version of the document; 0: none is known yet."""
+
+    @property
+    def document(self) -> str:
+        """Its text, to pass on to peers."""
+
+
+_Held = TypeVar('_Held', bound=HeldDocument)
+_Parsed: TypeAlias = Result[_Held, tuple[object, ...]]
+
+
+class DocumentKind(NamedTuple, Generic[_Held]):
+    """What a follower has to know of the document that it follows.
+
+    :param empty: what is held before any is known.
+    :param parse: takes a text and its version.
+    :param fetch: reads the document from where it is stored.
+    :param on_adopted: told of each version that comes into force.
+    """
+
+    empty: _Held
+    parse: Callable[[str, int], _Parsed[_Held]]
+    fetch: Callable[[], Awaitable[_Fetched]]
+    on_adopted: Callable[[_Held], Awaitable[None]]
+
+
+class ConfigurationFollower(Generic[_Held]):
     """Holds the configuration in force; a version never goes down."""
 
-    def __init__(
-        self,
-        platform: PlatformClient,
-        on_adopted: OnAdopted,
-    ) -> None:
+    def __init__(self, kind: DocumentKind[_Held]) -> None:
         """Start with the empty configuration, version 0."""
-        self.configuration = Configuration.empty()
-        self._platform = platform
-        self._on_adopted = on_adopted
+        self.configuration = kind.empty
+        self._kind = kind
         self._hinting_peer = ''
         self._hinted = Event()
 
@@ -105,7 +140,7 @@
         if change.version <= self.configuration.version:
             # A stale list or watch answer, or a peer that lags.
             return
-        parsed = parse_document(change.body, version=change.version)
+        parsed = self._kind.parse(change.body, change.version)
         if isinstance(parsed, Err):
             _LOGGER.error(
                 'invalid document ignored',
@@ -115,7 +150,7 @@
             return
         self.configuration = parsed.ok_value
         _LOGGER.info('configuration adopted', version=change.version)
-        await self._on_adopted(parsed.ok_value)
+        await self._kind.on_adopted(parsed.ok_value)
 
     async def async_hint(self, peer_id: str, version: int) -> None:
         """Take note that a peer has a version."""
@@ -134,7 +169,7 @@
         """
         while True:
             await self._hinted.wait()
-            got = await self._platform.async_get(KEY_CONFIGURATION, role=ROLE)
+            got = await self._kind.fetch()
             if isinstance(got, Err):
                 await take_from_peer(self._hinting_peer)
             elif got.ok_value is not None:
@@ -143,3 +178,27 @@
             # message; the pause keeps that from becoming a storm.
             await sleep(HINT_PAUSE_S)
             self._hinted.clear()
+
+
+def follow_platform(
+    platform: PlatformClient,
+    on_adopted: Callable[[Configuration], Awaitable[None]],
+) -> ConfigurationFollower[Configuration]:
+    """Make the follower of the product's own document in its own platform."""
+
+    def _parse(
+        text: str,
+        version: int,
+    ) -> Result[Configuration, tuple[object, ...]]:
+        return parse_document(text, version=version)
+
+    async def _async_fetch() -> Result[StoredObject | None, PlatformDown]:
+        return await platform.async_get(KEY_CONFIGURATION, role=ROLE)
+
+    kind = DocumentKind(
+        empty=Configuration.empty(),
+        parse=_parse,
+        fetch=_async_fetch,
+        on_adopted=on_adopted,
+    )
+    return ConfigurationFollower(kind)
--- /dev/null
+++ b/hornbeamdeck/process/front.py
@@ -0,0 +1,272 @@
+"""One running front process: opens its addresses, leaves them in order."""
+
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
+from typing import Any, Final
+
+import structlog
+from curio import Task, sleep, socket, spawn
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.errors import BadRequest
+from hornbeamdeck.connection.exchange import async_serve_requests
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.listener import Listener, async_setup_listener
+from hornbeamdeck.connection.reader import ReadLimits
+from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.process.beats import BEAT_MS
+from hornbeamdeck.process.front_pages import async_serve_page
+from hornbeamdeck.process.front_parts import FrontParts, FrontWires
+from hornbeamdeck.process.front_settings import FrontSettings
+from hornbeamdeck.process.membership import STATE_LEAVING
+from hornbeamdeck.process.peer_server import make_peer_server
+from hornbeamdeck.process.store_entry import StoreEntry
+from hornbeamdeck.request.routed_admission import RoutedAdmission
+from hornbeamdeck.request.routed_edge import (
+    Edge,
+    make_routed_answer,
+    refuse_unreadable,
+)
+from hornbeamdeck.request.routed_run import async_run_routed
+
+__all__ = ('Front',)
+
+_LOGGER = structlog.get_logger(prefix='front')
+
+# A proof of the configuration is used up so long before the bound on revoked
+# keys, for the way of a request to its engine.
+PROOF_MARGIN_MS: Final = 500
+# Callers keep an addresses answer so many times as long as they are told.
+KEPT_TIMES: Final = 3
+# A planned stop ends so long before the platform kills the process.
+STOP_MARGIN_MS: Final = 700
+DRAIN_POLL_MS: Final = 50
+METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+# Longest time from a request's first byte to its last.
+REQUEST_MS: Final = 15_000
+
+
+class Front:
+    """A front process, or one of several in a test."""
+
+    def __init__(self, settings: FrontSettings, wires: FrontWires) -> None:
+        """Make the parts; `async_start` opens the addresses."""
+        self.settings = settings
+        self.parts = FrontParts.from_settings(settings, wires)
+        self.is_leaving = False
+        self.in_flight = 0
+        self._wires = wires
+        self._entry = StoreEntry(self.parts.store, self.parts.membership)
+        self._listeners: list[Listener] = []
+        self._tasks: list[Task] = []
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        parts = self.parts
+        return (
+            not self.is_leaving
+            and parts.follower.configuration.version > 0
+            and parts.directory.version > 0
+        )
+
+    async def async_start(self) -> None:
+        """Open the addresses, then begin to follow store and peers."""
+        settings = self.settings
+        edge = self._edge()
+        metrics_address = Address(settings.address.host, settings.metrics_port)
+        pages = (
+            (settings.ready_address, self._ready_page),
+            (settings.entries_address, self._entries_page),
+            (metrics_address, self._metrics_page),
+        )
+        for address, page in pages:
+            self._listeners.append(await async_serve_page(address, page))
+        self._listeners.append(
+            await async_setup_listener(
+                settings.peer_address,
+                make_peer_server(
+                    self.parts.identity,
+                    self.parts.scheduler,
+                    self.parts.follower,
+                    self.parts.snapshots,
+                    self.parts.beats.async_answer,
+                ),
+            ),
+        )
+        await self._async_listen_to_callers(edge)
+        await self._async_start_tasks()
+        _LOGGER.info(
+            'process started',
+            address=str(settings.address),
+            availability_zone=settings.availability_zone,
+            incarnation=self.parts.membership.own.incarnation,
+            is_first_start=settings.is_first_start,
+        )
+
+    async def async_stop(self) -> int:
+        """Leave as planned.
+
+        :returns: how many requests were cut off at the end of the grace time.
+        """
+        parts = self.parts
+        self.is_leaving = True
+        stopped_ms = now_ms()
+        parts.membership.own = parts.membership.own._replace(
+            state=STATE_LEAVING,
+        )
+        _LOGGER.info('planned stop begins', in_flight=self.in_flight)
+        await parts.beats.async_beat()
+        await parts.grants.async_review()
+        await self._async_spawn(self._entry.async_withdraw())
+        bounds = self.settings.bounds
+        end_ms = stopped_ms + bounds.grace_ms - STOP_MARGIN_MS
+        open_ms = stopped_ms + KEPT_TIMES * bounds.entries_ttl_ms
+        while now_ms() < end_ms and (self.in_flight or now_ms() < open_ms):
+            await sleep(DRAIN_POLL_MS / MILLIS_PER_SECOND)
+        cut_off = self.in_flight
+        _LOGGER.info('planned stop ends', cut_off=cut_off)
+        await self.async_kill()
+        return cut_off
+
+    async def async_kill(self) -> None:
+        """Close everything at once, as a dying process would."""
+        for task in self._tasks:
+            await task.cancel()
+        for listener in self._listeners:
+            await listener.async_unload()
+        await self.parts.peers.async_close()
+
+    def reload(self, settings: FrontSettings) -> None:
+        """Take over settings that have changed; addresses stay as they are."""
+        changed = [
+            name
+            for name, new, old in zip(
+                settings._fields, settings, self.settings, strict=True
+            )
+            if new != old
+        ]
+        self.settings = settings
+        _LOGGER.info('settings reloaded', changed=changed)
+
+    def _edge(self) -> Edge:
+        parts = self.parts
+        return Edge(
+            dialect=self._wires.dialect,
+            configuration=lambda: parts.follower.configuration,
+            is_fresh=self._is_fresh,
+            proof_age_ms=self._proof_age_ms,
+            acquire=parts.grants.async_acquire,
+            progress=parts.grants.async_progress,
+            release=parts.grants.async_release,
+            spend=self._spend,
+            metrics=parts.metrics,
+            zone=self.settings.availability_zone,
+            is_leaving=lambda: self.is_leaving,
+            in_flight=self._count_in_flight,
+        )
+
+    def _proof_age_ms(self) -> float:
+        parts = self.parts
+        version = parts.follower.configuration.version
+        return parts.freshness.age_ms(version, now_ms())
+
+    def _is_fresh(self) -> bool:
+        limit_ms = self.settings.bounds.revocation_ms - PROOF_MARGIN_MS
+        return self._proof_age_ms() < limit_ms
+
+    def _spend(self, team: str, tokens: int) -> None:
+        self.parts.spending.add(team, tokens, now_ms())
+
+    @contextmanager
+    def _count_in_flight(self) -> Iterator[None]:
+        self.in_flight += 1
+        self.parts.metrics.in_flight.set(self.in_flight)
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+            self.parts.metrics.in_flight.set(self.in_flight)
+
+    async def _async_listen_to_callers(self, edge: Edge) -> None:
+        async def _async_run(
+            admission: RoutedAdmission,
+            caller: ServerConnection,
+        ) -> None:
+            await async_run_routed(edge, admission, caller)
+
+        answer = make_routed_answer(edge, _async_run)
+
+        def _refuse(bad: BadRequest) -> HttpResponse:
+            return refuse_unreadable(edge, bad)
+
+        def _limits() -> ReadLimits:
+            limits = self.parts.follower.configuration.limits
+            return ReadLimits(
+                idle_ms=limits.idle_timeout_ms,
+                request_ms=REQUEST_MS,
+                max_body_bytes=limits.max_body_bytes,
+                max_header_bytes=limits.max_header_bytes,
+            )
+
+        async def _async_serve(sock: socket.socket) -> None:
+            await async_serve_requests(sock, answer, _refuse, _limits())
+
+        self._listeners.append(
+            await async_setup_listener(self.settings.address, _async_serve),
+        )
+
+    def _ready_page(self, _request: HttpRequest) -> HttpResponse:
+        status = HTTPStatus.OK
+        if not self.is_ready:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        return HttpResponse(status, {}, b'')
+
+    def _entries_page(self, request: HttpRequest) -> HttpResponse:
+        return self._wires.entries_page(
+            request,
+            self.parts.beats.attendance.usable(),
+            self.settings.bounds.entries_ttl_ms,
+        )
+
+    def _metrics_page(self, _request: HttpRequest) -> HttpResponse:
+        headers = {'content-type': METRICS_TYPE}
+        page = self.parts.metrics.render()
+        return HttpResponse(HTTPStatus.OK, headers, page)
+
+    async def _async_start_tasks(self) -> None:
+        parts = self.parts
+        for work in (
+            parts.reader.async_follow_configuration(),
+            parts.reader.async_follow_engines(),
+            parts.follower.async_fetch_hinted(
+                parts.snapshots.async_take_from_peer,
+            ),
+            parts.snapshots.async_seed(self.settings.seed_peers),
+            parts.beats.async_run(),
+            parts.scheduler.async_sweep(),
+            parts.grants.watch.async_run(),
+            self._async_review(),
+            self._entry.async_publish(),
+            self._entry.async_list(),
+        ):
+            await self._async_spawn(work)
+
+    async def _async_spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(await spawn(work, daemon=True))
+
+    async def _async_review(self) -> None:
+        """Move requests when another instance becomes the owner, for ever."""
+        was_owner = self.parts.is_owner
+        while True:
+            await sleep(BEAT_MS / MILLIS_PER_SECOND)
+            is_owner = self.parts.is_owner
+            if is_owner != was_owner:
+                _LOGGER.info('ownership changed', is_owner=is_owner)
+            if was_owner and not is_owner:
+                self.parts.cells.quotas.forget()
+            was_owner = is_owner
+            await self.parts.grants.async_review()
--- /dev/null
+++ b/hornbeamdeck/process/front_parts.py
@@ -0,0 +1,264 @@
+"""The parts of a front process, made once and wired together."""
+
+import uuid
+from collections.abc import Callable
+from typing import Final, NamedTuple, Self, TypeAlias
+
+from prometheus_client import Counter
+from result import Ok, Result
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.peer import PeerIdentity
+from hornbeamdeck.connection.platform import PlatformDown, StoredObject
+from hornbeamdeck.const import KEY_CONFIGURATION
+from hornbeamdeck.hybrid_clock import HybridClock
+from hornbeamdeck.process.attendance import FLEET_CELL
+from hornbeamdeck.process.beats import BeatParts, Beats
+from hornbeamdeck.process.engine_cells import EngineCells
+from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.follower import ConfigurationFollower, DocumentKind
+from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.process.front_metrics import FrontMetrics
+from hornbeamdeck.process.front_settings import FrontSettings
+from hornbeamdeck.process.grants import Grants
+from hornbeamdeck.process.membership import (
+    STATE_LIVE,
+    InstanceStatus,
+    Membership,
+)
+from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.process.snapshot import Snapshots
+from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.process.store_access import StoreAccess
+from hornbeamdeck.process.store_reader import ReaderParts, StoreReader
+from hornbeamdeck.process.token_quota import (
+    QuotaRules,
+    QuotaView,
+    TokenQuotas,
+)
+from hornbeamdeck.request.routed_ask import Dialect
+from hornbeamdeck.version.routed import RoutedConfiguration
+from hornbeamdeck.wire import Beat, EngineList, Message
+
+__all__ = ('FrontParts', 'FrontWires')
+
+# A lost instance is probed by beats every second and trusted again when it
+# answers; until then no request is to try it.
+SUSPECT_MS: Final = 30_000
+
+Follower: TypeAlias = ConfigurationFollower[RoutedConfiguration]
+Parse: TypeAlias = Callable[
+    [str, int],
+    Result[RoutedConfiguration, tuple[object, ...]],
+]
+EntriesPage: TypeAlias = Callable[
+    [HttpRequest, list[InstanceStatus], int],
+    HttpResponse,
+]
+
+
+class FrontWires(NamedTuple):
+    """What translates between a front process and its platform.
+
+    :param open_store: takes the store's address and a counter of calls.
+    :param parse: reads the text of a configuration of a version.
+    :param entries_page: answers a caller that asks where to connect, from the
+        usable instances and for how long, ms, the answer may be kept.
+    """
+
+    open_store: Callable[[Address, Counter], StoreAccess]
+    dialect: Dialect
+    parse: Parse
+    entries_page: EntriesPage
+
+
+class FrontParts(NamedTuple):
+    """Everything that a front process is made of, apart from its sockets."""
+
+    metrics: FrontMetrics
+    store: StoreAccess
+    membership: Membership
+    freshness: Freshness
+    directory: EngineDirectory
+    follower: Follower
+    scheduler: Scheduler
+    cells: EngineCells
+    peers: Peers
+    grants: Grants
+    beats: Beats
+    reader: StoreReader
+    snapshots: Snapshots[RoutedConfiguration]
+    identity: PeerIdentity
+    spending: SpendingLog
+
+    @classmethod
+    def from_settings(cls, settings: FrontSettings, wires: FrontWires) -> Self:
+        """Make all parts; nothing is opened yet."""
+        metrics = FrontMetrics()
+        store = wires.open_store(
+            settings.platform_address,
+            metrics.platform_calls,
+        )
+        membership = Membership(
+            _own_status(settings),
+            suspect_ms=SUSPECT_MS,
+            common_cell=FLEET_CELL,
+        )
+        membership.note_published()
+        directory = EngineDirectory()
+        reports = SpendingReports(settings.bounds.quota_window_ms)
+        scheduler = Scheduler()
+        share: list[Callable[[], float]] = []
+        cells = EngineCells(
+            scheduler,
+            directory,
+            settings.bounds,
+            TokenQuotas(
+                QuotaView(
+                    spent=reports.spent,
+                    is_remembered=reports.is_complete,
+                    share=lambda: share[0](),
+                ),
+                QuotaRules(
+                    window_ms=settings.bounds.quota_window_ms,
+                    slack=settings.bounds.quota_slack,
+                ),
+                is_first_start=settings.is_first_start,
+            ),
+        )
+        follower = _make_follower(store, wires.parse, metrics, cells)
+        identity = _make_identity(settings, metrics, follower)
+        peers = Peers(
+            membership,
+            identity,
+            on_version=follower.async_hint,
+        )
+        spending = SpendingLog(settings.bounds.quota_window_ms)
+        freshness = Freshness()
+        beats = Beats(
+            BeatParts(
+                membership=membership,
+                peers=peers,
+                freshness=freshness,
+                directory=directory,
+                spending=spending,
+                reports=reports,
+                version=identity.version,
+                slowness=cells.slowness,
+                learn_slowness=cells.learn_slowness,
+                on_engines=cells.refresh,
+            ),
+        )
+        share.append(beats.attendance.share)
+        grants = Grants(membership, peers, scheduler)
+        _listen(peers, beats, grants)
+        return cls(
+            metrics=metrics,
+            store=store,
+            membership=membership,
+            freshness=freshness,
+            directory=directory,
+            follower=follower,
+            scheduler=scheduler,
+            cells=cells,
+            peers=peers,
+            grants=grants,
+            beats=beats,
+            reader=StoreReader(
+                ReaderParts(
+                    access=store,
+                    freshness=freshness,
+                    directory=directory,
+                    rank=beats.attendance.rank,
+                    is_owner=lambda: _is_owner(membership),
+                    version=identity.version,
+                    note=follower.async_note,
+                    on_engines=cells.refresh,
+                ),
+            ),
+            snapshots=Snapshots(follower, membership, identity),
+            identity=identity,
+            spending=spending,
+        )
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this process owns the fleet's cells now."""
+        return _is_owner(self.membership)
+
+
+def _is_owner(membership: Membership) -> bool:
+    return membership.owner_of(FLEET_CELL) == membership.own.instance_id
+
+
+def _own_status(settings: FrontSettings) -> InstanceStatus:
+    return InstanceStatus(
+        instance_id=settings.instance_id,
+        address=settings.address,
+        peer_address=settings.peer_address,
+        availability_zone=settings.availability_zone,
+        incarnation=uuid.uuid4().hex,
+        state=STATE_LIVE,
+    )
+
+
+def _make_follower(
+    store: StoreAccess,
+    parse: Parse,
+    metrics: FrontMetrics,
+    cells: EngineCells,
+) -> Follower:
+    async def _async_fetch() -> Result[StoredObject | None, PlatformDown]:
+        got = await store.read_configuration()
+        if not isinstance(got, Ok):
+            return got
+        read = got.ok_value
+        if read.document is None:
+            return Ok(None)
+        return Ok(
+            StoredObject(KEY_CONFIGURATION, read.revision, read.document),
+        )
+
+    async def _async_adopted(configuration: RoutedConfiguration) -> None:
+        metrics.configuration_version.set(configuration.version)
+        cells.adopt(configuration)
+
+    return ConfigurationFollower(
+        DocumentKind(
+            empty=RoutedConfiguration.empty(),
+            parse=parse,
+            fetch=_async_fetch,
+            on_adopted=_async_adopted,
+        ),
+    )
+
+
+def _make_identity(
+    settings: FrontSettings,
+    metrics: FrontMetrics,
+    follower: Follower,
+) -> PeerIdentity:
+    return PeerIdentity(
+        instance_id=settings.instance_id,
+        fleet_secret=settings.fleet_secret,
+        version=lambda: follower.configuration.version,
+        count_bytes=metrics.count_peer_bytes,
+        clock=HybridClock(),
+    )
+
+
+def _listen(peers: Peers, beats: Beats, grants: Grants) -> None:
+    async def _async_received(peer_id: str, message: Message) -> None:
+        if isinstance(message, Beat | EngineList):
+            grants.watch.heard(peer_id)
+            await beats.async_receive(peer_id, message)
+            return
+        await grants.async_receive(peer_id, message)
+
+    async def _async_lost(peer_id: str) -> None:
+        beats.forget_told(peer_id)
+        await grants.async_owner_lost(peer_id)
+
+    peers.listen(_async_received, _async_lost)
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -72,11 +72,8 @@
         """Count the requests that wait for a grant."""
         return len(self._waiting)
 
-    async def async_acquire(self, request: Enqueue) -> Result[str, NotRun]:
-        """Wait for a grant.
-
-        :returns: the name of the upstream to dispatch to.
-        """
+    async def async_acquire(self, request: Enqueue) -> Result[Grant, NotRun]:
+        """Wait for a grant, which names the upstream to dispatch to."""
         deadline_ms = now_ms() + request.deadline_ms
         waiting = _Waiting(request, deadline_ms, '', Queue())
         self._waiting[request.request_id] = waiting
@@ -97,7 +94,7 @@
             return Err(deadline_passed())
         if isinstance(answer, Refuse):
             return Err(from_refuse(answer))
-        return Ok(answer.upstream)
+        return Ok(answer)
 
     async def async_progress(
         self,
--- a/hornbeamdeck/process/logs.py
+++ b/hornbeamdeck/process/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import MutableMapping
-from typing import Any, Final
+from typing import Any, Final, Protocol, TextIO, cast
 
 import structlog
 
@@ -12,6 +12,16 @@
 _LEVELS: Final = logging.getLevelNamesMapping()
 
 
+class LineStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str) -> int:
+        """Take in text."""
+
+    def flush(self) -> None:
+        """Pass on what was taken in."""
+
+
 def _add_prefix(
     _logger: object,
     _method: str,
@@ -21,8 +31,16 @@
     return event
 
 
-def setup_logs(*, level: str, instance_id: str) -> None:
-    """Write logs of this level and above, each with the instance's name."""
+def setup_logs(
+    *,
+    level: str,
+    instance_id: str,
+    stream: LineStream | None = None,
+) -> None:
+    """Write logs of this level and above, each with the instance's name.
+
+    :param stream: where to; standard error where none is given.
+    """
     structlog.contextvars.bind_contextvars(instance_id=instance_id)
     structlog.configure(
         processors=[
@@ -36,6 +54,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             _LEVELS[level.upper()],
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(
+            cast(TextIO, stream or sys.stderr),
+        ),
         cache_logger_on_first_use=True,
     )
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -14,13 +14,12 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.platform import ListedInstance, StoredObject
 from hornbeamdeck.process.rendezvous import owner_of, ranking
+from hornbeamdeck.process.suspects import SUSPECT_MS, Suspects
 
 __all__ = ('InstanceStatus', 'Membership')
 
 STATE_LEAVING: Final = 'leaving'
 STATE_LIVE: Final = 'live'
-SUSPECT_MS: Final = 3000
-MAX_SUSPECT_MS: Final = 60_000
 UNLISTED_GRACE_MS: Final = 10_000
 
 
@@ -66,23 +65,31 @@
         )
 
 
-class _Suspicion(NamedTuple):
-    until_ms: float
-    period_ms: int
-
-
 class Membership:
     """The live instances and the owner of each cell among them."""
 
-    def __init__(self, own: InstanceStatus) -> None:
-        """Start knowing this process alone."""
+    def __init__(
+        self,
+        own: InstanceStatus,
+        *,
+        suspect_ms: int = SUSPECT_MS,
+        common_cell: str | None = None,
+    ) -> None:
+        """Start knowing this process alone.
+
+        :param suspect_ms: how long an instance that showed dead is first
+            passed over, milliseconds.
+        :param common_cell: what is hashed for every cell, so that all have
+            one owner; `None`: each cell has its own.
+        """
+        self._common_cell = common_cell
         self._own = own
+        self.suspects = Suspects(suspect_ms)
         self.is_published = False
         self._statuses: dict[str, InstanceStatus] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._listed: dict[str, str] = {}
         self._listed_ms = -math.inf
-        self._suspicions: dict[str, _Suspicion] = {}
         self._owners: dict[str, str] = {}
         self._owners_until_ms = 0.0
 
@@ -110,7 +117,7 @@
             return
         if self._statuses.get(instance_id) != status:
             self._first_seen_ms[instance_id] = now_ms()
-            self._suspicions.pop(instance_id, None)
+            self.suspects.remove(instance_id)
         self._statuses[instance_id] = status
 
     def note_listed(self, listed: tuple[ListedInstance, ...]) -> None:
@@ -124,18 +131,11 @@
     def suspect(self, instance_id: str) -> None:
         """Pass over an instance that a connection showed to be dead."""
         self._owners.clear()
-        before = self._suspicions.get(instance_id)
-        period_ms = SUSPECT_MS
-        if before is not None:
-            period_ms = min(before.period_ms * 2, MAX_SUSPECT_MS)
-        self._suspicions[instance_id] = _Suspicion(
-            now_ms() + period_ms,
-            period_ms,
-        )
+        self.suspects.add(instance_id)
 
     def clear(self, instance_id: str) -> None:
         """Trust an instance again that has answered."""
-        if self._suspicions.pop(instance_id, None) is not None:
+        if self.suspects.remove(instance_id):
             self._owners.clear()
 
     def status_of(self, instance_id: str) -> InstanceStatus | None:
@@ -172,12 +172,27 @@
         """
         if now_ms() >= self._owners_until_ms:
             self._owners.clear()
+        cell = self._common_cell or cell
         owner = self._owners.get(cell)
         if owner is None:
-            owner = self._find_owner(cell)
+            self._owners_until_ms = self.suspects.next_expiry_ms()
+            live = [status.instance_id for status in self.live()]
+            owner = owner_of(cell, live) or self.own.instance_id
             self._owners[cell] = owner
         return owner
 
+    def ranked(self, cell: str) -> list[str]:
+        """Order all known instances for a cell, suspected ones included."""
+        return ranking(cell, {*self._statuses, self.own.instance_id})
+
+    def known(self) -> list[InstanceStatus]:
+        """List all other instances that are known, dead ones included."""
+        return [
+            status
+            for status in self._statuses.values()
+            if status.instance_id != self.own.instance_id
+        ]
+
     def entries(self, caller: str, count: int) -> list[InstanceStatus]:
         """Pick addresses for a caller: own zone first, spread over callers."""
         by_id = {status.instance_id: status for status in self.live()}
@@ -197,22 +212,10 @@
             if state == STATE_LEAVING
         ]
 
-    def _find_owner(self, cell: str) -> str:
-        self._owners_until_ms = self._next_expiry_ms()
-        live = [status.instance_id for status in self.live()]
-        return owner_of(cell, live) or self.own.instance_id
-
-    def _next_expiry_ms(self) -> float:
-        now = now_ms()
-        expiries = (each.until_ms for each in self._suspicions.values())
-        coming = (each for each in expiries if each > now)
-        return min(coming, default=math.inf)
-
     def _is_live(self, status: InstanceStatus, now: float) -> bool:
         if status.state != STATE_LIVE:
             return False
-        suspicion = self._suspicions.get(status.instance_id)
-        if suspicion is not None and now < suspicion.until_ms:
+        if status.instance_id in self.suspects:
             return False
         listed = self._listed.get(str(status.address))
         if listed is not None:
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -14,7 +14,10 @@
     least_reported_load,
     round_robin,
 )
-from hornbeamdeck.process.follower import ConfigurationFollower
+from hornbeamdeck.process.follower import (
+    ConfigurationFollower,
+    follow_platform,
+)
 from hornbeamdeck.process.grants import Grants
 from hornbeamdeck.process.issued_calls import IssuedCalls
 from hornbeamdeck.process.membership import (
@@ -46,7 +49,7 @@
     platform: PlatformClient
     membership: Membership
     scheduler: Scheduler
-    follower: ConfigurationFollower
+    follower: ConfigurationFollower[Configuration]
     peers: Peers
     grants: Grants
     background: Background
@@ -54,7 +57,7 @@
     reports: LoadReports
     presence: Presence
     identity: PeerIdentity
-    snapshots: Snapshots
+    snapshots: Snapshots[Configuration]
     policy: Policy
 
     @classmethod
@@ -116,18 +119,18 @@
     platform: PlatformClient,
     metrics: Metrics,
     scheduler: Scheduler,
-) -> ConfigurationFollower:
+) -> ConfigurationFollower[Configuration]:
     async def _async_adopted(configuration: Configuration) -> None:
         metrics.configuration_version.set(configuration.version)
         scheduler.adopt(configuration)
 
-    return ConfigurationFollower(platform, _async_adopted)
+    return follow_platform(platform, _async_adopted)
 
 
 def _make_identity(
     settings: Settings,
     metrics: Metrics,
-    follower: ConfigurationFollower,
+    follower: ConfigurationFollower[Configuration],
 ) -> PeerIdentity:
     return PeerIdentity(
         instance_id=settings.instance_id,
@@ -149,7 +152,7 @@
 def _make_policy(
     name: str,
     grants: Grants,
-    follower: ConfigurationFollower,
+    follower: ConfigurationFollower[Configuration],
     reports: LoadReports,
 ) -> Policy:
     def _configuration() -> Configuration:
@@ -160,8 +163,13 @@
             return round_robin(_configuration)
         case 'least_reported_load':
             return least_reported_load(_configuration, reports)
+
+    async def _async_acquire(request: Enqueue) -> Result[str, NotRun]:
+        granted = await grants.async_acquire(request)
+        return granted.map(lambda grant: str(grant.upstream))
+
     return Policy(
-        acquire=grants.async_acquire,
+        acquire=_async_acquire,
         first_token=grants.async_progress,
         release=grants.async_release,
     )
--- a/hornbeamdeck/process/peer_server.py
+++ b/hornbeamdeck/process/peer_server.py
@@ -1,6 +1,8 @@
 """Serves the peers that ask this process for grants."""
 
 import itertools
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias, TypeVar
 
 import structlog
 from curio import socket
@@ -12,9 +14,10 @@
     PeerIdentity,
     async_run_peer,
 )
-from hornbeamdeck.process.follower import ConfigurationFollower
+from hornbeamdeck.process.follower import ConfigurationFollower, HeldDocument
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshot import Snapshots
+from hornbeamdeck.process.ticket import Deliver
 from hornbeamdeck.wire import (
     AskSnapshot,
     Envelope,
@@ -28,14 +31,22 @@
 
 _LOGGER = structlog.get_logger(prefix='peers')
 
+_Held = TypeVar('_Held', bound=HeldDocument)
+OnOther: TypeAlias = Callable[[str, Message, Deliver], Awaitable[None]]
+
 
 def make_peer_server(
     identity: PeerIdentity,
     scheduler: Scheduler,
-    follower: ConfigurationFollower,
-    snapshots: Snapshots,
+    follower: ConfigurationFollower[_Held],
+    snapshots: Snapshots[_Held],
+    on_other: OnOther | None = None,
 ) -> ServeConnection:
-    """Make the function that serves one peer's connection."""
+    """Make the function that serves one peer's connection.
+
+    :param on_other: told of messages that are neither for an owner nor
+        answered here, with the peer and what answers it.
+    """
     sequence = itertools.count()
 
     async def _async_serve(sock: socket.socket) -> None:
@@ -58,6 +69,12 @@
                 )
                 return
             await _async_reply(message, connection, snapshots)
+            if on_other is not None:
+                await on_other(
+                    connection.peer_id,
+                    message,
+                    connection.async_send,
+                )
 
         try:
             broken = await async_run_peer(connection, _async_received)
@@ -73,7 +90,7 @@
 async def _async_reply(
     message: Message,
     connection: PeerConnection,
-    snapshots: Snapshots,
+    snapshots: Snapshots[_Held],
 ) -> None:
     if isinstance(message, Heartbeat):
         reply = Heartbeat(sequence=message.sequence, is_reply=True)
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -1,7 +1,7 @@
 """The cells that this process owns, and the messages about them."""
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, TypeAlias
 
 import structlog
 from curio import Event, sleep
@@ -9,6 +9,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.process.cell import Cell, Refused
+from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.ticket import Deliver
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
@@ -30,6 +31,8 @@
 
 SWEEP_MS: Final = 25
 
+AnyCell: TypeAlias = Cell | EngineCell
+
 
 class Scheduler:
     """Answers what ingress instances ask of the cells owned here.
@@ -41,7 +44,7 @@
 
     def __init__(self) -> None:
         """Start without cells; `adopt` brings them."""
-        self.cells: dict[str, Cell] = {}
+        self.cells: dict[str, AnyCell] = {}
         self._leaving: frozenset[str] = frozenset()
         self._waiting = Event()
 
@@ -53,7 +56,11 @@
         }
         ranks = [tier.rank for tier in configuration.tiers.values()]
         for service in configuration.services:
-            self.cells.setdefault(service, Cell()).adopt(
+            cell = self.cells.get(service)
+            if not isinstance(cell, Cell):
+                cell = Cell()
+                self.cells[service] = cell
+            cell.adopt(
                 configuration.upstreams_of(service),
                 weights=weights,
                 top_rank=min(ranks, default=0),
@@ -65,7 +72,8 @@
     def note_leaving(self, addresses: Iterable[str]) -> None:
         """Give no more work to upstreams at these addresses."""
         self._leaving = frozenset(addresses)
-        for cell in self.cells.values():
+        plain = (each for each in self.cells.values() if isinstance(each, Cell))
+        for cell in plain:
             for load in cell.loads.values():
                 address = str(load.upstream.address)
                 load.is_leaving = address in self._leaving
@@ -107,6 +115,11 @@
                 )
         await self._async_grant(cell)
 
+    async def async_regrant(self) -> None:
+        """Look at all cells again, since what they know has changed."""
+        for cell in tuple(self.cells.values()):
+            await self._async_grant(cell)
+
     async def async_drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
         for cell in self.cells.values():
@@ -124,12 +137,11 @@
                 self._waiting.clear()
                 await self._waiting.wait()
             await sleep(SWEEP_MS / MILLIS_PER_SECOND)
-            for cell in tuple(self.cells.values()):
-                await self._async_grant(cell)
+            await self.async_regrant()
 
     async def _async_enqueue(
         self,
-        cell: Cell,
+        cell: AnyCell,
         request: Enqueue,
         sender: str,
         deliver: Deliver,
@@ -144,18 +156,20 @@
             await _async_refuse(refused)
         await self._waiting.set()
 
-    async def _async_grant(self, cell: Cell) -> None:
+    async def _async_grant(self, cell: AnyCell) -> None:
         now = now_ms()
         given_up = [*cell.expire(now), *cell.displace()]
         granted = list(cell.grants(now))
         for refused in given_up:
             await _async_refuse(refused)
-        for ticket, upstream in granted:
-            await ticket.deliver(
+        for grant in granted:
+            request = grant.ticket.request
+            await grant.ticket.deliver(
                 Grant(
-                    request_id=ticket.request.request_id,
-                    cell=ticket.request.cell,
-                    upstream=upstream,
+                    request_id=request.request_id,
+                    cell=request.cell,
+                    upstream=grant.upstream,
+                    address=grant.address,
                 ),
             )
 
@@ -172,4 +186,13 @@
 
 
 async def _async_refuse(refused: Refused) -> None:
+    request = refused.ticket.request
+    _LOGGER.info(
+        'request refused',
+        request_id=request.request_id,
+        cell=request.cell,
+        reason=RefusalReason(refused.refusal.reason).name.lower(),
+        retry_after_ms=refused.refusal.retry_after_ms,
+        **refused.facts,
+    )
     await refused.ticket.deliver(refused.refusal)
--- a/hornbeamdeck/process/settings.py
+++ b/hornbeamdeck/process/settings.py
@@ -2,23 +2,39 @@
 
 import json
 import pathlib
-from typing import Any, Final, NamedTuple, Self
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, Self, TypeVar
 
 import voluptuous as vol
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
 
-__all__ = ('Settings', 'SettingsError', 'load_settings')
+__all__ = (
+    'LOG_LEVELS',
+    'MIN_SECRET_CHARS',
+    'Settings',
+    'SettingsError',
+    'ip_and_port',
+    'load_checked',
+    'load_settings',
+)
+
+_Checked = TypeVar('_Checked')
 
 DEFAULT_DRAIN_MS: Final = 30_000
 DEFAULT_ENTRIES_TTL_MS: Final = 5000
 MIN_SECRET_CHARS: Final = 16
 MAX_ID_CHARS: Final = 64
+LOG_LEVELS: Final = ('debug', 'info', 'warning', 'error')
 POLICIES: Final = ('grant', 'round_robin', 'least_reported_load')
 
 
-def _address(text: str) -> Address:
+def ip_and_port(text: str) -> Address:
+    """Check an address.
+
+    :raises voluptuous.Invalid: where the text is none.
+    """
     try:
         return Address.from_text(text)
     except ValueError as error:
@@ -33,13 +49,13 @@
             str, vol.Length(min=1, max=MAX_ID_CHARS)
         ),
         vol.Required('availability_zone'): vol.All(str, vol.Length(min=1)),
-        vol.Required('address'): vol.All(str, _address),
-        vol.Required('peer_address'): vol.All(str, _address),
-        vol.Required('platform_address'): vol.All(str, _address),
+        vol.Required('address'): vol.All(str, ip_and_port),
+        vol.Required('peer_address'): vol.All(str, ip_and_port),
+        vol.Required('platform_address'): vol.All(str, ip_and_port),
         vol.Required('fleet_secret'): _SECRET,
         vol.Required('operator_token'): _SECRET,
         vol.Optional('seed_peers', default=list): vol.All(
-            [vol.All(str, _address)],
+            [vol.All(str, ip_and_port)],
             vol.Coerce(tuple),
         ),
         vol.Optional('policy', default='grant'): vol.In(POLICIES),
@@ -51,9 +67,7 @@
             int,
             vol.Range(min=0),
         ),
-        vol.Optional('log_level', default='info'): vol.In(
-            ('debug', 'info', 'warning', 'error'),
-        ),
+        vol.Optional('log_level', default='info'): vol.In(LOG_LEVELS),
     },
 )
 
@@ -109,8 +123,17 @@
 def load_settings(
     path: str,
 ) -> Result[Settings, tuple[SettingsError, ...]]:
+    """Read the settings file of an instance."""
+    return load_checked(path, Settings.from_config)
+
+
+def load_checked(
+    path: str,
+    from_config: Callable[[dict[str, Any]], _Checked],
+) -> Result[_Checked, tuple[SettingsError, ...]]:
     """Read a settings file.
 
+    :param from_config: builds the settings, or raises on a wrong field.
     :returns: the settings, or every error with its file and field.
     """
     try:
@@ -118,7 +141,7 @@
     except (OSError, ValueError) as error:
         return Err((SettingsError(path, '', str(error)),))
     try:
-        return Ok(Settings.from_config(raw))
+        return Ok(from_config(raw))
     except vol.MultipleInvalid as invalid:
         return Err(
             tuple(
--- a/hornbeamdeck/process/snapshot.py
+++ b/hornbeamdeck/process/snapshot.py
@@ -6,7 +6,7 @@
 stands before a grant.
 """
 
-from typing import Final
+from typing import Final, Generic, TypeVar
 
 import structlog
 from curio import sleep, spawn
@@ -24,7 +24,7 @@
 from hornbeamdeck.connection.platform import StoredObject
 from hornbeamdeck.const import KEY_CONFIGURATION, PREFIX_INSTANCE
 from hornbeamdeck.process.backoff import backoff_s
-from hornbeamdeck.process.follower import ConfigurationFollower
+from hornbeamdeck.process.follower import ConfigurationFollower, HeldDocument
 from hornbeamdeck.process.membership import InstanceStatus, Membership
 from hornbeamdeck.wire import AskSnapshot, Snapshot
 
@@ -34,13 +34,15 @@
 
 ANSWER_TIMEOUT_MS: Final = 3000
 
+_Held = TypeVar('_Held', bound=HeldDocument)
 
-class Snapshots:
+
+class Snapshots(Generic[_Held]):
     """Gives and takes snapshots of configuration and membership."""
 
     def __init__(
         self,
-        follower: ConfigurationFollower,
+        follower: ConfigurationFollower[_Held],
         membership: Membership,
         identity: PeerIdentity,
     ) -> None:
--- /dev/null
+++ b/hornbeamdeck/process/store_reader.py
@@ -0,0 +1,209 @@
+"""Reads configuration and engines from the store, where that is due.
+
+The owner of the fleet's cells reads for all. Another instance reads only when
+what it has from the owner grows old: the owner may be cut off from the store,
+or turned away by it, while this one is not. Those further down the ranking wait
+longer, so that one of them is enough.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+import structlog
+from curio import sleep
+from result import Err
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.platform import PlatformDown, StoredObject
+from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
+from hornbeamdeck.process.engine_book import EngineBook
+from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.process.store_access import (
+    ConfigurationRead,
+    EnginesRead,
+    StoreAccess,
+)
+
+__all__ = ('ReaderParts', 'StoreReader')
+
+_LOGGER = structlog.get_logger(prefix='store')
+
+# How long the store holds a watch. A silent one is noticed a little later.
+WATCH_MS: Final = 1000
+# Engines write every second or so; a pause gathers several into one answer.
+ENGINES_PAUSE_MS: Final = 350
+# Ages from which an instance that is not the owner reads for itself: keys must
+# be dead within seconds, leaving engines be left alone within two.
+CONFIGURATION_OLD_MS: Final = 1800
+ENGINES_OLD_MS: Final = 1200
+# How much longer each rank waits before it reads for itself.
+RANK_MS: Final = 150
+MAX_RANK_MS: Final = 900
+# Between looks at whether reading is due.
+LOOK_MS: Final = 100
+# Between tries at a store that does not answer, drawn from the second half.
+RETRY_MS: Final = 300
+
+
+class ReaderParts(NamedTuple):
+    """What the reader reads from and tells.
+
+    :param rank: this process's place in the ranking, the owner's is 0.
+    :param is_owner: whether this process owns the fleet's cells now.
+    :param version: the version of the configuration held here.
+    :param note: takes a document that was read.
+    :param on_engines: told that the list of engines has changed.
+    """
+
+    access: StoreAccess
+    freshness: Freshness
+    directory: EngineDirectory
+    rank: Callable[[], int]
+    is_owner: Callable[[], bool]
+    version: Callable[[], int]
+    note: Callable[[StoredObject], Awaitable[None]]
+    on_engines: Callable[[], None]
+
+
+class StoreReader:
+    """Follows the store for this process and, through beats, for others."""
+
+    def __init__(self, parts: ReaderParts) -> None:
+        """Start without anything read."""
+        self._parts = parts
+        self._book = EngineBook()
+        self._is_reached = True
+
+    async def async_follow_configuration(self) -> None:
+        """Keep the configuration current, for ever."""
+        is_watching = False
+        while True:
+            if not self._is_due(
+                self._configuration_age(), CONFIGURATION_OLD_MS
+            ):
+                is_watching = False
+                await sleep(LOOK_MS / MILLIS_PER_SECOND)
+                continue
+            if is_watching and self._parts.is_owner():
+                is_watching = await self._async_watch_configuration()
+            else:
+                is_watching = await self.async_read_configuration()
+                if not is_watching:
+                    await sleep(RETRY_MS / MILLIS_PER_SECOND)
+
+    async def async_follow_engines(self) -> None:
+        """Keep the list of engines current, for ever."""
+        at = 0
+        while True:
+            age_ms = self._parts.directory.age_ms(now_ms())
+            if not self._is_due(age_ms, ENGINES_OLD_MS):
+                at = 0
+                await sleep(LOOK_MS / MILLIS_PER_SECOND)
+                continue
+            at = await self._async_read_engines(at)
+            pause_ms = ENGINES_PAUSE_MS if at else RETRY_MS
+            await sleep(pause_ms / MILLIS_PER_SECOND)
+
+    async def async_read_configuration(self) -> bool:
+        """Read the document once.
+
+        :returns: whether the store answered.
+        """
+        asked_ms = now_ms()
+        got = await self._parts.access.read_configuration()
+        if isinstance(got, Err):
+            self._note_lost('configuration', got.err_value)
+            return False
+        self._note_reached('configuration')
+        await self._async_take(got.ok_value, asked_ms)
+        return True
+
+    async def _async_watch_configuration(self) -> bool:
+        asked_ms = now_ms()
+        version = self._parts.version()
+        got = await self._parts.access.watch_configuration(version, WATCH_MS)
+        if isinstance(got, Err):
+            if isinstance(got.err_value, PlatformDown):
+                self._note_lost('configuration', got.err_value)
+            return False
+        read = got.ok_value
+        if read.document is None:
+            # Nothing newer than what is held was there when this was asked.
+            self._parts.freshness.confirm(version, asked_ms)
+            return True
+        await self._async_take(read, asked_ms)
+        return True
+
+    async def _async_take(self, read: ConfigurationRead, asked: float) -> None:
+        if read.document is None:
+            return
+        stored = StoredObject(KEY_CONFIGURATION, read.revision, read.document)
+        await self._parts.note(stored)
+        self._parts.freshness.confirm(read.revision, asked)
+
+    async def _async_read_engines(self, at: int) -> int:
+        asked_ms = now_ms()
+        access = self._parts.access
+        if at:
+            got = await access.watch_engines(at, WATCH_MS)
+        else:
+            got = await access.list_engines()
+        if isinstance(got, Err):
+            if isinstance(got.err_value, PlatformDown):
+                self._note_lost('engines', got.err_value)
+                self._book.note_trouble()
+            return 0
+        self._note_reached('engines')
+        self._take_engines(got.ok_value, asked_ms, is_complete=not at)
+        return got.ok_value.at
+
+    def _take_engines(
+        self,
+        read: EnginesRead,
+        asked_ms: float,
+        *,
+        is_complete: bool,
+    ) -> None:
+        directory = self._parts.directory
+        now = now_ms()
+        if is_complete:
+            self._book.replace(read.changes, directory.engines, now)
+        else:
+            self._book.change(read.changes, now)
+        engines = self._book.engines(now)
+        if engines != dict(directory.engines):
+            version = max(read.at, directory.version + 1)
+            directory.adopt(version, engines.values())
+            _LOGGER.info(
+                'engines changed',
+                version=version,
+                engines=len(engines),
+                leaving=sorted(
+                    name
+                    for name, engine in engines.items()
+                    if engine.is_leaving
+                ),
+            )
+            self._parts.on_engines()
+        directory.confirm(directory.version, asked_ms)
+
+    def _is_due(self, age_ms: float, old_ms: float) -> bool:
+        parts = self._parts
+        if parts.is_owner():
+            return True
+        wait_ms = min(parts.rank() * RANK_MS, MAX_RANK_MS)
+        return age_ms > old_ms + wait_ms
+
+    def _configuration_age(self) -> float:
+        return self._parts.freshness.age_ms(self._parts.version(), now_ms())
+
+    def _note_lost(self, what: str, error: PlatformDown) -> None:
+        if self._is_reached:
+            self._is_reached = False
+            _LOGGER.warning('store lost', reading=what, cause=error.cause)
+
+    def _note_reached(self, what: str) -> None:
+        if not self._is_reached:
+            self._is_reached = True
+            _LOGGER.warning('store regained', reading=what)
--- a/hornbeamdeck/process/suspicion.py
+++ b/hornbeamdeck/process/suspicion.py
@@ -7,9 +7,8 @@
 """
 
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
-from hornbeamdeck.version.entities import Upstream
 from hornbeamdeck.wire import RunEnd, Suspect
 
 __all__ = ('CULPRIT_CRASHES', 'Suspicions')
@@ -19,6 +18,18 @@
 SAME_CRASH_MS: Final = 2000
 
 
+class BrokenUpstream(Protocol):
+    """What has to be known of an upstream that broke."""
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+
+    @property
+    def service(self) -> str:
+        """The service that it serves."""
+
+
 class _Suspicion(NamedTuple):
     crashes: int
     until_ms: float
@@ -46,6 +57,22 @@
         """Whether a request is to be refused."""
         return self.crashes(fingerprint, now) >= CULPRIT_CRASHES
 
+    def must_wait(
+        self,
+        fingerprint: str,
+        running: Iterable[str],
+        now: float,
+    ) -> bool:
+        """Whether a suspect is kept back while another one runs.
+
+        With two at a time, a second crash would name neither.
+
+        :param running: fingerprints of all runs of the cell.
+        """
+        if not self.crashes(fingerprint, now):
+            return False
+        return any(self.crashes(other, now) for other in running)
+
     def note(self, fingerprint: str, crashes: int, now: float) -> None:
         """Take over what another owner held against a request."""
         known = max(crashes, self.crashes(fingerprint, now))
@@ -57,7 +84,7 @@
 
     def note_end(
         self,
-        upstream: Upstream,
+        upstream: BrokenUpstream,
         fingerprint: str,
         end: RunEnd,
         *,
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -33,6 +33,10 @@
             'no_upstream',
             'the owner lacks the service',
         ),
+        RefusalReason.TOO_MANY_TRIES: (
+            'too_many_tries',
+            'the budget of second tries is spent',
+        ),
         RefusalReason.TEAM_LIMIT: ('team_limit', 'the team is over its limit'),
     }
 )
@@ -43,8 +47,11 @@
     if refusal.reason == RefusalReason.CULPRIT:
         return unprocessable('upstreams have died of this request')
     code, detail = _CODES[RefusalReason(refusal.reason)]
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    if refusal.reason == RefusalReason.TEAM_LIMIT:
+        status = HTTPStatus.TOO_MANY_REQUESTS
     return NotRun(
-        HTTPStatus.SERVICE_UNAVAILABLE,
+        status,
         code,
         detail,
         refusal.retry_after_ms,
--- /dev/null
+++ b/hornbeamdeck/request/routed_admission.py
@@ -0,0 +1,153 @@
+"""Which route and team a routed request belongs to, checked before it waits."""
+
+import random
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.request.refusal import unauthorized
+from hornbeamdeck.request.routed_ask import RoutedAsk
+from hornbeamdeck.version.routed import Route, RoutedConfiguration, RoutedTeam
+
+__all__ = ('RoutedAdmission', 'admit_routed', 'is_still_allowed')
+
+# When a caller is to come back whose instance knows no configuration yet, or
+# can't prove that its own is current.
+UNCERTAIN_RETRY_MS: Final = 1000
+# Callers leave a stream that has not begun after the longest of these.
+LEAST_PATIENCE_MS: Final = 2000
+PATIENCE_OBJECTIVES: Final = 4
+PATIENCE_GAPS: Final = 8
+# What of that is kept for the way back to the caller.
+WAY_BACK_MS: Final = 150
+
+
+class RoutedAdmission(NamedTuple):
+    """A request that may wait for an engine.
+
+    :param arrived_ms: when it had been read, on this process's clock.
+    :param deadline_ms: when it must have its final answer, the same.
+    """
+
+    ask: RoutedAsk
+    route: Route
+    service: str
+    team: RoutedTeam | None
+    arrived_ms: float
+    deadline_ms: float
+
+    @property
+    def team_name(self) -> str:
+        """Whose key it came with; empty for a public route."""
+        return self.team.name if self.team else ''
+
+    @property
+    def left_ms(self) -> int:
+        """Time left until its deadline, at least 0."""
+        return max(int(self.deadline_ms - now_ms()), 0)
+
+    @property
+    def objective_left_ms(self) -> int:
+        """Time left until an answer would be late; less than 0 if it is."""
+        return int(self.arrived_ms + self.route.objective_ms - now_ms())
+
+    @property
+    def patience_left_ms(self) -> int:
+        """Time left until the caller gives up waiting for a first byte."""
+        if not self.route.is_stream:
+            return self.left_ms
+        patience_ms = max(
+            LEAST_PATIENCE_MS,
+            PATIENCE_OBJECTIVES * self.route.objective_ms,
+            PATIENCE_GAPS * self.route.gap_ms,
+        )
+        end_ms = self.arrived_ms + patience_ms - WAY_BACK_MS
+        return min(self.left_ms, max(int(end_ms - now_ms()), 0))
+
+    @property
+    def rank(self) -> int:
+        """Its priority, 0 first; the team's goes before the route's."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    @property
+    def quota_tokens(self) -> int:
+        """What it counts against its team's limit."""
+        if self.team is None:
+            return 0
+        return self.ask.counted_tokens or self.team.plain_tokens
+
+
+def admit_routed(
+    configuration: RoutedConfiguration,
+    ask: RoutedAsk,
+    *,
+    is_fresh: bool,
+) -> Result[RoutedAdmission, NotRun]:
+    """Find route and team.
+
+    :param is_fresh: whether the configuration is proved to be current.
+    """
+    if not configuration.version:
+        return Err(_uncertain('no_configuration', 'no configuration yet'))
+    route = configuration.find_route(ask.host, ask.request.path)
+    if route is None:
+        if not is_fresh:
+            return Err(_stale())
+        return Err(
+            NotRun(HTTPStatus.NOT_FOUND, 'no_route', 'no route leads there'),
+        )
+    team = None
+    if configuration.teams and not route.is_public:
+        if not is_fresh:
+            return Err(_stale())
+        team = configuration.team_of_key(ask.key)
+        if team is None:
+            return Err(unauthorized())
+    now = now_ms()
+    return Ok(
+        RoutedAdmission(
+            ask=ask,
+            route=route,
+            service=route.pick_service(random.random()),
+            team=team,
+            arrived_ms=now,
+            deadline_ms=now + min(ask.patience_ms, route.timeout_ms),
+        ),
+    )
+
+
+def is_still_allowed(
+    configuration: RoutedConfiguration,
+    admission: RoutedAdmission,
+    *,
+    is_fresh: bool,
+) -> Result[None, NotRun]:
+    """Check the key again, just before a request that waited is sent."""
+    if admission.team is None:
+        return Ok(None)
+    if not is_fresh:
+        return Err(_stale())
+    if configuration.team_of_key(admission.ask.key) is None:
+        return Err(unauthorized())
+    return Ok(None)
+
+
+def _stale() -> NotRun:
+    return _uncertain(
+        'configuration_unproved',
+        'this instance can not prove that its configuration is current',
+    )
+
+
+def _uncertain(code: str, detail: str) -> NotRun:
+    return NotRun(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        code,
+        detail,
+        UNCERTAIN_RETRY_MS,
+    )
--- /dev/null
+++ b/hornbeamdeck/request/routed_edge.py
@@ -0,0 +1,132 @@
+"""What answers the routed requests of one caller's connection."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
+from http import HTTPStatus
+from typing import NamedTuple, TypeAlias
+
+import structlog
+from result import Err, Result
+
+from hornbeamdeck.connection.errors import BadRequest
+from hornbeamdeck.connection.exchange import Answer
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.process.front_metrics import FrontMetrics
+from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.request.routed_admission import RoutedAdmission, admit_routed
+from hornbeamdeck.request.routed_ask import Dialect
+from hornbeamdeck.version.routed import RoutedConfiguration
+from hornbeamdeck.wire import Enqueue, Grant, RunEnd
+
+__all__ = ('Edge', 'RunRequest', 'make_routed_answer', 'refuse_unreadable')
+
+_LOGGER = structlog.get_logger(prefix='edge')
+
+RunRequest: TypeAlias = Callable[
+    [RoutedAdmission, ServerConnection],
+    Awaitable[None],
+]
+
+
+_Granted: TypeAlias = Result[Grant, NotRun]
+Acquire: TypeAlias = Callable[[Enqueue], Awaitable[_Granted]]
+
+
+class Edge(NamedTuple):
+    """What answering routed requests needs of the process.
+
+    :param is_fresh: whether the configuration is proved to be current.
+    :param proof_age_ms: how old that proof is.
+    :param acquire: waits for a grant.
+    :param progress: told a request's id and its time to first token, ms.
+    :param release: told a request's id, how its run ended, after how long.
+    :param spend: told a team's name and the tokens that it was granted.
+    :param zone: this instance's availability zone.
+    :param is_leaving: whether a planned stop has begun.
+    :param in_flight: counts a request while it is being answered.
+    """
+
+    dialect: Dialect
+    configuration: Callable[[], RoutedConfiguration]
+    is_fresh: Callable[[], bool]
+    proof_age_ms: Callable[[], float]
+    acquire: Acquire
+    progress: Callable[[str, float], Awaitable[None]]
+    release: Callable[[str, RunEnd, float], Awaitable[None]]
+    spend: Callable[[str, int], None]
+    metrics: FrontMetrics
+    zone: str
+    is_leaving: Callable[[], bool]
+    in_flight: Callable[[], AbstractContextManager[None]]
+
+
+def make_routed_answer(edge: Edge, run: RunRequest) -> Answer:
+    """Make the function that answers one request.
+
+    :param run: gets a request that was admitted to its answer.
+    """
+
+    async def _async_answer(
+        request: HttpRequest,
+        caller: ServerConnection,
+    ) -> None:
+        if edge.is_leaving():
+            caller.close_after_response()
+        with edge.in_flight():
+            await _async_admit(edge, run, request, caller)
+
+    return _async_answer
+
+
+async def _async_admit(
+    edge: Edge,
+    run: RunRequest,
+    request: HttpRequest,
+    caller: ServerConnection,
+) -> None:
+    asked = edge.dialect.read(request)
+    if isinstance(asked, Err):
+        # What follows on this connection may be the rest of the bad request.
+        caller.close_after_response()
+        await _async_refuse(edge, '', asked.err_value, caller)
+        return
+    ask = asked.ok_value
+    admitted = admit_routed(
+        edge.configuration(),
+        ask,
+        is_fresh=edge.is_fresh(),
+    )
+    if isinstance(admitted, Err):
+        await _async_refuse(edge, ask.request_id, admitted.err_value, caller)
+        return
+    await run(admitted.ok_value, caller)
+
+
+async def _async_refuse(
+    edge: Edge,
+    request_id: str,
+    refusal: NotRun,
+    caller: ServerConnection,
+) -> None:
+    edge.metrics.refused(refusal.code)
+    _LOGGER.info(
+        'request refused at the edge',
+        request_id=request_id,
+        code=refusal.code,
+        status=int(refusal.status),
+        configuration_version=edge.configuration().version,
+        proof_age_ms=_shown(edge.proof_age_ms()),
+    )
+    await caller.async_respond(edge.dialect.refusal(refusal, request_id))
+
+
+def refuse_unreadable(edge: Edge, bad: BadRequest) -> HttpResponse:
+    """Make the response to a request that can't be read."""
+    refusal = NotRun(HTTPStatus(bad.status), 'unreadable', bad.detail)
+    edge.metrics.refused(refusal.code)
+    return edge.dialect.refusal(refusal, '')
+
+
+def _shown(age_ms: float) -> int | None:
+    return int(age_ms) if age_ms < float('inf') else None
--- a/hornbeamdeck/wire/__init__.py
+++ b/hornbeamdeck/wire/__init__.py
@@ -14,6 +14,9 @@
 from hornbeamdeck.wire.enums import RefusalReason, RunEnd
 from hornbeamdeck.wire.gen.peer.ttypes import (
     AskSnapshot,
+    Beat,
+    EngineEntry,
+    EngineList,
     Enqueue,
     Envelope,
     Grant,
@@ -25,6 +28,7 @@
     Register,
     Release,
     Snapshot,
+    Spending,
     Suspect,
     Withdraw,
 )
@@ -33,6 +37,9 @@
     'MAX_FRAME_BYTES',
     'MAX_HANDSHAKE_BYTES',
     'AskSnapshot',
+    'Beat',
+    'EngineEntry',
+    'EngineList',
     'Enqueue',
     'Envelope',
     'Grant',
@@ -48,6 +55,7 @@
     'Release',
     'RunEnd',
     'Snapshot',
+    'Spending',
     'Suspect',
     'ToIngress',
     'ToOwner',
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -12,6 +12,8 @@
 
 from hornbeamdeck.wire.gen.peer.ttypes import (
     AskSnapshot,
+    Beat,
+    EngineList,
     Enqueue,
     Envelope,
     Grant,
@@ -61,7 +63,15 @@
 )
 ToIngress: TypeAlias = Grant | Refuse | Suspect
 Message: TypeAlias = (
-    ToOwner | ToIngress | Hello | Proof | Heartbeat | AskSnapshot | Snapshot
+    ToOwner
+    | ToIngress
+    | Hello
+    | Proof
+    | Heartbeat
+    | AskSnapshot
+    | Snapshot
+    | Beat
+    | EngineList
 )
 
 _FIELDS: Final[Mapping[type, str]] = MappingProxyType(
@@ -79,6 +89,8 @@
         Suspect: 'suspect',
         AskSnapshot: 'ask_snapshot',
         Snapshot: 'snapshot',
+        Beat: 'beat',
+        EngineList: 'engine_list',
     }
 )
 
--- a/hornbeamdeck/wire/enums.py
+++ b/hornbeamdeck/wire/enums.py
@@ -16,6 +16,7 @@
     UNKNOWN_CELL = ttypes.RefusalReason.UNKNOWN_CELL
     TEAM_LIMIT = ttypes.RefusalReason.TEAM_LIMIT
     CULPRIT = ttypes.RefusalReason.CULPRIT
+    TOO_MANY_TRIES = ttypes.RefusalReason.TOO_MANY_TRIES
 
 
 class RunEnd(enum.IntEnum):
@@ -25,3 +26,6 @@
     FAILED = ttypes.RunEnd.FAILED
     NOT_DISPATCHED = ttypes.RunEnd.NOT_DISPATCHED
     CANCELLED = ttypes.RunEnd.CANCELLED
+    REJECTED = ttypes.RunEnd.REJECTED
+    MISDIRECTED = ttypes.RunEnd.MISDIRECTED
+    ERRORED = ttypes.RunEnd.ERRORED
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -23,6 +23,7 @@
     UNKNOWN_CELL = 4
     TEAM_LIMIT = 5
     CULPRIT = 6
+    TOO_MANY_TRIES = 7
 
     _VALUES_TO_NAMES = {
         1: "DEADLINE",
@@ -31,6 +32,7 @@
         4: "UNKNOWN_CELL",
         5: "TEAM_LIMIT",
         6: "CULPRIT",
+        7: "TOO_MANY_TRIES",
     }
 
     _NAMES_TO_VALUES = {
@@ -40,6 +42,7 @@
         "UNKNOWN_CELL": 4,
         "TEAM_LIMIT": 5,
         "CULPRIT": 6,
+        "TOO_MANY_TRIES": 7,
     }
 
 
@@ -48,12 +51,18 @@
     FAILED = 2
     NOT_DISPATCHED = 3
     CANCELLED = 4
+    REJECTED = 5
+    MISDIRECTED = 6
+    ERRORED = 7
 
     _VALUES_TO_NAMES = {
         1: "ANSWERED",
         2: "FAILED",
         3: "NOT_DISPATCHED",
         4: "CANCELLED",
+        5: "REJECTED",
+        6: "MISDIRECTED",
+        7: "ERRORED",
     }
 
     _NAMES_TO_VALUES = {
@@ -61,6 +70,9 @@
         "FAILED": 2,
         "NOT_DISPATCHED": 3,
         "CANCELLED": 4,
+        "REJECTED": 5,
+        "MISDIRECTED": 6,
+        "ERRORED": 7,
     }
 
 
@@ -230,6 +242,13 @@
      - output_tokens
      - excluded
      - fingerprint
+     - objective_ms
+     - patience_ms
+     - gap_ms
+     - quota_tokens
+     - dispatches
+     - zone
+     - prompt_parts
 
     """
 
@@ -243,10 +262,17 @@
         'output_tokens',
         'excluded',
         'fingerprint',
+        'objective_ms',
+        'patience_ms',
+        'gap_ms',
+        'quota_tokens',
+        'dispatches',
+        'zone',
+        'prompt_parts',
     )
 
 
-    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None,):
+    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, prompt_parts=None,):
         self.request_id = request_id
         self.cell = cell
         self.team = team
@@ -256,6 +282,13 @@
         self.output_tokens = output_tokens
         self.excluded = excluded
         self.fingerprint = fingerprint
+        self.objective_ms = objective_ms
+        self.patience_ms = patience_ms
+        self.gap_ms = gap_ms
+        self.quota_tokens = quota_tokens
+        self.dispatches = dispatches
+        self.zone = zone
+        self.prompt_parts = prompt_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -316,6 +349,46 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.objective_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.patience_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.quota_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I16:
+                    self.dispatches = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.prompt_parts = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.prompt_parts.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -357,14 +430,45 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter6 in self.excluded:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.excluded:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
             oprot.writeFieldBegin('fingerprint', TType.STRING, 9)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.objective_ms is not None:
+            oprot.writeFieldBegin('objective_ms', TType.I32, 10)
+            oprot.writeI32(self.objective_ms)
+            oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I32, 11)
+            oprot.writeI32(self.patience_ms)
+            oprot.writeFieldEnd()
+        if self.gap_ms is not None:
+            oprot.writeFieldBegin('gap_ms', TType.I32, 12)
+            oprot.writeI32(self.gap_ms)
+            oprot.writeFieldEnd()
+        if self.quota_tokens is not None:
+            oprot.writeFieldBegin('quota_tokens', TType.I32, 13)
+            oprot.writeI32(self.quota_tokens)
+            oprot.writeFieldEnd()
+        if self.dispatches is not None:
+            oprot.writeFieldBegin('dispatches', TType.I16, 14)
+            oprot.writeI16(self.dispatches)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 15)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.prompt_parts is not None:
+            oprot.writeFieldBegin('prompt_parts', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRING, len(self.prompt_parts))
+            for iter13 in self.prompt_parts:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -412,6 +516,7 @@
      - request_id
      - cell
      - upstream
+     - address
 
     """
 
@@ -419,13 +524,15 @@
         'request_id',
         'cell',
         'upstream',
+        'address',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, address=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
+        self.address = address
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -451,6 +558,11 @@
                     self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -473,6 +585,10 @@
             oprot.writeFieldBegin('upstream', TType.STRING, 3)
             oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 4)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1043,6 +1159,7 @@
      - cell
      - end
      - total_ms
+     - output_tokens
 
     """
 
@@ -1051,14 +1168,16 @@
         'cell',
         'end',
         'total_ms',
+        'output_tokens',
     )
 
 
-    def __init__(self, request_id=None, cell=None, end=None, total_ms=None,):
+    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None,):
         self.request_id = request_id
         self.cell = cell
         self.end = end
         self.total_ms = total_ms
+        self.output_tokens = output_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1089,6 +1208,11 @@
                     self.total_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.output_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1115,6 +1239,10 @@
             oprot.writeFieldBegin('total_ms', TType.I32, 4)
             oprot.writeI32(self.total_ms)
             oprot.writeFieldEnd()
+        if self.output_tokens is not None:
+            oprot.writeFieldBegin('output_tokens', TType.I32, 5)
+            oprot.writeI32(self.output_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1345,10 +1473,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1373,8 +1501,8 @@
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter13 in self.statuses:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter20 in self.statuses:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1408,6 +1536,582 @@
         return not (self == other)
 
 
+class Spending(object):
+    """
+    Attributes:
+     - team
+     - tokens
+
+    """
+
+    __slots__ = (
+        'team',
+        'tokens',
+    )
+
+
+    def __init__(self, team=None, tokens=None,):
+        self.team = team
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Spending')
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 1)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 2)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.team is None:
+            raise TProtocolException(message='Required field team is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beat(object):
+    """
+    Attributes:
+     - stamp_ms
+     - echo_ms
+     - configuration_age_ms
+     - engines_version
+     - engines_age_ms
+     - status
+     - memory_ms
+     - spent
+     - present
+     - statuses
+     - configuration_version
+
+    """
+
+    __slots__ = (
+        'stamp_ms',
+        'echo_ms',
+        'configuration_age_ms',
+        'engines_version',
+        'engines_age_ms',
+        'status',
+        'memory_ms',
+        'spent',
+        'present',
+        'statuses',
+        'configuration_version',
+    )
+
+
+    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None,):
+        self.stamp_ms = stamp_ms
+        self.echo_ms = echo_ms
+        self.configuration_age_ms = configuration_age_ms
+        self.engines_version = engines_version
+        self.engines_age_ms = engines_age_ms
+        self.status = status
+        self.memory_ms = memory_ms
+        self.spent = spent
+        self.present = present
+        self.statuses = statuses
+        self.configuration_version = configuration_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.stamp_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.echo_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.engines_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.engines_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.status = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.memory_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Spending()
+                        _elem26.read(iprot)
+                        self.spent.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.present = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.present.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.statuses = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beat')
+        if self.stamp_ms is not None:
+            oprot.writeFieldBegin('stamp_ms', TType.I64, 1)
+            oprot.writeI64(self.stamp_ms)
+            oprot.writeFieldEnd()
+        if self.echo_ms is not None:
+            oprot.writeFieldBegin('echo_ms', TType.I64, 2)
+            oprot.writeI64(self.echo_ms)
+            oprot.writeFieldEnd()
+        if self.configuration_age_ms is not None:
+            oprot.writeFieldBegin('configuration_age_ms', TType.I64, 3)
+            oprot.writeI64(self.configuration_age_ms)
+            oprot.writeFieldEnd()
+        if self.engines_version is not None:
+            oprot.writeFieldBegin('engines_version', TType.I64, 4)
+            oprot.writeI64(self.engines_version)
+            oprot.writeFieldEnd()
+        if self.engines_age_ms is not None:
+            oprot.writeFieldBegin('engines_age_ms', TType.I64, 5)
+            oprot.writeI64(self.engines_age_ms)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRING, 6)
+            oprot.writeString(self.status.encode('utf-8') if sys.version_info[0] == 2 else self.status)
+            oprot.writeFieldEnd()
+        if self.memory_ms is not None:
+            oprot.writeFieldBegin('memory_ms', TType.I64, 7)
+            oprot.writeI64(self.memory_ms)
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.spent))
+            for iter39 in self.spent:
+                iter39.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.present is not None:
+            oprot.writeFieldBegin('present', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.present))
+            for iter40 in self.present:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.statuses is not None:
+            oprot.writeFieldBegin('statuses', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.statuses))
+            for iter41 in self.statuses:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 11)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.stamp_ms is None:
+            raise TProtocolException(message='Required field stamp_ms is unset!')
+        if self.echo_ms is None:
+            raise TProtocolException(message='Required field echo_ms is unset!')
+        if self.configuration_age_ms is None:
+            raise TProtocolException(message='Required field configuration_age_ms is unset!')
+        if self.engines_version is None:
+            raise TProtocolException(message='Required field engines_version is unset!')
+        if self.engines_age_ms is None:
+            raise TProtocolException(message='Required field engines_age_ms is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.memory_ms is None:
+            raise TProtocolException(message='Required field memory_ms is unset!')
+        if self.spent is None:
+            raise TProtocolException(message='Required field spent is unset!')
+        if self.configuration_version is None:
+            raise TProtocolException(message='Required field configuration_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineEntry(object):
+    """
+    Attributes:
+     - name
+     - cell
+     - address
+     - zone
+     - slots
+     - is_leaving
+     - born_ms
+     - slowness
+
+    """
+
+    __slots__ = (
+        'name',
+        'cell',
+        'address',
+        'zone',
+        'slots',
+        'is_leaving',
+        'born_ms',
+        'slowness',
+    )
+
+
+    def __init__(self, name=None, cell=None, address=None, zone=None, slots=None, is_leaving=None, born_ms=None, slowness=None,):
+        self.name = name
+        self.cell = cell
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.is_leaving = is_leaving
+        self.born_ms = born_ms
+        self.slowness = slowness
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.slowness = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineEntry')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 2)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 4)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 5)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 6)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 7)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.slowness is not None:
+            oprot.writeFieldBegin('slowness', TType.DOUBLE, 8)
+            oprot.writeDouble(self.slowness)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.name is None:
+            raise TProtocolException(message='Required field name is unset!')
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.address is None:
+            raise TProtocolException(message='Required field address is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.is_leaving is None:
+            raise TProtocolException(message='Required field is_leaving is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.slowness is None:
+            raise TProtocolException(message='Required field slowness is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EngineList(object):
+    """
+    Attributes:
+     - version
+     - engines
+
+    """
+
+    __slots__ = (
+        'version',
+        'engines',
+    )
+
+
+    def __init__(self, version=None, engines=None,):
+        self.version = version
+        self.engines = engines
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.engines = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EngineEntry()
+                        _elem47.read(iprot)
+                        self.engines.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineList')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.engines is not None:
+            oprot.writeFieldBegin('engines', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.engines))
+            for iter48 in self.engines:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.engines is None:
+            raise TProtocolException(message='Required field engines is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1426,6 +2130,8 @@
      - suspect
      - ask_snapshot
      - snapshot
+     - beat
+     - engine_list
 
     """
 
@@ -1445,10 +2151,12 @@
         'suspect',
         'ask_snapshot',
         'snapshot',
+        'beat',
+        'engine_list',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -1464,6 +2172,8 @@
         self.suspect = suspect
         self.ask_snapshot = ask_snapshot
         self.snapshot = snapshot
+        self.beat = beat
+        self.engine_list = engine_list
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1562,6 +2272,18 @@
                     self.snapshot.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.beat = Beat()
+                    self.beat.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.engine_list = EngineList()
+                    self.engine_list.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1632,6 +2354,14 @@
             oprot.writeFieldBegin('snapshot', TType.STRUCT, 15)
             self.snapshot.write(oprot)
             oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.STRUCT, 16)
+            self.beat.write(oprot)
+            oprot.writeFieldEnd()
+        if self.engine_list is not None:
+            oprot.writeFieldBegin('engine_list', TType.STRUCT, 17)
+            self.engine_list.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1682,6 +2412,13 @@
     (7, TType.I32, 'output_tokens', None, None, ),  # 7
     (8, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 9
+    (10, TType.I32, 'objective_ms', None, None, ),  # 10
+    (11, TType.I32, 'patience_ms', None, None, ),  # 11
+    (12, TType.I32, 'gap_ms', None, None, ),  # 12
+    (13, TType.I32, 'quota_tokens', None, None, ),  # 13
+    (14, TType.I16, 'dispatches', None, None, ),  # 14
+    (15, TType.STRING, 'zone', 'UTF8', None, ),  # 15
+    (16, TType.LIST, 'prompt_parts', (TType.STRING, 'UTF8', False), None, ),  # 16
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -1689,6 +2426,7 @@
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
 )
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
@@ -1735,6 +2473,7 @@
     (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
     (3, TType.I32, 'end', None, None, ),  # 3
     (4, TType.I32, 'total_ms', None, None, ),  # 4
+    (5, TType.I32, 'output_tokens', None, None, ),  # 5
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -1754,6 +2493,45 @@
     (2, TType.STRING, 'document', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'statuses', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
+all_structs.append(Spending)
+Spending.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'team', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'tokens', None, None, ),  # 2
+)
+all_structs.append(Beat)
+Beat.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'stamp_ms', None, None, ),  # 1
+    (2, TType.I64, 'echo_ms', None, None, ),  # 2
+    (3, TType.I64, 'configuration_age_ms', None, None, ),  # 3
+    (4, TType.I64, 'engines_version', None, None, ),  # 4
+    (5, TType.I64, 'engines_age_ms', None, None, ),  # 5
+    (6, TType.STRING, 'status', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'memory_ms', None, None, ),  # 7
+    (8, TType.LIST, 'spent', (TType.STRUCT, [Spending, None], False), None, ),  # 8
+    (9, TType.LIST, 'present', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.LIST, 'statuses', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.I64, 'configuration_version', None, None, ),  # 11
+)
+all_structs.append(EngineEntry)
+EngineEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'zone', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'slots', None, None, ),  # 5
+    (6, TType.BOOL, 'is_leaving', None, None, ),  # 6
+    (7, TType.I64, 'born_ms', None, None, ),  # 7
+    (8, TType.DOUBLE, 'slowness', None, None, ),  # 8
+)
+all_structs.append(EngineList)
+EngineList.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.LIST, 'engines', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 2
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1772,6 +2550,8 @@
     (13, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 13
     (14, TType.STRUCT, 'ask_snapshot', [AskSnapshot, None], None, ),  # 14
     (15, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 15
+    (16, TType.STRUCT, 'beat', [Beat, None], None, ),  # 16
+    (17, TType.STRUCT, 'engine_list', [EngineList, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -7,15 +7,19 @@
   NO_UPSTREAM = 3,    // the cell has no upstream that takes work
   UNKNOWN_CELL = 4,   // the owner's configuration lacks the cell
   TEAM_LIMIT = 5,
-  CULPRIT = 6         // upstreams have died of this very request
+  CULPRIT = 6,        // upstreams have died of this very request
+  TOO_MANY_TRIES = 7  // the fleet's budget of second tries is spent
 }
 
 enum RunEnd {
   ANSWERED = 1,       // whole answer relayed
   FAILED = 2,         // bytes were written, no whole answer came
   NOT_DISPATCHED = 3, // no byte reached the upstream
-  CANCELLED = 4       // the caller left, the deadline passed, or the grant
+  CANCELLED = 4,      // the caller left, the deadline passed, or the grant
                       // came too late to be used
+  REJECTED = 5,       // the upstream said that it did not run the request
+  MISDIRECTED = 6,    // another upstream has the address
+  ERRORED = 7         // a whole answer that tells of an error
 }
 
 struct Hello {
@@ -37,12 +41,20 @@
   7: required i32 output_tokens    // upper bound asked for
   8: optional list<string> excluded
   9: required string fingerprint   // equal for equal requests
+  10: optional i32 objective_ms    // left until the answer is late; may be < 0
+  11: optional i32 patience_ms     // left until the caller gives up
+  12: optional i32 gap_ms          // longest pause in a stream on time
+  13: optional i32 quota_tokens    // what it counts against the team's limit
+  14: optional i16 dispatches      // upstreams that it was sent to before
+  15: optional string zone         // of the ingress
+  16: optional list<string> prompt_parts // shared parts of the prompt, in order
 }
 
 struct Grant {
   1: required string request_id
   2: required string cell
   3: required string upstream
+  4: optional string address
 }
 
 struct Refuse {
@@ -85,6 +97,7 @@
   2: required string cell
   3: required RunEnd end
   4: required i32 total_ms         // since the grant was used
+  5: optional i32 output_tokens    // made, where known
 }
 
 struct Heartbeat {
@@ -103,6 +116,45 @@
   3: required list<string> statuses // status objects of known instances
 }
 
+struct Spending {
+  1: required string team
+  2: required i64 tokens
+}
+
+// What a process holds of the store, and how old its proof is that this is
+// still current. Ages are counted back from the moment at which the last beat
+// of the receiver arrived here, so that time spent on the way makes a proof
+// look older, never younger.
+struct Beat {
+  1: required i64 stamp_ms         // the sender's clock
+  2: required i64 echo_ms          // the receiver's last stamp; 0: none yet
+  3: required i64 configuration_age_ms
+  4: required i64 engines_version
+  5: required i64 engines_age_ms
+  6: required string status        // the sender's own status object
+  7: required i64 memory_ms        // how long the sender has been running
+  8: required list<Spending> spent // in the quota window, by the sender's team
+  9: optional list<string> present // only from an owner: who is alive
+  10: optional list<string> statuses // only where the receiver lacks some
+  11: required i64 configuration_version
+}
+
+struct EngineEntry {
+  1: required string name
+  2: required string cell
+  3: required string address
+  4: required string zone
+  5: required i32 slots
+  6: required bool is_leaving
+  7: required i64 born_ms
+  8: required double slowness      // learned; 1: as modelled
+}
+
+struct EngineList {
+  1: required i64 version
+  2: required list<EngineEntry> engines
+}
+
 // Exactly one of the fields from 3 on is set.
 struct Envelope {
   1: required i64 configuration_version
@@ -120,4 +172,6 @@
   13: optional Suspect suspect
   14: optional AskSnapshot ask_snapshot
   15: optional Snapshot snapshot
+  16: optional Beat beat
+  17: optional EngineList engine_list
 }
