Test the platform path; heirs count their own callers' spending

Change: stand-ins of the users' store and engines, the whole path and its faults, properties of limits, proofs, event feed and cells. The own spending is reported too; second tries wait while their callers do; only an engine that is gone has crashed. Refused callers are told different times and are known again when they return.

--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -83,6 +83,14 @@
 
     async def async_beat(self) -> None:
         """Beat once to each instance that is to be kept informed."""
+        parts = self._parts
+        now = now_ms()
+        # An heir counts what its own callers have spent as well.
+        parts.reports.note(
+            parts.membership.own.instance_id,
+            parts.spending.report(now),
+            now - self.attendance.started_ms,
+        )
         targets = self._targets()
         for forgotten in self._unanswered_ms.keys() - set(targets):
             self._unanswered_ms.pop(forgotten)
--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.return_times import ReturnTimes
 from hornbeamdeck.process.token_quota import TokenQuotas
 from hornbeamdeck.process.waiting_room import WaitingRoom
 from hornbeamdeck.version.routed import RoutedTeam
@@ -15,10 +16,6 @@
 
 __all__ = ('CellDoor', 'Shared')
 
-# A caller that comes back sooner meets the same wall, later than this its
-# objective is lost anyway.
-MIN_RETRY_MS: Final = 100
-MAX_RETRY_MS: Final = 5000
 # Tries beyond the first that one request may cost its service.
 MAX_TRIES: Final = 4
 
@@ -46,6 +43,7 @@
         self._shared = shared
         self._budget = budget
         self._waiting = waiting
+        self._returns = ReturnTimes()
 
     def reason_to_refuse(
         self,
@@ -62,6 +60,11 @@
         if request.excluded:
             return self._reason_against_another(request, now)
         self._budget.note_request(now)
+        # What was refused before is counted from there: to its caller the time
+        # until the first answer began with the first try.
+        waited_ms = self._returns.since_refused_ms(request.fingerprint, now)
+        if waited_ms and request.objective_ms is not None:
+            request.objective_ms -= int(waited_ms)
         if not places and not self._waiting.is_worth(request, fastest_ms, now):
             return RefusalReason.OVERLOADED
         if not self._take_quota(request, now):
@@ -80,15 +83,19 @@
         now: float,
     ) -> int:
         """Tell after which time it is worth coming back."""
-        wait_ms = int(self._waiting.drain_ms())
         team = self._shared.teams.get(request.team)
         if reason == RefusalReason.TEAM_LIMIT and team is not None:
-            wait_ms = self._shared.quotas.retry_after_ms(
+            return self._shared.quotas.retry_after_ms(
                 team,
                 request.quota_tokens or 0,
                 now,
             )
-        return min(max(wait_ms, MIN_RETRY_MS), MAX_RETRY_MS)
+        return self._returns.take(
+            request.fingerprint,
+            self._waiting.drain_ms(),
+            self._waiting.interval_ms,
+            now,
+        )
 
     def describe_quota(self, team: str) -> str:
         """Tell the state of a team's limit, for the log."""
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -4,15 +4,14 @@
 """
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
 from hornbeamdeck.process.cell import Granted, Refused
 from hornbeamdeck.process.cell_door import CellDoor, Shared
+from hornbeamdeck.process.crash_watch import CrashWatch
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.process.engine_load import EngineLoad
 from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.suspicion import Suspicions
 from hornbeamdeck.process.ticket import Deliver, Ticket
 from hornbeamdeck.process.waiting_room import WaitingRoom
 from hornbeamdeck.version.routed import EngineTraits
@@ -36,7 +35,7 @@
     def __init__(self, shared: Shared, budget: RetryBudget) -> None:
         """Start without engines; `adopt` brings them."""
         self.loads: dict[str, EngineLoad] = {}
-        self.suspicions = Suspicions()
+        self.suspicions = CrashWatch()
         self._waiting = WaitingRoom()
         self._door = CellDoor(shared, budget, self._waiting)
 
@@ -113,14 +112,7 @@
                 return
             request = ticket.request
             load = choose_engine(free, ticket, now, self._waiting.is_late)
-            running = (
-                fingerprint
-                for each in self.loads.values()
-                for fingerprint in each.fingerprints()
-            )
-            fingerprint = request.fingerprint
-            must_wait = self.suspicions.must_wait(fingerprint, running, now)
-            if load is None or must_wait:
+            if load is None:
                 continue
             self._waiting.remove(request.request_id)
             self._waiting.note_grant(now)
@@ -145,7 +137,7 @@
 
     def progress(self, message: Progress, now: float) -> None:
         """Note a first token."""
-        load = self._load_running(message.request_id)
+        load = _running_at(self.loads.values(), message.request_id)
         if load is not None:
             load.first_token(message.request_id, message.first_token_ms, now)
 
@@ -154,21 +146,14 @@
 
         :returns: whom a break of the engine is now held against, if any.
         """
-        load = self._load_running(message.request_id)
+        load = _running_at(self.loads.values(), message.request_id)
         if load is None:
             return None
-        together = load.fingerprints()
         end = RunEnd(message.end)
         run = load.end(message.request_id, end, now)
         if run is None:
             return None
-        return self.suspicions.note_end(
-            _Named(load.engine.name, load.engine.service),
-            run.fingerprint,
-            end,
-            together=together,
-            now=now,
-        )
+        return self._judge(load.engine, run.fingerprint, end, now)
 
     def drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
@@ -190,6 +175,28 @@
         places = sum(load.has_place() for load in self.loads.values())
         return self._door.reason_to_refuse(request, places, fastest_ms, now)
 
+    def _judge(
+        self,
+        engine: Engine,
+        fingerprint: str,
+        end: RunEnd,
+        now: float,
+    ) -> Suspect | None:
+        blamed = ''
+        if end == RunEnd.ANSWERED:
+            self.suspicions.note_answered(fingerprint)
+        if end == RunEnd.FAILED:
+            self.suspicions.note_broken(engine.name, fingerprint, now)
+        if end == RunEnd.NOT_DISPATCHED:
+            blamed = self.suspicions.note_gone(engine.name, now)
+        if not blamed:
+            return None
+        return Suspect(
+            cell=engine.service,
+            fingerprint=blamed,
+            crashes=self.suspicions.crashes(blamed, now),
+        )
+
     def _fastest_ms(self, request: Enqueue, now: float) -> float:
         return min(
             (
@@ -215,12 +222,6 @@
         load.add(run, ticket.sender, zone, request.gap_ms or 0)
         load.start(request.request_id, now)
 
-    def _load_running(self, request_id: str) -> EngineLoad | None:
-        for load in self.loads.values():
-            if request_id in load.runs:
-                return load
-        return None
-
     def _refuse(
         self,
         ticket: Ticket,
@@ -248,8 +249,11 @@
         }
 
 
-class _Named(NamedTuple):
-    """What a suspicion needs to know of an engine."""
-
-    name: str
-    service: str
+def _running_at(
+    loads: Iterable[EngineLoad],
+    request_id: str,
+) -> EngineLoad | None:
+    for load in loads:
+        if request_id in load.runs:
+            return load
+    return None
--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/process/engine_load.py
@@ -228,10 +228,6 @@
                 reading_ms = prefill_ms(run.prompt_tokens) * self.slowness
                 self._prefilled_ms -= reading_ms
 
-    def fingerprints(self) -> list[str]:
-        """List the fingerprints of all runs."""
-        return [run.fingerprint for run in self.runs.values()]
-
     def _recount(self, now: float) -> None:
         # The engine may be ahead of what was expected of it, or behind: what
         # is left to read follows from the runs without a first token.
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -60,7 +60,7 @@
         self.in_flight = 0
         self._wires = wires
         self._entry = StoreEntry(self.parts.store, self.parts.membership)
-        self._listeners: list[Listener] = []
+        self.listeners: list[Listener] = []
         self._tasks: list[Task] = []
 
     @property
@@ -76,7 +76,6 @@
     async def async_start(self) -> None:
         """Open the addresses, then begin to follow store and peers."""
         settings = self.settings
-        edge = self._edge()
         metrics_address = Address(settings.address.host, settings.metrics_port)
         pages = (
             (settings.ready_address, self._ready_page),
@@ -84,24 +83,28 @@
             (metrics_address, self._metrics_page),
         )
         for address, page in pages:
-            self._listeners.append(await async_serve_page(address, page))
-        self._listeners.append(
-            await async_setup_listener(
-                settings.peer_address,
-                make_peer_server(
-                    self.parts.identity,
-                    self.parts.scheduler,
-                    self.parts.follower,
-                    self.parts.snapshots,
-                    self.parts.beats.async_answer,
-                ),
+            self.listeners.append(await async_serve_page(address, page))
+        peers = await async_setup_listener(
+            settings.peer_address,
+            make_peer_server(
+                self.parts.identity,
+                self.parts.scheduler,
+                self.parts.follower,
+                self.parts.snapshots,
+                self.parts.beats.async_answer,
             ),
         )
-        await self._async_listen_to_callers(edge)
+        callers = await self._async_listen_to_callers(self._edge())
+        self.listeners += (peers, callers)
+        membership = self.parts.membership
+        membership.own = membership.own._replace(
+            address=callers.address,
+            peer_address=peers.address,
+        )
         await self._async_start_tasks()
         _LOGGER.info(
             'process started',
-            address=str(settings.address),
+            address=str(callers.address),
             availability_zone=settings.availability_zone,
             incarnation=self.parts.membership.own.incarnation,
             is_first_start=settings.is_first_start,
@@ -136,7 +139,7 @@
         """Close everything at once, as a dying process would."""
         for task in self._tasks:
             await task.cancel()
-        for listener in self._listeners:
+        for listener in self.listeners:
             await listener.async_unload()
         await self.parts.peers.async_close()
 
@@ -191,7 +194,7 @@
             self.in_flight -= 1
             self.parts.metrics.in_flight.set(self.in_flight)
 
-    async def _async_listen_to_callers(self, edge: Edge) -> None:
+    async def _async_listen_to_callers(self, edge: Edge) -> Listener:
         async def _async_run(
             admission: RoutedAdmission,
             caller: ServerConnection,
@@ -215,9 +218,7 @@
         async def _async_serve(sock: socket.socket) -> None:
             await async_serve_requests(sock, answer, _refuse, _limits())
 
-        self._listeners.append(
-            await async_setup_listener(self.settings.address, _async_serve),
-        )
+        return await async_setup_listener(self.settings.address, _async_serve)
 
     def _ready_page(self, _request: HttpRequest) -> HttpResponse:
         status = HTTPStatus.OK
--- a/hornbeamdeck/process/front_settings.py
+++ b/hornbeamdeck/process/front_settings.py
@@ -58,7 +58,7 @@
         ),
         vol.Optional('metrics_port', default=DEFAULT_METRICS_PORT): vol.All(
             int,
-            vol.Range(min=1, max=MAX_PORT),
+            vol.Range(min=0, max=MAX_PORT),
         ),
         vol.Optional('log_level', default='info'): vol.In(LOG_LEVELS),
         vol.Required('bounds'): BOUNDS_SCHEMA,
@@ -117,6 +117,7 @@
     :param peer_address: where other instances connect.
     :param seed_peers: peer addresses to ask while the store is away.
     :param is_first_start: whether the whole fleet starts for the first time.
+    :param metrics_port: where metrics are served; 0 lets the system choose.
     :param cores: processor share, the weight when owners are picked.
     """
 
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -18,8 +18,10 @@
 FIRST_INTERVAL_MS: Final = 15.0
 # A pause between grants longer than this says that nothing waited.
 MAX_INTERVAL_MS: Final = 300.0
+# How long a request may wait that is late anyway.
+LATE_WAIT_MS: Final = 600.0
 # Part of its objective that a request may be expected to wait, by priority.
-WAIT_SHARES: Final = (0.9, 0.8, 0.7)
+WAIT_SHARES: Final = (0.5, 0.4, 0.35)
 
 
 class _Place(NamedTuple):
@@ -27,6 +29,12 @@
     order_ms: float
     objective_ms: float
 
+    def rank(self, now: float) -> tuple[bool, float]:
+        """Order: second tries, then what can be on time, then the rest."""
+        if self.ticket.request.excluded:
+            return (False, 0)
+        return (self.order_ms < now, self.order_ms)
+
 
 class WaitingRoom:
     """Waiting requests by the moment at which each must start."""
@@ -34,7 +42,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self._places: dict[str, _Place] = {}
-        self._interval_ms = FIRST_INTERVAL_MS
+        self.interval_ms = FIRST_INTERVAL_MS
         self._granted_ms = 0.0
 
     def __len__(self) -> int:
@@ -77,7 +85,7 @@
         """
         ordered = sorted(
             self._places.values(),
-            key=lambda place: (place.order_ms < now, place.order_ms),
+            key=lambda place: place.rank(now),
         )
         return (place.ticket for place in ordered)
 
@@ -91,7 +99,7 @@
         gone = [
             place.ticket
             for place in self._places.values()
-            if place.ticket.deadline_ms < now or place.objective_ms < now
+            if place.ticket.deadline_ms < now
         ]
         for ticket in gone:
             self._places.pop(ticket.request.request_id)
@@ -102,23 +110,29 @@
         passed_ms = now - self._granted_ms
         self._granted_ms = now
         if passed_ms < MAX_INTERVAL_MS:
-            change_ms = (passed_ms - self._interval_ms) / GRANTS_AVERAGED
-            self._interval_ms += change_ms
+            change_ms = (passed_ms - self.interval_ms) / GRANTS_AVERAGED
+            self.interval_ms += change_ms
 
     def drain_ms(self) -> float:
         """Expect how long it takes until all that waits has started."""
-        return len(self._places) * self._interval_ms
+        return len(self._places) * self.interval_ms
 
     def is_worth(self, request: Enqueue, fastest_ms: float, now: float) -> bool:
         """Whether a request that must wait can start in time."""
-        rank = min(request.tier_rank, len(WAIT_SHARES) - 1)
         objective_ms = _objective_ms(request)
-        allowed_ms = objective_ms * WAIT_SHARES[rank] - fastest_ms
         start_ms = now + objective_ms - fastest_ms
-        ahead = sum(
-            place.order_ms <= start_ms for place in self._places.values()
-        )
-        return ahead * self._interval_ms <= max(allowed_ms, 0)
+        if start_ms < now:
+            # It is late already: it may fill what the others leave.
+            allowed_ms = LATE_WAIT_MS
+            ahead = len(self._places)
+        else:
+            rank = min(request.tier_rank, len(WAIT_SHARES) - 1)
+            allowed_ms = objective_ms * WAIT_SHARES[rank] - fastest_ms
+            ahead = sum(
+                now <= place.order_ms <= start_ms
+                for place in self._places.values()
+            )
+        return ahead * self.interval_ms <= max(allowed_ms, 0)
 
 
 def _objective_ms(request: Enqueue) -> int:
--- a/hornbeamdeck/request/routed_admission.py
+++ b/hornbeamdeck/request/routed_admission.py
@@ -12,7 +12,12 @@
 from hornbeamdeck.request.routed_ask import RoutedAsk
 from hornbeamdeck.version.routed import Route, RoutedConfiguration, RoutedTeam
 
-__all__ = ('RoutedAdmission', 'admit_routed', 'is_still_allowed')
+__all__ = (
+    'PATIENCE_GAPS',
+    'RoutedAdmission',
+    'admit_routed',
+    'is_still_allowed',
+)
 
 # When a caller is to come back whose instance knows no configuration yet, or
 # can't prove that its own is current.
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
 from hornbeamdeck.request.refusal import deadline_passed
 from hornbeamdeck.request.routed_admission import (
+    PATIENCE_GAPS,
     RoutedAdmission,
     is_still_allowed,
 )
@@ -229,6 +230,17 @@
             'the engine broke after the request was sent to it',
         )
 
+    def _objective_left_ms(self) -> int:
+        if self._caller.has_started:
+            return self._admission.route.gap_ms
+        return self._admission.objective_left_ms
+
+    def _patience_left_ms(self) -> int:
+        if self._caller.has_started:
+            patience_ms = PATIENCE_GAPS * self._admission.route.gap_ms
+            return min(patience_ms, self._admission.left_ms)
+        return self._admission.patience_left_ms
+
     def _enqueue(self) -> Enqueue:
         admission = self._admission
         ask = admission.ask
@@ -242,8 +254,8 @@
             output_tokens=ask.expected_tokens or ask.output_tokens,
             excluded=list(self._tries.excluded),
             fingerprint=self._call.fingerprint[:FINGERPRINT_CHARS],
-            objective_ms=admission.objective_left_ms,
-            patience_ms=admission.patience_left_ms,
+            objective_ms=self._objective_left_ms(),
+            patience_ms=self._patience_left_ms(),
             gap_ms=admission.route.gap_ms,
             quota_tokens=admission.quota_tokens,
             dispatches=self._tries.arrivals,
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform adapter, against stand-ins of its store and engines."""
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,193 @@
+"""Fronts, a store and engines in one process, for tests of the whole path."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from curio import run, sleep
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.platform.__main__ import WIRES
+from hornbeamdeck.process.front import Front
+from hornbeamdeck.process.front_settings import FrontSettings
+from tests.platform.standins import EngineStandin, StoreStandin, document
+from tests.support import async_fetch
+
+WAIT_STEP_S = 0.02
+WAIT_STEPS = 500
+TOKENS = '100,20'
+Scenario = Callable[['PlatformFleet'], Awaitable[None]]
+
+
+def front_settings(
+    store: Address,
+    number: int = 0,
+    **changes: Any,
+) -> FrontSettings:
+    """Make settings on addresses of the system's choice."""
+    anywhere = '127.0.0.1:0'
+    return FrontSettings.from_config(
+        {
+            'instance_id': f'front-{number}',
+            'availability_zone': 'z1',
+            'address': anywhere,
+            'ready_address': anywhere,
+            'entries_address': anywhere,
+            'peer_address': anywhere,
+            'platform_address': str(store),
+            'seed_peers': [],
+            'fleet_secret': 'a-secret-for-the-tests',
+            'is_first_start': True,
+            'cores': 1,
+            'metrics_port': 0,
+            'bounds': {
+                'stability_ms': 3000,
+                'drain_ms': 2000,
+                'grace_s': 3,
+                'configuration_apply_ms': 2000,
+                'revocation_ms': 5000,
+                'retry_ratio': 0.2,
+                'retry_window_s': 10,
+                'retry_slack': 100,
+                'quota_window_s': 8,
+                'quota_slack': 1000,
+                'entries_ttl_ms': 100,
+            },
+            **changes,
+        },
+    )
+
+
+class PlatformFleet:
+    """What a scenario works with."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.store_address = Address('127.0.0.1', 0)
+        self.desks = [EngineStandin('desk-1'), EngineStandin('desk-2')]
+        self.counters = [EngineStandin('counter-1'), EngineStandin('counter-2')]
+        self.fronts: list[Front] = []
+
+    async def async_start(self, count: int) -> None:
+        """Start store, engines and fronts; wait until all are ready."""
+        self.store_address = await self.store.async_start()
+        await self.store.async_put('config', 'main', document())
+        for engine in self.desks + self.counters:
+            await engine.async_start()
+            service = engine.name.partition('-')[0]
+            entry = engine.entry(service)
+            await self.store.async_put('servers', engine.name, entry)
+        for number in range(count):
+            await self.async_add_front(number)
+        await self.async_until(
+            lambda: all(front.is_ready for front in self.fronts)
+        )
+        await self.async_until(
+            lambda: all(
+                len(front.parts.beats.attendance.usable()) == count
+                for front in self.fronts
+            ),
+        )
+
+    async def async_add_front(
+        self,
+        number: int,
+        *,
+        store: Address | None = None,
+        seeds: tuple[str, ...] = (),
+    ) -> Front:
+        """Start one more front.
+
+        :param store: another than that of the fleet.
+        """
+        settings = front_settings(
+            store or self.store_address,
+            number,
+            seed_peers=list(seeds),
+        )
+        front = Front(settings, WIRES)
+        await front.async_start()
+        self.fronts.append(front)
+        return front
+
+    async def async_stop(self) -> None:
+        """Take all fronts down."""
+        for front in self.fronts:
+            await front.async_kill()
+
+    async def async_until(self, is_so: Callable[[], bool]) -> None:
+        """Wait for a condition; what never comes fails the test."""
+        for _ in range(WAIT_STEPS):
+            if is_so():
+                return
+            await sleep(WAIT_STEP_S)
+        raise AssertionError('what was waited for never came')
+
+    async def async_call(
+        self,
+        path: str,
+        front: int = 0,
+        *,
+        tokens: str = '',
+        **headers: str,
+    ) -> HttpResponse:
+        """Call a front as a client does."""
+        return await async_fetch(
+            self.fronts[front].parts.membership.own.address,
+            request_to(path, tokens=tokens, **headers),
+        )
+
+    async def async_open(self, front: int = 0) -> ClientConnection:
+        """Open a client's connection."""
+        opened = await ClientConnection.async_open(
+            self.fronts[front].parts.membership.own.address,
+            timeout_ms=2000,
+        )
+        return opened.unwrap()
+
+
+def request_to(
+    path: str,
+    *,
+    tokens: str = '',
+    **headers: str,
+) -> HttpRequest:
+    """Write a request as a client does; `_` stands for `-` in names."""
+    counts = {'hornbeamdeck-token-counts': tokens} if tokens else {}
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    return HttpRequest(
+        'POST',
+        path,
+        '',
+        {
+            'host': 'walks.example',
+            'hornbeamdeck-request-id': 'id-1',
+            'hornbeamdeck-deadline-ms': '3000',
+            'authorization': 'Bearer key-of-guides',
+            **counts,
+            **named,
+        },
+        b'{}',
+    )
+
+
+def on_platform(count: int = 1) -> Callable[[Scenario], Callable[[], None]]:
+    """Run a scenario on a fleet of its own."""
+
+    def _decorate(scenario: Scenario) -> Callable[[], None]:
+        async def _async_run() -> None:
+            fleet = PlatformFleet()
+            await fleet.async_start(count)
+            try:
+                await scenario(fleet)
+            finally:
+                await fleet.async_stop()
+
+        def _run() -> None:
+            run(_async_run)
+
+        _run.__doc__ = scenario.__doc__
+        return _run
+
+    return _decorate
--- /dev/null
+++ b/tests/platform/test_deploy.py
@@ -0,0 +1,66 @@
+"""The deploy file, the settings template and the pins."""
+
+import json
+import pathlib
+import re
+import tomllib
+from typing import Any
+
+from hornbeamdeck.process.front_settings import FrontSettings
+
+ROOT = pathlib.Path(__file__).parents[2]
+FIELDS: dict[str, Any] = {
+    'node_name': 'front-1',
+    'zone': 'z1',
+    'seeds': ['10.0.0.1:1', '10.0.0.2:1'],
+    'bootstrap': True,
+    'listen': {
+        'front': '10.0.0.1:2',
+        'ready': '10.0.0.1:3',
+        'directory': '10.0.0.1:4',
+        'control': '10.0.0.1:1',
+    },
+    'platform': {'address': '10.0.0.9:5'},
+    'limits': {'cpu_share': 0.731},
+    'bounds': {
+        'stability_ms': 3000,
+        'drain_ms': 2000,
+        'grace_s': 8.5,
+        'config_apply_ms': 2000,
+        'revoke_ms': 5000,
+        'retry_budget_ratio': 0.2,
+        'budget_window_s': 10,
+        'retry_slack': 113,
+        'quota_window_s': 8,
+        'quota_slack': 140_000,
+    },
+}
+
+
+def _fill(template: str) -> str:
+    def _placed(found: re.Match[str]) -> str:
+        field: Any = FIELDS
+        for name in found.group(1).split('.'):
+            field = field[name]
+        return json.dumps(field)
+
+    return re.sub(r'\{\{([\w.]+)\|json\}\}', _placed, template)
+
+
+def test_the_template_gives_settings_that_pass_the_check() -> None:
+    deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+    role = deploy['roles']['front']
+    template = (ROOT / role['template']).read_text()
+    settings = FrontSettings.from_config(json.loads(_fill(template)))
+    assert settings.bounds.grace_ms == 8500
+    assert str(settings.entries_address) == '10.0.0.1:4'
+    port, _, path = role['metrics'].partition('/')
+    assert int(port) == settings.metrics_port
+    assert path == 'metrics'
+
+
+def test_requirements_have_the_pins_of_the_project() -> None:
+    project = tomllib.loads((ROOT / 'pyproject.toml').read_text())['project']
+    lines = (ROOT / 'requirements.txt').read_text().splitlines()
+    pinned = {line for line in lines if line and not line.startswith('#')}
+    assert pinned <= set(project['dependencies'])
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,139 @@
+"""Headers of callers and engines."""
+
+import pytest
+
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.platform.dialect import judge, read_ask, refusal, to_engine
+from hornbeamdeck.request.outcome import NotRun, Unknown
+from hornbeamdeck.request.routed_ask import Dispatch, RoutedAsk, Verdict
+
+HEADERS = {
+    'host': 'Walks.example:80',
+    'hornbeamdeck-request-id': 'id-1',
+    'hornbeamdeck-deadline-ms': '1500',
+    'hornbeamdeck-token-counts': '1460,80',
+    'hornbeamdeck-prompt-prefix': '5c1e07a2:800, e4402b7d:250',
+    'hornbeamdeck-length-hint': '40',
+    'authorization': 'Bearer some-key',
+    'x-own': 'kept',
+}
+
+
+def _request(**changes: str) -> HttpRequest:
+    named = {name.replace('_', '-'): text for name, text in changes.items()}
+    return HttpRequest('POST', '/a/b', 'q=1', {**HEADERS, **named}, b'body')
+
+
+def _ask(**changes: str) -> RoutedAsk:
+    return read_ask(_request(**changes)).unwrap()
+
+
+def test_a_request_is_decoded() -> None:
+    ask = _ask()
+    assert ask.host == 'walks.example'
+    assert ask.key == 'some-key'
+    assert ask.patience_ms == 1500
+    assert (ask.prompt_tokens, ask.output_tokens) == (1460, 80)
+    assert ask.expected_tokens == 40
+    assert ask.prompt_parts == ('5c1e07a2', 'e4402b7d')
+
+
+@pytest.mark.parametrize('text', ['', 'x', '-5', '9' * 5000, '١٢', '1e9', ','])
+def test_odd_numbers_count_as_not_told(text: str) -> None:
+    ask = _ask(
+        hornbeamdeck_token_counts=text,
+        hornbeamdeck_length_hint=text,
+        hornbeamdeck_deadline_ms=text,
+    )
+    assert ask.patience_ms > 0
+    assert 0 <= ask.prompt_tokens <= 10_000_000
+
+
+def test_two_lengths_at_once_are_refused() -> None:
+    """A request names a length and comes in chunks. Whoever reads the other of
+    the two takes its tail for a second request, and runs what nobody asked.
+    """
+    smuggled = read_ask(
+        _request(content_length='3', transfer_encoding='chunked'),
+    )
+    assert smuggled.unwrap_err().code == 'two_lengths'
+
+
+def test_a_request_without_an_id_is_refused() -> None:
+    assert read_ask(_request(hornbeamdeck_request_id='')).is_err()
+    assert read_ask(_request(hornbeamdeck_request_id='a, b')).is_err()
+
+
+def test_an_engine_gets_no_key_and_what_only_the_system_sets() -> None:
+    """A caller sends headers that reserve memory or name another team. Passed
+    on, they would act in the system's name.
+    """
+    ask = _ask(
+        hornbeamdeck_tenant='somebody',
+        hornbeamdeck_hold='1',
+        hornbeamdeck_pin_ms='5',
+        hornbeamdeck_kv_backup='10.0.0.1:1',
+        kv_from='10.0.0.1:1/h',
+        kv_fetch='10.0.0.1:1',
+        hornbeamdeck_expect_instance='e9',
+        connection='x-private, close',
+        x_private='1',
+        last_event_id='3',
+    )
+    headers = to_engine(ask, Dispatch('e1', 'guides', 900, '7'))
+    assert headers == {
+        'host': 'Walks.example:80',
+        'hornbeamdeck-request-id': 'id-1',
+        'hornbeamdeck-deadline-ms': '900',
+        'hornbeamdeck-token-counts': '1460,80',
+        'hornbeamdeck-prompt-prefix': '5c1e07a2:800, e4402b7d:250',
+        'hornbeamdeck-length-hint': '40',
+        'hornbeamdeck-expect-instance': 'e1',
+        'hornbeamdeck-tenant': 'guides',
+        'last-event-id': '7',
+        'x-own': 'kept',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'verdict'),
+    [
+        (200, {'hornbeamdeck-response-seal': 's'}, Verdict.RAN),
+        (200, {}, Verdict.NOT_ITS_ANSWER),
+        (500, {'hornbeamdeck-response-seal': 's'}, Verdict.RAN),
+        (504, {}, Verdict.RAN),
+        (503, {'hornbeamdeck-not-executed': '1'}, Verdict.NOT_RUN),
+        (503, {}, Verdict.NOT_ITS_ANSWER),
+        (429, {}, Verdict.NOT_ITS_ANSWER),
+        (421, {}, Verdict.OTHER_ENGINE),
+        (
+            200,
+            {
+                'hornbeamdeck-response-seal': 's',
+                'hornbeamdeck-request-id': 'id-2',
+            },
+            Verdict.NOT_ITS_ANSWER,
+        ),
+        (
+            200,
+            {'hornbeamdeck-response-seal': 's', 'content-encoding': 'gzip'},
+            Verdict.NOT_ITS_ANSWER,
+        ),
+    ],
+)
+def test_only_an_engines_own_word_proves_that_nothing_ran(
+    status: int,
+    headers: dict[str, str],
+    verdict: Verdict,
+) -> None:
+    assert judge(_ask(), HttpResponse(status, headers, b'')) == verdict
+
+
+def test_a_refusal_says_when_to_return_and_bears_no_seal() -> None:
+    answer = refusal(NotRun(503, 'overloaded', 'full', 1250), 'id-1')
+    assert answer.headers['retry-after'] == '1.250'
+    assert 'hornbeamdeck-response-seal' not in answer.headers
+
+
+def test_what_may_have_run_is_never_called_refused() -> None:
+    assert refusal(Unknown(502, 'x', 'y', 5), 'id-1').status == 502
--- /dev/null
+++ b/tests/process/routed.py
@@ -0,0 +1,112 @@
+"""Makes what tests of engine cells need."""
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.process.cell_door import Shared
+from hornbeamdeck.process.engine_cell import EngineCell
+from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.token_quota import QuotaRules, QuotaView, TokenQuotas
+from hornbeamdeck.version.routed import EngineTraits, RoutedTeam
+from hornbeamdeck.wire import Enqueue, Message
+
+MODEL = EngineTraits(slots=4, tokens_per_event=6, memory_tokens=600_000)
+PLAIN = EngineTraits(slots=0, tokens_per_event=0, memory_tokens=0)
+
+
+async def async_ignore(_message: Message) -> None:
+    """Deliver to nobody."""
+
+
+def engine(
+    name: str, *, slots: int = 2, zone: str = 'z1', **changes: object
+) -> Engine:
+    """Make an engine of the service `desk`."""
+    made = Engine(
+        name=name,
+        service='desk',
+        address=Address('10.0.0.1', 80),
+        availability_zone=zone,
+        slots=slots,
+        is_leaving=False,
+        born_ms=1,
+    )
+    return made._replace(**changes)  # type: ignore[arg-type]
+
+
+def team(
+    name: str = 'guides', *, rate: float = 1000, burst: float = 1000
+) -> RoutedTeam:
+    """Make a team with a limit in tokens."""
+    return RoutedTeam(
+        name=name,
+        priority=None,
+        rate_per_s=rate,
+        burst=burst,
+        plain_tokens=200,
+    )
+
+
+def quotas(
+    *,
+    spent: int = 0,
+    is_remembered: bool = True,
+    share: float = 1.0,
+    is_first_start: bool = True,
+    slack: float = 0,
+) -> TokenQuotas:
+    """Make limits as an owner sees them."""
+    return TokenQuotas(
+        QuotaView(
+            spent=lambda _team: spent,
+            is_remembered=lambda: is_remembered,
+            share=lambda: share,
+        ),
+        QuotaRules(window_ms=8000, slack=slack),
+        is_first_start=is_first_start,
+    )
+
+
+def cell(*engines: Engine, traits: EngineTraits = MODEL) -> EngineCell:
+    """Make a cell with engines and no limits of teams."""
+    made = EngineCell(
+        Shared(quotas=quotas(), teams={}),
+        RetryBudget(ratio=0.2, slack=20, window_ms=10_000),
+    )
+    made.adopt(engines, traits, {})
+    return made
+
+
+def ask(request_id: str, **changes: object) -> Enqueue:
+    """Make a request for the service `desk`."""
+    fields: dict[str, object] = {
+        'request_id': request_id,
+        'cell': 'desk',
+        'team': 'guides',
+        'tier_rank': 0,
+        'deadline_ms': 10_000,
+        'prompt_tokens': 600,
+        'output_tokens': 100,
+        'excluded': [],
+        'fingerprint': request_id,
+        'objective_ms': 500,
+        'patience_ms': 3800,
+        'gap_ms': 500,
+        'quota_tokens': 700,
+        'dispatches': 0,
+        'zone': 'z1',
+        **changes,
+    }
+    return Enqueue(**fields)
+
+
+def offer(to: EngineCell, request: Enqueue, now: float = 0) -> object:
+    """Offer a request; gives the refusal, if any."""
+    return to.offer(request, sender='s', deliver=async_ignore, now=now)
+
+
+def granted(by: EngineCell, now: float = 0) -> list[tuple[str, str]]:
+    """List what is granted now: request and engine."""
+    return [
+        (grant.ticket.request.request_id, grant.upstream)
+        for grant in by.grants(now)
+    ]
--- /dev/null
+++ b/tests/process/test_engine_cell.py
@@ -0,0 +1,290 @@
+"""How work waits before engines, is turned away and is placed."""
+
+from hornbeamdeck.process.cell import Refused
+from hornbeamdeck.wire import Progress, RefusalReason, Register, Release, RunEnd
+from tests.process.routed import (
+    PLAIN,
+    ask,
+    cell,
+    engine,
+    granted,
+    offer,
+)
+
+
+def _release(request_id: str, end: RunEnd) -> Release:
+    return Release(
+        request_id=request_id,
+        cell='desk',
+        end=end,
+        total_ms=100,
+    )
+
+
+def _reason(refused: object) -> RefusalReason:
+    assert isinstance(refused, Refused)
+    return RefusalReason(refused.refusal.reason)
+
+
+def test_no_engine_gets_more_than_it_works_on_at_once() -> None:
+    """Engines know no priorities. What waits in an engine's own queue waits in
+    front of every urgent request that comes later.
+    """
+    desk = cell(engine('e1'), engine('e2'))
+    for number in range(10):
+        offer(desk, ask(f'r{number}'))
+    assert len(granted(desk)) == 4
+    assert max(len(load.runs) for load in desk.loads.values()) == 2
+
+
+def test_a_place_that_comes_free_goes_to_who_must_start_first() -> None:
+    desk = cell(engine('e1', slots=1))
+    offer(desk, ask('runs'))
+    assert granted(desk) == [('runs', 'e1')]
+    offer(desk, ask('relaxed', objective_ms=2000))
+    offer(desk, ask('urgent', objective_ms=500))
+    desk.release(_release('runs', RunEnd.ANSWERED), 50)
+    assert granted(desk, 50) == [('urgent', 'e1')]
+
+
+def test_a_burst_is_refused_at_its_arrival() -> None:
+    """A burst brings more than can start in time. Those that would wait past
+    their objective hear at once when to come back; the first ones do not wait
+    in vain for them.
+    """
+    desk = cell(engine('e1'), engine('e2'))
+    refused = [offer(desk, ask(f'r{number}')) for number in range(200)]
+    granted(desk)
+    late = [offer(desk, ask(f'late-{number}')) for number in range(200)]
+    kept = sum(each is None for each in late)
+    assert 0 < kept < 60
+    assert {_reason(each) for each in late if each} == {
+        RefusalReason.OVERLOADED,
+    }
+    assert refused[0] is None
+
+
+def test_returning_callers_are_told_different_times() -> None:
+    """All refused callers honour what they are told. Told the same time, they
+    come back as the same burst.
+    """
+    desk = cell(engine('e1', slots=1))
+    offer(desk, ask('runs'))
+    granted(desk)
+    told = []
+    for number in range(300):
+        refused = offer(desk, ask(f'r{number}'))
+        if isinstance(refused, Refused):
+            told.append(refused.refusal.retry_after_ms)
+    assert len(told) > 100
+    assert len(set(told)) > 50
+    assert max(told) <= 5000
+
+
+def test_who_returns_goes_behind_who_can_be_on_time() -> None:
+    """A refused caller comes back when its answer is late whatever happens.
+    Placed first, it would make a fresh request late as well.
+    """
+    desk = cell(engine('e1', slots=1))
+    offer(desk, ask('runs'))
+    granted(desk)
+    for number in range(200):
+        if offer(desk, ask(f'r{number}', fingerprint='same')) is not None:
+            break
+    for number in range(200):
+        desk.withdraw(f'r{number}')
+    offer(desk, ask('again', fingerprint='same'), now=1500)
+    offer(desk, ask('fresh'), now=1510)
+    desk.release(_release('runs', RunEnd.ANSWERED), 1520)
+    assert granted(desk, 1520) == [('fresh', 'e1')]
+    desk.release(_release('fresh', RunEnd.ANSWERED), 1600)
+    assert granted(desk, 1600) == [('again', 'e1')]
+
+
+def test_who_waited_in_vain_gets_its_final_word() -> None:
+    desk = cell(engine('e1', slots=1))
+    offer(desk, ask('runs'))
+    granted(desk)
+    offer(desk, ask('waits', patience_ms=900))
+    assert not list(desk.expire(800))
+    expired = list(desk.expire(1000))
+    assert [_reason(each) for each in expired] == [RefusalReason.DEADLINE]
+    assert not len(desk)
+
+
+def test_a_long_prompt_keeps_off_streams_that_it_would_stop() -> None:
+    """A slow engine reads a long prompt in chunks between the words of the
+    streams beside it. Their readers would see a pause beyond what their route
+    allows, though every place was free.
+    """
+    desk = cell(engine('slow'), engine('fast'))
+    desk.loads['slow'].slowness = 5.0
+    offer(desk, ask('stream', excluded=['fast']))
+    assert granted(desk) == [('stream', 'slow')]
+    desk.progress(
+        Progress(request_id='stream', cell='desk', first_token_ms=60),
+        60,
+    )
+    long = ask('long', prompt_tokens=9000, excluded=['fast'], objective_ms=9000)
+    offer(desk, long, now=70)
+    assert not granted(desk, 70)
+    offer(desk, ask('other', prompt_tokens=9000, objective_ms=1000), now=80)
+    assert granted(desk, 80) == [('other', 'fast')]
+
+
+def test_the_speed_of_an_engine_is_learned_from_first_tokens() -> None:
+    """Engines differ several times in speed and say nothing of it. Taken for
+    alike, the slow ones make every third answer late.
+    """
+    desk = cell(engine('e1', slots=8), engine('e2', slots=8))
+    now = 0.0
+    for number in range(12):
+        for name, factor in (('e1', 1), ('e2', 4)):
+            other = 'e2' if name == 'e1' else 'e1'
+            request_id = f'{name}-{number}'
+            request = ask(request_id, prompt_tokens=6000, excluded=[other])
+            offer(desk, request, now=now)
+            granted(desk, now)
+            took_ms = 120 * factor
+            desk.progress(
+                Progress(
+                    request_id=request_id,
+                    cell='desk',
+                    first_token_ms=took_ms,
+                ),
+                now + took_ms,
+            )
+            desk.release(_release(request_id, RunEnd.ANSWERED), now + took_ms)
+            now += 1000
+    slow = desk.loads['e2'].slowness
+    fast = desk.loads['e1'].slowness
+    assert 3 < slow / fast < 5
+    offer(desk, ask('next', prompt_tokens=6000), now=now)
+    assert granted(desk, now) == [('next', 'e1')]
+
+
+def test_an_engine_that_fails_gets_less_and_is_tried_again() -> None:
+    """An engine fails part of its requests while its health check is good.
+    Judged by its outcomes, it is passed over for a while, not for ever.
+    """
+    desk = cell(engine('good', slots=9), engine('grey', slots=9), traits=PLAIN)
+    for number in range(10):
+        offer(desk, ask(f'r{number}', excluded=['good']))
+        granted(desk)
+        desk.release(_release(f'r{number}', RunEnd.FAILED), 10)
+    offer(desk, ask('next'), now=20)
+    assert granted(desk, 20) == [('next', 'good')]
+    assert desk.loads['grey'].failing('z1', 30_000) < 0.01
+
+
+def test_a_fault_seen_from_one_zone_counts_for_that_zone() -> None:
+    desk = cell(engine('e1'))
+    offer(desk, ask('r1', zone='z2'))
+    granted(desk)
+    desk.release(_release('r1', RunEnd.NOT_DISPATCHED), 10)
+    assert desk.loads['e1'].is_resting('z2', 20)
+    assert not desk.loads['e1'].is_resting('z1', 20)
+
+
+def test_a_new_incarnation_inherits_nothing() -> None:
+    """An engine starts again under its name. Its old runs would fill its
+    places for ever, since nobody reports their end.
+    """
+    desk = cell(engine('e1'))
+    offer(desk, ask('r1'))
+    granted(desk)
+    desk.adopt([engine('e1', born_ms=2)], desk.loads['e1'].traits, {})
+    assert not desk.loads['e1'].runs
+
+
+def test_a_leaving_engine_is_not_granted() -> None:
+    desk = cell(engine('e1'), engine('e2'))
+    leaving = engine('e1', is_leaving=True)
+    desk.adopt([leaving, engine('e2')], desk.loads['e1'].traits, {})
+    for number in range(4):
+        offer(desk, ask(f'r{number}'))
+    assert {name for _, name in granted(desk)} == {'e2'}
+
+
+def test_a_lost_ingress_takes_its_runs_with_it() -> None:
+    desk = cell(engine('e1', slots=1))
+    offer(desk, ask('r1'))
+    granted(desk)
+    desk.drop_sender('s')
+    offer(desk, ask('r2'))
+    assert granted(desk) == [('r2', 'e1')]
+
+
+def test_runs_registered_with_a_new_owner_hold_their_places() -> None:
+    """An owner dies and its ingresses register their runs with the next.
+    Unless they count, the next owner fills engines that are full.
+    """
+    desk = cell(engine('e1', slots=1))
+    run = Register(
+        request_id='old',
+        cell='desk',
+        upstream='e1',
+        prompt_tokens=10,
+        output_tokens=10,
+        is_prefilling=False,
+        fingerprint='f',
+    )
+    desk.register(run, 'other')
+    offer(desk, ask('r1'))
+    assert not granted(desk)
+    desk.release(_release('old', RunEnd.ANSWERED), 10)
+    assert granted(desk, 10) == [('r1', 'e1')]
+
+
+def test_second_tries_have_a_budget() -> None:
+    """Engines fail many requests at once. Each second try loads those that
+    still work, until these fail as well.
+    """
+    desk = cell(*(engine(f'e{number}', slots=99) for number in range(4)))
+    refusals = 0
+    for number in range(60):
+        request = ask(f'r{number}', excluded=['e0'], dispatches=1)
+        refusals += offer(desk, request) is not None
+    assert refusals == 50
+
+
+def test_a_request_that_crashes_engines_is_stopped() -> None:
+    """One request crashes each engine that begins it, and its caller sends it
+    again. After the third engine it is refused; those that ran beside it and
+    are answered since are not.
+    """
+    engines = [engine(f'e{number}') for number in range(5)]
+    desk = cell(*engines)
+    for number in range(3):
+        name = f'e{number}'
+        others = [each.name for each in engines if each.name != name]
+        for request_id in (f'bad-{number}', f'good-{number}'):
+            print_of = request_id.partition('-')[0]
+            request = ask(request_id, fingerprint=print_of, excluded=others)
+            assert offer(desk, request, now=number) is None
+        assert len(granted(desk, number)) == 2
+        for request_id in (f'bad-{number}', f'good-{number}'):
+            desk.release(_release(request_id, RunEnd.FAILED), number)
+        again = ask(f'again-{number}', excluded=others)
+        offer(desk, again, now=number)
+        granted(desk, number)
+        desk.release(
+            _release(f'again-{number}', RunEnd.NOT_DISPATCHED),
+            number,
+        )
+    desk.suspicions.note_answered('good')
+    refused = offer(desk, ask('bad-9', fingerprint='bad'), now=9)
+    assert _reason(refused) == RefusalReason.CULPRIT
+    assert offer(desk, ask('good-9', fingerprint='good'), now=9) is None
+
+
+def test_a_broken_connection_alone_blames_nobody() -> None:
+    """Links reset and answers get lost. Were each a crash, one unlucky lookup
+    that all callers send alike would be refused to all of them.
+    """
+    desk = cell(engine('e1', slots=99))
+    for number in range(20):
+        offer(desk, ask(f'r{number}', fingerprint='same'))
+        granted(desk)
+        desk.release(_release(f'r{number}', RunEnd.FAILED), 10)
+    assert offer(desk, ask('next', fingerprint='same'), now=20) is None
--- /dev/null
+++ b/tests/process/test_front_settings.py
@@ -0,0 +1,38 @@
+"""Settings of a front process."""
+
+import json
+import pathlib
+
+import pytest
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.process.serve_front import load_front_settings
+from tests.platform.fleet import front_settings
+
+
+def test_seconds_become_milliseconds() -> None:
+    settings = front_settings(Address('127.0.0.1', 1))
+    assert settings.bounds.grace_ms == 3000
+    assert settings.bounds.quota_window_ms == 8000
+
+
+@pytest.mark.parametrize(
+    ('field', 'text'),
+    [
+        ('address', 'nowhere'),
+        ('fleet_secret', 'short'),
+        ('cores', 0),
+        ('bounds', {}),
+        ('no_such_field', 1),
+    ],
+)
+def test_errors_name_file_and_field(
+    tmp_path: pathlib.Path,
+    field: str,
+    text: object,
+) -> None:
+    path = tmp_path / 'front.json'
+    path.write_text(json.dumps({field: text}))
+    errors = load_front_settings(str(path)).unwrap_err()
+    shown = [str(error) for error in errors]
+    assert any(f'{path}: {field}' in each for each in shown)
--- /dev/null
+++ b/tests/process/test_spending.py
@@ -0,0 +1,34 @@
+"""What teams have spent, as ingresses report it."""
+
+from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.wire import Spending
+
+
+def test_the_log_forgets_what_the_window_has_left() -> None:
+    log = SpendingLog(8000)
+    log.add('guides', 100, 0)
+    log.add('guides', 50, 5000)
+    assert log.report(6000) == [Spending(team='guides', tokens=150)]
+    assert log.report(9000) == [Spending(team='guides', tokens=50)]
+    assert not log.report(20_000)
+
+
+def test_reports_add_up_and_a_new_one_replaces_the_old() -> None:
+    reports = SpendingReports(8000)
+    reports.note('a', [Spending(team='guides', tokens=100)], 9000)
+    reports.note('a', [Spending(team='guides', tokens=120)], 9300)
+    reports.note('b', [Spending(team='guides', tokens=7)], 100)
+    assert reports.spent('guides') == 127
+    reports.forget('a')
+    assert reports.spent('guides') == 7
+
+
+def test_young_reporters_do_not_remember_a_window() -> None:
+    reports = SpendingReports(8000)
+    assert not reports.is_complete()
+    reports.note('a', [], 100)
+    reports.note('b', [], 9000)
+    reports.note('c', [], 200)
+    assert not reports.is_complete()
+    reports.note('c', [], 9000)
+    assert reports.is_complete()
--- /dev/null
+++ b/tests/process/test_token_quota.py
@@ -0,0 +1,82 @@
+"""Limits of teams in tokens."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.process.routed import quotas, team
+
+SPENDINGS = st.lists(
+    st.tuples(st.integers(0, 2000), st.integers(1, 6000)),
+    max_size=60,
+)
+
+
+@given(SPENDINGS)
+def test_no_window_holds_more_than_the_limit(
+    spendings: list[tuple[int, int]],
+) -> None:
+    limits = quotas()
+    guides = team()
+    taken = []
+    now = 0
+    for wait_ms, tokens in spendings:
+        now += wait_ms
+        if limits.take(guides, tokens, now):
+            taken.append((now, tokens))
+    for start, _ in taken:
+        window = [each for at, each in taken if start <= at < start + 8000]
+        assert sum(window) <= 1000 * 8 + 1000
+
+
+def test_nothing_is_refused_below_the_limit() -> None:
+    limits = quotas()
+    for second in range(60):
+        assert limits.take(team(), 1000, second * 1000)
+
+
+def test_a_team_without_a_rate_has_no_limit() -> None:
+    assert quotas().take(team(rate=0), 10**9, 0)
+
+
+def test_what_never_ran_is_given_back() -> None:
+    limits = quotas()
+    assert limits.take(team(), 9000, 0)
+    assert not limits.take(team(), 1, 10)
+    limits.give_back('guides', 9000)
+    assert limits.take(team(), 9000, 20)
+
+
+def test_the_time_to_come_back_is_when_there_is_room() -> None:
+    limits = quotas()
+    limits.take(team(), 9000, 0)
+    wait_ms = limits.retry_after_ms(team(), 500, 1000)
+    assert not limits.take(team(), 500, 1000 + wait_ms - 10)
+    assert limits.take(team(), 500, 1000 + wait_ms)
+
+
+def test_after_a_restart_of_all_nobody_gets_a_burst() -> None:
+    """Every process is killed while a team spends its whole limit. Nobody
+    remembers that; a new owner that gave it a burst would break the limit.
+    """
+    limits = quotas(is_remembered=False, is_first_start=False)
+    assert not limits.take(team(), 2000, 0)
+    assert limits.take(team(), 900, 1000)
+
+
+def test_a_new_owner_counts_what_is_reported() -> None:
+    limits = quotas(spent=8000, is_first_start=False)
+    assert limits.take(team(), 1000, 0)
+    assert not limits.take(team(), 600, 10)
+
+
+def test_two_halves_of_a_cut_fleet_spend_the_limit_once() -> None:
+    """The fleet is cut in two and each side has an owner. Together they may
+    not spend the limit twice.
+    """
+    sides = [quotas(share=0.7), quotas(share=0.3)]
+    spent = sum(
+        100 * side.take(team(), 100, number * 10)
+        for number in range(200)
+        for side in sides
+    )
+    assert spent <= 9000
--- /dev/null
+++ b/tests/request/test_event_feed.py
@@ -0,0 +1,44 @@
+"""Whole events out of pieces of a stream."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeamdeck.request.event_feed import EventFeed
+
+STREAM = b''.join(
+    f'id: {number}\ndata: w\n\n'.encode() for number in range(1, 6)
+)
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_any_cut_into_pieces_gives_the_same_events(cuts: list[int]) -> None:
+    feed = EventFeed()
+    events = []
+    start = 0
+    ends = [*sorted(cuts), len(STREAM)]
+    for end in ends:
+        events += feed.feed(STREAM[start:end])
+        start = end
+    assert b''.join(event.encoded for event in events) == STREAM
+    assert [event.name for event in events] == ['1', '2', '3', '4', '5']
+    assert not feed.has_half
+
+
+def test_half_an_event_is_held_back() -> None:
+    """An engine breaks within an event. Passed on, the half would be joined to
+    the first event of the engine that goes on.
+    """
+    feed = EventFeed()
+    assert len(feed.feed(STREAM[:-3])) == 4
+    assert feed.has_half
+
+
+def test_all_line_endings_end_events() -> None:
+    for end in (b'\n', b'\r\n', b'\r'):
+        feed = EventFeed()
+        events = feed.feed(b'id: 4' + end + b'data: x' + end + end)
+        assert len(events) == 1
+
+
+def test_events_without_an_id_have_no_name() -> None:
+    assert EventFeed().feed(b'data: id: 3\n\n')[0].name == ''
