--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -1,5 +1,6 @@
 """One running front process: opens its addresses, leaves them in order."""
 
+import math
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
@@ -58,6 +59,7 @@
         self.parts = FrontParts.from_settings(settings, wires)
         self.is_leaving = False
         self.in_flight = 0
+        self._stopped_ms = math.inf
         self._wires = wires
         self._entry = StoreEntry(self.parts.store, self.parts.membership)
         self.listeners: list[Listener] = []
@@ -117,7 +119,7 @@
         """
         parts = self.parts
         self.is_leaving = True
-        stopped_ms = now_ms()
+        self._stopped_ms = now_ms()
         parts.membership.own = parts.membership.own._replace(
             state=STATE_LEAVING,
         )
@@ -126,8 +128,8 @@
         await parts.grants.async_review()
         await self._async_spawn(self._entry.async_withdraw())
         bounds = self.settings.bounds
-        end_ms = stopped_ms + bounds.grace_ms - STOP_MARGIN_MS
-        open_ms = stopped_ms + KEPT_TIMES * bounds.entries_ttl_ms
+        end_ms = self._stopped_ms + bounds.grace_ms - STOP_MARGIN_MS
+        open_ms = self._stopped_ms + KEPT_TIMES * bounds.entries_ttl_ms
         while now_ms() < end_ms and (self.in_flight or now_ms() < open_ms):
             await sleep(DRAIN_POLL_MS / MILLIS_PER_SECOND)
         cut_off = self.in_flight
@@ -157,6 +159,10 @@
 
     def _edge(self) -> Edge:
         parts = self.parts
+
+        def _spend(team: str, tokens: int) -> None:
+            parts.spending.add(team, tokens, now_ms())
+
         return Edge(
             dialect=self._wires.dialect,
             configuration=lambda: parts.follower.configuration,
@@ -165,10 +171,11 @@
             acquire=parts.grants.async_acquire,
             progress=parts.grants.async_progress,
             release=parts.grants.async_release,
-            spend=self._spend,
+            spend=_spend,
             metrics=parts.metrics,
             zone=self.settings.availability_zone,
             is_leaving=lambda: self.is_leaving,
+            stop_share=self._stop_share,
             in_flight=self._count_in_flight,
         )
 
@@ -181,8 +188,9 @@
         limit_ms = self.settings.bounds.revocation_ms - PROOF_MARGIN_MS
         return self._proof_age_ms() < limit_ms
 
-    def _spend(self, team: str, tokens: int) -> None:
-        self.parts.spending.add(team, tokens, now_ms())
+    def _stop_share(self) -> float:
+        passed_ms = now_ms() - self._stopped_ms
+        return max(passed_ms / self.settings.bounds.grace_ms, 0)
 
     @contextmanager
     def _count_in_flight(self) -> Iterator[None]:
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -89,8 +89,10 @@
                 is_watching = await self._async_watch_configuration()
             else:
                 is_watching = await self.async_read_configuration()
-                if not is_watching:
-                    await sleep(RETRY_MS / MILLIS_PER_SECOND)
+            if not is_watching:
+                # A store whose history is gone ends every watch at once; read
+                # without a pause it would be called hundreds of times a second.
+                await sleep(RETRY_MS / MILLIS_PER_SECOND)
 
     async def async_follow_engines(self) -> None:
         """Keep the list of engines current, for ever."""
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -2,7 +2,7 @@
 
 Load pattern: bursts of twice what the engines carry, for seconds. A request
 whose wait would pass its objective is better refused at its arrival than after
-it has waited in vain.
+it has waited in vain, and one that returns late must not make a fresh one late.
 """
 
 from collections.abc import Iterator
@@ -18,22 +18,38 @@
 FIRST_INTERVAL_MS: Final = 15.0
 # A pause between grants longer than this says that nothing waited.
 MAX_INTERVAL_MS: Final = 300.0
-# How long a request may wait that is late anyway.
-LATE_WAIT_MS: Final = 600.0
-# Part of its objective that a request may be expected to wait, by priority.
-WAIT_SHARES: Final = (0.5, 0.4, 0.35)
+# Part of its objective that a request may be expected to wait, by priority:
+# what is left over covers the error of the expectation.
+WAIT_SHARES: Final = (0.6, 0.4, 0.35)
+# How long a request may wait that is late anyway; after this it hears that it
+# won't be served, with time left for its caller's own ways.
+LATE_WAIT_MS: Final = 500.0
+# Ranks between what is late and what can be on time: a late request of the
+# first priority is still worth more than a fresh one of the next, a late one
+# of the second less than a fresh one of the third.
+LATE_RANKS: Final = (0.5, 2.5, 3.5)
+# Each so many grants one goes to who must start first, whatever its priority,
+# so that a flood of urgent requests starves no one.
+EVEN_TURN: Final = 6
 
 
 class _Place(NamedTuple):
+    """A waiting request.
+
+    :param start_ms: when it must start to be on time.
+    :param objective_ms: when its answer is late.
+    """
+
     ticket: Ticket
-    order_ms: float
+    start_ms: float
     objective_ms: float
 
-    def rank(self, now: float) -> tuple[bool, float]:
-        """Order: second tries, then what can be on time, then the rest."""
-        if self.ticket.request.excluded:
-            return (False, 0)
-        return (self.order_ms < now, self.order_ms)
+    def rank(self, now: float) -> tuple[float, float]:
+        """Order by second tries first, then priority, then urgency."""
+        request = self.ticket.request
+        if request.excluded:
+            return (-1, self.start_ms)
+        return (_rank(request, is_late=self.start_ms < now), self.start_ms)
 
 
 class WaitingRoom:
@@ -41,9 +57,10 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._places: dict[str, _Place] = {}
         self.interval_ms = FIRST_INTERVAL_MS
+        self._places: dict[str, _Place] = {}
         self._granted_ms = 0.0
+        self._grants = 0
 
     def __len__(self) -> int:
         """Count the waiting requests."""
@@ -56,11 +73,13 @@
         """
         request = ticket.request
         objective_ms = now + _objective_ms(request)
-        self._places[request.request_id] = _Place(
-            ticket,
-            objective_ms - fastest_ms,
-            objective_ms,
-        )
+        start_ms = objective_ms - fastest_ms
+        if not request.excluded:
+            end_ms = max(objective_ms, now) + LATE_WAIT_MS
+            end_ms = min(ticket.deadline_ms, end_ms)
+            ticket = ticket._replace(deadline_ms=end_ms)
+        place = _Place(ticket, start_ms, objective_ms)
+        self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
         """Take out a request, if it waits here."""
@@ -69,24 +88,26 @@
 
     def remove_sender(self, sender: str) -> list[Ticket]:
         """Take out all that came by one connection."""
-        gone = [
-            place.ticket
-            for place in self._places.values()
-            if place.ticket.sender == sender
-        ]
-        for ticket in gone:
-            self._places.pop(ticket.request.request_id)
-        return gone
+        return self._remove_all(
+            [
+                place.ticket
+                for place in self._places.values()
+                if place.ticket.sender == sender
+            ],
+        )
 
     def in_order(self, now: float) -> Iterator[Ticket]:
-        """Walk over what waits: first what can be on time, most urgent first.
-
-        What is late already earns less; it goes behind all that is not.
-        """
-        ordered = sorted(
-            self._places.values(),
-            key=lambda place: place.rank(now),
-        )
+        """Walk over what waits, in the order in which it is to start."""
+        if self._grants % EVEN_TURN:
+            ordered = sorted(
+                self._places.values(),
+                key=lambda place: place.rank(now),
+            )
+        else:
+            ordered = sorted(
+                self._places.values(),
+                key=lambda place: (place.start_ms < now, place.start_ms),
+            )
         return (place.ticket for place in ordered)
 
     def is_late(self, request_id: str, now: float) -> bool:
@@ -96,19 +117,19 @@
 
     def expired(self, now: float) -> list[Ticket]:
         """Take out what nobody waits for any more."""
-        gone = [
-            place.ticket
-            for place in self._places.values()
-            if place.ticket.deadline_ms < now
-        ]
-        for ticket in gone:
-            self._places.pop(ticket.request.request_id)
-        return gone
+        return self._remove_all(
+            [
+                place.ticket
+                for place in self._places.values()
+                if place.ticket.deadline_ms < now
+            ],
+        )
 
     def note_grant(self, now: float) -> None:
         """Learn how fast places come free."""
         passed_ms = now - self._granted_ms
         self._granted_ms = now
+        self._grants += 1
         if passed_ms < MAX_INTERVAL_MS:
             change_ms = (passed_ms - self.interval_ms) / GRANTS_AVERAGED
             self.interval_ms += change_ms
@@ -121,21 +142,32 @@
         """Whether a request that must wait can start in time."""
         objective_ms = _objective_ms(request)
         start_ms = now + objective_ms - fastest_ms
-        if start_ms < now:
-            # It is late already: it may fill what the others leave.
-            allowed_ms = LATE_WAIT_MS
-            ahead = len(self._places)
-        else:
-            rank = min(request.tier_rank, len(WAIT_SHARES) - 1)
-            allowed_ms = objective_ms * WAIT_SHARES[rank] - fastest_ms
-            ahead = sum(
-                now <= place.order_ms <= start_ms
-                for place in self._places.values()
-            )
+        is_late = start_ms < now
+        allowed_ms = LATE_WAIT_MS
+        if not is_late:
+            share = _of_rank(WAIT_SHARES, request)
+            allowed_ms = objective_ms * share - fastest_ms
+        own = (_rank(request, is_late=is_late), start_ms)
+        ahead = sum(place.rank(now) <= own for place in self._places.values())
         return ahead * self.interval_ms <= max(allowed_ms, 0)
 
+    def _remove_all(self, tickets: list[Ticket]) -> list[Ticket]:
+        for ticket in tickets:
+            self._places.pop(ticket.request.request_id)
+        return tickets
+
 
 def _objective_ms(request: Enqueue) -> int:
     if request.objective_ms is None:
         return int(request.deadline_ms)
     return int(request.objective_ms)
+
+
+def _rank(request: Enqueue, *, is_late: bool) -> float:
+    if is_late:
+        return _of_rank(LATE_RANKS, request)
+    return float(request.tier_rank)
+
+
+def _of_rank(by_rank: tuple[float, ...], request: Enqueue) -> float:
+    return by_rank[min(int(request.tier_rank), len(by_rank) - 1)]
--- a/hornbeamdeck/request/routed_admission.py
+++ b/hornbeamdeck/request/routed_admission.py
@@ -70,7 +70,8 @@
             PATIENCE_GAPS * self.route.gap_ms,
         )
         end_ms = self.arrived_ms + patience_ms - WAY_BACK_MS
-        return min(self.left_ms, max(int(end_ms - now_ms()), 0))
+        patience_ms = min(self.left_ms - WAY_BACK_MS, int(end_ms - now_ms()))
+        return max(patience_ms, 0)
 
     @property
     def rank(self) -> int:
--- a/hornbeamdeck/request/routed_edge.py
+++ b/hornbeamdeck/request/routed_edge.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 from http import HTTPStatus
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 import structlog
 from result import Err, Result
@@ -23,6 +23,13 @@
 
 _LOGGER = structlog.get_logger(prefix='edge')
 
+# Streams run for seconds; one that begins in the last two thirds of a planned
+# stop may still run at its end. Other answers are there in a fraction of it.
+STREAM_SHARE: Final = 0.35
+WHOLE_SHARE: Final = 0.8
+# Another instance is there at once.
+LEAVING_RETRY_MS: Final = 20
+
 RunRequest: TypeAlias = Callable[
     [RoutedAdmission, ServerConnection],
     Awaitable[None],
@@ -44,6 +51,7 @@
     :param spend: told a team's name and the tokens that it was granted.
     :param zone: this instance's availability zone.
     :param is_leaving: whether a planned stop has begun.
+    :param stop_share: part of a planned stop's time that is over; 0: none.
     :param in_flight: counts a request while it is being answered.
     """
 
@@ -58,6 +66,7 @@
     metrics: FrontMetrics
     zone: str
     is_leaving: Callable[[], bool]
+    stop_share: Callable[[], float]
     in_flight: Callable[[], AbstractContextManager[None]]
 
 
@@ -100,9 +109,31 @@
     if isinstance(admitted, Err):
         await _async_refuse(edge, ask.request_id, admitted.err_value, caller)
         return
+    if _would_be_cut(edge, admitted.ok_value):
+        await _async_refuse(edge, ask.request_id, _leaving(), caller)
+        return
     await run(admitted.ok_value, caller)
 
 
+def _would_be_cut(edge: Edge, admission: RoutedAdmission) -> bool:
+    """Whether a planned stop would cut a request off that comes now.
+
+    Some callers keep an address far longer than they are told and come in the
+    last seconds of a stop. A stream begun then would break in the middle.
+    """
+    share = STREAM_SHARE if admission.route.is_stream else WHOLE_SHARE
+    return edge.stop_share() > share
+
+
+def _leaving() -> NotRun:
+    return NotRun(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'leaving',
+        'this instance is about to stop; another one serves',
+        LEAVING_RETRY_MS,
+    )
+
+
 async def _async_refuse(
     edge: Edge,
     request_id: str,
