--- a/hornbeamdeck/cli.py
+++ b/hornbeamdeck/cli.py
@@ -1,16 +1,21 @@
 """The command line."""
 
 import sys
-from typing import Final
+from typing import Any, Final
 
 import curio
 import fire
 from result import Err
 
 from hornbeamdeck.demo.run import async_demo
+from hornbeamdeck.process.front_settings import FrontSettings
 from hornbeamdeck.process.logs import setup_logs
 from hornbeamdeck.process.serve import async_serve
-from hornbeamdeck.process.settings import load_settings
+from hornbeamdeck.process.settings import (
+    Settings,
+    load_checked,
+    load_settings,
+)
 from hornbeamdeck.standin.commands import async_standin
 
 __all__ = ('main',)
@@ -36,6 +41,27 @@
     sys.exit(EXIT_FAILED if curio.run(async_serve, chosen) else 0)
 
 
+def check_settings(path: str) -> None:
+    """Check a settings file, of an instance or of a front process.
+
+    Example: hornbeamdeck check-settings instance.json
+
+    :param path: path of the settings file (JSON).
+    """
+    checked = load_checked(path, _settings_of)
+    if isinstance(checked, Err):
+        for error in checked.err_value:
+            print(error, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    print(f'{path}: {checked.ok_value.instance_id}: no errors')
+
+
+def _settings_of(raw: dict[str, Any]) -> Settings | FrontSettings:
+    if 'entries_address' in raw:
+        return FrontSettings.from_config(raw)
+    return Settings.from_config(raw)
+
+
 def demo(json: bool = False) -> None:
     """Replay two recorded traces on an embedded fleet and check outcomes.
 
@@ -82,6 +108,11 @@
 def main() -> None:
     """Run the command that the arguments name."""
     fire.Fire(
-        {'serve': serve, 'demo': demo, 'standin': standin},
+        {
+            'serve': serve,
+            'check-settings': check_settings,
+            'demo': demo,
+            'standin': standin,
+        },
         name='hornbeamdeck',
     )
--- a/hornbeamdeck/process/attendance.py
+++ b/hornbeamdeck/process/attendance.py
@@ -111,6 +111,9 @@
         known = self._membership.known()
         live = [each for each in known if each.state == STATE_LIVE]
         now = now_ms()
+        if now - self.started_ms < YOUNG_MS:
+            # Nobody has had the time to be heard of.
+            return 1.0
         heard = sum(
             now - heard.at_ms < PRESENT_MS for heard in self._heard.values()
         )
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -4,15 +4,16 @@
 
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from hornbeamdeck.process.front_metrics import FrontMetrics
 from hornbeamdeck.process.metrics import Metrics
 from tests.support import booking_entry, desk_entry, on_fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-def _names() -> set[str]:
+def _names(metrics: Metrics | FrontMetrics) -> set[str]:
     names = set()
-    for family in Metrics().registry.collect():
+    for family in metrics.registry.collect():
         suffix = '_total' if family.type == 'counter' else ''
         names.add(f'{family.name}{suffix}')
     return names
@@ -25,7 +26,7 @@
         for line in page.splitlines()
         if line.startswith('| `')
     }
-    assert listed == _names()
+    assert listed == _names(Metrics()) | _names(FrontMetrics())
 
 
 @on_fleet(FleetPlan(instances=2, speeds=(1.0,)))
@@ -52,4 +53,4 @@
         for sample in family.samples
         if sample.value
     }
-    assert _names() - {'hornbeamdeck_in_flight'} <= moved
+    assert _names(Metrics()) - {'hornbeamdeck_in_flight'} <= moved
