Learn how far expected waits can be trusted

Change: a factor on allowed waits for each rank, lowered by each wait in vain, raised by each in time and by time; late ones wait by priority; a long prompt's allowed wait is a share of what its reading leaves. The owner logs its load.

--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -114,8 +114,7 @@
             load = choose_engine(free, ticket, now, self._waiting.is_late)
             if load is None:
                 continue
-            self._waiting.remove(request.request_id)
-            self._waiting.note_grant(now)
+            self._waiting.start(request.request_id, now)
             self._start(load, ticket, now)
             if not load.has_place():
                 free.remove(load)
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Mapping
 
+import structlog
+
 from hornbeamdeck.process.cell_door import Shared
 from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.engine_directory import EngineDirectory
@@ -13,6 +15,8 @@
 
 __all__ = ('EngineCells',)
 
+_LOGGER = structlog.get_logger(prefix='scheduler')
+
 
 class EngineCells:
     """One cell for each service, all under the scheduler of this process."""
@@ -63,6 +67,19 @@
             },
         }
 
+    def log_load(self) -> None:
+        """Write what the owner knows of its engines, for who asks later."""
+        for service, cell in self._cells.items():
+            _LOGGER.info(
+                'load',
+                cell=service,
+                waiting=len(cell),
+                engines={
+                    name: (len(load.runs), load.slots, round(load.slowness, 2))
+                    for name, load in cell.loads.items()
+                },
+            )
+
     def learn_slowness(self, learned: Mapping[str, float]) -> None:
         """Take over what another owner has learned."""
         self._learned.update(learned)
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -45,6 +45,8 @@
 # A planned stop ends so long before the platform kills the process.
 STOP_MARGIN_MS: Final = 700
 DRAIN_POLL_MS: Final = 50
+# Between two lines in which an owner tells of its engines' load.
+LOAD_LOG_MS: Final = 2000
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 # Longest time from a request's first byte to its last.
 REQUEST_MS: Final = 15_000
@@ -270,9 +272,13 @@
     async def _async_review(self) -> None:
         """Move requests when another instance becomes the owner, for ever."""
         was_owner = self.parts.is_owner
+        logged_ms = 0.0
         while True:
             await sleep(BEAT_MS / MILLIS_PER_SECOND)
             is_owner = self.parts.is_owner
+            if is_owner and now_ms() - logged_ms > LOAD_LOG_MS:
+                logged_ms = now_ms()
+                self.parts.cells.log_load()
             if is_owner != was_owner:
                 _LOGGER.info('ownership changed', is_owner=is_owner)
             if was_owner and not is_owner:
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.ticket import Ticket
+from hornbeamdeck.process.wait_confidence import WaitConfidence
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('WaitingRoom',)
@@ -21,9 +22,9 @@
 # Part of its objective that a request may be expected to wait, by priority:
 # what is left over covers the error of the expectation.
 WAIT_SHARES: Final = (0.6, 0.4, 0.35)
-# How long a request may wait that is late anyway; after this it hears that it
-# won't be served, with time left for its caller's own ways.
-LATE_WAIT_MS: Final = 500.0
+# How long a request may wait that is late anyway, by priority; after this it
+# hears that it won't be served, with time left for its caller's own ways.
+LATE_WAITS_MS: Final = (1500.0, 500.0, 300.0)
 # Ranks between what is late and what can be on time: a late request of the
 # first priority is still worth more than a fresh one of the next, a late one
 # of the second less than a fresh one of the third.
@@ -38,11 +39,13 @@
 
     :param start_ms: when it must start to be on time.
     :param objective_ms: when its answer is late.
+    :param pushed_rank: its rank when it began to wait.
     """
 
     ticket: Ticket
     start_ms: float
     objective_ms: float
+    pushed_rank: float
 
     def rank(self, now: float) -> tuple[float, float]:
         """Order by second tries first, then priority, then urgency."""
@@ -61,6 +64,7 @@
         self._places: dict[str, _Place] = {}
         self._granted_ms = 0.0
         self._grants = 0
+        self._confidence = WaitConfidence()
 
     def __len__(self) -> int:
         """Count the waiting requests."""
@@ -75,10 +79,11 @@
         objective_ms = now + _objective_ms(request)
         start_ms = objective_ms - fastest_ms
         if not request.excluded:
-            end_ms = max(objective_ms, now) + LATE_WAIT_MS
+            end_ms = max(objective_ms, now) + _of_rank(LATE_WAITS_MS, request)
             end_ms = min(ticket.deadline_ms, end_ms)
             ticket = ticket._replace(deadline_ms=end_ms)
-        place = _Place(ticket, start_ms, objective_ms)
+        rank = _rank(request, is_late=start_ms < now)
+        place = _Place(ticket, start_ms, objective_ms, rank)
         self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
@@ -117,16 +122,21 @@
 
     def expired(self, now: float) -> list[Ticket]:
         """Take out what nobody waits for any more."""
-        return self._remove_all(
-            [
-                place.ticket
-                for place in self._places.values()
-                if place.ticket.deadline_ms < now
-            ],
-        )
-
-    def note_grant(self, now: float) -> None:
-        """Learn how fast places come free."""
+        over = [
+            place
+            for place in self._places.values()
+            if place.ticket.deadline_ms < now
+        ]
+        for waited in over:
+            self._confidence.note_in_vain(waited.pushed_rank, now)
+        return self._remove_all([place.ticket for place in over])
+
+    def start(self, request_id: str, now: float) -> None:
+        """Take out a request that starts; learn how fast places come free."""
+        place = self._places.pop(request_id)
+        was_late = place.pushed_rank != float(place.ticket.request.tier_rank)
+        if now <= place.start_ms or was_late:
+            self._confidence.note_in_time(place.pushed_rank, now)
         passed_ms = now - self._granted_ms
         self._granted_ms = now
         self._grants += 1
@@ -143,13 +153,14 @@
         objective_ms = _objective_ms(request)
         start_ms = now + objective_ms - fastest_ms
         is_late = start_ms < now
-        allowed_ms = LATE_WAIT_MS
+        allowed_ms = _of_rank(LATE_WAITS_MS, request)
         if not is_late:
             share = _of_rank(WAIT_SHARES, request)
-            allowed_ms = objective_ms * share - fastest_ms
+            allowed_ms = (objective_ms - fastest_ms) * share
         own = (_rank(request, is_late=is_late), start_ms)
+        allowed_ms *= self._confidence.factor(own[0], now)
         ahead = sum(place.rank(now) <= own for place in self._places.values())
-        return ahead * self.interval_ms <= max(allowed_ms, 0)
+        return ahead * self.interval_ms <= allowed_ms
 
     def _remove_all(self, tickets: list[Ticket]) -> list[Ticket]:
         for ticket in tickets:
--- /dev/null
+++ b/tests/process/test_waiting_room.py
@@ -0,0 +1,97 @@
+"""The order of waiting and how far expected waits are trusted."""
+
+from hornbeamdeck.process.ticket import Ticket
+from hornbeamdeck.process.wait_confidence import LEAST, WaitConfidence
+from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.wire import Enqueue
+from tests.process.routed import ask, async_ignore
+
+
+def _push(room: WaitingRoom, request: Enqueue, now: float = 0) -> None:
+    ticket = Ticket(
+        request=request,
+        sender='s',
+        deliver=async_ignore,
+        deadline_ms=now + (request.patience_ms or 0),
+        service_ms=0,
+    )
+    room.push(ticket, now, 20)
+
+
+def _order(room: WaitingRoom, now: float = 0) -> list[str]:
+    return [ticket.request.request_id for ticket in room.in_order(now)]
+
+
+def _start_one(room: WaitingRoom) -> None:
+    _push(room, ask('first'))
+    room.start('first', 0)
+
+
+def test_urgent_kinds_go_first_and_late_ones_behind() -> None:
+    room = WaitingRoom()
+    _start_one(room)
+    _push(room, ask('low', tier_rank=2))
+    _push(room, ask('late', objective_ms=-900))
+    _push(room, ask('middle', tier_rank=1))
+    _push(room, ask('top'))
+    _push(room, ask('late-low', tier_rank=2, objective_ms=-900))
+    assert _order(room) == ['top', 'late', 'middle', 'low', 'late-low']
+
+
+def test_a_second_try_goes_before_all() -> None:
+    room = WaitingRoom()
+    _start_one(room)
+    _push(room, ask('top'))
+    _push(room, ask('again', tier_rank=2, excluded=['e1']))
+    assert _order(room)[0] == 'again'
+
+
+def test_a_flood_of_urgent_requests_starves_no_one() -> None:
+    """Urgent requests alone fill every place. Were they always first, nobody
+    else would ever be served.
+    """
+    room = WaitingRoom()
+    _push(room, ask('low', tier_rank=2, objective_ms=400))
+    served = []
+    for number in range(12):
+        _push(room, ask(f'top-{number}', objective_ms=500), number)
+        first = _order(room, number)[0]
+        served.append(first)
+        room.start(first, number)
+    assert 'low' in served
+
+
+def test_who_waits_in_vain_teaches_not_to_let_the_next_wait() -> None:
+    """More urgent requests that come later overtake what waits. Expected waits
+    are then too short, and hundreds would wait for nothing.
+    """
+    room = WaitingRoom()
+    _start_one(room)
+    for number in range(8):
+        _push(room, ask(f'r{number}', tier_rank=1))
+    assert room.is_worth(ask('next', tier_rank=1), 20, 0)
+    assert len(room.expired(5000)) == 8
+    for number in range(8):
+        _push(room, ask(f's{number}', tier_rank=1), 5000)
+    assert not room.is_worth(ask('next', tier_rank=1), 20, 5001)
+    assert room.is_worth(ask('next'), 20, 5001)
+    assert room.is_worth(ask('next', tier_rank=1), 20, 25_000)
+
+
+def test_trust_has_a_floor_and_comes_back() -> None:
+    trust = WaitConfidence()
+    for _ in range(100):
+        trust.note_in_vain(1, 0)
+    assert trust.factor(1, 0) == LEAST
+    assert trust.factor(0, 0) == 1
+    assert trust.factor(1, 20_000) == 1
+
+
+def test_waits_end_soon_after_the_objective() -> None:
+    """Nobody starts in time any more, yet the caller would wait on. It hears so
+    half a second past its objective, not at the end of its patience.
+    """
+    room = WaitingRoom()
+    _push(room, ask('r1', objective_ms=500, patience_ms=3800))
+    assert not room.expired(900)
+    assert len(room.expired(1100)) == 1
