The next in rank reads at once when the store turns the owner away

The store turned the owner away as all keys of a team were revoked; the others began to read only when what they held was 1.8 s old, and the owner's hung watch took 1.9 s.

Change: beats say whether the store answers their sender, and the next in rank reads at once; watches wait 500 ms and are given up 400 ms later; news of a version is asked of the peer at once where the store is away. Proofs are used up 1.2 s before the bound, since a watch may hear nothing for a second.

--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -36,6 +36,9 @@
 
 # The store answers in milliseconds; when slow, in a few hundred.
 TIMEOUT_MS: Final = 900
+# What a watch may take beyond the wait that it asks for. One that hangs holds
+# up the news of keys taken away, so it is given up sooner than a read.
+WATCH_GRACE_MS: Final = 400
 # Pages of a list, each of about 500 entries.
 MAX_PAGES: Final = 100
 
@@ -190,7 +193,7 @@
             f'{PATH_OBJECTS}/{kind}',
             {'watch': str(since), 'wait_ms': str(wait_ms)},
             role=f'watch {kind}',
-            timeout_ms=wait_ms + TIMEOUT_MS,
+            timeout_ms=wait_ms + WATCH_GRACE_MS,
         )
         if isinstance(got, Err):
             return got
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -34,7 +34,7 @@
 
 _LOGGER = structlog.get_logger(prefix='beats')
 
-BEAT_MS: Final = 300
+BEAT_MS: Final = 250
 # Two beats and some: an instance that is silent for longer has stopped, is cut
 # off or so slow that waiting for it costs more than turning to the next.
 SILENCE_MS: Final = 800
@@ -50,6 +50,7 @@
     :param version: tells the version of the configuration held here.
     :param slowness: tells what was learned of each engine's speed.
     :param on_engines: told that the list of engines has changed.
+    :param is_store_reached: whether the last call to the store was answered.
     """
 
     membership: Membership
@@ -62,6 +63,7 @@
     slowness: Callable[[], Mapping[str, float]]
     learn_slowness: Callable[[Mapping[str, float]], None]
     on_engines: Callable[[], None]
+    is_store_reached: Callable[[], bool]
 
 
 class Beats:
@@ -70,6 +72,7 @@
     def __init__(self, parts: BeatParts) -> None:
         """Begin to count this process's age."""
         self._parts = parts
+        self.is_owner_lost = False
         self.attendance = Attendance(parts.membership, parts.version)
         self._unanswered_ms: dict[str, float] = {}
         self._told: dict[str, frozenset[str]] = {}
@@ -127,6 +130,7 @@
         self._take(peer_id, message)
         if peer_id == self._parts.membership.owner_of(FLEET_CELL):
             self.attendance.take_present(message.present or ())
+            self.is_owner_lost = not message.is_store_reached
 
         async def _async_deliver(reply: Message) -> None:
             await self._parts.peers.async_send(peer_id, reply)
@@ -191,6 +195,7 @@
             status=parts.membership.own.to_text(),
             memory_ms=int(now - self.attendance.started_ms),
             spent=parts.spending.report(now),
+            is_store_reached=parts.is_store_reached(),
         )
 
     def _take(self, peer_id: str, beat: Beat) -> None:
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -38,8 +38,9 @@
 _LOGGER = structlog.get_logger(prefix='front')
 
 # A proof of the configuration is used up so long before the bound on revoked
-# keys, for the way of a request to its engine.
-PROOF_MARGIN_MS: Final = 500
+# keys: a second in which watches may hear nothing while their history goes, and
+# the way of a request to its engine.
+PROOF_MARGIN_MS: Final = 1200
 # Callers keep an addresses answer so many times as long as they are told.
 KEPT_TIMES: Final = 3
 # A planned stop ends so long before the platform kills the process.
--- a/hornbeamdeck/process/front_parts.py
+++ b/hornbeamdeck/process/front_parts.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple, Self, TypeAlias
 
 from prometheus_client import Counter
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
@@ -31,7 +31,11 @@
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshot import Snapshots
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
-from hornbeamdeck.process.store_access import StoreAccess
+from hornbeamdeck.process.store_access import (
+    ConfigurationRead,
+    ReadConfiguration,
+    StoreAccess,
+)
 from hornbeamdeck.process.store_reader import ReaderParts, StoreReader
 from hornbeamdeck.process.token_quota import (
     QuotaRules,
@@ -111,6 +115,7 @@
         reports = SpendingReports(settings.bounds.quota_window_ms)
         scheduler = Scheduler()
         share: list[Callable[[], float]] = []
+        readers: list[StoreReader] = []
         cells = EngineCells(
             scheduler,
             directory,
@@ -128,7 +133,12 @@
                 is_first_start=settings.is_first_start,
             ),
         )
-        follower = _make_follower(store, wires.parse, metrics, cells)
+        follower = _make_follower(
+            _unless_lost(store, readers),
+            wires.parse,
+            metrics,
+            cells,
+        )
         identity = _make_identity(settings, metrics, follower)
         peers = Peers(
             membership,
@@ -149,11 +159,27 @@
                 slowness=cells.slowness,
                 learn_slowness=cells.learn_slowness,
                 on_engines=cells.refresh,
+                is_store_reached=lambda: readers[0].is_reached,
             ),
         )
         share.append(beats.attendance.share)
         grants = Grants(membership, peers, scheduler)
         _listen(peers, beats, grants)
+        readers.append(
+            StoreReader(
+                ReaderParts(
+                    access=store,
+                    freshness=freshness,
+                    directory=directory,
+                    rank=beats.attendance.rank,
+                    is_owner=lambda: _is_owner(membership),
+                    is_owner_lost=lambda: beats.is_owner_lost,
+                    version=identity.version,
+                    note=follower.async_note,
+                    on_engines=cells.refresh,
+                ),
+            ),
+        )
         return cls(
             metrics=metrics,
             store=store,
@@ -166,18 +192,7 @@
             peers=peers,
             grants=grants,
             beats=beats,
-            reader=StoreReader(
-                ReaderParts(
-                    access=store,
-                    freshness=freshness,
-                    directory=directory,
-                    rank=beats.attendance.rank,
-                    is_owner=lambda: _is_owner(membership),
-                    version=identity.version,
-                    note=follower.async_note,
-                    on_engines=cells.refresh,
-                ),
-            ),
+            reader=readers[0],
             snapshots=Snapshots(follower, membership, identity),
             identity=identity,
             spending=spending,
@@ -204,14 +219,32 @@
     )
 
 
-def _make_follower(
+def _unless_lost(
     store: StoreAccess,
+    readers: list[StoreReader],
+) -> ReadConfiguration:
+    """Read the store unless it is known to be away.
+
+    A newer version that a peer has told of is then asked of the peer at once,
+    not after the time that a silent store takes.
+    """
+
+    async def _async_read() -> Result[ConfigurationRead, PlatformDown]:
+        if not readers[0].is_reached:
+            return Err(PlatformDown('the last call was not answered'))
+        return await store.read_configuration()
+
+    return _async_read
+
+
+def _make_follower(
+    read_configuration: ReadConfiguration,
     parse: Parse,
     metrics: FrontMetrics,
     cells: EngineCells,
 ) -> Follower:
     async def _async_fetch() -> Result[StoredObject | None, PlatformDown]:
-        got = await store.read_configuration()
+        got = await read_configuration()
         if not isinstance(got, Ok):
             return got
         read = got.ok_value
--- a/hornbeamdeck/process/store_access.py
+++ b/hornbeamdeck/process/store_access.py
@@ -13,6 +13,7 @@
     'ConfigurationRead',
     'EngineChange',
     'EnginesRead',
+    'ReadConfiguration',
     'StoreAccess',
 )
 
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -30,18 +30,20 @@
 _LOGGER = structlog.get_logger(prefix='store')
 
 # How long the store holds a watch. A silent one is noticed a little later.
-WATCH_MS: Final = 1000
+WATCH_MS: Final = 500
 # Engines write every second or so; a pause gathers several into one answer.
 ENGINES_PAUSE_MS: Final = 350
 # Ages from which an instance that is not the owner reads for itself: keys must
 # be dead within seconds, leaving engines be left alone within two.
-CONFIGURATION_OLD_MS: Final = 1800
+CONFIGURATION_OLD_MS: Final = 1400
 ENGINES_OLD_MS: Final = 1200
+# The same once the owner has said that the store does not answer it.
+OWNER_LOST_MS: Final = 250
 # How much longer each rank waits before it reads for itself.
-RANK_MS: Final = 150
+RANK_MS: Final = 100
 MAX_RANK_MS: Final = 900
 # Between looks at whether reading is due.
-LOOK_MS: Final = 100
+LOOK_MS: Final = 50
 # Between tries at a store that does not answer, drawn from the second half.
 RETRY_MS: Final = 300
 
@@ -51,6 +53,7 @@
 
     :param rank: this process's place in the ranking, the owner's is 0.
     :param is_owner: whether this process owns the fleet's cells now.
+    :param is_owner_lost: whether the store does not answer the owner.
     :param version: the version of the configuration held here.
     :param note: takes a document that was read.
     :param on_engines: told that the list of engines has changed.
@@ -61,6 +64,7 @@
     directory: EngineDirectory
     rank: Callable[[], int]
     is_owner: Callable[[], bool]
+    is_owner_lost: Callable[[], bool]
     version: Callable[[], int]
     note: Callable[[StoredObject], Awaitable[None]]
     on_engines: Callable[[], None]
@@ -73,7 +77,7 @@
         """Start without anything read."""
         self._parts = parts
         self._book = EngineBook()
-        self._is_reached = True
+        self.is_reached = True
 
     async def async_follow_configuration(self) -> None:
         """Keep the configuration current, for ever."""
@@ -195,17 +199,19 @@
         if parts.is_owner():
             return True
         wait_ms = min(parts.rank() * RANK_MS, MAX_RANK_MS)
+        if parts.is_owner_lost():
+            old_ms = OWNER_LOST_MS
         return age_ms > old_ms + wait_ms
 
     def _configuration_age(self) -> float:
         return self._parts.freshness.age_ms(self._parts.version(), now_ms())
 
     def _note_lost(self, what: str, error: PlatformDown) -> None:
-        if self._is_reached:
-            self._is_reached = False
+        if self.is_reached:
+            self.is_reached = False
             _LOGGER.warning('store lost', reading=what, cause=error.cause)
 
     def _note_reached(self, what: str) -> None:
-        if not self._is_reached:
-            self._is_reached = True
+        if not self.is_reached:
+            self.is_reached = True
             _LOGGER.warning('store regained', reading=what)
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1634,6 +1634,7 @@
      - present
      - statuses
      - configuration_version
+     - is_store_reached
 
     """
 
@@ -1649,10 +1650,11 @@
         'present',
         'statuses',
         'configuration_version',
+        'is_store_reached',
     )
 
 
-    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None,):
+    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None,):
         self.stamp_ms = stamp_ms
         self.echo_ms = echo_ms
         self.configuration_age_ms = configuration_age_ms
@@ -1664,6 +1666,7 @@
         self.present = present
         self.statuses = statuses
         self.configuration_version = configuration_version
+        self.is_store_reached = is_store_reached
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1745,6 +1748,11 @@
                     self.configuration_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.is_store_reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1808,6 +1816,10 @@
             oprot.writeFieldBegin('configuration_version', TType.I64, 11)
             oprot.writeI64(self.configuration_version)
             oprot.writeFieldEnd()
+        if self.is_store_reached is not None:
+            oprot.writeFieldBegin('is_store_reached', TType.BOOL, 12)
+            oprot.writeBool(self.is_store_reached)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1830,6 +1842,8 @@
             raise TProtocolException(message='Required field spent is unset!')
         if self.configuration_version is None:
             raise TProtocolException(message='Required field configuration_version is unset!')
+        if self.is_store_reached is None:
+            raise TProtocolException(message='Required field is_store_reached is unset!')
         return
 
     def __repr__(self):
@@ -2513,6 +2527,7 @@
     (9, TType.LIST, 'present', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.LIST, 'statuses', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.I64, 'configuration_version', None, None, ),  # 11
+    (12, TType.BOOL, 'is_store_reached', None, None, ),  # 12
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -137,6 +137,7 @@
   9: optional list<string> present // only from an owner: who is alive
   10: optional list<string> statuses // only where the receiver lacks some
   11: required i64 configuration_version
+  12: required bool is_store_reached // whether the sender's last call was answered
 }
 
 struct EngineEntry {
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -3,7 +3,9 @@
 from curio import sleep
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.process.attendance import FLEET_CELL
 from hornbeamdeck.process.front import PROOF_MARGIN_MS
+from hornbeamdeck.process.rendezvous import ranking
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import StoreStandin, document
 
@@ -147,3 +149,45 @@
             == incarnation
         ),
     )
+
+
+@on_platform(2)
+async def test_a_key_dies_though_the_owner_is_turned_away(
+    fleet: PlatformFleet,
+) -> None:
+    """The store turns away the instance that reads for all, and at that moment
+    a key is taken away. The others read in its place and tell it, or the key
+    would live on everywhere.
+    """
+    ids = [front.settings.instance_id for front in fleet.fronts]
+    first = next(
+        number
+        for number in range(10, 99)
+        if ranking(FLEET_CELL, [*ids, f'front-{number}'])[0]
+        == f'front-{number}'
+    )
+    deaf = StoreStandin()
+    deaf.is_silent = True
+    seeds = [
+        str(front.parts.membership.own.peer_address) for front in fleet.fronts
+    ]
+    owner = await fleet.async_add_front(
+        first,
+        store=await deaf.async_start(),
+        seeds=tuple(seeds),
+    )
+    await fleet.async_until(
+        lambda: (
+            owner.is_ready
+            and owner.parts.is_owner
+            and not any(front.parts.is_owner for front in fleet.fronts[:2])
+        ),
+    )
+    version = await fleet.store.async_put('config', 'main', _without_keys())
+    await fleet.async_until(
+        lambda: all(
+            front.parts.follower.configuration.version == version
+            for front in fleet.fronts
+        ),
+    )
+    assert (await fleet.async_call('/seats/x', -1)).status == 401
