--- a/hornbeamdeck/process/attendance.py
+++ b/hornbeamdeck/process/attendance.py
@@ -50,7 +50,7 @@
         self._membership = membership
         self._version = version
         self._heard: dict[str, Heard] = {}
-        self._present: frozenset[str] = frozenset()
+        self._present: dict[str, frozenset[str]] = {}
 
     def hear(self, peer_id: str, stamp_ms: int, *, is_usable: bool) -> None:
         """Note a beat of a peer.
@@ -67,9 +67,9 @@
         """Take a peer for absent that has fallen silent."""
         self._heard.pop(peer_id, None)
 
-    def take_present(self, present: Iterable[str]) -> None:
-        """Take over whom the owner has heard of."""
-        self._present = frozenset(present)
+    def take_present(self, peer_id: str, present: Iterable[str]) -> None:
+        """Take over whom a peer has heard of; the owner's word counts."""
+        self._present[peer_id] = frozenset(present)
 
     def present(self) -> set[str]:
         """Name the instances that live and can serve, as known here."""
@@ -83,8 +83,9 @@
         if now - self.started_ms < YOUNG_MS:
             known = self._membership.known()
             heard |= {each.instance_id for each in known}
-        if not self._is_informed() and self._present:
-            heard = set(self._present)
+        told = self._present.get(self._membership.owner_of(FLEET_CELL))
+        if told and not self._is_informed():
+            heard = set(told)
         if own.state == STATE_LIVE and self._version():
             heard.add(own.instance_id)
         else:
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -66,6 +66,16 @@
     is_store_reached: Callable[[], bool]
 
 
+class _Told(NamedTuple):
+    """What a peer was told of instances.
+
+    :param changes: the membership's count of changes then.
+    """
+
+    changes: int
+    statuses: frozenset[str]
+
+
 class Beats:
     """Sends beats, answers them and takes in what they tell."""
 
@@ -75,7 +85,8 @@
         self.is_owner_lost = False
         self.attendance = Attendance(parts.membership, parts.version)
         self._unanswered_ms: dict[str, float] = {}
-        self._told: dict[str, frozenset[str]] = {}
+        self._told: dict[str, _Told] = {}
+        self._told_present: dict[str, frozenset[str]] = {}
         self._probed_ms = 0.0
 
     async def async_run(self) -> None:
@@ -114,7 +125,10 @@
             return
         self._take(peer_id, message)
         beat = self._make(peer_id)
-        beat.present = sorted(self.attendance.present())
+        if not message.echo_ms:
+            # It has started anew, and knows nothing of what its name was told.
+            self.forget_told(peer_id)
+        beat.present = self._untold_present(peer_id)
         beat.statuses = self._untold(peer_id)
         await deliver(beat)
         await self._async_send_engines(message, deliver)
@@ -128,8 +142,9 @@
             return
         self._unanswered_ms.pop(peer_id, None)
         self._take(peer_id, message)
+        if message.present is not None:
+            self.attendance.take_present(peer_id, message.present)
         if peer_id == self._parts.membership.owner_of(FLEET_CELL):
-            self.attendance.take_present(message.present or ())
             self.is_owner_lost = not message.is_store_reached
 
         async def _async_deliver(reply: Message) -> None:
@@ -140,6 +155,7 @@
     def forget_told(self, peer_id: str) -> None:
         """Tell a peer everything again, since its connection has gone."""
         self._told.pop(peer_id, None)
+        self._told_present.pop(peer_id, None)
 
     def _targets(self) -> list[str]:
         membership = self._parts.membership
@@ -237,10 +253,19 @@
 
     def _untold(self, peer_id: str) -> list[str]:
         membership = self._parts.membership
+        told = self._told.get(peer_id, _Told(-1, frozenset()))
+        if told.changes == membership.changes:
+            return []
         known = frozenset(each.to_text() for each in membership.known())
-        untold = known - self._told.get(peer_id, frozenset())
-        self._told[peer_id] = known
-        return sorted(untold)
+        self._told[peer_id] = _Told(membership.changes, known)
+        return sorted(known - told.statuses)
+
+    def _untold_present(self, peer_id: str) -> list[str] | None:
+        present = frozenset(self.attendance.present())
+        if self._told_present.get(peer_id) == present:
+            return None
+        self._told_present[peer_id] = present
+        return sorted(present)
 
     async def _async_send_engines(self, beat: Beat, deliver: Deliver) -> None:
         directory = self._parts.directory
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -86,6 +86,8 @@
         self._own = own
         self.suspects = Suspects(suspect_ms)
         self.is_published = False
+        # Counts what `note_status` took in, for who passes statuses on.
+        self.changes = 0
         self._statuses: dict[str, InstanceStatus] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._listed: dict[str, str] = {}
@@ -105,6 +107,7 @@
 
     def note_status(self, change: StoredObject) -> None:
         """Take in a status object that was written or deleted."""
+        self.changes += 1
         self._owners.clear()
         instance_id = change.key.rpartition('/')[2]
         if change.body is None:
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -134,7 +134,7 @@
   6: required string status        // the sender's own status object
   7: required i64 memory_ms        // how long the sender has been running
   8: required list<Spending> spent // in the quota window, by the sender's team
-  9: optional list<string> present // only from an owner: who is alive
+  9: optional list<string> present // in an answer: who lives; unset: as told before
   10: optional list<string> statuses // only where the receiver lacks some
   11: required i64 configuration_version
   12: required bool is_store_reached // whether the sender's last call was answered
