--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -50,6 +50,7 @@
     :param version: tells the version of the configuration held here.
     :param slowness: tells what was learned of each engine's speed.
     :param on_engines: told that the list of engines has changed.
+    :param is_first_start: whether nothing ran before this process.
     :param is_store_reached: whether the last call to the store was answered.
     """
 
@@ -64,6 +65,7 @@
     learn_slowness: Callable[[Mapping[str, float]], None]
     on_engines: Callable[[], None]
     is_store_reached: Callable[[], bool]
+    is_first_start: bool
 
 
 class _Told(NamedTuple):
@@ -103,7 +105,7 @@
         parts.reports.note(
             parts.membership.own.instance_id,
             parts.spending.report(now),
-            now - self.attendance.started_ms,
+            self._memory_ms(now),
         )
         targets = self._targets()
         for forgotten in self._unanswered_ms.keys() - set(targets):
@@ -209,7 +211,7 @@
                 parts.directory.confirmed_ms,
             ),
             status=parts.membership.own.to_text(),
-            memory_ms=int(now - self.attendance.started_ms),
+            memory_ms=int(self._memory_ms(now)),
             spent=parts.spending.report(now),
             is_store_reached=parts.is_store_reached(),
         )
@@ -238,6 +240,12 @@
             beat.echo_ms - beat.engines_age_ms,
         )
 
+    def _memory_ms(self, now: float) -> float:
+        if self._parts.is_first_start:
+            # Before it there was nothing to remember.
+            return NEVER_MS
+        return now - self.attendance.started_ms
+
     def _note_status(self, text: str) -> None:
         try:
             status = InstanceStatus.from_text(text)
--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -88,7 +88,6 @@
             return self._shared.quotas.retry_after_ms(
                 team,
                 request.quota_tokens or 0,
-                now,
             )
         return self._returns.take(
             request.fingerprint,
--- a/hornbeamdeck/process/front_parts.py
+++ b/hornbeamdeck/process/front_parts.py
@@ -160,6 +160,7 @@
                 learn_slowness=cells.learn_slowness,
                 on_engines=cells.refresh,
                 is_store_reached=lambda: readers[0].is_reached,
+                is_first_start=settings.is_first_start,
             ),
         )
         share.append(beats.attendance.share)
--- a/hornbeamdeck/process/token_quota.py
+++ b/hornbeamdeck/process/token_quota.py
@@ -5,7 +5,6 @@
 others would wait behind it) nor too much.
 """
 
-from collections import deque
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -21,10 +20,9 @@
 # From this share of the instances on, an owner spends the whole limit; those
 # that are cut off spend their own share, which fits the allowed overage.
 WHOLE_SHARE: Final = 0.8
-# An engine may begin a request so much later than it was granted here.
-LATE_START_MS: Final = 300
-# Into so many entries is spread what was spent before this process counted.
-SPREAD: Final = 16
+# Part of that which may be spent at once, besides the team's burst; the rest
+# makes the buckets fill a little faster than the team's rate.
+BURST_SHARE: Final = 0.3
 MIN_RETRY_MS: Final = 100
 
 
@@ -51,29 +49,27 @@
     slack: float
 
 
-class _Spent(NamedTuple):
-    at_ms: float
-    tokens: float
+class _Bucket:
+    """A token bucket; it may be overdrawn by one request."""
 
+    def __init__(self, level: float, now: float) -> None:
+        self.level = level
+        self.updated_ms = now
 
-class _Window:
-    """What one team has spent within the window."""
-
-    def __init__(self) -> None:
-        self.entries: deque[_Spent] = deque()
-        self.total = 0.0
-
-    def add(self, at_ms: float, tokens: float) -> None:
-        self.entries.append(_Spent(at_ms, tokens))
-        self.total += tokens
-
-    def forget(self, before_ms: float) -> None:
-        while self.entries and self.entries[0].at_ms < before_ms:
-            self.total -= self.entries.popleft().tokens
+    def fill(self, per_ms: float, capacity: float, now: float) -> None:
+        gained = max(now - self.updated_ms, 0) * per_ms
+        self.level = min(self.level + gained, capacity)
+        self.updated_ms = now
 
 
 class TokenQuotas:
-    """A sliding window for each team that has asked."""
+    """A bucket for each team that has asked.
+
+    What a bucket holds and what it gains within a window are together what the
+    window may hold. So spending is even: after a burst there is no pause until
+    the burst has left the window, and whoever counts next, knowing nothing of
+    it, is safe with an empty bucket.
+    """
 
     def __init__(
         self,
@@ -82,88 +78,81 @@
         *,
         is_first_start: bool,
     ) -> None:
-        """Start without windows.
+        """Start without buckets.
 
         :param is_first_start: nothing can have been spent before.
         """
         self._view = view
-        self._window_ms = rules.window_ms + LATE_START_MS
         self._rules = rules
         self._is_first_start = is_first_start
-        self._windows: dict[str, _Window] = {}
+        self._buckets: dict[str, _Bucket] = {}
 
     def take(self, team: RoutedTeam, tokens: int, now: float) -> bool:
         """Count tokens against a team's limit if they fit."""
         if not team.rate_per_s:
             return True
-        window = self._windows.get(team.name)
-        if window is None:
-            window = self._first_window(team, now)
-            self._windows[team.name] = window
-        window.forget(now - self._window_ms)
-        if window.total + tokens > self._allowed(team):
+        capacity = self._capacity(team)
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            bucket = _Bucket(self._first_level(team), now)
+            self._buckets[team.name] = bucket
+        bucket.fill(self._per_ms(team), capacity, now)
+        # A request larger than the bucket would never pass a full one.
+        if bucket.level < min(tokens, capacity):
             return False
-        window.add(now, tokens)
+        bucket.level -= tokens
         return True
 
     def give_back(self, team: str, tokens: int) -> None:
         """Return what a request took that never ran."""
-        window = self._windows.get(team)
-        if window is not None and window.entries:
-            window.add(window.entries[-1].at_ms, -tokens)
+        bucket = self._buckets.get(team)
+        if bucket is not None:
+            bucket.level += tokens
 
     def forget(self) -> None:
-        """Drop all windows, since another instance is the owner now."""
-        self._windows.clear()
+        """Drop all buckets, since another instance is the owner now."""
+        self._buckets.clear()
         self._is_first_start = False
 
-    def retry_after_ms(
-        self,
-        team: RoutedTeam,
-        tokens: int,
-        now: float,
-    ) -> int:
-        """Tell when the window will have room for so many tokens."""
-        window = self._windows.get(team.name)
-        if window is None:
+    def retry_after_ms(self, team: RoutedTeam, tokens: int) -> int:
+        """Tell when the bucket will hold so many tokens."""
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
             return MIN_RETRY_MS
-        missing = window.total + tokens - self._allowed(team)
-        for spent in window.entries:
-            missing -= spent.tokens
-            if missing <= 0:
-                return int(spent.at_ms + self._window_ms - now) + 1
-        return int(self._window_ms)
+        missing = min(tokens, self._capacity(team)) - bucket.level
+        return max(int(missing / self._per_ms(team)) + 1, MIN_RETRY_MS)
 
     def describe(self, team: str) -> str:
-        """Tell the state of a team's window, for the log."""
-        window = self._windows.get(team)
-        if window is None:
+        """Tell the state of a team's bucket, for the log."""
+        bucket = self._buckets.get(team)
+        if bucket is None:
             return 'no limit in use'
-        return f'{int(window.total)} tokens spent, share {self._share():.2f}'
+        return f'{int(bucket.level)} tokens left, share {self._share():.2f}'
 
     def _share(self) -> float:
         share = self._view.share()
         return 1.0 if share >= WHOLE_SHARE else share
 
-    def _allowed(self, team: RoutedTeam) -> float:
-        slack = self._rules.slack * SLACK_SHARE
-        return (self._limit(team) + slack) * self._share()
+    def _slack(self) -> float:
+        return self._rules.slack * SLACK_SHARE
+
+    def _capacity(self, team: RoutedTeam) -> float:
+        return (team.burst + self._slack() * BURST_SHARE) * self._share()
 
-    def _limit(self, team: RoutedTeam) -> float:
-        window_s = self._rules.window_ms / MILLIS_PER_SECOND
-        return team.burst + team.rate_per_s * window_s
+    def _per_ms(self, team: RoutedTeam) -> float:
+        spread = self._slack() * (1 - BURST_SHARE) / self._rules.window_ms
+        per_ms = team.rate_per_s / MILLIS_PER_SECOND + spread
+        return per_ms * self._share()
 
-    def _first_window(self, team: RoutedTeam, now: float) -> _Window:
-        # After a fleet's restart nobody knows what the window holds already.
-        # Taken for full it gives each team its rate, which those below their
-        # limit do not notice; taken for empty it could break the limit.
-        window = _Window()
+    def _first_level(self, team: RoutedTeam) -> float:
+        # After a fleet's restart nobody knows what was spent right before it.
+        # An empty bucket gives each team its rate, which those below their
+        # limit hardly notice; a full one could break the limit.
+        capacity = self._capacity(team)
         if self._is_first_start:
-            return window
-        spent: float = self._limit(team)
-        if self._view.is_remembered():
-            spent = min(spent, self._view.spent(team.name))
-        step_ms = self._window_ms / SPREAD
-        for step in range(SPREAD, 0, -1):
-            window.add(now - step * step_ms, spent / SPREAD)
-        return window
+            return capacity
+        if not self._view.is_remembered():
+            return 0.0
+        gained = self._per_ms(team) * self._rules.window_ms
+        left = capacity + gained - self._view.spent(team.name)
+        return min(capacity, left)
