--- /dev/null
+++ b/tests/process/test_beats.py
@@ -0,0 +1,144 @@
+"""Proofs that travel from instance to instance."""
+
+from typing import Any, cast
+
+import curio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.process import attendance, beats, suspects
+from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.process.membership import (
+    STATE_LIVE,
+    InstanceStatus,
+    Membership,
+)
+from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.wire import Beat, Message
+
+VERSION = 7
+DELAYS = st.lists(st.integers(0, 5000), min_size=2, max_size=12)
+
+
+class _World:
+    """True time, and how far the clock of whoever acts is off."""
+
+    def __init__(self) -> None:
+        self.true_ms = 1000.0
+        self.offset_ms = 0.0
+
+    def now_ms(self) -> float:
+        return self.true_ms + self.offset_ms
+
+
+class _Outbox:
+    """Takes what is sent to peers."""
+
+    def __init__(self) -> None:
+        self.sent: list[Message] = []
+
+    async def async_send(self, _peer_id: str, message: Message) -> None:
+        self.sent.append(message)
+
+
+class _Side:
+    """One instance with a clock of its own."""
+
+    def __init__(self, world: _World, name: str, offset_ms: float) -> None:
+        self.world = world
+        self.name = name
+        self.offset_ms = offset_ms
+        self.outbox = _Outbox()
+        self.freshness = Freshness()
+        self.act()
+        self.beats = beats.Beats(
+            beats.BeatParts(
+                membership=Membership(_status(name)),
+                peers=cast(Peers, self.outbox),
+                freshness=self.freshness,
+                directory=EngineDirectory(),
+                spending=SpendingLog(8000),
+                reports=SpendingReports(8000),
+                version=lambda: VERSION,
+                slowness=dict,
+                learn_slowness=lambda _learned: None,
+                on_engines=lambda: None,
+                is_store_reached=lambda: True,
+                is_first_start=False,
+            ),
+        )
+
+    def act(self) -> None:
+        """Be the one whose clock is read."""
+        self.world.offset_ms = self.offset_ms
+
+    def proved_ms(self) -> float:
+        """Tell in true time up to when the version is held for the newest."""
+        return self.freshness.confirmed_ms(VERSION) - self.offset_ms
+
+
+def _status(name: str) -> InstanceStatus:
+    anywhere = Address('127.0.0.1', 1)
+    return InstanceStatus(name, anywhere, anywhere, 'z1', name, STATE_LIVE)
+
+
+@pytest.fixture
+def world(monkeypatch: pytest.MonkeyPatch) -> _World:
+    """Give all that reads the clock a clock of the test's."""
+    made = _World()
+    for module in (attendance, beats, suspects):
+        monkeypatch.setattr(module, 'now_ms', made.now_ms)
+    return made
+
+
+async def _async_exchange(asker: _Side, answerer: _Side, delay: Any) -> None:
+    asker.act()
+    asked = asker.beats._make(answerer.name)
+    asker.world.true_ms += next(delay)
+    answerer.act()
+    answers: list[Beat] = []
+
+    async def _async_deliver(message: Message) -> None:
+        answers.append(cast(Beat, message))
+
+    await answerer.beats.async_answer(asker.name, asked, _async_deliver)
+    answerer.world.true_ms += next(delay)
+    asker.act()
+    await asker.beats.async_receive(answerer.name, answers[0])
+
+
+def _exchange_all(world: _World, delays: list[int]) -> tuple[_Side, _Side]:
+    reader = _Side(world, 'reader', 0)
+    other = _Side(world, 'other', 1_000_000)
+    reader.freshness.confirm(VERSION, world.true_ms)
+    delay = iter(delays[: len(delays) // 2 * 2])
+
+    async def _async_all() -> None:
+        for _ in range(len(delays) // 2):
+            await _async_exchange(other, reader, delay)
+
+    curio.run(_async_all)
+    return reader, other
+
+
+def test_a_proof_reaches_the_other_in_one_exchange(world: _World) -> None:
+    _, other = _exchange_all(world, [100, 100, 100, 100])
+    assert other.proved_ms() > 0
+
+
+def test_time_on_the_way_never_makes_a_proof_younger(world: _World) -> None:
+    """A beat lies in a queue behind a partition for seconds. Were it counted
+    from its arrival, keys taken away meanwhile would live on.
+    """
+
+    @given(DELAYS)
+    def _check(delays: list[int]) -> None:
+        world.true_ms = 1000.0
+        reader, other = _exchange_all(world, delays)
+        assert other.proved_ms() <= reader.proved_ms()
+
+    _check()
--- /dev/null
+++ b/tests/process/test_retry_budget.py
@@ -0,0 +1,38 @@
+"""The fleet's budget of second tries."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hornbeamdeck.process.retry_budget import RetryBudget
+
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 400), st.booleans()),
+    max_size=200,
+)
+
+
+@given(EVENTS)
+def test_no_window_holds_more_tries_than_allowed(
+    events: list[tuple[int, bool]],
+) -> None:
+    budget = RetryBudget(ratio=0.2, slack=10, window_ms=2000)
+    tries: list[int] = []
+    requests: list[int] = []
+    now = 0
+    for passed_ms, is_try in events:
+        now += passed_ms
+        if not is_try:
+            budget.note_request(now)
+            requests.append(now)
+        elif budget.take(now):
+            tries.append(now)
+    for end in tries:
+        in_window = [each for each in tries if end - 2000 < each <= end]
+        asked = [each for each in requests if end - 4000 < each <= end]
+        assert len(in_window) <= 0.2 * len(asked) + 10
+
+
+def test_the_budget_comes_back() -> None:
+    budget = RetryBudget(ratio=0, slack=4, window_ms=1000)
+    assert [budget.take(0) for _ in range(3)] == [True, True, False]
+    assert budget.take(1500)
