A cell under any mix of requests, ends, losses and changes of engines

Cause: the cell's tests each show one case; nothing held its promises under all orders of events.

Change: a Hypothesis state machine: no engine above its slots, no request lost or held twice, no place kept for a run that has ended.

--- /dev/null
+++ b/tests/process/test_engine_cell_states.py
@@ -0,0 +1,143 @@
+"""A cell under any mix of requests, ends, losses and changes of engines."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hornbeamdeck.process.cell import Refused
+from hornbeamdeck.wire import Release, RunEnd
+from tests.process.routed import MODEL, ask, async_ignore, cell, engine
+
+SLOTS = 1
+ENDS = st.sampled_from(list(RunEnd))
+NAMES = ('e1', 'e2', 'e3')
+SENDERS = ('a', 'b')
+
+
+class CellStates(RuleBasedStateMachine):
+    """Each request ends in one way only, and no engine is overfilled."""
+
+    def __init__(self) -> None:
+        """Start with two engines and nothing asked."""
+        super().__init__()
+        self.now = 0.0
+        self.count = 0
+        self.cell = cell(engine('e1', slots=SLOTS), engine('e2', slots=SLOTS))
+        self.waiting: dict[str, str] = {}
+        self.running: dict[str, str] = {}
+
+    @rule(
+        rank=st.integers(0, 4),
+        prompt=st.integers(0, 60_000),
+        objective=st.integers(-2000, 2000),
+        sender=st.sampled_from(SENDERS),
+        excluded=st.lists(st.sampled_from(NAMES), max_size=2),
+    )
+    def ask_for_one(
+        self,
+        rank: int,
+        prompt: int,
+        objective: int,
+        sender: str,
+        excluded: list[str],
+    ) -> None:
+        """Offer a request."""
+        self.count += 1
+        request_id = f'r{self.count}'
+        request = ask(
+            request_id,
+            tier_rank=rank,
+            prompt_tokens=prompt,
+            objective_ms=objective,
+            excluded=excluded,
+            dispatches=len(excluded),
+        )
+        refused = self.cell.offer(
+            request,
+            sender=sender,
+            deliver=async_ignore,
+            now=self.now,
+        )
+        if refused is None:
+            self.waiting[request_id] = sender
+
+    @rule(passed_ms=st.integers(1, 2000))
+    def let_time_pass(self, passed_ms: int) -> None:
+        """Move on, give up what is over and grant what fits."""
+        self.now += passed_ms
+        for refused in self.cell.expire(self.now):
+            assert isinstance(refused, Refused)
+            self.waiting.pop(refused.ticket.request.request_id)
+        for grant in self.cell.grants(self.now):
+            request_id = grant.ticket.request.request_id
+            assert grant.upstream not in grant.ticket.request.excluded
+            self.running[request_id] = self.waiting.pop(request_id)
+
+    @rule(drawn=st.data(), end=ENDS)
+    def end_one(self, drawn: st.DataObject, end: RunEnd) -> None:
+        """End a run in some way."""
+        if not self.running:
+            return
+        request_id = drawn.draw(st.sampled_from(sorted(self.running)))
+        self.running.pop(request_id)
+        release = Release(
+            request_id=request_id,
+            cell='desk',
+            end=end,
+            total_ms=10,
+        )
+        self.cell.release(release, self.now)
+
+    @rule(sender=st.sampled_from(SENDERS))
+    def lose(self, sender: str) -> None:
+        """Lose an ingress with all that it asked for."""
+        self.cell.drop_sender(sender)
+        for held in (self.waiting, self.running):
+            gone = [key for key, owner in held.items() if owner == sender]
+            for request_id in gone:
+                held.pop(request_id)
+
+    @rule(
+        names=st.sets(st.sampled_from(NAMES)),
+        leaving=st.sampled_from(NAMES),
+        born_ms=st.integers(1, 2),
+    )
+    def change_engines(
+        self,
+        names: set[str],
+        leaving: str,
+        born_ms: int,
+    ) -> None:
+        """Adopt another list of engines."""
+        self.cell.adopt(
+            [
+                engine(
+                    name,
+                    slots=SLOTS,
+                    is_leaving=name == leaving,
+                    born_ms=born_ms,
+                )
+                for name in names
+            ],
+            MODEL,
+            {},
+        )
+
+    @invariant()
+    def no_engine_is_overfilled(self) -> None:
+        """Hold the slots of every engine."""
+        for load in self.cell.loads.values():
+            assert len(load.runs) <= SLOTS
+
+    @invariant()
+    def what_waits_is_what_was_let_in(self) -> None:
+        """Lose no request and hold none twice."""
+        assert len(self.cell) == len(self.waiting)
+
+    @invariant()
+    def only_running_requests_hold_places(self) -> None:
+        """Keep no place for a run that has ended."""
+        for load in self.cell.loads.values():
+            assert load.runs.keys() <= self.running.keys()
+
+
+TestCellStates = CellStates.TestCase
