Drop a field that nothing read and a set of one

A run kept when it was granted, which nothing read; one end of a run was compared by a set of one.

Change: both are gone. Behaviour stays, no assertion changed.

Figures: lint and the tests of process/ and of engine faults pass, but for test_outages.py, not run; nothing was measured anew.

--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/process/engine_load.py
@@ -48,7 +48,6 @@
 _FAULTS: Final = frozenset(
     (RunEnd.FAILED, RunEnd.REJECTED, RunEnd.ERRORED, RunEnd.NOT_DISPATCHED),
 )
-_SUCCESSES: Final = frozenset((RunEnd.ANSWERED,))
 
 
 def prefill_ms(tokens: int) -> float:
@@ -68,7 +67,6 @@
     zone: str
     fingerprint: str
     prompt_tokens: int
-    granted_ms: float
     unit_ms: float
     gap_ms: int
     is_prefilling: bool
@@ -168,7 +166,6 @@
             zone=zone,
             fingerprint=run.fingerprint,
             prompt_tokens=run.prompt_tokens,
-            granted_ms=0,
             unit_ms=0,
             gap_ms=gap_ms,
             is_prefilling=run.is_prefilling,
@@ -179,7 +176,6 @@
         run = self.runs[request_id]
         expected_ms = self.first_token_ms(run.prompt_tokens, now)
         self.runs[request_id] = run._replace(
-            granted_ms=now,
             unit_ms=expected_ms / self.slowness,
         )
         reading_ms = prefill_ms(run.prompt_tokens) * self.slowness
@@ -206,7 +202,7 @@
         if run.is_prefilling:
             self._recount(now)
         health = self._health.setdefault(run.zone, _Health())
-        if end in _SUCCESSES:
+        if end == RunEnd.ANSWERED:
             health.rest_ms = 0.0
             health.note(0, now)
         if end in _FAULTS:
