An outage of the store is what the fleet has not heard through, not one instance

One engine's entry was removed meanwhile; the peers that read listed it as gone 0.4 s later. The owner, turned away since 2.5 s, was answered again at 11.77 s, took that for the end of an outage and kept for two seconds whatever its own copy of 2.5 s held, the engine among it: requests reached the engine 2.2 to 2.4 s after its leaving was acknowledged. Ruled out: a late watch (a longer one did not help), news lost between peers (a-4 and a-6 had it at 10.38 and 10.56 s).

Change: whether the store was away is told by the age of the fleet's proof, and what may have lapsed is taken from what the fleet knew, not from an own copy.

--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -158,7 +158,6 @@
         if isinstance(got, Err):
             if isinstance(got.err_value, PlatformDown):
                 self._note_lost('engines', got.err_value)
-                self._book.note_trouble()
             return 0
         self._note_reached('engines')
         self._take_engines(got.ok_value, asked_ms, is_complete=not at)
@@ -174,7 +173,12 @@
         directory = self._parts.directory
         now = now_ms()
         if is_complete:
-            self._book.replace(read.changes, directory.engines, now)
+            self._book.replace(
+                read.changes,
+                directory.engines,
+                proof_age_ms=directory.age_ms(now),
+                now=now,
+            )
         else:
             self._book.change(read.changes, now)
         engines = self._book.engines(now)
