Order by the route's priority what the teams' priority leaves equal

Cause: all teams of these deployments have one priority, and a team's goes before the route's.

Change: the route's priority orders within one priority of teams (Enqueue carries it; the unused list of prompt parts leaves the wire). Log lines of ends and refusals tell the rank and the expected tokens that decided.

--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -243,6 +243,7 @@
             'engines': len(self.loads),
             'places': sum(load.has_place() for load in self.loads.values()),
             'fastest_ms': int(self._fastest_ms(request, now)),
+            'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._door.describe_quota(request.team),
         }
--- a/hornbeamdeck/process/wait_confidence.py
+++ b/hornbeamdeck/process/wait_confidence.py
@@ -9,6 +9,8 @@
 
 from typing import Final
 
+from hornbeamdeck.process.request_rank import Rank
+
 __all__ = ('WaitConfidence',)
 
 # What one wait in vain takes away, and one that ended well gives back: at
@@ -26,20 +28,20 @@
 
     def __init__(self) -> None:
         """Trust every expectation."""
-        self._factors: dict[float, float] = {}
+        self._factors: dict[Rank, float] = {}
         self._updated_ms = 0.0
 
-    def factor(self, rank: float, now: float) -> float:
+    def factor(self, rank: Rank, now: float) -> float:
         """Tell how much of an allowed wait is to be used, up to 1."""
         self._recover(now)
         return self._factors.get(rank, 1.0)
 
-    def note_in_vain(self, rank: float, now: float) -> None:
+    def note_in_vain(self, rank: Rank, now: float) -> None:
         """Take in that a request waited and was not served."""
         factor = self.factor(rank, now) * IN_VAIN
         self._factors[rank] = max(factor, LEAST)
 
-    def note_in_time(self, rank: float, now: float) -> None:
+    def note_in_time(self, rank: Rank, now: float) -> None:
         """Take in that a request waited and was started in time."""
         self._factors[rank] = min(self.factor(rank, now) + IN_TIME, 1.0)
 
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
+from hornbeamdeck.process.request_rank import FIRST, Rank, of_kind, rank_of
 from hornbeamdeck.process.ticket import Ticket
 from hornbeamdeck.process.wait_confidence import WaitConfidence
 from hornbeamdeck.wire import Enqueue
@@ -25,10 +26,6 @@
 # How long a request may wait that is late anyway, by priority; after this it
 # hears that it won't be served, with time left for its caller's own ways.
 LATE_WAITS_MS: Final = (1500.0, 500.0, 300.0)
-# Ranks between what is late and what can be on time: a late request of the
-# first priority is still worth more than a fresh one of the next, a late one
-# of the second less than a fresh one of the third.
-LATE_RANKS: Final = (0.5, 2.5, 3.5)
 # Each so many grants one goes to who must start first, whatever its priority,
 # so that a flood of urgent requests starves no one.
 EVEN_TURN: Final = 6
@@ -40,19 +37,22 @@
     :param start_ms: when it must start to be on time.
     :param objective_ms: when its answer is late.
     :param pushed_rank: its rank when it began to wait.
+    :param was_late: whether it was late then.
     """
 
     ticket: Ticket
     start_ms: float
     objective_ms: float
-    pushed_rank: float
+    pushed_rank: Rank
+    was_late: bool
 
-    def rank(self, now: float) -> tuple[float, float]:
-        """Order by second tries first, then priority, then urgency."""
+    def order(self, now: float) -> tuple[Rank, float]:
+        """Order by second tries first, then rank, then urgency."""
         request = self.ticket.request
         if request.excluded:
-            return (-1, self.start_ms)
-        return (_rank(request, is_late=self.start_ms < now), self.start_ms)
+            return (FIRST, self.start_ms)
+        rank = rank_of(request, is_late=self.start_ms < now)
+        return (rank, self.start_ms)
 
 
 class WaitingRoom:
@@ -79,11 +79,12 @@
         objective_ms = now + _objective_ms(request)
         start_ms = objective_ms - fastest_ms
         if not request.excluded:
-            end_ms = max(objective_ms, now) + _of_rank(LATE_WAITS_MS, request)
+            end_ms = max(objective_ms, now) + of_kind(LATE_WAITS_MS, request)
             end_ms = min(ticket.deadline_ms, end_ms)
             ticket = ticket._replace(deadline_ms=end_ms)
-        rank = _rank(request, is_late=start_ms < now)
-        place = _Place(ticket, start_ms, objective_ms, rank)
+        was_late = start_ms < now
+        rank = rank_of(request, is_late=was_late)
+        place = _Place(ticket, start_ms, objective_ms, rank, was_late)
         self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
@@ -106,7 +107,7 @@
         if self._grants % EVEN_TURN:
             ordered = sorted(
                 self._places.values(),
-                key=lambda place: place.rank(now),
+                key=lambda place: place.order(now),
             )
         else:
             ordered = sorted(
@@ -134,8 +135,7 @@
     def start(self, request_id: str, now: float) -> None:
         """Take out a request that starts; learn how fast places come free."""
         place = self._places.pop(request_id)
-        was_late = place.pushed_rank != float(place.ticket.request.tier_rank)
-        if now <= place.start_ms or was_late:
+        if now <= place.start_ms or place.was_late:
             self._confidence.note_in_time(place.pushed_rank, now)
         passed_ms = now - self._granted_ms
         self._granted_ms = now
@@ -153,13 +153,14 @@
         objective_ms = _objective_ms(request)
         start_ms = now + objective_ms - fastest_ms
         is_late = start_ms < now
-        allowed_ms = _of_rank(LATE_WAITS_MS, request)
+        allowed_ms = of_kind(LATE_WAITS_MS, request)
         if not is_late:
-            share = _of_rank(WAIT_SHARES, request)
+            share = of_kind(WAIT_SHARES, request)
             allowed_ms = (objective_ms - fastest_ms) * share
-        own = (_rank(request, is_late=is_late), start_ms)
-        allowed_ms *= self._confidence.factor(own[0], now)
-        ahead = sum(place.rank(now) <= own for place in self._places.values())
+        rank = rank_of(request, is_late=is_late)
+        own = (rank, start_ms)
+        allowed_ms *= self._confidence.factor(rank, now)
+        ahead = sum(place.order(now) <= own for place in self._places.values())
         return ahead * self.interval_ms <= allowed_ms
 
     def _remove_all(self, tickets: list[Ticket]) -> list[Ticket]:
@@ -172,13 +173,3 @@
     if request.objective_ms is None:
         return int(request.deadline_ms)
     return int(request.objective_ms)
-
-
-def _rank(request: Enqueue, *, is_late: bool) -> float:
-    if is_late:
-        return _of_rank(LATE_RANKS, request)
-    return float(request.tier_rank)
-
-
-def _of_rank(by_rank: tuple[float, ...], request: Enqueue) -> float:
-    return by_rank[min(int(request.tier_rank), len(by_rank) - 1)]
--- a/hornbeamdeck/request/routed_admission.py
+++ b/hornbeamdeck/request/routed_admission.py
@@ -80,6 +80,13 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def rank_in_team(self) -> int | None:
+        """The route's priority, where the team's goes before it."""
+        if self.team is None or self.team.priority is None:
+            return None
+        return self.route.priority
+
     @property
     def quota_tokens(self) -> int:
         """What it counts against its team's limit."""
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -131,10 +131,12 @@
             code=code,
             route=admission.route.name,
             team=admission.team_name,
+            rank=admission.rank,
             service=admission.service,
             engine=self._engine,
             prompt_tokens=admission.ask.prompt_tokens,
             output_tokens=admission.ask.output_tokens,
+            expected_tokens=admission.ask.expected_tokens,
             waited_ms=int(self._waited_ms),
             first_ms=int(self._call.first_ms),
             total_ms=int(total_ms),
@@ -260,4 +262,5 @@
             quota_tokens=admission.quota_tokens,
             dispatches=self._tries.arrivals,
             zone=self._edge.zone,
+            route_rank=admission.rank_in_team,
         )
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -248,7 +248,7 @@
      - quota_tokens
      - dispatches
      - zone
-     - prompt_parts
+     - route_rank
 
     """
 
@@ -268,11 +268,11 @@
         'quota_tokens',
         'dispatches',
         'zone',
-        'prompt_parts',
+        'route_rank',
     )
 
 
-    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, prompt_parts=None,):
+    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, route_rank=None,):
         self.request_id = request_id
         self.cell = cell
         self.team = team
@@ -288,7 +288,7 @@
         self.quota_tokens = quota_tokens
         self.dispatches = dispatches
         self.zone = zone
-        self.prompt_parts = prompt_parts
+        self.route_rank = route_rank
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -379,14 +379,9 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
-                if ftype == TType.LIST:
-                    self.prompt_parts = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.prompt_parts.append(_elem11)
-                    iprot.readListEnd()
+            elif fid == 17:
+                if ftype == TType.I16:
+                    self.route_rank = iprot.readI16()
                 else:
                     iprot.skip(ftype)
             else:
@@ -430,8 +425,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter12 in self.excluded:
-                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
+            for iter6 in self.excluded:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
@@ -462,12 +457,9 @@
             oprot.writeFieldBegin('zone', TType.STRING, 15)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
-        if self.prompt_parts is not None:
-            oprot.writeFieldBegin('prompt_parts', TType.LIST, 16)
-            oprot.writeListBegin(TType.STRING, len(self.prompt_parts))
-            for iter13 in self.prompt_parts:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
-            oprot.writeListEnd()
+        if self.route_rank is not None:
+            oprot.writeFieldBegin('route_rank', TType.I16, 17)
+            oprot.writeI16(self.route_rank)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1473,10 +1465,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem19)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1501,8 +1493,8 @@
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter20 in self.statuses:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter13 in self.statuses:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1715,31 +1707,31 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Spending()
-                        _elem26.read(iprot)
-                        self.spent.append(_elem26)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Spending()
+                        _elem19.read(iprot)
+                        self.spent.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.present = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.present.append(_elem32)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.present.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem38)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1794,22 +1786,22 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter39 in self.spent:
-                iter39.write(oprot)
+            for iter32 in self.spent:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.present is not None:
             oprot.writeFieldBegin('present', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.present))
-            for iter40 in self.present:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter33 in self.present:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter41 in self.statuses:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter34 in self.statuses:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -2068,11 +2060,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = EngineEntry()
-                        _elem47.read(iprot)
-                        self.engines.append(_elem47)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = EngineEntry()
+                        _elem40.read(iprot)
+                        self.engines.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2093,8 +2085,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter48 in self.engines:
-                iter48.write(oprot)
+            for iter41 in self.engines:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2432,7 +2424,8 @@
     (13, TType.I32, 'quota_tokens', None, None, ),  # 13
     (14, TType.I16, 'dispatches', None, None, ),  # 14
     (15, TType.STRING, 'zone', 'UTF8', None, ),  # 15
-    (16, TType.LIST, 'prompt_parts', (TType.STRING, 'UTF8', False), None, ),  # 16
+    None,  # 16
+    (17, TType.I16, 'route_rank', None, None, ),  # 17
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -47,7 +47,7 @@
   13: optional i32 quota_tokens    // what it counts against the team's limit
   14: optional i16 dispatches      // upstreams that it was sent to before
   15: optional string zone         // of the ingress
-  16: optional list<string> prompt_parts // shared parts of the prompt, in order
+  17: optional i16 route_rank      // order within tier_rank, where that is the team's
 }
 
 struct Grant {
--- a/tests/process/test_waiting_room.py
+++ b/tests/process/test_waiting_room.py
@@ -38,6 +38,21 @@
     assert _order(room) == ['top', 'late', 'middle', 'low', 'late-low']
 
 
+def test_the_route_orders_what_the_teams_priority_leaves_equal() -> None:
+    """Each team has one priority for all it sends, and all teams the same. A
+    burst of all kinds comes: quotations at the door wait as long as chat, and
+    half of both are refused.
+    """
+    room = WaitingRoom()
+    _start_one(room)
+    _push(room, ask('chat', tier_rank=1, route_rank=2))
+    _push(room, ask('quotation', tier_rank=1, route_rank=0))
+    _push(room, ask('other-team', tier_rank=0, route_rank=2))
+    _push(room, ask('late', tier_rank=1, route_rank=0, objective_ms=-900))
+    _push(room, ask('reply', tier_rank=1, route_rank=1))
+    assert _order(room) == ['other-team', 'quotation', 'late', 'reply', 'chat']
+
+
 def test_a_second_try_goes_before_all() -> None:
     room = WaitingRoom()
     _start_one(room)
@@ -81,10 +96,10 @@
 def test_trust_has_a_floor_and_comes_back() -> None:
     trust = WaitConfidence()
     for _ in range(100):
-        trust.note_in_vain(1, 0)
-    assert trust.factor(1, 0) == LEAST
-    assert trust.factor(0, 0) == 1
-    assert trust.factor(1, 20_000) == 1
+        trust.note_in_vain((1, 0), 0)
+    assert trust.factor((1, 0), 0) == LEAST
+    assert trust.factor((0, 0), 0) == 1
+    assert trust.factor((1, 0), 20_000) == 1
 
 
 def test_waits_end_soon_after_the_objective() -> None:
