Refuse at once what was overtaken and waits in vain

A request so held has less time left to come back.

Change: at each look what waits is walked in its order; what can't start before its wait ends, at the pace of places coming free, is refused at once. Second tries are left alone.

--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -105,10 +105,7 @@
     def in_order(self, now: float) -> Iterator[Ticket]:
         """Walk over what waits, in the order in which it is to start."""
         if self._grants % EVEN_TURN:
-            ordered = sorted(
-                self._places.values(),
-                key=lambda place: place.order(now),
-            )
+            ordered = self._ordered(now)
         else:
             ordered = sorted(
                 self._places.values(),
@@ -122,7 +119,7 @@
         return place is not None and place.objective_ms < now
 
     def expired(self, now: float) -> list[Ticket]:
-        """Take out what nobody waits for any more."""
+        """Take out what nobody waits for any more, or in vain."""
         over = [
             place
             for place in self._places.values()
@@ -130,7 +127,8 @@
         ]
         for waited in over:
             self._confidence.note_in_vain(waited.pushed_rank, now)
-        return self._remove_all([place.ticket for place in over])
+        in_vain = self._in_vain(now)
+        return self._remove_all([place.ticket for place in over + in_vain])
 
     def start(self, request_id: str, now: float) -> None:
         """Take out a request that starts; learn how fast places come free."""
@@ -163,6 +161,30 @@
         ahead = sum(place.order(now) <= own for place in self._places.values())
         return ahead * self.interval_ms <= allowed_ms
 
+    def _ordered(self, now: float) -> list[_Place]:
+        return sorted(
+            self._places.values(),
+            key=lambda place: place.order(now),
+        )
+
+    def _in_vain(self, now: float) -> list[_Place]:
+        """Find what won't start before its wait ends, at the pace of now.
+
+        More urgent requests that came later have overtaken it. Its caller
+        hears so at once and has the more time left to come back; and what
+        waits behind it moves up.
+        """
+        end_ms = now
+        in_vain = []
+        for place in self._ordered(now):
+            if place.ticket.deadline_ms < now or place.ticket.request.excluded:
+                continue
+            if end_ms + self.interval_ms > place.ticket.deadline_ms:
+                in_vain.append(place)
+            else:
+                end_ms += self.interval_ms
+        return in_vain
+
     def _remove_all(self, tickets: list[Ticket]) -> list[Ticket]:
         for ticket in tickets:
             self._places.pop(ticket.request.request_id)
--- a/tests/process/test_waiting_room.py
+++ b/tests/process/test_waiting_room.py
@@ -110,3 +110,32 @@
     _push(room, ask('r1', tier_rank=1, objective_ms=500, patience_ms=3800))
     assert not room.expired(900)
     assert len(room.expired(1100)) == 1
+
+
+def test_who_was_overtaken_hears_at_once_that_it_waits_in_vain() -> None:
+    """A request waits, and more urgent ones that come later fill the time that
+    it has. Held to the end of its wait it would be refused all the same, with
+    less time left to come back.
+    """
+    room = WaitingRoom()
+    _start_one(room)
+    _push(room, ask('chat', tier_rank=2, objective_ms=400))
+    assert not room.expired(10)
+    for number in range(60):
+        _push(room, ask(f'urgent-{number}'), 10)
+    gone = [ticket.request.request_id for ticket in room.expired(20)]
+    assert gone == ['chat']
+
+
+def test_a_second_try_is_not_refused_for_what_overtook_it() -> None:
+    """A stream broke in the middle and waits to go on elsewhere. Refused, the
+    half answer that its caller has would be for nothing.
+    """
+    room = WaitingRoom()
+    _start_one(room)
+    _push(room, ask('broken', tier_rank=2, excluded=['e1']))
+    for number in range(300):
+        _push(room, ask(f'urgent-{number}'))
+    assert 'broken' not in {
+        ticket.request.request_id for ticket in room.expired(10)
+    }
