--- a/bench/replay.py
+++ b/bench/replay.py
@@ -35,8 +35,12 @@
 TO_CALLER_MS: Final = 4.0
 SWEEP_MS: Final = 25.0
 TOKENS_PER_EVENT: Final = 5
-# Callers leave a stream that has not begun after this.
+# Callers leave a stream that has not begun after this; an owner is told less,
+# for the way back.
 PATIENCE_MS: Final = 4000
+WAY_BACK_MS: Final = 150
+# All teams have one priority, as in the users' deployments.
+TEAMS_PRIORITY: Final = 1
 # Part of the time left that callers wait at most before they come back.
 MAX_WAIT_SHARE: Final = 3
 # What a request costs that came back and is refused again, part of its worth.
@@ -91,12 +95,23 @@
 class Replay:
     """One replay: a clock, a cell, engines and callers."""
 
-    def __init__(self, plan: LoadPlan, seed: int) -> None:
-        """Set everything up; `run` plays it."""
+    def __init__(
+        self,
+        plan: LoadPlan,
+        seed: int,
+        *,
+        has_route_ranks: bool = True,
+    ) -> None:
+        """Set everything up; `run` plays it.
+
+        :param has_route_ranks: whether the owner is told the routes' priorities
+            beside the one that all teams have.
+        """
         self.now = 0.0
         self.outcomes: list[Outcome] = []
         self._plan = plan
         self._seed = seed
+        self._has_route_ranks = has_route_ranks
         self._events: list[_Event] = []
         self._count = 0
         self._tries: dict[str, _Try] = {}
@@ -137,7 +152,7 @@
         attempt = _Try(arrival, number, self.now)
         self._tries[attempt.request_id] = attempt
         refused = self._cell.offer(
-            _to_enqueue(attempt, self.now),
+            self._to_enqueue(attempt),
             sender='ingress',
             deliver=_async_ignore,
             now=self.now,
@@ -146,6 +161,29 @@
             self._refuse(refused)
         self._grant()
 
+    def _to_enqueue(self, attempt: _Try) -> Enqueue:
+        arrival = attempt.arrival
+        kind = arrival.kind
+        left_ms = int(arrival.at_ms + kind.deadline_ms - self.now)
+        return Enqueue(
+            request_id=attempt.request_id,
+            cell='desk',
+            team='',
+            tier_rank=TEAMS_PRIORITY,
+            deadline_ms=left_ms,
+            prompt_tokens=arrival.prompt_tokens,
+            output_tokens=arrival.hint_tokens,
+            excluded=[],
+            fingerprint=arrival.request_id,
+            objective_ms=kind.objective_ms,
+            patience_ms=min(left_ms, PATIENCE_MS) - WAY_BACK_MS,
+            gap_ms=kind.gap_ms,
+            quota_tokens=arrival.prompt_tokens + arrival.max_tokens,
+            dispatches=0,
+            zone='z1',
+            route_rank=kind.priority if self._has_route_ranks else None,
+        )
+
     def _grant(self) -> None:
         for refused in list(self._cell.expire(self.now)):
             self._refuse(refused)
@@ -294,29 +332,6 @@
     return 'on_time'
 
 
-def _to_enqueue(attempt: _Try, now: float) -> Enqueue:
-    arrival = attempt.arrival
-    kind = arrival.kind
-    left_ms = int(arrival.at_ms + kind.deadline_ms - now)
-    return Enqueue(
-        request_id=attempt.request_id,
-        cell='desk',
-        team='',
-        tier_rank=kind.priority,
-        deadline_ms=left_ms,
-        prompt_tokens=arrival.prompt_tokens,
-        output_tokens=arrival.hint_tokens,
-        excluded=[],
-        fingerprint=arrival.request_id,
-        objective_ms=kind.objective_ms,
-        patience_ms=min(left_ms, PATIENCE_MS) - 150,
-        gap_ms=kind.gap_ms,
-        quota_tokens=arrival.prompt_tokens + arrival.max_tokens,
-        dispatches=0,
-        zone='z1',
-    )
-
-
 def _make_cell(plan: LoadPlan) -> EngineCell:
     quotas = TokenQuotas(
         QuotaView(lambda _team: 0, lambda: True, lambda: 1.0),
--- /dev/null
+++ b/tests/process/test_load_replay.py
@@ -0,0 +1,58 @@
+"""Decisions of a cell under replayed load, in model time."""
+
+import pytest
+
+from bench.replay import Replay, summarize
+from bench.replay_load import LoadPlan
+from hornbeamdeck.process.waiting_room import WaitingRoom
+
+LOAD = LoadPlan.from_name('bursts_and_losses')
+SEED = 1
+
+
+def _replayed(*, has_route_ranks: bool = True) -> dict[str, float]:
+    replay = Replay(LOAD, SEED, has_route_ranks=has_route_ranks)
+    report = summarize(replay.run())
+    return {
+        'cost': report['cost'],
+        'mean': report['mean'],
+        'worst': report['worst'],
+        **report['shares'],
+    }
+
+
+def test_a_replay_has_one_outcome() -> None:
+    assert _replayed() == _replayed()
+
+
+def test_urgent_kinds_keep_their_answers_in_a_burst() -> None:
+    """All kinds press at twice what the engines carry, two engines crash, and
+    all teams have one priority. Ordered by that alone, write-ups that a guide
+    waits for are refused as often as checks.
+    """
+    flat = _replayed(has_route_ranks=False)
+    ordered = _replayed()
+    assert ordered['write_up'] > 0.8
+    assert flat['write_up'] < 0.8
+    assert ordered['write_up'] > ordered['question']
+    assert ordered['question'] > ordered['check']
+    assert ordered['mean'] > flat['mean'] + 0.05
+    assert ordered['worst'] > flat['worst']
+
+
+def test_even_then_no_kind_is_starved() -> None:
+    """The lowest priority is served at a quarter of the rate of the first."""
+    served = _replayed()
+    assert served['check'] > served['write_up'] / 4
+
+
+def test_what_waits_in_vain_is_not_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """In the same burst, what urgent requests have overtaken would be held to
+    the end of its wait, and refused all the same.
+    """
+    prompt = _replayed()
+    monkeypatch.setattr(WaitingRoom, '_in_vain', lambda _room, _now: [])
+    held = _replayed()
+    assert prompt['cost'] < held['cost']
