--- a/hornbeamdeck/process/request_rank.py
+++ b/hornbeamdeck/process/request_rank.py
@@ -10,7 +10,7 @@
 
 from hornbeamdeck.wire import Enqueue
 
-__all__ = ('Rank', 'kind_rank', 'of_kind', 'rank_of')
+__all__ = ('FIRST', 'Rank', 'kind_rank', 'of_kind', 'rank_of')
 
 # Lower goes first; equal ranks go by urgency.
 Rank: TypeAlias = tuple[float, float]
@@ -19,7 +19,7 @@
 # first priority is still worth more than a fresh one of the next, a late one
 # of the second less than a fresh one of the third.
 LATE_RANKS: Final = (0.5, 2.5, 3.5)
-# Before all others.
+# Second tries: before all others.
 FIRST: Final = (-1.0, 0.0)
 
 
