Drop what the replay's engine model never used

Cause: read over once more; EngineModel.cancel had no caller (callers of the replay leave no run behind that it would cancel), and crash returned a list that the replay works out for itself from the granted tries.

Change: both gone. No product code touched.

--- a/bench/replay_engine.py
+++ b/bench/replay_engine.py
@@ -68,21 +68,10 @@
         """Take a request into the batch, or behind it."""
         self._queue.append(plan)
 
-    def cancel(self, request_id: str) -> None:
-        """Drop a request whose connection was closed."""
-        self._runs.pop(request_id, None)
-        kept = [plan for plan in self._queue if plan.request_id != request_id]
-        self._queue = deque(kept)
-
-    def crash(self) -> list[str]:
-        """Lose everything.
-
-        :returns: the requests that broke.
-        """
-        lost = [*self._runs, *(plan.request_id for plan in self._queue)]
+    def crash(self) -> None:
+        """Lose everything."""
         self._runs.clear()
         self._queue.clear()
-        return lost
 
     def step(self, now: float) -> tuple[float, list[Token]]:
         """Do one step.
