Spare the store most calls of a start, a change and an outage

Change: a read that finds nothing is followed by a pause; a watch that waited in vain is followed by the next at once; the peer that told of a version is asked for it first, the store where that fails; tries at a store that is away are spaced by rank.

--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/process/follower.py
@@ -5,7 +5,7 @@
 
 import structlog
 from curio import Event, sleep
-from result import Err, Result
+from result import Err, Ok, Result
 
 from hornbeamdeck.connection.platform import (
     PlatformClient,
@@ -131,6 +131,7 @@
         self.configuration = kind.empty
         self._kind = kind
         self._hinting_peer = ''
+        self._hinted_version = 0
         self._hinted = Event()
 
     async def async_note(self, change: StoredObject) -> None:
@@ -156,6 +157,7 @@
         """Take note that a peer has a version."""
         if version > self.configuration.version:
             self._hinting_peer = peer_id
+            self._hinted_version = version
             await self._hinted.set()
 
     async def async_fetch_hinted(self, take_from_peer: TakeFromPeer) -> None:
@@ -163,22 +165,26 @@
 
         A watch may hang on a dead connection for its whole wait, and the
         platform may be down; peers that learned of the change in time would
-        leave this process behind.
+        leave this process behind. The peer that hinted is asked first: were it
+        the platform, each change would cost a call of every instance.
 
-        :param take_from_peer: asks the peer, where the platform fails.
+        :param take_from_peer: asks the peer.
         """
         while True:
             await self._hinted.wait()
-            got = await self._kind.fetch()
-            if isinstance(got, Err):
-                await take_from_peer(self._hinting_peer)
-            elif got.ok_value is not None:
-                await self.async_note(got.ok_value)
+            await take_from_peer(self._hinting_peer)
+            if self.configuration.version < self._hinted_version:
+                await self._async_fetch()
             # A hint that could not be followed comes again with the next
             # message; the pause keeps that from becoming a storm.
             await sleep(HINT_PAUSE_S)
             self._hinted.clear()
 
+    async def _async_fetch(self) -> None:
+        got = await self._kind.fetch()
+        if isinstance(got, Ok) and got.ok_value is not None:
+            await self.async_note(got.ok_value)
+
 
 def follow_platform(
     platform: PlatformClient,
--- a/hornbeamdeck/process/snapshot.py
+++ b/hornbeamdeck/process/snapshot.py
@@ -32,7 +32,11 @@
 
 _LOGGER = structlog.get_logger(prefix='snapshot')
 
+# An instance that starts has nobody else to ask.
 ANSWER_TIMEOUT_MS: Final = 3000
+# One that is behind can ask the platform instead, and a change must be in force
+# within two seconds.
+HINT_TIMEOUT_MS: Final = 500
 
 _Held = TypeVar('_Held', bound=HeldDocument)
 
@@ -65,7 +69,7 @@
         """Ask one peer and take over what is newer."""
         status = self._membership.status_of(peer_id)
         if status is not None:
-            await self._async_take(status.peer_address)
+            await self._async_take(status.peer_address, HINT_TIMEOUT_MS)
 
     async def async_seed(self, seeds: tuple[Address, ...]) -> None:
         """Ask seeds in turn until a configuration is in force, from anywhere.
@@ -75,11 +79,11 @@
         waits = backoff_s()
         while seeds and not self._follower.configuration.version:
             for address in seeds:
-                await self._async_take(address)
+                await self._async_take(address, ANSWER_TIMEOUT_MS)
             await sleep(next(waits))
 
-    async def _async_take(self, address: Address) -> None:
-        answer = await self._async_ask(address)
+    async def _async_take(self, address: Address, timeout_ms: int) -> None:
+        answer = await self._async_ask(address, timeout_ms)
         if isinstance(answer, Err):
             _LOGGER.info('no snapshot', peer=str(address))
             return
@@ -108,6 +112,21 @@
     async def _async_ask(
         self,
         address: Address,
+        timeout_ms: int,
+    ) -> Result[Snapshot, PeerError]:
+        # The bound holds for connecting too: a peer without power answers
+        # nothing at all.
+        try:
+            return await async_within(
+                timeout_ms,
+                self._async_ask_patiently(address),
+            )
+        except TaskTimeout:
+            return Err(ConnectionBroken('no snapshot in time'))
+
+    async def _async_ask_patiently(
+        self,
+        address: Address,
     ) -> Result[Snapshot, PeerError]:
         opened = await PeerConnection.async_open(address, self._identity)
         if isinstance(opened, Err):
@@ -115,12 +134,7 @@
         connection = opened.ok_value
         writer = await spawn(connection.async_write, daemon=True)
         try:
-            return await async_within(
-                ANSWER_TIMEOUT_MS,
-                self._async_exchange(connection),
-            )
-        except TaskTimeout:
-            return Err(ConnectionBroken('no snapshot in time'))
+            return await self._async_exchange(connection)
         finally:
             await writer.cancel()
             await connection.async_close()
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -31,7 +31,9 @@
 
 # How long the store holds a watch. A silent one is noticed a little later.
 WATCH_MS: Final = 500
-# Engines write every second or so; a pause gathers several into one answer.
+# Engines that start together write one after another; a pause gathers several
+# into one answer. After a watch that waited in vain there is none, or the list
+# would grow old enough for the others to read it for themselves.
 ENGINES_PAUSE_MS: Final = 350
 # Ages from which an instance that is not the owner reads for itself: keys must
 # be dead within seconds, leaving engines be left alone within two.
@@ -44,7 +46,9 @@
 MAX_RANK_MS: Final = 900
 # Between looks at whether reading is due.
 LOOK_MS: Final = 50
-# Between tries at a store that does not answer, drawn from the second half.
+# Between tries at a store that does not answer or holds nothing yet. Each rank
+# waits a little longer: a fleet of 15 made 1,179 calls in a day with an outage
+# of 4.5 s while all tried at the owner's pace, refused calls included.
 RETRY_MS: Final = 300
 
 
@@ -94,9 +98,11 @@
             else:
                 is_watching = await self.async_read_configuration()
             if not is_watching:
-                # A store whose history is gone ends every watch at once; read
-                # without a pause it would be called hundreds of times a second.
-                await sleep(RETRY_MS / MILLIS_PER_SECOND)
+                # A store whose history is gone ends every watch at once, and
+                # one that holds no document yet answers every read at once;
+                # read without a pause either would be called hundreds of
+                # times a second by each instance.
+                await sleep(self._retry_ms() / MILLIS_PER_SECOND)
 
     async def async_follow_engines(self) -> None:
         """Keep the list of engines current, for ever."""
@@ -107,14 +113,17 @@
                 at = 0
                 await sleep(LOOK_MS / MILLIS_PER_SECOND)
                 continue
+            asked_ms = now_ms()
             at = await self._async_read_engines(at)
-            pause_ms = ENGINES_PAUSE_MS if at else RETRY_MS
-            await sleep(pause_ms / MILLIS_PER_SECOND)
+            if not at:
+                await sleep(self._retry_ms() / MILLIS_PER_SECOND)
+            elif now_ms() - asked_ms < WATCH_MS:
+                await sleep(ENGINES_PAUSE_MS / MILLIS_PER_SECOND)
 
     async def async_read_configuration(self) -> bool:
         """Read the document once.
 
-        :returns: whether the store answered.
+        :returns: whether the store gave one.
         """
         asked_ms = now_ms()
         got = await self._parts.access.read_configuration()
@@ -123,7 +132,7 @@
             return False
         self._note_reached('configuration')
         await self._async_take(got.ok_value, asked_ms)
-        return True
+        return got.ok_value.document is not None
 
     async def _async_watch_configuration(self) -> bool:
         asked_ms = now_ms()
@@ -207,6 +216,12 @@
             old_ms = OWNER_LOST_MS
         return age_ms > old_ms + wait_ms
 
+    def _retry_ms(self) -> int:
+        parts = self._parts
+        if parts.is_owner():
+            return RETRY_MS
+        return RETRY_MS + min(parts.rank() * RANK_MS, MAX_RANK_MS)
+
     def _configuration_age(self) -> float:
         return self._parts.freshness.age_ms(self._parts.version(), now_ms())
 
