Keep connections to engines for what may run twice

Engines announce that they keep idle ones for 10 s.

Change: a connection whose answer is whole is kept for four fifths of the announced time and used for what may run twice; one that shows a byte or its end is closed, a failure costs all others to its engine, and an unacknowledged request fails after 600 ms, so that an engine without power is noticed. What may run once only still gets a connection of its own.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -1,5 +1,6 @@
 """The calling side of one HTTP connection."""
 
+import select
 from typing import Final, Self
 
 import h11
@@ -43,12 +44,21 @@
         address: Address,
         *,
         timeout_ms: int,
+        unheard_ms: int = 0,
     ) -> Result[Self, ConnectFailed]:
         """Connect; on an error no byte has been written.
 
         :param timeout_ms: longest wait for the handshake, milliseconds.
+        :param unheard_ms: what was written and is not acknowledged after this
+            breaks the connection; 0: after the system's many minutes.
         """
         connected = await async_connect(address, timeout_ms=timeout_ms)
+        if unheard_ms and isinstance(connected, Ok):
+            connected.ok_value.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                unheard_ms,
+            )
         return connected.map(lambda sock: cls(sock, address))
 
     @property
@@ -58,12 +68,23 @@
 
     @property
     def may_reuse(self) -> bool:
-        """Whether another request can go out on this connection."""
+        """Whether another request can go out on this connection.
+
+        Bytes after a whole answer belong to no request; the connection that
+        brought them is done.
+        """
         return (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
+            and not any(self._protocol.trailing_data)
         )
 
+    def is_quiet(self) -> bool:
+        """Whether nothing has come since the last answer, not even an end."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     async def async_send(
         self,
         request: HttpRequest,
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.exchange import async_serve_requests
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.kept import KeptConnections
 from hornbeamdeck.connection.listener import Listener, async_setup_listener
 from hornbeamdeck.connection.reader import ReadLimits
 from hornbeamdeck.connection.server import ServerConnection
@@ -171,6 +172,9 @@
             configuration=lambda: parts.follower.configuration,
             is_fresh=self._is_fresh,
             proof_age_ms=self._proof_age_ms,
+            connections=KeptConnections(
+                lambda: len(parts.membership.known()) + 1,
+            ),
             acquire=parts.grants.async_acquire,
             progress=parts.grants.async_progress,
             release=parts.grants.async_release,
--- a/hornbeamdeck/request/routed_call.py
+++ b/hornbeamdeck/request/routed_call.py
@@ -9,12 +9,12 @@
 from result import Err, Result
 
 from hornbeamdeck.clock import async_within, now_ms
-from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import ENCODING
+from hornbeamdeck.request.engine_link import EngineLink
 from hornbeamdeck.request.event_feed import Event, EventFeed
 from hornbeamdeck.request.routed_admission import RoutedAdmission
 from hornbeamdeck.request.routed_ask import Dispatch, Verdict
@@ -23,9 +23,6 @@
 
 __all__ = ('EngineCall',)
 
-# Engines are milliseconds away; a connection that takes longer has lost a
-# packet or leads to a dead machine, and another engine is quicker.
-CONNECT_TIMEOUT_MS: Final = 400
 # An answer that may be asked for elsewhere is given up after this many times
 # its objective, a stream that may be resumed after this many of its gaps.
 SILENT_OBJECTIVES: Final = 3
@@ -53,7 +50,10 @@
         self._edge = edge
         self._admission = admission
         self._caller = caller
-        self._connection: ClientConnection | None = None
+        self._link = EngineLink(
+            edge.connections,
+            may_repeat=admission.route.may_repeat,
+        )
 
     @property
     def fingerprint(self) -> str:
@@ -71,26 +71,24 @@
         :returns: how that ended; a whole answer that is no stream is left in
             `answer`.
         """
-        opened = await ClientConnection.async_open(
-            Address.from_text(grant.address),
-            timeout_ms=CONNECT_TIMEOUT_MS,
-        )
+        opened = await self._link.async_open(grant)
         if isinstance(opened, Err):
             self.cause = opened.err_value.cause
             return RunEnd.NOT_DISPATCHED
-        self._connection = opened.ok_value
         sent_ms = now_ms()
         head = await self._async_head(opened.ok_value, grant.upstream)
         if isinstance(head, Err):
             self.cause = head.err_value.cause
             return RunEnd.FAILED
+        self._link.note_head(head.ok_value)
         return await self._async_relay(head.ok_value, sent_ms)
 
-    async def async_close(self) -> None:
-        """Close the connection; an engine drops a run that has not ended."""
-        if self._connection is not None:
-            await self._connection.async_close()
-            self._connection = None
+    async def async_close(self, end: RunEnd) -> None:
+        """Be done with the engine; it drops a run that has not ended.
+
+        :param end: how the run ended.
+        """
+        await self._link.async_close(end)
 
     async def _async_head(
         self,
@@ -136,7 +134,7 @@
         return await self._async_whole(head, sent_ms)
 
     async def _async_whole(self, head: HttpResponse, sent_ms: float) -> RunEnd:
-        connection = self._connection
+        connection = self._link.connection
         if connection is None:
             return RunEnd.CANCELLED
         body = await self._async_patiently(connection.async_read_body())
@@ -157,7 +155,7 @@
 
     async def _async_stream(self, head: HttpResponse, sent_ms: float) -> RunEnd:
         feed = EventFeed()
-        connection = self._connection
+        connection = self._link.connection
         end: RunEnd | None = None
         while connection is not None and end is None:
             piece = await self._async_patiently(connection.async_read_piece())
--- a/hornbeamdeck/request/routed_edge.py
+++ b/hornbeamdeck/request/routed_edge.py
@@ -11,6 +11,7 @@
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.exchange import Answer
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.kept import KeptConnections
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.process.front_metrics import FrontMetrics
 from hornbeamdeck.request.outcome import NotRun
@@ -45,6 +46,7 @@
 
     :param is_fresh: whether the configuration is proved to be current.
     :param proof_age_ms: how old that proof is.
+    :param connections: to engines, kept from one request to the next.
     :param acquire: waits for a grant.
     :param progress: told a request's id and its time to first token, ms.
     :param release: told a request's id, how its run ended, after how long.
@@ -59,6 +61,7 @@
     configuration: Callable[[], RoutedConfiguration]
     is_fresh: Callable[[], bool]
     proof_age_ms: Callable[[], float]
+    connections: KeptConnections
     acquire: Acquire
     progress: Callable[[str, float], Awaitable[None]]
     release: Callable[[str, RunEnd, float], Awaitable[None]]
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -173,7 +173,7 @@
         try:
             end = await self._call.async_run(grant)
         finally:
-            await self._call.async_close()
+            await self._call.async_close(end)
             await self._edge.release(
                 self._admission.ask.request_id,
                 end,
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -180,7 +180,8 @@
 
     `faults` holds one for each coming request: `not_run`, `reset`, `cut`
     (in the middle of an event), `other_id`, `error`, `bare` (no seal),
-    `silent`; an empty one answers well.
+    `silent`; an empty one answers well. With `keep_alive_s` it says so long it
+    keeps connections, which it counts; `extra` is sent after each answer.
     """
 
     def __init__(self, name: str, *, events: int = 3) -> None:
@@ -191,10 +192,30 @@
         self.cut_off = 0
         self.address = ANYWHERE
         self.event_pause_s = 0.0
+        self.keep_alive_s = 0
+        self.extra = b''
+        self._sockets: list[socket.socket] = []
 
     async def async_start(self) -> None:
         """Listen."""
-        self.address = (await async_listen(self._async_answer)).address
+
+        async def _async_serve(sock: socket.socket) -> None:
+            self._sockets.append(sock)
+            await async_serve_requests(sock, self._async_answer, _refuse)
+
+        listener = await async_setup_listener(ANYWHERE, _async_serve)
+        self.address = listener.address
+
+    @property
+    def connections(self) -> int:
+        """Count the connections that were ever opened here."""
+        return len(self._sockets)
+
+    async def async_hang_up(self) -> None:
+        """Close all connections, as an engine does with idle ones."""
+        for sock in self._sockets:
+            with suppress(OSError):
+                await sock.shutdown(socket.SHUT_RDWR)
 
     def entry(self, service: str, **changes: Any) -> dict[str, Any]:
         """Write what it registers in the store."""
@@ -244,6 +265,8 @@
         if fault == 'silent':
             await sleep(3600)
         headers = {ECHO: request.headers[ECHO], SEAL: f'seal-{self.name}'}
+        if self.keep_alive_s:
+            headers['keep-alive'] = f'timeout={self.keep_alive_s}'
         if fault == 'other_id':
             headers[ECHO] = 'of-another'
         if fault == 'bare':
@@ -255,6 +278,8 @@
         else:
             whole = HttpResponse(200, headers, f'by {self.name}'.encode())
             await caller.async_respond(whole)
+        for sock in self._sockets if self.extra else ():
+            await sock.sendall(self.extra)
 
     async def _async_stream(
         self,
