--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -30,6 +30,17 @@
     teams: dict[str, RoutedTeam]
 
 
+class Admission(NamedTuple):
+    """Whether a request may wait, and from when on it may start.
+
+    :param reason: why it is refused; `None`: it is not.
+    :param hold_ms: until its team's limit lets it start.
+    """
+
+    reason: RefusalReason | None
+    hold_ms: float = 0.0
+
+
 class CellDoor:
     """Decides on admission alone."""
 
@@ -45,20 +56,20 @@
         self._waiting = waiting
         self._returns = ReturnTimes()
 
-    def reason_to_refuse(
+    def admit(
         self,
         request: Enqueue,
         places: int,
         fastest_ms: float,
         now: float,
-    ) -> RefusalReason | None:
-        """Say why a request may not wait; `None` where it may.
+    ) -> Admission:
+        """Say whether a request may wait, or why not.
 
         :param places: engines with a free place.
         :param fastest_ms: least time to its first token, once started.
         """
         if request.excluded:
-            return self._reason_against_another(request, now)
+            return Admission(self._reason_against_another(request, now))
         self._budget.note_request(now)
         # What was refused before is counted from there: to its caller the time
         # until the first answer began with the first try.
@@ -66,10 +77,12 @@
         if waited_ms and request.objective_ms is not None:
             request.objective_ms -= int(waited_ms)
         if not places and not self._waiting.is_worth(request, fastest_ms, now):
-            return RefusalReason.OVERLOADED
-        if not self._take_quota(request, now):
-            return RefusalReason.TEAM_LIMIT
-        return None
+            return Admission(RefusalReason.OVERLOADED)
+        patience_ms = self._waiting.allowed_ms(request, fastest_ms)
+        hold_ms = self._reserve(request, patience_ms, now)
+        if hold_ms is None:
+            return Admission(RefusalReason.TEAM_LIMIT)
+        return Admission(None, hold_ms)
 
     def give_back(self, request: Enqueue) -> None:
         """Return what a request took from its team's limit."""
@@ -113,7 +126,15 @@
             return RefusalReason.TOO_MANY_TRIES
         return None
 
-    def _take_quota(self, request: Enqueue, now: float) -> bool:
+    def _reserve(
+        self,
+        request: Enqueue,
+        patience_ms: float,
+        now: float,
+    ) -> float | None:
         team = self._shared.teams.get(request.team)
+        if team is None:
+            return 0.0
         tokens = request.quota_tokens or 0
-        return team is None or self._shared.quotas.take(team, tokens, now)
+        quotas = self._shared.quotas
+        return quotas.reserve(team, tokens, now, patience_ms)
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 from hornbeamdeck.process.cell import Granted, Refused
-from hornbeamdeck.process.cell_door import CellDoor, Shared
+from hornbeamdeck.process.cell_door import Admission, CellDoor, Shared
 from hornbeamdeck.process.crash_watch import CrashWatch
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
@@ -90,10 +90,12 @@
             service_ms=0,
         )
         fastest_ms = self._fastest_ms(request, now)
-        reason = self._reason_to_refuse(request, fastest_ms, now)
-        if reason is not None:
-            return self._refuse(ticket, reason, now)
-        self._waiting.push(ticket, now, fastest_ms)
+        admission = self._admit(request, fastest_ms, now)
+        if admission.reason is not None:
+            return self._refuse(ticket, admission.reason, now)
+        self._waiting.push(ticket, now, fastest_ms, admission.hold_ms)
+        if admission.hold_ms:
+            self._held_for[request.request_id] = "the team's limit"
         return None
 
     def displace(self) -> Iterator[Refused]:
@@ -177,18 +179,18 @@
         for load in self.loads.values():
             load.drop_sender(sender)
 
-    def _reason_to_refuse(
+    def _admit(
         self,
         request: Enqueue,
         fastest_ms: float,
         now: float,
-    ) -> RefusalReason | None:
+    ) -> Admission:
         if not self.loads:
-            return RefusalReason.NO_UPSTREAM
+            return Admission(RefusalReason.NO_UPSTREAM)
         if self.suspicions.is_culprit(request.fingerprint, now):
-            return RefusalReason.CULPRIT
+            return Admission(RefusalReason.CULPRIT)
         places = sum(load.has_place() for load in self.loads.values())
-        return self._door.reason_to_refuse(request, places, fastest_ms, now)
+        return self._door.admit(request, places, fastest_ms, now)
 
     def _judge(
         self,
--- a/hornbeamdeck/process/token_quota.py
+++ b/hornbeamdeck/process/token_quota.py
@@ -87,21 +87,39 @@
         self._is_first_start = is_first_start
         self._buckets: dict[str, _Bucket] = {}
 
-    def take(self, team: RoutedTeam, tokens: int, now: float) -> bool:
-        """Count tokens against a team's limit if they fit."""
+    def reserve(
+        self,
+        team: RoutedTeam,
+        tokens: int,
+        now: float,
+        patience_ms: float,
+    ) -> float | None:
+        """Count tokens against a team's limit, from the moment they fit.
+
+        A bucket that lacks some tokens gains them in a fraction of a second.
+        What can start then and be on time waits for them here, in the order in
+        which it came; sent away, it would come back late, or not at all. The
+        bucket is overdrawn meanwhile, so that nothing passes what waits.
+
+        :param patience_ms: how long the request may wait for them.
+        :returns: after how long it may start, ms; `None`: too late for it.
+        """
         if not team.rate_per_s:
-            return True
+            return 0.0
         capacity = self._capacity(team)
         bucket = self._buckets.get(team.name)
         if bucket is None:
             bucket = _Bucket(self._first_level(team), now)
             self._buckets[team.name] = bucket
-        bucket.fill(self._per_ms(team), capacity, now)
+        per_ms = self._per_ms(team)
+        bucket.fill(per_ms, capacity, now)
         # A request larger than the bucket would never pass a full one.
-        if bucket.level < min(tokens, capacity):
-            return False
+        missing = min(tokens, capacity) - bucket.level
+        wait_ms = max(missing / per_ms, 0.0)
+        if wait_ms > patience_ms:
+            return None
         bucket.level -= tokens
-        return True
+        return wait_ms
 
     def give_back(self, team: str, tokens: int) -> None:
         """Return what a request took that never ran."""
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -39,6 +39,7 @@
     :param objective_ms: when its answer is late.
     :param pushed_rank: its rank when it began to wait.
     :param was_late: whether it was late then.
+    :param ready_ms: when its team's limit lets it start.
     """
 
     ticket: Ticket
@@ -46,6 +47,7 @@
     objective_ms: float
     pushed_rank: Rank
     was_late: bool
+    ready_ms: float
 
     def order(self, now: float) -> tuple[Rank, float]:
         """Order by second tries first, then rank, then urgency."""
@@ -71,10 +73,17 @@
         """Count the waiting requests."""
         return len(self._places)
 
-    def push(self, ticket: Ticket, now: float, fastest_ms: float) -> None:
+    def push(
+        self,
+        ticket: Ticket,
+        now: float,
+        fastest_ms: float,
+        hold_ms: float = 0.0,
+    ) -> None:
         """Add a request.
 
         :param fastest_ms: least time to its first token, once started.
+        :param hold_ms: until its team's limit lets it start.
         """
         request = ticket.request
         objective_ms = now + _objective_ms(request)
@@ -85,7 +94,14 @@
             ticket = ticket._replace(deadline_ms=end_ms)
         was_late = start_ms < now
         rank = rank_of(request, is_late=was_late)
-        place = _Place(ticket, start_ms, objective_ms, rank, was_late)
+        place = _Place(
+            ticket,
+            start_ms,
+            objective_ms,
+            rank,
+            was_late,
+            now + hold_ms,
+        )
         self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
@@ -109,7 +125,7 @@
             ordered = self._ordered(now)
         else:
             ordered = sorted(
-                self._places.values(),
+                self._ready(now),
                 key=lambda place: (place.start_ms < now, place.start_ms),
             )
         return (place.ticket for place in ordered)
@@ -149,24 +165,28 @@
 
     def is_worth(self, request: Enqueue, fastest_ms: float, now: float) -> bool:
         """Whether a request that must wait can start in time."""
-        objective_ms = _objective_ms(request)
-        start_ms = now + objective_ms - fastest_ms
-        is_late = start_ms < now
-        allowed_ms = of_kind(LATE_WAITS_MS, request)
-        if not is_late:
-            share = of_kind(WAIT_SHARES, request)
-            allowed_ms = (objective_ms - fastest_ms) * share
-        rank = rank_of(request, is_late=is_late)
+        start_ms = now + _objective_ms(request) - fastest_ms
+        rank = rank_of(request, is_late=start_ms < now)
         own = (rank, start_ms)
+        allowed_ms = self.allowed_ms(request, fastest_ms)
         allowed_ms *= self._confidence.factor(rank, now)
         ahead = sum(place.order(now) <= own for place in self._places.values())
         return ahead * self.interval_ms <= allowed_ms
 
+    def allowed_ms(self, request: Enqueue, fastest_ms: float) -> float:
+        """Tell how long a request that comes now may be expected to wait."""
+        slack_ms = _objective_ms(request) - fastest_ms
+        if slack_ms < 0:
+            return of_kind(LATE_WAITS_MS, request)
+        return slack_ms * of_kind(WAIT_SHARES, request)
+
     def _ordered(self, now: float) -> list[_Place]:
-        return sorted(
-            self._places.values(),
-            key=lambda place: place.order(now),
-        )
+        return sorted(self._ready(now), key=lambda place: place.order(now))
+
+    def _ready(self, now: float) -> list[_Place]:
+        return [
+            place for place in self._places.values() if place.ready_ms <= now
+        ]
 
     def _in_vain(self, now: float) -> list[_Place]:
         """Find what won't start before its wait ends, at the pace of now.
--- a/tests/process/test_engine_cell.py
+++ b/tests/process/test_engine_cell.py
@@ -1,15 +1,20 @@
 """How work waits before engines, is turned away and is placed."""
 
 from hornbeamdeck.process.cell import Refused
+from hornbeamdeck.process.cell_door import Shared
 from hornbeamdeck.process.engine_cell import EngineCell
+from hornbeamdeck.process.retry_budget import RetryBudget
 from hornbeamdeck.wire import Progress, RefusalReason, Register, Release, RunEnd
 from tests.process.routed import (
+    MODEL,
     PLAIN,
     ask,
     cell,
     engine,
     granted,
     offer,
+    quotas,
+    team,
 )
 
 
@@ -382,3 +387,53 @@
         granted(desk)
         desk.release(_release(f'r{number}', RunEnd.FAILED), 10)
     assert offer(desk, ask('next', fingerprint='same'), now=20) is None
+
+
+def _limited_desk() -> EngineCell:
+    """Make a cell whose owner knows nothing of what was spent before."""
+    limits = quotas(is_remembered=False, is_first_start=False)
+    made = EngineCell(
+        Shared(
+            quotas=limits, teams={'guides': team(rate=60_000, burst=60_000)}
+        ),
+        RetryBudget(ratio=0.2, slack=20, window_ms=10_000),
+    )
+    made.adopt([engine('e1', slots=99)], MODEL, {})
+    return made
+
+
+def test_after_a_restart_of_all_work_waits_for_its_limit() -> None:
+    """Every process is killed, and the next owner starts with empty buckets.
+    They fill within a fraction of a second; refused meanwhile, callers would
+    find the engines idle and their answers late when they return.
+    """
+    desk = _limited_desk()
+    starts = {}
+    for now in range(0, 1000, 10):
+        if now % 100 == 0:
+            request_id = f'r{now}'
+            request = ask(request_id, quota_tokens=5000, prompt_tokens=100)
+            assert offer(desk, request, now=now) is None
+        for request_id, _ in granted(desk, now):
+            starts[request_id] = now
+    assert len(starts) == 10
+    assert 80 <= starts['r0'] <= 100
+
+
+def test_what_waits_for_its_limit_lets_others_pass() -> None:
+    desk = _limited_desk()
+    offer(desk, ask('limited', quota_tokens=5000))
+    offer(desk, ask('free', team='unlimited'))
+    assert [request for request, _ in granted(desk)] == ['free']
+    grants = list(desk.grants(100))
+    assert [each.held_for for each in grants] == ["the team's limit"]
+
+
+def test_beyond_the_limit_a_request_is_refused_at_once() -> None:
+    desk = _limited_desk()
+    refused = [
+        offer(desk, ask(f'r{number}', quota_tokens=5000))
+        for number in range(20)
+    ]
+    assert refused[0] is None
+    assert _reason(refused[-1]) == RefusalReason.TEAM_LIMIT
