Tell peers the own status only where they lack it

Change: a beat carries it at first, after a change, after a lost connection and every two seconds; whoever has started anew is forgotten before it is answered.

--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -40,6 +40,8 @@
 SILENCE_MS: Final = 800
 # How often a silent instance that ranks before the owner is tried again.
 PROBE_MS: Final = 1000
+# How often a peer is told the same status object.
+TELL_AGAIN_MS: Final = 2000
 # What stands for a proof that was never had, milliseconds.
 NEVER_MS: Final = 1_000_000_000
 
@@ -68,6 +70,16 @@
     is_first_start: bool
 
 
+class _ToldStatus(NamedTuple):
+    """The own status object as a peer was told it.
+
+    :param at_ms: when.
+    """
+
+    text: str
+    at_ms: float
+
+
 class _Told(NamedTuple):
     """What a peer was told of instances.
 
@@ -89,6 +101,7 @@
         self._unanswered_ms: dict[str, float] = {}
         self._told: dict[str, _Told] = {}
         self._told_present: dict[str, frozenset[str]] = {}
+        self._told_status: dict[str, _ToldStatus] = {}
         self._probed_ms = 0.0
 
     async def async_run(self) -> None:
@@ -126,10 +139,10 @@
         if not isinstance(message, Beat):
             return
         self._take(peer_id, message)
-        beat = self._make(peer_id)
         if not message.echo_ms:
             # It has started anew, and knows nothing of what its name was told.
             self.forget_told(peer_id)
+        beat = self._make(peer_id)
         beat.present = self._untold_present(peer_id)
         beat.statuses = self._untold(peer_id)
         await deliver(beat)
@@ -158,6 +171,7 @@
         """Tell a peer everything again, since its connection has gone."""
         self._told.pop(peer_id, None)
         self._told_present.pop(peer_id, None)
+        self._told_status.pop(peer_id, None)
 
     def _targets(self) -> list[str]:
         membership = self._parts.membership
@@ -210,7 +224,7 @@
                 heard.at_ms,
                 parts.directory.confirmed_ms,
             ),
-            status=parts.membership.own.to_text(),
+            status=self._untold_status(peer_id, now),
             memory_ms=int(self._memory_ms(now)),
             spent=parts.spending.report(now),
             is_store_reached=parts.is_store_reached(),
@@ -218,7 +232,8 @@
 
     def _take(self, peer_id: str, beat: Beat) -> None:
         parts = self._parts
-        self._note_status(beat.status)
+        if beat.status:
+            self._note_status(beat.status)
         for text in beat.statuses or ():
             self._note_status(text)
         self.attendance.hear(
@@ -268,6 +283,19 @@
         self._told[peer_id] = _Told(membership.changes, known)
         return sorted(known - told.statuses)
 
+    def _untold_status(self, peer_id: str, now: float) -> str:
+        """Give the own status object where a peer is to be told it.
+
+        It is half of a beat's bytes and hardly ever changes. A beat may be
+        lost with its connection, so it is told again after a while.
+        """
+        text = self._parts.membership.own.to_text()
+        told = self._told_status.get(peer_id)
+        if told and told.text == text and now - told.at_ms < TELL_AGAIN_MS:
+            return ''
+        self._told_status[peer_id] = _ToldStatus(text, now)
+        return text
+
     def _untold_present(self, peer_id: str) -> list[str] | None:
         present = frozenset(self.attendance.present())
         if self._told_present.get(peer_id) == present:
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -132,7 +132,7 @@
   3: required i64 configuration_age_ms
   4: required i64 engines_version
   5: required i64 engines_age_ms
-  6: required string status        // the sender's own status object
+  6: required string status        // the sender's own status object; empty: as told before
   7: required i64 memory_ms        // how long the sender has been running
   8: required list<Spending> spent // in the quota window, by the sender's team
   9: optional list<string> present // in an answer: who lives; unset: as told before
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import (
+    STATE_LEAVING,
     STATE_LIVE,
     InstanceStatus,
     Membership,
@@ -142,3 +143,28 @@
         assert other.proved_ms() <= reader.proved_ms()
 
     _check()
+
+
+def test_the_own_status_is_told_when_a_peer_lacks_it(world: _World) -> None:
+    """Status objects made half of all bytes between instances."""
+    side = _Side(world, 'one', 0)
+    assert side.beats._make('peer').status
+    assert not side.beats._make('peer').status
+    assert side.beats._make('another').status
+    side.beats.forget_told('peer')
+    assert side.beats._make('peer').status
+
+
+def test_a_status_that_changes_or_may_be_lost_is_told_again(
+    world: _World,
+) -> None:
+    """A beat is lost with its connection, or an instance is about to stop.
+    Peers that never hear of it send it work until it is gone.
+    """
+    side = _Side(world, 'one', 0)
+    side.beats._make('peer')
+    membership = side.beats._parts.membership
+    membership.own = membership.own._replace(state=STATE_LEAVING)
+    assert STATE_LEAVING in side.beats._make('peer').status
+    world.true_ms += beats.TELL_AGAIN_MS
+    assert side.beats._make('peer').status
