Explain from log lines what became of requests, and why

Damaged lines are counted. The last line of a request tells now what is needed to name a cause: kind and priority of its route, objective, allowed pause, when its answer began and its longest pause.

--- a/hornbeamdeck/cli.py
+++ b/hornbeamdeck/cli.py
@@ -1,6 +1,8 @@
 """The command line."""
 
+import json as json_codec
 import sys
+from collections.abc import Iterable
 from typing import Any, Final
 
 import curio
@@ -8,6 +10,13 @@
 from result import Err
 
 from hornbeamdeck.demo.run import async_demo
+from hornbeamdeck.explain import (
+    LogLines,
+    describe_way,
+    explain_all,
+    make_report,
+    read_lines,
+)
 from hornbeamdeck.process.front_settings import FrontSettings
 from hornbeamdeck.process.logs import setup_logs
 from hornbeamdeck.process.serve import async_serve
@@ -97,6 +106,49 @@
         sys.exit(EXIT_USAGE)
 
 
+def explain(
+    log: str = '-',
+    request_id: str = '',
+    json: bool = False,
+) -> None:
+    """Explain from log lines what became of requests, and why.
+
+    Example: hornbeamdeck explain fleet.log --request-id 5320b20f59ea9d22
+
+    :param log: path of a file with the lines of all instances; - reads
+        standard input.
+    :param request_id: print the way of this request alone.
+    :param json: print one JSON object alone.
+    """
+    logs = _read_log(log)
+    if request_id:
+        way = logs.by_request.get(str(request_id))
+        if way is None:
+            print(f'{log}: no line of {request_id}', file=sys.stderr)
+            sys.exit(EXIT_FAILED)
+        shown: Iterable[str] = describe_way(way)
+        if json:
+            shown = [json_codec.dumps(way)]
+    else:
+        report = make_report(logs, explain_all(logs))
+        shown = report.to_text()
+        if json:
+            shown = [json_codec.dumps(report.to_dict())]
+    for line in shown:
+        print(line)
+
+
+def _read_log(path: str) -> LogLines:
+    if path == '-':
+        return read_lines(sys.stdin)
+    try:
+        with open(path, encoding='utf-8', errors='replace') as log:
+            return read_lines(log)
+    except OSError as error:
+        print(f'{path}: {error.strerror}', file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
 def _say(line: str) -> None:
     print(line, flush=True)
 
@@ -112,6 +164,7 @@
             'serve': serve,
             'check-settings': check_settings,
             'demo': demo,
+            'explain': explain,
             'standin': standin,
         },
         name='hornbeamdeck',
--- /dev/null
+++ b/hornbeamdeck/explain/report.py
@@ -0,0 +1,121 @@
+"""Counts explained requests by cause, and by what they have in common."""
+
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, NamedTuple
+
+from hornbeamdeck.explain.lines import LogLine, LogLines
+from hornbeamdeck.explain.outcomes import Explained, Outcome
+
+__all__ = ('Report', 'describe_way', 'make_report')
+
+# What requests are counted by, besides their cause.
+_DIMENSIONS: Final = ('kind', 'route', 'team', 'engine', 'second')
+# Rows of one table in the text; the JSON has all.
+SHOWN_ROWS: Final = 12
+_NOT_SHOWN: Final = frozenset(
+    ('event', 'request_id', 'level', 'timestamp', 'instance_id'),
+)
+
+
+class Cause(NamedTuple):
+    """One cause of one outcome.
+
+    :param decided_on: medians of the numbers that it was decided on.
+    :param by: counts by kind of route, route, team, engine and second.
+    """
+
+    outcome: str
+    cause: str
+    requests: int
+    decided_on: dict[str, float]
+    by: dict[str, dict[str, int]]
+
+
+class Report(NamedTuple):
+    """What a log tells, as a whole."""
+
+    lines: int
+    damaged: int
+    outcomes: dict[str, int]
+    causes: list[Cause]
+
+    def to_dict(self) -> dict[str, Any]:
+        """Give all of it as plain values, for JSON."""
+        causes = [cause._asdict() for cause in self.causes]
+        return {**self._asdict(), 'causes': causes}
+
+    def to_text(self) -> Iterator[str]:
+        """Write it for reading, the largest cause first."""
+        yield f'{self.lines} lines read, {self.damaged} damaged'
+        for outcome, count in self.outcomes.items():
+            yield f'{count:6} {outcome}'
+        for cause in self.causes:
+            yield ''
+            yield f'{cause.requests:6} {cause.outcome}: {cause.cause}'
+            if cause.decided_on:
+                yield f'       decided on (medians): {_row(cause.decided_on)}'
+            for dimension, counts in cause.by.items():
+                yield f'       by {dimension}: {_row(counts) or "not told"}'
+
+
+def make_report(logs: LogLines, explained: Iterable[Explained]) -> Report:
+    """Count what was explained; what ended on time has no cause."""
+    outcomes: Counter[str] = Counter()
+    groups: dict[tuple[str, str], list[Explained]] = defaultdict(list)
+    for each in explained:
+        outcomes[each.outcome] += 1
+        if each.outcome != Outcome.ON_TIME:
+            groups[each.outcome, each.cause].append(each)
+    ordered = sorted(groups.items(), key=lambda group: -len(group[1]))
+    return Report(
+        lines=logs.lines,
+        damaged=logs.damaged,
+        outcomes=dict(outcomes.most_common()),
+        causes=[_to_cause(*key, members) for key, members in ordered],
+    )
+
+
+def describe_way(lines: list[LogLine]) -> Iterator[str]:
+    """Write one request's way, a line for each decision."""
+    ordered = sorted(lines, key=lambda line: str(line.get('timestamp')))
+    for line in ordered:
+        facts = ' '.join(
+            f'{name}={text}'
+            for name, text in line.items()
+            if name not in _NOT_SHOWN
+        )
+        where = line.get('instance_id', '')
+        yield f'{line.get("timestamp", "")} {where} {line["event"]}: {facts}'
+
+
+def _to_cause(outcome: str, cause: str, members: list[Explained]) -> Cause:
+    return Cause(
+        outcome=str(outcome),
+        cause=cause,
+        requests=len(members),
+        decided_on=_medians(members),
+        by={name: _count(members, name) for name in _DIMENSIONS},
+    )
+
+
+def _medians(members: list[Explained]) -> dict[str, float]:
+    known: dict[str, list[float]] = defaultdict(list)
+    for each in members:
+        for name, number in each.inputs.items():
+            known[name].append(number)
+    medians = map(statistics.median, known.values())
+    return dict(zip(known, medians, strict=True))
+
+
+def _count(members: list[Explained], name: str) -> dict[str, int]:
+    counts = Counter(str(getattr(each, name)) for each in members)
+    return {text: count for text, count in counts.most_common() if text}
+
+
+def _row(counts: dict[str, float] | dict[str, int]) -> str:
+    shown = list(counts.items())[:SHOWN_ROWS]
+    row = ', '.join(f'{name} {number:g}' for name, number in shown)
+    hidden = len(counts) - len(shown)
+    return f'{row}, {hidden} more' if hidden else row
--- a/hornbeamdeck/request/routed_call.py
+++ b/hornbeamdeck/request/routed_call.py
@@ -45,6 +45,7 @@
         self.answer: HttpResponse | None = None
         self.cause = ''
         self.first_ms = 0.0
+        self.begun_ms = 0.0
         self.longest_gap_ms = 0.0
         self.is_sent = False
         self.last_event = admission.ask.last_event
@@ -143,7 +144,7 @@
         if isinstance(body, Err):
             self.cause = body.err_value.cause
             return RunEnd.FAILED
-        self.first_ms = now_ms() - sent_ms
+        self._note_first(sent_ms)
         whole = head._replace(body=body.ok_value)
         if self._caller.has_started:
             # A stream was to go on here and this is no stream.
@@ -197,7 +198,7 @@
             answer = self._edge.dialect.to_caller(head)
             await self._caller.async_start(answer.status, answer.headers)
         if not self.first_ms:
-            self.first_ms = now_ms() - sent_ms
+            self._note_first(sent_ms)
             await self._edge.progress(
                 self._admission.ask.request_id,
                 self.first_ms,
@@ -208,6 +209,11 @@
         passed = await self._caller.async_send(encoded)
         return RunEnd.CANCELLED if isinstance(passed, Err) else None
 
+    def _note_first(self, sent_ms: float) -> None:
+        now = now_ms()
+        self.first_ms = now - sent_ms
+        self.begun_ms = self.begun_ms or now - self._admission.arrived_ms
+
     def _note_gap(self) -> None:
         now = now_ms()
         if self._event_ms:
--- /dev/null
+++ b/tests/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what log lines are taken to tell."""
--- /dev/null
+++ b/tests/explain/test_explain.py
@@ -0,0 +1,189 @@
+"""Causes read from log lines."""
+
+import json
+from typing import Any
+
+import pytest
+
+from hornbeamdeck.cli import explain
+from hornbeamdeck.explain import (
+    describe_way,
+    explain_all,
+    make_report,
+    read_lines,
+)
+
+ANSWERED = 'request: request answered'
+FAILED = 'request: request failed'
+
+
+def _line(event: str, request_id: str = 'r1', **fields: Any) -> str:
+    second = fields.pop('second', 0)
+    return json.dumps(
+        {
+            'event': event,
+            'request_id': request_id,
+            'timestamp': f'2026-01-01T00:00:{second:02}Z',
+            'instance_id': 'front-1',
+            **fields,
+        },
+    )
+
+
+def _answered(**fields: Any) -> str:
+    usual = {
+        'kind': 'streaming',
+        'route': 'notes',
+        'team': 'guides',
+        'engine': 'e1',
+        'objective_ms': 500,
+        'gap_ms': 300,
+        'begun_ms': 100,
+        'waited_ms': 0,
+        'first_ms': 100,
+        'longest_gap_ms': 20,
+    }
+    return _line(ANSWERED, **{**usual, **fields})
+
+
+def _only(*lines: str) -> tuple[str, str]:
+    explained = list(explain_all(read_lines(lines)))
+    assert len(explained) == 1
+    return (explained[0].outcome, explained[0].cause)
+
+
+def _held(reason: str) -> str:
+    return _line('scheduler: request was held back', held_for=reason)
+
+
+def _refused(**fields: Any) -> str:
+    return _line('scheduler: request refused', reason='overloaded', **fields)
+
+
+@pytest.mark.parametrize(
+    ('lines', 'outcome', 'cause'),
+    [
+        ([_answered()], 'on time', ''),
+        (
+            [_answered(begun_ms=700, waited_ms=600)],
+            'late',
+            'waited for a place',
+        ),
+        (
+            [
+                _held('it would break streams'),
+                _answered(begun_ms=700, waited_ms=600),
+            ],
+            'late',
+            'held back: it would break streams',
+        ),
+        (
+            [_answered(begun_ms=700, first_ms=690)],
+            'late',
+            'its engine took long to the first byte',
+        ),
+        (
+            [
+                _line('request: try ended', end='failed'),
+                _answered(begun_ms=700, waited_ms=20),
+            ],
+            'late',
+            'another engine had failed before',
+        ),
+        ([_answered(longest_gap_ms=400)], 'late', 'a pause between events'),
+        (
+            [_refused(places=0), _line(FAILED, code='overloaded')],
+            'refused',
+            'overloaded',
+        ),
+        (
+            [_refused(places=3), _line(FAILED, code='overloaded')],
+            'refused',
+            'overloaded with places free',
+        ),
+        (
+            [
+                _line('request: try ended', end='failed'),
+                _line(FAILED, code='engine_broken'),
+            ],
+            'broken',
+            'engine_broken: failed',
+        ),
+        (
+            [
+                _line(
+                    'edge: request refused at the edge',
+                    code='configuration_unproved',
+                ),
+            ],
+            'refused',
+            'configuration_unproved',
+        ),
+        ([_line('request: caller left')], 'caller left', 'while waiting'),
+    ],
+)
+def test_a_cause_is_named(lines: list[str], outcome: str, cause: str) -> None:
+    assert _only(*lines) == (outcome, cause)
+
+
+def test_lines_that_are_cut_or_no_json_are_counted() -> None:
+    """A process is killed in the middle of a line, and two write into one."""
+    whole = _answered()
+    read = read_lines([whole[:40], '{"event": 3}', 'text', f'12.3 f-1 {whole}'])
+    assert read.damaged == 2
+    assert read.lines == 1
+    assert list(read.by_request) == ['r1']
+
+
+def test_a_request_without_its_last_line_is_not_explained() -> None:
+    assert not list(explain_all(read_lines([_held('it would be late there')])))
+
+
+def test_a_report_counts_by_what_requests_have_in_common() -> None:
+    lines = [
+        _refused(places=0, waiting=20),
+        _line(FAILED, code='overloaded', route='notes', second=2),
+        _line(
+            'scheduler: request refused',
+            'r2',
+            reason='overloaded',
+            places=0,
+            waiting=30,
+        ),
+        _line(FAILED, 'r2', code='overloaded', route='chat', second=2),
+    ]
+    logs = read_lines(lines)
+    report = make_report(logs, explain_all(logs))
+    cause = report.causes[0]
+    assert cause.requests == 2
+    assert cause.by['route'] == {'notes': 1, 'chat': 1}
+    assert cause.by['second'] == {'2': 2}
+    assert cause.decided_on['waiting'] == 25
+    text = '\n'.join(report.to_text())
+    assert 'refused: overloaded' in text
+
+
+def test_the_way_of_a_request_is_told_in_order_of_time() -> None:
+    lines = [_answered(second=3), _line('request: try ended', second=1)]
+    way = list(describe_way(read_lines(lines).by_request['r1']))
+    assert 'try ended' in way[0]
+    assert 'request answered' in way[1]
+
+
+def test_the_command_prints_json_alone(
+    tmp_path: Any,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    log = tmp_path / 'fleet.log'
+    log.write_text(_answered() + '\n')
+    explain(str(log), json=True)
+    assert json.loads(capsys.readouterr().out)['outcomes'] == {'on time': 1}
+
+
+def test_the_command_says_when_it_finds_nothing(tmp_path: Any) -> None:
+    log = tmp_path / 'fleet.log'
+    log.write_text('')
+    with pytest.raises(SystemExit):
+        explain(str(log), request_id='nobody')
+    with pytest.raises(SystemExit):
+        explain(str(tmp_path / 'missing'))
