Take a team's tokens when a request starts, and let bookings pass

Change: tokens are taken as a request starts, in the order of what waits; what comes after the first that lacks some must not take them one by one, unless it needs under a tenth. A request may wait where its tokens will be there in time behind those of its priority and before. What waits and leaves uses up nothing.

--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -7,9 +7,10 @@
 
 from typing import Final, NamedTuple
 
+from hornbeamdeck.process.request_rank import kind_rank
 from hornbeamdeck.process.retry_budget import RetryBudget
 from hornbeamdeck.process.return_times import ReturnTimes
-from hornbeamdeck.process.token_quota import TokenQuotas
+from hornbeamdeck.process.token_quota import SMALL_SHARE, Need, TokenQuotas
 from hornbeamdeck.process.waiting_room import WaitingRoom
 from hornbeamdeck.version.routed import RoutedTeam
 from hornbeamdeck.wire import Enqueue, RefusalReason
@@ -30,17 +31,6 @@
     teams: dict[str, RoutedTeam]
 
 
-class Admission(NamedTuple):
-    """Whether a request may wait, and from when on it may start.
-
-    :param reason: why it is refused; `None`: it is not.
-    :param hold_ms: until its team's limit lets it start.
-    """
-
-    reason: RefusalReason | None
-    hold_ms: float = 0.0
-
-
 class CellDoor:
     """Decides on admission alone."""
 
@@ -56,20 +46,20 @@
         self._waiting = waiting
         self._returns = ReturnTimes()
 
-    def admit(
+    def reason_to_refuse(
         self,
         request: Enqueue,
         places: int,
         fastest_ms: float,
         now: float,
-    ) -> Admission:
-        """Say whether a request may wait, or why not.
+    ) -> RefusalReason | None:
+        """Say why a request may not wait; `None` where it may.
 
         :param places: engines with a free place.
         :param fastest_ms: least time to its first token, once started.
         """
         if request.excluded:
-            return Admission(self._reason_against_another(request, now))
+            return self._reason_against_another(request, now)
         self._budget.note_request(now)
         # What was refused before is counted from there: to its caller the time
         # until the first answer began with the first try.
@@ -77,17 +67,52 @@
         if waited_ms and request.objective_ms is not None:
             request.objective_ms -= int(waited_ms)
         if not places and not self._waiting.is_worth(request, fastest_ms, now):
-            return Admission(RefusalReason.OVERLOADED)
-        patience_ms = self._waiting.allowed_ms(request, fastest_ms)
-        hold_ms = self._reserve(request, patience_ms, now)
-        if hold_ms is None:
-            return Admission(RefusalReason.TEAM_LIMIT)
-        return Admission(None, hold_ms)
-
-    def give_back(self, request: Enqueue) -> None:
-        """Return what a request took from its team's limit."""
-        if request.quota_tokens and not request.excluded:
-            self._shared.quotas.give_back(request.team, request.quota_tokens)
+            return RefusalReason.OVERLOADED
+        team = self._limited(request)
+        if team is not None:
+            patience_ms = self._waiting.allowed_ms(request, fastest_ms)
+            need = _need_of(request, patience_ms)
+            if not self._shared.quotas.may_wait(team, need, now):
+                return RefusalReason.TEAM_LIMIT
+            self._shared.quotas.wait(team, need)
+        return None
+
+    def may_start(
+        self,
+        request: Enqueue,
+        blocked: dict[str, int],
+        now: float,
+    ) -> bool:
+        """Whether a team's limit lets a request start.
+
+        :param blocked: by team the tokens of the first request that lacks
+            some; what comes after it must not take them one by one, unless it
+            needs next to nothing.
+        """
+        team = self._limited(request)
+        if team is None:
+            return True
+        tokens = int(request.quota_tokens)
+        before = blocked.get(team.name)
+        if before is not None and tokens > before * SMALL_SHARE:
+            return False
+        if self._shared.quotas.has(team, tokens, now):
+            return True
+        blocked.setdefault(team.name, tokens)
+        return False
+
+    def start(self, request: Enqueue, now: float) -> None:
+        """Count a request that starts against its team's limit."""
+        team = self._limited(request)
+        if team is not None:
+            self._shared.quotas.take(team, int(request.quota_tokens), now)
+        self.stop_waiting(request)
+
+    def stop_waiting(self, request: Enqueue) -> None:
+        """Count a request no more among those that wait for tokens."""
+        team = self._limited(request)
+        if team is not None:
+            self._shared.quotas.stop_waiting(team, _need_of(request))
 
     def wait_ms(
         self,
@@ -98,10 +123,8 @@
         """Tell after which time it is worth coming back."""
         team = self._shared.teams.get(request.team)
         if reason == RefusalReason.TEAM_LIMIT and team is not None:
-            return self._shared.quotas.retry_after_ms(
-                team,
-                request.quota_tokens or 0,
-            )
+            need = _need_of(request)
+            return self._shared.quotas.retry_after_ms(team, need)
         return self._returns.take(
             request.fingerprint,
             self._waiting.drain_ms(),
@@ -126,15 +149,12 @@
             return RefusalReason.TOO_MANY_TRIES
         return None
 
-    def _reserve(
-        self,
-        request: Enqueue,
-        patience_ms: float,
-        now: float,
-    ) -> float | None:
-        team = self._shared.teams.get(request.team)
-        if team is None:
-            return 0.0
-        tokens = request.quota_tokens or 0
-        quotas = self._shared.quotas
-        return quotas.reserve(team, tokens, now, patience_ms)
+    def _limited(self, request: Enqueue) -> RoutedTeam | None:
+        """Find the team whose limit counts; a second try counted before."""
+        if request.excluded or not request.quota_tokens:
+            return None
+        return self._shared.teams.get(request.team)
+
+
+def _need_of(request: Enqueue, patience_ms: float = 0) -> Need:
+    return Need(int(request.quota_tokens), kind_rank(request), patience_ms)
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -4,9 +4,10 @@
 """
 
 from collections.abc import Iterable, Iterator
+from typing import Final
 
 from hornbeamdeck.process.cell import Granted, Refused
-from hornbeamdeck.process.cell_door import Admission, CellDoor, Shared
+from hornbeamdeck.process.cell_door import CellDoor, Shared
 from hornbeamdeck.process.crash_watch import CrashWatch
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
@@ -30,6 +31,9 @@
 
 __all__ = ('EngineCell',)
 
+# Why a request waits though engines have places, as the log tells it.
+HELD_BY_LIMIT: Final = "the team's limit"
+
 
 class EngineCell:
     """Holds what waits for one service and places it on its engines."""
@@ -89,13 +93,11 @@
             deadline_ms=now + (request.patience_ms or request.deadline_ms),
             service_ms=0,
         )
-        fastest_ms = self._fastest_ms(request, now)
-        admission = self._admit(request, fastest_ms, now)
-        if admission.reason is not None:
-            return self._refuse(ticket, admission.reason, now)
-        self._waiting.push(ticket, now, fastest_ms, admission.hold_ms)
-        if admission.hold_ms:
-            self._held_for[request.request_id] = "the team's limit"
+        fastest_ms = _fastest_ms(self.loads.values(), request, now)
+        reason = self._reason_to_refuse(request, fastest_ms, now)
+        if reason is not None:
+            return self._refuse(ticket, reason, now)
+        self._waiting.push(ticket, now, fastest_ms)
         return None
 
     def displace(self) -> Iterator[Refused]:
@@ -105,7 +107,7 @@
     def expire(self, now: float) -> Iterator[Refused]:
         """Give up on what has no use any more."""
         for ticket in self._waiting.expired(now):
-            self._door.give_back(ticket.request)
+            self._door.stop_waiting(ticket.request)
             yield self._refuse(ticket, RefusalReason.DEADLINE, now)
 
     def grants(self, now: float) -> Iterator[Granted]:
@@ -113,38 +115,27 @@
         if not len(self._waiting):
             return
         free = [load for load in self.loads.values() if load.has_place()]
+        blocked: dict[str, int] = {}
         for ticket in self._waiting.in_order(now):
             if not free:
                 return
-            request = ticket.request
-            chances = self._waiting.chances(request.request_id, now)
-            choice = choose_engine(free, ticket, now, chances)
-            load = choice.load
-            if load is None:
-                self._held_for[request.request_id] = choice.held_for
+            if not self._door.may_start(ticket.request, blocked, now):
+                self._held_for[ticket.request.request_id] = HELD_BY_LIMIT
                 continue
-            self._waiting.start(request.request_id, now)
-            self._start(load, ticket, now)
-            if not load.has_place():
-                free.remove(load)
-            yield Granted(
-                ticket,
-                load.engine.name,
-                str(load.engine.address),
-                self._held_for.pop(request.request_id, ''),
-            )
+            granted = self._place(ticket, free, now)
+            if granted is not None:
+                yield granted
 
     def withdraw(self, request_id: str) -> None:
         """Forget a waiting request whose caller has left."""
         ticket = self._waiting.remove(request_id)
         self._held_for.pop(request_id, None)
         if ticket is not None:
-            self._door.give_back(ticket.request)
+            self._door.stop_waiting(ticket.request)
 
     def register(self, run: Register, sender: str) -> None:
         """Account for a run that another owner granted."""
-        self._waiting.remove(run.request_id)
-        self._held_for.pop(run.request_id, None)
+        self.withdraw(run.request_id)
         load = self.loads.get(run.upstream)
         if load is not None:
             load.add(run, sender)
@@ -175,22 +166,48 @@
         """Forget all that came by a connection that has gone."""
         for ticket in self._waiting.remove_sender(sender):
             self._held_for.pop(ticket.request.request_id, None)
-            self._door.give_back(ticket.request)
+            self._door.stop_waiting(ticket.request)
         for load in self.loads.values():
             load.drop_sender(sender)
 
-    def _admit(
+    def _reason_to_refuse(
         self,
         request: Enqueue,
         fastest_ms: float,
         now: float,
-    ) -> Admission:
+    ) -> RefusalReason | None:
         if not self.loads:
-            return Admission(RefusalReason.NO_UPSTREAM)
+            return RefusalReason.NO_UPSTREAM
         if self.suspicions.is_culprit(request.fingerprint, now):
-            return Admission(RefusalReason.CULPRIT)
+            return RefusalReason.CULPRIT
         places = sum(load.has_place() for load in self.loads.values())
-        return self._door.admit(request, places, fastest_ms, now)
+        return self._door.reason_to_refuse(request, places, fastest_ms, now)
+
+    def _place(
+        self,
+        ticket: Ticket,
+        free: list[EngineLoad],
+        now: float,
+    ) -> Granted | None:
+        """Start a request on one of the engines with a place, or hold it."""
+        request_id = ticket.request.request_id
+        chances = self._waiting.chances(request_id, now)
+        choice = choose_engine(free, ticket, now, chances)
+        load = choice.load
+        if load is None:
+            self._held_for[request_id] = choice.held_for
+            return None
+        self._waiting.start(request_id, now)
+        self._door.start(ticket.request, now)
+        self._start(load, ticket, now)
+        if not load.has_place():
+            free.remove(load)
+        return Granted(
+            ticket,
+            load.engine.name,
+            str(load.engine.address),
+            self._held_for.pop(request_id, ''),
+        )
 
     def _judge(
         self,
@@ -214,16 +231,6 @@
             crashes=self.suspicions.crashes(blamed, now),
         )
 
-    def _fastest_ms(self, request: Enqueue, now: float) -> float:
-        return min(
-            (
-                load.first_token_ms(request.prompt_tokens, now)
-                for load in self.loads.values()
-                if not load.engine.is_leaving
-            ),
-            default=0.0,
-        )
-
     def _start(self, load: EngineLoad, ticket: Ticket, now: float) -> None:
         request = ticket.request
         run = Register(
@@ -270,13 +277,28 @@
             'waiting': len(self._waiting),
             'engines': len(self.loads),
             'places': sum(load.has_place() for load in self.loads.values()),
-            'fastest_ms': int(self._fastest_ms(request, now)),
+            'fastest_ms': int(_fastest_ms(self.loads.values(), request, now)),
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._door.describe_quota(request.team),
         }
 
 
+def _fastest_ms(
+    loads: Iterable[EngineLoad],
+    request: Enqueue,
+    now: float,
+) -> float:
+    return min(
+        (
+            load.first_token_ms(request.prompt_tokens, now)
+            for load in loads
+            if not load.engine.is_leaving
+        ),
+        default=0.0,
+    )
+
+
 def _running_at(
     loads: Iterable[EngineLoad],
     request_id: str,
--- a/hornbeamdeck/process/token_quota.py
+++ b/hornbeamdeck/process/token_quota.py
@@ -11,7 +11,7 @@
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.version.routed import RoutedTeam
 
-__all__ = ('QuotaRules', 'QuotaView', 'TokenQuotas')
+__all__ = ('SMALL_SHARE', 'Need', 'QuotaRules', 'QuotaView', 'TokenQuotas')
 
 # Part of the allowed slack that is used, so that a request at the very limit
 # is not refused for the clocks of two machines. The rest stays for the moment
@@ -24,6 +24,10 @@
 # makes the buckets fill a little faster than the team's rate.
 BURST_SHARE: Final = 0.3
 MIN_RETRY_MS: Final = 100
+# A request that needs no more than this part of what waits may pass it: a
+# booking counts a few hundred tokens, a long prompt thousands, and one delays
+# the other by milliseconds.
+SMALL_SHARE: Final = 0.1
 
 
 class QuotaView(NamedTuple):
@@ -49,6 +53,18 @@
     slack: float
 
 
+class Need(NamedTuple):
+    """What a request needs of its team's limit.
+
+    :param rank: requests of this priority or before it get theirs first.
+    :param patience_ms: how long it may wait for them.
+    """
+
+    tokens: int
+    rank: int
+    patience_ms: float = 0.0
+
+
 class _Bucket:
     """A token bucket; it may be overdrawn by one request."""
 
@@ -86,59 +102,64 @@
         self._rules = rules
         self._is_first_start = is_first_start
         self._buckets: dict[str, _Bucket] = {}
+        self._waiting: dict[str, dict[int, int]] = {}
 
-    def reserve(
-        self,
-        team: RoutedTeam,
-        tokens: int,
-        now: float,
-        patience_ms: float,
-    ) -> float | None:
-        """Count tokens against a team's limit, from the moment they fit.
-
-        A bucket that lacks some tokens gains them in a fraction of a second.
-        What can start then and be on time waits for them here, in the order in
-        which it came; sent away, it would come back late, or not at all. The
-        bucket is overdrawn meanwhile, so that nothing passes what waits.
-
-        :param patience_ms: how long the request may wait for them.
-        :returns: after how long it may start, ms; `None`: too late for it.
+    def may_wait(self, team: RoutedTeam, need: Need, now: float) -> bool:
+        """Whether a request may wait for its tokens.
+
+        A bucket that lacks some gains them in a fraction of a second. What can
+        start then and be on time waits; sent away, it would come back late, or
+        not at all.
         """
         if not team.rate_per_s:
-            return 0.0
-        capacity = self._capacity(team)
-        bucket = self._buckets.get(team.name)
-        if bucket is None:
-            bucket = _Bucket(self._first_level(team), now)
-            self._buckets[team.name] = bucket
-        per_ms = self._per_ms(team)
-        bucket.fill(per_ms, capacity, now)
+            return True
+        bucket = self._filled(team, now)
+        tokens = min(need.tokens, self._capacity(team))
+        ahead = self._ahead(team, need.rank)
+        if tokens <= bucket.level and tokens <= ahead * SMALL_SHARE:
+            return True
+        lacking = tokens + ahead - bucket.level
+        return lacking <= need.patience_ms * self._per_ms(team)
+
+    def wait(self, team: RoutedTeam, need: Need) -> None:
+        """Count a request among those that wait for a team's tokens."""
+        waiting = self._waiting.setdefault(team.name, {})
+        waiting[need.rank] = waiting.get(need.rank, 0) + need.tokens
+
+    def stop_waiting(self, team: RoutedTeam, need: Need) -> None:
+        """Count it no more."""
+        waiting = self._waiting.setdefault(team.name, {})
+        waiting[need.rank] = max(waiting.get(need.rank, 0) - need.tokens, 0)
+
+    def has(self, team: RoutedTeam, tokens: int, now: float) -> bool:
+        """Whether a team has so many tokens now."""
+        if not team.rate_per_s:
+            return True
         # A request larger than the bucket would never pass a full one.
-        missing = min(tokens, capacity) - bucket.level
-        wait_ms = max(missing / per_ms, 0.0)
-        if wait_ms > patience_ms:
-            return None
-        bucket.level -= tokens
-        return wait_ms
-
-    def give_back(self, team: str, tokens: int) -> None:
-        """Return what a request took that never ran."""
-        bucket = self._buckets.get(team)
-        if bucket is not None:
-            bucket.level += tokens
+        needed = min(tokens, self._capacity(team))
+        return self._filled(team, now).level >= needed
+
+    def take(self, team: RoutedTeam, tokens: int, now: float) -> bool:
+        """Count tokens against a team's limit if they are there."""
+        if not self.has(team, tokens, now):
+            return False
+        if team.rate_per_s:
+            self._filled(team, now).level -= tokens
+        return True
 
     def forget(self) -> None:
         """Drop all buckets, since another instance is the owner now."""
         self._buckets.clear()
         self._is_first_start = False
 
-    def retry_after_ms(self, team: RoutedTeam, tokens: int) -> int:
-        """Tell when the bucket will hold so many tokens."""
+    def retry_after_ms(self, team: RoutedTeam, need: Need) -> int:
+        """Tell when a request's tokens will be there."""
         bucket = self._buckets.get(team.name)
         if bucket is None:
             return MIN_RETRY_MS
-        missing = min(tokens, self._capacity(team)) - bucket.level
-        return max(int(missing / self._per_ms(team)) + 1, MIN_RETRY_MS)
+        lacking = min(need.tokens, self._capacity(team)) - bucket.level
+        lacking += self._ahead(team, need.rank)
+        return max(int(lacking / self._per_ms(team)) + 1, MIN_RETRY_MS)
 
     def describe(self, team: str) -> str:
         """Tell the state of a team's bucket, for the log."""
@@ -147,6 +168,19 @@
             return 'no limit in use'
         return f'{int(bucket.level)} tokens left, share {self._share():.2f}'
 
+    def _filled(self, team: RoutedTeam, now: float) -> _Bucket:
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            bucket = _Bucket(self._first_level(team), now)
+            self._buckets[team.name] = bucket
+        bucket.fill(self._per_ms(team), self._capacity(team), now)
+        return bucket
+
+    def _ahead(self, team: RoutedTeam, rank: int) -> int:
+        """Count the tokens that go before those of a new request."""
+        waiting = self._waiting.get(team.name, {})
+        return sum(tokens for other, tokens in waiting.items() if other <= rank)
+
     def _share(self) -> float:
         share = self._view.share()
         return 1.0 if share >= WHOLE_SHARE else share
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -39,7 +39,6 @@
     :param objective_ms: when its answer is late.
     :param pushed_rank: its rank when it began to wait.
     :param was_late: whether it was late then.
-    :param ready_ms: when its team's limit lets it start.
     """
 
     ticket: Ticket
@@ -47,7 +46,6 @@
     objective_ms: float
     pushed_rank: Rank
     was_late: bool
-    ready_ms: float
 
     def order(self, now: float) -> tuple[Rank, float]:
         """Order by second tries first, then rank, then urgency."""
@@ -73,17 +71,10 @@
         """Count the waiting requests."""
         return len(self._places)
 
-    def push(
-        self,
-        ticket: Ticket,
-        now: float,
-        fastest_ms: float,
-        hold_ms: float = 0.0,
-    ) -> None:
+    def push(self, ticket: Ticket, now: float, fastest_ms: float) -> None:
         """Add a request.
 
         :param fastest_ms: least time to its first token, once started.
-        :param hold_ms: until its team's limit lets it start.
         """
         request = ticket.request
         objective_ms = now + _objective_ms(request)
@@ -94,14 +85,7 @@
             ticket = ticket._replace(deadline_ms=end_ms)
         was_late = start_ms < now
         rank = rank_of(request, is_late=was_late)
-        place = _Place(
-            ticket,
-            start_ms,
-            objective_ms,
-            rank,
-            was_late,
-            now + hold_ms,
-        )
+        place = _Place(ticket, start_ms, objective_ms, rank, was_late)
         self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
@@ -125,7 +109,7 @@
             ordered = self._ordered(now)
         else:
             ordered = sorted(
-                self._ready(now),
+                self._places.values(),
                 key=lambda place: (place.start_ms < now, place.start_ms),
             )
         return (place.ticket for place in ordered)
@@ -181,12 +165,10 @@
         return slack_ms * of_kind(WAIT_SHARES, request)
 
     def _ordered(self, now: float) -> list[_Place]:
-        return sorted(self._ready(now), key=lambda place: place.order(now))
-
-    def _ready(self, now: float) -> list[_Place]:
-        return [
-            place for place in self._places.values() if place.ready_ms <= now
-        ]
+        return sorted(
+            self._places.values(),
+            key=lambda place: place.order(now),
+        )
 
     def _in_vain(self, now: float) -> list[_Place]:
         """Find what won't start before its wait ends, at the pace of now.
--- a/tests/process/test_engine_cell.py
+++ b/tests/process/test_engine_cell.py
@@ -437,3 +437,25 @@
     ]
     assert refused[0] is None
     assert _reason(refused[-1]) == RefusalReason.TEAM_LIMIT
+
+
+def test_small_requests_do_not_take_what_a_large_one_waits_for() -> None:
+    """Chat of a few hundred tokens takes each token as it comes, and the long
+    prompt of the first priority never sees enough of them.
+    """
+    desk = _limited_desk()
+    offer(desk, ask('urgent', quota_tokens=9000, route_rank=0))
+    started = []
+    for now in range(0, 300, 10):
+        chat = ask(f'chat{now}', quota_tokens=1000, route_rank=2)
+        offer(desk, chat, now=now)
+        started += [request for request, _ in granted(desk, now)]
+    assert started[0] == 'urgent'
+
+
+def test_a_booking_passes_what_waits_for_tokens() -> None:
+    desk = _limited_desk()
+    offer(desk, ask('large', quota_tokens=9000, route_rank=0), now=0)
+    assert not granted(desk, 0)
+    offer(desk, ask('booking', quota_tokens=200, route_rank=2), now=20)
+    assert granted(desk, 20) == [('booking', 'e1')]
