--- a/hornbeamdeck/request/engine_link.py
+++ b/hornbeamdeck/request/engine_link.py
@@ -53,10 +53,12 @@
         if found is not None:
             self.connection = found
             return Ok(found)
+        # What may not repeat has nowhere else to go: its engine may still be
+        # heard when a cut has healed.
         opened = await ClientConnection.async_open(
             Address.from_text(grant.address),
             timeout_ms=CONNECT_TIMEOUT_MS,
-            unheard_ms=UNHEARD_MS,
+            unheard_ms=UNHEARD_MS if self._may_repeat else 0,
         )
         if isinstance(opened, Ok):
             self.connection = opened.ok_value
