Expect places from what is known of runs, and judge engines in a file of its own

Cause: a wait was expected as the requests ahead times the mean time between grants.

Change: each run is expected to end by its tokens, its engine's speed and the time of a token, learned for each service; the one in place k of the order starts when place k comes free, free ones at once; what lies beyond the known ends goes by the mean, as do runs that another owner granted.

--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -7,6 +7,7 @@
 
 from typing import Final, NamedTuple
 
+from hornbeamdeck.process.forecast import Forecast
 from hornbeamdeck.process.request_rank import kind_rank
 from hornbeamdeck.process.retry_budget import RetryBudget
 from hornbeamdeck.process.return_times import ReturnTimes
@@ -49,13 +50,13 @@
     def reason_to_refuse(
         self,
         request: Enqueue,
-        places: int,
+        forecast: Forecast,
         fastest_ms: float,
         now: float,
     ) -> RefusalReason | None:
         """Say why a request may not wait; `None` where it may.
 
-        :param places: engines with a free place.
+        :param forecast: when places come free.
         :param fastest_ms: least time to its first token, once started.
         """
         if request.excluded:
@@ -66,7 +67,7 @@
         waited_ms = self._returns.since_refused_ms(request.fingerprint, now)
         if waited_ms and request.objective_ms is not None:
             request.objective_ms -= int(waited_ms)
-        if not places and not self._waiting.is_worth(request, fastest_ms, now):
+        if not self._waiting.is_worth(request, fastest_ms, forecast, now):
             return RefusalReason.OVERLOADED
         team = self._limited(request)
         if team is not None:
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -11,7 +11,8 @@
 from hornbeamdeck.process.crash_watch import CrashWatch
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.engine_load import EngineLoad
+from hornbeamdeck.process.engine_load import EngineLoad, Learned
+from hornbeamdeck.process.forecast import Forecast, OutputEstimate
 from hornbeamdeck.process.pause_estimate import PauseEstimate
 from hornbeamdeck.process.request_rank import stake_of
 from hornbeamdeck.process.retry_budget import RetryBudget
@@ -43,7 +44,7 @@
         self.loads: dict[str, EngineLoad] = {}
         self.suspicions = CrashWatch()
         self._waiting = WaitingRoom()
-        self._pauses = PauseEstimate()
+        self._learned = Learned(PauseEstimate(), OutputEstimate())
         self._held_for: dict[str, str] = {}
         self._door = CellDoor(shared, budget, self._waiting)
 
@@ -70,7 +71,7 @@
         for name, engine in named.items():
             load = self.loads.get(name)
             if load is None or load.engine.born_ms != engine.born_ms:
-                load = EngineLoad(engine, traits, self._pauses)
+                load = EngineLoad(engine, traits, self._learned)
                 load.slowness = slowness.get(name, 1.0)
                 self.loads[name] = load
             load.engine = engine
@@ -106,7 +107,12 @@
 
     def expire(self, now: float) -> Iterator[Refused]:
         """Give up on what has no use any more."""
-        for ticket in self._waiting.expired(now):
+        if not len(self._waiting):
+            return
+        forecast = _forecast(
+            self.loads.values(), self._waiting.interval_ms, now
+        )
+        for ticket in self._waiting.expired(now, forecast):
             self._door.stop_waiting(ticket.request)
             yield self._refuse(ticket, RefusalReason.DEADLINE, now)
 
@@ -180,8 +186,10 @@
             return RefusalReason.NO_UPSTREAM
         if self.suspicions.is_culprit(request.fingerprint, now):
             return RefusalReason.CULPRIT
-        places = sum(load.has_place() for load in self.loads.values())
-        return self._door.reason_to_refuse(request, places, fastest_ms, now)
+        forecast = _forecast(
+            self.loads.values(), self._waiting.interval_ms, now
+        )
+        return self._door.reason_to_refuse(request, forecast, fastest_ms, now)
 
     def _place(
         self,
@@ -299,6 +307,20 @@
     )
 
 
+def _forecast(
+    loads: Iterable[EngineLoad],
+    interval_ms: float,
+    now: float,
+) -> Forecast:
+    staying = [load for load in loads if not load.engine.is_leaving]
+    return Forecast.from_ends(
+        sum(load.free_places() for load in staying),
+        [end_ms for load in staying for end_ms in load.ends_ms()],
+        interval_ms,
+        now,
+    )
+
+
 def _running_at(
     loads: Iterable[EngineLoad],
     request_id: str,
--- a/hornbeamdeck/process/engine_choice.py
+++ b/hornbeamdeck/process/engine_choice.py
@@ -102,7 +102,7 @@
     request = ticket.request
     if load.engine.name in (request.excluded or ()):
         return False
-    return not load.is_resting(request.zone or '', now)
+    return not load.health.is_resting(request.zone or '', now)
 
 
 def _first_ms(load: EngineLoad, ticket: Ticket, now: float) -> float:
@@ -140,7 +140,7 @@
     zone = ticket.request.zone or ''
     cost_ms = _first_ms(load, ticket, now)
     cost_ms += FULL_MS * load.slowness * len(load.runs) / load.slots
-    cost_ms += FAILING_MS * load.failing(zone, now)
+    cost_ms += FAILING_MS * load.health.failing(zone, now)
     if load.engine.availability_zone != zone:
         cost_ms += ZONE_MS
     return cost_ms
--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/process/engine_load.py
@@ -9,11 +9,13 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.process.engine_health import EngineHealth
+from hornbeamdeck.process.forecast import OutputEstimate
 from hornbeamdeck.process.pause_estimate import PauseEstimate, prefill_ms
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import Register, RunEnd
 
-__all__ = ('EngineLoad', 'EngineRun')
+__all__ = ('EngineLoad', 'EngineRun', 'Learned')
 
 # From a request's first byte to its first token, besides reading its prompt.
 FIRST_TOKEN_MS: Final = 12.0
@@ -24,24 +26,6 @@
 MIN_SLOWNESS: Final = 0.2
 MAX_SLOWNESS: Final = 30.0
 
-# An engine that could not be reached rests this long, then twice as long.
-FIRST_REST_MS: Final = 300.0
-MAX_REST_MS: Final = 4000.0
-# One that turned a request away is full by other work for a moment.
-FULL_REST_MS: Final = 40.0
-# An engine at the address of another is gone; the list will say so soon.
-GONE_REST_MS: Final = 3000.0
-
-# Share of failures: a failure weighs as an eighth, and half is forgotten in
-# this time, so that an engine that has recovered is tried again.
-FAILURE_WEIGHT: Final = 0.125
-FORGET_MS: Final = 3000.0
-HALF: Final = 0.5
-
-_FAULTS: Final = frozenset(
-    (RunEnd.FAILED, RunEnd.REJECTED, RunEnd.ERRORED, RunEnd.NOT_DISPATCHED),
-)
-
 
 class EngineRun(NamedTuple):
     """A run as the owner accounts for it.
@@ -50,6 +34,8 @@
     :param gap_ms: longest pause that its stream may show; 0: no stream.
     :param stake: what its stream is worth, against other requests.
     :param first_ms: when its first token was heard of; 0: not yet.
+    :param output_tokens: that it is expected to make.
+    :param end_ms: when it is expected to end; 0: not known.
     :param beside_ms: longest time, at slowness 1, of reading a prompt that was
         read while its stream ran.
     """
@@ -64,6 +50,8 @@
     stake: float = 0.0
     started_ms: float = 0.0
     first_ms: float = 0.0
+    output_tokens: int = 0
+    end_ms: float = 0.0
     beside_ms: float = 0.0
 
     @property
@@ -72,30 +60,11 @@
         return self.gap_ms > 0 and not self.is_prefilling
 
 
-class _Health:
-    """Failures of one engine as seen from one availability zone."""
-
-    def __init__(self) -> None:
-        self.failing = 0.0
-        self.updated_ms = 0.0
-        self.rest_until_ms = 0.0
-        self.rest_ms = 0.0
+class Learned(NamedTuple):
+    """What the engines of one service have in common, at slowness 1."""
 
-    def share(self, now: float) -> float:
-        """Tell the recent share of failures, forgotten with time."""
-        age_ms = max(now - self.updated_ms, 0)
-        return float(self.failing * HALF ** (age_ms / FORGET_MS))
-
-    def note(self, outcome: float, now: float) -> None:
-        kept = self.share(now)
-        self.failing = kept + FAILURE_WEIGHT * (outcome - kept)
-        self.updated_ms = now
-
-    def rest(self, first_ms: float, now: float) -> None:
-        if now < self.rest_until_ms:
-            return
-        self.rest_ms = min(max(self.rest_ms * 2, first_ms), MAX_REST_MS)
-        self.rest_until_ms = now + self.rest_ms
+    pauses: PauseEstimate
+    output: OutputEstimate
 
 
 class EngineLoad:
@@ -105,18 +74,18 @@
         self,
         engine: Engine,
         traits: EngineTraits,
-        pauses: PauseEstimate,
+        learned: Learned,
     ) -> None:
         """Start idle, at the modelled speed.
 
-        :param pauses: what is known of all engines of the service.
+        :param learned: what is known of all engines of the service.
         """
         self.engine = engine
         self.traits = traits
-        self.pauses = pauses
+        self.learned = learned
         self.slowness = 1.0
         self.runs: dict[str, EngineRun] = {}
-        self._health: dict[str, _Health] = {}
+        self.health = EngineHealth()
         self._prefilled_ms = 0.0
 
     @property
@@ -126,17 +95,11 @@
 
     def has_place(self) -> bool:
         """Whether a request would start at once."""
-        return not self.engine.is_leaving and len(self.runs) < self.slots
-
-    def is_resting(self, zone: str, now: float) -> bool:
-        """Whether requests from a zone are to pass it over for now."""
-        health = self._health.get(zone)
-        return health is not None and now < health.rest_until_ms
+        return not self.engine.is_leaving and self.free_places() > 0
 
-    def failing(self, zone: str, now: float) -> float:
-        """Tell the share of requests from a zone that failed lately."""
-        health = self._health.get(zone)
-        return health.share(now) if health else 0.0
+    def free_places(self) -> int:
+        """Count the requests that would start at once."""
+        return max(self.slots - len(self.runs), 0)
 
     def first_token_ms(self, prompt_tokens: int, now: float) -> float:
         """Expect the time to the first token of a request sent now."""
@@ -156,7 +119,17 @@
         reading_ms = self.backlog_ms(now) / self.slowness
         reading_ms += prefill_ms(prompt_tokens)
         per_event = self.traits.tokens_per_event
-        return self.pauses.pause_ms(reading_ms, per_event) * self.slowness
+        return (
+            self.learned.pauses.pause_ms(reading_ms, per_event) * self.slowness
+        )
+
+    def ends_ms(self) -> list[float]:
+        """Tell when runs are expected to end.
+
+        Of one that another owner granted nothing is known until its first
+        token; taken for long overdue, it would have everything refused.
+        """
+        return [run.end_ms for run in self.runs.values() if run.end_ms]
 
     def broken_stake(self, pause_ms: float) -> float:
         """Tell what the streams here are worth that a pause would break."""
@@ -186,6 +159,7 @@
             gap_ms=gap_ms,
             is_prefilling=run.is_prefilling,
             stake=stake,
+            output_tokens=run.output_tokens,
         )
 
     def start(self, request_id: str, now: float) -> None:
@@ -195,6 +169,7 @@
         self.runs[request_id] = run._replace(
             unit_ms=expected_ms / self.slowness,
             started_ms=now,
+            end_ms=now + expected_ms + self._making_ms(run),
         )
         reading_ms = prefill_ms(run.prompt_tokens) * self.slowness
         self._prefilled_ms = max(self._prefilled_ms, now) + reading_ms
@@ -204,8 +179,12 @@
         run = self.runs.get(request_id)
         if run is None or not run.is_prefilling:
             return
-        self._note_read(run)
-        self.runs[request_id] = run._replace(is_prefilling=False, first_ms=now)
+        _note_read(self.runs, run)
+        self.runs[request_id] = run._replace(
+            is_prefilling=False,
+            first_ms=now,
+            end_ms=now + self._making_ms(run),
+        )
         if run.unit_ms and self.traits.is_model:
             weight = run.unit_ms / (run.unit_ms + LEARN_MS)
             seen = took_ms / run.unit_ms
@@ -220,24 +199,15 @@
             return None
         if run.is_prefilling:
             self._recount(now)
-        health = self._health.setdefault(run.zone, _Health())
         if end == RunEnd.ANSWERED:
-            health.rest_ms = 0.0
-            health.note(0, now)
-        if end in _FAULTS:
-            health.note(1, now)
-        if end == RunEnd.NOT_DISPATCHED:
-            health.rest(FIRST_REST_MS, now)
-        if end == RunEnd.REJECTED:
-            health.rest_until_ms = max(health.rest_until_ms, now + FULL_REST_MS)
-        if end == RunEnd.MISDIRECTED:
-            health.rest(GONE_REST_MS, now)
+            self._learn_output(run, now)
+        self.health.note_end(run.zone, end, now)
         return run
 
     def learn_pause(self, run: EngineRun, longest_gap_ms: float) -> None:
         """Learn from the longest pause in an answer that is whole."""
         if run.beside_ms and longest_gap_ms and self.traits.is_model:
-            self.pauses.learn(
+            self.learned.pauses.learn(
                 longest_gap_ms / self.slowness,
                 run.beside_ms,
                 self.traits.tokens_per_event,
@@ -252,12 +222,20 @@
                 reading_ms = prefill_ms(run.prompt_tokens) * self.slowness
                 self._prefilled_ms -= reading_ms
 
-    def _note_read(self, read: EngineRun) -> None:
-        reading_ms = prefill_ms(read.prompt_tokens)
-        for request_id, run in self.runs.items():
-            was_beside = run.is_streaming and run.first_ms < read.started_ms
-            if was_beside and reading_ms > run.beside_ms:
-                self.runs[request_id] = run._replace(beside_ms=reading_ms)
+    def _making_ms(self, run: EngineRun) -> float:
+        """Expect how long a run goes on after its first token."""
+        output = self.learned.output
+        if not self.traits.is_model:
+            return output.call_ms
+        return run.output_tokens * output.token_ms * self.slowness
+
+    def _learn_output(self, run: EngineRun, now: float) -> None:
+        output = self.learned.output
+        if not self.traits.is_model:
+            output.learn_call(now - run.started_ms)
+        elif run.first_ms:
+            took_ms = (now - run.first_ms) / self.slowness
+            output.learn_tokens(took_ms, run.output_tokens)
 
     def _recount(self, now: float) -> None:
         # The engine may be ahead of what was expected of it, or behind: what
@@ -268,3 +246,12 @@
             if run.is_prefilling
         )
         self._prefilled_ms = min(self._prefilled_ms, now + left_ms)
+
+
+def _note_read(runs: dict[str, EngineRun], read: EngineRun) -> None:
+    """Note beside which streams a prompt was read from its start to its end."""
+    reading_ms = prefill_ms(read.prompt_tokens)
+    for request_id, run in runs.items():
+        was_beside = run.is_streaming and run.first_ms < read.started_ms
+        if was_beside and reading_ms > run.beside_ms:
+            runs[request_id] = run._replace(beside_ms=reading_ms)
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.process.engine_choice import Chances
+from hornbeamdeck.process.forecast import Forecast
 from hornbeamdeck.process.request_rank import FIRST, Rank, of_kind, rank_of
 from hornbeamdeck.process.ticket import Ticket
 from hornbeamdeck.process.wait_confidence import WaitConfidence
@@ -119,7 +120,7 @@
         place = self._places[request_id]
         return Chances(place.objective_ms - now, place.start_ms - now)
 
-    def expired(self, now: float) -> list[Ticket]:
+    def expired(self, now: float, forecast: Forecast) -> list[Ticket]:
         """Take out what nobody waits for any more, or in vain."""
         over = [
             place
@@ -128,7 +129,7 @@
         ]
         for waited in over:
             self._confidence.note_in_vain(waited.pushed_rank, now)
-        in_vain = self._in_vain(now)
+        in_vain = self._in_vain(now, forecast)
         return self._remove_all([place.ticket for place in over + in_vain])
 
     def start(self, request_id: str, now: float) -> None:
@@ -147,7 +148,13 @@
         """Expect how long it takes until all that waits has started."""
         return len(self._places) * self.interval_ms
 
-    def is_worth(self, request: Enqueue, fastest_ms: float, now: float) -> bool:
+    def is_worth(
+        self,
+        request: Enqueue,
+        fastest_ms: float,
+        forecast: Forecast,
+        now: float,
+    ) -> bool:
         """Whether a request that must wait can start in time."""
         start_ms = now + _objective_ms(request) - fastest_ms
         rank = rank_of(request, is_late=start_ms < now)
@@ -155,7 +162,7 @@
         allowed_ms = self.allowed_ms(request, fastest_ms)
         allowed_ms *= self._confidence.factor(rank, now)
         ahead = sum(place.order(now) <= own for place in self._places.values())
-        return ahead * self.interval_ms <= allowed_ms
+        return forecast.start_in_ms(ahead) <= allowed_ms
 
     def allowed_ms(self, request: Enqueue, fastest_ms: float) -> float:
         """Tell how long a request that comes now may be expected to wait."""
@@ -170,22 +177,22 @@
             key=lambda place: place.order(now),
         )
 
-    def _in_vain(self, now: float) -> list[_Place]:
-        """Find what won't start before its wait ends, at the pace of now.
+    def _in_vain(self, now: float, forecast: Forecast) -> list[_Place]:
+        """Find what won't start before its wait ends.
 
         More urgent requests that came later have overtaken it. Its caller
         hears so at once and has the more time left to come back; and what
         waits behind it moves up.
         """
-        end_ms = now
+        ahead = 0
         in_vain = []
         for place in self._ordered(now):
             if place.ticket.deadline_ms < now or place.ticket.request.excluded:
                 continue
-            if end_ms + self.interval_ms > place.ticket.deadline_ms:
+            if now + forecast.start_in_ms(ahead) > place.ticket.deadline_ms:
                 in_vain.append(place)
             else:
-                end_ms += self.interval_ms
+                ahead += 1
         return in_vain
 
     def _remove_all(self, tickets: list[Ticket]) -> list[Ticket]:
