--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -12,7 +12,8 @@
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.process.engine_load import EngineLoad, Learned
-from hornbeamdeck.process.forecast import Forecast, OutputEstimate
+from hornbeamdeck.process.forecast import Forecast
+from hornbeamdeck.process.output_estimate import OutputEstimate
 from hornbeamdeck.process.pause_estimate import PauseEstimate
 from hornbeamdeck.process.request_rank import stake_of
 from hornbeamdeck.process.retry_budget import RetryBudget
--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/process/engine_load.py
@@ -10,12 +10,13 @@
 
 from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.process.engine_health import EngineHealth
-from hornbeamdeck.process.forecast import OutputEstimate
+from hornbeamdeck.process.engine_run import EngineRun, note_read
+from hornbeamdeck.process.output_estimate import OutputEstimate
 from hornbeamdeck.process.pause_estimate import PauseEstimate, prefill_ms
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import Register, RunEnd
 
-__all__ = ('EngineLoad', 'EngineRun', 'Learned')
+__all__ = ('EngineLoad', 'Learned')
 
 # From a request's first byte to its first token, besides reading its prompt.
 FIRST_TOKEN_MS: Final = 12.0
@@ -27,39 +28,6 @@
 MAX_SLOWNESS: Final = 30.0
 
 
-class EngineRun(NamedTuple):
-    """A run as the owner accounts for it.
-
-    :param unit_ms: expected time to its first token at slowness 1.
-    :param gap_ms: longest pause that its stream may show; 0: no stream.
-    :param stake: what its stream is worth, against other requests.
-    :param first_ms: when its first token was heard of; 0: not yet.
-    :param output_tokens: that it is expected to make.
-    :param end_ms: when it is expected to end; 0: not known.
-    :param beside_ms: longest time, at slowness 1, of reading a prompt that was
-        read while its stream ran.
-    """
-
-    sender: str
-    zone: str
-    fingerprint: str
-    prompt_tokens: int
-    unit_ms: float
-    gap_ms: int
-    is_prefilling: bool
-    stake: float = 0.0
-    started_ms: float = 0.0
-    first_ms: float = 0.0
-    output_tokens: int = 0
-    end_ms: float = 0.0
-    beside_ms: float = 0.0
-
-    @property
-    def is_streaming(self) -> bool:
-        """Whether a pause would show in its answer now."""
-        return self.gap_ms > 0 and not self.is_prefilling
-
-
 class Learned(NamedTuple):
     """What the engines of one service have in common, at slowness 1."""
 
@@ -179,7 +147,7 @@
         run = self.runs.get(request_id)
         if run is None or not run.is_prefilling:
             return
-        _note_read(self.runs, run)
+        note_read(self.runs, run)
         self.runs[request_id] = run._replace(
             is_prefilling=False,
             first_ms=now,
@@ -246,12 +214,3 @@
             if run.is_prefilling
         )
         self._prefilled_ms = min(self._prefilled_ms, now + left_ms)
-
-
-def _note_read(runs: dict[str, EngineRun], read: EngineRun) -> None:
-    """Note beside which streams a prompt was read from its start to its end."""
-    reading_ms = prefill_ms(read.prompt_tokens)
-    for request_id, run in runs.items():
-        was_beside = run.is_streaming and run.first_ms < read.started_ms
-        if was_beside and reading_ms > run.beside_ms:
-            runs[request_id] = run._replace(beside_ms=reading_ms)
--- a/hornbeamdeck/process/forecast.py
+++ b/hornbeamdeck/process/forecast.py
@@ -6,43 +6,15 @@
 """
 
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Self
 
-__all__ = ('Forecast', 'OutputEstimate')
+__all__ = ('Forecast',)
 
-# Where learning starts: a step of a common engine and what prompts that are
-# read beside add to it, milliseconds at slowness 1.
-FIRST_TOKEN_TIME_MS: Final = 5.0
-# The time of a call to a service that makes no tokens.
-FIRST_CALL_MS: Final = 30.0
-# One answer counts for so much of what is known: the guesses of callers are off
-# several times, only the mean of many is good.
-LEARNED_SHARE: Final = 0.03
-# An answer that went on for ten times its caller's guess counts as this much.
-MAX_TOKEN_TIME_MS: Final = 50.0
 # A run past its expected end goes on for about this part of what it is over:
 # lengths that are often far off have long tails.
 OVERDUE_SHARE: Final = 0.2
 
 
-class OutputEstimate:
-    """How long runs go on after their first token, for one service."""
-
-    def __init__(self) -> None:
-        """Start with a common engine."""
-        self.token_ms = FIRST_TOKEN_TIME_MS
-        self.call_ms = FIRST_CALL_MS
-
-    def learn_tokens(self, took_ms: float, expected_tokens: int) -> None:
-        """Take in how long an answer took, at slowness 1."""
-        seen_ms = min(took_ms / max(expected_tokens, 1), MAX_TOKEN_TIME_MS)
-        self.token_ms += LEARNED_SHARE * (seen_ms - self.token_ms)
-
-    def learn_call(self, took_ms: float) -> None:
-        """Take in how long a call without tokens took."""
-        self.call_ms += LEARNED_SHARE * (took_ms - self.call_ms)
-
-
 class Forecast(NamedTuple):
     """When places come free.
 
@@ -60,7 +32,7 @@
         ends_ms: Iterable[float],
         interval_ms: float,
         now: float,
-    ) -> 'Forecast':
+    ) -> Self:
         """Make it from free places and the expected ends of runs."""
         left = sorted(_left_ms(end_ms, now) for end_ms in ends_ms)
         return cls((*(0.0 for _ in range(places)), *left), interval_ms)
