--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -1,19 +1,37 @@
 """Takes one mechanism out of a copy of the product, to see what it is worth.
 
 python -m bench.ablate --name "kept connections" --checkout ../without-kept
+python -m bench.ablate --player PATH --plan plan.json --copies ../ablations
 
 The product has no switches for this: `ablations.json` names for each mechanism
-the one place where it is put in, and what stands there without it.
+the one place where it is put in, and what stands there without it. With a plan
+(see `bench.pairs`; `before` is the checkout, `after` lists names separated by
+commas) each day is played with all mechanisms and without each.
 """
 
+import itertools
 import json
 import pathlib
+import shutil
+import statistics
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 from typing import Final, NamedTuple
 
 import fire
 
+from bench.pairs import (
+    Plan,
+    Play,
+    Played,
+    keep_journals,
+    play_one,
+    play_options,
+)
+
 ABLATIONS: Final = pathlib.Path(__file__).with_name('ablations.json')
 PACKAGE: Final = 'hornbeamdeck'
+WHOLE: Final = 'everything'
 
 
 class Ablation(NamedTuple):
@@ -48,14 +66,72 @@
     path.write_text(text.replace(ablation.old, ablation.new))
 
 
-def main(name: str = '', checkout: str = '') -> None:
-    """Take a mechanism out of a checkout; without a name, list them all."""
+def main(
+    name: str = '',
+    checkout: str = '',
+    *,
+    player: str = '',
+    plan: str = '',
+    copies: str = '',
+    jobs: int = 4,
+) -> None:
+    """Take out one mechanism, play without several, or list them all."""
     ablations = load_ablations()
     if name:
         take_out(ablations[name], pathlib.Path(checkout))
-        return
-    for known in ablations:
-        print(known)
+    elif plan:
+        play_without(Plan.from_file(plan), player, pathlib.Path(copies), jobs)
+    else:
+        print('\n'.join(ablations))
+
+
+def play_without(
+    plan: Plan,
+    player: str,
+    copies: pathlib.Path,
+    jobs: int,
+) -> None:
+    """Play the days of a plan with everything and without each mechanism."""
+    sides = {WHOLE: pathlib.Path(plan.before)}
+    for number, name in enumerate(plan.after.split(',')):
+        sides[name] = copies / f'without-{number}'
+        shutil.copytree(plan.before, sides[name], symlinks=True)
+        take_out(load_ablations()[name], sides[name])
+    days = tuple(itertools.product(plan.sites, plan.days, plan.seeds))
+    plays = [
+        Play(side, str(path), *day)
+        for side, path in sides.items()
+        for day in days
+    ]
+    options = play_options('ablation', charged=plan.charged)
+    with ThreadPoolExecutor(jobs) as pool:
+        results = list(
+            pool.map(lambda each: play_one(player, each, options), plays),
+        )
+    keep_journals(map(str, sides.values()), plan.before)
+    for row in results:
+        print(*row.play.pair, row.play.side, row.worth, row.note, sep='\t')
+    whole = {
+        row.play.pair: row.worth for row in results if row.play.side == WHOLE
+    }
+    for name in plan.after.split(','):
+        print(name, _gains(results, name, whole), sep='\t')
+
+
+def _gains(
+    results: list[Played],
+    name: str,
+    whole: Mapping[tuple[str, str, int], float | None],
+) -> str:
+    """Tell what a mechanism gains on each day, and on their mean."""
+    gains = []
+    for row in results:
+        before = whole[row.play.pair]
+        if row.play.side == name and None not in {row.worth, before}:
+            gains.append(float(before or 0) - float(row.worth or 0))
+    shown = ' '.join(f'{gain:+.3f}' for gain in gains)
+    mean = statistics.fmean(gains) if gains else 0.0
+    return f'{mean:+.3f} of {shown or "no whole pair"}'
 
 
 if __name__ == '__main__':
--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -130,7 +130,15 @@
     return statistics.fmean(known) if known else 0.0
 
 
-def _play(player: str, play: Play, options: tuple[str, ...]) -> Played:
+def play_options(why: str, *, charged: bool) -> tuple[str, ...]:
+    """Make the options that all plays of one run share."""
+    if charged:
+        return ('--why', why)
+    return ('--why', why, '--no-cpu')
+
+
+def play_one(player: str, play: Play, options: tuple[str, ...]) -> Played:
+    """Let the player play one day."""
     command = [player, 'run', play.site, play.day, '--seed', str(play.seed)]
     with TemporaryDirectory() as folder:
         report = pathlib.Path(folder, REPORT)
@@ -159,7 +167,8 @@
     return Played(play, float(seen['G']), seen['fault'] or broken)
 
 
-def _keep_journal(checkouts: Iterable[str], into: str) -> None:
+def keep_journals(checkouts: Iterable[str], into: str) -> None:
+    """Copy the journals of checkouts to that of one of them."""
     target = pathlib.Path(into, JOURNAL).resolve()
     for checkout in checkouts:
         source = pathlib.Path(checkout, JOURNAL).resolve()
@@ -210,17 +219,15 @@
     :param keep: the checkout whose journal gets the entries of both.
     """
     planned = Plan.from_file(plan)
-    options: tuple[str, ...] = ('--why', why)
-    if not planned.charged:
-        options = (*options, '--no-cpu')
+    options = play_options(why, charged=planned.charged)
     with ThreadPoolExecutor(jobs) as pool:
         results = list(
             pool.map(
-                lambda play: _play(player, play, options),
+                lambda play: play_one(player, play, options),
                 planned.plays(),
             ),
         )
-    _keep_journal((planned.before, planned.after), keep)
+    keep_journals((planned.before, planned.after), keep)
     _report(results, as_json=json)
 
 
