--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -14,7 +14,6 @@
 import pathlib
 import shutil
 import statistics
-from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final, NamedTuple
 
@@ -109,26 +108,33 @@
             pool.map(lambda each: play_one(player, each, options), plays),
         )
     keep_journals(map(str, sides.values()), plan.before)
-    for row in results:
-        print(*row.play.pair, row.play.side, row.worth, row.note, sep='\t')
-    whole = {
-        row.play.pair: row.worth for row in results if row.play.side == WHOLE
-    }
+    for each in results:
+        print(*each.play.pair, each.play.side, each.worth, each.note, sep='\t')
+    whole = _worths(results, WHOLE)
     for name in plan.after.split(','):
         print(name, _gains(results, name, whole), sep='\t')
 
 
+def _worths(
+    results: list[Played],
+    side: str,
+) -> dict[tuple[str, str, int], float]:
+    """Give the worth of each day that was played whole by one side."""
+    return {
+        played.play.pair: played.worth
+        for played in results
+        if played.play.side == side and played.worth is not None
+    }
+
+
 def _gains(
     results: list[Played],
     name: str,
-    whole: Mapping[tuple[str, str, int], float | None],
+    whole: dict[tuple[str, str, int], float],
 ) -> str:
     """Tell what a mechanism gains on each day, and on their mean."""
-    gains = []
-    for row in results:
-        before = whole[row.play.pair]
-        if row.play.side == name and None not in {row.worth, before}:
-            gains.append(float(before or 0) - float(row.worth or 0))
+    without = _worths(results, name)
+    gains = [whole[pair] - without[pair] for pair in whole if pair in without]
     shown = ' '.join(f'{gain:+.3f}' for gain in gains)
     mean = statistics.fmean(gains) if gains else 0.0
     return f'{mean:+.3f} of {shown or "no whole pair"}'
