--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -3,6 +3,7 @@
 Decisions alone: time is given, nothing is sent or read here.
 """
 
+import math
 from collections.abc import Iterable, Iterator
 from typing import Final
 
@@ -35,6 +36,8 @@
 
 # Why a request waits though engines have places, as the log tells it.
 HELD_BY_LIMIT: Final = "the team's limit"
+# Between two looks for what waits too long or in vain.
+LOOK_MS: Final = 20.0
 
 
 class EngineCell:
@@ -47,6 +50,7 @@
         self._waiting = WaitingRoom()
         self._learned = Learned(PauseEstimate(), OutputEstimate())
         self._held_for: dict[str, str] = {}
+        self._looked_ms = -math.inf
         self._door = CellDoor(shared, budget, self._waiting)
 
     def __len__(self) -> int:
@@ -100,6 +104,8 @@
         if reason is not None:
             return self._refuse(ticket, reason, now)
         self._waiting.push(ticket, now, fastest_ms)
+        # It may overtake others, which then wait in vain.
+        self._looked_ms = -math.inf
         return None
 
     def displace(self) -> Iterator[Refused]:
@@ -107,13 +113,16 @@
         return iter(())
 
     def expire(self, now: float) -> Iterator[Refused]:
-        """Give up on what has no use any more."""
-        if not len(self._waiting):
+        """Give up on what has no use any more.
+
+        Called with each message; to look at all that waits and runs so often
+        would take most of a core at some dozens of engines. What comes new may
+        overtake; else a look now and then is enough.
+        """
+        if not len(self._waiting) or now - self._looked_ms < LOOK_MS:
             return
-        forecast = _forecast(
-            self.loads.values(), self._waiting.interval_ms, now
-        )
-        for ticket in self._waiting.expired(now, forecast):
+        self._looked_ms = now
+        for ticket in self._waiting.expired(now, self._forecast(now)):
             self._door.stop_waiting(ticket.request)
             yield self._refuse(ticket, RefusalReason.DEADLINE, now)
 
@@ -167,7 +176,7 @@
             return None
         if end == RunEnd.ANSWERED:
             load.learn_pause(run, message.longest_gap_ms or 0)
-        return self._judge(load.engine, run.fingerprint, end, now)
+        return _judge(self.suspicions, load.engine, run.fingerprint, end, now)
 
     def drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
@@ -187,11 +196,20 @@
             return RefusalReason.NO_UPSTREAM
         if self.suspicions.is_culprit(request.fingerprint, now):
             return RefusalReason.CULPRIT
-        forecast = _forecast(
-            self.loads.values(), self._waiting.interval_ms, now
-        )
+        forecast = self._forecast(now)
         return self._door.reason_to_refuse(request, forecast, fastest_ms, now)
 
+    def _forecast(self, now: float) -> Forecast:
+        staying = [
+            load for load in self.loads.values() if not load.engine.is_leaving
+        ]
+        places = sum(load.free_places() for load in staying)
+        ends_ms: list[float] = []
+        if places <= len(self._waiting):
+            ends_ms = [end_ms for load in staying for end_ms in load.ends_ms()]
+        interval_ms = self._waiting.interval_ms
+        return Forecast.from_ends(places, ends_ms, interval_ms, now)
+
     def _place(
         self,
         ticket: Ticket,
@@ -218,28 +236,6 @@
             self._held_for.pop(request_id, ''),
         )
 
-    def _judge(
-        self,
-        engine: Engine,
-        fingerprint: str,
-        end: RunEnd,
-        now: float,
-    ) -> Suspect | None:
-        blamed = ''
-        if end == RunEnd.ANSWERED:
-            self.suspicions.note_answered(fingerprint)
-        if end == RunEnd.FAILED:
-            self.suspicions.note_broken(engine.name, fingerprint, now)
-        if end == RunEnd.NOT_DISPATCHED:
-            blamed = self.suspicions.note_gone(engine.name, now)
-        if not blamed:
-            return None
-        return Suspect(
-            cell=engine.service,
-            fingerprint=blamed,
-            crashes=self.suspicions.crashes(blamed, now),
-        )
-
     def _start(self, load: EngineLoad, ticket: Ticket, now: float) -> None:
         request = ticket.request
         run = Register(
@@ -308,20 +304,6 @@
     )
 
 
-def _forecast(
-    loads: Iterable[EngineLoad],
-    interval_ms: float,
-    now: float,
-) -> Forecast:
-    staying = [load for load in loads if not load.engine.is_leaving]
-    return Forecast.from_ends(
-        sum(load.free_places() for load in staying),
-        [end_ms for load in staying for end_ms in load.ends_ms()],
-        interval_ms,
-        now,
-    )
-
-
 def _running_at(
     loads: Iterable[EngineLoad],
     request_id: str,
@@ -330,3 +312,26 @@
         if request_id in load.runs:
             return load
     return None
+
+
+def _judge(
+    suspicions: CrashWatch,
+    engine: Engine,
+    fingerprint: str,
+    end: RunEnd,
+    now: float,
+) -> Suspect | None:
+    blamed = ''
+    if end == RunEnd.ANSWERED:
+        suspicions.note_answered(fingerprint)
+    if end == RunEnd.FAILED:
+        suspicions.note_broken(engine.name, fingerprint, now)
+    if end == RunEnd.NOT_DISPATCHED:
+        blamed = suspicions.note_gone(engine.name, now)
+    if not blamed:
+        return None
+    return Suspect(
+        cell=engine.service,
+        fingerprint=blamed,
+        crashes=suspicions.crashes(blamed, now),
+    )
--- a/hornbeamdeck/process/forecast.py
+++ b/hornbeamdeck/process/forecast.py
@@ -34,7 +34,10 @@
         now: float,
     ) -> Self:
         """Make it from free places and the expected ends of runs."""
-        left = sorted(_left_ms(end_ms, now) for end_ms in ends_ms)
+        left = sorted(
+            end_ms - now if end_ms >= now else (now - end_ms) * OVERDUE_SHARE
+            for end_ms in ends_ms
+        )
         return cls((*(0.0 for _ in range(places)), *left), interval_ms)
 
     def start_in_ms(self, ahead: int) -> float:
@@ -47,9 +50,3 @@
             return self.free_ms[ahead]
         last_ms = self.free_ms[-1] if known else 0.0
         return last_ms + (ahead - known + 1) * self.interval_ms
-
-
-def _left_ms(end_ms: float, now: float) -> float:
-    if end_ms >= now:
-        return end_ms - now
-    return (now - end_ms) * OVERDUE_SHARE
--- a/tests/process/test_engine_cell.py
+++ b/tests/process/test_engine_cell.py
@@ -1,9 +1,14 @@
 """How work waits before engines, is turned away and is placed."""
 
+from typing import Any
+
+import pytest
+
 from hornbeamdeck.process.cell import Refused
 from hornbeamdeck.process.cell_door import Shared
 from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.process.waiting_room import WaitingRoom
 from hornbeamdeck.wire import Progress, RefusalReason, Register, Release, RunEnd
 from tests.process.routed import (
     MODEL,
@@ -489,3 +494,26 @@
     assert not granted(desk, 0)
     offer(desk, ask('booking', quota_tokens=200, route_rank=2), now=20)
     assert granted(desk, 20) == [('booking', 'e1')]
+
+
+def test_what_waits_is_not_looked_over_with_each_message(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Dozens of engines, all places taken, hundreds of messages a second. Did
+    the owner look over all runs with each, it would fall behind just then.
+    """
+    desk = cell(engine('e1', slots=2))
+    for number in range(6):
+        offer(desk, ask(f'r{number}', output_tokens=20, objective_ms=9000))
+    granted(desk)
+    looks = []
+    look = WaitingRoom.expired
+
+    def _counted(*asked: Any) -> Any:
+        looks.append(asked)
+        return look(*asked)
+
+    monkeypatch.setattr(WaitingRoom, 'expired', _counted)
+    for tenth_ms in range(200):
+        list(desk.expire(tenth_ms / 10))
+    assert len(looks) == 1
