Count what waits for tokens by request, so that a team that went leaves nothing behind

Found in reading: a team taken out of the configuration while its requests wait was never counted down, and would be refused behind them once it is back. Test first. explain tells a request that was sent and got no answer from one that was refused.

--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -17,7 +17,8 @@
 TRY_ENDED: Final = 'request: try ended'
 _LAST: Final = frozenset((ANSWERED, FAILED, LEFT, AT_THE_EDGE))
 # Codes of failures after which an engine may have run the request.
-_BROKEN: Final = frozenset(('engine_broken', 'deadline_passed'))
+TIME_RAN_OUT: Final = 'deadline_passed'
+_BROKEN: Final = frozenset(('engine_broken', TIME_RAN_OUT))
 # Numbers of a refusal that it was decided on.
 _INPUTS: Final = (
     'waiting',
@@ -138,6 +139,10 @@
     if code in _BROKEN and tried is not None:
         cause = f'{code}: {tried.get("end")}'
         return (Outcome.BROKEN, cause, _numbers(last, _LATE_INPUTS))
+    if code == TIME_RAN_OUT and last.get('engine'):
+        # It had been sent, and its engine said nothing to the end.
+        cause = f'{code}: no answer'
+        return (Outcome.BROKEN, cause, _numbers(last, _LATE_INPUTS))
     if refusal is None:
         return (Outcome.REFUSED, code, _numbers(last, _LATE_INPUTS))
     cause = str(refusal.get('reason'))
--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/process/cell_door.py
@@ -46,6 +46,7 @@
         self._budget = budget
         self._waiting = waiting
         self._returns = ReturnTimes()
+        self._needs: dict[str, tuple[str, Need]] = {}
 
     def reason_to_refuse(
         self,
@@ -75,7 +76,8 @@
             need = _need_of(request, patience_ms)
             if not self._shared.quotas.may_wait(team, need, now):
                 return RefusalReason.TEAM_LIMIT
-            self._shared.quotas.wait(team, need)
+            self._shared.quotas.wait(team.name, need)
+            self._needs[request.request_id] = (team.name, need)
         return None
 
     def may_start(
@@ -110,10 +112,13 @@
         self.stop_waiting(request)
 
     def stop_waiting(self, request: Enqueue) -> None:
-        """Count a request no more among those that wait for tokens."""
-        team = self._limited(request)
-        if team is not None:
-            self._shared.quotas.stop_waiting(team, _need_of(request))
+        """Count a request no more among those that wait for tokens.
+
+        Its team may have been taken out of the configuration meanwhile.
+        """
+        counted = self._needs.pop(request.request_id, None)
+        if counted is not None:
+            self._shared.quotas.stop_waiting(*counted)
 
     def wait_ms(
         self,
--- a/hornbeamdeck/process/token_quota.py
+++ b/hornbeamdeck/process/token_quota.py
@@ -121,15 +121,17 @@
         lacking = tokens + ahead - bucket.level
         return lacking <= need.patience_ms * self._per_ms(team)
 
-    def wait(self, team: RoutedTeam, need: Need) -> None:
+    def wait(self, team: str, need: Need) -> None:
         """Count a request among those that wait for a team's tokens."""
-        waiting = self._waiting.setdefault(team.name, {})
+        waiting = self._waiting.setdefault(team, {})
         waiting[need.rank] = waiting.get(need.rank, 0) + need.tokens
 
-    def stop_waiting(self, team: RoutedTeam, need: Need) -> None:
+    def stop_waiting(self, team: str, need: Need) -> None:
         """Count it no more."""
-        waiting = self._waiting.setdefault(team.name, {})
-        waiting[need.rank] = max(waiting.get(need.rank, 0) - need.tokens, 0)
+        waiting = self._waiting[team]
+        waiting[need.rank] -= need.tokens
+        if not any(waiting.values()):
+            self._waiting.pop(team)
 
     def has(self, team: RoutedTeam, tokens: int, now: float) -> bool:
         """Whether a team has so many tokens now."""
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -109,6 +109,16 @@
             'broken',
             'engine_broken: failed',
         ),
+        (
+            [_line(FAILED, code='deadline_passed', engine='e1')],
+            'broken',
+            'deadline_passed: no answer',
+        ),
+        (
+            [_line(FAILED, code='deadline_passed', engine='')],
+            'refused',
+            'deadline_passed',
+        ),
         (
             [
                 _line(
--- a/tests/process/test_engine_cell.py
+++ b/tests/process/test_engine_cell.py
@@ -517,3 +517,17 @@
     for tenth_ms in range(200):
         list(desk.expire(tenth_ms / 10))
     assert len(looks) == 1
+
+
+def test_what_waited_for_a_team_that_went_leaves_nothing_behind() -> None:
+    """A team is taken out of the configuration while its prompts wait for
+    tokens, and comes back later. Were these still counted as waiting, its new
+    requests would be refused behind them for ever.
+    """
+    desk = _limited_desk()
+    teams = desk._door._shared.teams
+    offer(desk, ask('gone', quota_tokens=15_000))
+    guides = teams.pop('guides')
+    desk.withdraw('gone')
+    teams['guides'] = guides
+    assert offer(desk, ask('next', quota_tokens=15_000)) is None
--- a/tests/process/test_token_quota.py
+++ b/tests/process/test_token_quota.py
@@ -47,8 +47,8 @@
     """
     limits = quotas()
     need = Need(1000, 0, 500)
-    limits.wait(team(), need)
-    limits.stop_waiting(team(), need)
+    limits.wait('guides', need)
+    limits.stop_waiting('guides', need)
     assert limits.take(team(), 1000, 0)
 
 
@@ -121,7 +121,7 @@
 def test_what_waits_already_counts_for_who_comes_next() -> None:
     limits = quotas()
     assert limits.take(team(), 1000, 0)
-    limits.wait(team(), Need(150, 1))
+    limits.wait('guides', Need(150, 1))
     assert not limits.may_wait(team(), Need(100, 1, 200), 0)
     assert limits.may_wait(team(), Need(100, 0, 200), 0)
 
@@ -132,6 +132,6 @@
     """
     limits = quotas()
     assert limits.take(team(), 800, 0)
-    limits.wait(team(), Need(5000, 0))
+    limits.wait('guides', Need(5000, 0))
     assert limits.may_wait(team(), Need(100, 2, 40), 0)
     assert limits.take(team(), 100, 0)
