--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -12,7 +12,6 @@
 from hornbeamdeck.process.forecast import Forecast
 from hornbeamdeck.process.request_rank import FIRST, Rank, of_kind, rank_of
 from hornbeamdeck.process.ticket import Ticket
-from hornbeamdeck.process.wait_confidence import WaitConfidence
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('WaitingRoom',)
@@ -38,15 +37,11 @@
 
     :param start_ms: when it must start to be on time.
     :param objective_ms: when its answer is late.
-    :param pushed_rank: its rank when it began to wait.
-    :param was_late: whether it was late then.
     """
 
     ticket: Ticket
     start_ms: float
     objective_ms: float
-    pushed_rank: Rank
-    was_late: bool
 
     def order(self, now: float) -> tuple[Rank, float]:
         """Order by second tries first, then rank, then urgency."""
@@ -66,7 +61,6 @@
         self._places: dict[str, _Place] = {}
         self._granted_ms = 0.0
         self._grants = 0
-        self._confidence = WaitConfidence()
 
     def __len__(self) -> int:
         """Count the waiting requests."""
@@ -84,9 +78,7 @@
             end_ms = max(objective_ms, now) + of_kind(LATE_WAITS_MS, request)
             end_ms = min(ticket.deadline_ms, end_ms)
             ticket = ticket._replace(deadline_ms=end_ms)
-        was_late = start_ms < now
-        rank = rank_of(request, is_late=was_late)
-        place = _Place(ticket, start_ms, objective_ms, rank, was_late)
+        place = _Place(ticket, start_ms, objective_ms)
         self._places[request.request_id] = place
 
     def remove(self, request_id: str) -> Ticket | None:
@@ -127,16 +119,12 @@
             for place in self._places.values()
             if place.ticket.deadline_ms < now
         ]
-        for waited in over:
-            self._confidence.note_in_vain(waited.pushed_rank, now)
         in_vain = self._in_vain(now, forecast)
         return self._remove_all([place.ticket for place in over + in_vain])
 
     def start(self, request_id: str, now: float) -> None:
         """Take out a request that starts; learn how fast places come free."""
-        place = self._places.pop(request_id)
-        if now <= place.start_ms or place.was_late:
-            self._confidence.note_in_time(place.pushed_rank, now)
+        self._places.pop(request_id)
         passed_ms = now - self._granted_ms
         self._granted_ms = now
         self._grants += 1
@@ -160,7 +148,6 @@
         rank = rank_of(request, is_late=start_ms < now)
         own = (rank, start_ms)
         allowed_ms = self.allowed_ms(request, fastest_ms)
-        allowed_ms *= self._confidence.factor(rank, now)
         ahead = sum(place.order(now) <= own for place in self._places.values())
         return forecast.start_in_ms(ahead) <= allowed_ms
 
