--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -15,6 +15,7 @@
 import shutil
 import statistics
 import subprocess
+import sys
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 from tempfile import TemporaryDirectory
@@ -150,7 +151,10 @@
             check=False,
         )
         text = report.read_text() if report.exists() else ''
-    return read_play(play, text, finished.stdout + finished.stderr)
+    played = read_play(play, text, finished.stdout + finished.stderr)
+    # What is ended before its table leaves at least these lines.
+    print(*play.pair, play.side, played.worth, played.note, file=sys.stderr)
+    return played
 
 
 def read_play(play: Play, report: str, output: str) -> Played:
