--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -60,7 +60,7 @@
     except TaskTimeout:
         failure = run.too_late()
     except BaseException:
-        run.log('caller left')
+        run.log('caller left', code='caller_left')
         raise
     if failure is not None:
         await run.async_fail(failure)
