--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -24,9 +24,9 @@
 import fire
 import voluptuous as vol
 
-# Beyond so many standard errors of the mean a difference counts as one: with a
-# handful of pairs that is about one false verdict in twenty.
-ERRORS: Final = 2.4
+# Beyond so many standard errors of the mean a difference counts as one: Student's
+# t for one false verdict in twenty, for 3, 4, 5 ... pairs; the last for more.
+ERRORS: Final = (4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23)
 LEAST_PAIRS: Final = 3
 DIGITS: Final = 4
 JOURNAL: Final = 'journal'
@@ -99,7 +99,7 @@
     mean = statistics.fmean(changes) if changes else 0.0
     error = spread / math.sqrt(count) if count > 1 else math.inf
     verdict = NOT_TOLD
-    if count >= LEAST_PAIRS and abs(mean) > ERRORS * error:
+    if count >= LEAST_PAIRS and abs(mean) > _errors_for(count) * error:
         verdict = BETTER if mean > 0 else WORSE
     return Comparison(
         pairs=count,
@@ -112,6 +112,10 @@
     )
 
 
+def _errors_for(count: int) -> float:
+    return ERRORS[min(count - LEAST_PAIRS, len(ERRORS) - 1)]
+
+
 def pair_up(results: Iterable[Played]) -> list[tuple[float, float]]:
     """Match the plays of each pair; one without both is left out."""
     sides: dict[tuple[str, str, int], dict[str, float]] = {}
--- a/tests/bench/test_pairs.py
+++ b/tests/bench/test_pairs.py
@@ -20,6 +20,13 @@
     )
 
 
+def test_few_pairs_must_agree_more_than_many() -> None:
+    """Three pairs that happen to agree are no proof yet."""
+    three = [(0.7, 0.71), (0.7, 0.72), (0.7, 0.73)]
+    assert compare(three).verdict == 'not told apart'
+    assert compare(three * 4).verdict == 'better'
+
+
 def test_one_pair_proves_nothing() -> None:
     assert compare([(0.1, 0.9)]).verdict == 'not told apart'
 
