--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -24,9 +24,9 @@
 import fire
 import voluptuous as vol
 
-# Beyond so many standard errors of the mean a difference counts as one: Student's
+# Beyond so many standard errors of the mean a difference counts: Student's
 # t for one false verdict in twenty, for 3, 4, 5 ... pairs; the last for more.
-ERRORS: Final = (4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23)
+ERRORS: Final = (4.3, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23)
 LEAST_PAIRS: Final = 3
 DIGITS: Final = 4
 JOURNAL: Final = 'journal'
