--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -93,17 +93,18 @@
     last: LogLine,
     lines: list[LogLine],
 ) -> tuple[Outcome, str, dict[str, float]]:
-    match last['event']:
-        case 'request: request answered':
-            late = _why_late(last, lines)
-            outcome = Outcome.LATE if late else Outcome.ON_TIME
-            return (outcome, late, _numbers(last, _LATE_INPUTS))
-        case 'request: caller left':
-            where = 'after its first byte' if _begun(last) else 'while waiting'
-            return (Outcome.LEFT, where, _numbers(last, _LATE_INPUTS))
-        case 'edge: request refused at the edge':
-            code = str(last.get('code'))
-            return (Outcome.REFUSED, code, _numbers(last, _INPUTS))
+    """Tell outcome, cause and what decided it, from a request's last line."""
+    event = last['event']
+    if event == ANSWERED:
+        late = _why_late(last, lines)
+        outcome = Outcome.LATE if late else Outcome.ON_TIME
+        return (outcome, late, _numbers(last, _LATE_INPUTS))
+    if event == LEFT:
+        where = 'after its first byte' if _begun(last) else 'while waiting'
+        return (Outcome.LEFT, where, _numbers(last, _LATE_INPUTS))
+    if event == AT_THE_EDGE:
+        code = str(last.get('code'))
+        return (Outcome.REFUSED, code, _numbers(last, _INPUTS))
     return _why_failed(last, lines)
 
 
