One way out of the waiting room, and where constants come from

Cause, from reading the whole change again: what is kept of a waiting request was dropped in two places with the same three steps, and a bucket was filled three times for one request that starts.

Change: a lost ingress withdraws its requests as callers do, one by one; taking tokens reuses the bucket that was just filled. Behaviour stays.

--- a/hornbeamdeck/connection/kept.py
+++ b/hornbeamdeck/connection/kept.py
@@ -15,7 +15,8 @@
 # rest is for a request that is on its way when that time is over.
 KEPT_SHARE: Final = 0.8
 # Kept at one engine by all instances together: an engine accepts a few hundred
-# connections and resets what is beyond.
+# connections (208 at least on users' sheets) and resets what is beyond; two
+# thirds are left for new ones.
 KEPT_AT_ENGINE: Final = 64
 KEEP_ALIVE: Final = 'keep-alive'
 TIMEOUT_PREFIX: Final = 'timeout='
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -40,7 +40,9 @@
 SILENCE_MS: Final = 800
 # How often a silent instance that ranks before the owner is tried again.
 PROBE_MS: Final = 1000
-# How often a peer is told the same status object.
+# How often a peer is told the same status object: each eighth beat, so that it
+# costs little and one that was lost is missed for no longer than callers keep
+# an addresses answer.
 TELL_AGAIN_MS: Final = 2000
 # What stands for a proof that was never had, milliseconds.
 NEVER_MS: Final = 1_000_000_000
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -36,7 +36,8 @@
 
 # Why a request waits though engines have places, as the log tells it.
 HELD_BY_LIMIT: Final = "the team's limit"
-# Between two looks for what waits too long or in vain.
+# Between two looks for what waits too long or in vain: a little less than the
+# scheduler's sweep (25 ms), so that each sweep looks.
 LOOK_MS: Final = 20.0
 
 
@@ -180,9 +181,8 @@
 
     def drop_sender(self, sender: str) -> None:
         """Forget all that came by a connection that has gone."""
-        for ticket in self._waiting.remove_sender(sender):
-            self._held_for.pop(ticket.request.request_id, None)
-            self._door.stop_waiting(ticket.request)
+        for request_id in self._waiting.sent_by(sender):
+            self.withdraw(request_id)
         for load in self.loads.values():
             load.drop_sender(sender)
 
--- a/hornbeamdeck/process/forecast.py
+++ b/hornbeamdeck/process/forecast.py
@@ -11,7 +11,8 @@
 __all__ = ('Forecast',)
 
 # A run past its expected end goes on for about this part of what it is over:
-# lengths that are often far off have long tails.
+# lengths that are often far off have long tails. Chosen, not measured; at 0 an
+# overdue run's place would be promised to one request after another.
 OVERDUE_SHARE: Final = 0.2
 
 
--- a/hornbeamdeck/process/output_estimate.py
+++ b/hornbeamdeck/process/output_estimate.py
@@ -12,7 +12,8 @@
 # Where learning starts: a step of a common engine and what prompts that are
 # read beside add to it, milliseconds at slowness 1.
 FIRST_TOKEN_TIME_MS: Final = 5.0
-# The time of a call to a service that makes no tokens.
+# The same for a call to a service that makes no tokens: what users' sheets give
+# for such services, 20 to 45 ms.
 FIRST_CALL_MS: Final = 30.0
 # One answer counts for so much of what is known: the guesses of callers are off
 # several times, only the mean of many is good.
--- a/hornbeamdeck/process/pause_estimate.py
+++ b/hornbeamdeck/process/pause_estimate.py
@@ -23,11 +23,13 @@
 # stream move the estimate more than half of the way.
 LEARNED_SHARE: Final = 0.3
 # A prompt must have taken so many times the pause to be read, or the pause
-# shows the end of the prompt and not of a chunk.
+# shows the end of the prompt and not of a chunk. The margin is for the way of
+# the first token, by which reading seems longer.
 WHOLE_CHUNKS: Final = 1.25
 # A longer pause than reading can explain comes from elsewhere: a lost packet, a
 # machine that stood still.
 EXPLAINED: Final = 0.8
+# Events that arrive together show no step at all; no engine's is shorter.
 MIN_STEP_MS: Final = 1.0
 
 
--- a/hornbeamdeck/process/snapshot.py
+++ b/hornbeamdeck/process/snapshot.py
@@ -35,7 +35,7 @@
 # An instance that starts has nobody else to ask.
 ANSWER_TIMEOUT_MS: Final = 3000
 # One that is behind can ask the platform instead, and a change must be in force
-# within two seconds.
+# within two seconds, a beat or two of which have passed.
 HINT_TIMEOUT_MS: Final = 500
 
 _Held = TypeVar('_Held', bound=HeldDocument)
--- a/hornbeamdeck/process/token_quota.py
+++ b/hornbeamdeck/process/token_quota.py
@@ -26,7 +26,7 @@
 MIN_RETRY_MS: Final = 100
 # A request that needs no more than this part of what waits may pass it: a
 # booking counts a few hundred tokens, a long prompt thousands, and one delays
-# the other by milliseconds.
+# the other by milliseconds. Chosen between these, not measured.
 SMALL_SHARE: Final = 0.1
 
 
@@ -146,7 +146,7 @@
         if not self.has(team, tokens, now):
             return False
         if team.rate_per_s:
-            self._filled(team, now).level -= tokens
+            self._buckets[team.name].level -= tokens
         return True
 
     def forget(self) -> None:
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/process/waiting_room.py
@@ -86,15 +86,13 @@
         place = self._places.pop(request_id, None)
         return place.ticket if place else None
 
-    def remove_sender(self, sender: str) -> list[Ticket]:
-        """Take out all that came by one connection."""
-        return self._remove_all(
-            [
-                place.ticket
-                for place in self._places.values()
-                if place.ticket.sender == sender
-            ],
-        )
+    def sent_by(self, sender: str) -> list[str]:
+        """Name the requests that came by one connection."""
+        return [
+            request_id
+            for request_id, place in self._places.items()
+            if place.ticket.sender == sender
+        ]
 
     def in_order(self, now: float) -> Iterator[Ticket]:
         """Walk over what waits, in the order in which it is to start."""
