Tell how old the proofs are that a request was decided on

A denial shows the version held and the age of its proof, not whether a newer version had been heard of; the age of the list of engines is in no line and neither is in a metric.

Change: the lines of edge and request have newest_version, the last line of a request has engines_age_ms, and hornbeamdeck_proof_age_seconds has both ages. No decision changes.

--- a/hornbeamdeck/process/freshness.py
+++ b/hornbeamdeck/process/freshness.py
@@ -22,6 +22,11 @@
         """Start without proof."""
         self._confirmed_ms: dict[int, float] = {}
 
+    @property
+    def newest_version(self) -> int:
+        """Newest version that any proof spoke of; 0: none did."""
+        return max(self._confirmed_ms, default=0)
+
     def confirm(self, version: int, asked_ms: float) -> None:
         """Note that a version was the newest when somebody asked.
 
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -172,6 +172,8 @@
             configuration=lambda: parts.follower.configuration,
             is_fresh=self._is_fresh,
             proof_age_ms=self._proof_age_ms,
+            newest_version=lambda: parts.freshness.newest_version,
+            engines_age_ms=lambda: parts.directory.age_ms(now_ms()),
             connections=KeptConnections(
                 lambda: len(parts.membership.known()) + 1,
             ),
@@ -250,6 +252,10 @@
 
     def _metrics_page(self, _request: HttpRequest) -> HttpResponse:
         headers = {'content-type': METRICS_TYPE}
+        self.parts.metrics.note_proofs(
+            self._proof_age_ms(),
+            self.parts.directory.age_ms(now_ms()),
+        )
         page = self.parts.metrics.render()
         return HttpResponse(HTTPStatus.OK, headers, page)
 
--- a/hornbeamdeck/process/front_metrics.py
+++ b/hornbeamdeck/process/front_metrics.py
@@ -71,6 +71,12 @@
             'Version of the configuration in force.',
             registry=self.registry,
         )
+        self._proof_age_seconds = Gauge(
+            'hornbeamdeck_proof_age_seconds',
+            'Age of the last proof that what is held is what the store holds.',
+            ('held',),
+            registry=self.registry,
+        )
         self.log_lines_dropped = Counter(
             'hornbeamdeck_log_lines_dropped',
             'Log lines dropped because nobody read them fast enough.',
@@ -98,6 +104,20 @@
         """Count a request refused before it was admitted."""
         self._edge_refusals.labels(code).inc()
 
+    def note_proofs(
+        self,
+        configuration_age_ms: float,
+        engines_age_ms: float,
+    ) -> None:
+        """Note how old the proofs are of what is held of the store."""
+        ages_ms = {
+            'configuration': configuration_age_ms,
+            'engines': engines_age_ms,
+        }
+        for held, age_ms in ages_ms.items():
+            gauge = self._proof_age_seconds.labels(held)
+            gauge.set(age_ms / MILLIS_PER_SECOND)
+
     def count_peer_bytes(self, direction: str, count: int) -> None:
         """Count bytes exchanged with other instances."""
         self._peer_bytes.labels(direction).inc(count)
--- a/hornbeamdeck/request/routed_edge.py
+++ b/hornbeamdeck/request/routed_edge.py
@@ -46,6 +46,8 @@
 
     :param is_fresh: whether the configuration is proved to be current.
     :param proof_age_ms: how old that proof is.
+    :param newest_version: newest version of the configuration heard of.
+    :param engines_age_ms: how old the proof for the list of engines is.
     :param connections: to engines, kept from one request to the next.
     :param acquire: waits for a grant.
     :param progress: told a request's id and its time to first token, ms.
@@ -62,6 +64,8 @@
     configuration: Callable[[], RoutedConfiguration]
     is_fresh: Callable[[], bool]
     proof_age_ms: Callable[[], float]
+    newest_version: Callable[[], int]
+    engines_age_ms: Callable[[], float]
     connections: KeptConnections
     acquire: Acquire
     progress: Callable[[str, float], Awaitable[None]]
@@ -151,6 +155,7 @@
         code=refusal.code,
         status=int(refusal.status),
         configuration_version=edge.configuration().version,
+        newest_version=edge.newest_version(),
         proof_age_ms=_shown(edge.proof_age_ms()),
     )
     await caller.async_respond(edge.dialect.refusal(refusal, request_id))
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -149,7 +149,9 @@
             tries=self._tries.arrivals,
             last_event=self._call.last_event,
             configuration_version=edge.configuration().version,
+            newest_version=edge.newest_version(),
             proof_age_ms=int(min(edge.proof_age_ms(), MAX_SHOWN_MS)),
+            engines_age_ms=int(min(edge.engines_age_ms(), MAX_SHOWN_MS)),
         )
 
     async def _async_grant(self) -> Result[Grant, NotRun]:
