Failing tests: a stamp of an earlier boot proves what is old to be current

What callers saw: a 404 on a route 9.2 s after it was stored (CONFIG).

Cause: a beat echoes the stamp that a peer sent last, also where that was on an earlier boot of its machine, whose clock has nothing to do with the new one's. The echo counts on the new clock; a proof that lies in the future never grows old, keeps its holder from reading, and is taken over by every peer.

--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -145,6 +145,47 @@
     _check()
 
 
+def _beat_to(sender: _Side, receiver: _Side) -> None:
+    """Have a beat arrive before its receiver has sent any."""
+    sender.act()
+    beat = sender.beats._make(receiver.name)
+    receiver.act()
+
+    async def _async_deliver(_message: Message) -> None:
+        """Send nothing back."""
+
+    curio.run(
+        receiver.beats.async_answer,
+        sender.name,
+        beat,
+        _async_deliver,
+    )
+
+
+def test_an_echo_of_an_earlier_boot_proves_nothing(world: _World) -> None:
+    """Guards against proofs from the future after a machine has rebooted."""
+
+    @given(st.integers(-50_000, 5_000_000))
+    def _check(set_back_ms: int) -> None:
+        world.true_ms = 1000.0
+        reader, _ = _exchange_all(world, [100, 100])
+        world.true_ms += 30_000
+        rebooted = _Side(world, 'other', 1_000_000 - set_back_ms)
+        world.true_ms += 1000
+        _beat_to(reader, rebooted)
+        assert rebooted.proved_ms() <= reader.proved_ms()
+
+    _check()
+
+
+def test_a_proof_from_the_future_is_not_passed_on(world: _World) -> None:
+    """Guards against one wrong proof that makes a whole fleet trust old news."""
+    reader, other = _exchange_all(world, [100, 100])
+    reader.freshness.confirm(VERSION, world.true_ms + 4_000_000)
+    _beat_to(reader, other)
+    assert other.proved_ms() <= world.true_ms
+
+
 def test_the_own_status_is_told_when_a_peer_lacks_it(world: _World) -> None:
     """Status objects made half of all bytes between instances."""
     side = _Side(world, 'one', 0)
