Take no proof from a stamp of another incarnation or from the future

What callers saw: 404 for a route 9.2 s after it was stored, from an instance that held the version before for current (CONFIG). Keys that were taken away would have lived on as well.

Cause: beats carry the sender's clock since boot, and a peer echoes the stamp that it heard last, also when that was on an earlier boot of the machine. On the new boot's clock it means another moment; where it lies ahead, the proof counted back from it never grows old, its holder reads no more, and beats carry it to all others. Class: a clock reading used outside of the epoch that it was taken in.

Change: stamps count from an origin drawn at each start, so that an earlier incarnation's fall outside of this one's life; a proof that would lie in the future is not accepted, so that one wrong clock stays alone. The same path serves the list of engines.

--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -22,6 +22,7 @@
     INFORMED,
     Attendance,
 )
+from hornbeamdeck.process.beat_clock import BeatClock
 from hornbeamdeck.process.engine_directory import EngineDirectory, from_wire
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import InstanceStatus, Membership
@@ -100,6 +101,7 @@
         self._parts = parts
         self.is_owner_lost = False
         self.attendance = Attendance(parts.membership, parts.version)
+        self._clock = BeatClock(self.attendance.started_ms)
         self._unanswered_ms: dict[str, float] = {}
         self._told: dict[str, _Told] = {}
         self._told_present: dict[str, frozenset[str]] = {}
@@ -217,7 +219,7 @@
         version = parts.version()
         confirmed_ms = parts.freshness.confirmed_ms(version)
         return Beat(
-            stamp_ms=int(now),
+            stamp_ms=self._clock.stamp_ms(now),
             echo_ms=heard.stamp_ms,
             configuration_version=version,
             configuration_age_ms=_age_ms(heard.at_ms, confirmed_ms),
@@ -248,14 +250,23 @@
             return
         # The peer counted its ages back from the arrival of the beat that it
         # echoes; that was sent here no later than at the echoed stamp.
-        parts.freshness.confirm(
-            beat.configuration_version,
-            beat.echo_ms - beat.configuration_age_ms,
-        )
-        parts.directory.confirm(
-            beat.engines_version,
-            beat.echo_ms - beat.engines_age_ms,
-        )
+        for confirm, version, age_ms in (
+            (
+                parts.freshness.confirm,
+                beat.configuration_version,
+                beat.configuration_age_ms,
+            ),
+            (
+                parts.directory.confirm,
+                beat.engines_version,
+                beat.engines_age_ms,
+            ),
+        ):
+            asked_ms = self._clock.asked_ms(beat.echo_ms, age_ms, now_ms())
+            if asked_ms is None:
+                _LOGGER.warning('proof not accepted', peer=peer_id)
+                return
+            confirm(version, asked_ms)
 
     def _memory_ms(self, now: float) -> float:
         if self._parts.is_first_start:
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -127,7 +127,7 @@
 // of the receiver arrived here, so that time spent on the way makes a proof
 // look older, never younger.
 struct Beat {
-  1: required i64 stamp_ms         // the sender's clock
+  1: required i64 stamp_ms         // the sender's clock, from an origin of its own
   2: required i64 echo_ms          // the receiver's last stamp; 0: none yet
   3: required i64 configuration_age_ms
   4: required i64 engines_version
