Deny and run only what a change can not have overtaken

What callers saw: a 404 3.7 s after a route was stored; in the same way 401 for a new key, and runs by the service that a route had left (CONFIG).

Cause: the edge knew one bound only, that of revoked keys (revocation_ms - 1,200 = 3,800 ms). Up to that age a configuration denied and ran, though a change must be in force after configuration_apply_ms (3,000 ms there, 2,000 ms on small deployments). An instance whose owner falls silent is older than that before its own reads help. Class: one bound used for two promises.

Change: process/proofs.py tells for what the proofs held are good. A request that finds the configuration older than configuration_apply_ms has it read first, one read for all that wait, 300 ms at most and at most once a second where reads fail. Denials (404, 401) take a proof within the bound, else 503 with Retry-After; runs go on within the bound on keys while the store can not be read, as before.

--- a/hornbeamdeck/process/beat_clock.py
+++ b/hornbeamdeck/process/beat_clock.py
@@ -11,8 +11,8 @@
 
 __all__ = ('BeatClock',)
 
-MIN_ORIGIN_MS: Final = 1 << 44
-ORIGINS_MS: Final = 1 << 52
+MIN_ORIGIN_MS: Final = 10_000_000_000_000
+ORIGINS_MS: Final = 1_000_000_000_000_000
 
 
 class BeatClock:
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -25,6 +25,7 @@
 from hornbeamdeck.process.front_settings import FrontSettings
 from hornbeamdeck.process.membership import STATE_LEAVING
 from hornbeamdeck.process.peer_server import make_peer_server
+from hornbeamdeck.process.proofs import ProofParts, Proofs
 from hornbeamdeck.process.store_entry import StoreEntry
 from hornbeamdeck.request.routed_admission import RoutedAdmission
 from hornbeamdeck.request.routed_edge import (
@@ -38,10 +39,6 @@
 
 _LOGGER = structlog.get_logger(prefix='front')
 
-# A proof of the configuration is used up so long before the bound on revoked
-# keys: a second in which watches may hear nothing while their history goes, and
-# the way of a request to its engine.
-PROOF_MARGIN_MS: Final = 1200
 # Callers keep an addresses answer so many times as long as they are told.
 KEPT_TIMES: Final = 3
 # A planned stop ends so long before the platform kills the process.
@@ -61,6 +58,15 @@
         """Make the parts; `async_start` opens the addresses."""
         self.settings = settings
         self.parts = FrontParts.from_settings(settings, wires)
+        self.proofs = Proofs(
+            ProofParts(
+                freshness=self.parts.freshness,
+                directory=self.parts.directory,
+                version=self.parts.identity.version,
+                bounds=lambda: self.settings.bounds,
+                read_configuration=self.parts.reader.async_read_configuration,
+            ),
+        )
         self.is_leaving = False
         self.in_flight = 0
         self._stopped_ms = math.inf
@@ -170,10 +176,7 @@
         return Edge(
             dialect=self._wires.dialect,
             configuration=lambda: parts.follower.configuration,
-            is_fresh=self._is_fresh,
-            proof_age_ms=self._proof_age_ms,
-            newest_version=lambda: parts.freshness.newest_version,
-            engines_age_ms=lambda: parts.directory.age_ms(now_ms()),
+            proofs=self.proofs,
             connections=KeptConnections(
                 lambda: len(parts.membership.known()) + 1,
             ),
@@ -188,15 +191,6 @@
             in_flight=self._count_in_flight,
         )
 
-    def _proof_age_ms(self) -> float:
-        parts = self.parts
-        version = parts.follower.configuration.version
-        return parts.freshness.age_ms(version, now_ms())
-
-    def _is_fresh(self) -> bool:
-        limit_ms = self.settings.bounds.revocation_ms - PROOF_MARGIN_MS
-        return self._proof_age_ms() < limit_ms
-
     def _stop_share(self) -> float:
         passed_ms = now_ms() - self._stopped_ms
         return max(passed_ms / self.settings.bounds.grace_ms, 0)
@@ -253,8 +247,8 @@
     def _metrics_page(self, _request: HttpRequest) -> HttpResponse:
         headers = {'content-type': METRICS_TYPE}
         self.parts.metrics.note_proofs(
-            self._proof_age_ms(),
-            self.parts.directory.age_ms(now_ms()),
+            self.proofs.configuration_age_ms(),
+            self.proofs.engines_age_ms(),
         )
         page = self.parts.metrics.render()
         return HttpResponse(HTTPStatus.OK, headers, page)
--- a/hornbeamdeck/request/routed_admission.py
+++ b/hornbeamdeck/request/routed_admission.py
@@ -1,12 +1,14 @@
 """Which route and team a routed request belongs to, checked before it waits."""
 
 import random
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.process.proofs import Proofs
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import unauthorized
 from hornbeamdeck.request.routed_ask import RoutedAsk
@@ -15,7 +17,7 @@
 __all__ = (
     'PATIENCE_GAPS',
     'RoutedAdmission',
-    'admit_routed',
+    'async_admit',
     'is_still_allowed',
 )
 
@@ -95,41 +97,46 @@
         return self.ask.counted_tokens or self.team.plain_tokens
 
 
-def admit_routed(
-    configuration: RoutedConfiguration,
+async def async_admit(
+    configuration: Callable[[], RoutedConfiguration],
+    proofs: Proofs,
     ask: RoutedAsk,
-    *,
-    is_fresh: bool,
 ) -> Result[RoutedAdmission, NotRun]:
-    """Find route and team.
+    """Find route and team, in a configuration that may be relied on.
 
-    :param is_fresh: whether the configuration is proved to be current.
+    :param configuration: tells the one in force here.
     """
+    arrived_ms = now_ms()
+    await proofs.async_renew_configuration()
+    return _admit(configuration(), proofs, ask, arrived_ms)
+
+
+def _admit(
+    configuration: RoutedConfiguration,
+    proofs: Proofs,
+    ask: RoutedAsk,
+    arrived_ms: float,
+) -> Result[RoutedAdmission, NotRun]:
     if not configuration.version:
         return Err(_uncertain('no_configuration', 'no configuration yet'))
     route = configuration.find_route(ask.host, ask.request.path)
     if route is None:
-        if not is_fresh:
-            return Err(_stale())
-        return Err(
-            NotRun(HTTPStatus.NOT_FOUND, 'no_route', 'no route leads there'),
-        )
+        return Err(_denied(proofs, _no_route()))
     team = None
     if configuration.teams and not route.is_public:
-        if not is_fresh:
+        if not proofs.has_keys():
             return Err(_stale())
         team = configuration.team_of_key(ask.key)
         if team is None:
-            return Err(unauthorized())
-    now = now_ms()
+            return Err(_denied(proofs, unauthorized()))
     return Ok(
         RoutedAdmission(
             ask=ask,
             route=route,
             service=route.pick_service(random.random()),
             team=team,
-            arrived_ms=now,
-            deadline_ms=now + min(ask.patience_ms, route.timeout_ms),
+            arrived_ms=arrived_ms,
+            deadline_ms=arrived_ms + min(ask.patience_ms, route.timeout_ms),
         ),
     )
 
@@ -138,18 +145,27 @@
     configuration: RoutedConfiguration,
     admission: RoutedAdmission,
     *,
-    is_fresh: bool,
+    has_keys: bool,
 ) -> Result[None, NotRun]:
     """Check the key again, just before a request that waited is sent."""
     if admission.team is None:
         return Ok(None)
-    if not is_fresh:
+    if not has_keys:
         return Err(_stale())
     if configuration.team_of_key(admission.ask.key) is None:
         return Err(unauthorized())
     return Ok(None)
 
 
+def _denied(proofs: Proofs, denial: NotRun) -> NotRun:
+    """Deny only on what is in force; a denial is final for its caller."""
+    return denial if proofs.is_in_force() else _stale()
+
+
+def _no_route() -> NotRun:
+    return NotRun(HTTPStatus.NOT_FOUND, 'no_route', 'no route leads there')
+
+
 def _stale() -> NotRun:
     return _uncertain(
         'configuration_unproved',
--- a/hornbeamdeck/request/routed_edge.py
+++ b/hornbeamdeck/request/routed_edge.py
@@ -14,8 +14,9 @@
 from hornbeamdeck.connection.kept import KeptConnections
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.process.front_metrics import FrontMetrics
+from hornbeamdeck.process.proofs import Proofs
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.request.routed_admission import RoutedAdmission, admit_routed
+from hornbeamdeck.request.routed_admission import RoutedAdmission, async_admit
 from hornbeamdeck.request.routed_ask import Dialect
 from hornbeamdeck.version.routed import RoutedConfiguration
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
@@ -44,10 +45,7 @@
 class Edge(NamedTuple):
     """What answering routed requests needs of the process.
 
-    :param is_fresh: whether the configuration is proved to be current.
-    :param proof_age_ms: how old that proof is.
-    :param newest_version: newest version of the configuration heard of.
-    :param engines_age_ms: how old the proof for the list of engines is.
+    :param proofs: how current configuration and list of engines are.
     :param connections: to engines, kept from one request to the next.
     :param acquire: waits for a grant.
     :param progress: told a request's id and its time to first token, ms.
@@ -62,10 +60,7 @@
 
     dialect: Dialect
     configuration: Callable[[], RoutedConfiguration]
-    is_fresh: Callable[[], bool]
-    proof_age_ms: Callable[[], float]
-    newest_version: Callable[[], int]
-    engines_age_ms: Callable[[], float]
+    proofs: Proofs
     connections: KeptConnections
     acquire: Acquire
     progress: Callable[[str, float], Awaitable[None]]
@@ -109,11 +104,7 @@
         await _async_refuse(edge, '', asked.err_value, caller)
         return
     ask = asked.ok_value
-    admitted = admit_routed(
-        edge.configuration(),
-        ask,
-        is_fresh=edge.is_fresh(),
-    )
+    admitted = await async_admit(edge.configuration, edge.proofs, ask)
     if isinstance(admitted, Err):
         await _async_refuse(edge, ask.request_id, admitted.err_value, caller)
         return
@@ -155,8 +146,8 @@
         code=refusal.code,
         status=int(refusal.status),
         configuration_version=edge.configuration().version,
-        newest_version=edge.newest_version(),
-        proof_age_ms=_shown(edge.proof_age_ms()),
+        newest_version=edge.proofs.newest_version,
+        proof_age_ms=_shown(edge.proofs.configuration_age_ms()),
     )
     await caller.async_respond(edge.dialect.refusal(refusal, request_id))
 
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -149,9 +149,9 @@
             tries=self._tries.arrivals,
             last_event=self._call.last_event,
             configuration_version=edge.configuration().version,
-            newest_version=edge.newest_version(),
-            proof_age_ms=int(min(edge.proof_age_ms(), MAX_SHOWN_MS)),
-            engines_age_ms=int(min(edge.engines_age_ms(), MAX_SHOWN_MS)),
+            newest_version=edge.proofs.newest_version,
+            proof_age_ms=_shown(edge.proofs.configuration_age_ms()),
+            engines_age_ms=_shown(edge.proofs.engines_age_ms()),
         )
 
     async def _async_grant(self) -> Result[Grant, NotRun]:
@@ -164,7 +164,7 @@
         allowed = is_still_allowed(
             self._edge.configuration(),
             admission,
-            is_fresh=self._edge.is_fresh(),
+            has_keys=self._edge.proofs.has_keys(),
         )
         if isinstance(allowed, Err):
             request_id = admission.ask.request_id
@@ -280,3 +280,7 @@
             zone=self._edge.zone,
             route_rank=admission.rank_in_team,
         )
+
+
+def _shown(age_ms: float) -> int:
+    return int(min(age_ms, MAX_SHOWN_MS))
--- a/tests/platform/test_lagging_instance.py
+++ b/tests/platform/test_lagging_instance.py
@@ -1,6 +1,10 @@
 """What an instance does that lags behind the store."""
 
+from curio import sleep
+
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.process.store_reader import WATCH_MS
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import document, route
 
@@ -83,6 +87,7 @@
 ) -> None:
     """Guards against a final 404 from an instance that the store leaves."""
     fleet.store.is_silent = True
+    await sleep(WATCH_MS / MILLIS_PER_SECOND)
     await fleet.store.async_put('config', 'main', _with_another_route())
     await _async_age(fleet)
     refused = await fleet.async_call('/added/x')
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -4,7 +4,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.attendance import FLEET_CELL
-from hornbeamdeck.process.front import PROOF_MARGIN_MS
+from hornbeamdeck.process.proofs import REVOCATION_MARGIN_MS
 from hornbeamdeck.process.rendezvous import ranking
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import StoreStandin, document
@@ -26,7 +26,7 @@
     front = fleet.fronts[0]
     fleet.store.is_silent = True
     bounds = front.settings.bounds._replace(
-        revocation_ms=PROOF_MARGIN_MS + 200,
+        revocation_ms=REVOCATION_MARGIN_MS + 200,
     )
     front.settings = front.settings._replace(bounds=bounds)
     await fleet.async_until(
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -179,7 +179,7 @@
 
 
 def test_a_proof_from_the_future_is_not_passed_on(world: _World) -> None:
-    """Guards against one wrong proof that makes a whole fleet trust old news."""
+    """Guards against a wrong proof that makes a whole fleet trust old news."""
     reader, other = _exchange_all(world, [100, 100])
     reader.freshness.confirm(VERSION, world.true_ms + 4_000_000)
     _beat_to(reader, other)
