Send nothing to an engine that has left, whoever granted it

What callers and engines saw: requests reached engines after they had said that they leave (DRAIN).

Cause, three that add up. Only the owner looked at the list of engines, of any age, and a grant was used however late it came. The proof of a newer list counted for the older one that was held, so that an instance which had not got the list yet did not read for itself. Each reader numbered its list one above the last it knew, whatever revision of the store it was read at, so that a slow reader's older list replaced a newer one at all others. Class: safety left to soft state at another instance.

Change: the instance that sends looks at its own list before each send; where that list's proof is older than drain_ms less the way to an engine, it is read first, as the configuration is. A grant for an engine that leaves or is gone is given back and another asked for. Versions of the list follow the store's revisions, a list of an earlier revision never wins, and the list's proofs are kept by version, as the configuration's are. Removed engines are kept for a moment only by an instance whose own reads had failed; one that merely lagged took its age for an outage.

--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -65,6 +65,7 @@
                 version=self.parts.identity.version,
                 bounds=lambda: self.settings.bounds,
                 read_configuration=self.parts.reader.async_read_configuration,
+                read_engines=self.parts.reader.async_read_engines,
             ),
         )
         self.is_leaving = False
--- a/hornbeamdeck/process/proofs.py
+++ b/hornbeamdeck/process/proofs.py
@@ -20,6 +20,9 @@
 # keys: a second in which watches may hear nothing while their history goes, and
 # the way of a request to its engine.
 REVOCATION_MARGIN_MS: Final = 1200
+# From the last look at the list of engines until a request reaches its engine:
+# the longest wait for a connection, and a packet that is sent again.
+SENDING_MS: Final = 600
 
 
 class ProofParts(NamedTuple):
@@ -28,6 +31,7 @@
     :param version: the version of the configuration held here.
     :param bounds: the bounds in force.
     :param read_configuration: reads it, and tells whether the store answered.
+    :param read_engines: the same for the list of engines.
     """
 
     freshness: Freshness
@@ -35,6 +39,7 @@
     version: Callable[[], int]
     bounds: Callable[[], Bounds]
     read_configuration: Callable[[], Awaitable[bool]]
+    read_engines: Callable[[], Awaitable[bool]]
 
 
 class Proofs:
@@ -44,6 +49,7 @@
         """Take what proofs are kept in."""
         self._parts = parts
         self._configuration = SharedRead(parts.read_configuration)
+        self._engines = SharedRead(parts.read_engines)
 
     @property
     def newest_version(self) -> int:
@@ -73,3 +79,14 @@
         """Read the configuration where a change could be missing."""
         if not self.is_in_force():
             await self._configuration.async_wait()
+
+    async def async_may_send(self, engine: str) -> bool:
+        """Whether an engine may get work now, however old its grant is.
+
+        Owners lag as well, and a grant may be under way while its engine says
+        that it leaves.
+        """
+        limit_ms = self._parts.bounds().drain_ms - SENDING_MS
+        if self.engines_age_ms() >= limit_ms:
+            await self._engines.async_wait()
+        return not self._parts.directory.has_left(engine)
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -81,6 +81,8 @@
         """Start without anything read."""
         self._parts = parts
         self._book = EngineBook()
+        self._engines_at = 0
+        self._is_list_lost = False
         self.is_reached = True
 
     async def async_follow_configuration(self) -> None:
@@ -134,6 +136,13 @@
         await self._async_take(got.ok_value, asked_ms)
         return got.ok_value.document is not None
 
+    async def async_read_engines(self) -> bool:
+        """Read the list of engines once.
+
+        :returns: whether the store gave one.
+        """
+        return bool(await self._async_read_engines(0))
+
     async def _async_watch_configuration(self) -> bool:
         asked_ms = now_ms()
         version = self._parts.version()
@@ -166,6 +175,7 @@
             got = await access.list_engines()
         if isinstance(got, Err):
             if isinstance(got.err_value, PlatformDown):
+                self._is_list_lost = True
                 self._note_lost('engines', got.err_value)
             return 0
         self._note_reached('engines')
@@ -181,18 +191,25 @@
     ) -> None:
         directory = self._parts.directory
         now = now_ms()
+        if read.at < self._engines_at:
+            # The answer to an earlier question than that of the last one.
+            directory.confirm_at(read.at, asked_ms)
+            return
+        self._engines_at = read.at
         if is_complete:
             self._book.replace(
                 read.changes,
                 directory.engines,
-                proof_age_ms=directory.age_ms(now),
+                # An instance that merely lags has missed no outage.
+                proof_age_ms=directory.age_ms(now) if self._is_list_lost else 0,
                 now=now,
             )
+            self._is_list_lost = False
         else:
             self._book.change(read.changes, now)
         engines = self._book.engines(now)
-        if engines != dict(directory.engines):
-            version = max(read.at, directory.version + 1)
+        version = directory.version_at(read.at)
+        if version is not None and engines != dict(directory.engines):
             directory.adopt(version, engines.values())
             _LOGGER.info(
                 'engines changed',
@@ -205,7 +222,7 @@
                 ),
             )
             self._parts.on_engines()
-        directory.confirm(directory.version, asked_ms)
+        directory.confirm_at(read.at, asked_ms)
 
     def _is_due(self, age_ms: float, old_ms: float) -> bool:
         parts = self._parts
--- a/hornbeamdeck/request/routed_run.py
+++ b/hornbeamdeck/request/routed_run.py
@@ -94,6 +94,10 @@
             granted = await self._async_grant()
             if isinstance(granted, Err):
                 return await self._async_refused(granted.err_value)
+            upstream = granted.ok_value.upstream
+            if not await self._edge.proofs.async_may_send(upstream):
+                await self._async_give_back(upstream)
+                continue
             end = await self._async_dispatch(granted.ok_value)
             if not self._may_go_on(end):
                 return await self._async_conclude(end)
@@ -174,6 +178,20 @@
             self._edge.spend(admission.team_name, admission.quota_tokens)
         return granted
 
+    async def _async_give_back(self, engine: str) -> None:
+        """Give a grant back for an engine that has left meanwhile."""
+        request_id = self._admission.ask.request_id
+        _LOGGER.info(
+            'grant given back',
+            request_id=request_id,
+            engine=engine,
+            cause='the engine leaves or has left',
+            engines_age_ms=_shown(self._edge.proofs.engines_age_ms()),
+        )
+        await self._edge.release(request_id, RunEnd.CANCELLED, 0, 0)
+        excluded = (*self._tries.excluded, engine)
+        self._tries = self._tries._replace(excluded=excluded)
+
     async def _async_dispatch(self, grant: Grant) -> RunEnd:
         self._engine = grant.upstream
         granted_ms = now_ms()
--- a/tests/platform/test_lagging_instance.py
+++ b/tests/platform/test_lagging_instance.py
@@ -108,3 +108,17 @@
     for _ in range(4):
         assert (await fleet.async_call('/seats/x')).status == 200
     assert not leaving.ran
+
+
+@on_platform()
+async def test_a_removed_engine_gets_no_work_from_an_instance_that_lags(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against an engine that is gone and kept as in an outage."""
+    await _async_lag(fleet)
+    removed = fleet.counters[0]
+    await fleet.store.async_remove('servers', removed.name)
+    await _async_age(fleet)
+    for _ in range(4):
+        assert (await fleet.async_call('/seats/x')).status == 200
+    assert not removed.ran
