Keep the instances that all others talk to from being overrun

What callers saw: on the grown deployments half of the requests late, changes of configuration and leaving engines heard of seconds late, readiness failing by turns at the machines that rank first.

Cause: the fleet's owner was picked by a hash of names, so that it stood on one of 120 machines of 0.361 of a core. 125 instances open their links to it within one beat, greet it and are told of all others; first answers come after 800 ms, the links are given up as silent and opened again by all, and each instance probes four such owners each second. Class: herds that keep a fallen peer down (metastable overload).

Change: who may use more of a core ranks before the hash decides (settings.cores, told in the status object; 0 where it is not told). An owner that was heard from within a heartbeat gets none.

Evidence: the two new tests of test_beats.py fail on the code before (125 of 126 greet in one beat, 500 probes in a second), those of test_membership.py name what was not there. tests/process and tests/platform pass.

--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -23,6 +23,7 @@
     Attendance,
 )
 from hornbeamdeck.process.beat_clock import BeatClock
+from hornbeamdeck.process.beat_pace import BeatPace
 from hornbeamdeck.process.engine_directory import EngineDirectory, from_wire
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import InstanceStatus, Membership
@@ -35,12 +36,6 @@
 
 _LOGGER = structlog.get_logger(prefix='beats')
 
-BEAT_MS: Final = 250
-# Two beats and some: an instance that is silent for longer has stopped, is cut
-# off or so slow that waiting for it costs more than turning to the next.
-SILENCE_MS: Final = 800
-# How often a silent instance that ranks before the owner is tried again.
-PROBE_MS: Final = 1000
 # How often a peer is told the same status object: each eighth beat, so that it
 # costs little and one that was lost is missed for no longer than callers keep
 # an addresses answer.
@@ -101,18 +96,18 @@
         self._parts = parts
         self.is_owner_lost = False
         self.attendance = Attendance(parts.membership, parts.version)
+        self._pace = BeatPace(lambda: len(parts.membership.known()) + 1)
         self._clock = BeatClock(self.attendance.started_ms)
         self._unanswered_ms: dict[str, float] = {}
         self._told: dict[str, _Told] = {}
         self._told_present: dict[str, frozenset[str]] = {}
         self._told_status: dict[str, _ToldStatus] = {}
-        self._probed_ms = 0.0
 
     async def async_run(self) -> None:
         """Beat for ever."""
         while True:
             await self.async_beat()
-            await sleep(BEAT_MS / MILLIS_PER_SECOND)
+            await sleep(self._pace.beat_ms / MILLIS_PER_SECOND)
 
     async def async_beat(self) -> None:
         """Beat once to each instance that is to be kept informed."""
@@ -188,19 +183,19 @@
             for each in ranked[: INFORMED + 1]
             if each in membership.suspects
         ]
-        now = now_ms()
-        if suspects and now - self._probed_ms > PROBE_MS:
-            # Without a probe the first to find out whether a lost owner is
-            # back would be a request.
-            self._probed_ms = now
-            targets += suspects
+        # Without a probe the first to find out whether a lost owner is back
+        # would be a request.
+        targets += self._pace.probes(suspects, now_ms())
         return [each for each in targets if each != own_id]
 
     async def _async_beat_to(self, peer_id: str) -> None:
         peers = self._parts.peers
         now = now_ms()
+        if not peers.has_link(peer_id) and not self._pace.may_open_link():
+            self._unanswered_ms.pop(peer_id, None)
+            return
         since_ms = self._unanswered_ms.setdefault(peer_id, now)
-        if now - since_ms > SILENCE_MS:
+        if now - since_ms > self._pace.silence_ms:
             _LOGGER.warning(
                 'peer is silent',
                 peer=peer_id,
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -19,7 +19,7 @@
 from hornbeamdeck.connection.reader import ReadLimits
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.beats import BEAT_MS
+from hornbeamdeck.process.beat_pace import BEAT_MS
 from hornbeamdeck.process.front_pages import async_serve_page
 from hornbeamdeck.process.front_parts import FrontParts, FrontWires
 from hornbeamdeck.process.front_settings import FrontSettings
--- a/hornbeamdeck/process/front_parts.py
+++ b/hornbeamdeck/process/front_parts.py
@@ -217,6 +217,7 @@
         availability_zone=settings.availability_zone,
         incarnation=uuid.uuid4().hex,
         state=STATE_LIVE,
+        cores=settings.cores,
     )
 
 
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -8,6 +8,8 @@
 
 import json
 import math
+from collections.abc import Iterable
+from functools import lru_cache
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.clock import now_ms
@@ -21,12 +23,15 @@
 STATE_LEAVING: Final = 'leaving'
 STATE_LIVE: Final = 'live'
 UNLISTED_GRACE_MS: Final = 10_000
+# All statuses are written for each peer while any of them changes.
+CACHED_STATUSES: Final = 2048
 
 
 class InstanceStatus(NamedTuple):
     """What an instance tells of itself, in the platform.
 
     :param incarnation: differs for each start of the process.
+    :param cores: processor share that it may use; 0: not told.
     """
 
     instance_id: str
@@ -35,6 +40,7 @@
     availability_zone: str
     incarnation: str
     state: str
+    cores: float = 0
 
     @classmethod
     def from_text(cls, text: str) -> Self:
@@ -56,13 +62,18 @@
 
     def to_text(self) -> str:
         """Write the status object."""
-        return json.dumps(
-            {
-                **self._asdict(),
-                'address': str(self.address),
-                'peer_address': str(self.peer_address),
-            },
-        )
+        return _encode(self)
+
+
+@lru_cache(maxsize=CACHED_STATUSES)
+def _encode(status: InstanceStatus) -> str:
+    return json.dumps(
+        {
+            **status._asdict(),
+            'address': str(status.address),
+            'peer_address': str(status.peer_address),
+        },
+    )
 
 
 class Membership:
@@ -179,14 +190,16 @@
         owner = self._owners.get(cell)
         if owner is None:
             self._owners_until_ms = self.suspects.next_expiry_ms()
-            live = [status.instance_id for status in self.live()]
-            owner = owner_of(cell, live) or self.own.instance_id
+            cores = _cores(self.live())
+            owner = owner_of(cell, cores, cores.__getitem__)
+            owner = owner or self.own.instance_id
             self._owners[cell] = owner
         return owner
 
     def ranked(self, cell: str) -> list[str]:
         """Order all known instances for a cell, suspected ones included."""
-        return ranking(cell, {*self._statuses, self.own.instance_id})
+        cores = _cores((*self._statuses.values(), self.own))
+        return ranking(cell, cores, cores.__getitem__)
 
     def known(self) -> list[InstanceStatus]:
         """List all other instances that are known, dead ones included."""
@@ -239,3 +252,11 @@
             and self._is_in_grace(status)
             for status in self._statuses.values()
         )
+
+
+def _cores(statuses: Iterable[InstanceStatus]) -> dict[str, float]:
+    """Tell what instances can carry, by which they rank before the hash.
+
+    Owners serve the whole fleet; a small instance that owns is overrun.
+    """
+    return {status.instance_id: status.cores for status in statuses}
--- a/hornbeamdeck/process/owner_watch.py
+++ b/hornbeamdeck/process/owner_watch.py
@@ -1,5 +1,6 @@
 """Notices owners of cells that are silent while something waits for them."""
 
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, TypeAlias
 
@@ -36,6 +37,7 @@
         self._peers = peers
         self._asked_owners = asked_owners
         self._unanswered_ms: dict[str, float] = {}
+        self._heard_ms: dict[str, float] = {}
         self._has_waiting = Event()
 
     async def async_wake(self) -> None:
@@ -44,6 +46,7 @@
 
     def heard(self, owner: str) -> None:
         """Note that an owner has sent something."""
+        self._heard_ms[owner] = now_ms()
         self._unanswered_ms.pop(owner, None)
 
     async def async_run(self) -> None:
@@ -55,13 +58,20 @@
                 await self._has_waiting.wait()
             for forgotten in self._unanswered_ms.keys() - owners:
                 self._unanswered_ms.pop(forgotten)
+            for forgotten in self._heard_ms.keys() - owners:
+                self._heard_ms.pop(forgotten)
             for owner in owners:
                 await self._async_check(owner)
             await sleep(HEARTBEAT_MS / MILLIS_PER_SECOND)
 
     async def _async_check(self, owner: str) -> None:
-        since_ms = self._unanswered_ms.setdefault(owner, now_ms())
-        if now_ms() - since_ms > SILENCE_MS:
+        now = now_ms()
+        if now - self._heard_ms.get(owner, -math.inf) < HEARTBEAT_MS:
+            # Its grants and beats show that it lives; an answer more from it
+            # for each instance of the fleet would cost it more than they do.
+            return
+        since_ms = self._unanswered_ms.setdefault(owner, now)
+        if now - since_ms > SILENCE_MS:
             _LOGGER.warning('owner is silent', owner=owner)
             await self._peers.async_drop(owner)
             return
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -1,5 +1,7 @@
 """Proofs that travel from instance to instance."""
 
+import random
+from collections import Counter
 from typing import Any, cast
 
 import curio
@@ -8,7 +10,8 @@
 from hypothesis import strategies as st
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process import attendance, beats, suspects
+from hornbeamdeck.connection.platform import StoredObject
+from hornbeamdeck.process import attendance, beat_pace, beats, suspects
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import (
@@ -22,6 +25,7 @@
 from hornbeamdeck.wire import Beat, Message
 
 VERSION = 7
+FLEET = 126
 DELAYS = st.lists(st.integers(0, 5000), min_size=2, max_size=12)
 
 
@@ -209,3 +213,76 @@
     assert STATE_LEAVING in side.beats._make('peer').status
     world.true_ms += beats.TELL_AGAIN_MS
     assert side.beats._make('peer').status
+
+
+class _Links(_Outbox):
+    """Takes what is sent, and knows no link until something was sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked: list[str] = []
+
+    def has_link(self, peer_id: str) -> bool:
+        return peer_id in self.asked
+
+    async def async_send(self, peer_id: str, message: Message) -> None:
+        await super().async_send(peer_id, message)
+        self.asked.append(peer_id)
+
+    async def async_drop(self, _peer_id: str) -> None:
+        """Forget nothing."""
+
+
+def _large_fleet(world: _World) -> list[tuple[_Side, _Links]]:
+    names = [f'front-{number}' for number in range(FLEET)]
+    fleet = []
+    for name in names:
+        side = _Side(world, name, 0)
+        links = _Links()
+        parts = side.beats._parts
+        side.beats._parts = parts._replace(peers=cast(Peers, links))
+        for other in set(names) - {name}:
+            change = StoredObject(
+                f'instances/{other}', 0, _status(other).to_text()
+            )
+            parts.membership.note_status(change)
+        fleet.append((side, links))
+    return fleet
+
+
+def _most_asked(fleet: list[tuple[_Side, _Links]]) -> int:
+    asked = Counter(peer for _, links in fleet for peer in set(links.asked))
+    return max(asked.values(), default=0)
+
+
+def test_a_large_fleet_does_not_greet_its_owner_all_at_once(
+    world: _World,
+) -> None:
+    """Guards against an owner that is overrun in the second it takes over."""
+    random.seed(1)
+    fleet = _large_fleet(world)
+    for side, _ in fleet:
+        curio.run(side.beats.async_beat)
+    assert 0 < _most_asked(fleet) <= FLEET * 2 / 3
+
+
+def test_a_silent_owner_is_not_kept_down_by_its_own_fleet(
+    world: _World,
+) -> None:
+    """Guards against probes of a whole fleet that outlast a short overload."""
+    random.seed(1)
+    fleet = _large_fleet(world)
+    for side, _ in fleet:
+        membership = side.beats._parts.membership
+        for first in membership.ranked('fleet')[: attendance.INFORMED + 1]:
+            membership.suspect(first)
+        side.beats._targets()
+    world.true_ms += beat_pace.PROBE_MS + 1
+    probed = Counter(
+        target
+        for side, _ in fleet
+        for target in side.beats._targets()
+        if target in side.beats._parts.membership.suspects
+    )
+    assert sum(probed.values()) == 0
+    assert side.beats._pace.beat_ms > beat_pace.BEAT_MS
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -139,3 +139,27 @@
     members.note_published()
     members.note_status(stored('b', 'leaving'))
     assert [each.instance_id for each in members.entries('x', 3)] == ['a']
+
+
+def test_what_can_carry_more_owns_before_all_that_can_carry_less() -> None:
+    """Guards against a fleet that is owned by one of its smallest instances."""
+    members = Membership(status('a')._replace(cores=0.36))
+    for name in NAMES[1:]:
+        cores = 0.72 if name == 'd' else 0.36
+        told = status(name)._replace(cores=cores).to_text()
+        members.note_status(StoredObject(f'instances/{name}', 1, told))
+    for number in range(50):
+        cell = f'cell-{number}'
+        assert members.owner_of(cell) == 'd'
+        assert members.ranked(cell)[0] == 'd'
+        members.suspect('d')
+        assert members.owner_of(cell) != 'd'
+        members.clear('d')
+
+
+def test_an_instance_that_does_not_tell_its_capacity_is_understood() -> None:
+    """Guards against a fleet that ignores members of an earlier version."""
+    text = '{"instance_id": "a", "address": "127.0.0.1:1", '
+    text += '"peer_address": "127.0.0.1:1", "availability_zone": "z", '
+    text += '"incarnation": "x", "state": "live"}'
+    assert InstanceStatus.from_text(text).cores == 0
