Presence follows the pace of beats; beats are a second apart at most

Cause, from reading the change: presence ran out 1.5 s after a beat, whatever the pace. At 390 instances a beat each 1.56 s would have had members come and go, and proofs older than the age from which instances read the store for themselves.

Change: present for 1.5 s or as long as silence is borne, whichever is longer; beats at most 1 s apart. Up to 62 instances nothing changes, at 126 presence lasts 1.6 s.

--- a/hornbeamdeck/process/attendance.py
+++ b/hornbeamdeck/process/attendance.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.process.beat_pace import BeatPace
 from hornbeamdeck.process.membership import (
     STATE_LIVE,
     InstanceStatus,
@@ -16,8 +17,6 @@
 FLEET_CELL: Final = 'fleet'
 # How many of the first-ranked instances are kept informed.
 INFORMED: Final = 3
-# An instance counts as present for this long after its last beat.
-PRESENT_MS: Final = 1500
 # While this process is so young, it takes all it knows of for present.
 YOUNG_MS: Final = 2000
 
@@ -41,14 +40,17 @@
         self,
         membership: Membership,
         version: Callable[[], int],
+        pace: BeatPace,
     ) -> None:
         """Begin to count this process's age.
 
         :param version: tells the version of the configuration held here.
+        :param pace: how often instances of this fleet beat.
         """
         self.started_ms = now_ms()
         self._membership = membership
         self._version = version
+        self._pace = pace
         self._heard: dict[str, Heard] = {}
         self._present: dict[str, frozenset[str]] = {}
 
@@ -78,7 +80,7 @@
         heard = {
             peer_id
             for peer_id, heard in self._heard.items()
-            if heard.is_usable and now - heard.at_ms < PRESENT_MS
+            if heard.is_usable and now - heard.at_ms < self._pace.present_ms
         }
         if now - self.started_ms < YOUNG_MS:
             known = self._membership.known()
@@ -116,7 +118,8 @@
             # Nobody has had the time to be heard of.
             return 1.0
         heard = sum(
-            now - heard.at_ms < PRESENT_MS for heard in self._heard.values()
+            now - heard.at_ms < self._pace.present_ms
+            for heard in self._heard.values()
         )
         return min((heard + 1) / (len(live) + 1), 1.0)
 
--- a/hornbeamdeck/process/beat_pace.py
+++ b/hornbeamdeck/process/beat_pace.py
@@ -15,9 +15,14 @@
 
 BEAT_MS: Final = 250
 BEAT_PER_INSTANCE_MS: Final = 4
+# Proofs grow older with each beat on their way; beyond this instances would
+# read the store for themselves between beats.
+MAX_BEAT_MS: Final = 1000
 # Three beats and some: an instance that is silent for longer has stopped, is
 # cut off or so slow that waiting for it costs more than turning to the next.
 SILENT_BEATS: Final = 3.2
+# An instance counts as present for this long after its last beat, at least.
+PRESENT_MS: Final = 1500
 # How often a silent instance that ranks before the owner is tried again.
 PROBE_MS: Final = 1000
 PROBE_PER_INSTANCE_MS: Final = 30
@@ -36,7 +41,13 @@
     @property
     def beat_ms(self) -> float:
         """Time between two beats."""
-        return max(BEAT_MS, BEAT_PER_INSTANCE_MS * self._fleet_size())
+        paced_ms = BEAT_PER_INSTANCE_MS * self._fleet_size()
+        return min(max(BEAT_MS, paced_ms), MAX_BEAT_MS)
+
+    @property
+    def present_ms(self) -> float:
+        """Time after its last beat for which an instance is present."""
+        return max(PRESENT_MS, self.silence_ms)
 
     @property
     def silence_ms(self) -> float:
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -95,8 +95,12 @@
         """Begin to count this process's age."""
         self._parts = parts
         self.is_owner_lost = False
-        self.attendance = Attendance(parts.membership, parts.version)
         self._pace = BeatPace(lambda: len(parts.membership.known()) + 1)
+        self.attendance = Attendance(
+            parts.membership,
+            parts.version,
+            self._pace,
+        )
         self._clock = BeatClock(self.attendance.started_ms)
         self._unanswered_ms: dict[str, float] = {}
         self._told: dict[str, _Told] = {}
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -286,3 +286,11 @@
     )
     assert sum(probed.values()) == 0
     assert side.beats._pace.beat_ms > beat_pace.BEAT_MS
+
+
+@given(st.integers(1, 2000))
+def test_an_instance_that_beats_counts_as_present(size: int) -> None:
+    """Guards against a fleet so large that its members come and go."""
+    pace = beat_pace.BeatPace(lambda: size)
+    assert pace.present_ms > 2 * pace.beat_ms
+    assert pace.present_ms >= pace.silence_ms
