--- a/hornbeamdeck/process/beat_clock.py
+++ b/hornbeamdeck/process/beat_clock.py
@@ -6,10 +6,14 @@
 one's life and proves nothing.
 """
 
+import math
 import secrets
 from typing import Final
 
-__all__ = ('BeatClock',)
+__all__ = ('NEVER_MS', 'BeatClock', 'told_age_ms')
+
+# What stands for a proof that was never had, milliseconds.
+NEVER_MS: Final = 1_000_000_000
 
 MIN_ORIGIN_MS: Final = 10_000_000_000_000
 ORIGINS_MS: Final = 1_000_000_000_000_000
@@ -41,3 +45,10 @@
             return None
         asked_ms = sent_ms - age_ms
         return asked_ms if asked_ms <= now else None
+
+
+def told_age_ms(at_ms: float, confirmed_ms: float) -> int:
+    """Give the age of a proof at a moment as a beat tells it, rounded up."""
+    if math.isinf(confirmed_ms):
+        return NEVER_MS
+    return math.ceil(at_ms - confirmed_ms)
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -7,9 +7,8 @@
 fleet, not with its square, and reads of the store do not grow at all.
 """
 
-import math
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 import structlog
 from curio import sleep
@@ -22,7 +21,7 @@
     INFORMED,
     Attendance,
 )
-from hornbeamdeck.process.beat_clock import BeatClock
+from hornbeamdeck.process.beat_clock import NEVER_MS, BeatClock, told_age_ms
 from hornbeamdeck.process.beat_pace import BeatPace
 from hornbeamdeck.process.engine_directory import EngineDirectory, from_wire
 from hornbeamdeck.process.freshness import Freshness
@@ -30,19 +29,13 @@
 from hornbeamdeck.process.peers import Peers
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
 from hornbeamdeck.process.ticket import Deliver
+from hornbeamdeck.process.told import Told
 from hornbeamdeck.wire import Beat, EngineList, Message
 
 __all__ = ('BeatParts', 'Beats')
 
 _LOGGER = structlog.get_logger(prefix='beats')
 
-# How often a peer is told the same status object: each eighth beat, so that it
-# costs little and one that was lost is missed for no longer than callers keep
-# an addresses answer.
-TELL_AGAIN_MS: Final = 2000
-# What stands for a proof that was never had, milliseconds.
-NEVER_MS: Final = 1_000_000_000
-
 
 class BeatParts(NamedTuple):
     """What beats are made from and go to.
@@ -68,26 +61,6 @@
     is_first_start: bool
 
 
-class _ToldStatus(NamedTuple):
-    """The own status object as a peer was told it.
-
-    :param at_ms: when.
-    """
-
-    text: str
-    at_ms: float
-
-
-class _Told(NamedTuple):
-    """What a peer was told of instances.
-
-    :param changes: the membership's count of changes then.
-    """
-
-    changes: int
-    statuses: frozenset[str]
-
-
 class Beats:
     """Sends beats, answers them and takes in what they tell."""
 
@@ -103,9 +76,7 @@
         )
         self._clock = BeatClock(self.attendance.started_ms)
         self._unanswered_ms: dict[str, float] = {}
-        self._told: dict[str, _Told] = {}
-        self._told_present: dict[str, frozenset[str]] = {}
-        self._told_status: dict[str, _ToldStatus] = {}
+        self._told = Told(parts.membership, self.attendance.present)
 
     async def async_run(self) -> None:
         """Beat for ever."""
@@ -146,8 +117,8 @@
             # It has started anew, and knows nothing of what its name was told.
             self.forget_told(peer_id)
         beat = self._make(peer_id)
-        beat.present = self._untold_present(peer_id)
-        beat.statuses = self._untold(peer_id)
+        beat.present = self._told.untold_present(peer_id)
+        beat.statuses = self._told.untold_statuses(peer_id)
         await deliver(beat)
         await self._async_send_engines(message, deliver)
 
@@ -172,9 +143,7 @@
 
     def forget_told(self, peer_id: str) -> None:
         """Tell a peer everything again, since its connection has gone."""
-        self._told.pop(peer_id, None)
-        self._told_present.pop(peer_id, None)
-        self._told_status.pop(peer_id, None)
+        self._told.forget(peer_id)
 
     def _targets(self) -> list[str]:
         membership = self._parts.membership
@@ -221,13 +190,13 @@
             stamp_ms=self._clock.stamp_ms(now),
             echo_ms=heard.stamp_ms,
             configuration_version=version,
-            configuration_age_ms=_age_ms(heard.at_ms, confirmed_ms),
+            configuration_age_ms=told_age_ms(heard.at_ms, confirmed_ms),
             engines_version=parts.directory.version,
-            engines_age_ms=_age_ms(
+            engines_age_ms=told_age_ms(
                 heard.at_ms,
                 parts.directory.confirmed_ms,
             ),
-            status=self._untold_status(peer_id, now),
+            status=self._told.untold_status(peer_id, now),
             memory_ms=int(self._memory_ms(now)),
             spent=parts.spending.report(now),
             is_store_reached=parts.is_store_reached(),
@@ -249,23 +218,20 @@
             return
         # The peer counted its ages back from the arrival of the beat that it
         # echoes; that was sent here no later than at the echoed stamp.
-        for confirm, version, age_ms in (
+        now = now_ms()
+        for proofs, version, age_ms in (
             (
-                parts.freshness.confirm,
+                parts.freshness,
                 beat.configuration_version,
                 beat.configuration_age_ms,
             ),
-            (
-                parts.directory.confirm,
-                beat.engines_version,
-                beat.engines_age_ms,
-            ),
+            (parts.directory, beat.engines_version, beat.engines_age_ms),
         ):
-            asked_ms = self._clock.asked_ms(beat.echo_ms, age_ms, now_ms())
+            asked_ms = self._clock.asked_ms(beat.echo_ms, age_ms, now)
             if asked_ms is None:
                 _LOGGER.warning('proof not accepted', peer=peer_id)
                 return
-            confirm(version, asked_ms)
+            proofs.confirm(version, asked_ms)
 
     def _memory_ms(self, now: float) -> float:
         if self._parts.is_first_start:
@@ -286,35 +252,6 @@
         if membership.status_of(status.instance_id) != status:
             membership.note_status(StoredObject(key, 0, text))
 
-    def _untold(self, peer_id: str) -> list[str]:
-        membership = self._parts.membership
-        told = self._told.get(peer_id, _Told(-1, frozenset()))
-        if told.changes == membership.changes:
-            return []
-        known = frozenset(each.to_text() for each in membership.known())
-        self._told[peer_id] = _Told(membership.changes, known)
-        return sorted(known - told.statuses)
-
-    def _untold_status(self, peer_id: str, now: float) -> str:
-        """Give the own status object where a peer is to be told it.
-
-        It is half of a beat's bytes and hardly ever changes. A beat may be
-        lost with its connection, so it is told again after a while.
-        """
-        text = self._parts.membership.own.to_text()
-        told = self._told_status.get(peer_id)
-        if told and told.text == text and now - told.at_ms < TELL_AGAIN_MS:
-            return ''
-        self._told_status[peer_id] = _ToldStatus(text, now)
-        return text
-
-    def _untold_present(self, peer_id: str) -> list[str] | None:
-        present = frozenset(self.attendance.present())
-        if self._told_present.get(peer_id) == present:
-            return None
-        self._told_present[peer_id] = present
-        return sorted(present)
-
     async def _async_send_engines(self, beat: Beat, deliver: Deliver) -> None:
         directory = self._parts.directory
         if beat.engines_version < directory.version:
@@ -332,9 +269,3 @@
                 {entry.name: entry.slowness for entry in message.engines},
             )
             parts.on_engines()
-
-
-def _age_ms(at_ms: float, confirmed_ms: float) -> int:
-    if math.isinf(confirmed_ms):
-        return NEVER_MS
-    return math.ceil(at_ms - confirmed_ms)
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -11,7 +11,7 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.platform import StoredObject
-from hornbeamdeck.process import attendance, beat_pace, beats, suspects
+from hornbeamdeck.process import attendance, beat_pace, beats, suspects, told
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import (
@@ -211,7 +211,7 @@
     membership = side.beats._parts.membership
     membership.own = membership.own._replace(state=STATE_LEAVING)
     assert STATE_LEAVING in side.beats._make('peer').status
-    world.true_ms += beats.TELL_AGAIN_MS
+    world.true_ms += told.TELL_AGAIN_MS
     assert side.beats._make('peer').status
 
 
