A small fleet tries all lost peers at once again

One suspect was probed a second, at random, in a fleet of any size, so that of four lost peers the rightful owner was found after seconds.

Change: as many are probed at once as 64 attempts of the whole fleet allow, all four up to 16 instances, one from 33 on.

Evidence: test_a_small_fleet_tries_all_lost_peers_at_once fails before (one of four).

--- a/hornbeamdeck/process/beat_pace.py
+++ b/hornbeamdeck/process/beat_pace.py
@@ -64,4 +64,5 @@
         if not given_up or now - self._probed_ms <= probe_ms:
             return []
         self._probed_ms = now
-        return [random.choice(given_up)]
+        most = max(LINKS_PER_BEAT // self._fleet_size(), 1)
+        return random.sample(given_up, min(most, len(given_up)))
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -294,3 +294,13 @@
     pace = beat_pace.BeatPace(lambda: size)
     assert pace.present_ms > 2 * pace.beat_ms
     assert pace.present_ms >= pace.silence_ms
+
+
+def test_a_small_fleet_tries_all_lost_peers_at_once() -> None:
+    """Guards against two owners for seconds after a cut has healed."""
+    lost = ['a', 'b', 'c', 'd']
+    small = beat_pace.BeatPace(lambda: 13)
+    assert set(small.probes(lost, beat_pace.PROBE_MS + 1)) == set(lost)
+    assert not small.probes(lost, beat_pace.PROBE_MS + 2)
+    large = beat_pace.BeatPace(lambda: FLEET)
+    assert len(large.probes(lost, 1_000_000)) == 1
