Look closely at sixteen engines for a request, not at all of a hundred

Change: engines are ordered by the expected time to the first token and how full they are, the first sixteen are looked at as before, all others only if none of these will do; the work of a prompt is taken from its length once a request.

--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/process/engine_cell.py
@@ -12,7 +12,7 @@
 from hornbeamdeck.process.crash_watch import CrashWatch
 from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.engine_load import EngineLoad, Learned
+from hornbeamdeck.process.engine_load import EngineLoad, Learned, unit_ms
 from hornbeamdeck.process.forecast import Forecast
 from hornbeamdeck.process.output_estimate import OutputEstimate
 from hornbeamdeck.process.pause_estimate import PauseEstimate
@@ -294,9 +294,10 @@
     request: Enqueue,
     now: float,
 ) -> float:
+    work_ms = unit_ms(request.prompt_tokens)
     return min(
         (
-            load.first_token_ms(request.prompt_tokens, now)
+            load.first_token_ms(work_ms, now)
             for load in loads
             if not load.engine.is_leaving
         ),
--- a/hornbeamdeck/process/engine_choice.py
+++ b/hornbeamdeck/process/engine_choice.py
@@ -7,10 +7,10 @@
 to the streams is weighed against its own lateness.
 """
 
-from collections.abc import Iterable
+from heapq import nsmallest
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.engine_load import EngineLoad
+from hornbeamdeck.process.engine_load import EngineLoad, unit_ms
 from hornbeamdeck.process.request_rank import stake_of
 from hornbeamdeck.process.ticket import Ticket
 
@@ -22,6 +22,9 @@
 # What a full engine adds to the expected time of a request, milliseconds: the
 # more runs share its steps, the slower each goes.
 FULL_MS: Final = 60.0
+# Engines that are looked at closely for one request. To do so with each of a
+# hundred takes an owner a millisecond a request.
+LOOKED_AT: Final = 16
 # What certain failure counts, milliseconds.
 FAILING_MS: Final = 4000.0
 # What a step into another zone counts, milliseconds.
@@ -50,7 +53,7 @@
 
 
 def choose_engine(
-    free: Iterable[EngineLoad],
+    free: list[EngineLoad],
     ticket: Ticket,
     now: float,
     chances: Chances,
@@ -63,6 +66,33 @@
 
     :param free: engines with a free place.
     """
+    if len(free) > LOOKED_AT:
+        choice = _choose(_likeliest(free, ticket, now), ticket, now, chances)
+        if choice.load is not None:
+            return choice
+    return _choose(free, ticket, now, chances)
+
+
+def _likeliest(
+    free: list[EngineLoad],
+    ticket: Ticket,
+    now: float,
+) -> list[EngineLoad]:
+    """List the engines that look best at first sight."""
+    work_ms = unit_ms(ticket.request.prompt_tokens)
+    return nsmallest(
+        LOOKED_AT,
+        free,
+        key=lambda load: load.first_token_ms(work_ms, now) + _full_ms(load),
+    )
+
+
+def _choose(
+    free: list[EngineLoad],
+    ticket: Ticket,
+    now: float,
+    chances: Chances,
+) -> Choice:
     fitting = [load for load in free if _may_go_to(load, ticket, now)]
     if not fitting:
         return Choice(None, 'tried before or resting')
@@ -106,7 +136,11 @@
 
 
 def _first_ms(load: EngineLoad, ticket: Ticket, now: float) -> float:
-    return load.first_token_ms(ticket.request.prompt_tokens, now)
+    return load.first_token_ms(unit_ms(ticket.request.prompt_tokens), now)
+
+
+def _full_ms(load: EngineLoad) -> float:
+    return FULL_MS * load.slowness * len(load.runs) / load.slots
 
 
 def _harm(load: EngineLoad, ticket: Ticket, now: float) -> float:
@@ -139,7 +173,7 @@
 def _cost_ms(load: EngineLoad, ticket: Ticket, now: float) -> float:
     zone = ticket.request.zone or ''
     cost_ms = _first_ms(load, ticket, now)
-    cost_ms += FULL_MS * load.slowness * len(load.runs) / load.slots
+    cost_ms += _full_ms(load)
     cost_ms += FAILING_MS * load.health.failing(zone, now)
     if load.engine.availability_zone != zone:
         cost_ms += ZONE_MS
--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/process/engine_load.py
@@ -16,7 +16,7 @@
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import Register, RunEnd
 
-__all__ = ('EngineLoad', 'Learned')
+__all__ = ('EngineLoad', 'Learned', 'unit_ms')
 
 # From a request's first byte to its first token, besides reading its prompt.
 FIRST_TOKEN_MS: Final = 12.0
@@ -28,6 +28,11 @@
 MAX_SLOWNESS: Final = 30.0
 
 
+def unit_ms(prompt_tokens: int) -> float:
+    """Tell the time to a first token on an idle engine of slowness 1."""
+    return FIRST_TOKEN_MS + prefill_ms(prompt_tokens)
+
+
 class Learned(NamedTuple):
     """What the engines of one service have in common, at slowness 1."""
 
@@ -69,10 +74,12 @@
         """Count the requests that would start at once."""
         return max(self.slots - len(self.runs), 0)
 
-    def first_token_ms(self, prompt_tokens: int, now: float) -> float:
-        """Expect the time to the first token of a request sent now."""
-        unit_ms = FIRST_TOKEN_MS + prefill_ms(prompt_tokens)
-        return self.backlog_ms(now) + unit_ms * self.slowness
+    def first_token_ms(self, work_ms: float, now: float) -> float:
+        """Expect the time to the first token of a request sent now.
+
+        :param work_ms: what it takes at slowness 1, see `unit_ms`.
+        """
+        return self.backlog_ms(now) + work_ms * self.slowness
 
     def backlog_ms(self, now: float) -> float:
         """Tell how long the prompts take that are being read."""
@@ -133,7 +140,7 @@
     def start(self, request_id: str, now: float) -> None:
         """Expect a run's first token, since it was granted now."""
         run = self.runs[request_id]
-        expected_ms = self.first_token_ms(run.prompt_tokens, now)
+        expected_ms = self.first_token_ms(unit_ms(run.prompt_tokens), now)
         self.runs[request_id] = run._replace(
             unit_ms=expected_ms / self.slowness,
             started_ms=now,
--- a/hornbeamdeck/process/forecast.py
+++ b/hornbeamdeck/process/forecast.py
@@ -39,7 +39,7 @@
             end_ms - now if end_ms >= now else (now - end_ms) * OVERDUE_SHARE
             for end_ms in ends_ms
         )
-        return cls((*(0.0 for _ in range(places)), *left), interval_ms)
+        return cls((0.0,) * places + tuple(left), interval_ms)
 
     def start_in_ms(self, ahead: int) -> float:
         """Expect when a request starts, from now.
