--- a/hornbeamdeck/process/attendance.py
+++ b/hornbeamdeck/process/attendance.py
@@ -77,10 +77,11 @@
         """Name the instances that live and can serve, as known here."""
         now = now_ms()
         own = self._membership.own
+        since_ms = now - self._pace.present_ms
         heard = {
             peer_id
             for peer_id, heard in self._heard.items()
-            if heard.is_usable and now - heard.at_ms < self._pace.present_ms
+            if heard.is_usable and heard.at_ms > since_ms
         }
         if now - self.started_ms < YOUNG_MS:
             known = self._membership.known()
@@ -117,10 +118,8 @@
         if now - self.started_ms < YOUNG_MS:
             # Nobody has had the time to be heard of.
             return 1.0
-        heard = sum(
-            now - heard.at_ms < self._pace.present_ms
-            for heard in self._heard.values()
-        )
+        since_ms = now - self._pace.present_ms
+        heard = sum(heard.at_ms > since_ms for heard in self._heard.values())
         return min((heard + 1) / (len(live) + 1), 1.0)
 
     def rank(self) -> int:
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -304,3 +304,24 @@
     assert not small.probes(lost, beat_pace.PROBE_MS + 2)
     large = beat_pace.BeatPace(lambda: FLEET)
     assert len(large.probes(lost, 1_000_000)) == 1
+
+
+def test_an_answer_counts_the_fleet_a_few_times_only(
+    world: _World,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against answers to beats that cost the square of the fleet."""
+    side, _ = _large_fleet(world)[0]
+    for number in range(1, FLEET):
+        side.beats.attendance.hear(f'front-{number}', 1, is_usable=True)
+    counted = []
+    known = Membership.known
+
+    def _known(membership: Membership) -> list[InstanceStatus]:
+        counted.append(1)
+        return known(membership)
+
+    monkeypatch.setattr(Membership, 'known', _known)
+    side.beats.attendance.present()
+    side.beats.attendance.share()
+    assert len(counted) < 10
