Wait for the read that was joined, whichever is under way by then

Cause, from reading the change again: a request that joins a read looked its event up a second time after starting the task that takes it away. Today curio starts a task without giving way, so the event is still there; were that to change, the request would fail instead of being answered.

Change: the event is kept in a local name. Behaviour stays.

--- a/hornbeamdeck/process/shared_read.py
+++ b/hornbeamdeck/process/shared_read.py
@@ -34,17 +34,19 @@
     async def async_wait(self) -> None:
         """Wait for a read to end, and start one where none is under way."""
         now = now_ms()
-        if self._done is None:
+        done = self._done
+        if done is None:
             if now - self._failed_ms < RETRY_MS:
                 return
-            self._done = Event()
+            done = Event()
+            self._done = done
             self._started_ms = now
-            await spawn(self._async_run, self._done, daemon=True)
+            await spawn(self._async_run, done, daemon=True)
         left_ms = self._started_ms + WAIT_MS - now
         if left_ms <= 0:
             return
         try:
-            await async_within(left_ms, self._done.wait())
+            await async_within(left_ms, done.wait())
         except TaskTimeout:
             return
 
