Reduce the cost of standby instances in a large fleet

Membership sorted the whole fleet for each look at the store (40 a second) and for each beat. Status objects were parsed twice for each of three peers, and addresses were parsed again with each list. These results are now cached.

Instances that rank behind the first three check four times a second whether to read the store themselves.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -1,7 +1,8 @@
 """Addresses by IP number and port, and sockets made from them."""
 
 import ipaddress
-from typing import NamedTuple, Self
+from functools import lru_cache
+from typing import Final, NamedTuple, Self
 
 from curio import socket
 from curio.errors import TaskTimeout
@@ -13,6 +14,9 @@
 __all__ = ('Address', 'async_connect', 'listen')
 
 
+CACHED_ADDRESSES: Final = 4096
+
+
 class Address(NamedTuple):
     """An IP number and a port."""
 
@@ -25,9 +29,7 @@
 
         :raises ValueError: where the text is not an IP number and a port.
         """
-        host, _, port = text.rpartition(':')
-        ipaddress.ip_address(host.strip('[]'))
-        return cls(host.strip('[]'), int(port))
+        return cls(*_parse(text))
 
     def __str__(self) -> str:
         """Write `ip:port`."""
@@ -35,6 +37,15 @@
         return f'{host}:{self.port}'
 
 
+# Each list of engines and each grant repeats the same few hundred addresses.
+@lru_cache(maxsize=CACHED_ADDRESSES)
+def _parse(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(':')
+    host = host.strip('[]')
+    ipaddress.ip_address(host)
+    return host, int(port)
+
+
 def _new_socket(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     return socket.socket(family, socket.SOCK_STREAM)
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -68,7 +68,7 @@
         """Begin to count this process's age."""
         self._parts = parts
         self.is_owner_lost = False
-        self._pace = BeatPace(lambda: len(parts.membership.known()) + 1)
+        self._pace = BeatPace(lambda: len(parts.membership.ranked(FLEET_CELL)))
         self.attendance = Attendance(
             parts.membership,
             parts.version,
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -48,23 +48,30 @@
 
         :raises ValueError: where it is no status object.
         """
-        raw = json.loads(text)
-        try:
-            return cls(
-                **{
-                    **raw,
-                    'address': Address.from_text(raw['address']),
-                    'peer_address': Address.from_text(raw['peer_address']),
-                },
-            )
-        except (TypeError, KeyError) as error:
-            raise ValueError('not a status object') from error
+        return cls(*_decode(text))
 
     def to_text(self) -> str:
         """Write the status object."""
         return _encode(self)
 
 
+# Each of the first peers by rank sends the same status objects, and sends them
+# again after a reconnect.
+@lru_cache(maxsize=CACHED_STATUSES)
+def _decode(text: str) -> InstanceStatus:
+    raw = json.loads(text)
+    try:
+        return InstanceStatus(
+            **{
+                **raw,
+                'address': Address.from_text(raw['address']),
+                'peer_address': Address.from_text(raw['peer_address']),
+            },
+        )
+    except (TypeError, KeyError) as error:
+        raise ValueError('not a status object') from error
+
+
 @lru_cache(maxsize=CACHED_STATUSES)
 def _encode(status: InstanceStatus) -> str:
     return json.dumps(
@@ -105,6 +112,7 @@
         self._listed_ms = -math.inf
         self._owners: dict[str, str] = {}
         self._owners_until_ms = 0.0
+        self._ranked: dict[str, tuple[str, ...]] = {}
 
     @property
     def own(self) -> InstanceStatus:
@@ -114,12 +122,14 @@
     @own.setter
     def own(self, status: InstanceStatus) -> None:
         self._owners.clear()
+        self._ranked.clear()
         self._own = status
 
     def note_status(self, change: StoredObject) -> None:
         """Take in a status object that was written or deleted."""
         self.changes += 1
         self._owners.clear()
+        self._ranked.clear()
         instance_id = change.key.rpartition('/')[2]
         if change.body is None:
             self._statuses.pop(instance_id, None)
@@ -196,10 +206,18 @@
             self._owners[cell] = owner
         return owner
 
-    def ranked(self, cell: str) -> list[str]:
-        """Order all known instances for a cell, suspected ones included."""
-        cores = _cores((*self._statuses.values(), self.own))
-        return ranking(cell, cores, cores.__getitem__)
+    def ranked(self, cell: str) -> tuple[str, ...]:
+        """Order all known instances for a cell, suspected ones included.
+
+        Cached until the membership changes, since every instance reads the
+        order with each beat and several times a second otherwise.
+        """
+        ranked = self._ranked.get(cell)
+        if ranked is None:
+            cores = _cores((*self._statuses.values(), self.own))
+            ranked = tuple(ranking(cell, cores, cores.__getitem__))
+            self._ranked[cell] = ranked
+        return ranked
 
     def known(self) -> list[InstanceStatus]:
         """List all other instances that are known, dead ones included."""
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -44,8 +44,11 @@
 # How much longer each rank waits before it reads for itself.
 RANK_MS: Final = 100
 MAX_RANK_MS: Final = 900
-# Between looks at whether reading is due.
+# Between looks at whether reading is due: for the first ranks, which may own
+# the cells next, and for the others, which read a second later or not at all.
 LOOK_MS: Final = 50
+SLOW_LOOK_MS: Final = 250
+FAST_LOOK_RANKS: Final = 3
 # Between tries at a store that does not answer or holds nothing yet. Each rank
 # waits a little longer: in an outage of 4.5 s a fleet of 15 made some 430 calls
 # while all tried at the owner's pace.
@@ -93,7 +96,7 @@
                 self._configuration_age(), CONFIGURATION_OLD_MS
             ):
                 is_watching = False
-                await sleep(LOOK_MS / MILLIS_PER_SECOND)
+                await sleep(self._look_interval_ms() / MILLIS_PER_SECOND)
                 continue
             if is_watching and self._parts.is_owner():
                 is_watching = await self._async_watch_configuration()
@@ -113,7 +116,7 @@
             age_ms = self._parts.directory.age_ms(now_ms())
             if not self._is_due(age_ms, ENGINES_OLD_MS):
                 at = 0
-                await sleep(LOOK_MS / MILLIS_PER_SECOND)
+                await sleep(self._look_interval_ms() / MILLIS_PER_SECOND)
                 continue
             asked_ms = now_ms()
             at = await self._async_read_engines(at)
@@ -233,6 +236,9 @@
             old_ms = OWNER_LOST_MS
         return age_ms > old_ms + wait_ms
 
+    def _look_interval_ms(self) -> int:
+        return LOOK_MS if self._parts.rank() < FAST_LOOK_RANKS else SLOW_LOOK_MS
+
     def _retry_ms(self) -> int:
         parts = self._parts
         if parts.is_owner():
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from result import Err, Ok, Result
-from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -114,7 +114,7 @@
     )
     setattr(envelope, _FIELDS[type(message)], message)
     buffer = TMemoryBuffer()
-    envelope.write(TBinaryProtocol(buffer))
+    envelope.write(TBinaryProtocolAccelerated(buffer))
     encoded: bytes = buffer.getvalue()
     return LENGTH.pack(len(encoded)) + encoded
 
@@ -127,7 +127,7 @@
     and this process nothing.
     """
     envelope = Envelope()
-    protocol = TBinaryProtocol(
+    protocol = TBinaryProtocolAccelerated(
         TMemoryBuffer(encoded),
         string_length_limit=MAX_FRAME_BYTES,
         container_length_limit=MAX_FRAME_BYTES,
--- a/tests/process/test_beats.py
+++ b/tests/process/test_beats.py
@@ -1,5 +1,6 @@
 """Proofs that travel from instance to instance."""
 
+import json
 import random
 from collections import Counter
 from typing import Any, cast
@@ -11,7 +12,15 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.platform import StoredObject
-from hornbeamdeck.process import attendance, beat_pace, beats, suspects, told
+from hornbeamdeck.process import (
+    attendance,
+    beat_pace,
+    beats,
+    rendezvous,
+    suspects,
+    told,
+)
+from hornbeamdeck.process import membership as membership_module
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.membership import (
@@ -325,3 +334,44 @@
     side.beats.attendance.present()
     side.beats.attendance.share()
     assert len(counted) < 10
+
+
+def test_repeated_status_is_not_parsed_again(
+    world: _World,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against parsing the status of the fleet once for each peer."""
+    side, _ = _large_fleet(world)[0]
+    texts = [_status(f'front-{each}').to_text() for each in range(1, FLEET)]
+    parsed = []
+    loads = json.loads
+
+    def _loads(text: str) -> Any:
+        parsed.append(text)
+        return loads(text)
+
+    monkeypatch.setattr(json, 'loads', _loads)
+    for text in texts * attendance.INFORMED:
+        side.beats._note_status(text)
+    assert len(parsed) <= len(texts)
+
+
+def test_reading_the_own_rank_does_not_sort_the_fleet(
+    world: _World,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an idle cost that grows with the size of the fleet."""
+    side, _ = _large_fleet(world)[0]
+    sort_calls = []
+    ranking = rendezvous.ranking
+
+    def _ranking(*members: Any) -> list[str]:
+        sort_calls.append(1)
+        return ranking(*members)
+
+    monkeypatch.setattr(membership_module, 'ranking', _ranking)
+    for _ in range(40):
+        side.beats.attendance.rank()
+        side.beats._targets()
+        assert side.beats._pace.beat_ms
+    assert len(sort_calls) <= 1
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -87,6 +87,10 @@
             for cell in CELLS:
                 expected = owner_of(cell, live) or 'a'
                 assert members.owner_of(cell) == expected
+                known = [each.instance_id for each in members.known()]
+                assert members.ranked(cell) == tuple(
+                    ranking(cell, [*known, 'a'])
+                )
 
 
 @given(st.text(max_size=20), st.sets(st.text(max_size=8), min_size=2))
