--- a/hornbeamdeck/connection/platform.py
+++ b/hornbeamdeck/connection/platform.py
@@ -1,9 +1,9 @@
 """Client of the platform; `platform_wire` reads its answers."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from urllib.parse import quote, urlencode
 
-from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
@@ -51,11 +51,11 @@
         self,
         address: Address,
         *,
-        calls: Counter | None = None,
+        calls: Callable[[str], None] | None = None,
     ) -> None:
         """Remember where the platform is; nothing is opened yet.
 
-        :param calls: counts the calls by role, where somebody wants to know.
+        :param calls: called with the role of each call, to count it.
         """
         self._calls = PlatformCalls(address, count=calls)
 
--- a/hornbeamdeck/connection/platform_calls.py
+++ b/hornbeamdeck/connection/platform_calls.py
@@ -1,10 +1,10 @@
 """Calls to the platform's service over a few kept connections."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
 from curio.errors import TaskTimeout
-from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_within
@@ -26,11 +26,11 @@
         self,
         address: Address,
         *,
-        count: Counter | None = None,
+        count: Callable[[str], None] | None = None,
     ) -> None:
         """Remember where the platform is; nothing is opened yet.
 
-        :param count: counts the calls by role, where somebody wants to know.
+        :param count: called with the role of each call, to count it.
         """
         self._address = address
         self._count = count
@@ -49,7 +49,7 @@
         :param timeout_ms: longest wait for the whole answer, milliseconds.
         """
         if self._count is not None:
-            self._count.labels(role=role).inc()
+            self._count(role)
         try:
             return await async_within(
                 timeout_ms,
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -1,12 +1,12 @@
 """Calls to the platform's store, in the product's types."""
 
 import json
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote, urlencode
 
 import structlog
-from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
@@ -53,7 +53,11 @@
 class _Store:
     """The store's calls; a failure of any kind is an outage."""
 
-    def __init__(self, address: Address, count: Counter) -> None:
+    def __init__(
+        self,
+        address: Address,
+        count: Callable[[str], None],
+    ) -> None:
         self._calls = PlatformCalls(address, count=count)
 
     async def async_read_configuration(
@@ -231,7 +235,10 @@
         )
 
 
-def open_store(address: Address, count: Counter) -> StoreAccess:
+def open_store(
+    address: Address,
+    count: Callable[[str], None],
+) -> StoreAccess:
     """Give the calls to a store; nothing is opened yet."""
     store = _Store(address, count)
     return StoreAccess(
--- a/hornbeamdeck/process/front.py
+++ b/hornbeamdeck/process/front.py
@@ -1,5 +1,6 @@
 """One running front process: opens its addresses, leaves them in order."""
 
+import importlib
 import math
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
@@ -19,6 +20,7 @@
 from hornbeamdeck.connection.reader import ReadLimits
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.process.attendance import FLEET_CELL
 from hornbeamdeck.process.beat_pace import BEAT_MS
 from hornbeamdeck.process.front_pages import async_serve_page
 from hornbeamdeck.process.front_parts import FrontParts, FrontWires
@@ -46,6 +48,8 @@
 DRAIN_POLL_MS: Final = 50
 # Between two lines in which an owner tells of its engines' load.
 LOAD_LOG_MS: Final = 2000
+# Imported when metrics are first read; see `front_metrics`.
+METRICS_PAGE_MODULE: Final = 'hornbeamdeck.process.front_metrics_page'
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 # Longest time from a request's first byte to its last.
 REQUEST_MS: Final = 15_000
@@ -179,7 +183,7 @@
             configuration=lambda: parts.follower.configuration,
             proofs=self.proofs,
             connections=KeptConnections(
-                lambda: len(parts.membership.known()) + 1,
+                lambda: len(parts.membership.ranked(FLEET_CELL)),
             ),
             acquire=parts.grants.async_acquire,
             progress=parts.grants.async_progress,
@@ -199,12 +203,12 @@
     @contextmanager
     def _count_in_flight(self) -> Iterator[None]:
         self.in_flight += 1
-        self.parts.metrics.in_flight.set(self.in_flight)
+        self.parts.metrics.in_flight = self.in_flight
         try:
             yield
         finally:
             self.in_flight -= 1
-            self.parts.metrics.in_flight.set(self.in_flight)
+            self.parts.metrics.in_flight = self.in_flight
 
     async def _async_listen_to_callers(self, edge: Edge) -> Listener:
         async def _async_run(
@@ -251,7 +255,8 @@
             self.proofs.configuration_age_ms(),
             self.proofs.engines_age_ms(),
         )
-        page = self.parts.metrics.render()
+        module = importlib.import_module(METRICS_PAGE_MODULE)
+        page: bytes = module.render(self.parts.metrics)
         return HttpResponse(HTTPStatus.OK, headers, page)
 
     async def _async_start_tasks(self) -> None:
--- /dev/null
+++ b/hornbeamdeck/process/front_metrics_page.py
@@ -0,0 +1,142 @@
+"""Exports a front process's metrics in the Prometheus text format."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import accumulate
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.process.front_metrics import (
+    BUCKETS_S,
+    FrontMetrics,
+    LatencyHistogram,
+)
+
+__all__ = ('make_registry', 'render')
+
+
+class _FrontCollector(Collector):
+    """Collects the counts of a process on each read of the metrics page."""
+
+    def __init__(self, metrics: FrontMetrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterable[Metric]:
+        """Return every metric family, including those without samples."""
+        yield from _requests(self._metrics)
+        yield from _connections(self._metrics)
+        yield from _store_state(self._metrics)
+
+
+def make_registry(metrics: FrontMetrics) -> CollectorRegistry:
+    """Make a registry that collects the counts of a process."""
+    registry = CollectorRegistry()
+    registry.register(_FrontCollector(metrics))
+    return registry
+
+
+def render(metrics: FrontMetrics) -> bytes:
+    """Write all metrics in the text format."""
+    return generate_latest(make_registry(metrics))
+
+
+def _requests(metrics: FrontMetrics) -> Iterator[Metric]:
+    requests = CounterMetricFamily(
+        'hornbeamdeck_routed_requests',
+        'Requests that were admitted, by how they ended.',
+        labels=('service', 'priority', 'code'),
+    )
+    for ended, count in metrics.requests.items():
+        requests.add_metric(ended, count)
+    yield requests
+    total = HistogramMetricFamily(
+        'hornbeamdeck_routed_total_seconds',
+        'Time from a request to the end of its answer.',
+        labels=('priority',),
+    )
+    for priority, histogram in metrics.total_latencies.items():
+        _add_histogram(total, (priority,), histogram)
+    yield total
+    first_token = HistogramMetricFamily(
+        'hornbeamdeck_first_token_seconds',
+        'Time from the sending to an engine to its first event.',
+        labels=(),
+    )
+    _add_histogram(first_token, (), metrics.first_token_latencies)
+    yield first_token
+    yield _counter(
+        'hornbeamdeck_edge_refusals',
+        'Requests refused before they were admitted, by code.',
+        'code',
+        metrics.edge_refusals,
+    )
+    yield GaugeMetricFamily(
+        'hornbeamdeck_routed_in_flight',
+        'Requests being answered.',
+        metrics.in_flight,
+    )
+
+
+def _connections(metrics: FrontMetrics) -> Iterator[Metric]:
+    yield _counter(
+        'hornbeamdeck_store_calls',
+        'Calls to the store by role.',
+        'role',
+        metrics.store_calls,
+    )
+    yield _counter(
+        'hornbeamdeck_front_peer_bytes',
+        'Bytes exchanged with other instances, by direction.',
+        'direction',
+        metrics.peer_bytes,
+    )
+    yield CounterMetricFamily(
+        'hornbeamdeck_log_lines_dropped',
+        'Log lines dropped because nobody read them fast enough.',
+        metrics.log_lines_dropped,
+    )
+
+
+def _store_state(metrics: FrontMetrics) -> Iterator[Metric]:
+    yield GaugeMetricFamily(
+        'hornbeamdeck_routed_configuration_version',
+        'Version of the configuration in force.',
+        metrics.configuration_version,
+    )
+    ages = GaugeMetricFamily(
+        'hornbeamdeck_proof_age_seconds',
+        'Age of the last proof that what is held is what the store holds.',
+        labels=('held',),
+    )
+    for held, age_ms in metrics.proof_ages_ms.items():
+        ages.add_metric((held,), age_ms / MILLIS_PER_SECOND)
+    yield ages
+
+
+def _counter(
+    name: str,
+    documentation: str,
+    label: str,
+    counts: Mapping[str, int],
+) -> CounterMetricFamily:
+    family = CounterMetricFamily(name, documentation, labels=(label,))
+    for label_value, count in counts.items():
+        family.add_metric((label_value,), count)
+    return family
+
+
+def _add_histogram(
+    family: HistogramMetricFamily,
+    labels: tuple[str, ...],
+    histogram: LatencyHistogram,
+) -> None:
+    bounds = (*map(str, BUCKETS_S), '+Inf')
+    buckets = list(zip(bounds, accumulate(histogram.counts), strict=True))
+    family.add_metric(labels, buckets, histogram.sum_seconds)
--- a/hornbeamdeck/process/front_parts.py
+++ b/hornbeamdeck/process/front_parts.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Self, TypeAlias
 
-from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
@@ -66,13 +65,14 @@
 class FrontWires(NamedTuple):
     """What translates between a front process and its platform.
 
-    :param open_store: takes the store's address and a counter of calls.
+    :param open_store: takes the store's address and a callback that counts
+        calls by role.
     :param parse: reads the text of a configuration of a version.
     :param entries_page: answers a caller that asks where to connect, from the
         usable instances and for how long, ms, the answer may be kept.
     """
 
-    open_store: Callable[[Address, Counter], StoreAccess]
+    open_store: Callable[[Address, Callable[[str], None]], StoreAccess]
     dialect: Dialect
     parse: Parse
     entries_page: EntriesPage
@@ -103,7 +103,7 @@
         metrics = FrontMetrics()
         store = wires.open_store(
             settings.platform_address,
-            metrics.platform_calls,
+            metrics.count_store_call,
         )
         membership = Membership(
             _own_status(settings),
@@ -257,7 +257,7 @@
         )
 
     async def _async_adopted(configuration: RoutedConfiguration) -> None:
-        metrics.configuration_version.set(configuration.version)
+        metrics.configuration_version = configuration.version
         cells.adopt(configuration)
 
     return ConfigurationFollower(
--- a/hornbeamdeck/process/metrics.py
+++ b/hornbeamdeck/process/metrics.py
@@ -29,7 +29,7 @@
             ('code',),
             registry=self.registry,
         )
-        self.platform_calls = Counter(
+        self._platform_calls = Counter(
             'hornbeamdeck_platform_calls',
             'Calls to the platform by role.',
             ('role',),
@@ -65,6 +65,10 @@
             outcome=outcome,
         ).inc()
 
+    def count_platform_call(self, role: str) -> None:
+        """Count a call to the platform."""
+        self._platform_calls.labels(role=role).inc()
+
     def count_peer_bytes(self, direction: str, count: int) -> None:
         """Count bytes exchanged with other instances."""
         self._peer_bytes.labels(direction=direction).inc(count)
--- a/hornbeamdeck/process/parts.py
+++ b/hornbeamdeck/process/parts.py
@@ -66,7 +66,7 @@
         metrics = Metrics()
         platform = PlatformClient(
             settings.platform_address,
-            calls=metrics.platform_calls,
+            calls=metrics.count_platform_call,
         )
         membership = Membership(_own_status(settings))
         scheduler = Scheduler()
--- a/hornbeamdeck/process/serve_front.py
+++ b/hornbeamdeck/process/serve_front.py
@@ -45,7 +45,7 @@
     told_to_stop = stop_event()
     told_to_reload = _reload_event()
     front = Front(settings, wires)
-    buffer = LogBuffer(front.parts.metrics.log_lines_dropped.inc)
+    buffer = LogBuffer(front.parts.metrics.count_dropped_log_line)
     setup_logs(
         level=settings.log_level,
         instance_id=settings.instance_id,
--- /dev/null
+++ b/tests/platform/test_start.py
@@ -0,0 +1,33 @@
+"""Startup cost of a front process."""
+
+import subprocess
+import sys
+
+# Needed to read metrics, on the command line or by the product's own interface,
+# but not to start a process on the platform.
+NOT_IMPORTED_AT_STARTUP = (
+    'fire',
+    'http.server',
+    'jinja2',
+    'prometheus_client',
+    'hornbeamdeck.cli',
+    'hornbeamdeck.demo',
+    'hornbeamdeck.explain',
+    'hornbeamdeck.process.front_metrics_page',
+    'hornbeamdeck.process.instance',
+    'hornbeamdeck.standin',
+)
+LIST_MODULES = 'import hornbeamdeck.platform.__main__, sys; print(*sys.modules)'
+
+
+def test_startup_imports_only_required_modules() -> None:
+    """Guards against slow restarts after all instances were lost."""
+    completed = subprocess.run(
+        (sys.executable, '-c', LIST_MODULES),
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    imported = set(completed.stdout.split())
+    assert 'hornbeamdeck.process.front' in imported
+    assert not imported.intersection(NOT_IMPORTED_AT_STARTUP)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -2,18 +2,21 @@
 
 import pathlib
 
+from prometheus_client import CollectorRegistry
+
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
 from hornbeamdeck.process.front_metrics import FrontMetrics
+from hornbeamdeck.process.front_metrics_page import make_registry
 from hornbeamdeck.process.metrics import Metrics
 from tests.support import booking_entry, desk_entry, on_fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-def _names(metrics: Metrics | FrontMetrics) -> set[str]:
+def _names(registry: CollectorRegistry) -> set[str]:
     names = set()
-    for family in metrics.registry.collect():
+    for family in registry.collect():
         suffix = '_total' if family.type == 'counter' else ''
         names.add(f'{family.name}{suffix}')
     return names
@@ -26,7 +29,8 @@
         for line in page.splitlines()
         if line.startswith('| `')
     }
-    assert listed == _names(Metrics()) | _names(FrontMetrics())
+    front = make_registry(FrontMetrics())
+    assert listed == _names(Metrics().registry) | _names(front)
 
 
 @on_fleet(FleetPlan(instances=2, speeds=(1.0,)))
@@ -53,4 +57,4 @@
         for sample in family.samples
         if sample.value
     }
-    assert _names(Metrics()) - {'hornbeamdeck_in_flight'} <= moved
+    assert _names(Metrics().registry) - {'hornbeamdeck_in_flight'} <= moved
