explain: also count causes by instance and availability zone

With 195 instances in five zones, a fault in a single zone looked like a fleet-wide one. The instance is taken from the last log line of the request, and its zone from the line logged when the instance started.

Its memory use still grows with the size of the log.

--- a/hornbeamdeck/explain/lines.py
+++ b/hornbeamdeck/explain/lines.py
@@ -6,12 +6,14 @@
 from collections.abc import Iterable
 from typing import Any, Final, NamedTuple, TypeAlias
 
-__all__ = ('LogLine', 'LogLines', 'read_lines')
+__all__ = ('INSTANCE_ID', 'LogLine', 'LogLines', 'read_lines')
 
 LogLine: TypeAlias = dict[str, Any]
 
 REQUEST_ID: Final = 'request_id'
 EVENT: Final = 'event'
+INSTANCE_ID: Final = 'instance_id'
+ZONE: Final = 'availability_zone'
 TIMESTAMP: Final = 'timestamp'
 
 
@@ -22,12 +24,14 @@
     :param lines: how many lines could be read.
     :param damaged: how many could not: cut, garbled, or no object.
     :param first_s: Unix seconds of the first line; 0: none has a time.
+    :param zones: availability zone by instance ID, as logged at its start.
     """
 
     by_request: dict[str, list[LogLine]]
     lines: int
     damaged: int
     first_s: float
+    zones: dict[str, str]
 
 
 def read_lines(raw: Iterable[str]) -> LogLines:
@@ -37,6 +41,7 @@
     whoever is on call from reading the others, so it is counted.
     """
     by_request: dict[str, list[LogLine]] = defaultdict(list)
+    zones: dict[str, str] = {}
     lines = 0
     damaged = 0
     first_s = 0.0
@@ -49,9 +54,10 @@
             continue
         lines += 1
         first_s = first_s or second_of(line)
+        _record_zone(line, zones)
         if line.get(REQUEST_ID):
             by_request[str(line[REQUEST_ID])].append(line)
-    return LogLines(dict(by_request), lines, damaged, first_s)
+    return LogLines(dict(by_request), lines, damaged, first_s, zones)
 
 
 def second_of(line: LogLine) -> float:
@@ -63,6 +69,11 @@
     return written.timestamp()
 
 
+def _record_zone(line: LogLine, zones: dict[str, str]) -> None:
+    if line.get(ZONE):
+        zones[str(line.get(INSTANCE_ID))] = str(line[ZONE])
+
+
 def _parse(text: str) -> LogLine | None:
     try:
         line = json.loads(text)
--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
-from hornbeamdeck.explain.lines import LogLine, LogLines, second_of
+from hornbeamdeck.explain.lines import (
+    INSTANCE_ID,
+    LogLine,
+    LogLines,
+    second_of,
+)
 
 __all__ = ('Explained', 'Outcome', 'explain_all')
 
@@ -46,6 +51,8 @@
     """One request explained.
 
     :param cause: in a few words, the same for all of one cause.
+    :param instance: ID of the instance that logged its last line.
+    :param zone: availability zone of that instance; empty if not logged.
     :param second: since the first line of the log.
     :param inputs: numbers that it was decided on, by their names in the log.
     """
@@ -57,6 +64,8 @@
     route: str
     team: str
     engine: str
+    instance: str
+    zone: str
     second: int
     inputs: dict[str, float]
 
@@ -66,16 +75,17 @@
     for request_id, lines in logs.by_request.items():
         last = _last_of(lines, _LAST)
         if last is not None:
-            yield _explain(request_id, last, lines, logs.first_s)
+            yield _explain(request_id, last, lines, logs)
 
 
 def _explain(
     request_id: str,
     last: LogLine,
     lines: list[LogLine],
-    first_s: float,
+    logs: LogLines,
 ) -> Explained:
     outcome, cause, inputs = _judge(last, lines)
+    instance = str(last.get(INSTANCE_ID, ''))
     return Explained(
         request_id=request_id,
         outcome=outcome,
@@ -84,7 +94,9 @@
         route=str(last.get('route', '')),
         team=str(last.get('team', '')),
         engine=str(last.get('engine', '')),
-        second=int(max(second_of(last) - first_s, 0)),
+        instance=instance,
+        zone=logs.zones.get(instance, ''),
+        second=int(max(second_of(last) - logs.first_s, 0)),
         inputs=inputs,
     )
 
--- a/hornbeamdeck/explain/report.py
+++ b/hornbeamdeck/explain/report.py
@@ -11,7 +11,15 @@
 __all__ = ('Report', 'describe_way', 'make_report')
 
 # What requests are counted by, besides their cause.
-_DIMENSIONS: Final = ('kind', 'route', 'team', 'engine', 'second')
+_DIMENSIONS: Final = (
+    'kind',
+    'route',
+    'team',
+    'engine',
+    'instance',
+    'zone',
+    'second',
+)
 # Rows of one table in the text; the JSON has all.
 SHOWN_ROWS: Final = 12
 _NOT_SHOWN: Final = frozenset(
@@ -23,7 +31,7 @@
     """One cause of one outcome.
 
     :param decided_on: medians of the numbers that it was decided on.
-    :param by: counts by kind of route, route, team, engine and second.
+    :param by: request counts per value of each of `_DIMENSIONS`.
     """
 
     outcome: str
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -197,3 +197,19 @@
         explain(str(log), request_id='nobody')
     with pytest.raises(SystemExit):
         explain(str(tmp_path / 'missing'))
+
+
+def test_causes_are_counted_by_instance_and_zone() -> None:
+    """Guards against reporting a single-zone fault as fleet-wide."""
+    started = {'event': 'front: process started', 'instance_id': 'front-1'}
+    lines = [
+        json.dumps({**started, 'availability_zone': 'z1'}),
+        _answered(request_id='r1', begun_ms=700, waited_ms=600),
+        _answered(
+            request_id='r2', begun_ms=700, waited_ms=600, instance_id='front-2'
+        ),
+    ]
+    logs = read_lines(lines)
+    by = make_report(logs, explain_all(logs)).causes[0].by
+    assert by['instance'] == {'front-1': 1, 'front-2': 1}
+    assert by['zone'] == {'z1': 1}
