Move scheduling decisions into their own package

The 22 modules that decide which requests wait, which are refused, where a request is sent and what limits allow were in process/, mixed with sockets, settings and store readers.

The package holds the modules of both cells, the plain cell and the engine cell. No behaviour changes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,12 +21,12 @@
 from hornbeamdeck.const import ENCODING, PREFIX_INSTANCE
 from hornbeamdeck.demo.caller import async_call
 from hornbeamdeck.demo.document import make_document
-from hornbeamdeck.process.cell import Cell
 from hornbeamdeck.process.membership import (
     STATE_LIVE,
     InstanceStatus,
     Membership,
 )
+from hornbeamdeck.scheduling.cell import Cell
 from hornbeamdeck.version.configuration import Configuration, parse_document
 from hornbeamdeck.wire import (
     Enqueue,
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -19,12 +19,16 @@
 from bench.replay_engine import EngineModel, RunPlan, Token
 from bench.replay_load import Arrival, LoadPlan, Loss, draw_arrivals
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.cell import Refused
-from hornbeamdeck.process.cell_door import Shared
-from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.token_quota import QuotaRules, QuotaView, TokenQuotas
+from hornbeamdeck.scheduling.cell import Refused
+from hornbeamdeck.scheduling.cell_door import Shared
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.token_quota import (
+    QuotaRules,
+    QuotaView,
+    TokenQuotas,
+)
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import Enqueue, Message, Progress, Release, RunEnd
 
--- a/bench/weakened.py
+++ b/bench/weakened.py
@@ -16,9 +16,10 @@
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.engine_stream import EngineStream
 from hornbeamdeck.connection.errors import ConnectionBroken
-from hornbeamdeck.process import instance, scheduler, suspicion
+from hornbeamdeck.process import instance, scheduler
 from hornbeamdeck.request import answer, claim, relay
 from hornbeamdeck.request.once import Once
+from hornbeamdeck.scheduling import suspicion
 
 
 async def _async_nothing(*_args: Any) -> None:
--- a/hornbeamdeck/process/beats.py
+++ b/hornbeamdeck/process/beats.py
@@ -28,8 +28,8 @@
 from hornbeamdeck.process.membership import InstanceStatus, Membership
 from hornbeamdeck.process.peers import Peers
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
-from hornbeamdeck.process.ticket import Deliver
 from hornbeamdeck.process.told import Told
+from hornbeamdeck.scheduling.ticket import Deliver
 from hornbeamdeck.wire import Beat, EngineList, Message
 
 __all__ = ('BeatParts', 'Beats')
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -4,13 +4,13 @@
 
 import structlog
 
-from hornbeamdeck.process.cell_door import Shared
-from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.front_settings import Bounds
-from hornbeamdeck.process.retry_budget import RetryBudget
 from hornbeamdeck.process.scheduler import Scheduler
-from hornbeamdeck.process.token_quota import TokenQuotas
+from hornbeamdeck.scheduling.cell_door import Shared
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.token_quota import TokenQuotas
 from hornbeamdeck.version.routed import RoutedConfiguration
 
 __all__ = ('EngineCells',)
--- a/hornbeamdeck/process/front_parts.py
+++ b/hornbeamdeck/process/front_parts.py
@@ -36,12 +36,12 @@
     StoreAccess,
 )
 from hornbeamdeck.process.store_reader import ReaderParts, StoreReader
-from hornbeamdeck.process.token_quota import (
+from hornbeamdeck.request.routed_ask import Dialect
+from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
     QuotaView,
     TokenQuotas,
 )
-from hornbeamdeck.request.routed_ask import Dialect
 from hornbeamdeck.version.routed import RoutedConfiguration
 from hornbeamdeck.wire import Beat, EngineList, Message
 
--- a/hornbeamdeck/process/peer_server.py
+++ b/hornbeamdeck/process/peer_server.py
@@ -17,7 +17,7 @@
 from hornbeamdeck.process.follower import ConfigurationFollower, HeldDocument
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshot import Snapshots
-from hornbeamdeck.process.ticket import Deliver
+from hornbeamdeck.scheduling.ticket import Deliver
 from hornbeamdeck.wire import (
     AskSnapshot,
     Envelope,
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -8,9 +8,9 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.cell import Cell, Refused
-from hornbeamdeck.process.engine_cell import EngineCell
-from hornbeamdeck.process.ticket import Deliver
+from hornbeamdeck.scheduling.cell import Cell, Refused
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.ticket import Deliver
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
     Enqueue,
--- a/hornbeamdeck/process/cell.py
+++ b/hornbeamdeck/scheduling/cell.py
@@ -5,10 +5,10 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.suspicion import Suspicions
-from hornbeamdeck.process.ticket import Deliver, Ticket
-from hornbeamdeck.process.tier_queue import TierQueue
-from hornbeamdeck.process.upstream_load import UpstreamLoad
+from hornbeamdeck.scheduling.suspicion import Suspicions
+from hornbeamdeck.scheduling.ticket import Deliver, Ticket
+from hornbeamdeck.scheduling.tier_queue import TierQueue
+from hornbeamdeck.scheduling.upstream_load import UpstreamLoad
 from hornbeamdeck.version.entities import Upstream
 from hornbeamdeck.wire import (
     Enqueue,
--- a/hornbeamdeck/process/cell_door.py
+++ b/hornbeamdeck/scheduling/cell_door.py
@@ -7,12 +7,12 @@
 
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.forecast import Forecast
-from hornbeamdeck.process.request_rank import kind_rank
-from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.return_times import ReturnTimes
-from hornbeamdeck.process.token_quota import SMALL_SHARE, Need, TokenQuotas
-from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.request_rank import kind_rank
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.return_times import ReturnTimes
+from hornbeamdeck.scheduling.token_quota import SMALL_SHARE, Need, TokenQuotas
+from hornbeamdeck.scheduling.waiting_room import WaitingRoom
 from hornbeamdeck.version.routed import RoutedTeam
 from hornbeamdeck.wire import Enqueue, RefusalReason
 
--- a/hornbeamdeck/process/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -7,26 +7,26 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from hornbeamdeck.process.cell import Granted, Refused
-from hornbeamdeck.process.cell_door import CellDoor, Shared
-from hornbeamdeck.process.crash_watch import CrashWatch
-from hornbeamdeck.process.engine_choice import choose_engine
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.engine_load import (
+from hornbeamdeck.scheduling.cell import Granted, Refused
+from hornbeamdeck.scheduling.cell_door import CellDoor, Shared
+from hornbeamdeck.scheduling.crash_watch import CrashWatch
+from hornbeamdeck.scheduling.engine_choice import choose_engine
+from hornbeamdeck.scheduling.engine_load import (
     EngineLoad,
     Learned,
     forecast_places,
     unit_ms,
 )
-from hornbeamdeck.process.forecast import Forecast
-from hornbeamdeck.process.placement_scan import (
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.placement_scan import (
     PlacementScan,
     PlacementTracker,
 )
-from hornbeamdeck.process.request_rank import stake_of
-from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.ticket import Deliver, Ticket
-from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.scheduling.request_rank import stake_of
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.ticket import Deliver, Ticket
+from hornbeamdeck.scheduling.waiting_room import WaitingRoom
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import (
     Enqueue,
--- a/hornbeamdeck/process/engine_choice.py
+++ b/hornbeamdeck/scheduling/engine_choice.py
@@ -10,9 +10,9 @@
 from heapq import nsmallest
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.engine_load import EngineLoad, unit_ms
-from hornbeamdeck.process.request_rank import stake_of
-from hornbeamdeck.process.ticket import Ticket
+from hornbeamdeck.scheduling.engine_load import EngineLoad, unit_ms
+from hornbeamdeck.scheduling.request_rank import stake_of
+from hornbeamdeck.scheduling.ticket import Ticket
 
 __all__ = ('Chances', 'Choice', 'choose_engine')
 
--- a/hornbeamdeck/process/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -10,11 +10,11 @@
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.engine_health import EngineHealth
-from hornbeamdeck.process.engine_run import EngineRun, note_read
-from hornbeamdeck.process.forecast import Forecast
-from hornbeamdeck.process.output_estimate import OutputEstimate
-from hornbeamdeck.process.pause_estimate import PauseEstimate, prefill_ms
+from hornbeamdeck.scheduling.engine_health import EngineHealth
+from hornbeamdeck.scheduling.engine_run import EngineRun, note_read
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.output_estimate import OutputEstimate
+from hornbeamdeck.scheduling.pause_estimate import PauseEstimate, prefill_ms
 from hornbeamdeck.version.routed import EngineTraits
 from hornbeamdeck.wire import Register, RunEnd
 
--- a/hornbeamdeck/process/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from hornbeamdeck.process.pause_estimate import prefill_ms
+from hornbeamdeck.scheduling.pause_estimate import prefill_ms
 
 __all__ = ('EngineRun', 'note_read')
 
--- a/hornbeamdeck/process/placement_scan.py
+++ b/hornbeamdeck/scheduling/placement_scan.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import Final, Self
 
-from hornbeamdeck.process.engine_load import EngineLoad
+from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('PlacementScan', 'PlacementTracker')
--- a/hornbeamdeck/process/tier_queue.py
+++ b/hornbeamdeck/scheduling/tier_queue.py
@@ -10,7 +10,7 @@
 import itertools
 from collections.abc import Iterator
 
-from hornbeamdeck.process.ticket import Ticket
+from hornbeamdeck.scheduling.ticket import Ticket
 
 __all__ = ('TierQueue',)
 
--- a/hornbeamdeck/process/waiting_room.py
+++ b/hornbeamdeck/scheduling/waiting_room.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterator
 from typing import Final, NamedTuple, Self, TypeAlias
 
-from hornbeamdeck.process.engine_choice import Chances
-from hornbeamdeck.process.forecast import Forecast
-from hornbeamdeck.process.request_rank import FIRST, Rank, of_kind, rank_of
-from hornbeamdeck.process.ticket import Ticket
+from hornbeamdeck.scheduling.engine_choice import Chances
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.request_rank import FIRST, Rank, of_kind, rank_of
+from hornbeamdeck.scheduling.ticket import Ticket
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('WaitingRoom',)
--- a/tests/platform/test_engine_faults.py
+++ b/tests/platform/test_engine_faults.py
@@ -4,8 +4,8 @@
 
 from curio import sleep
 
-from hornbeamdeck.process.engine_load import EngineLoad
-from hornbeamdeck.process.engine_run import EngineRun
+from hornbeamdeck.scheduling.engine_load import EngineLoad
+from hornbeamdeck.scheduling.engine_run import EngineRun
 from tests.platform.fleet import TOKENS, PlatformFleet, on_platform, request_to
 
 
--- a/tests/process/test_engine_book.py
+++ b/tests/process/test_engine_book.py
@@ -2,7 +2,7 @@
 
 from hornbeamdeck.process.engine_book import AWAY_MS, EngineBook
 from hornbeamdeck.process.store_access import EngineChange
-from tests.process.routed import engine
+from tests.scheduling.routed import engine
 
 BOTH = (
     EngineChange('e1', engine('e1')),
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduling package."""
--- a/tests/process/routed.py
+++ b/tests/scheduling/routed.py
@@ -1,11 +1,15 @@
 """Makes what tests of engine cells need."""
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.cell_door import Shared
-from hornbeamdeck.process.engine_cell import EngineCell
 from hornbeamdeck.process.engine_directory import Engine
-from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.token_quota import QuotaRules, QuotaView, TokenQuotas
+from hornbeamdeck.scheduling.cell_door import Shared
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.token_quota import (
+    QuotaRules,
+    QuotaView,
+    TokenQuotas,
+)
 from hornbeamdeck.version.routed import EngineTraits, RoutedTeam
 from hornbeamdeck.wire import Enqueue, Message
 
--- a/tests/process/test_cell.py
+++ b/tests/scheduling/test_cell.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.cell import Cell
+from hornbeamdeck.scheduling.cell import Cell
 from hornbeamdeck.version.entities import Upstream
 from hornbeamdeck.wire import (
     Enqueue,
--- a/tests/process/test_crash_watch.py
+++ b/tests/scheduling/test_crash_watch.py
@@ -1,6 +1,6 @@
 """Whom a crash is held against."""
 
-from hornbeamdeck.process.crash_watch import (
+from hornbeamdeck.scheduling.crash_watch import (
     CULPRIT_CRASHES,
     SAME_CRASH_MS,
     CrashWatch,
--- a/tests/process/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from hornbeamdeck.process.cell import Refused
-from hornbeamdeck.process.cell_door import Shared
-from hornbeamdeck.process.engine_cell import EngineCell
-from hornbeamdeck.process.retry_budget import RetryBudget
-from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.scheduling.cell import Refused
+from hornbeamdeck.scheduling.cell_door import Shared
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.waiting_room import WaitingRoom
 from hornbeamdeck.wire import Progress, RefusalReason, Register, Release, RunEnd
-from tests.process.routed import (
+from tests.scheduling.routed import (
     MODEL,
     PLAIN,
     ask,
--- a/tests/process/test_engine_cell_states.py
+++ b/tests/scheduling/test_engine_cell_states.py
@@ -3,9 +3,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from hornbeamdeck.process.cell import Refused
+from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.wire import Release, RunEnd
-from tests.process.routed import MODEL, ask, async_ignore, cell, engine
+from tests.scheduling.routed import MODEL, ask, async_ignore, cell, engine
 
 SLOTS = 1
 ENDS = st.sampled_from(list(RunEnd))
--- a/tests/process/test_engine_choice.py
+++ b/tests/scheduling/test_engine_choice.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from hornbeamdeck.process import engine_choice
-from tests.process.routed import ask, cell, engine, granted, offer
+from hornbeamdeck.scheduling import engine_choice
+from tests.scheduling.routed import ask, cell, engine, granted, offer
 
 
 def test_the_best_of_many_engines_is_found_by_the_first_look() -> None:
--- a/tests/process/test_forecast.py
+++ b/tests/scheduling/test_forecast.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamdeck.process.forecast import Forecast
+from hornbeamdeck.scheduling.forecast import Forecast
 
 ENDS = st.lists(st.floats(-5000, 5000), max_size=8)
 
--- a/tests/process/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -4,10 +4,10 @@
 
 from bench.replay import Replay, summarize
 from bench.replay_load import LoadPlan
-from hornbeamdeck.process import engine_choice
-from hornbeamdeck.process.engine_load import EngineLoad
-from hornbeamdeck.process.ticket import Ticket
-from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.scheduling import engine_choice
+from hornbeamdeck.scheduling.engine_load import EngineLoad
+from hornbeamdeck.scheduling.ticket import Ticket
+from hornbeamdeck.scheduling.waiting_room import WaitingRoom
 
 LOAD = LoadPlan.from_name('bursts_and_losses')
 SEED = 1
--- a/tests/process/test_output_estimate.py
+++ b/tests/scheduling/test_output_estimate.py
@@ -1,6 +1,6 @@
 """What is learned of the time that answers take."""
 
-from hornbeamdeck.process.output_estimate import OutputEstimate
+from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 
 
 def test_an_engine_that_makes_tokens_four_times_as_slowly_is_learned() -> None:
--- a/tests/process/test_pause_estimate.py
+++ b/tests/scheduling/test_pause_estimate.py
@@ -1,6 +1,6 @@
 """What is learned of the pauses that reading a prompt makes."""
 
-from hornbeamdeck.process.pause_estimate import PauseEstimate, prefill_ms
+from hornbeamdeck.scheduling.pause_estimate import PauseEstimate, prefill_ms
 
 PER_EVENT = 5
 LONG_MS = prefill_ms(60_000)
--- a/tests/process/test_retry_budget.py
+++ b/tests/scheduling/test_retry_budget.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamdeck.process.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.retry_budget import RetryBudget
 
 EVENTS = st.lists(
     st.tuples(st.integers(0, 400), st.booleans()),
--- a/tests/process/test_suspicion.py
+++ b/tests/scheduling/test_suspicion.py
@@ -5,9 +5,9 @@
 
 from hornbeamdeck.demo.caller import CallRecord, async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
-from hornbeamdeck.process.suspicion import Suspicions
+from hornbeamdeck.scheduling.suspicion import Suspicions
 from hornbeamdeck.wire import RunEnd
-from tests.process.test_cell import end, enqueue, granted, make_cell, offer
+from tests.scheduling.test_cell import end, enqueue, granted, make_cell, offer
 from tests.support import desk_entry, on_fleet
 
 Crash = tuple[int, set[int]]
--- a/tests/process/test_tier_queue.py
+++ b/tests/scheduling/test_tier_queue.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamdeck.process.ticket import Ticket
-from hornbeamdeck.process.tier_queue import TierQueue
+from hornbeamdeck.scheduling.ticket import Ticket
+from hornbeamdeck.scheduling.tier_queue import TierQueue
 from hornbeamdeck.wire import Enqueue, Message
 
 TEAMS = ('guides', 'families', 'sales')
--- a/tests/process/test_token_quota.py
+++ b/tests/scheduling/test_token_quota.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamdeck.process.token_quota import Need
-from tests.process.routed import quotas, team
+from hornbeamdeck.scheduling.token_quota import Need
+from tests.scheduling.routed import quotas, team
 
 SPENDINGS = st.lists(
     st.tuples(st.integers(0, 2000), st.integers(1, 6000)),
--- a/tests/process/test_waiting_room.py
+++ b/tests/scheduling/test_waiting_room.py
@@ -1,10 +1,10 @@
 """The order of waiting and how far expected waits are trusted."""
 
-from hornbeamdeck.process.forecast import Forecast
-from hornbeamdeck.process.ticket import Ticket
-from hornbeamdeck.process.waiting_room import WaitingRoom
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.ticket import Ticket
+from hornbeamdeck.scheduling.waiting_room import WaitingRoom
 from hornbeamdeck.wire import Enqueue
-from tests.process.routed import ask, async_ignore
+from tests.scheduling.routed import ask, async_ignore
 
 
 def _forecast(room: WaitingRoom) -> Forecast:
