--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import re
+import subprocess
 import tomllib
 from typing import Any
 
@@ -64,3 +65,18 @@
     lines = (ROOT / 'requirements.txt').read_text().splitlines()
     pinned = {line for line in lines if line and not line.startswith('#')}
     assert pinned <= set(project['dependencies'])
+
+
+def test_a_failed_install_fails_the_build(tmp_path: pathlib.Path) -> None:
+    """Guards against a build that succeeds without its dependencies."""
+    deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
+    python = tmp_path / 'python3'
+    python.write_text('#!/bin/sh\n[ "$2" != pip ]\n')
+    python.chmod(0o755)
+    built = subprocess.run(
+        ('/bin/sh', '-c', deploy['build']),
+        cwd=tmp_path,
+        env={'PATH': str(tmp_path)},
+        check=False,
+    )
+    assert built.returncode != 0
