Derive the ranks that look at the store often from who is kept informed

FAST_LOOK_RANKS restated attendance.INFORMED, 3: the first ranks look every 50 ms because they are the ones that beats keep informed and that may own the cells next. No behaviour changes.

--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.platform import PlatformDown, StoredObject
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
+from hornbeamdeck.process.attendance import INFORMED
 from hornbeamdeck.process.engine_book import EngineBook
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
@@ -48,7 +49,6 @@
 # the cells next, and for the others, which read a second later or not at all.
 LOOK_MS: Final = 50
 SLOW_LOOK_MS: Final = 250
-FAST_LOOK_RANKS: Final = 3
 # Between tries at a store that does not answer or holds nothing yet. Each rank
 # waits a little longer: in an outage of 4.5 s a fleet of 15 made some 430 calls
 # while all tried at the owner's pace.
@@ -237,7 +237,7 @@
         return age_ms > old_ms + wait_ms
 
     def _look_interval_ms(self) -> int:
-        return LOOK_MS if self._parts.rank() < FAST_LOOK_RANKS else SLOW_LOOK_MS
+        return LOOK_MS if self._parts.rank() < INFORMED else SLOW_LOOK_MS
 
     def _retry_ms(self) -> int:
         parts = self._parts
