Move Engine below the decisions that use it

scheduling/ imported Engine from process/, the room above it. It now lies in scheduling/engine.py, with its address as text, so that decisions import no socket module; tests/test_layers.py no longer lists engine_directory among the modules that decisions may import. No change of behaviour.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,10 +18,9 @@
 
 from bench.replay_engine import EngineModel, RunPlan, Token
 from bench.replay_load import Arrival, LoadPlan, Loss, draw_arrivals
-from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Refused
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.token_quota import (
@@ -396,7 +395,7 @@
         Engine(
             f'e{each}',
             'desk',
-            Address('127.0.0.1', each + 1),
+            f'127.0.0.1:{each + 1}',
             'z1',
             plan.slots,
             is_draining=False,
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -16,7 +16,7 @@
     STATE_DRAINING,
     STATE_READY,
 )
-from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.version.gateway import (
     CallerLimits,
     EngineProperties,
@@ -158,7 +158,7 @@
     return Engine(
         name=name,
         service=entry[FIELD_SERVICE],
-        address=address,
+        address=str(address),
         availability_zone=entry['zone'],
         slots=entry['slots'],
         is_draining=entry['state'] == STATE_DRAINING,
--- a/hornbeamdeck/process/engine_directory.py
+++ b/hornbeamdeck/process/engine_directory.py
@@ -1,13 +1,14 @@
 """The engines listed in the store, and when that list was last confirmed."""
 
 from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple
+from typing import Final
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.wire import EngineEntry, EngineList
 
-__all__ = ('Engine', 'EngineDirectory', 'engine_from_wire')
+__all__ = ('EngineDirectory', 'engine_from_wire')
 
 # Slowness of an engine for which no value has been learned.
 UNIT_SLOWNESS: Final = 1.0
@@ -19,22 +20,6 @@
 MAX_REMOVED_ENGINES: Final = 1024
 
 
-class Engine(NamedTuple):
-    """One incarnation of an upstream.
-
-    :param name: its id; `name` and `born_ms` together identify an incarnation.
-    :param slots: how many requests it processes concurrently.
-    """
-
-    name: str
-    service: str
-    address: Address
-    availability_zone: str
-    slots: int
-    is_draining: bool
-    born_ms: int
-
-
 class EngineDirectory:
     """The newest list of engines that this process has received.
 
@@ -122,7 +107,7 @@
                 EngineEntry(
                     name=engine.name,
                     cell=engine.service,
-                    address=str(engine.address),
+                    address=engine.address,
                     zone=engine.availability_zone,
                     slots=engine.slots,
                     is_leaving=engine.is_draining,
@@ -147,7 +132,7 @@
     return Engine(
         name=entry.name,
         service=entry.cell,
-        address=Address.from_text(entry.address),
+        address=str(Address.from_text(entry.address)),
         availability_zone=entry.zone,
         slots=entry.slots,
         is_draining=entry.is_leaving,
--- a/hornbeamdeck/process/store_engine_list.py
+++ b/hornbeamdeck/process/store_engine_list.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.process.store_interface import EngineChange
+from hornbeamdeck.scheduling.engine import Engine
 
 __all__ = ('StoreEngineList',)
 
--- a/hornbeamdeck/process/store_interface.py
+++ b/hornbeamdeck/process/store_interface.py
@@ -6,8 +6,8 @@
 from result import Result
 
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
-from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.process.membership import InstanceStatus
+from hornbeamdeck.scheduling.engine import Engine
 
 __all__ = (
     'ConfigurationRead',
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -8,12 +8,12 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.scheduling.admission_control import (
     AdmissionControl,
     SharedState,
 )
 from hornbeamdeck.scheduling.cell import Granted, Refused
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_choice import choose_engine
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
 from hornbeamdeck.scheduling.engine_load import (
@@ -284,7 +284,7 @@
         return Granted(
             queued,
             load.engine.name,
-            str(load.engine.address),
+            load.engine.address,
             self._hold_reasons.pop(request_id, ''),
         )
 
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple, Self
 
-from hornbeamdeck.process.engine_directory import Engine
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_health import EngineHealth
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
 from hornbeamdeck.scheduling.forecast import Forecast
--- a/tests/process/test_engine_directory.py
+++ b/tests/process/test_engine_directory.py
@@ -2,13 +2,12 @@
 
 import math
 
-from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.engine_directory import Engine, EngineDirectory
+from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.scheduling.engine import Engine
 
 
 def _engine(*, is_draining: bool) -> Engine:
-    address = Address('127.0.0.1', 1)
-    return Engine('engine-1', 'desk', address, 'z1', 4, is_draining, 1)
+    return Engine('engine-1', 'desk', '127.0.0.1:1', 'z1', 4, is_draining, 1)
 
 
 def test_confirmation_of_a_newer_list_does_not_confirm_an_older_one() -> None:
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -1,8 +1,7 @@
 """Factories for tests of engine cells."""
 
-from hornbeamdeck.connection.address import Address
-from hornbeamdeck.process.engine_directory import Engine
 from hornbeamdeck.scheduling.admission_control import SharedState
+from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.token_quota import (
@@ -28,7 +27,7 @@
     made = Engine(
         name=name,
         service='desk',
-        address=Address('10.0.0.1', 80),
+        address='10.0.0.1:80',
         availability_zone=zone,
         slots=slots,
         is_draining=False,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,15 +9,13 @@
 ADAPTER = ROOT / 'platform'
 SCHEDULING = ROOT / 'scheduling'
 MAX_ADAPTER_LINES = 1200
-# Modules that the scheduling package may import. engine_directory is included
-# because it defines Engine.
+# Modules that the scheduling package may import.
 SCHEDULING_IMPORTS = (
     'collections',
     'enum',
     'heapq',
     'itertools',
     'hornbeamdeck.const',
-    'hornbeamdeck.process.engine_directory',
     'hornbeamdeck.scheduling',
     'hornbeamdeck.version',
     'hornbeamdeck.wire',
