Decide how much of a service a new version of its engines may get

The system had no notion of versions: 1.4 s after an order of a roll-out its engines got requests like all others, unbounded, and nobody compared or reported them.

Engines carry their version, requests their route, resumed streams the version that began them; a release tells how many tokens were generated.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -195,6 +195,7 @@
             dispatches=0,
             zone='z1',
             route_rank=kind.priority if self._has_route_ranks else None,
+            route=kind.name,
         )
 
     def _grant(self) -> None:
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -120,6 +120,7 @@
         vol.Required('state'): vol.In((STATE_READY, STATE_DRAINING)),
         # When the engine's incarnation started, in Unix milliseconds.
         vol.Optional('born', default=0): int,
+        vol.Optional('version', default=''): vol.Any(None, str),
     },
     extra=vol.REMOVE_EXTRA,
 )
@@ -163,6 +164,7 @@
         slots=entry['slots'],
         is_draining=entry['state'] == STATE_DRAINING,
         born_ms=entry['born'],
+        version=entry['version'] or '',
     )
 
 
--- a/hornbeamdeck/process/engine_directory.py
+++ b/hornbeamdeck/process/engine_directory.py
@@ -113,6 +113,7 @@
                     is_leaving=engine.is_draining,
                     born_ms=engine.born_ms,
                     slowness=slowness.get(engine.name, UNIT_SLOWNESS),
+                    version=engine.version,
                 )
                 for engine in self.engines.values()
             ],
@@ -137,4 +138,5 @@
         slots=entry.slots,
         is_draining=entry.is_leaving,
         born_ms=entry.born_ms,
+        version=entry.version or '',
     )
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -121,10 +121,12 @@
         end: RunEnd,
         total_ms: float,
         longest_gap_ms: float = 0,
+        output_tokens: int = 0,
     ) -> None:
         """Report the end of a run to the owner.
 
         :param longest_gap_ms: longest gap between two events of the response.
+        :param output_tokens: tokens of a complete response; 0: not known.
         """
         running = self._running.pop(request_id, None)
         if running is None:
@@ -135,6 +137,7 @@
             end=end,
             total_ms=int(total_ms),
             longest_gap_ms=int(longest_gap_ms),
+            output_tokens=output_tokens,
         )
         await self._link.async_send(running.owner, message)
 
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -183,6 +183,7 @@
                     cell=request.cell,
                     upstream=grant.upstream,
                     address=grant.address,
+                    version=grant.version,
                 ),
             )
 
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -50,6 +50,8 @@
         # From the arrival of the request to the first byte of any response.
         self.arrival_to_first_byte_ms = 0.0
         self.longest_gap_ms = 0.0
+        # Events of the current attempt that were relayed.
+        self.event_count = 0
         self.is_possibly_executing = False
         self.last_event_id = admission.request.last_event_id
         self._context = context
@@ -77,6 +79,7 @@
         :returns: how the attempt ended; a complete response that is not a
             stream is left in `response`.
         """
+        self.event_count = 0
         opened = await self._engine_connection.async_open(grant)
         if isinstance(opened, Err):
             self.cause = opened.err_value.cause
@@ -224,6 +227,7 @@
             )
             self._context.metrics.record_first_token(self.first_byte_ms)
         self._record_gap()
+        self.event_count += len(unsent)
         encoded = b''.join(event.encoded for event in unsent)
         relayed = await self._caller.async_send_chunk(encoded)
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -58,7 +58,8 @@
     :param report_first_token: gets a request's id and its time to first token,
         ms.
     :param release_grant: gets a request's id, how its run ended, how long it
-        took, and the longest gap between two events, ms.
+        took and the longest gap between two events, ms, and the number of
+        tokens that were generated.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param zone: this instance's availability zone.
@@ -74,7 +75,7 @@
     connection_pool: ConnectionPool
     acquire_grant: Acquire
     report_first_token: Callable[[str, float], Awaitable[None]]
-    release_grant: Callable[[str, RunEnd, float, float], Awaitable[None]]
+    release_grant: Callable[[str, RunEnd, float, float, int], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     zone: str
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -88,6 +88,7 @@
         self._attempts = _Attempts()
         self._engine_attempts = EngineAttempts(context, admission, caller)
         self._engine = ''
+        self._version = ''
         self._waited_ms = 0.0
 
     async def async_run(self) -> Failure | None:
@@ -154,6 +155,7 @@
             rank=admission.rank,
             service=admission.service,
             engine=self._engine,
+            engine_version=self._version,
             prompt_tokens=admission.request.prompt_tokens,
             output_tokens=admission.request.output_tokens,
             expected_tokens=admission.request.expected_tokens,
@@ -191,7 +193,7 @@
         if isinstance(allowed, Err):
             request_id = admission.request.request_id
             await self._context.release_grant(
-                request_id, RunEnd.CANCELLED, 0, 0
+                request_id, RunEnd.CANCELLED, 0, 0, 0
             )
             return allowed
         if not self._attempts.excluded and admission.team is not None:
@@ -212,12 +214,13 @@
                 self._context.freshness_guard.engines_age_ms()
             ),
         )
-        await self._context.release_grant(request_id, RunEnd.CANCELLED, 0, 0)
+        await self._context.release_grant(request_id, RunEnd.CANCELLED, 0, 0, 0)
         excluded = (*self._attempts.excluded, engine)
         self._attempts = self._attempts._replace(excluded=excluded)
 
     async def _async_attempt(self, grant: Grant) -> RunEnd:
         self._engine = grant.upstream
+        self._version = grant.version or ''
         granted_ms = now_ms()
         end = RunEnd.CANCELLED
         try:
@@ -229,6 +232,7 @@
                 end,
                 now_ms() - granted_ms,
                 self._single_engine_gap_ms(),
+                self._generated_tokens(),
             )
         attempts = self._attempts
         if end != RunEnd.ANSWERED:
@@ -259,6 +263,14 @@
             else self._engine_attempts.longest_gap_ms
         )
 
+    def _generated_tokens(self) -> int:
+        properties = self._context.configuration().services.get(
+            self._admission.service
+        )
+        if properties is None:
+            return 0
+        return self._engine_attempts.event_count * properties.tokens_per_event
+
     def _may_use_another_engine(self, end: RunEnd) -> bool:
         if end in _NOT_RUN:
             return True
@@ -309,6 +321,12 @@
             return min(timeout_ms, self._admission.left_ms)
         return self._admission.client_timeout_left_ms
 
+    def _version_to_resume(self) -> str | None:
+        """Return the version at which a stream that has begun goes on."""
+        if self._caller.has_response_started:
+            return self._version or None
+        return None
+
     def _enqueue(self) -> Enqueue:
         admission = self._admission
         request = admission.request
@@ -329,6 +347,8 @@
             dispatches=self._attempts.engines_reached,
             zone=self._context.zone,
             route_rank=admission.route_rank,
+            route=admission.route.name,
+            version=self._version_to_resume(),
         )
 
 
--- a/hornbeamdeck/scheduling/cell.py
+++ b/hornbeamdeck/scheduling/cell.py
@@ -33,12 +33,14 @@
     """A request that may run, and on which upstream.
 
     :param hold_reason: why it waited while upstreams had free slots, if it did.
+    :param version: of the upstream's software; empty: not stated.
     """
 
     queued: QueuedRequest
     upstream: str
     address: str = ''
     hold_reason: str = ''
+    version: str = ''
 
 
 class Refused(NamedTuple):
--- a/hornbeamdeck/scheduling/engine.py
+++ b/hornbeamdeck/scheduling/engine.py
@@ -10,6 +10,7 @@
 
     :param name: its id; `name` and `born_ms` together identify an incarnation.
     :param address: `ip:port`.
+    :param version: version of its software; empty: not stated.
     :param slots: how many requests it processes concurrently.
     """
 
@@ -20,3 +21,4 @@
     slots: int
     is_draining: bool
     born_ms: int
+    version: str = ''
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -14,7 +14,7 @@
 )
 from hornbeamdeck.scheduling.cell import Granted, Refused
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.engine_choice import choose_engine
+from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
 from hornbeamdeck.scheduling.engine_load import (
     EngineLoad,
@@ -30,6 +30,7 @@
 from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
 from hornbeamdeck.scheduling.request_rank import value_of
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.version_routing import VersionRouting
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
@@ -47,6 +48,7 @@
 
 # Logged reason for holding a request back while engines have free slots.
 HELD_BY_LIMIT: Final = "the team's limit"
+HELD_BY_VERSION: Final = 'no slot of a version that it may use'
 # Minimum time between two checks for expired requests. It is a little shorter
 # than the scheduler's check interval (25 ms), so that each of the scheduler's
 # checks runs this one.
@@ -60,6 +62,7 @@
         """Start without engines; `update_engines` adds them."""
         self.loads: dict[str, EngineLoad] = {}
         self.crash_tracker = EngineCrashTracker()
+        self.versions = VersionRouting()
         self._wait_queue = WaitQueue()
         self._estimates = ServiceEstimates.initial()
         self._hold_reasons: dict[str, str] = {}
@@ -98,6 +101,7 @@
                 load.slowness = slowness.get(name, 1.0)
                 self.loads[name] = load
             load.update(engine, properties)
+        self.versions.update_engines(self.loads.values())
 
     def enqueue(
         self,
@@ -116,7 +120,9 @@
             deadline_ms=now + (request.patience_ms or request.deadline_ms),
             service_ms=0,
         )
-        fastest_ms = _fastest_ms(self.loads.values(), request, now)
+        fastest_ms = _fastest_ms(
+            self.versions.usable(self.loads.values(), now), request, now
+        )
         reason = self._reason_to_refuse(request, fastest_ms, now)
         if reason is not None:
             return self._refuse(queued, reason, now)
@@ -153,7 +159,7 @@
         changed since, and periodically on all engines.
         """
         scan = self._placements.start_scan(
-            self.loads.values(),
+            self.versions.usable(self.loads.values(), now),
             len(self._wait_queue),
             now,
         )
@@ -202,6 +208,7 @@
         if run is None:
             return None
         self._placements.record_engine_change(load.engine.name)
+        self.versions.record_run_end(load, run, message, now)
         if end == RunEnd.ANSWERED:
             load.learn_gap(run, message.longest_gap_ms or 0)
         return _update_crash_tracker(
@@ -235,7 +242,7 @@
         return forecast_slots(
             [
                 load
-                for load in self.loads.values()
+                for load in self.versions.usable(self.loads.values(), now)
                 if not load.engine.is_draining
             ],
             len(self._wait_queue),
@@ -273,19 +280,24 @@
         """Start a request on an engine with a free slot, or hold it."""
         request_id = queued.request.request_id
         time_budget = self._wait_queue.time_budget(request_id, now)
-        choice = choose_engine(free, queued, now, time_budget)
+        choice = Choice(None, HELD_BY_VERSION)
+        for group in self.versions.groups(queued.request, free, now):
+            if group and choice.load is None:
+                choice = choose_engine(group, queued, now, time_budget)
         load = choice.load
         if load is None:
             self._hold_reasons[request_id] = choice.hold_reason
             return None
         self._wait_queue.start(request_id, now)
         self._admission.start(queued.request, now)
+        self.versions.record_grant(load)
         _add_run(load, queued, now)
         return Granted(
             queued,
             load.engine.name,
             load.engine.address,
             self._hold_reasons.pop(request_id, ''),
+            load.engine.version,
         )
 
     def _refuse(
@@ -338,6 +350,7 @@
         zone,
         request.gap_ms or 0,
         stream_value=value_of(request),
+        route=request.route or '',
     )
     load.start(request.request_id, now)
 
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -130,6 +130,7 @@
         max_gap_ms: int = 0,
         *,
         stream_value: float = 0.0,
+        route: str = '',
     ) -> None:
         """Account for a run that was granted or registered again."""
         self.runs.pop(run.request_id, None)
@@ -143,6 +144,7 @@
             is_prefilling=run.is_prefilling,
             stream_value=stream_value,
             output_tokens=run.output_tokens,
+            route=route,
         )
 
     def start(self, request_id: str, now: float) -> None:
@@ -154,7 +156,9 @@
         self.runs[request_id] = run._replace(
             expected_first_token_ms=expected_ms / self.slowness,
             started_ms=now,
-            expected_end_ms=now + expected_ms + self._output_ms(run),
+            expected_end_ms=now
+            + expected_ms
+            + self.output_ms(run.output_tokens),
         )
         prefill_work_ms = prefill_ms(run.prompt_tokens) * self.slowness
         self._prefill_done_ms = (
@@ -172,7 +176,7 @@
         self.runs[request_id] = run._replace(
             is_prefilling=False,
             first_token_at_ms=now,
-            expected_end_ms=now + self._output_ms(run),
+            expected_end_ms=now + self.output_ms(run.output_tokens),
         )
         if run.expected_first_token_ms and self.properties.is_model:
             weight = run.expected_first_token_ms / (
@@ -219,12 +223,12 @@
                 prefill_work_ms = prefill_ms(run.prompt_tokens) * self.slowness
                 self._prefill_done_ms -= prefill_work_ms
 
-    def _output_ms(self, run: EngineRun) -> float:
+    def output_ms(self, output_tokens: int) -> float:
         """Estimate how long a run continues after its first token."""
         output = self.estimates.output
         if not self.properties.is_model:
             return output.call_ms
-        return run.output_tokens * output.token_ms * self.slowness
+        return output_tokens * output.token_ms * self.slowness
 
     def _learn_output(self, run: EngineRun, now: float) -> None:
         output = self.estimates.output
--- a/hornbeamdeck/scheduling/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -16,6 +16,7 @@
         slowness 1.
     :param max_gap_ms: longest gap between events that its stream may show; 0:
         it is not a stream.
+    :param route: name of its request's route.
     :param stream_value: value of its stream, compared with other requests.
     :param first_token_at_ms: when its first token was reported; 0: not yet.
     :param output_tokens: number of tokens that it is expected to generate.
@@ -37,6 +38,7 @@
     output_tokens: int = 0
     expected_end_ms: float = 0.0
     overlapping_prefill_ms: float = 0.0
+    route: str = ''
 
     @property
     def is_streaming(self) -> bool:
--- a/hornbeamdeck/scheduling/output_estimate.py
+++ b/hornbeamdeck/scheduling/output_estimate.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-__all__ = ('OutputEstimate',)
+__all__ = ('INITIAL_CALL_MS', 'INITIAL_TOKEN_MS', 'OutputEstimate')
 
 # Initial time per output token: a step of a common engine and the share of
 # concurrent prefills in it, in milliseconds at slowness 1.
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -249,6 +249,8 @@
      - dispatches
      - zone
      - route_rank
+     - route
+     - version
 
     """
 
@@ -269,10 +271,12 @@
         'dispatches',
         'zone',
         'route_rank',
+        'route',
+        'version',
     )
 
 
-    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, route_rank=None,):
+    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, route_rank=None, route=None, version=None,):
         self.request_id = request_id
         self.cell = cell
         self.team = team
@@ -289,6 +293,8 @@
         self.dispatches = dispatches
         self.zone = zone
         self.route_rank = route_rank
+        self.route = route
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -384,6 +390,16 @@
                     self.route_rank = iprot.readI16()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -461,6 +477,14 @@
             oprot.writeFieldBegin('route_rank', TType.I16, 17)
             oprot.writeI16(self.route_rank)
             oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 18)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 19)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -509,6 +533,7 @@
      - cell
      - upstream
      - address
+     - version
 
     """
 
@@ -517,14 +542,16 @@
         'cell',
         'upstream',
         'address',
+        'version',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None, address=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, address=None, version=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
         self.address = address
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -555,6 +582,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -581,6 +613,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 4)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 5)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1624,6 +1660,160 @@
         return not (self == other)
 
 
+class Rollout(object):
+    """
+    Attributes:
+     - cell
+     - target
+     - order_id
+     - duration_ms
+     - phase
+     - age_ms
+     - revision
+
+    """
+
+    __slots__ = (
+        'cell',
+        'target',
+        'order_id',
+        'duration_ms',
+        'phase',
+        'age_ms',
+        'revision',
+    )
+
+
+    def __init__(self, cell=None, target=None, order_id=None, duration_ms=None, phase=None, age_ms=None, revision=None,):
+        self.cell = cell
+        self.target = target
+        self.order_id = order_id
+        self.duration_ms = duration_ms
+        self.phase = phase
+        self.age_ms = age_ms
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.order_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.duration_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.phase = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Rollout')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.order_id is not None:
+            oprot.writeFieldBegin('order_id', TType.I64, 3)
+            oprot.writeI64(self.order_id)
+            oprot.writeFieldEnd()
+        if self.duration_ms is not None:
+            oprot.writeFieldBegin('duration_ms', TType.I32, 4)
+            oprot.writeI32(self.duration_ms)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.I32, 5)
+            oprot.writeI32(self.phase)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 6)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 7)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.order_id is None:
+            raise TProtocolException(message='Required field order_id is unset!')
+        if self.duration_ms is None:
+            raise TProtocolException(message='Required field duration_ms is unset!')
+        if self.phase is None:
+            raise TProtocolException(message='Required field phase is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -1639,6 +1829,7 @@
      - statuses
      - configuration_version
      - is_store_reached
+     - rollouts
 
     """
 
@@ -1655,10 +1846,11 @@
         'statuses',
         'configuration_version',
         'is_store_reached',
+        'rollouts',
     )
 
 
-    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None,):
+    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None, rollouts=None,):
         self.stamp_ms = stamp_ms
         self.echo_ms = echo_ms
         self.configuration_age_ms = configuration_age_ms
@@ -1671,6 +1863,7 @@
         self.statuses = statuses
         self.configuration_version = configuration_version
         self.is_store_reached = is_store_reached
+        self.rollouts = rollouts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1757,6 +1950,17 @@
                     self.is_store_reached = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.rollouts = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = Rollout()
+                        _elem37.read(iprot)
+                        self.rollouts.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1798,22 +2002,22 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter32 in self.spent:
-                iter32.write(oprot)
+            for iter38 in self.spent:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.present is not None:
             oprot.writeFieldBegin('present', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.present))
-            for iter33 in self.present:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter39 in self.present:
+                oprot.writeString(iter39.encode('utf-8') if sys.version_info[0] == 2 else iter39)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter34 in self.statuses:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter40 in self.statuses:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -1824,6 +2028,13 @@
             oprot.writeFieldBegin('is_store_reached', TType.BOOL, 12)
             oprot.writeBool(self.is_store_reached)
             oprot.writeFieldEnd()
+        if self.rollouts is not None:
+            oprot.writeFieldBegin('rollouts', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
+            for iter41 in self.rollouts:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1880,6 +2091,7 @@
      - is_leaving
      - born_ms
      - slowness
+     - version
 
     """
 
@@ -1892,10 +2104,11 @@
         'is_leaving',
         'born_ms',
         'slowness',
+        'version',
     )
 
 
-    def __init__(self, name=None, cell=None, address=None, zone=None, slots=None, is_leaving=None, born_ms=None, slowness=None,):
+    def __init__(self, name=None, cell=None, address=None, zone=None, slots=None, is_leaving=None, born_ms=None, slowness=None, version=None,):
         self.name = name
         self.cell = cell
         self.address = address
@@ -1904,6 +2117,7 @@
         self.is_leaving = is_leaving
         self.born_ms = born_ms
         self.slowness = slowness
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1954,6 +2168,11 @@
                     self.slowness = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1996,6 +2215,10 @@
             oprot.writeFieldBegin('slowness', TType.DOUBLE, 8)
             oprot.writeDouble(self.slowness)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 9)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2072,11 +2295,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = EngineEntry()
-                        _elem40.read(iprot)
-                        self.engines.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EngineEntry()
+                        _elem47.read(iprot)
+                        self.engines.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2097,8 +2320,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter41 in self.engines:
-                iter41.write(oprot)
+            for iter48 in self.engines:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2438,6 +2661,8 @@
     (15, TType.STRING, 'zone', 'UTF8', None, ),  # 15
     None,  # 16
     (17, TType.I16, 'route_rank', None, None, ),  # 17
+    (18, TType.STRING, 'route', 'UTF8', None, ),  # 18
+    (19, TType.STRING, 'version', 'UTF8', None, ),  # 19
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -2446,6 +2671,7 @@
     (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
 )
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
@@ -2519,6 +2745,17 @@
     (1, TType.STRING, 'team', 'UTF8', None, ),  # 1
     (2, TType.I64, 'tokens', None, None, ),  # 2
 )
+all_structs.append(Rollout)
+Rollout.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'order_id', None, None, ),  # 3
+    (4, TType.I32, 'duration_ms', None, None, ),  # 4
+    (5, TType.I32, 'phase', None, None, ),  # 5
+    (6, TType.I64, 'age_ms', None, None, ),  # 6
+    (7, TType.I64, 'revision', None, None, ),  # 7
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -2534,6 +2771,7 @@
     (10, TType.LIST, 'statuses', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.I64, 'configuration_version', None, None, ),  # 11
     (12, TType.BOOL, 'is_store_reached', None, None, ),  # 12
+    (13, TType.LIST, 'rollouts', (TType.STRUCT, [Rollout, None], False), None, ),  # 13
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
@@ -2546,6 +2784,7 @@
     (6, TType.BOOL, 'is_leaving', None, None, ),  # 6
     (7, TType.I64, 'born_ms', None, None, ),  # 7
     (8, TType.DOUBLE, 'slowness', None, None, ),  # 8
+    (9, TType.STRING, 'version', 'UTF8', None, ),  # 9
 )
 all_structs.append(EngineList)
 EngineList.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -48,6 +48,8 @@
   14: optional i16 dispatches      // upstreams that it was sent to before
   15: optional string zone         // of the ingress
   17: optional i16 route_rank      // order within tier_rank, where that is the team's
+  18: optional string route        // name, to compare versions of a service by route
+  19: optional string version      // a stream's, which goes on at this version only
 }
 
 struct Grant {
@@ -55,6 +57,7 @@
   2: required string cell
   3: required string upstream
   4: optional string address
+  5: optional string version       // of the upstream's software
 }
 
 struct Refuse {
@@ -97,7 +100,7 @@
   2: required string cell
   3: required RunEnd end
   4: required i32 total_ms         // since the grant was used
-  5: optional i32 output_tokens    // made, where known
+  5: optional i32 output_tokens    // made, of a whole answer
   6: optional i32 longest_gap_ms   // between two events of a whole answer
 }
 
@@ -122,6 +125,17 @@
   2: required i64 tokens
 }
 
+// A new version of a service's upstreams that is brought in.
+struct Rollout {
+  1: required string cell
+  2: required string target        // the new version
+  3: required i64 order_id         // newer orders of a service have larger ones
+  4: required i32 duration_ms      // requested by the operator
+  5: required i32 phase            // only ever grows
+  6: required i64 age_ms           // since the order was first seen
+  7: required i64 revision         // of the store, at which the order was read
+}
+
 // What a process holds of the store, and how old its proof is that this is
 // still current. Ages are counted back from the moment at which the last beat
 // of the receiver arrived here, so that time spent on the way makes a proof
@@ -139,6 +153,7 @@
   10: optional list<string> statuses // only where the receiver lacks some
   11: required i64 configuration_version
   12: required bool is_store_reached // whether the sender's last call was answered
+  13: optional list<Rollout> rollouts
 }
 
 struct EngineEntry {
@@ -150,6 +165,7 @@
   6: required bool is_leaving
   7: required i64 born_ms
   8: required double slowness      // learned; 1: as modelled
+  9: optional string version       // of its software
 }
 
 struct EngineList {
