Follow the operators' orders for roll-outs and report their course

Orders lie in the users' store under a kind of their own. Heartbeats carry what each knows, so that a verdict survives its owner while the store is away.

Bounds come from the settings (section rollouts); a missing one is named at the start.

--- a/hornbeamdeck/clock.py
+++ b/hornbeamdeck/clock.py
@@ -8,7 +8,7 @@
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
-__all__ = ('async_with_timeout', 'now_ms')
+__all__ = ('async_with_timeout', 'now_ms', 'wall_ms')
 
 _NANOS_PER_MILLI: Final = 1_000_000
 
@@ -25,6 +25,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NANOS_PER_MILLI
 
 
+def wall_ms() -> int:
+    """Return the time of day in Unix milliseconds; it may jump."""
+    return time.time_ns() // _NANOS_PER_MILLI
+
+
 async def async_with_timeout(
     limit_ms: float,
     work: Coroutine[Any, Any, _Returned],
--- a/hornbeamdeck/platform/__main__.py
+++ b/hornbeamdeck/platform/__main__.py
@@ -10,6 +10,7 @@
 from hornbeamdeck.platform.dialect import DIALECT
 from hornbeamdeck.platform.documents import parse_configuration
 from hornbeamdeck.platform.entries_endpoint import handle_entries_request
+from hornbeamdeck.platform.rollout_store import open_rollout_store
 from hornbeamdeck.platform.store import open_store
 from hornbeamdeck.process.gateway_components import PlatformAdapter
 from hornbeamdeck.process.serve_gateway import (
@@ -22,6 +23,7 @@
 
 PLATFORM_ADAPTER: Final = PlatformAdapter(
     open_store=open_store,
+    open_rollout_store=open_rollout_store,
     dialect=DIALECT,
     parse_configuration=parse_configuration,
     handle_entries_request=handle_entries_request,
--- /dev/null
+++ b/hornbeamdeck/platform/rollout_store.py
@@ -0,0 +1,95 @@
+"""The platform's orders for roll-outs, read and answered in its store."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.platform.object_calls import (
+    ObjectCalls,
+    object_name,
+    parse_body,
+)
+from hornbeamdeck.platform.rollout_documents import (
+    parse_rollout,
+    rollout_status,
+)
+from hornbeamdeck.platform.wire_names import KIND_ROLLOUTS, PATH_OBJECTS
+from hornbeamdeck.rollout.store_interface import (
+    RolloutChange,
+    RolloutsRead,
+    RolloutStore,
+    StoredRollout,
+)
+
+__all__ = ('open_rollout_store',)
+
+
+class _RolloutStore:
+    def __init__(self, calls: ObjectCalls) -> None:
+        self._calls = calls
+
+    async def async_list(self) -> Result[RolloutsRead, StoreUnavailable]:
+        """Read all orders."""
+        listed = await self._calls.async_list(KIND_ROLLOUTS)
+        if isinstance(listed, Err):
+            return listed
+        changes = tuple(map(parse_rollout, listed.ok_value.entries))
+        return Ok(RolloutsRead(listed.ok_value.revision, changes))
+
+    async def async_watch(
+        self, since: int, wait_ms: int
+    ) -> Result[RolloutsRead, StoreUnavailable | WatchGap]:
+        """Wait for changed or withdrawn orders."""
+        watched = await self._calls.async_watch(KIND_ROLLOUTS, since, wait_ms)
+        if isinstance(watched, Err):
+            return watched
+        changes = tuple(
+            RolloutChange(object_name(event['object']), None)
+            if event['removed']
+            else parse_rollout(event['object'])
+            for event in watched.ok_value['events']
+        )
+        return Ok(RolloutsRead(watched.ok_value['at'], changes))
+
+    async def async_write_status(
+        self, service: str, rollout: StoredRollout
+    ) -> Result[RolloutChange, StoreUnavailable]:
+        """Write a status if the order has not changed meanwhile."""
+        response = await self._calls.async_write(
+            'PUT',
+            f'{PATH_OBJECTS}/{KIND_ROLLOUTS}/{quote(service)}/status',
+            {
+                'metadata': {'name': service, 'revision': rollout.revision},
+                'status': rollout_status(rollout),
+            },
+            role=KIND_ROLLOUTS,
+        )
+        if isinstance(response, Err):
+            return response
+        if response.ok_value.status == HTTPStatus.NOT_FOUND:
+            return Ok(RolloutChange(service, None))
+        if response.ok_value.status == HTTPStatus.CONFLICT:
+            # The response holds the order as it is.
+            found = response.ok_value._replace(status=HTTPStatus.OK)
+            return parse_body(found).map(parse_rollout)
+        return parse_body(response.ok_value).map(parse_rollout)
+
+
+def open_rollout_store(
+    address: Address,
+    count_call: Callable[[str], None],
+) -> RolloutStore:
+    """Create the calls to a store. No connection is opened yet.
+
+    :param count_call: called with the role of each call.
+    """
+    store = _RolloutStore(ObjectCalls(address, count_call))
+    return RolloutStore(
+        list_rollouts=store.async_list,
+        watch_rollouts=store.async_watch,
+        write_status=store.async_write_status,
+    )
--- a/hornbeamdeck/platform/wire_names.py
+++ b/hornbeamdeck/platform/wire_names.py
@@ -38,6 +38,8 @@
 KIND_CONFIGURATION: Final = 'config'
 NAME_CONFIGURATION: Final = 'main'
 KIND_ENGINES: Final = 'servers'
+# Operators' orders to bring in a new version of a service, named by service.
+KIND_ROLLOUTS: Final = 'rollouts'
 # Instances publish their status under this kind and find each other by it.
 KIND_INSTANCES: Final = 'instances'
 PATH_OBJECTS: Final = '/v1/objects'
@@ -46,5 +48,11 @@
 STATE_READY: Final = 'ready'
 STATE_DRAINING: Final = 'draining'
 
+# States of an order's status. The platform stops the engines of the old version
+# at the second and those of the new one at the third.
+ROLLOUT_RUNNING: Final = 'running'
+ROLLOUT_COMPLETED: Final = 'completed'
+ROLLOUT_ROLLED_BACK: Final = 'rolled_back'
+
 FIELD_NAME: Final = 'name'
 FIELD_SERVICE: Final = 'service'
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -1,6 +1,6 @@
 """The engine cells of this process, updated from what the store returns."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import structlog
 
@@ -37,6 +37,16 @@
         self._cells: dict[str, EngineCell] = {}
         self._reported_slowness: dict[str, float] = {}
         self._configuration = GatewayConfiguration.empty()
+        self._on_engines_applied: Callable[[], None] | None = None
+
+    @property
+    def cells(self) -> Mapping[str, EngineCell]:
+        """The cells by service."""
+        return self._cells
+
+    def set_callback(self, on_engines_applied: Callable[[], None]) -> None:
+        """Set what is called when the cells have a new list of engines."""
+        self._on_engines_applied = on_engines_applied
 
     def apply_configuration(self, configuration: GatewayConfiguration) -> None:
         """Apply a new configuration."""
@@ -55,6 +65,8 @@
                 self._scheduler.cells[service] = cell
             engines = self._directory.of_service(service)
             cell.update_engines(engines, properties, self._reported_slowness)
+        if self._on_engines_applied is not None:
+            self._on_engines_applied()
 
     def slowness(self) -> dict[str, float]:
         """Return the slowness of each engine by name.
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -300,6 +300,13 @@
             self._registration.async_discover(),
         ):
             await self._async_spawn(work)
+        if components.rollouts is not None:
+            await self._async_spawn(components.rollouts.async_follow_orders())
+            await self._async_spawn(
+                components.rollouts.async_confirm_versions()
+            )
+            await self._async_spawn(components.rollouts.async_decide())
+            await self._async_spawn(components.rollouts.async_write_status())
 
     async def _async_spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(await spawn(work, daemon=True))
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.peer import PeerIdentity
@@ -20,7 +21,7 @@
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.grants import Grants
 from hornbeamdeck.process.heartbeats import HeartbeatDependencies, Heartbeats
-from hornbeamdeck.process.liveness import FLEET_CELL
+from hornbeamdeck.process.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
 from hornbeamdeck.process.membership import (
     STATE_LIVE,
     InstanceStatus,
@@ -40,6 +41,11 @@
     StoreReaderDependencies,
 )
 from hornbeamdeck.request.gateway_request import Dialect
+from hornbeamdeck.rollout.book import RolloutBook
+from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
+from hornbeamdeck.rollout.status_writer import StatusWriter
+from hornbeamdeck.rollout.store_interface import RolloutStore
+from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
     QuotaView,
@@ -70,6 +76,7 @@
 
     :param open_store: takes the store's address and a callback that counts
         calls by role.
+    :param open_rollout_store: takes the same.
     :param parse_configuration: parses a configuration document; takes its text
         and version.
     :param handle_entries_request: responds to a caller that requests the
@@ -78,6 +85,7 @@
     """
 
     open_store: Callable[[Address, Callable[[str], None]], StoreInterface]
+    open_rollout_store: Callable[[Address, Callable[[str], None]], RolloutStore]
     dialect: Dialect
     parse_configuration: Parse
     handle_entries_request: EntriesEndpoint
@@ -101,6 +109,7 @@
     snapshots: Snapshots[GatewayConfiguration]
     identity: PeerIdentity
     spending: SpendingLog
+    rollouts: Rollouts | None
 
     @classmethod
     def from_settings(
@@ -125,6 +134,7 @@
         # call components that depend on them.
         fleet_share: list[Callable[[], float]] = []
         readers: list[StoreReader] = []
+        rollouts: list[Rollouts] = []
         cells = EngineCells(
             scheduler,
             directory,
@@ -170,6 +180,10 @@
                 on_engines_changed=cells.apply_engines,
                 is_store_reached=lambda: readers[0].is_store_reached,
                 is_first_start=settings.is_first_start,
+                rollouts=lambda: rollouts[0].to_wire() if rollouts else [],
+                merge_rollouts=lambda reported: (
+                    rollouts[0].merge(reported) if rollouts else None
+                ),
             ),
         )
         fleet_share.append(heartbeats.liveness.live_share)
@@ -192,6 +206,20 @@
                 ),
             ),
         )
+        if settings.rollouts is not None:
+            rollouts.append(
+                _make_rollouts(
+                    adapter.open_rollout_store(
+                        settings.platform_address,
+                        metrics.count_store_call,
+                    ),
+                    settings.rollouts,
+                    cells,
+                    heartbeats,
+                    membership,
+                    metrics,
+                )
+            )
         return cls(
             metrics=metrics,
             store=store,
@@ -208,6 +236,7 @@
             snapshots=Snapshots(follower, membership, identity),
             identity=identity,
             spending=spending,
+            rollouts=rollouts[0] if rollouts else None,
         )
 
     @property
@@ -285,6 +314,39 @@
     )
 
 
+def _make_rollouts(
+    store: RolloutStore,
+    bounds: RolloutBounds,
+    cells: EngineCells,
+    heartbeats: Heartbeats,
+    membership: Membership,
+    metrics: GatewayMetrics,
+) -> Rollouts:
+    def _owns_cells() -> bool:
+        return _is_owner(membership)
+
+    def _is_reader() -> bool:
+        return _owns_cells() or (
+            heartbeats.has_owner_lost_store
+            and heartbeats.liveness.rank() < HEARTBEAT_RECEIVERS
+        )
+
+    book = RolloutBook(bounds, wall_ms)
+    made = Rollouts(
+        RolloutDependencies(
+            store=store,
+            book=book,
+            cells=cells.cells,
+            is_owner=_owns_cells,
+            is_reader=_is_reader,
+            status_writer=StatusWriter(store, book, _owns_cells, wall_ms),
+            metrics=metrics,
+        ),
+    )
+    cells.set_callback(made.apply)
+    return made
+
+
 def _make_identity(
     settings: GatewaySettings,
     metrics: GatewayMetrics,
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -7,17 +7,31 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from typing import Final
+from collections.abc import Mapping
+from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
-__all__ = ('BUCKETS_S', 'GatewayMetrics', 'LatencyHistogram')
+__all__ = ('BUCKETS_S', 'GatewayMetrics', 'LatencyHistogram', 'RolloutCounts')
 
 # Chosen around the latency objectives of the current routes, 0.1 to 1 s, and
 # around the time limits.
 BUCKETS_S: Final = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0)
 
 
+class RolloutCounts(NamedTuple):
+    """State of a service's roll-out as the owner of its cell counts it.
+
+    :param phase: number of the phase.
+    :param requests: granted since the owner has taken the order, by version.
+    :param bad_answers: failed or slow answers, by version.
+    """
+
+    phase: int
+    requests: Mapping[str, int]
+    bad_answers: Mapping[str, int]
+
+
 class LatencyHistogram:
     """A latency histogram with the bounds `BUCKETS_S`."""
 
@@ -51,6 +65,8 @@
         self.configuration_version = 0
         self.confirmation_ages_ms: dict[str, float] = {}
         self.log_lines_dropped = 0
+        # By service; empty in deployments without roll-outs.
+        self.rollouts: dict[str, RolloutCounts] = {}
 
     def count_request(
         self,
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -33,6 +33,7 @@
         yield from _request_metrics(self._metrics)
         yield from _connection_metrics(self._metrics)
         yield from _store_metrics(self._metrics)
+        yield from _rollout_metrics(self._metrics)
 
 
 def make_registry(metrics: GatewayMetrics) -> CollectorRegistry:
@@ -120,6 +121,31 @@
     yield ages
 
 
+def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
+    phase = GaugeMetricFamily(
+        'hornbeamdeck_rollout_phase',
+        'Phase of the roll-out of a service.',
+        labels=('service',),
+    )
+    requests = GaugeMetricFamily(
+        'hornbeamdeck_rollout_requests',
+        'Requests granted during a roll-out, by version.',
+        labels=('service', 'version'),
+    )
+    bad_answers = GaugeMetricFamily(
+        'hornbeamdeck_rollout_bad_answers',
+        'Failed or slow answers during a roll-out, by version.',
+        labels=('service', 'version'),
+    )
+    for service, counts in metrics.rollouts.items():
+        phase.add_metric((service,), counts.phase)
+        for version, count in counts.requests.items():
+            requests.add_metric((service, version), count)
+        for version, count in counts.bad_answers.items():
+            bad_answers.add_metric((service, version), count)
+    yield from (phase, requests, bad_answers)
+
+
 def _counter(
     name: str,
     documentation: str,
--- a/hornbeamdeck/process/gateway_settings.py
+++ b/hornbeamdeck/process/gateway_settings.py
@@ -11,6 +11,7 @@
     MIN_SECRET_CHARS,
     parse_address,
 )
+from hornbeamdeck.scheduling.rollout import RolloutBounds
 
 __all__ = ('Bounds', 'GatewaySettings')
 
@@ -37,6 +38,35 @@
     },
 )
 
+ROLLOUTS_SCHEMA: Final = vol.Schema(
+    {
+        vol.Required('expose_share'): vol.All(_NON_NEGATIVE, vol.Range(max=1)),
+        vol.Required('expose_slack'): _NON_NEGATIVE,
+        vol.Required('rollback_ms'): _MILLISECONDS,
+    },
+)
+
+
+def _check_rollouts(raw: Any) -> dict[str, Any] | None:
+    """Check the bounds on roll-outs.
+
+    A deployment without roll-outs sets none of them. One that sets some must
+    set all, so that a version is not rolled out without a limit.
+
+    :raises voluptuous.Invalid: if a field is missing or invalid.
+    """
+    if raw is None:
+        return None
+    fields = vol.Schema(dict)(raw)
+    stated = {
+        name: bound for name, bound in fields.items() if bound is not None
+    }
+    if not stated:
+        return None
+    checked: dict[str, Any] = ROLLOUTS_SCHEMA(stated)
+    return checked
+
+
 GATEWAY_SCHEMA: Final = vol.Schema(
     {
         vol.Required('instance_id'): vol.All(str, vol.Length(min=1)),
@@ -62,6 +92,7 @@
         ),
         vol.Optional('log_level', default='info'): vol.In(LOG_LEVELS),
         vol.Required('bounds'): BOUNDS_SCHEMA,
+        vol.Optional('rollouts', default=None): _check_rollouts,
     },
 )
 
@@ -124,6 +155,8 @@
     :param metrics_port: where metrics are served; 0 lets the system choose.
     :param cores: processor share, used as this instance's weight in the choice
         of owners.
+    :param rollouts: limits of new versions; `None`: the deployment has no
+        roll-outs.
     """
 
     instance_id: str
@@ -140,6 +173,7 @@
     metrics_port: int
     log_level: str
     bounds: Bounds
+    rollouts: RolloutBounds | None
 
     @classmethod
     def from_config(cls, raw: dict[str, Any]) -> Self:
@@ -149,4 +183,9 @@
         """
         checked = GATEWAY_SCHEMA(raw)
         bounds = Bounds.from_config(checked.pop('bounds'))
-        return cls(**checked, bounds=bounds)
+        rollouts = checked.pop('rollouts')
+        return cls(
+            **checked,
+            bounds=bounds,
+            rollouts=RolloutBounds(**rollouts) if rollouts else None,
+        )
--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/process/heartbeats.py
@@ -40,7 +40,7 @@
 from hornbeamdeck.process.sent_updates import SentUpdates
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
 from hornbeamdeck.scheduling.queued_request import Deliver
-from hornbeamdeck.wire import Beat, EngineList, Message
+from hornbeamdeck.wire import Beat, EngineList, Message, Rollout
 
 __all__ = ('HeartbeatDependencies', 'Heartbeats')
 
@@ -54,6 +54,8 @@
     :param engine_slowness: returns the learned slowness of each engine.
     :param record_slowness: records the slowness of engines that a peer reports.
     :param on_engines_changed: called when the list of engines has changed.
+    :param rollouts: returns what this process knows of roll-outs.
+    :param merge_rollouts: applies what a peer knows of them.
     :param is_first_start: whether no process of the fleet ran before.
     :param is_store_reached: whether the last call to the store succeeded.
     """
@@ -70,6 +72,8 @@
     on_engines_changed: Callable[[], None]
     is_store_reached: Callable[[], bool]
     is_first_start: bool
+    rollouts: Callable[[], list[Rollout]]
+    merge_rollouts: Callable[[list[Rollout]], None]
 
 
 class Heartbeats:
@@ -226,6 +230,7 @@
             memory_ms=int(self._spending_record_ms(now)),
             spent=dependencies.spending.report(now),
             is_store_reached=dependencies.is_store_reached(),
+            rollouts=dependencies.rollouts() or None,
         )
 
     def _apply_heartbeat(self, peer_id: str, heartbeat: Beat) -> None:
@@ -242,6 +247,8 @@
         dependencies.spending_reports.record(
             peer_id, heartbeat.spent, heartbeat.memory_ms
         )
+        if heartbeat.rollouts:
+            dependencies.merge_rollouts(heartbeat.rollouts)
         if not heartbeat.echo_ms:
             return
         # The peer's ages count back from the arrival of the heartbeat that it
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -75,6 +75,7 @@
             EngineStandin('counter-2'),
         ]
         self.gateways: list[Gateway] = []
+        self.settings_changes: dict[str, Any] = {}
 
     async def async_start(self, count: int) -> None:
         """Start store, engines and gateways, and wait until all are ready."""
@@ -114,6 +115,7 @@
             store or self.store_address,
             number,
             seed_peers=list(seeds),
+            **self.settings_changes,
         )
         gateway = Gateway(settings, PLATFORM_ADAPTER)
         await gateway.async_start()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -18,6 +18,7 @@
 ANY_LOCAL_PORT = Address('127.0.0.1', 0)
 OBJECTS_PATH = '/v1/objects/'
 SEAL_HEADER = 'hornbeamdeck-response-seal'
+STATUS_SUFFIX = '/status'
 REQUEST_ID_HEADER = 'hornbeamdeck-request-id'
 
 RequestHandler = Callable[[HttpRequest, ServerConnection], Awaitable[None]]
@@ -83,9 +84,16 @@
         """Write an object as an operator or an engine does."""
         self.revision += 1
         objects_of_kind = self.stored_objects.setdefault(kind, {})
+        previous = objects_of_kind.get(name)
+        created = previous['metadata']['created'] if previous else self.revision
         objects_of_kind[name] = {
-            'metadata': {'name': name, 'revision': self.revision},
+            'metadata': {
+                'name': name,
+                'revision': self.revision,
+                'created': created,
+            },
             'spec': spec,
+            'status': previous['status'] if previous else None,
         }
         await self._async_signal_change()
         return self.revision
@@ -173,6 +181,10 @@
             await self.async_remove(kind, name)
             return _json_response(200, {})
         body = json.loads(request.body)
+        if name.endswith(STATUS_SUFFIX):
+            return await self._async_write_status(
+                kind, name.removesuffix(STATUS_SUFFIX), body
+            )
         object_name = name or body['metadata']['name']
         if request.method == 'POST' and object_name in self.stored_objects.get(
             kind, {}
@@ -181,6 +193,21 @@
         await self.async_put(kind, object_name, body['spec'])
         return _json_response(200, self.stored_objects[kind][object_name])
 
+    async def _async_write_status(
+        self, kind: str, name: str, body: Any
+    ) -> HttpResponse:
+        found = self.stored_objects.get(kind, {}).get(name)
+        if found is None:
+            return _json_response(404, {})
+        if body['metadata']['revision'] != found['metadata']['revision']:
+            return _json_response(409, found)
+        self.revision += 1
+        metadata = {**found['metadata'], 'revision': self.revision}
+        changed = {**found, 'metadata': metadata, 'status': body['status']}
+        self.stored_objects[kind][name] = changed
+        await self._async_signal_change()
+        return _json_response(200, changed)
+
 
 class EngineStandin:
     """An engine that runs requests addressed to it, with optional faults.
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -34,6 +34,9 @@
         'retry_slack': 113,
         'quota_window_s': 8,
         'quota_slack': 140_000,
+        'expose_share': 0.1,
+        'expose_slack': 50,
+        'rollback_ms': 5000,
     },
 }
 
@@ -55,6 +58,7 @@
     settings = GatewaySettings.from_config(json.loads(_fill_template(template)))
     assert settings.bounds.grace_ms == 8500
     assert str(settings.entries_address) == '10.0.0.1:4'
+    assert settings.rollouts is not None
     port, _, path = role['metrics'].partition('/')
     assert int(port) == settings.metrics_port
     assert path == 'metrics'
--- a/tests/process/test_gateway_metrics.py
+++ b/tests/process/test_gateway_metrics.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
+from hornbeamdeck.process.gateway_metrics import GatewayMetrics, RolloutCounts
 from hornbeamdeck.process.gateway_metrics_export import make_registry, render
 
 
@@ -19,6 +19,9 @@
     metrics.record_confirmation_ages(500, 250)
     metrics.in_flight = 3
     metrics.configuration_version = 7
+    metrics.rollouts['desk'] = RolloutCounts(
+        1, {'new': 9, 'old': 90}, {'new': 2, 'old': 1}
+    )
     sample = make_registry(metrics).get_sample_value
     priority = {'priority': '0'}
     ended = {'service': 'desk', 'code': 'answered', **priority}
@@ -38,4 +41,8 @@
     assert sample('hornbeamdeck_proof_age_seconds', {'held': 'engines'}) == 0.25
     assert sample('hornbeamdeck_routed_in_flight') == 3
     assert sample('hornbeamdeck_routed_configuration_version') == 7
+    assert sample('hornbeamdeck_rollout_phase', {'service': 'desk'}) == 1
+    new = {'service': 'desk', 'version': 'new'}
+    assert sample('hornbeamdeck_rollout_requests', new) == 9
+    assert sample('hornbeamdeck_rollout_bad_answers', new) == 2
     assert b'hornbeamdeck_routed_in_flight 3.0' in render(metrics)
--- a/tests/process/test_heartbeats.py
+++ b/tests/process/test_heartbeats.py
@@ -85,6 +85,8 @@
                 on_engines_changed=lambda: None,
                 is_store_reached=lambda: True,
                 is_first_start=False,
+                rollouts=list,
+                merge_rollouts=lambda _reported: None,
             ),
         )
 
--- /dev/null
+++ b/tests/rollout/test_book.py
@@ -0,0 +1,267 @@
+"""Tests of what a process knows of roll-outs, with a store that misbehaves."""
+
+from typing import NamedTuple
+
+from curio import run
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+from result import Err, Ok, Result
+
+from hornbeamdeck.connection.store_client import StoreUnavailable
+from hornbeamdeck.rollout.book import RolloutBook
+from hornbeamdeck.rollout.status_writer import StatusWriter
+from hornbeamdeck.rollout.store_interface import (
+    RolloutChange,
+    RolloutStore,
+    StoredRollout,
+)
+from hornbeamdeck.scheduling.rollout import (
+    RolloutBounds,
+    RolloutOrder,
+    RolloutPhase,
+)
+
+SERVICE = 'desk'
+BOUNDS = RolloutBounds(expose_share=0.1, expose_slack=50, rollback_ms=5000)
+NOW = 1e9
+# Number of times that the operator changes the order.
+MAX_OPERATIONS = 2
+NUMBERS = st.integers(0, 1)
+FINAL = (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
+FIRST_FINAL = RolloutPhase.COMPLETED
+DECISIONS = (
+    RolloutPhase.PROMOTING,
+    RolloutPhase.COMPLETED,
+    RolloutPhase.ROLLED_BACK,
+)
+
+
+def _no_clock() -> int:
+    return 0
+
+
+class _LateWrite(NamedTuple):
+    """A write that got no answer and may still take effect."""
+
+    rollout: StoredRollout
+
+
+class _Store:
+    """A store with conditional writes, which loses answers."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.created = 0
+        self.stored: StoredRollout | None = None
+        self.loses_answer = False
+        self.is_down = False
+        self.late_writes: list[_LateWrite] = []
+
+    def put_order(self, target: str) -> None:
+        self.revision += 1
+        status: tuple[RolloutPhase | None, int] = (None, 0)
+        if self.stored is None:
+            self.created = self.revision
+        elif self.stored.order and self.stored.order.target == target:
+            status = (self.stored.phase, self.stored.started_unix_ms)
+        order = RolloutOrder(SERVICE, target, 10_000, self.created)
+        self.stored = StoredRollout(self.revision, order, *status)
+
+    def withdraw(self) -> None:
+        self.revision += 1
+        self.stored = None
+
+    def change(self) -> RolloutChange:
+        return RolloutChange(SERVICE, self.stored)
+
+    def write(self, rollout: StoredRollout) -> None:
+        if self.stored is not None and (
+            self.stored.revision == rollout.revision
+        ):
+            self.revision += 1
+            self.stored = rollout._replace(revision=self.revision)
+
+    async def async_write_status(
+        self, _service: str, rollout: StoredRollout
+    ) -> Result[RolloutChange, StoreUnavailable]:
+        if self.is_down:
+            return Err(StoreUnavailable('down'))
+        if self.loses_answer:
+            self.late_writes.append(_LateWrite(rollout))
+            return Err(StoreUnavailable('lost'))
+        self.write(rollout)
+        return Ok(self.change())
+
+
+class _Process:
+    """One instance: its book, and its writer."""
+
+    def __init__(self, store: _Store, *, is_owner: bool) -> None:
+        self.book = RolloutBook(BOUNDS, _no_clock)
+        self.writer = StatusWriter(
+            RolloutStore(
+                list_rollouts=None,  # type: ignore[arg-type]
+                watch_rollouts=None,  # type: ignore[arg-type]
+                write_status=store.async_write_status,
+            ),
+            self.book,
+            lambda: is_owner,
+            _no_clock,
+        )
+
+    @property
+    def phase(self) -> tuple[RolloutOrder, RolloutPhase] | None:
+        entry = self.book.entries.get(SERVICE)
+        return entry and (entry.rollout.order, entry.rollout.phase)
+
+
+class RolloutKnowledge(RuleBasedStateMachine):
+    """Two instances, a store that loses answers, and an operator."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = _Store()
+        self.store.put_order('v2')
+        self.seen: dict[int, tuple[RolloutOrder, RolloutPhase]] = {}
+        self.final: dict[RolloutOrder, RolloutPhase] = {}
+        self.overtaken: list[RolloutChange] = []
+        self.revisions: dict[int, int] = {}
+        self.operations = 0
+        self.all = [
+            _Process(self.store, is_owner=True),
+            _Process(self.store, is_owner=False),
+        ]
+        for process in self.all:
+            process.book.apply_list([self.store.change()], NOW)
+
+    @rule(number=NUMBERS)
+    def restart(self, number: int) -> None:
+        """Restart an instance, which loses everything and may be the owner."""
+        self.all[number] = _Process(self.store, is_owner=True)
+        self.seen.pop(number, None)
+        self.revisions.pop(number, None)
+
+    @precondition(lambda self: self.operations < MAX_OPERATIONS)
+    @rule(version=st.sampled_from(['v2', 'v3', '']))
+    def operate(self, version: str) -> None:
+        """Change, renew or withdraw the order."""
+        self.operations += 1
+        if version:
+            self.store.put_order(version)
+        else:
+            self.store.withdraw()
+
+    @rule(number=NUMBERS)
+    def read(self, number: int) -> None:
+        if self.store.stored is not None:
+            self.overtaken.append(self.store.change())
+        changes = [self.store.change()] if self.store.stored else []
+        self.all[number].book.apply_list(changes, NOW)
+
+    @precondition(lambda self: self.overtaken)
+    @rule(number=NUMBERS, drawn=st.data())
+    def read_overtaken(self, number: int, drawn: st.DataObject) -> None:
+        """Apply a response that was sent before another one was received."""
+        change = drawn.draw(st.sampled_from(self.overtaken))
+        self.all[number].book.apply_change(change, NOW)
+
+    @rule(receiver=NUMBERS)
+    def gossip(self, receiver: int) -> None:
+        sender = self.all[1 - receiver]
+        self.all[receiver].book.merge(sender.book.to_wire(NOW), NOW)
+
+    @rule(number=NUMBERS, phase=st.sampled_from(DECISIONS))
+    def decide(self, number: int, phase: RolloutPhase) -> None:
+        """Decide as an owner does, which never changes a final phase."""
+        entry = self.all[number].book.entries.get(SERVICE)
+        if entry and not entry.rollout.phase.is_final:
+            entry.rollout.adopt(max(phase, entry.rollout.phase))
+
+    @rule(number=NUMBERS, fault=st.sampled_from(['', '', '', 'lost', 'down']))
+    def write(self, number: int, fault: str) -> None:
+        self.store.loses_answer = fault == 'lost'
+        self.store.is_down = fault == 'down'
+        run(_async_write, self.all[number])
+
+    @rule()
+    def take_effect_late(self) -> None:
+        while self.store.late_writes:
+            self.store.write(self.store.late_writes.pop().rollout)
+
+    @invariant()
+    def final_status_stays(self) -> None:
+        stored = self.store.stored
+        if stored is None or stored.order is None or stored.phase is None:
+            return
+        final = self.final.get(stored.order)
+        assert final is None or final == stored.phase
+        if stored.phase.is_final:
+            self.final[stored.order] = stored.phase
+
+    @invariant()
+    def phase_never_returns(self) -> None:
+        for number, process in enumerate(self.all):
+            now = process.phase
+            before = self.seen.pop(number, None)
+            if now is None:
+                continue
+            self.seen[number] = now
+            if before is not None and before[0] == now[0]:
+                assert min(before[1], FIRST_FINAL) <= min(now[1], FIRST_FINAL)
+
+    @invariant()
+    def stored_status_outweighs_peers(self) -> None:
+        for number, process in enumerate(self.all):
+            entry = process.book.entries.get(SERVICE)
+            stored = entry.stored if entry else None
+            before = self.revisions.pop(number, 0)
+            if entry is None or stored is None:
+                continue
+            assert stored.revision >= before
+            self.revisions[number] = stored.revision
+            if stored.phase in FINAL:
+                assert entry.rollout.phase == stored.phase
+
+    def teardown(self) -> None:
+        """All instances that have read agree with a final status."""
+        stored = self.store.stored
+        if stored is None or stored.phase is None or not stored.phase.is_final:
+            return
+        for process in self.all:
+            process.book.apply_list([self.store.change()], NOW)
+            assert process.phase == (stored.order, stored.phase)
+
+
+async def _async_write(process: _Process) -> None:
+    await process.writer.async_write_due()
+
+
+def test_status_in_the_store_outweighs_what_a_peer_has_decided() -> None:
+    """Guards against excluding the only version that is left.
+
+    The roll-out is completed, and the old engines are stopped. An instance that
+    was cut off meanwhile has decided on a roll-back and tells its peers.
+    """
+    store = _Store()
+    store.put_order('v2')
+    owner, cut_off = [_Process(store, is_owner=True) for _ in range(2)]
+    for process in (owner, cut_off):
+        process.book.apply_list([store.change()], NOW)
+    owner.book.entries[SERVICE].rollout.adopt(RolloutPhase.COMPLETED)
+    run(_async_write, owner)
+    cut_off.book.entries[SERVICE].rollout.adopt(RolloutPhase.ROLLED_BACK)
+    owner.book.merge(cut_off.book.to_wire(NOW), NOW)
+    assert owner.phase is not None
+    assert owner.phase[1] == RolloutPhase.COMPLETED
+
+
+TestRolloutKnowledge = RolloutKnowledge.TestCase
+TestRolloutKnowledge.settings = settings(
+    max_examples=150, stateful_step_count=25, deadline=None
+)
