--- a/hornbeamdeck/cli.py
+++ b/hornbeamdeck/cli.py
@@ -12,7 +12,7 @@
 from hornbeamdeck.demo.run import async_demo
 from hornbeamdeck.explain import (
     LogLines,
-    describe_request,
+    describe_lines,
     explain_all,
     make_report,
     read_lines,
@@ -129,7 +129,7 @@
         if request_lines is None:
             print(f'{log}: no line of {request_id}', file=sys.stderr)
             sys.exit(EXIT_FAILED)
-        output: Iterable[str] = describe_request(request_lines)
+        output: Iterable[str] = describe_lines(request_lines)
         if json:
             output = [json_codec.dumps(request_lines)]
     else:
--- a/hornbeamdeck/explain/__init__.py
+++ b/hornbeamdeck/explain/__init__.py
@@ -2,13 +2,13 @@
 
 from hornbeamdeck.explain.log_lines import LogLines, read_lines
 from hornbeamdeck.explain.outcomes import Explained, explain_all
-from hornbeamdeck.explain.report import Report, describe_request, make_report
+from hornbeamdeck.explain.report import Report, describe_lines, make_report
 
 __all__ = (
     'Explained',
     'LogLines',
     'Report',
-    'describe_request',
+    'describe_lines',
     'explain_all',
     'make_report',
     'read_lines',
--- a/hornbeamdeck/explain/log_lines.py
+++ b/hornbeamdeck/explain/log_lines.py
@@ -15,6 +15,9 @@
 INSTANCE_ID: Final = 'instance_id'
 ZONE: Final = 'availability_zone'
 TIMESTAMP: Final = 'timestamp'
+ROLLOUT_PREFIX: Final = 'rollout: '
+# Logged each second during a roll-out; the steps between tell its course.
+ROLLOUT_PROGRESS: Final = 'rollout: progress'
 
 
 class LogLines(NamedTuple):
@@ -28,6 +31,7 @@
         if no line has one.
     :param zones: availability zone by instance ID, as each instance logged it
         at its start.
+    :param rollouts: the steps of all roll-outs, in the order of the file.
     """
 
     by_request: dict[str, list[LogLine]]
@@ -35,6 +39,7 @@
     damaged: int
     first_s: float
     zones: dict[str, str]
+    rollouts: list[LogLine]
 
 
 def read_lines(raw: Iterable[str]) -> LogLines:
@@ -45,6 +50,7 @@
     """
     by_request: dict[str, list[LogLine]] = defaultdict(list)
     zones: dict[str, str] = {}
+    rollouts: list[LogLine] = []
     lines = 0
     damaged = 0
     first_s = 0.0
@@ -58,9 +64,10 @@
         lines += 1
         first_s = first_s or unix_seconds(line)
         _record_zone(line, zones)
+        rollouts += _rollout_steps(line)
         if line.get(REQUEST_ID):
             by_request[str(line[REQUEST_ID])].append(line)
-    return LogLines(dict(by_request), lines, damaged, first_s, zones)
+    return LogLines(dict(by_request), lines, damaged, first_s, zones, rollouts)
 
 
 def unix_seconds(line: LogLine) -> float:
@@ -80,6 +87,13 @@
         zones[str(line.get(INSTANCE_ID))] = str(line[ZONE])
 
 
+def _rollout_steps(line: LogLine) -> list[LogLine]:
+    event: str = line[EVENT]
+    if event.startswith(ROLLOUT_PREFIX) and event != ROLLOUT_PROGRESS:
+        return [line]
+    return []
+
+
 def _parse(text: str) -> LogLine | None:
     try:
         line = json.loads(text)
--- a/hornbeamdeck/explain/report.py
+++ b/hornbeamdeck/explain/report.py
@@ -8,7 +8,7 @@
 from hornbeamdeck.explain.log_lines import LogLine, LogLines
 from hornbeamdeck.explain.outcomes import Explained, Outcome
 
-__all__ = ('Report', 'describe_request', 'make_report')
+__all__ = ('Report', 'describe_lines', 'make_report')
 
 # Fields of `Explained` by which the requests of one cause are counted.
 _DIMENSIONS: Final = (
@@ -42,12 +42,16 @@
 
 
 class Report(NamedTuple):
-    """Summary of all requests in a log."""
+    """Summary of all requests in a log.
+
+    :param rollouts: the steps of roll-outs, one text line each.
+    """
 
     lines: int
     damaged: int
     outcomes: dict[str, int]
     causes: list[Cause]
+    rollouts: list[str]
 
     def to_dict(self) -> dict[str, Any]:
         """Return the report as plain values for JSON."""
@@ -66,6 +70,10 @@
                 yield f'       decided on (medians): {_row(cause.decided_on)}'
             for dimension, counts in cause.by.items():
                 yield f'       by {dimension}: {_row(counts) or "not told"}'
+        if self.rollouts:
+            yield ''
+            yield 'Roll-outs:'
+            yield from self.rollouts
 
 
 def make_report(logs: LogLines, explained: Iterable[Explained]) -> Report:
@@ -82,11 +90,12 @@
         damaged=logs.damaged,
         outcomes=dict(outcomes.most_common()),
         causes=[_to_cause(*key, members) for key, members in ordered],
+        rollouts=list(describe_lines(logs.rollouts)),
     )
 
 
-def describe_request(lines: list[LogLine]) -> Iterator[str]:
-    """Return one text line per log line of a request, ordered by time."""
+def describe_lines(lines: list[LogLine]) -> Iterator[str]:
+    """Return one text line per log line, ordered by time."""
     ordered = sorted(lines, key=lambda line: str(line.get('timestamp')))
     for line in ordered:
         fields = ' '.join(
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -7,7 +7,7 @@
 
 from hornbeamdeck.cli import explain
 from hornbeamdeck.explain import (
-    describe_request,
+    describe_lines,
     explain_all,
     make_report,
     read_lines,
@@ -56,6 +56,18 @@
     return _line('scheduler: request was held back', held_for=reason)
 
 
+def test_course_of_a_rollout_is_told() -> None:
+    lines = [
+        _line('rollout: order taken', '', target='v2'),
+        _line('rollout: progress', '', granted_new=3),
+        _line('rollout: phase changed', '', phase='rolled_back', second=4),
+    ]
+    logs = read_lines(lines)
+    report = list(make_report(logs, explain_all(logs)).to_text())
+    assert 'target=v2' in report[-2]
+    assert 'phase=rolled_back' in report[-1]
+
+
 def _refused(**fields: Any) -> str:
     return _line('scheduler: request refused', reason='overloaded', **fields)
 
@@ -183,7 +195,7 @@
 
 def test_described_lines_are_ordered_by_time() -> None:
     lines = [_answered(second=3), _line('request: try ended', second=1)]
-    described = list(describe_request(read_lines(lines).by_request['r1']))
+    described = list(describe_lines(read_lines(lines).by_request['r1']))
     assert 'try ended' in described[0]
     assert 'request answered' in described[1]
 
