Trust a new version by its latest answers only

A proof now lapses with the next failures, the old version keeps a quarter of the requests that end in time while both serve, and a version that is doubted at the end is rolled back. The version is trusted at 0.62 of the duration and the old engines are given up between 0.83 and 0.90, which leaves three seconds to notice; an order of 14 s that is read 0.7 s late is still answered in time.

--- a/hornbeamdeck/scheduling/rollout.py
+++ b/hornbeamdeck/scheduling/rollout.py
@@ -10,7 +10,7 @@
 import enum
 import math
 from collections.abc import Callable, Collection
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.scheduling.exposure import Exposure
@@ -30,20 +30,23 @@
 
 # No version is trusted before this share of the requested duration, so that
 # one which turns bad later is noticed while it gets few requests.
-MIN_OBSERVED_SHARE: Final = 0.55
+MIN_OBSERVED_SHARE: Final = 0.62
 # The old engines are given up at this share of the duration. The rest covers a
 # store that does not answer for a while.
-COMPLETION_SHARE: Final = 0.8
+COMPLETION_SHARE: Final = 0.83
 # At this share, a version that is rather bad than good is rolled back although
 # neither is proved.
 DECISION_SHARE: Final = 0.9
 # If the version is trusted late, the old engines keep this share of the
 # duration to end their runs; and as much again for runs that take longer than
 # expected.
-DRAIN_SHARE: Final = 0.08
+DRAIN_SHARE: Final = 0.07
 # Callers' estimates of the output are wrong by this factor for one request in
 # ten.
 RUN_MARGIN: Final = 2.5
+# While both serve, the old version gets this share of the requests: without
+# answers to compare with, a version that turns bad now would not be noticed.
+COMPARED_SHARE: Final = 0.25
 # The new version is not trusted to carry all requests with fewer slots.
 MIN_SLOTS_SHARE: Final = 0.75
 # The first requests go to a few of the new engines at a time, so that each of
@@ -120,6 +123,24 @@
     old_runs: int
 
 
+class _Grants(NamedTuple):
+    """Grants since the new version is trusted."""
+
+    granted: int = 0
+    granted_old: int = 0
+
+    def add(self, *, is_new: bool) -> Self:
+        """Return the counts with one more grant."""
+        return self._replace(
+            granted=self.granted + 1,
+            granted_old=self.granted_old + (not is_new),
+        )
+
+    def needs_old(self) -> bool:
+        """Return whether the next request is to keep the old version known."""
+        return self.granted_old < COMPARED_SHARE * self.granted
+
+
 class _Fleet(NamedTuple):
     """The engines of the service by version, as last listed."""
 
@@ -153,6 +174,7 @@
         self._complete_ms = started_ms + order.duration_ms * COMPLETION_SHARE
         self._decide_ms = started_ms + order.duration_ms * DECISION_SHARE
         self._fleet = _Fleet((), 0, frozenset(), 0)
+        self._promoted = _Grants()
         # Incarnations of the old version that stop when this process learns
         # that the roll-out is completed.
         self._stopping: frozenset[tuple[str, int]] = frozenset()
@@ -224,11 +246,16 @@
             for load in old
             if now + RUN_MARGIN * estimate_run_ms(load) < self._complete_ms
         ]
+        if self._promoted.needs_old():
+            return [ending, new]
         return [new, ending]
 
     def record_grant(self, load: EngineLoad) -> None:
         """Count a request that was granted an engine."""
-        self.exposure.record_grant(is_new=self.is_new(load))
+        is_new = self.is_new(load)
+        self.exposure.record_grant(is_new=is_new)
+        if self.phase == RolloutPhase.PROMOTING:
+            self._promoted = self._promoted.add(is_new=is_new)
 
     def record_answer(self, answer: Answer, now: float) -> None:
         """Add the end of a run to the comparison of the versions."""
@@ -264,7 +291,8 @@
         """
         verdict = self._comparison.verdict(now)
         reason = verdict.reason
-        if not reason and verdict.doubted and now >= self._decide_ms:
+        is_late = now >= min(self._decide_ms, self._complete_ms)
+        if not reason and verdict.doubted and is_late:
             reason = f'not proved by {verdict.doubted}'
         return RolloutStep(
             phase=self.phase,
--- a/hornbeamdeck/scheduling/sequential_tests.py
+++ b/hornbeamdeck/scheduling/sequential_tests.py
@@ -22,8 +22,9 @@
 # Failure rate of the new version above that of the old one which a good
 # version is proved not to have.
 EXCESS_RATE: Final = 0.1
-# Bounds of the evidence of `ExcessTest`.
-MIN_LOG_DOUBT: Final = -6.0
+# Bounds of the evidence of `ExcessTest`: how far it may go beyond the proof,
+# less than one failure takes back, and how far against it.
+PROOF_RESERVE: Final = 0.8
 MAX_LOG_DOUBT: Final = 2.3
 # Bounds of the old version's failure rate as used by `ExcessTest`.
 MIN_RATE: Final = 0.05
@@ -96,16 +97,25 @@
     that is higher by `EXCESS_RATE`.
     """
 
-    def __init__(self) -> None:
-        """Start without evidence."""
+    def __init__(self, miss_rate: float) -> None:
+        """Start without evidence.
+
+        :param miss_rate: probability with which a worse version is proved.
+        """
         self.log_doubt = 0.0
+        self._log_threshold = math.log(miss_rate)
+
+    @property
+    def is_proved(self) -> bool:
+        """Whether the new version is known to be as good."""
+        return self.log_doubt <= self._log_threshold
 
     def add(self, counts: AnswerCounts) -> None:
         """Add the answers of one second.
 
         The evidence is bounded. A trouble that has ended must not keep a good
-        version from being proved, and good answers of the past must not prove a
-        version that has turned bad.
+        version from being proved for long, and a version that has turned bad
+        must lose its proof with its next failures.
         """
         rate = counts.old_bad / (counts.old + PRIOR_ANSWERS)
         rate = min(max(rate, MIN_RATE), MAX_RATE)
@@ -113,7 +123,8 @@
         change = good * math.log((1 - rate - EXCESS_RATE) / (1 - rate))
         change += counts.new_bad * math.log((rate + EXCESS_RATE) / rate)
         doubt = self.log_doubt + change
-        self.log_doubt = min(max(doubt, MIN_LOG_DOUBT), MAX_LOG_DOUBT)
+        least = self._log_threshold - PROOF_RESERVE
+        self.log_doubt = min(max(doubt, least), MAX_LOG_DOUBT)
 
 
 def tail_probability(counts: AnswerCounts) -> float:
--- a/hornbeamdeck/scheduling/version_comparison.py
+++ b/hornbeamdeck/scheduling/version_comparison.py
@@ -10,6 +10,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterator
+from functools import partial
 from typing import Final, NamedTuple
 
 from hornbeamdeck.scheduling.engine_pace import (
@@ -150,10 +151,10 @@
 class _Evidence:
     """Evidence of one kind, from the answers of one route or of all."""
 
-    def __init__(self) -> None:
+    def __init__(self, miss_rate: float) -> None:
         self.total = AnswerCounts()
         self.odds = OddsTest()
-        self.excess = ExcessTest()
+        self.excess = ExcessTest(miss_rate)
         self._second = AnswerCounts()
         self._engines = _EngineFailures()
 
@@ -197,8 +198,8 @@
 
     def __init__(self) -> None:
         """Start without answers."""
-        self._failures: dict[str, _Evidence] = defaultdict(_Evidence)
-        self._slow_answers: dict[str, _Evidence] = defaultdict(_Evidence)
+        self._failures = _evidence_by_route()
+        self._slow_answers = _evidence_by_route()
         self._new_paces: dict[str, EnginePace] = defaultdict(EnginePace)
         self._old_paces: dict[str, EnginePace] = defaultdict(EnginePace)
         self._second_ends_ms = -math.inf
@@ -248,12 +249,12 @@
         if not self._is_sound():
             yield UNPROVED_SPEED
         everything = self._failures[ALL_ROUTES]
-        if everything.excess.log_doubt > math.log(MISS_RATE):
+        if not everything.excess.is_proved:
             yield UNPROVED_TOTAL
         for route, evidence in self._failures.items():
             if (
                 evidence.total.old >= MIN_ROUTE_SHARE * everything.total.old
-                and evidence.excess.log_doubt > math.log(ROUTE_MISS_RATE)
+                and not evidence.excess.is_proved
             ):
                 yield route
 
@@ -283,6 +284,12 @@
         return common_pace(self._new_paces, FAST_SHARE) < limit
 
 
+def _evidence_by_route() -> dict[str, _Evidence]:
+    by_route = defaultdict(partial(_Evidence, ROUTE_MISS_RATE))
+    by_route[ALL_ROUTES] = _Evidence(MISS_RATE)
+    return by_route
+
+
 def _record(
     by_route: dict[str, _Evidence],
     answer: Answer,
--- a/tests/scheduling/test_sequential_tests.py
+++ b/tests/scheduling/test_sequential_tests.py
@@ -63,10 +63,10 @@
 
 
 def test_version_without_failures_is_proved_in_a_known_number() -> None:
-    test = ExcessTest()
+    test = ExcessTest(0.01)
     for _ in range(3):
         test.add(AnswerCounts(new=15, old=100))
-    assert test.log_doubt <= math.log(0.01)
+    assert test.is_proved
 
 
 def test_version_with_more_failures_is_not_proved() -> None:
@@ -74,8 +74,17 @@
     rng = random.Random(4)
     proved = 0
     for _ in range(300):
-        test = ExcessTest()
+        test = ExcessTest(0.01)
         for _ in range(12):
             test.add(_second(rng, new_rate=0.2, old_rate=0.02))
-            proved += test.log_doubt <= math.log(0.01)
+            proved += test.is_proved
     assert proved <= 3
+
+
+def test_proof_lapses_with_the_next_failures() -> None:
+    """Guards against trusting a version that has just turned bad."""
+    test = ExcessTest(0.01)
+    for _ in range(50):
+        test.add(AnswerCounts(new=15, old=100))
+    test.add(AnswerCounts(new=15, new_bad=3, old=100))
+    assert not test.is_proved
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
 SCHEDULING_IMPORTS = (
     'collections',
     'enum',
+    'functools',
     'heapq',
     'itertools',
     'hornbeamdeck.const',
