Learn no duration from calls that another owner granted

After a takeover, bookings and look-ups were refused as overloaded for seconds: a call that the former owner granted has no known start, zero was taken for it, and the estimate of a call's duration jumped to a share of the time since boot. The test fails without the check.

--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -233,7 +233,8 @@
     def _learn_output(self, run: EngineRun, now: float) -> None:
         output = self.estimates.output
         if not self.properties.is_model:
-            output.learn_call(now - run.started_ms)
+            if run.started_ms:
+                output.learn_call(now - run.started_ms)
         elif run.first_token_at_ms:
             elapsed_ms = (now - run.first_token_at_ms) / self.slowness
             output.learn_tokens(elapsed_ms, run.output_tokens)
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -23,6 +23,9 @@
 )
 
 
+HOUR_MS = 3_600_000.0
+
+
 def _release(request_id: str, end: RunEnd) -> Release:
     return Release(
         request_id=request_id,
@@ -580,3 +583,23 @@
     desk.withdraw('withdrawn')
     teams['guides'] = guides
     assert enqueue(desk, make_request('next', quota_tokens=15_000)) is None
+
+
+def test_calls_that_another_owner_granted_teach_no_duration() -> None:
+    """Guards against refusing bookings for seconds after a takeover.
+
+    The new owner does not know when the calls that it takes over began. If it
+    took their start for the start of its clock, a call would seem to last for
+    hours, and no slot would be expected to become free in time.
+    """
+    desk = make_cell(engine('e1', slots=1), properties=PLAIN)
+    for number in range(5):
+        request_id = f'r{number}'
+        run = _granted_elsewhere()
+        run.request_id = request_id
+        desk.register(run, 'old ingress')
+        desk.release(_release(request_id, RunEnd.ANSWERED), HOUR_MS)
+    for number in range(4):
+        request = make_request(f'new-{number}', prompt_tokens=0)
+        assert enqueue(desk, request, HOUR_MS) is None
+        granted(desk, HOUR_MS)
