--- a/hornbeamdeck/process/log_buffer.py
+++ b/hornbeamdeck/process/log_buffer.py
@@ -12,6 +12,10 @@
 __all__ = ('LogBuffer',)
 
 MAX_LINES: Final = 2000
+# Part of `MAX_LINES` that lines on single requests don't use.
+RESERVED_LINES: Final = 200
+REQUEST_MARK: Final = '"request_id"'
+CHUNK_BYTES: Final = 16_384
 FLUSH_MS: Final = 100
 STDOUT: Final = 1
 
@@ -22,6 +26,10 @@
     If the log collector stops reading, the pipe fills up, and a blocking write
     would stop the whole process while it serves requests. Lines beyond
     `MAX_LINES` are dropped and counted instead.
+
+    An overloaded owner refuses more requests a second than a collector reads.
+    Its lines on the load and on what it believes explain these refusals, so
+    they are written before the lines on single requests.
     """
 
     def __init__(self, on_dropped: Callable[[], None]) -> None:
@@ -29,15 +37,27 @@
 
         :param on_dropped: called for each line that is dropped.
         """
-        self._lines: deque[bytes] = deque()
         self._on_dropped = on_dropped
+        self._incomplete = ''
+        self._unwritten = b''
+        self._state_lines: deque[bytes] = deque()
+        self._request_lines: deque[bytes] = deque()
         os.set_blocking(STDOUT, False)
 
     def write(self, text: str) -> int:
         """Buffer text; structlog writes a line and its newline separately."""
-        if len(self._lines) < MAX_LINES:
-            self._lines.append(text.encode(ENCODING, 'replace'))
-        elif text.strip():
+        self._incomplete += text
+        if not self._incomplete.endswith('\n'):
+            return len(text)
+        line = self._incomplete
+        self._incomplete = ''
+        buffered = len(self._state_lines) + len(self._request_lines)
+        lines, limit = self._state_lines, MAX_LINES
+        if REQUEST_MARK in line:
+            lines, limit = self._request_lines, MAX_LINES - RESERVED_LINES
+        if buffered < limit:
+            lines.append(line.encode(ENCODING, 'replace'))
+        else:
             self._on_dropped()
         return len(text)
 
@@ -46,21 +66,35 @@
 
     def write_out(self) -> None:
         """Write as much as standard output accepts without blocking."""
-        pending = b''.join(self._lines)
-        self._lines.clear()
-        try:
-            written = os.write(STDOUT, pending) if pending else 0
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # Standard output is closed for good, so the error can't be logged
-            # either; discard the lines.
-            written = len(pending)
-        if written < len(pending):
-            self._lines.appendleft(pending[written:])
+        while self._unwritten or self._state_lines or self._request_lines:
+            self._unwritten = self._unwritten or self._next_chunk()
+            written = _write_available(self._unwritten)
+            self._unwritten = self._unwritten[written:]
+            if self._unwritten:
+                return
+
+    def _next_chunk(self) -> bytes:
+        """Take the next lines, few enough not to delay later state lines."""
+        chunk = b''
+        for lines in (self._state_lines, self._request_lines):
+            while lines and len(chunk) < CHUNK_BYTES:
+                chunk += lines.popleft()
+        return chunk
 
     async def async_run(self) -> None:
         """Write the buffered lines periodically; never returns."""
         while True:
             await sleep(FLUSH_MS / MILLIS_PER_SECOND)
             self.write_out()
+
+
+def _write_available(pending: bytes) -> int:
+    """Write to standard output and return how many bytes it has accepted."""
+    try:
+        return os.write(STDOUT, pending)
+    except BlockingIOError:
+        return 0
+    except OSError:
+        # Standard output is closed for good, so the error can't be logged
+        # either; discard the lines.
+        return len(pending)
--- a/tests/process/test_log_buffer.py
+++ b/tests/process/test_log_buffer.py
@@ -31,3 +31,30 @@
     os.close(read_end)
     buffer.write_out()
     os.close(write_end)
+
+
+def test_lines_on_requests_do_not_displace_those_on_the_load(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an overload that its own log does not explain.
+
+    An owner refuses more requests than the collector can read lines. The line
+    on the load of its engines is written all the same, and soon.
+    """
+    read_end, write_end = os.pipe()
+    monkeypatch.setattr(log_buffer, 'STDOUT', write_end)
+    buffer = log_buffer.LogBuffer(lambda: None)
+    refusal = '{"request_id": "' + 'x' * 300 + '"}'
+    for _ in range(log_buffer.MAX_LINES * 2):
+        buffer.write(refusal)
+        buffer.write('\n')
+    buffer.write_out()
+    buffer.write('{"event": "scheduler: load"}\n')
+    buffer.write_out()
+    output = os.read(read_end, 10_000_000)
+    buffer.write_out()
+    output += os.read(read_end, 10_000_000)
+    assert b'scheduler: load' in output
+    os.close(read_end)
+    buffer.write_out()
+    os.close(write_end)
