Grant short calls beyond the slots of their engines

A slot is granted again only when the owner has heard that its call has ended and the next ingress has opened a connection: about as long as the work itself, so half of the slots were empty.

The owner now learns how long a call takes it and how long the engine, and grants as many calls for a slot as fit, two at the most. Releases tell the time to the first byte. Engines queue a few calls; model engines keep one run a slot.

--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -20,6 +20,7 @@
 from hornbeamdeck.process.peers import Peers
 from hornbeamdeck.process.poison_reports import PoisonReports
 from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import deadline_passed, refusal_from_owner
 from hornbeamdeck.wire import (
@@ -89,7 +90,7 @@
                 await self.async_release(
                     request.request_id,
                     RunEnd.CANCELLED,
-                    total_ms=0,
+                    RunSummary(),
                 )
         if decision is None:
             return Err(deadline_passed())
@@ -119,15 +120,9 @@
         self,
         request_id: str,
         end: RunEnd,
-        total_ms: float,
-        longest_gap_ms: float = 0,
-        output_tokens: int = 0,
+        summary: RunSummary,
     ) -> None:
-        """Report the end of a run to the owner.
-
-        :param longest_gap_ms: longest gap between two events of the response.
-        :param output_tokens: tokens of a complete response; 0: not known.
-        """
+        """Report the end of a run to the owner."""
         running = self._running.pop(request_id, None)
         if running is None:
             return
@@ -135,9 +130,10 @@
             request_id=request_id,
             cell=running.run.cell,
             end=end,
-            total_ms=int(total_ms),
-            longest_gap_ms=int(longest_gap_ms),
-            output_tokens=output_tokens,
+            total_ms=int(summary.total_ms),
+            longest_gap_ms=int(summary.longest_gap_ms),
+            output_tokens=summary.output_tokens,
+            first_byte_ms=int(summary.first_byte_ms),
         )
         await self._link.async_send(running.owner, message)
 
--- a/hornbeamdeck/process/instance_components.py
+++ b/hornbeamdeck/process/instance_components.py
@@ -33,10 +33,11 @@
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.process.snapshots import Snapshots
 from hornbeamdeck.request.claim import Claims
+from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.idempotency import IdempotencyContext
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.configuration import Configuration
-from hornbeamdeck.wire import Enqueue
+from hornbeamdeck.wire import Enqueue, RunEnd
 
 __all__ = ('InstanceComponents',)
 
@@ -170,8 +171,15 @@
         granted = await grants.async_acquire(request)
         return granted.map(lambda grant: str(grant.upstream))
 
+    async def _async_release(
+        request_id: str, end: RunEnd, total_ms: float
+    ) -> None:
+        await grants.async_release(
+            request_id, end, RunSummary(total_ms=total_ms)
+        )
+
     return Policy(
         acquire=_async_acquire,
         on_first_token=grants.async_report_first_token,
-        on_end=grants.async_release,
+        on_end=_async_release,
     )
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -16,7 +16,7 @@
 from hornbeamdeck.process.freshness_guard import FreshnessGuard
 from hornbeamdeck.process.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_admission import GatewayAdmission, async_admit
-from hornbeamdeck.request.gateway_request import Dialect
+from hornbeamdeck.request.gateway_request import Dialect, RunSummary
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
@@ -57,9 +57,8 @@
     :param acquire_grant: waits for a grant.
     :param report_first_token: gets a request's id and its time to first token,
         ms.
-    :param release_grant: gets a request's id, how its run ended, how long it
-        took and the longest gap between two events, ms, and the number of
-        tokens that were generated.
+    :param release_grant: gets a request's id, how its run ended and its
+        summary.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param zone: this instance's availability zone.
@@ -75,7 +74,7 @@
     connection_pool: ConnectionPool
     acquire_grant: Acquire
     report_first_token: Callable[[str, float], Awaitable[None]]
-    release_grant: Callable[[str, RunEnd, float, float, int], Awaitable[None]]
+    release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     zone: str
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -9,7 +9,13 @@
 from hornbeamdeck.connection.http import Headers, HttpRequest, HttpResponse
 from hornbeamdeck.request.outcome import Failure, NotRun
 
-__all__ = ('Dialect', 'EngineAttempt', 'GatewayRequest', 'ResponseVerdict')
+__all__ = (
+    'Dialect',
+    'EngineAttempt',
+    'GatewayRequest',
+    'ResponseVerdict',
+    'RunSummary',
+)
 
 
 class GatewayRequest(NamedTuple):
@@ -60,6 +66,22 @@
     last_event_id: str
 
 
+class RunSummary(NamedTuple):
+    """Times of a run as its ingress measured them, in milliseconds.
+
+    :param total_ms: since the grant was used.
+    :param first_byte_ms: from sending the request to the first byte of its
+        response; 0: there was none.
+    :param longest_gap_ms: longest gap between two events of the response.
+    :param output_tokens: tokens of a complete response; 0: not known.
+    """
+
+    total_ms: float = 0
+    first_byte_ms: float = 0
+    longest_gap_ms: float = 0
+    output_tokens: int = 0
+
+
 class ResponseVerdict(enum.Enum):
     """What the head of an engine's response shows about the request."""
 
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -16,6 +16,7 @@
     recheck_key,
 )
 from hornbeamdeck.request.gateway_handler import GatewayContext
+from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
 from hornbeamdeck.request.refusal import deadline_passed
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
@@ -193,7 +194,7 @@
         if isinstance(allowed, Err):
             request_id = admission.request.request_id
             await self._context.release_grant(
-                request_id, RunEnd.CANCELLED, 0, 0, 0
+                request_id, RunEnd.CANCELLED, RunSummary()
             )
             return allowed
         if not self._attempts.excluded and admission.team is not None:
@@ -214,7 +215,9 @@
                 self._context.freshness_guard.engines_age_ms()
             ),
         )
-        await self._context.release_grant(request_id, RunEnd.CANCELLED, 0, 0, 0)
+        await self._context.release_grant(
+            request_id, RunEnd.CANCELLED, RunSummary()
+        )
         excluded = (*self._attempts.excluded, engine)
         self._attempts = self._attempts._replace(excluded=excluded)
 
@@ -230,9 +233,12 @@
             await self._context.release_grant(
                 self._admission.request.request_id,
                 end,
-                now_ms() - granted_ms,
-                self._single_engine_gap_ms(),
-                self._generated_tokens(),
+                RunSummary(
+                    total_ms=now_ms() - granted_ms,
+                    first_byte_ms=self._engine_attempts.first_byte_ms,
+                    longest_gap_ms=self._single_engine_gap_ms(),
+                    output_tokens=self._generated_tokens(),
+                ),
             )
         attempts = self._attempts
         if end != RunEnd.ANSWERED:
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -204,7 +204,7 @@
         if load is None:
             return None
         end = RunEnd(message.end)
-        run = load.end(message.request_id, end, now)
+        run = load.end(message.request_id, end, now, message.first_byte_ms or 0)
         if run is None:
             return None
         self._placements.record_engine_change(load.engine.name)
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -82,11 +82,11 @@
 
     def has_free_slot(self) -> bool:
         """Return whether a request would start at once."""
-        return len(self.runs) < self.slots and not self.engine.is_draining
+        return self.free_slots() > 0 and not self.engine.is_draining
 
     def free_slots(self) -> int:
         """Return the number of requests that would start at once."""
-        return max(self.slots - len(self.runs), 0)
+        return max(self._capacity() - len(self.runs), 0)
 
     def first_token_ms(self, work_ms: float, now: float) -> float:
         """Estimate the time to first token of a request sent now.
@@ -187,15 +187,25 @@
             self.slowness = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
         self._cap_backlog(now)
 
-    def end(self, request_id: str, end: RunEnd, now: float) -> EngineRun | None:
-        """Remove a run and update the engine's health by how it ended."""
+    def end(
+        self,
+        request_id: str,
+        end: RunEnd,
+        now: float,
+        first_byte_ms: float = 0,
+    ) -> EngineRun | None:
+        """Remove a run and update the engine's health by how it ended.
+
+        :param first_byte_ms: from sending the request to the first byte of its
+            response; 0: not known.
+        """
         run = self.runs.pop(request_id, None)
         if run is None:
             return None
         if run.is_prefilling:
             self._cap_backlog(now)
         if end == RunEnd.ANSWERED:
-            self._learn_output(run, now)
+            self._learn_output(run, now, first_byte_ms)
         self.health.record_run_end(run.zone, end, now)
         return run
 
@@ -230,11 +240,18 @@
             return output.call_ms
         return output_tokens * output.token_ms * self.slowness
 
-    def _learn_output(self, run: EngineRun, now: float) -> None:
+    def _capacity(self) -> int:
+        if self.properties.is_model:
+            return self.slots
+        return int(self.slots * self.estimates.output.calls_per_slot)
+
+    def _learn_output(
+        self, run: EngineRun, now: float, first_byte_ms: float
+    ) -> None:
         output = self.estimates.output
         if not self.properties.is_model:
-            if run.started_ms:
-                output.learn_call(now - run.started_ms)
+            if first_byte_ms and run.started_ms:
+                output.learn_call(now - run.started_ms, first_byte_ms)
         elif run.first_token_at_ms:
             elapsed_ms = (now - run.first_token_at_ms) / self.slowness
             output.learn_tokens(elapsed_ms, run.output_tokens)
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1189,6 +1189,7 @@
      - total_ms
      - output_tokens
      - longest_gap_ms
+     - first_byte_ms
 
     """
 
@@ -1199,16 +1200,18 @@
         'total_ms',
         'output_tokens',
         'longest_gap_ms',
+        'first_byte_ms',
     )
 
 
-    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None,):
+    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None, first_byte_ms=None,):
         self.request_id = request_id
         self.cell = cell
         self.end = end
         self.total_ms = total_ms
         self.output_tokens = output_tokens
         self.longest_gap_ms = longest_gap_ms
+        self.first_byte_ms = first_byte_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1249,6 +1252,11 @@
                     self.longest_gap_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.first_byte_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1283,6 +1291,10 @@
             oprot.writeFieldBegin('longest_gap_ms', TType.I32, 6)
             oprot.writeI32(self.longest_gap_ms)
             oprot.writeFieldEnd()
+        if self.first_byte_ms is not None:
+            oprot.writeFieldBegin('first_byte_ms', TType.I32, 7)
+            oprot.writeI32(self.first_byte_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2720,6 +2732,7 @@
     (4, TType.I32, 'total_ms', None, None, ),  # 4
     (5, TType.I32, 'output_tokens', None, None, ),  # 5
     (6, TType.I32, 'longest_gap_ms', None, None, ),  # 6
+    (7, TType.I32, 'first_byte_ms', None, None, ),  # 7
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -102,6 +102,7 @@
   4: required i32 total_ms         // since the grant was used
   5: optional i32 output_tokens    // made, of a whole answer
   6: optional i32 longest_gap_ms   // between two events of a whole answer
+  7: optional i32 first_byte_ms    // since the request was sent
 }
 
 struct Heartbeat {
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -22,7 +22,6 @@
     make_team,
 )
 
-
 HOUR_MS = 3_600_000.0
 
 
@@ -603,3 +602,32 @@
         request = make_request(f'new-{number}', prompt_tokens=0)
         assert enqueue(desk, request, HOUR_MS) is None
         granted(desk, HOUR_MS)
+
+
+def test_short_calls_are_granted_beyond_the_slots() -> None:
+    """Guards against booking engines that idle while calls are in transit.
+
+    One of three booking engines is left. Its calls take as long as it takes to
+    open a connection and to hear of their end. With one call for each slot,
+    half of its slots would be empty and a tenth of the bookings refused.
+    """
+    desk = make_cell(engine('a', slots=4), properties=PLAIN)
+    now = 0.0
+    for number in range(200):
+        request_id = f'r{number}'
+        enqueue(desk, make_request(request_id, prompt_tokens=0), now)
+        assert granted(desk, now)
+        now += 60
+        desk.release(
+            Release(
+                request_id=request_id,
+                cell='desk',
+                end=RunEnd.ANSWERED,
+                total_ms=40,
+                first_byte_ms=30,
+            ),
+            now,
+        )
+    for number in range(8):
+        enqueue(desk, make_request(f'burst-{number}', prompt_tokens=0), now)
+    assert len(granted(desk, now)) > 6
