--- a/hornbeamdeck/process/log_buffer.py
+++ b/hornbeamdeck/process/log_buffer.py
@@ -73,6 +73,12 @@
             if self._unwritten:
                 return
 
+    async def async_run(self) -> None:
+        """Write the buffered lines periodically; never returns."""
+        while True:
+            await sleep(FLUSH_MS / MILLIS_PER_SECOND)
+            self.write_out()
+
     def _next_chunk(self) -> bytes:
         """Take the next lines, few enough not to delay later state lines."""
         chunk = b''
@@ -81,12 +87,6 @@
                 chunk += lines.popleft()
         return chunk
 
-    async def async_run(self) -> None:
-        """Write the buffered lines periodically; never returns."""
-        while True:
-            await sleep(FLUSH_MS / MILLIS_PER_SECOND)
-            self.write_out()
-
 
 def _write_available(pending: bytes) -> int:
     """Write to standard output and return how many bytes it has accepted."""
