List the instances once where heartbeats tell of the rest

A second listing is now made by those that receive heartbeats, and by whoever hears nothing; orders are read once an instance has had time to learn of its peers.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -86,7 +86,9 @@
         self._stop_requested_ms = math.inf
         self._adapter = adapter
         self._registration = InstanceRegistration(
-            self.components.store, self.components.membership
+            self.components.store,
+            self.components.membership,
+            self.components.heartbeats.liveness.is_told_of_all,
         )
         self.listeners: list[Listener] = []
         self._tasks: list[Task] = []
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -326,9 +326,12 @@
         return _is_owner(membership)
 
     def _is_reader() -> bool:
-        return _owns_cells() or (
+        liveness = heartbeats.liveness
+        if _owns_cells():
+            return liveness.has_settled()
+        return (
             heartbeats.has_owner_lost_store
-            and heartbeats.liveness.rank() < HEARTBEAT_RECEIVERS
+            and liveness.rank() < HEARTBEAT_RECEIVERS
         )
 
     book = RolloutBook(bounds, wall_ms)
--- a/hornbeamdeck/process/instance_registration.py
+++ b/hornbeamdeck/process/instance_registration.py
@@ -1,5 +1,6 @@
 """The store entry through which other instances discover this one."""
 
+from collections.abc import Callable
 from typing import Final
 
 import structlog
@@ -24,14 +25,21 @@
 class InstanceRegistration:
     """Writes this instance's entry and reads those of other instances."""
 
-    def __init__(self, store: StoreInterface, membership: Membership) -> None:
+    def __init__(
+        self,
+        store: StoreInterface,
+        membership: Membership,
+        is_told_of_all: Callable[[], bool],
+    ) -> None:
         """Create the entry; nothing is written yet.
 
         :param membership: provides this instance's status and is updated with
             the instances that are listed in the store.
+        :param is_told_of_all: whether a peer tells this instance of all others.
         """
         self._store = store
         self._membership = membership
+        self._is_told_of_all = is_told_of_all
 
     async def async_register(self) -> None:
         """Write this instance's entry; retries until the write succeeds."""
@@ -54,10 +62,16 @@
             )
 
     async def async_discover(self) -> None:
-        """Read the entries of all instances twice, with a delay between."""
+        """Read the entries of all instances, again if no peer tells of them.
+
+        When all instances start together, the first listing misses most of the
+        others. Hundreds of second listings would be in vain: heartbeats tell of
+        the rest as soon as those that receive them know each other.
+        """
         await self._async_list_once()
         await sleep(SECOND_LISTING_DELAY_MS / MILLIS_PER_SECOND)
-        await self._async_list_once()
+        if not self._is_told_of_all():
+            await self._async_list_once()
 
     async def _async_list_once(self) -> None:
         waits = backoff_s()
--- a/hornbeamdeck/process/liveness.py
+++ b/hornbeamdeck/process/liveness.py
@@ -20,6 +20,9 @@
 # During this time after its start, this process assumes that all known
 # instances are live.
 STARTUP_GRACE_MS: Final = 2000
+# A process that has learned of no peer in this time is alone. Reading their
+# entries takes milliseconds while the store responds.
+ALONE_AFTER_MS: Final = 1000
 # How long a computed share of the fleet is cached.
 SHARE_CACHE_MS: Final = 50
 
@@ -78,6 +81,21 @@
             peer_id, LastHeartbeat(0, now_ms(), can_serve=False)
         )
 
+    def is_told_of_all(self) -> bool:
+        """Return whether a peer tells this instance of all others.
+
+        Those that receive heartbeats do, and have to find each other first.
+        """
+        return bool(self._last_heartbeats) and not self._is_heartbeat_receiver()
+
+    def has_settled(self) -> bool:
+        """Return whether this process has had time to learn of its peers.
+
+        Until then it believes to be alone, and so to be the owner.
+        """
+        age_ms = now_ms() - self.started_ms
+        return bool(self._membership.known_peers()) or age_ms > ALONE_AFTER_MS
+
     def drop(self, peer_id: str) -> None:
         """Drop the last heartbeat of a peer that no longer responds."""
         self._last_heartbeats.pop(peer_id, None)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the users' store and engines, with their HTTP protocols."""
 
 import json
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import Any, NamedTuple
@@ -74,6 +75,7 @@
         self.is_silent = False
         self.oldest_revision = 0
         self.calls = 0
+        self.listings: Counter[str] = Counter()
         self._changed = Event()
 
     async def async_start(self) -> Address:
@@ -137,6 +139,7 @@
         await caller.async_respond(response)
 
     def _list(self, kind: str) -> HttpResponse:
+        self.listings[kind] += 1
         entries = list(self.stored_objects.get(kind, {}).values())
         page = {'entries': entries, 'has_more': False, 'at': self.revision}
         return _json_response(200, page)
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -4,7 +4,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.freshness_guard import REVOCATION_MARGIN_MS
-from hornbeamdeck.process.liveness import FLEET_CELL
+from hornbeamdeck.process.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
 from hornbeamdeck.process.rendezvous import ranking
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import StoreStandin, document
@@ -215,3 +215,21 @@
         ),
     )
     assert (await fleet.async_call('/seats/x', -1)).status == 401
+
+
+@on_platform(8)
+async def test_one_listing_of_instances_is_enough_when_told_by_peers(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a listing by each instance of a fleet that starts.
+
+    After the loss of all, hundreds of instances would list hundreds of entries
+    twice each, which made up most of the calls to the store.
+    """
+    await sleep(2.5)
+    listings = fleet.store.listings['instances']
+    assert listings <= 8 + HEARTBEAT_RECEIVERS
+    assert all(
+        len(gateway.components.membership.known_peers()) == 7
+        for gateway in fleet.gateways
+    )
