Judge a rolled-back version by the stated bound in its test

A grant may wait 300 ms for a read of the engines while the store is silent, so one request still reached the new version 0.3 s after the verdict. What holds is rollback_ms.

--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -12,7 +12,7 @@
 DURATION_S = 4
 ENGINES = 8
 CALLERS = 6
-IN_TRANSIT_S = 0.1
+
 BOUNDS = {'expose_share': 0.3, 'expose_slack': 50, 'rollback_ms': 1000}
 Scenario = Callable[['RolloutFleet'], Awaitable[None]]
 
@@ -148,8 +148,8 @@
     await fleet.async_until(
         lambda: entries.phase_of('desk') == RolloutPhase.ROLLED_BACK
     )
-    # Grants that were on their way are still used.
-    await sleep(IN_TRANSIT_S)
+    # Grants that were on their way may still be used.
+    await sleep(BOUNDS['rollback_ms'] / 1000)
     before = fleet.executed(fleet.new_engines)
     await sleep(0.2)
     assert fleet.executed(fleet.new_engines) == before
