Share the parsing of bearer keys; index routes outside the adapter

The adapter and the product's own interface each parsed the authorization header, and the adapter held an index of routes that has nothing of the users' format. Both have one place now; behaviour is the same.

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -7,6 +7,7 @@
     'Headers',
     'HttpRequest',
     'HttpResponse',
+    'bearer_key',
     'header_pairs',
     'join_headers',
 )
@@ -14,6 +15,7 @@
 Headers: TypeAlias = Mapping[str, str]
 
 CHARSET: Final = 'latin-1'
+BEARER_PREFIX: Final = 'bearer '
 SET_COOKIE: Final = 'set-cookie'
 COOKIE_SEPARATOR: Final = '\n'
 FIELD_SEPARATOR: Final = ', '
@@ -40,6 +42,14 @@
     body: bytes
 
 
+def bearer_key(headers: Headers) -> str:
+    """Return the bearer key of a request; empty if there is none."""
+    authorization = headers.get('authorization', '')
+    if not authorization.lower().startswith(BEARER_PREFIX):
+        return ''
+    return authorization[len(BEARER_PREFIX) :].strip()
+
+
 def join_headers(pairs: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Join header fields that occur more than once (RFC 9110, 5.3).
 
--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -6,7 +6,12 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.http import Headers, HttpRequest, HttpResponse
+from hornbeamdeck.connection.http import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    bearer_key,
+)
 from hornbeamdeck.const import ENCODING, MILLIS_PER_SECOND
 from hornbeamdeck.platform.wire_names import (
     GATEWAY_ONLY_HEADERS,
@@ -33,7 +38,6 @@
 
 __all__ = ('DIALECT',)
 
-BEARER_PREFIX: Final = 'bearer '
 # The client timeout of requests that state none.
 DEFAULT_CLIENT_TIMEOUT_MS: Final = 30_000
 MAX_CLIENT_TIMEOUT_MS: Final = 3_600_000
@@ -69,7 +73,7 @@
             request_id=request_id,
             host=headers.get('host', '').partition(':')[0].lower(),
             http_request=request,
-            bearer_key=_bearer_key(headers.get('authorization', '')),
+            bearer_key=bearer_key(headers),
             client_timeout_ms=min(
                 _whole_number(headers.get(HEADER_CLIENT_TIMEOUT_MS, ''))
                 or DEFAULT_CLIENT_TIMEOUT_MS,
@@ -171,12 +175,6 @@
     return failure.status
 
 
-def _bearer_key(authorization: str) -> str:
-    if not authorization.lower().startswith(BEARER_PREFIX):
-        return ''
-    return authorization[len(BEARER_PREFIX) :].strip()
-
-
 def _whole_number(text: str) -> int:
     """Read a whole number of at most MAX_TOKENS; drop its decimal places.
 
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -1,7 +1,7 @@
 """Parses the platform's configuration document and engine entries."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -26,6 +26,7 @@
     RouteKind,
     ServiceShare,
     key_digest,
+    routes_by_host,
 )
 
 __all__ = ('parse_configuration', 'parse_engine')
@@ -177,7 +178,7 @@
     return GatewayConfiguration(
         version=version,
         document=text,
-        routes=_routes_by_host(map(_to_route, raw['routes'])),
+        routes=routes_by_host(map(_to_route, raw['routes'])),
         services=MappingProxyType(
             {
                 service[FIELD_NAME]: _to_properties(service.get('engine'))
@@ -192,15 +193,6 @@
     )
 
 
-def _routes_by_host(
-    routes: Iterable[Route],
-) -> Mapping[str, Mapping[str, Route]]:
-    by_host: dict[str, dict[str, Route]] = {}
-    for route in routes:
-        by_host.setdefault(route.host, {})[route.path_prefix] = route
-    return MappingProxyType(by_host)
-
-
 def _to_route(raw: Any) -> Route:
     checked = _ROUTE(raw)
     shares = tuple(
--- a/hornbeamdeck/request/admission.py
+++ b/hornbeamdeck/request/admission.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.connection.http import Headers, HttpRequest
+from hornbeamdeck.connection.http import Headers, HttpRequest, bearer_key
 from hornbeamdeck.const import ENCODING, HEADER_DEADLINE, HEADER_TIER
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import (
@@ -30,7 +30,6 @@
     'make_request_id',
 )
 
-BEARER: Final = 'bearer '
 CHARS_PER_TOKEN: Final = 4
 DEFAULT_OUTPUT_TOKENS: Final = 256
 MAX_OUTPUT_TOKENS: Final = 1_000_000
@@ -105,10 +104,8 @@
     headers: Headers,
 ) -> Result[Team, NotRun]:
     """Find the team that the bearer key belongs to."""
-    authorization = headers.get('authorization', '')
-    if not authorization.lower().startswith(BEARER):
-        return Err(unauthorized())
-    team = configuration.team_of_key(authorization[len(BEARER) :].strip())
+    key = bearer_key(headers)
+    team = configuration.team_of_key(key) if key else None
     if team is None:
         return Err(unauthorized())
     return Ok(team)
--- a/hornbeamdeck/version/gateway.py
+++ b/hornbeamdeck/version/gateway.py
@@ -2,7 +2,7 @@
 
 import enum
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import Final, NamedTuple, Self
 
@@ -17,6 +17,7 @@
     'GatewayTeam',
     'ServiceShare',
     'key_digest',
+    'routes_by_host',
 )
 
 # Limits for one caller until a configuration sets others.
@@ -187,6 +188,16 @@
         return self.teams_by_key.get(key_digest(key))
 
 
+def routes_by_host(
+    routes: Iterable[Route],
+) -> Mapping[str, Mapping[str, Route]]:
+    """Index routes by host, then by path prefix."""
+    by_host: dict[str, dict[str, Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, {})[route.path_prefix] = route
+    return MappingProxyType(by_host)
+
+
 def key_digest(key: str) -> str:
     """Hash a bearer key, so that memory dumps and logs contain no keys."""
     return hashlib.sha256(key.encode(ENCODING, 'replace')).hexdigest()
