--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -1,6 +1,7 @@
 """Decodes requests of callers and responses of engines on the platform."""
 
 import json
+import re
 from http import HTTPStatus
 from typing import Final
 
@@ -22,6 +23,7 @@
     HEADER_NOT_RUN,
     HEADER_PROMPT_PARTS,
     HEADER_REQUEST_ID,
+    HEADER_REQUEST_LIMIT,
     HEADER_RESPONSE_SEAL,
     HEADER_TEAM,
     HEADER_TOKEN_COUNTS,
@@ -31,6 +33,7 @@
     EngineAttempt,
     GatewayRequest,
     ResponseVerdict,
+    StatedLimit,
 )
 from hornbeamdeck.request.outcome import Failure, NotRun
 from hornbeamdeck.request.refusal import bad_request
@@ -44,6 +47,7 @@
 MAX_TOKENS: Final = 10_000_000
 # Python raises ValueError when it converts numbers of thousands of digits.
 MAX_DIGITS: Final = 12
+DECIMAL_NUMBER: Final = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?', re.ASCII)
 # Without HEADER_NOT_RUN these statuses don't show whether the engine ran the
 # request.
 _INCONCLUSIVE_STATUSES: Final = frozenset(
@@ -141,6 +145,19 @@
     return ResponseVerdict.RAN
 
 
+def stated_request_limit(response: HttpResponse) -> StatedLimit:
+    """Read the rate of requests that an engine accepts.
+
+    :returns: requests per second; `None`: no limit; an error: unreadable text.
+    """
+    text = response.headers.get(HEADER_REQUEST_LIMIT)
+    if text is None:
+        return Ok(None)
+    if DECIMAL_NUMBER.fullmatch(text.strip()) is None:
+        return Err(text)
+    return Ok(float(text))
+
+
 def caller_response(response: HttpResponse) -> HttpResponse:
     """Remove headers that concern only the connection to the engine."""
     return response._replace(headers=without_hop_by_hop(response.headers))
@@ -195,6 +212,7 @@
     read_request=read_request,
     engine_headers=engine_headers,
     classify_response=classify_response,
+    stated_request_limit=stated_request_limit,
     caller_response=caller_response,
     failure_response=failure_response,
 )
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -95,12 +95,7 @@
     extra=vol.REMOVE_EXTRA,
 )
 _LIMITS: Final = vol.Schema(
-    {
-        vol.Optional('max_header_bytes'): _COUNT,
-        vol.Optional('max_body_bytes'): _COUNT,
-        vol.Optional('header_timeout_ms'): _COUNT,
-        vol.Optional('idle_timeout_ms'): _COUNT,
-    },
+    {vol.Optional(name): _COUNT for name in CallerLimits._fields},
     extra=vol.REMOVE_EXTRA,
 )
 _DOCUMENT: Final = vol.Schema(
--- a/hornbeamdeck/platform/entries_endpoint.py
+++ b/hornbeamdeck/platform/entries_endpoint.py
@@ -40,8 +40,5 @@
         'ttl_s': ttl_ms / MILLIS_PER_SECOND,
     }
     headers = {'content-type': 'application/json'}
-    return HttpResponse(
-        HTTPStatus.OK,
-        headers,
-        json.dumps(body).encode(ENCODING),
-    )
+    encoded = json.dumps(body).encode(ENCODING)
+    return HttpResponse(HTTPStatus.OK, headers, encoded)
--- a/hornbeamdeck/platform/wire_names.py
+++ b/hornbeamdeck/platform/wire_names.py
@@ -19,6 +19,9 @@
 # Set by an engine that rejects a request and did not run it.
 HEADER_NOT_RUN: Final = 'hornbeamdeck-not-executed'
 HEADER_LAST_EVENT_ID: Final = 'last-event-id'
+# In a response of an engine: how many requests per second it accepts from all
+# instances together, a decimal number. In force while its responses state it.
+HEADER_REQUEST_LIMIT: Final = 'server-limit'
 
 # Headers of engine requests that only the gateway may set. They are removed
 # from requests of callers.
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.gateway_settings import Bounds
 from hornbeamdeck.process.scheduler import Scheduler
@@ -84,6 +85,7 @@
 
     def log_load(self) -> None:
         """Log the load of each cell's engines, for later analysis."""
+        now = now_ms()
         for service, cell in self._cells.items():
             _LOGGER.info(
                 'load',
@@ -93,6 +95,10 @@
                     name: (len(load.runs), load.slots, round(load.slowness, 2))
                     for name, load in cell.loads.items()
                 },
+                granted={
+                    name: load.grant_log.count(now)
+                    for name, load in cell.loads.items()
+                },
             )
 
     def record_slowness(self, reported: Mapping[str, float]) -> None:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -41,7 +41,9 @@
     make_gateway_handler,
     refuse_unreadable,
 )
+from hornbeamdeck.request.gateway_request import StatedLimit
 from hornbeamdeck.request.gateway_run import async_run_gateway_request
+from hornbeamdeck.wire import Grant
 
 __all__ = ('Gateway',)
 
@@ -200,6 +202,11 @@
         def _record_granted_tokens(team: str, tokens: int) -> None:
             components.spending.add(team, tokens, now_ms())
 
+        async def _async_record_limit(
+            grant: Grant, stated: StatedLimit
+        ) -> None:
+            components.observed_limits.record(grant.upstream, stated)
+
         return GatewayContext(
             dialect=self._adapter.dialect,
             configuration=lambda: components.follower.configuration,
@@ -210,6 +217,7 @@
             acquire_grant=components.grants.async_acquire,
             report_first_token=components.grants.async_report_first_token,
             release_grant=components.grants.async_release,
+            record_request_limit=_async_record_limit,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
             zone=self.settings.availability_zone,
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -27,6 +27,7 @@
     InstanceStatus,
     Membership,
 )
+from hornbeamdeck.process.observed_limits import ObservedLimits
 from hornbeamdeck.process.peers import Peers
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshots import Snapshots
@@ -109,6 +110,7 @@
     snapshots: Snapshots[GatewayConfiguration]
     identity: PeerIdentity
     spending: SpendingLog
+    observed_limits: ObservedLimits
     rollouts: Rollouts | None
 
     @classmethod
@@ -236,6 +238,7 @@
             snapshots=Snapshots(follower, membership, identity),
             identity=identity,
             spending=spending,
+            observed_limits=ObservedLimits(metrics),
             rollouts=rollouts[0] if rollouts else None,
         )
 
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -65,6 +65,8 @@
         self.configuration_version = 0
         self.confirmation_ages_ms: dict[str, float] = {}
         self.log_lines_dropped = 0
+        # Requests per second, by engine that states a limit.
+        self.observed_limits: dict[str, float] = {}
         # By service; empty in deployments without roll-outs.
         self.rollouts: dict[str, RolloutCounts] = {}
 
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -33,6 +33,7 @@
         yield from _request_metrics(self._metrics)
         yield from _connection_metrics(self._metrics)
         yield from _store_metrics(self._metrics)
+        yield from _engine_metrics(self._metrics)
         yield from _rollout_metrics(self._metrics)
 
 
@@ -121,6 +122,17 @@
     yield ages
 
 
+def _engine_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
+    limits = GaugeMetricFamily(
+        'hornbeamdeck_engine_request_limit',
+        'Requests per second that an engine accepts, as last stated here.',
+        labels=('engine',),
+    )
+    for engine, per_s in metrics.observed_limits.items():
+        limits.add_metric((engine,), per_s)
+    yield limits
+
+
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
     phase = GaugeMetricFamily(
         'hornbeamdeck_rollout_phase',
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -6,7 +6,7 @@
 from typing import Any, Final, TypeVar
 
 from curio.errors import TaskTimeout
-from result import Err, Result
+from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.client import ClientConnection
@@ -92,7 +92,11 @@
             self.cause = head.err_value.cause
             return RunEnd.FAILED
         self._engine_connection.record_keep_alive(head.ok_value)
-        return await self._async_relay(head.ok_value, sent_ms)
+        verdict = self._context.dialect.classify_response(
+            self._admission.request, head.ok_value
+        )
+        await self._async_record_limit(grant, head.ok_value, verdict)
+        return await self._async_relay(head.ok_value, verdict, sent_ms)
 
     async def async_close(self, end: RunEnd) -> None:
         """Release the connection; the engine cancels an unfinished run.
@@ -124,14 +128,27 @@
             return sent
         return await self._async_read_with_timeout(connection.async_read_head())
 
+    async def _async_record_limit(
+        self,
+        grant: Grant,
+        head: HttpResponse,
+        verdict: ResponseVerdict,
+    ) -> None:
+        if verdict == ResponseVerdict.MISDIRECTED:
+            return
+        stated = self._context.dialect.stated_request_limit(head)
+        if verdict == ResponseVerdict.INVALID_RESPONSE and stated == Ok(None):
+            # A damaged response may lack what the engine states.
+            return
+        await self._context.record_request_limit(grant, stated)
+
     async def _async_relay(
         self,
         head: HttpResponse,
+        verdict: ResponseVerdict,
         sent_ms: float,
     ) -> RunEnd:
-        match self._context.dialect.classify_response(
-            self._admission.request, head
-        ):
+        match verdict:
             case ResponseVerdict.REJECTED:
                 self.cause = f'rejected by the engine, status {head.status}'
                 self.is_possibly_executing = False
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -15,6 +15,7 @@
     'GatewayRequest',
     'ResponseVerdict',
     'RunSummary',
+    'StatedLimit',
 )
 
 
@@ -98,6 +99,8 @@
 ClassifyResponse: TypeAlias = Callable[
     [GatewayRequest, HttpResponse], ResponseVerdict
 ]
+StatedLimit: TypeAlias = Result[float | None, str]
+ReadStatedLimit: TypeAlias = Callable[[HttpResponse], StatedLimit]
 MakeCallerResponse: TypeAlias = Callable[[HttpResponse], HttpResponse]
 MakeFailureResponse: TypeAlias = Callable[[Failure, str], HttpResponse]
 
@@ -108,6 +111,8 @@
     :param read_request: decodes a request, or returns why it is invalid.
     :param engine_headers: makes the headers of a request for an engine.
     :param classify_response: classifies an engine's response by its head.
+    :param stated_request_limit: reads the requests per second that an engine
+        accepts from all instances together; `None`: it states no limit.
     :param caller_response: converts an engine's response for the caller.
     :param failure_response: makes the response for a failure and a request id.
     """
@@ -115,5 +120,6 @@
     read_request: ReadRequest
     engine_headers: MakeEngineHeaders
     classify_response: ClassifyResponse
+    stated_request_limit: ReadStatedLimit
     caller_response: MakeCallerResponse
     failure_response: MakeFailureResponse
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.gap_estimate import GapEstimate, prefill_ms
+from hornbeamdeck.scheduling.grant_log import GrantLog
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import Register, RunEnd
@@ -71,6 +72,7 @@
         self.slowness = 1.0
         self.runs: dict[str, EngineRun] = {}
         self.health = EngineHealth()
+        self.grant_log = GrantLog()
         self._prefill_done_ms = 0.0
 
     def update(self, engine: Engine, properties: EngineProperties) -> None:
@@ -149,6 +151,7 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Estimate the first token and the end of a run that is granted now."""
+        self.grant_log.record(now)
         run = self.runs[request_id]
         expected_ms = self.first_token_ms(
             base_first_token_ms(run.prompt_tokens), now
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from time import monotonic
 from typing import Any, NamedTuple
 
 from curio import Event, sleep, socket, timeout_after
@@ -232,6 +233,8 @@
         self.event_gap_s = 0.0
         self.keep_alive_s = 0
         self.extra_bytes = b''
+        self._request_limit = ''
+        self._arrivals_s: list[float] = []
         self._sockets: list[socket.socket] = []
 
     async def async_start(self) -> None:
@@ -251,6 +254,15 @@
         """Return the number of all connections opened so far."""
         return len(self._sockets)
 
+    @property
+    def arrivals_s(self) -> list[float]:
+        """Return when requests arrived, on the monotonic clock."""
+        return self._arrivals_s
+
+    def state_request_limit(self, text: str) -> None:
+        """State a limit in all further responses; empty: state none."""
+        self._request_limit = text
+
     async def async_close_connections(self) -> None:
         """Close all connections, as an engine closes idle ones."""
         for sock in self._sockets:
@@ -281,9 +293,13 @@
         if expected != self.name:
             await caller.async_respond(HttpResponse(421, {}, b''))
             return
+        self._arrivals_s.append(monotonic())
         fault = self.faults.pop(0) if self.faults else ''
         if fault == 'not_run':
-            headers = {'hornbeamdeck-not-executed': '1'}
+            headers = {
+                'hornbeamdeck-not-executed': '1',
+                **self._limit_headers(),
+            }
             await caller.async_respond(HttpResponse(503, headers, b''))
             return
         self.executed.append(request)
@@ -293,6 +309,11 @@
             self.cancelled_runs += 1
             raise
 
+    def _limit_headers(self) -> dict[str, str]:
+        if not self._request_limit:
+            return {}
+        return {'server-limit': self._request_limit}
+
     async def _async_run(
         self,
         request: HttpRequest,
@@ -307,6 +328,7 @@
         headers = {
             REQUEST_ID_HEADER: request.headers[REQUEST_ID_HEADER],
             SEAL_HEADER: f'seal-{self.name}',
+            **self._limit_headers(),
         }
         if self.keep_alive_s:
             headers['keep-alive'] = f'timeout={self.keep_alive_s}'
