--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -1,11 +1,38 @@
 """Engines that state how many requests per second they accept."""
 
+from time import monotonic
+
+from curio import TaskGroup, sleep
 from result import Err, Ok
 
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.platform.dialect import DIALECT
 from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
 
+LIMIT_PER_S = 1
+# An engine that has stated its limit for this time gets, in any window, at most
+# 1.5 times what the limit allows and five requests more.
+SETTLE_S = 0.5
+WINDOW_S = 4.0
+MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+CALL_INTERVAL_S = 0.02
+
+
+async def _async_call_repeatedly(fleet: PlatformFleet, caller: int) -> None:
+    """Send requests one after another until a window has passed."""
+    end_s = monotonic() + SETTLE_S + WINDOW_S
+    number = 0
+    while monotonic() < end_s:
+        number += 1
+        got = await fleet.async_call(
+            '/guide/x',
+            caller % len(fleet.gateways),
+            tokens=TOKEN_COUNTS,
+            hornbeamdeck_request_id=f'{caller}-{number}',
+        )
+        assert got.status == 200
+        await sleep(CALL_INTERVAL_S)
+
 
 def _stated(text: str) -> object:
     return DIALECT.stated_request_limit(
@@ -42,3 +69,18 @@
     for _ in range(4):
         await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
     assert not metrics.observed_limits
+
+
+@on_platform(count=2)
+async def test_an_engine_gets_no_more_requests_than_it_accepts(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against an engine in trouble that gets as many as it has slots."""
+    limited = fleet.model_engines[0]
+    limited.state_request_limit(str(LIMIT_PER_S))
+    async with TaskGroup() as callers:
+        for number in range(4):
+            await callers.spawn(_async_call_repeatedly, fleet, number)
+    counted_from_s = limited.arrivals_s[0] + SETTLE_S
+    counted = [each for each in limited.arrivals_s if each > counted_from_s]
+    assert 1 <= len(counted) <= MAX_IN_WINDOW
