Keep the request limits that engines state

Cause: nothing acted on the limit. The owner places by slots, and what the head of an answer says stayed at the instance that relayed it. Class: a fact that one process alone sees and that a decision elsewhere depends on.

Change: the instance that reads a head compares the stated limit with the one that its grant was made under and reports a difference to the owner at once, not with the end of the run. The owner counts its grants to each engine, retries and calls beyond the slots among them, in sliding windows of 1 s and 4 s; an engine without requests left has no free slot, and the forecast takes its next start from the limit. A limit outlives an entry that is missing from the list, not the engine's incarnation. Where only part of the fleet reports to an owner, it grants that share of the limit. At least one request in 4 s is sent, since only a response shows that a limit has ended.

New metrics: limited engines, those held by their limit, and waiting requests, from the owner.

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -1,15 +1,19 @@
 """The engine cells of this process, updated from what the store returns."""
 
 from collections.abc import Callable, Mapping
+from typing import Final
 
 import structlog
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.gateway_metrics import LimitCounts
 from hornbeamdeck.process.gateway_settings import Bounds
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.engine_load import count_held_by_limit
+from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.token_quota import TokenQuotas
 from hornbeamdeck.version.gateway import GatewayConfiguration
@@ -18,6 +22,10 @@
 
 _LOGGER = structlog.get_logger(prefix='scheduler')
 
+# A request limit is learned from the first response that reaches an instance,
+# which may be a little later than the engine's first one.
+SETTLE_MARGIN_MS: Final = 500
+
 
 class EngineCells:
     """Creates and updates one cell per service in this process's scheduler."""
@@ -28,13 +36,23 @@
         directory: EngineDirectory,
         bounds: Bounds,
         quotas: TokenQuotas,
+        fleet_share: Callable[[], float],
     ) -> None:
-        """Start without cells; `apply_configuration` creates them."""
+        """Start without cells; `apply_configuration` creates them.
+
+        :param fleet_share: returns the share of the fleet's instances whose
+            requests are granted here.
+        """
         self.quotas = quotas
         self._scheduler = scheduler
         self._directory = directory
         self._bounds = bounds
-        self._shared = SharedState(quotas=quotas, teams={})
+        settle_ms = max(bounds.stability_ms - SETTLE_MARGIN_MS, 0)
+        self._shared = SharedState(
+            quotas=quotas,
+            teams={},
+            rate_rules=RateRules(settle_ms, fleet_share),
+        )
         self._cells: dict[str, EngineCell] = {}
         self._reported_slowness: dict[str, float] = {}
         self._configuration = GatewayConfiguration.empty()
@@ -83,6 +101,21 @@
             },
         }
 
+    def limit_counts(self) -> dict[str, LimitCounts]:
+        """Count the engines with a request limit, by service."""
+        now = now_ms()
+        return {
+            service: LimitCounts(
+                engines=sum(
+                    load.rate.limit_per_s is not None
+                    for load in cell.loads.values()
+                ),
+                held_back=count_held_by_limit(cell.loads.values(), now),
+                waiting=len(cell),
+            )
+            for service, cell in self._cells.items()
+        }
+
     def log_load(self) -> None:
         """Log the load of each cell's engines, for later analysis."""
         now = now_ms()
@@ -96,7 +129,7 @@
                     for name, load in cell.loads.items()
                 },
                 granted={
-                    name: load.grant_log.count(now)
+                    name: load.rate.recent_grants(now)
                     for name, load in cell.loads.items()
                 },
             )
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -41,9 +41,7 @@
     make_gateway_handler,
     refuse_unreadable,
 )
-from hornbeamdeck.request.gateway_request import StatedLimit
 from hornbeamdeck.request.gateway_run import async_run_gateway_request
-from hornbeamdeck.wire import Grant
 
 __all__ = ('Gateway',)
 
@@ -202,11 +200,6 @@
         def _record_granted_tokens(team: str, tokens: int) -> None:
             components.spending.add(team, tokens, now_ms())
 
-        async def _async_record_limit(
-            grant: Grant, stated: StatedLimit
-        ) -> None:
-            components.observed_limits.record(grant.upstream, stated)
-
         return GatewayContext(
             dialect=self._adapter.dialect,
             configuration=lambda: components.follower.configuration,
@@ -217,7 +210,7 @@
             acquire_grant=components.grants.async_acquire,
             report_first_token=components.grants.async_report_first_token,
             release_grant=components.grants.async_release,
-            record_request_limit=_async_record_limit,
+            record_request_limit=components.grants.observed_limits.async_record,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
             zone=self.settings.availability_zone,
@@ -287,6 +280,12 @@
             self.freshness_guard.configuration_age_ms(),
             self.freshness_guard.engines_age_ms(),
         )
+        metrics = self.components.metrics
+        observed_limits = self.components.grants.observed_limits
+        metrics.observed_limits = observed_limits.current()
+        metrics.limit_counts = {}
+        if self.components.is_owner:
+            metrics.limit_counts = self.components.cells.limit_counts()
         module = importlib.import_module(METRICS_EXPORT_MODULE)
         body: bytes = module.render(self.components.metrics)
         return HttpResponse(HTTPStatus.OK, headers, body)
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -27,7 +27,6 @@
     InstanceStatus,
     Membership,
 )
-from hornbeamdeck.process.observed_limits import ObservedLimits
 from hornbeamdeck.process.peers import Peers
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshots import Snapshots
@@ -110,7 +109,6 @@
     snapshots: Snapshots[GatewayConfiguration]
     identity: PeerIdentity
     spending: SpendingLog
-    observed_limits: ObservedLimits
     rollouts: Rollouts | None
 
     @classmethod
@@ -153,6 +151,7 @@
                 ),
                 is_first_start=settings.is_first_start,
             ),
+            fleet_share=lambda: fleet_share[0](),
         )
         follower = _make_follower(
             _make_configuration_read(store, readers),
@@ -238,7 +237,6 @@
             snapshots=Snapshots(follower, membership, identity),
             identity=identity,
             spending=spending,
-            observed_limits=ObservedLimits(metrics),
             rollouts=rollouts[0] if rollouts else None,
         )
 
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -12,7 +12,13 @@
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
-__all__ = ('BUCKETS_S', 'GatewayMetrics', 'LatencyHistogram', 'RolloutCounts')
+__all__ = (
+    'BUCKETS_S',
+    'GatewayMetrics',
+    'LatencyHistogram',
+    'LimitCounts',
+    'RolloutCounts',
+)
 
 # Chosen around the latency objectives of the current routes, 0.1 to 1 s, and
 # around the time limits.
@@ -32,6 +38,19 @@
     bad_answers: Mapping[str, int]
 
 
+class LimitCounts(NamedTuple):
+    """Limited engines of a service as the owner of its cell counts them.
+
+    :param engines: engines that state a limit.
+    :param held_back: engines that have slots but may get no request now.
+    :param waiting: requests that wait for any engine of the service.
+    """
+
+    engines: int
+    held_back: int
+    waiting: int
+
+
 class LatencyHistogram:
     """A latency histogram with the bounds `BUCKETS_S`."""
 
@@ -67,6 +86,8 @@
         self.log_lines_dropped = 0
         # Requests per second, by engine that states a limit.
         self.observed_limits: dict[str, float] = {}
+        # By service; empty unless this process is the owner.
+        self.limit_counts: dict[str, LimitCounts] = {}
         # By service; empty in deployments without roll-outs.
         self.rollouts: dict[str, RolloutCounts] = {}
 
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -131,13 +131,27 @@
     for engine, per_s in metrics.observed_limits.items():
         limits.add_metric((engine,), per_s)
     yield limits
+    limited = _by_service(
+        'hornbeamdeck_limited_engines', 'Engines that state a request limit.'
+    )
+    held_back = _by_service(
+        'hornbeamdeck_engines_held_by_limit',
+        'Engines that have slots but may get no request now.',
+    )
+    waiting = _by_service(
+        'hornbeamdeck_waiting_requests',
+        'Requests that wait for an engine of the service.',
+    )
+    for service, counts in metrics.limit_counts.items():
+        limited.add_metric((service,), counts.engines)
+        held_back.add_metric((service,), counts.held_back)
+        waiting.add_metric((service,), counts.waiting)
+    yield from (limited, held_back, waiting)
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
-    phase = GaugeMetricFamily(
-        'hornbeamdeck_rollout_phase',
-        'Phase of the roll-out of a service.',
-        labels=('service',),
+    phase = _by_service(
+        'hornbeamdeck_rollout_phase', 'Phase of the roll-out of a service.'
     )
     requests = GaugeMetricFamily(
         'hornbeamdeck_rollout_requests',
@@ -158,6 +172,10 @@
     yield from (phase, requests, bad_answers)
 
 
+def _by_service(name: str, documentation: str) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, documentation, labels=('service',))
+
+
 def _counter(
     name: str,
     documentation: str,
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -20,6 +20,7 @@
     Refuse,
     Register,
     Release,
+    RequestLimit,
     Suspect,
     ToOwner,
     Withdraw,
@@ -110,6 +111,8 @@
                 suspect = cell.release(message, now_ms())
                 if suspect is not None:
                     await deliver(suspect)
+            case RequestLimit():
+                _set_request_limit(cell, message)
             case Suspect():
                 cell.crash_tracker.merge_crash_count(
                     message.fingerprint,
@@ -184,6 +187,8 @@
                     upstream=grant.upstream,
                     address=grant.address,
                     version=grant.version,
+                    born_ms=grant.born_ms,
+                    limit_per_s=grant.limit_per_s,
                 ),
             )
 
@@ -199,6 +204,22 @@
         await deliver(refusal)
 
 
+def _set_request_limit(cell: AnyCell, stated: RequestLimit) -> None:
+    if isinstance(cell, Cell):
+        return
+    change = cell.rates.set_limit(stated, now_ms())
+    if change is not None:
+        _LOGGER.info(
+            'request limit changed',
+            cell=stated.cell,
+            engine=stated.upstream,
+            per_s=stated.per_s,
+            previous_per_s=change.previous_per_s,
+            recent_grants=change.recent_grants,
+            age_ms=stated.age_ms,
+        )
+
+
 async def _async_refuse(refused: Refused) -> None:
     request = refused.queued.request
     _LOGGER.info(
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -9,6 +9,7 @@
 
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.request_rank import route_rank_of
+from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.retry_schedule import RetrySchedule
 from hornbeamdeck.scheduling.token_quota import (
@@ -30,10 +31,12 @@
     """State that the cells of one owner share.
 
     :param teams: the teams of the configuration in force, by name.
+    :param rate_rules: how engines expect their request limits to be kept.
     """
 
     quotas: TokenQuotas
     teams: dict[str, GatewayTeam]
+    rate_rules: RateRules = RateRules()
 
 
 class AdmissionControl:
--- a/hornbeamdeck/scheduling/cell.py
+++ b/hornbeamdeck/scheduling/cell.py
@@ -34,6 +34,9 @@
 
     :param hold_reason: why it waited while upstreams had free slots, if it did.
     :param version: of the upstream's software; empty: not stated.
+    :param born_ms: start of the upstream's incarnation.
+    :param limit_per_s: requests per second that the upstream accepts; `None`:
+        it states no limit.
     """
 
     queued: QueuedRequest
@@ -41,6 +44,8 @@
     address: str = ''
     hold_reason: str = ''
     version: str = ''
+    born_ms: int = 0
+    limit_per_s: float | None = None
 
 
 class Refused(NamedTuple):
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -20,7 +20,9 @@
     EngineLoad,
     ServiceEstimates,
     base_first_token_ms,
+    count_held_by_limit,
     forecast_slots,
+    start_granted,
 )
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.placement_scan import (
@@ -28,7 +30,7 @@
     PlacementTracker,
 )
 from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
-from hornbeamdeck.scheduling.request_rank import value_of
+from hornbeamdeck.scheduling.request_rate import EngineRates
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.version_routing import VersionRouting
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
@@ -65,6 +67,7 @@
         self.versions = VersionRouting()
         self._wait_queue = WaitQueue()
         self._estimates = ServiceEstimates.initial()
+        self.rates = EngineRates(shared.rate_rules)
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = -math.inf
         self._placements = PlacementTracker()
@@ -97,10 +100,12 @@
         for name, engine in engines_by_name.items():
             load = self.loads.get(name)
             if load is None or load.engine.born_ms != engine.born_ms:
-                load = EngineLoad(engine, properties, self._estimates)
+                rate = self.rates.rate_of(engine)
+                load = EngineLoad(engine, properties, self._estimates, rate)
                 load.slowness = slowness.get(name, 1.0)
                 self.loads[name] = load
             load.update(engine, properties)
+        self.rates.remove_unlisted(engines_by_name.values())
         self.versions.update_engines(self.loads.values())
 
     def enqueue(
@@ -171,7 +176,7 @@
                 return
             granted = self._try_place(queued, scan, blocked, now)
             if granted is not None:
-                scan.remove_if_full(self.loads[granted.upstream])
+                scan.remove_if_full(self.loads[granted.upstream], now)
                 yield granted
 
     def withdraw(self, request_id: str) -> None:
@@ -291,13 +296,15 @@
         self._wait_queue.start(request_id, now)
         self._admission.start(queued.request, now)
         self.versions.record_grant(load)
-        _add_run(load, queued, now)
+        start_granted(load, queued, now)
         return Granted(
             queued,
             load.engine.name,
             load.engine.address,
             self._hold_reasons.pop(request_id, ''),
             load.engine.version,
+            load.engine.born_ms,
+            load.rate.limit_per_s,
         )
 
     def _refuse(
@@ -324,7 +331,10 @@
         return {
             'waiting': len(self._wait_queue),
             'engines': len(self.loads),
-            'places': sum(load.has_free_slot() for load in self.loads.values()),
+            'places': sum(
+                load.has_free_slot(now) for load in self.loads.values()
+            ),
+            'held_by_limit': count_held_by_limit(self.loads.values(), now),
             'fastest_ms': int(_fastest_ms(self.loads.values(), request, now)),
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
@@ -332,29 +342,6 @@
         }
 
 
-def _add_run(load: EngineLoad, queued: QueuedRequest, now: float) -> None:
-    request = queued.request
-    run = Register(
-        request_id=request.request_id,
-        cell=request.cell,
-        upstream=load.engine.name,
-        prompt_tokens=request.prompt_tokens,
-        output_tokens=request.output_tokens,
-        is_prefilling=True,
-        fingerprint=request.fingerprint,
-    )
-    zone = request.zone or ''
-    load.add(
-        run,
-        queued.sender,
-        zone,
-        request.gap_ms or 0,
-        stream_value=value_of(request),
-        route=request.route or '',
-    )
-    load.start(request.request_id, now)
-
-
 def _fastest_ms(
     loads: Iterable[EngineLoad],
     request: Enqueue,
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -6,7 +6,8 @@
 prompt would take there and the gap that it would cause in the other streams.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from itertools import repeat
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.scheduling.engine import Engine
@@ -14,8 +15,10 @@
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.gap_estimate import GapEstimate, prefill_ms
-from hornbeamdeck.scheduling.grant_log import GrantLog
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
+from hornbeamdeck.scheduling.queued_request import QueuedRequest
+from hornbeamdeck.scheduling.request_rank import value_of
+from hornbeamdeck.scheduling.request_rate import EngineRate
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import Register, RunEnd
 
@@ -23,7 +26,9 @@
     'EngineLoad',
     'ServiceEstimates',
     'base_first_token_ms',
+    'count_held_by_limit',
     'forecast_slots',
+    'start_granted',
 )
 
 # Time from a request's first byte to its first token, without prefilling its
@@ -62,6 +67,7 @@
         engine: Engine,
         properties: EngineProperties,
         estimates: ServiceEstimates,
+        rate: EngineRate,
     ) -> None:
         """Start idle, at the modelled speed.
 
@@ -69,10 +75,10 @@
         """
         self.update(engine, properties)
         self.estimates = estimates
+        self.rate = rate
         self.slowness = 1.0
         self.runs: dict[str, EngineRun] = {}
         self.health = EngineHealth()
-        self.grant_log = GrantLog()
         self._prefill_done_ms = 0.0
 
     def update(self, engine: Engine, properties: EngineProperties) -> None:
@@ -82,13 +88,28 @@
         # Number of requests that the engine processes concurrently.
         self.slots = engine.slots or properties.slots or 1
 
-    def has_free_slot(self) -> bool:
-        """Return whether a request would start at once."""
-        return self.free_slots() > 0 and not self.engine.is_draining
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether a request may start now and would start at once."""
+        return (
+            self.idle_slots() > 0
+            and not self.engine.is_draining
+            and self.rate.may_start(now)
+        )
+
+    def free_slots(self, now: float) -> int:
+        """Return the number of requests that may start now."""
+        idle_slots = self.idle_slots()
+        if self.rate.limit_per_s is None:
+            return idle_slots
+        starts_ms = self.rate.starts_ms(idle_slots, now)
+        return sum(start_ms <= now for start_ms in starts_ms)
 
-    def free_slots(self) -> int:
+    def idle_slots(self) -> int:
         """Return the number of requests that would start at once."""
-        return max(self._capacity() - len(self.runs), 0)
+        capacity = self.slots
+        if not self.properties.is_model:
+            capacity = int(self.slots * self.estimates.output.calls_per_slot)
+        return max(capacity - len(self.runs), 0)
 
     def first_token_ms(self, work_ms: float, now: float) -> float:
         """Estimate the time to first token of a request sent now.
@@ -151,7 +172,7 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Estimate the first token and the end of a run that is granted now."""
-        self.grant_log.record(now)
+        self.rate.record_grant(now)
         run = self.runs[request_id]
         expected_ms = self.first_token_ms(
             base_first_token_ms(run.prompt_tokens), now
@@ -243,11 +264,6 @@
             return output.call_ms
         return output_tokens * output.token_ms * self.slowness
 
-    def _capacity(self) -> int:
-        if self.properties.is_model:
-            return self.slots
-        return int(self.slots * self.estimates.output.calls_per_slot)
-
     def _learn_output(
         self, run: EngineRun, now: float, first_byte_ms: float
     ) -> None:
@@ -270,6 +286,37 @@
         self._prefill_done_ms = min(self._prefill_done_ms, now + remaining_ms)
 
 
+def start_granted(load: EngineLoad, queued: QueuedRequest, now: float) -> None:
+    """Account for a request that is granted an engine now."""
+    request = queued.request
+    run = Register(
+        request_id=request.request_id,
+        cell=request.cell,
+        upstream=load.engine.name,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        is_prefilling=True,
+        fingerprint=request.fingerprint,
+    )
+    zone = request.zone or ''
+    load.add(
+        run,
+        queued.sender,
+        zone,
+        request.gap_ms or 0,
+        stream_value=value_of(request),
+        route=request.route or '',
+    )
+    load.start(request.request_id, now)
+
+
+def count_held_by_limit(loads: Iterable[EngineLoad], now: float) -> int:
+    """Count the engines that have slots but may get no request now."""
+    return sum(
+        load.idle_slots() > 0 and not load.rate.may_start(now) for load in loads
+    )
+
+
 def forecast_slots(
     loads: Sequence[EngineLoad],
     waiting: int,
@@ -278,22 +325,35 @@
 ) -> Forecast:
     """Forecast when slots become free.
 
-    Runs granted by another owner have no expected end before their first token
-    and are left out. If they counted as overdue, every request would be
-    refused.
-
     :param loads: engines that are not draining.
-    :param waiting: number of waiting requests; the ends of runs are collected
-        only if there are not more free slots than this.
+    :param waiting: number of waiting requests; later starts are estimated only
+        if there are not more free slots than this.
     :param interval_ms: mean time between grants.
     """
-    free_slots = sum(load.free_slots() for load in loads)
-    ends_ms: list[float] = []
+    free_slots = sum(load.free_slots(now) for load in loads)
+    starts_ms: list[float] = []
     if free_slots <= waiting:
-        ends_ms = [
-            run.expected_end_ms
+        starts_ms = [
+            start_ms
             for load in loads
-            for run in load.runs.values()
-            if run.expected_end_ms
+            for start_ms in _next_starts_ms(load, now)
         ]
-    return Forecast.from_ends(free_slots, ends_ms, interval_ms, now)
+    return Forecast.from_ends(free_slots, starts_ms, interval_ms, now)
+
+
+def _next_starts_ms(load: EngineLoad, now: float) -> list[float]:
+    """Estimate when requests can start beyond those that may start now.
+
+    Runs granted by another owner have no expected end before their first token
+    and are left out. If they counted as overdue, every request would be
+    refused.
+    """
+    ends_ms = [
+        run.expected_end_ms for run in load.runs.values() if run.expected_end_ms
+    ]
+    if load.rate.limit_per_s is None:
+        return ends_ms
+    slots_ms = [*repeat(now, load.idle_slots()), *sorted(ends_ms)]
+    starts_ms = load.rate.starts_ms(len(slots_ms), now)
+    next_starts_ms = list(map(max, slots_ms, starts_ms))
+    return next_starts_ms[load.free_slots(now) :]
--- a/hornbeamdeck/scheduling/placement_scan.py
+++ b/hornbeamdeck/scheduling/placement_scan.py
@@ -82,9 +82,9 @@
             return self.free if is_held_by_limit else self._changed
         return self._changed or None
 
-    def remove_if_full(self, load: EngineLoad) -> None:
+    def remove_if_full(self, load: EngineLoad, now: float) -> None:
         """Remove an engine from the scan once it has no free slot."""
-        if load.has_free_slot():
+        if load.has_free_slot(now):
             return
         self.free = [each for each in self.free if each is not load]
         self._changed = [each for each in self._changed if each is not load]
@@ -127,7 +127,7 @@
         self._arrived = {}
         if not waiting:
             return PlacementScan([], [], {})
-        free = [load for load in loads if load.has_free_slot()]
+        free = [load for load in loads if load.has_free_slot(now)]
         if now - self._last_full_scan_ms < FULL_SCAN_MS:
             return PlacementScan.incremental(free, changed, arrived)
         self._last_full_scan_ms = now
--- /dev/null
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -0,0 +1,187 @@
+"""Rate at which requests are granted to one engine.
+
+Load pattern: an engine in trouble accepts a few requests per second from all
+instances together and states so in its responses. Most of its slots are free,
+so bounded by slots alone it would get as many requests as before.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final, NamedTuple
+
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.wire import RequestLimit
+
+__all__ = ('EngineRate', 'EngineRates', 'LimitChange', 'RateRules')
+
+# Sliding windows in which grants are counted. The short one spreads them: the
+# successor of an owner does not know what that owner has granted.
+SHORT_WINDOW_MS: Final = 1000.0
+LONG_WINDOW_MS: Final = 4000.0
+# How far the long window may exceed the limit while it reaches back to grants
+# from before the limit was stated.
+TRANSITION_FACTOR: Final = 1.5
+# Engines that have left the list may be back after an outage of the store.
+MAX_UNLISTED_ENGINES: Final = 256
+
+
+class RateRules(NamedTuple):
+    """How engines expect their limits to be kept.
+
+    :param settle_ms: time after which the whole long window counts.
+    :param fleet_share: returns the share of the fleet whose requests are
+        granted here. It is less than 1 while another instance may take itself
+        for the owner, too.
+    """
+
+    settle_ms: float = 0.0
+    fleet_share: Callable[[], float] = lambda: 1.0
+
+
+class _Bound(NamedTuple):
+    """The most grants within a window, not counting those until `since_ms`."""
+
+    window_ms: float
+    most: int
+    since_ms: float
+
+    def next_ms(self, granted_ms: Sequence[float]) -> float:
+        """Return when another grant is within the bound."""
+        if len(granted_ms) < self.most:
+            return -math.inf
+        oldest_ms = granted_ms[-self.most]
+        if oldest_ms <= self.since_ms:
+            return -math.inf
+        return oldest_ms + self.window_ms
+
+
+class EngineRate:
+    """Recent grants to an engine, and the limit that it states, if any."""
+
+    def __init__(self, rules: RateRules) -> None:
+        """Start without grants and without a limit."""
+        # Requests per second; `None`: no limit.
+        self.limit_per_s: float | None = None
+        self._rules = rules
+        self._stated_ms = -math.inf
+        self._limited_since_ms = -math.inf
+        self._granted_ms: deque[float] = deque()
+
+    def set_limit(self, per_s: float | None, stated_ms: float) -> bool:
+        """Apply what a response of the engine stated.
+
+        :param stated_ms: when it did.
+        :returns: whether the limit has changed.
+        """
+        if stated_ms < self._stated_ms:
+            return False
+        self._stated_ms = stated_ms
+        if per_s == self.limit_per_s:
+            return False
+        if self.limit_per_s is None:
+            self._limited_since_ms = stated_ms
+        self.limit_per_s = per_s
+        return True
+
+    def record_grant(self, now: float) -> None:
+        """Record a request that was granted, here or by another owner."""
+        self._granted_ms.append(now)
+        while self._granted_ms[0] <= now - LONG_WINDOW_MS:
+            self._granted_ms.popleft()
+
+    def recent_grants(self, now: float) -> int:
+        """Return the number of grants within the long window."""
+        since_ms = now - LONG_WINDOW_MS
+        return sum(granted_ms > since_ms for granted_ms in self._granted_ms)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether the limit lets a request start now."""
+        return (
+            self.limit_per_s is None or self._next_ms(self._granted_ms) <= now
+        )
+
+    def starts_ms(self, count: int, now: float) -> list[float]:
+        """Return when the limit lets the next requests start."""
+        granted_ms = list(self._granted_ms)
+        starts_ms = []
+        for _ in range(count):
+            start_ms = max(self._next_ms(granted_ms), now)
+            granted_ms.append(start_ms)
+            starts_ms.append(start_ms)
+        return starts_ms
+
+    def _next_ms(self, granted_ms: Sequence[float]) -> float:
+        return max(bound.next_ms(granted_ms) for bound in self._bounds())
+
+    def _bounds(self) -> tuple[_Bound, ...]:
+        per_s = (self.limit_per_s or 0.0) * self._rules.fleet_share()
+        since_ms = self._limited_since_ms
+        settled_ms = since_ms + self._rules.settle_ms
+        return (
+            _Bound(SHORT_WINDOW_MS, _most(per_s, SHORT_WINDOW_MS), -math.inf),
+            _Bound(LONG_WINDOW_MS, _most(per_s, LONG_WINDOW_MS), since_ms),
+            _Bound(
+                LONG_WINDOW_MS,
+                _most(per_s * TRANSITION_FACTOR, LONG_WINDOW_MS),
+                settled_ms - LONG_WINDOW_MS,
+            ),
+        )
+
+
+class LimitChange(NamedTuple):
+    """A changed request limit of an engine.
+
+    :param previous_per_s: `None`: there was no limit.
+    :param recent_grants: within the long window.
+    """
+
+    previous_per_s: float | None
+    recent_grants: int
+
+
+class EngineRates:
+    """Rates of the engines of one service, by incarnation.
+
+    They outlive the engines' entries in the list, which may be missing for
+    seconds after an outage of the store.
+    """
+
+    def __init__(self, rules: RateRules) -> None:
+        """Start without engines."""
+        self._rules = rules
+        self._rates: dict[tuple[str, int], EngineRate] = {}
+
+    def rate_of(self, engine: Engine) -> EngineRate:
+        """Return the rate of an engine's current incarnation."""
+        key = (engine.name, engine.born_ms)
+        # Inserted again, so that the engines listed last come last.
+        rate = self._rates.pop(key, None) or EngineRate(self._rules)
+        self._rates[key] = rate
+        return rate
+
+    def set_limit(self, stated: RequestLimit, now: float) -> LimitChange | None:
+        """Apply the limit that a response of an engine stated.
+
+        :returns: the change, if there is one.
+        """
+        rate = self._rates.get((stated.upstream, stated.born_ms))
+        if rate is None:
+            return None
+        previous_per_s = rate.limit_per_s
+        if not rate.set_limit(stated.per_s, now - stated.age_ms):
+            return None
+        return LimitChange(previous_per_s, rate.recent_grants(now))
+
+    def remove_unlisted(self, listed: Iterable[Engine]) -> None:
+        """Drop all but the last of the engines that have left the list."""
+        keys = {(engine.name, engine.born_ms) for engine in listed}
+        unlisted = [key for key in self._rates if key not in keys]
+        for key in unlisted[:-MAX_UNLISTED_ENGINES]:
+            self._rates.pop(key)
+
+
+def _most(per_s: float, window_ms: float) -> int:
+    # At least one, since only a response shows that the limit has changed.
+    return max(math.ceil(per_s * window_ms / MILLIS_PER_SECOND), 1)
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -24,6 +24,7 @@
     Refuse,
     Register,
     Release,
+    RequestLimit,
     Snapshot,
     Suspect,
     Withdraw,
@@ -59,7 +60,7 @@
 LENGTH_PREFIX: Final = struct.Struct('>I')
 
 ToOwner: TypeAlias = (
-    Enqueue | Withdraw | Register | Progress | Release | Suspect
+    Enqueue | Withdraw | Register | Progress | Release | RequestLimit | Suspect
 )
 ToIngress: TypeAlias = Grant | Refuse | Suspect
 Message: TypeAlias = (
@@ -86,6 +87,7 @@
         Progress: 'progress',
         Release: 'release',
         Heartbeat: 'heartbeat',
+        RequestLimit: 'request_limit',
         Suspect: 'suspect',
         AskSnapshot: 'ask_snapshot',
         Snapshot: 'snapshot',
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -534,6 +534,8 @@
      - upstream
      - address
      - version
+     - born_ms
+     - limit_per_s
 
     """
 
@@ -543,15 +545,19 @@
         'upstream',
         'address',
         'version',
+        'born_ms',
+        'limit_per_s',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None, address=None, version=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, address=None, version=None, born_ms=None, limit_per_s=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
         self.address = address
         self.version = version
+        self.born_ms = born_ms
+        self.limit_per_s = limit_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -587,6 +593,16 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.limit_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -617,6 +633,14 @@
             oprot.writeFieldBegin('version', TType.STRING, 5)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 6)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.limit_per_s is not None:
+            oprot.writeFieldBegin('limit_per_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.limit_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -648,6 +672,130 @@
         return not (self == other)
 
 
+class RequestLimit(object):
+    """
+    Attributes:
+     - cell
+     - upstream
+     - born_ms
+     - age_ms
+     - per_s
+
+    """
+
+    __slots__ = (
+        'cell',
+        'upstream',
+        'born_ms',
+        'age_ms',
+        'per_s',
+    )
+
+
+    def __init__(self, cell=None, upstream=None, born_ms=None, age_ms=None, per_s=None,):
+        self.cell = cell
+        self.upstream = upstream
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RequestLimit')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 4)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Refuse(object):
     """
     Attributes:
@@ -2385,6 +2533,7 @@
      - snapshot
      - beat
      - engine_list
+     - request_limit
 
     """
 
@@ -2406,10 +2555,11 @@
         'snapshot',
         'beat',
         'engine_list',
+        'request_limit',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, request_limit=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -2427,6 +2577,7 @@
         self.snapshot = snapshot
         self.beat = beat
         self.engine_list = engine_list
+        self.request_limit = request_limit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2537,6 +2688,12 @@
                     self.engine_list.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.request_limit = RequestLimit()
+                    self.request_limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2615,6 +2772,10 @@
             oprot.writeFieldBegin('engine_list', TType.STRUCT, 17)
             self.engine_list.write(oprot)
             oprot.writeFieldEnd()
+        if self.request_limit is not None:
+            oprot.writeFieldBegin('request_limit', TType.STRUCT, 18)
+            self.request_limit.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2684,6 +2845,17 @@
     (3, TType.STRING, 'upstream', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'version', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'born_ms', None, None, ),  # 6
+    (7, TType.DOUBLE, 'limit_per_s', None, None, ),  # 7
+)
+all_structs.append(RequestLimit)
+RequestLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+    (4, TType.I64, 'age_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'per_s', None, None, ),  # 5
 )
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
@@ -2825,6 +2997,7 @@
     (15, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 15
     (16, TType.STRUCT, 'beat', [Beat, None], None, ),  # 16
     (17, TType.STRUCT, 'engine_list', [EngineList, None], None, ),  # 17
+    (18, TType.STRUCT, 'request_limit', [RequestLimit, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -58,6 +58,18 @@
   3: required string upstream
   4: optional string address
   5: optional string version       // of the upstream's software
+  6: optional i64 born_ms          // start of the upstream's incarnation
+  7: optional double limit_per_s   // requests that it accepts; unset: no limit
+}
+
+// How many requests per second an upstream accepts from all instances together,
+// as one of its answers stated it.
+struct RequestLimit {
+  1: required string cell
+  2: required string upstream
+  3: required i64 born_ms
+  4: required i64 age_ms           // since that answer
+  5: optional double per_s         // unset: no limit
 }
 
 struct Refuse {
@@ -193,4 +205,5 @@
   15: optional Snapshot snapshot
   16: optional Beat beat
   17: optional EngineList engine_list
+  18: optional RequestLimit request_limit
 }
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -3,6 +3,8 @@
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
+from hornbeamdeck.scheduling.request_rate import EngineRate, RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
@@ -36,6 +38,12 @@
     return made._replace(**changes)  # type: ignore[arg-type]
 
 
+def make_load(of: Engine) -> EngineLoad:
+    """Create the load of an idle engine."""
+    rate = EngineRate(RateRules())
+    return EngineLoad(of, MODEL, ServiceEstimates.initial(), rate)
+
+
 def make_team(
     name: str = 'guides', *, rate: float = 1000, burst: float = 1000
 ) -> GatewayTeam:
--- a/tests/scheduling/test_rollout.py
+++ b/tests/scheduling/test_rollout.py
@@ -1,6 +1,6 @@
 """Tests of the phases of a roll-out and of its exposure."""
 
-from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
+from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.scheduling.exposure import Exposure
 from hornbeamdeck.scheduling.rollout import (
     COMPLETION_SHARE,
@@ -12,7 +12,7 @@
 )
 from hornbeamdeck.scheduling.version_comparison import Answer
 from hornbeamdeck.wire import Register
-from tests.scheduling.engine_cell_factories import MODEL, engine
+from tests.scheduling.engine_cell_factories import engine, make_load
 
 BOUNDS = RolloutBounds(expose_share=0.1, expose_slack=50, rollback_ms=5000)
 DURATION_MS = 10_000
@@ -25,11 +25,7 @@
 
 def _loads(version: str, prefix: str) -> list[EngineLoad]:
     return [
-        EngineLoad(
-            engine(f'{prefix}{number}', version=version),
-            MODEL,
-            ServiceEstimates.initial(),
-        )
+        make_load(engine(f'{prefix}{number}', version=version))
         for number in range(ENGINES)
     ]
 
@@ -142,9 +138,7 @@
     rollout = _rollout(loads)
     rollout.adopt(RolloutPhase.COMPLETED)
     assert not any(rollout.may_use(load, 0) for load in loads[:ENGINES])
-    started = EngineLoad(
-        engine('later', version='v1'), MODEL, ServiceEstimates.initial()
-    )
+    started = make_load(engine('later', version='v1'))
     rollout.update_engines([*loads, started])
     assert rollout.may_use(started, 0)
 
