--- a/hornbeamdeck/scheduling/request_rate.py
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -41,7 +41,7 @@
 
 
 class _Bound(NamedTuple):
-    """The most grants within a window, not counting those until `since_ms`."""
+    """The most grants within a window, not counting those before `since_ms`."""
 
     window_ms: float
     most: int
@@ -52,7 +52,7 @@
         if len(granted_ms) < self.most:
             return -math.inf
         oldest_ms = granted_ms[-self.most]
-        if oldest_ms <= self.since_ms:
+        if oldest_ms < self.since_ms:
             return -math.inf
         return oldest_ms + self.window_ms
 
