Replay engines that state request limits

bench/loads/limited_engines.json: a burst of all kinds over five engines of which two, later all, state 0.5 to 2.9 requests a second.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -17,6 +17,7 @@
 import fire
 
 from bench.replay_engine import EngineModel, RunPlan, Token
+from bench.replay_limits import StatedLimits
 from bench.replay_load import Arrival, LoadPlan, Loss, draw_arrivals
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Refused
@@ -29,7 +30,14 @@
     TokenQuotas,
 )
 from hornbeamdeck.version.gateway import EngineProperties
-from hornbeamdeck.wire import Enqueue, Message, Progress, Release, RunEnd
+from hornbeamdeck.wire import (
+    Enqueue,
+    Message,
+    Progress,
+    Release,
+    RequestLimit,
+    RunEnd,
+)
 
 # Delay from a grant until the request reaches the engine, and from an event at
 # the engine until its message reaches the owner.
@@ -66,7 +74,7 @@
 SCORE_WINDOW_MS: Final = 2000
 
 
-_Callback: TypeAlias = Callable[[], None]
+_Callback: TypeAlias = Callable[[], object]
 _ScheduledEvent: TypeAlias = tuple[float, int, _Callback]
 
 
@@ -92,6 +100,7 @@
         self.arrived_ms = now
         self.engine = ''
         self.granted_ms = 0.0
+        self.granted_limit_per_s: float | None = None
         self.first_token_ms = 0.0
         self.last_event_ms = 0.0
         self.longest_gap_ms = 0.0
@@ -131,6 +140,7 @@
         }
         self._stepping_engines: set[str] = set()
         self._down_engines: set[str] = set()
+        self.stated_limits = StatedLimits(plan.limits)
         self._cell = _make_cell(plan)
 
     def run(self) -> list[Outcome]:
@@ -205,6 +215,7 @@
             attempt = self._attempts[granted.queued.request.request_id]
             attempt.engine = granted.upstream
             attempt.granted_ms = self.now
+            attempt.granted_limit_per_s = granted.limit_per_s
             self._schedule(
                 self.now + GRANT_TO_ENGINE_MS,
                 partial(self._reach_engine, attempt),
@@ -216,6 +227,7 @@
         if attempt.engine in self._down_engines:
             self._retry_on_another_engine(attempt)
             return
+        self.stated_limits.record_arrival(attempt.engine, self.now)
         arrival = attempt.arrival
         self._engines[attempt.engine].accept(
             RunPlan(
@@ -269,6 +281,7 @@
             attempt.longest_gap_ms = max(attempt.longest_gap_ms, gap_ms)
         else:
             attempt.first_token_ms = self.now
+            self._report_limit(attempt)
             elapsed_ms = int(self.now - attempt.granted_ms)
             self._schedule(
                 self.now + ENGINE_TO_OWNER_MS,
@@ -278,6 +291,23 @@
         if token.is_last:
             self._finish(attempt, _judge(attempt), RunEnd.ANSWERED)
 
+    def _report_limit(self, attempt: _Attempt) -> None:
+        """Report the limit that a response states if the owner has another."""
+        per_s = self.stated_limits.stated_per_s(attempt.engine, self.now)
+        if per_s == attempt.granted_limit_per_s:
+            return
+        stated = RequestLimit(
+            cell='desk',
+            upstream=attempt.engine,
+            born_ms=1,
+            age_ms=0,
+            per_s=per_s,
+        )
+        self._schedule(
+            self.now + ENGINE_TO_OWNER_MS,
+            lambda: self._cell.rates.set_limit(stated, self.now),
+        )
+
     def _report_first_token(self, attempt: _Attempt, elapsed_ms: int) -> None:
         message = Progress(
             request_id=attempt.request_id,
--- a/bench/replay_load.py
+++ b/bench/replay_load.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple, Self
 
-__all__ = ('Arrival', 'Kind', 'LoadPlan', 'draw_arrivals')
+__all__ = ('Arrival', 'Kind', 'Limit', 'LoadPlan', 'draw_arrivals')
 
 LOADS_FOLDER: Final = Path(__file__).parent / 'loads'
 # Upper limit of a drawn length, as a multiple of the mean.
@@ -65,6 +65,15 @@
     engine: int
 
 
+class Limit(NamedTuple):
+    """A request limit that an engine states for a while."""
+
+    at_s: float
+    for_s: float
+    engine: int
+    per_s: float
+
+
 class LoadPlan(NamedTuple):
     """A load pattern, as stored in its file in `bench/loads`.
 
@@ -79,6 +88,7 @@
     bursts: tuple[Burst, ...]
     losses: tuple[Loss, ...]
     chunk_tokens: int
+    limits: tuple[Limit, ...]
 
     @classmethod
     def from_name(cls, name: str) -> Self:
@@ -94,6 +104,7 @@
             bursts=tuple(Burst(**each) for each in raw['bursts']),
             losses=tuple(Loss(**each) for each in raw['losses']),
             chunk_tokens=raw.get('chunk_tokens', DEFAULT_CHUNK_TOKENS),
+            limits=tuple(Limit(**each) for each in raw.get('limits', ())),
         )
 
 
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -7,6 +7,7 @@
 from hornbeamdeck.scheduling import engine_choice
 from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
+from hornbeamdeck.scheduling.request_rate import EngineRates
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 
 LOAD = LoadPlan.from_name('bursts_and_losses')
@@ -82,6 +83,25 @@
     assert min(shares.values()) > MIN_SHARE_ON_TIME
 
 
+def test_limited_engines_get_no_more_than_they_accept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against filling free slots of engines that limit their requests.
+
+    Two of five engines state a limit during a burst, and all five after it.
+    """
+    plan = LoadPlan.from_name('limited_engines')
+    kept = Replay(plan, SEED)
+    shares = summarize(kept.run())['shares']
+    assert kept.stated_limits.largest_excess() <= 0
+    assert shares['write_up'] > shares['question']
+    assert shares['question'] > shares['check']
+    monkeypatch.setattr(EngineRates, 'set_limit', lambda *_stated: None)
+    ignored = Replay(plan, SEED)
+    ignored.run()
+    assert ignored.stated_limits.largest_excess() > 0
+
+
 # Budget of the owner: 60 % of a core, or 1.4 ms for each of 427 requests a
 # second. A quarter of it is for checks of single engines, at 1.5 us each.
 MAX_CHECKS_PER_REQUEST = 234
