--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -98,11 +98,7 @@
 
     def free_slots(self, now: float) -> int:
         """Return the number of requests that may start now."""
-        idle_slots = self.idle_slots()
-        if self.rate.limit_per_s is None:
-            return idle_slots
-        starts_ms = self.rate.starts_ms(idle_slots, now)
-        return sum(start_ms <= now for start_ms in starts_ms)
+        return self.rate.starts_left(self.idle_slots(), now)
 
     def idle_slots(self) -> int:
         """Return the number of requests that would start at once."""
@@ -354,6 +350,6 @@
     if load.rate.limit_per_s is None:
         return ends_ms
     slots_ms = [*repeat(now, load.idle_slots()), *sorted(ends_ms)]
-    starts_ms = load.rate.starts_ms(len(slots_ms), now)
-    next_starts_ms = list(map(max, slots_ms, starts_ms))
-    return next_starts_ms[load.free_slots(now) :]
+    later_slots_ms = slots_ms[load.free_slots(now) :]
+    starts_ms = load.rate.later_starts_ms(len(later_slots_ms), now)
+    return list(map(max, later_slots_ms, starts_ms))
--- a/hornbeamdeck/scheduling/request_rate.py
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from bisect import bisect_left, bisect_right
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final, NamedTuple
@@ -56,6 +57,14 @@
             return -math.inf
         return oldest_ms + self.window_ms
 
+    def grants_left(self, granted_ms: Sequence[float], now: float) -> int:
+        """Return how many grants are within the bound now."""
+        first = max(
+            bisect_right(granted_ms, now - self.window_ms),
+            bisect_left(granted_ms, self.since_ms),
+        )
+        return max(self.most - (len(granted_ms) - first), 0)
+
 
 class EngineRate:
     """Recent grants to an engine, and the limit that it states, if any."""
@@ -68,6 +77,10 @@
         self._stated_ms = -math.inf
         self._limited_since_ms = -math.inf
         self._granted_ms: deque[float] = deque()
+        self._is_changed = True
+        self._fleet_share = 1.0
+        self._bounds: tuple[_Bound, ...] = ()
+        self._next_ms = -math.inf
 
     def set_limit(self, per_s: float | None, stated_ms: float) -> bool:
         """Apply what a response of the engine stated.
@@ -83,11 +96,13 @@
         if self.limit_per_s is None:
             self._limited_since_ms = stated_ms
         self.limit_per_s = per_s
+        self._is_changed = True
         return True
 
     def record_grant(self, now: float) -> None:
         """Record a request that was granted, here or by another owner."""
         self._granted_ms.append(now)
+        self._is_changed = True
         while self._granted_ms[0] <= now - LONG_WINDOW_MS:
             self._granted_ms.popleft()
 
@@ -98,25 +113,47 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether the limit lets a request start now."""
-        return (
-            self.limit_per_s is None or self._next_ms(self._granted_ms) <= now
-        )
+        return self.limit_per_s is None or self._next_start_ms() <= now
 
-    def starts_ms(self, count: int, now: float) -> list[float]:
-        """Return when the limit lets the next requests start."""
-        granted_ms = list(self._granted_ms)
-        starts_ms = []
-        for _ in range(count):
-            start_ms = max(self._next_ms(granted_ms), now)
-            granted_ms.append(start_ms)
-            starts_ms.append(start_ms)
-        return starts_ms
-
-    def _next_ms(self, granted_ms: Sequence[float]) -> float:
-        return max(bound.next_ms(granted_ms) for bound in self._bounds())
-
-    def _bounds(self) -> tuple[_Bound, ...]:
-        per_s = (self.limit_per_s or 0.0) * self._rules.fleet_share()
+    def starts_left(self, most: int, now: float) -> int:
+        """Return how many requests the limit lets start now.
+
+        :param most: the largest number of interest.
+        """
+        if self.limit_per_s is None:
+            return most
+        if self._next_start_ms() > now:
+            return 0
+        left = [
+            bound.grants_left(self._granted_ms, now) for bound in self._bounds
+        ]
+        return min(most, *left)
+
+    def later_starts_ms(self, count: int, now: float) -> list[float]:
+        """Estimate when requests can start beyond those that can start now."""
+        interval_ms = LONG_WINDOW_MS
+        if self.limit_per_s:
+            stated_interval_ms = MILLIS_PER_SECOND / self.limit_per_s
+            interval_ms = min(interval_ms, stated_interval_ms)
+        next_ms = self._next_start_ms()
+        first_ms = next_ms if next_ms > now else now + interval_ms
+        return [first_ms + interval_ms * number for number in range(count)]
+
+    def _next_start_ms(self) -> float:
+        # Called for every engine whenever a request is placed, so computed only
+        # after a change.
+        share = self._rules.fleet_share()
+        if self._is_changed or share != self._fleet_share:
+            self._is_changed = False
+            self._fleet_share = share
+            self._bounds = self._make_bounds()
+            self._next_ms = max(
+                bound.next_ms(self._granted_ms) for bound in self._bounds
+            )
+        return self._next_ms
+
+    def _make_bounds(self) -> tuple[_Bound, ...]:
+        per_s = (self.limit_per_s or 0.0) * self._fleet_share
         since_ms = self._limited_since_ms
         settled_ms = since_ms + self._rules.settle_ms
         return (
--- a/tests/scheduling/test_request_rate.py
+++ b/tests/scheduling/test_request_rate.py
@@ -274,3 +274,27 @@
     assert _serve(free, 3000, interval_ms=50) == _serve(
         limited, 3000, interval_ms=50
     )
+
+
+@given(
+    per_s=st.sampled_from(LIMITS),
+    before=st.lists(st.integers(0, 5000), max_size=60),
+    waited_ms=st.integers(0, 5000),
+)
+def test_the_forecast_of_starts_matches_what_is_granted(
+    per_s: float, before: list[int], waited_ms: int
+) -> None:
+    """Guards against forecasts that promise more slots than a limit allows."""
+    rate = EngineRate(RULES)
+    for at_ms in sorted(before):
+        rate.record_grant(at_ms)
+    rate.set_limit(per_s, 4000)
+    now = 5000.0 + waited_ms
+    expected = rate.starts_left(1000, now)
+    later_ms = rate.later_starts_ms(3, now)
+    assert min(later_ms) > now
+    grants = 0
+    while rate.may_start(now):
+        rate.record_grant(now)
+        grants += 1
+    assert grants == expected
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,6 +11,7 @@
 MAX_ADAPTER_LINES = 1200
 # Modules that the scheduling package may import.
 SCHEDULING_IMPORTS = (
+    'bisect',
     'collections',
     'enum',
     'functools',
