Refuse a retry at once if every engine was tried

Cause: a retry skips the forecast of waits, and no engine that it may use ever comes free. The owner refuses it now as it arrives; what its caller gets still says whether an engine may have run it. The test failed before: nothing was refused.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final
 
 from hornbeamdeck.scheduling.admission_control import (
@@ -234,7 +234,7 @@
         fastest_ms: float,
         now: float,
     ) -> RefusalReason | None:
-        if not self.loads:
+        if not self.loads or not _has_untried_engine(request, self.loads):
             return RefusalReason.NO_UPSTREAM
         if self.crash_tracker.is_confirmed_poison(request.fingerprint, now):
             return RefusalReason.CULPRIT
@@ -342,6 +342,16 @@
         }
 
 
+def _has_untried_engine(
+    request: Enqueue, loads: Mapping[str, EngineLoad]
+) -> bool:
+    """Return whether a retry has an engine left; `True` for a first attempt."""
+    return not request.excluded or any(
+        name not in request.excluded and not load.engine.is_draining
+        for name, load in loads.items()
+    )
+
+
 def _fastest_ms(
     loads: Iterable[EngineLoad],
     request: Enqueue,
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -50,6 +50,19 @@
     assert max(len(load.runs) for load in desk.loads.values()) == 2
 
 
+def test_a_retry_is_refused_if_no_engine_is_left_for_it() -> None:
+    """Guards against holding a request until its deadline for nothing.
+
+    Every engine has rejected it or failed, or is draining.
+    """
+    desk = make_cell(engine('e1'), engine('e2'), engine('e3', is_draining=True))
+    tried = make_request('tried', excluded=['e1', 'e2'], dispatches=2)
+    assert _reason(enqueue(desk, tried)) == RefusalReason.NO_UPSTREAM
+    left = make_request('left', excluded=['e1'], dispatches=1)
+    assert enqueue(desk, left) is None
+    assert granted(desk) == [('left', 'e2')]
+
+
 def test_a_free_slot_goes_to_the_most_urgent_request() -> None:
     desk = make_cell(engine('e1', slots=1))
     enqueue(desk, make_request('runs', output_tokens=20))
