End a request limit by responses of completed requests only

A rejection may come from a part of the engine that states no limit. Taken as its end, each one would let the engine's free slots be filled at once, until the next response states the limit again. The test got a rejection without a limit from a limited engine; before, it ended the limit.

--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -137,8 +137,8 @@
         if verdict == ResponseVerdict.MISDIRECTED:
             return
         stated = self._context.dialect.stated_request_limit(head)
-        if verdict == ResponseVerdict.INVALID_RESPONSE and stated == Ok(None):
-            # A damaged response may lack what the engine states.
+        if verdict != ResponseVerdict.RAN and stated == Ok(None):
+            # A rejection or a damaged response may lack what the engine states.
             return
         await self._context.record_request_limit(grant, stated)
 
--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -209,8 +209,9 @@
 async def test_a_rejection_states_a_limit_too(fleet: PlatformFleet) -> None:
     """Guards against an engine that is known to be full but not to be limited.
 
-    The address of a limited engine may also belong to another one meanwhile,
-    whose rejection says nothing about it.
+    Only a response to a request that has run ends a limit. The address of a
+    limited engine may also belong to another one meanwhile, whose rejection
+    says nothing about it.
     """
     limited = fleet.model_engines[0]
     rate = _rate_at(fleet, 0, limited.name)
@@ -220,6 +221,12 @@
     assert not limited.faults
     assert rate.limit_per_s == LIMIT_PER_S
     await sleep(WINDOW_S)
+    limited.state_request_limit('')
+    limited.faults = ['not_run']
+    await _async_call_at_once(fleet, 'rejected-again')
+    assert not limited.faults
+    assert rate.limit_per_s == LIMIT_PER_S
+    await sleep(WINDOW_S)
     limited.name = 'somebody-else'
     await _async_call_at_once(fleet, 'misdirected')
     assert rate.limit_per_s == LIMIT_PER_S
