Keep a newer observation when limits move to another owner

While one observation is sent to the successor, a response may bring a newer one for the next engine, which the move would have replaced by the older. Responses without a limit no longer renew the observation of a limit that has ended.

--- a/hornbeamdeck/process/observed_limits.py
+++ b/hornbeamdeck/process/observed_limits.py
@@ -7,11 +7,12 @@
 from typing import Final, NamedTuple, TypeVar
 
 import structlog
-from result import Err, Result
+from result import Err
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.process.owner_link import OwnerLink
+from hornbeamdeck.request.gateway_request import StatedLimit
 from hornbeamdeck.wire import Grant, RequestLimit
 
 __all__ = ('ObservedLimits',)
@@ -65,9 +66,7 @@
         """Return the owners that the observations were reported to."""
         return {each.owner for each in self._observations.values()}
 
-    async def async_record(
-        self, grant: Grant, stated: Result[float | None, str]
-    ) -> None:
+    async def async_record(self, grant: Grant, stated: StatedLimit) -> None:
         """Record what a response stated; report what the owner doesn't know.
 
         :param grant: the grant of the request.
@@ -78,9 +77,9 @@
             return
         per_s = stated.ok_value
         last = self._observations.get(engine)
-        if per_s is None and grant.limit_per_s is None and last is None:
-            return
         previous_per_s = last.per_s if last else None
+        if {per_s, previous_per_s, grant.limit_per_s} == {None}:
+            return
         if per_s != previous_per_s:
             _LOGGER.info(
                 'request limit stated',
@@ -108,7 +107,8 @@
         ]
         for engine, observation in known:
             successor = self._membership.owner_of(observation.cell)
-            if successor == owner:
+            is_replaced = self._observations.get(engine) is not observation
+            if successor == owner or is_replaced:
                 continue
             moved = observation._replace(owner=successor)
             self._observations[engine] = moved
