--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -12,9 +12,9 @@
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine_cell import EngineCell
-from hornbeamdeck.scheduling.engine_load import count_held_by_limit
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.service_load import count_held_by_limit
 from hornbeamdeck.scheduling.token_quota import TokenQuotas
 from hornbeamdeck.version.gateway import GatewayConfiguration
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -4,8 +4,7 @@
 output.
 """
 
-import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 from hornbeamdeck.scheduling.admission_control import (
@@ -19,9 +18,6 @@
 from hornbeamdeck.scheduling.engine_load import (
     EngineLoad,
     ServiceEstimates,
-    base_first_token_ms,
-    count_held_by_limit,
-    forecast_slots,
     start_granted,
 )
 from hornbeamdeck.scheduling.forecast import Forecast
@@ -32,6 +28,13 @@
 from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
 from hornbeamdeck.scheduling.request_rate import EngineRates
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.service_load import (
+    count_held_by_limit,
+    fastest_first_token_ms,
+    find_running,
+    forecast_slots,
+    has_untried_engine,
+)
 from hornbeamdeck.scheduling.version_routing import VersionRouting
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
@@ -69,7 +72,7 @@
         self._estimates = ServiceEstimates.initial()
         self.rates = EngineRates(shared.rate_rules)
         self._hold_reasons: dict[str, str] = {}
-        self._last_expiry_check_ms = -math.inf
+        self._last_expiry_check_ms = float('-inf')
         self._placements = PlacementTracker()
         self._admission = AdmissionControl(
             shared, retry_budget, self._wait_queue
@@ -125,8 +128,10 @@
             deadline_ms=now + (request.patience_ms or request.deadline_ms),
             service_ms=0,
         )
-        fastest_ms = _fastest_ms(
-            self.versions.usable(self.loads.values(), now), request, now
+        fastest_ms = fastest_first_token_ms(
+            self.versions.usable(self.loads.values(), now),
+            request.prompt_tokens,
+            now,
         )
         reason = self._reason_to_refuse(request, fastest_ms, now)
         if reason is not None:
@@ -195,7 +200,7 @@
 
     def progress(self, message: Progress, now: float) -> None:
         """Record a run's first token."""
-        load = _find_running(self.loads.values(), message.request_id)
+        load = find_running(self.loads.values(), message.request_id)
         if load is not None:
             load.first_token(message.request_id, message.first_token_ms, now)
             self._placements.record_engine_change(load.engine.name)
@@ -205,7 +210,7 @@
 
         :returns: the request that is suspected of crashing the engine, if any.
         """
-        load = _find_running(self.loads.values(), message.request_id)
+        load = find_running(self.loads.values(), message.request_id)
         if load is None:
             return None
         end = RunEnd(message.end)
@@ -216,8 +221,8 @@
         self.versions.record_run_end(load, run, message, now)
         if end == RunEnd.ANSWERED:
             load.learn_gap(run, message.longest_gap_ms or 0)
-        return _update_crash_tracker(
-            self.crash_tracker, load.engine, run.fingerprint, end, now
+        return self.crash_tracker.record_run_end(
+            load.engine, run.fingerprint, end, now
         )
 
     def remove_sender(self, sender: str) -> None:
@@ -234,7 +239,7 @@
         fastest_ms: float,
         now: float,
     ) -> RefusalReason | None:
-        if not self.loads or not _has_untried_engine(request, self.loads):
+        if not self.loads or not has_untried_engine(request, self.loads):
             return RefusalReason.NO_UPSTREAM
         if self.crash_tracker.is_confirmed_poison(request.fingerprint, now):
             return RefusalReason.CULPRIT
@@ -335,67 +340,12 @@
                 load.has_free_slot(now) for load in self.loads.values()
             ),
             'held_by_limit': count_held_by_limit(self.loads.values(), now),
-            'fastest_ms': int(_fastest_ms(self.loads.values(), request, now)),
+            'fastest_ms': int(
+                fastest_first_token_ms(
+                    self.loads.values(), request.prompt_tokens, now
+                )
+            ),
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._admission.describe_quota(request.team),
         }
-
-
-def _has_untried_engine(
-    request: Enqueue, loads: Mapping[str, EngineLoad]
-) -> bool:
-    """Return whether a retry has an engine left; `True` for a first attempt."""
-    return not request.excluded or any(
-        name not in request.excluded and not load.engine.is_draining
-        for name, load in loads.items()
-    )
-
-
-def _fastest_ms(
-    loads: Iterable[EngineLoad],
-    request: Enqueue,
-    now: float,
-) -> float:
-    work_ms = base_first_token_ms(request.prompt_tokens)
-    return min(
-        (
-            load.first_token_ms(work_ms, now)
-            for load in loads
-            if not load.engine.is_draining
-        ),
-        default=0.0,
-    )
-
-
-def _find_running(
-    loads: Iterable[EngineLoad],
-    request_id: str,
-) -> EngineLoad | None:
-    for load in loads:
-        if request_id in load.runs:
-            return load
-    return None
-
-
-def _update_crash_tracker(
-    crash_tracker: EngineCrashTracker,
-    engine: Engine,
-    fingerprint: str,
-    end: RunEnd,
-    now: float,
-) -> Suspect | None:
-    suspect = ''
-    if end == RunEnd.ANSWERED:
-        crash_tracker.record_answer(fingerprint)
-    if end == RunEnd.FAILED:
-        crash_tracker.record_failed_run(engine.name, fingerprint, now)
-    if end == RunEnd.NOT_DISPATCHED:
-        suspect = crash_tracker.record_crash(engine.name, now)
-    if not suspect:
-        return None
-    return Suspect(
-        cell=engine.service,
-        fingerprint=suspect,
-        crashes=crash_tracker.crash_count(suspect, now),
-    )
--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -11,6 +11,9 @@
 from collections import deque
 from typing import Final, NamedTuple
 
+from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.wire import RunEnd, Suspect
+
 __all__ = ('POISON_CRASHES', 'EngineCrashTracker')
 
 # A request that was running on this many engines when they crashed is refused.
@@ -61,6 +64,28 @@
         if len(self._crash_counts) > MAX_TRACKED_REQUESTS:
             self._crash_counts.pop(next(iter(self._crash_counts)))
 
+    def record_run_end(
+        self, engine: Engine, fingerprint: str, end: RunEnd, now: float
+    ) -> Suspect | None:
+        """Record how a run ended.
+
+        :returns: the request that is suspected of crashing the engine, if any.
+        """
+        if end == RunEnd.ANSWERED:
+            self.record_answer(fingerprint)
+        if end == RunEnd.FAILED:
+            self.record_failed_run(engine.name, fingerprint, now)
+        if end != RunEnd.NOT_DISPATCHED:
+            return None
+        suspect = self.record_crash(engine.name, now)
+        if not suspect:
+            return None
+        return Suspect(
+            cell=engine.service,
+            fingerprint=suspect,
+            crashes=self.crash_count(suspect, now),
+        )
+
     def record_answer(self, fingerprint: str) -> None:
         """Clear a request that an engine has answered without crashing."""
         self._crash_counts.pop(fingerprint, None)
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -6,14 +6,11 @@
 prompt would take there and the gap that it would cause in the other streams.
 """
 
-from collections.abc import Iterable, Sequence
-from itertools import repeat
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_health import EngineHealth
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
-from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.gap_estimate import GapEstimate, prefill_ms
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
@@ -26,8 +23,6 @@
     'EngineLoad',
     'ServiceEstimates',
     'base_first_token_ms',
-    'count_held_by_limit',
-    'forecast_slots',
     'start_granted',
 )
 
@@ -304,52 +299,3 @@
         route=request.route or '',
     )
     load.start(request.request_id, now)
-
-
-def count_held_by_limit(loads: Iterable[EngineLoad], now: float) -> int:
-    """Count the engines that have slots but may get no request now."""
-    return sum(
-        load.idle_slots() > 0 and not load.rate.may_start(now) for load in loads
-    )
-
-
-def forecast_slots(
-    loads: Sequence[EngineLoad],
-    waiting: int,
-    interval_ms: float,
-    now: float,
-) -> Forecast:
-    """Forecast when slots become free.
-
-    :param loads: engines that are not draining.
-    :param waiting: number of waiting requests; later starts are estimated only
-        if there are not more free slots than this.
-    :param interval_ms: mean time between grants.
-    """
-    free_slots = sum(load.free_slots(now) for load in loads)
-    starts_ms: list[float] = []
-    if free_slots <= waiting:
-        starts_ms = [
-            start_ms
-            for load in loads
-            for start_ms in _next_starts_ms(load, now)
-        ]
-    return Forecast.from_ends(free_slots, starts_ms, interval_ms, now)
-
-
-def _next_starts_ms(load: EngineLoad, now: float) -> list[float]:
-    """Estimate when requests can start beyond those that may start now.
-
-    Runs granted by another owner have no expected end before their first token
-    and are left out. If they counted as overdue, every request would be
-    refused.
-    """
-    ends_ms = [
-        run.expected_end_ms for run in load.runs.values() if run.expected_end_ms
-    ]
-    if load.rate.limit_per_s is None:
-        return ends_ms
-    slots_ms = [*repeat(now, load.idle_slots()), *sorted(ends_ms)]
-    later_slots_ms = slots_ms[load.free_slots(now) :]
-    starts_ms = load.rate.later_starts_ms(len(later_slots_ms), now)
-    return list(map(max, later_slots_ms, starts_ms))
--- /dev/null
+++ b/hornbeamdeck/scheduling/service_load.py
@@ -0,0 +1,106 @@
+"""Load of all engines of one service, as seen by the owner of its cell."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import repeat
+
+from hornbeamdeck.scheduling.engine_load import EngineLoad, base_first_token_ms
+from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.wire import Enqueue
+
+__all__ = (
+    'count_held_by_limit',
+    'fastest_first_token_ms',
+    'find_running',
+    'forecast_slots',
+    'has_untried_engine',
+)
+
+
+def has_untried_engine(
+    request: Enqueue, loads: Mapping[str, EngineLoad]
+) -> bool:
+    """Return whether a retry has an engine left; `True` for a first attempt."""
+    return not request.excluded or any(
+        name not in request.excluded and not load.engine.is_draining
+        for name, load in loads.items()
+    )
+
+
+def fastest_first_token_ms(
+    loads: Iterable[EngineLoad],
+    prompt_tokens: int,
+    now: float,
+) -> float:
+    """Estimate the shortest time to first token of a request sent now.
+
+    :returns: 0 if all engines are draining.
+    """
+    work_ms = base_first_token_ms(prompt_tokens)
+    return min(
+        (
+            load.first_token_ms(work_ms, now)
+            for load in loads
+            if not load.engine.is_draining
+        ),
+        default=0.0,
+    )
+
+
+def find_running(
+    loads: Iterable[EngineLoad],
+    request_id: str,
+) -> EngineLoad | None:
+    """Find the engine that runs a request."""
+    for load in loads:
+        if request_id in load.runs:
+            return load
+    return None
+
+
+def count_held_by_limit(loads: Iterable[EngineLoad], now: float) -> int:
+    """Count the engines that have slots but may get no request now."""
+    return sum(
+        load.idle_slots() > 0 and not load.rate.may_start(now) for load in loads
+    )
+
+
+def forecast_slots(
+    loads: Sequence[EngineLoad],
+    waiting: int,
+    interval_ms: float,
+    now: float,
+) -> Forecast:
+    """Forecast when slots become free.
+
+    :param loads: engines that are not draining.
+    :param waiting: number of waiting requests; later starts are estimated only
+        if there are not more free slots than this.
+    :param interval_ms: mean time between grants.
+    """
+    free_slots = sum(load.free_slots(now) for load in loads)
+    starts_ms: list[float] = []
+    if free_slots <= waiting:
+        starts_ms = [
+            start_ms
+            for load in loads
+            for start_ms in _next_starts_ms(load, now)
+        ]
+    return Forecast.from_ends(free_slots, starts_ms, interval_ms, now)
+
+
+def _next_starts_ms(load: EngineLoad, now: float) -> list[float]:
+    """Estimate when requests can start beyond those that may start now.
+
+    Runs granted by another owner have no expected end before their first token
+    and are left out. If they counted as overdue, every request would be
+    refused.
+    """
+    ends_ms = [
+        run.expected_end_ms for run in load.runs.values() if run.expected_end_ms
+    ]
+    if load.rate.limit_per_s is None:
+        return ends_ms
+    slots_ms = [*repeat(now, load.idle_slots()), *sorted(ends_ms)]
+    later_slots_ms = slots_ms[load.free_slots(now) :]
+    starts_ms = load.rate.later_starts_ms(len(later_slots_ms), now)
+    return list(map(max, later_slots_ms, starts_ms))
