Let the states of a cell include request limits

Random statements of 0, 0.5 and 1 request a second, late and repeated, among requests, run ends, engine changes and lost instances: no engine gets more than it accepts in any 4 s. A rule serves several short requests on a limited engine; without it, random steps hardly met a second grant in one window, and the invariant held even with the check of the limit taken out. With the rule it fails then.

--- a/tests/scheduling/test_engine_cell_states.py
+++ b/tests/scheduling/test_engine_cell_states.py
@@ -1,10 +1,13 @@
 """Invariants of a cell under random requests, run ends and engine changes."""
 
+import math
+
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hornbeamdeck.scheduling.cell import Refused
-from hornbeamdeck.wire import Release, RunEnd
+from hornbeamdeck.scheduling.request_rate import LONG_WINDOW_MS
+from hornbeamdeck.wire import Release, RequestLimit, RunEnd
 from tests.scheduling.engine_cell_factories import (
     MODEL,
     async_discard,
@@ -32,6 +35,9 @@
         )
         self.waiting: dict[str, str] = {}
         self.running: dict[str, str] = {}
+        # By incarnation: what it accepts, and its grants since it said so.
+        self.limits: dict[tuple[str, int], float] = {}
+        self.limited_grants: dict[tuple[str, int], list[float]] = {}
 
     @rule(
         rank=st.integers(0, 4),
@@ -79,6 +85,9 @@
             request_id = grant.queued.request.request_id
             assert grant.upstream not in grant.queued.request.excluded
             self.running[request_id] = self.waiting.pop(request_id)
+            incarnation = (grant.upstream, grant.born_ms)
+            if incarnation in self.limits:
+                self.limited_grants[incarnation].append(self.now)
 
     @rule(drawn=st.data(), end=ENDS)
     def end_one(self, drawn: st.DataObject, end: RunEnd) -> None:
@@ -130,6 +139,68 @@
             {},
         )
 
+    @rule(
+        name=st.sampled_from(NAMES),
+        born_ms=st.integers(1, 2),
+        per_s=st.sampled_from((None, 0.0, 0.5, 1.0)),
+        age_ms=st.integers(0, 50),
+    )
+    def state_limit(
+        self, name: str, born_ms: int, per_s: float | None, age_ms: int
+    ) -> None:
+        """Report what a response of an engine stated."""
+        stated = RequestLimit(
+            cell='desk',
+            upstream=name,
+            born_ms=born_ms,
+            age_ms=age_ms,
+            per_s=per_s,
+        )
+        if self.cell.rates.set_limit(stated, self.now) is None:
+            return
+        incarnation = (name, born_ms)
+        self.limits.pop(incarnation, None)
+        if per_s is not None:
+            self.limits[incarnation] = per_s
+            self.limited_grants[incarnation] = []
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        per_s=st.sampled_from((0.0, 0.5, 1.0)),
+        count=st.integers(2, 6),
+    )
+    def serve_several(self, name: str, per_s: float, count: int) -> None:
+        """Limit an engine and serve short requests, one after another."""
+        load = self.cell.loads.get(name)
+        if load is None:
+            return
+        self.state_limit(name, load.engine.born_ms, per_s, 0)
+        others = [each for each in NAMES if each != name]
+        for _ in range(count):
+            self.enqueue_one(0, 0, 1000, SENDERS[0], others)
+            self.advance_time(100)
+            for request_id in list(load.runs):
+                self.running.pop(request_id, None)
+                release = Release(
+                    request_id=request_id,
+                    cell='desk',
+                    end=RunEnd.ANSWERED,
+                    total_ms=10,
+                )
+                self.cell.release(release, self.now)
+
+    @invariant()
+    def limits_are_kept(self) -> None:
+        """Check that no engine gets more than it accepts in any window."""
+        for incarnation, per_s in self.limits.items():
+            recent = [
+                at_ms
+                for at_ms in self.limited_grants[incarnation]
+                if at_ms > self.now - LONG_WINDOW_MS
+            ]
+            most = math.ceil(per_s * LONG_WINDOW_MS / 1000)
+            assert len(recent) <= max(most, 1)
+
     @invariant()
     def no_engine_is_overfilled(self) -> None:
         """Check that no engine runs more requests than it has slots."""
