--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -124,11 +124,7 @@
 async def test_a_limit_ends_with_the_responses_that_state_it(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against holding back an engine that has recovered.
-
-    An engine that accepts no requests gets some nevertheless: only a response
-    shows that the limit has ended.
-    """
+    """Guards against holding back an engine that has recovered."""
     engine = await _async_leave_one_engine(fleet)
     rate = _rate_at(fleet, 0, engine.name)
     engine.state_request_limit('0')
@@ -206,13 +202,10 @@
 
 
 @on_platform()
-async def test_a_rejection_states_a_limit_too(fleet: PlatformFleet) -> None:
-    """Guards against an engine that is known to be full but not to be limited.
-
-    Only a response to a request that has run ends a limit. The address of a
-    limited engine may also belong to another one meanwhile, whose rejection
-    says nothing about it.
-    """
+async def test_rejections_state_limits_but_end_none(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against rejections that hide a limit or seem to end it."""
     limited = fleet.model_engines[0]
     rate = _rate_at(fleet, 0, limited.name)
     limited.state_request_limit(str(LIMIT_PER_S))
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -51,10 +51,7 @@
 
 
 def test_a_retry_is_refused_if_no_engine_is_left_for_it() -> None:
-    """Guards against holding a request until its deadline for nothing.
-
-    Every engine has rejected it or failed, or is draining.
-    """
+    """Guards against holding a request until its deadline for nothing."""
     desk = make_cell(engine('e1'), engine('e2'), engine('e3', is_draining=True))
     tried = make_request('tried', excluded=['e1', 'e2'], dispatches=2)
     assert _reason(enqueue(desk, tried)) == RefusalReason.NO_UPSTREAM
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -86,10 +86,7 @@
 def test_limited_engines_get_no_more_than_they_accept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against filling free slots of engines that limit their requests.
-
-    Two of five engines state a limit during a burst, and all five after it.
-    """
+    """Guards against filling the free slots of engines that state limits."""
     plan = LoadPlan.from_name('limited_engines')
     kept = Replay(plan, SEED)
     shares = summarize(kept.run())['shares']
--- a/tests/scheduling/test_request_rate.py
+++ b/tests/scheduling/test_request_rate.py
@@ -147,10 +147,7 @@
 @pytest.mark.parametrize('per_s', LIMITS)
 @pytest.mark.parametrize('share', [0.5, 0.3])
 def test_two_owners_at_once_share_a_limit(per_s: float, share: float) -> None:
-    """Guards against two owners that each grant the whole of a limit.
-
-    A cut divides the instances, and each side has an owner.
-    """
+    """Guards against two owners that each grant the whole of a limit."""
     grants = []
     for each in (share, 1 - share):
         rate = EngineRate(RateRules(SETTLE_MS, partial(float, each)))
@@ -175,11 +172,7 @@
 
 
 def test_a_limit_outlives_an_entry_but_not_an_incarnation() -> None:
-    """Guards against losing limits in an outage of the store.
-
-    The entries of engines lapse and are back a moment later. An engine that
-    has restarted under its name is another one.
-    """
+    """Guards against losing limits in an outage of the store."""
     cell = make_cell(engine('e1'), engine('e2'))
     cell.rates.set_limit(_limit('e1', 0.5), 0)
     cell.update_engines([engine('e2')], MODEL, {})
@@ -236,10 +229,7 @@
 
 
 def test_a_request_starts_once_a_limit_allows_it() -> None:
-    """Guards against a request that waits although its engine accepts it.
-
-    No message arrives at that moment; only time passes.
-    """
+    """Guards against a request that waits although its engine accepts it."""
     cell = make_cell(engine('limited'))
     cell.rates.set_limit(_limit('limited', 2.0), 0)
     starts_ms = _serve(cell, 6000, interval_ms=100)
@@ -248,12 +238,7 @@
 
 
 def test_requests_that_limits_leave_no_room_for_are_refused() -> None:
-    """Guards against waiting in vain for slots that are free but not usable.
-
-    All engines state a limit at once. A request that can't start in time is
-    refused at its arrival, with a time to come back that lies further ahead
-    the more requests wait.
-    """
+    """Guards against waiting in vain for slots that are free but not usable."""
     cell = make_cell(engine('e1', slots=9), engine('e2', slots=9))
     for name in ('e1', 'e2'):
         cell.rates.set_limit(_limit(name, 1.0), 0)
