--- a/hornbeamdeck/scheduling/request_rate.py
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -100,7 +100,7 @@
         return True
 
     def record_grant(self, now: float) -> None:
-        """Record a request that was granted, here or by another owner."""
+        """Record a request that this owner has granted."""
         self._granted_ms.append(now)
         self._is_changed = True
         while self._granted_ms[0] <= now - LONG_WINDOW_MS:
@@ -193,7 +193,7 @@
     def rate_of(self, engine: Engine) -> EngineRate:
         """Return the rate of an engine's current incarnation."""
         key = (engine.name, engine.born_ms)
-        # Inserted again, so that the engines listed last come last.
+        # Inserted again, so that the engines that came last are kept longest.
         rate = self._rates.pop(key, None) or EngineRate(self._rules)
         self._rates[key] = rate
         return rate
