Show what engines state of themselves, and which headers nobody reads

Now an instance logs the first response of an engine that leaves and each rest, and has a metric for both.

A limit was the first such statement that passed through every instance unread, these are the second and third.

The tests of limits call it by its new name and assert the same.

No decision changes: limits are reported as before, the other statements are recorded only.

--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -1,7 +1,6 @@
 """Decodes requests of callers and responses of engines on the platform."""
 
 import json
-import re
 from http import HTTPStatus
 from typing import Final
 
@@ -20,6 +19,7 @@
     HEADER_EXPECTED_ENGINE,
     HEADER_EXPECTED_TOKENS,
     HEADER_LAST_EVENT_ID,
+    HEADER_LEAVING,
     HEADER_NOT_RUN,
     HEADER_PROMPT_PARTS,
     HEADER_REQUEST_ID,
@@ -28,12 +28,15 @@
     HEADER_TEAM,
     HEADER_TOKEN_COUNTS,
 )
+from hornbeamdeck.request.engine_statement import (
+    StatementHeaders,
+    make_statement_reader,
+)
 from hornbeamdeck.request.gateway_request import (
     Dialect,
     EngineAttempt,
     GatewayRequest,
     ResponseVerdict,
-    StatedLimit,
 )
 from hornbeamdeck.request.outcome import Failure, NotRun
 from hornbeamdeck.request.refusal import bad_request
@@ -47,7 +50,6 @@
 MAX_TOKENS: Final = 10_000_000
 # Python raises ValueError when it converts numbers of thousands of digits.
 MAX_DIGITS: Final = 12
-DECIMAL_NUMBER: Final = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?', re.ASCII)
 # Without HEADER_NOT_RUN these statuses don't show whether the engine ran the
 # request.
 _INCONCLUSIVE_STATUSES: Final = frozenset(
@@ -145,19 +147,6 @@
     return ResponseVerdict.RAN
 
 
-def stated_request_limit(response: HttpResponse) -> StatedLimit:
-    """Read the rate of requests that an engine accepts.
-
-    :returns: requests per second; `None`: no limit; an error: unreadable text.
-    """
-    text = response.headers.get(HEADER_REQUEST_LIMIT)
-    if text is None:
-        return Ok(None)
-    if DECIMAL_NUMBER.fullmatch(text.strip()) is None:
-        return Err(text)
-    return Ok(float(text))
-
-
 def caller_response(response: HttpResponse) -> HttpResponse:
     """Remove headers that concern only the connection to the engine."""
     return response._replace(headers=without_hop_by_hop(response.headers))
@@ -212,7 +201,20 @@
     read_request=read_request,
     engine_headers=engine_headers,
     classify_response=classify_response,
-    stated_request_limit=stated_request_limit,
+    read_statement=make_statement_reader(
+        StatementHeaders(
+            request_limit=HEADER_REQUEST_LIMIT,
+            leaving=HEADER_LEAVING,
+            others=frozenset(
+                (
+                    HEADER_REQUEST_ID,
+                    HEADER_RESPONSE_SEAL,
+                    HEADER_NOT_RUN,
+                    'hornbeamdeck-weight-versions',
+                ),
+            ),
+        ),
+    ),
     caller_response=caller_response,
     failure_response=failure_response,
 )
--- a/hornbeamdeck/platform/wire_names.py
+++ b/hornbeamdeck/platform/wire_names.py
@@ -22,6 +22,8 @@
 # In a response of an engine: how many requests per second it accepts from all
 # instances together, a decimal number. In force while its responses state it.
 HEADER_REQUEST_LIMIT: Final = 'server-limit'
+# In all responses of an engine that leaves: 1.
+HEADER_LEAVING: Final = 'server-leaving'
 
 # Headers of engine requests that only the gateway may set. They are removed
 # from requests of callers.
--- /dev/null
+++ b/hornbeamdeck/process/engine_statements.py
@@ -0,0 +1,245 @@
+"""What engines stated of themselves in responses to this process.
+
+An owner stores the limits only in memory. Each is reported to it by the process
+that received the response, and reported again to its successor.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple, TypeVar
+
+import structlog
+from result import Err, Ok
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.process.owner_link import OwnerLink
+from hornbeamdeck.request.gateway_request import EngineStatement
+from hornbeamdeck.wire import Grant, RequestLimit
+
+__all__ = ('EngineStatements',)
+
+_LOGGER = structlog.get_logger(prefix='engines')
+
+# Older limits are not reported to a new owner. If the limit still holds, the
+# engine's next response states it.
+MAX_LIMIT_AGE_MS: Final = 30_000
+MAX_ENGINES: Final = 1000
+# Names of unread headers that are counted one by one.
+MAX_HEADER_NAMES: Final = 64
+OTHER_HEADERS: Final = 'other'
+MAX_LOGGED_CHARS: Final = 64
+
+_Entry = TypeVar('_Entry')
+
+
+class _Observation(NamedTuple):
+    """What one incarnation of an engine stated.
+
+    :param owner: the owner that it was reported to.
+    :param per_s: limit in requests per second; `None`: no limit.
+    :param limit_observed_ms: when a response last showed the limit.
+    :param rest_until_ms: until when it wants no requests from this process.
+    """
+
+    cell: str
+    born_ms: int
+    owner: str
+    per_s: float | None = None
+    limit_observed_ms: float = -math.inf
+    is_leaving: bool = False
+    rest_until_ms: float = -math.inf
+
+
+class EngineStatements:
+    """The last statements of each engine that has made any."""
+
+    def __init__(self, membership: Membership, link: OwnerLink) -> None:
+        """Start without observations."""
+        self._membership = membership
+        self._link = link
+        self._observations: dict[str, _Observation] = {}
+        self._unreadable: dict[str, str] = {}
+        self._unread_headers: Counter[str] = Counter()
+
+    @property
+    def unread_headers(self) -> Mapping[str, int]:
+        """Number of response headers that no code reads, by name."""
+        return self._unread_headers
+
+    def limits(self) -> dict[str, float]:
+        """Return the current limits in requests per second, by engine."""
+        return {
+            engine: observation.per_s
+            for engine, observation in self._observations.items()
+            if observation.per_s is not None
+        }
+
+    def leaving(self) -> list[str]:
+        """Return the engines that have stated that they leave."""
+        return [
+            engine
+            for engine, observation in self._observations.items()
+            if observation.is_leaving
+        ]
+
+    def rests_ms(self) -> dict[str, float]:
+        """Return how long each engine still wants no requests from here."""
+        now = now_ms()
+        return {
+            engine: observation.rest_until_ms - now
+            for engine, observation in self._observations.items()
+            if observation.rest_until_ms > now
+        }
+
+    def owners(self) -> set[str]:
+        """Return the owners that the observations were reported to."""
+        return {each.owner for each in self._observations.values()}
+
+    async def async_record(
+        self, grant: Grant, statement: EngineStatement
+    ) -> None:
+        """Record what a response stated; report what the owner doesn't know.
+
+        :param grant: the grant of the request.
+        """
+        engine = grant.upstream
+        self._count_unread(engine, statement.unread_headers)
+        last = self._last_observation(grant)
+        observation = self._observe(grant, last, statement)
+        if observation == last:
+            return
+        _insert_last(self._observations, engine, observation)
+        is_limit_shown = observation.limit_observed_ms > last.limit_observed_ms
+        if is_limit_shown and observation.per_s != grant.limit_per_s:
+            await self._async_report(engine, observation)
+
+    async def async_move_to_successor(self, owner: str) -> None:
+        """Report what an owner knew to its successors."""
+        known = [
+            (engine, each)
+            for engine, each in self._observations.items()
+            if each.owner == owner
+        ]
+        for engine, observation in known:
+            successor = self._membership.owner_of(observation.cell)
+            is_replaced = self._observations.get(engine) is not observation
+            if successor == owner or is_replaced:
+                continue
+            moved = observation._replace(owner=successor)
+            self._observations[engine] = moved
+            if now_ms() - moved.limit_observed_ms < MAX_LIMIT_AGE_MS:
+                await self._async_report(engine, moved)
+
+    def _last_observation(self, grant: Grant) -> _Observation:
+        """Return what the engine has stated so far, if it is the same one."""
+        born_ms = grant.born_ms or 0
+        last = self._observations.get(grant.upstream)
+        if last is not None and last.born_ms >= born_ms:
+            return last
+        owner = self._membership.owner_of(grant.cell)
+        return _Observation(grant.cell, born_ms, owner)
+
+    def _observe(
+        self, grant: Grant, last: _Observation, statement: EngineStatement
+    ) -> _Observation:
+        """Return what is known of the engine after one more response."""
+        now = now_ms()
+        observation = last
+        self._log_unreadable(grant.upstream, statement)
+        limit = statement.request_limit
+        if isinstance(limit, Ok):
+            per_s = limit.ok_value
+            if {per_s, last.per_s, grant.limit_per_s} != {None}:
+                observation = observation._replace(
+                    per_s=per_s, limit_observed_ms=now
+                )
+        # Engines that stay do not send the header, so one that can't be read
+        # counts as leaving.
+        if statement.leaving.unwrap_or(True):
+            observation = observation._replace(is_leaving=True)
+        rest_until_ms = now + statement.rest_ms.unwrap_or(0.0)
+        if rest_until_ms > max(now, last.rest_until_ms):
+            observation = observation._replace(rest_until_ms=rest_until_ms)
+        if observation != last:
+            owner = self._membership.owner_of(grant.cell)
+            observation = observation._replace(owner=owner)
+            _log_changes(grant, last, observation, now)
+        return observation
+
+    async def _async_report(
+        self, engine: str, observation: _Observation
+    ) -> None:
+        message = RequestLimit(
+            cell=observation.cell,
+            upstream=engine,
+            born_ms=observation.born_ms,
+            age_ms=int(now_ms() - observation.limit_observed_ms),
+            per_s=observation.per_s,
+        )
+        await self._link.async_send(observation.owner, message)
+
+    def _log_unreadable(self, engine: str, statement: EngineStatement) -> None:
+        stated = {
+            'limit': statement.request_limit,
+            'leaving': statement.leaving,
+            'rest': statement.rest_ms,
+        }
+        for subject, value_or_text in stated.items():
+            if not isinstance(value_or_text, Err):
+                continue
+            text = value_or_text.err_value
+            key = f'{engine} {subject}'
+            if self._unreadable.get(key) != text:
+                _insert_last(self._unreadable, key, text)
+                _LOGGER.warning(
+                    'statement not readable',
+                    engine=engine,
+                    subject=subject,
+                    text=text[:MAX_LOGGED_CHARS],
+                )
+
+    def _count_unread(self, engine: str, names: Iterable[str]) -> None:
+        for full_name in names:
+            name = full_name[:MAX_LOGGED_CHARS]
+            if name not in self._unread_headers:
+                if len(self._unread_headers) >= MAX_HEADER_NAMES:
+                    name = OTHER_HEADERS
+                else:
+                    _LOGGER.warning(
+                        'response header not read', engine=engine, header=name
+                    )
+            self._unread_headers[name] += 1
+
+
+def _log_changes(
+    grant: Grant, last: _Observation, observation: _Observation, now: float
+) -> None:
+    if observation.per_s != last.per_s:
+        _LOGGER.info(
+            'request limit stated',
+            engine=grant.upstream,
+            per_s=observation.per_s,
+            previous_per_s=last.per_s,
+        )
+    if observation.is_leaving and not last.is_leaving:
+        _LOGGER.info(
+            'engine states that it leaves',
+            engine=grant.upstream,
+            request_id=grant.request_id,
+        )
+    if last.rest_until_ms <= now < observation.rest_until_ms:
+        _LOGGER.info(
+            'engine asks for rest',
+            engine=grant.upstream,
+            request_id=grant.request_id,
+            rest_ms=int(observation.rest_until_ms - now),
+        )
+
+
+def _insert_last(by_key: dict[str, _Entry], key: str, entry: _Entry) -> None:
+    by_key.pop(key, None)
+    by_key[key] = entry
+    if len(by_key) > MAX_ENGINES:
+        by_key.pop(next(iter(by_key)))
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -29,6 +29,7 @@
     PlatformAdapter,
 )
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
+from hornbeamdeck.process.gateway_metrics import EngineStatementCounts
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.heartbeat_pace import MIN_HEARTBEAT_INTERVAL_MS
 from hornbeamdeck.process.instance_registration import InstanceRegistration
@@ -210,7 +211,7 @@
             acquire_grant=components.grants.async_acquire,
             report_first_token=components.grants.async_report_first_token,
             release_grant=components.grants.async_release,
-            record_request_limit=components.grants.observed_limits.async_record,
+            record_statement=components.grants.engine_statements.async_record,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
             zone=self.settings.availability_zone,
@@ -281,8 +282,13 @@
             self.freshness_guard.engines_age_ms(),
         )
         metrics = self.components.metrics
-        observed_limits = self.components.grants.observed_limits
-        metrics.observed_limits = observed_limits.current()
+        statements = self.components.grants.engine_statements
+        metrics.engine_statements = EngineStatementCounts(
+            limits=statements.limits(),
+            leaving=statements.leaving(),
+            rests_ms=statements.rests_ms(),
+            unread_headers=statements.unread_headers,
+        )
         metrics.limit_counts = {}
         if self.components.is_owner:
             metrics.limit_counts = self.components.cells.limit_counts()
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -7,13 +7,14 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = (
     'BUCKETS_S',
+    'EngineStatementCounts',
     'GatewayMetrics',
     'LatencyHistogram',
     'LimitCounts',
@@ -38,6 +39,22 @@
     bad_answers: Mapping[str, int]
 
 
+class EngineStatementCounts(NamedTuple):
+    """What engines state of themselves in responses to this process.
+
+    :param limits: accepted requests per second, by engine that states a limit.
+    :param leaving: names of the engines that leave.
+    :param rests_ms: how long engines still want no requests from this process.
+    :param unread_headers: number of response headers that no code reads, by
+        name.
+    """
+
+    limits: Mapping[str, float]
+    leaving: Sequence[str]
+    rests_ms: Mapping[str, float]
+    unread_headers: Mapping[str, int]
+
+
 class LimitCounts(NamedTuple):
     """Limited engines of a service as the owner of its cell counts them.
 
@@ -84,8 +101,7 @@
         self.configuration_version = 0
         self.confirmation_ages_ms: dict[str, float] = {}
         self.log_lines_dropped = 0
-        # Requests per second, by engine that states a limit.
-        self.observed_limits: dict[str, float] = {}
+        self.engine_statements = EngineStatementCounts({}, (), {}, {})
         # By service; empty unless this process is the owner.
         self.limit_counts: dict[str, LimitCounts] = {}
         # By service; empty in deployments without roll-outs.
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -15,6 +15,7 @@
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.process.gateway_metrics import (
     BUCKETS_S,
+    EngineStatementCounts,
     GatewayMetrics,
     LatencyHistogram,
 )
@@ -122,15 +123,36 @@
     yield ages
 
 
-def _engine_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
-    limits = GaugeMetricFamily(
+def _statement_metrics(stated: EngineStatementCounts) -> Iterator[Metric]:
+    limits = _by_engine(
         'hornbeamdeck_engine_request_limit',
         'Requests per second that an engine accepts, as last stated here.',
-        labels=('engine',),
     )
-    for engine, per_s in metrics.observed_limits.items():
+    for engine, per_s in stated.limits.items():
         limits.add_metric((engine,), per_s)
-    yield limits
+    leaving = _by_engine(
+        'hornbeamdeck_engine_leaving',
+        'Engines that have stated here that they leave.',
+    )
+    for engine in stated.leaving:
+        leaving.add_metric((engine,), 1)
+    rests = _by_engine(
+        'hornbeamdeck_engine_rest_seconds',
+        'How long an engine still wants no requests from this process.',
+    )
+    for engine, rest_ms in stated.rests_ms.items():
+        rests.add_metric((engine,), rest_ms / MILLIS_PER_SECOND)
+    yield from (limits, leaving, rests)
+    yield _counter(
+        'hornbeamdeck_unread_response_headers',
+        "Headers in engines' responses that no code reads, by name.",
+        'header',
+        stated.unread_headers,
+    )
+
+
+def _engine_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
+    yield from _statement_metrics(metrics.engine_statements)
     limited = _by_service(
         'hornbeamdeck_limited_engines', 'Engines that state a request limit.'
     )
@@ -172,6 +194,10 @@
     yield from (phase, requests, bad_answers)
 
 
+def _by_engine(name: str, documentation: str) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, documentation, labels=('engine',))
+
+
 def _by_service(name: str, documentation: str) -> GaugeMetricFamily:
     return GaugeMetricFamily(name, documentation, labels=('service',))
 
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -14,8 +14,8 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
+from hornbeamdeck.process.engine_statements import EngineStatements
 from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.observed_limits import ObservedLimits
 from hornbeamdeck.process.owner_link import OwnerLink
 from hornbeamdeck.process.owner_watch import OwnerWatch
 from hornbeamdeck.process.peers import Peers
@@ -68,7 +68,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._running: dict[str, _Running] = {}
         self._poison_reports = PoisonReports(membership, self._link)
-        self.observed_limits = ObservedLimits(membership, self._link)
+        self.engine_statements = EngineStatements(membership, self._link)
         self.owner_watch = OwnerWatch(peers, self._awaited_owners)
 
     @property
@@ -164,7 +164,7 @@
         owners = {each.owner for each in self._waiting.values()}
         owners |= {each.owner for each in self._running.values()}
         owners |= self._poison_reports.owners()
-        owners |= self.observed_limits.owners()
+        owners |= self.engine_statements.owners()
         for owner in owners:
             await self._async_move(owner)
 
@@ -227,7 +227,7 @@
 
     async def _async_move(self, owner: str) -> None:
         # Before the requests, which the successor grants at once.
-        await self.observed_limits.async_move_to_successor(owner)
+        await self.engine_statements.async_move_to_successor(owner)
         runs = [each for each in self._running.values() if each.owner == owner]
         for running in runs:
             await self._async_move_run(running)
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -6,7 +6,7 @@
 from typing import Any, Final, TypeVar
 
 from curio.errors import TaskTimeout
-from result import Err, Ok, Result
+from result import Err, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.client import ClientConnection
@@ -95,7 +95,9 @@
         verdict = self._context.dialect.classify_response(
             self._admission.request, head.ok_value
         )
-        await self._async_record_limit(grant, head.ok_value, verdict)
+        await self._context.record_statement(
+            grant, self._context.dialect.read_statement(head.ok_value, verdict)
+        )
         return await self._async_relay(head.ok_value, verdict, sent_ms)
 
     async def async_close(self, end: RunEnd) -> None:
@@ -128,20 +130,6 @@
             return sent
         return await self._async_read_with_timeout(connection.async_read_head())
 
-    async def _async_record_limit(
-        self,
-        grant: Grant,
-        head: HttpResponse,
-        verdict: ResponseVerdict,
-    ) -> None:
-        if verdict == ResponseVerdict.MISDIRECTED:
-            return
-        stated = self._context.dialect.stated_request_limit(head)
-        if verdict != ResponseVerdict.RAN and stated == Ok(None):
-            # A rejection or a damaged response may lack what the engine states.
-            return
-        await self._context.record_request_limit(grant, stated)
-
     async def _async_relay(
         self,
         head: HttpResponse,
--- /dev/null
+++ b/hornbeamdeck/request/engine_statement.py
@@ -0,0 +1,123 @@
+"""Reads what the responses of an engine state about the engine itself."""
+
+import re
+import time
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.request.gateway_request import (
+    EngineStatement,
+    ReadStatement,
+    ResponseVerdict,
+    StatedLimit,
+)
+
+__all__ = ('StatementHeaders', 'make_statement_reader')
+
+DECIMAL_NUMBER: Final = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?', re.ASCII)
+SECONDS: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+', re.ASCII)
+# An engine that asks for a longer rest gets a request after this time.
+MAX_REST_MS: Final = 3_600_000.0
+_FLAGS: Final = MappingProxyType({'0': False, '1': True})
+RETRY_AFTER: Final = 'retry-after'
+DATE: Final = 'date'
+# Headers that HTTP defines, and that no decision needs.
+_PLAIN_HEADERS: Final = frozenset(
+    (
+        'cache-control',
+        'connection',
+        'content-encoding',
+        'content-length',
+        'content-type',
+        'keep-alive',
+        'server',
+        'transfer-encoding',
+        DATE,
+        RETRY_AFTER,
+    ),
+)
+
+
+class StatementHeaders(NamedTuple):
+    """Names of headers in responses of engines, in lower case.
+
+    :param request_limit: requests per second that the engine accepts from all
+        instances together, a decimal number.
+    :param leaving: 1 in all responses of an engine that leaves.
+    :param others: headers that are read elsewhere or only passed on.
+    """
+
+    request_limit: str
+    leaving: str
+    others: frozenset[str]
+
+
+def make_statement_reader(names: StatementHeaders) -> ReadStatement:
+    """Make the function that reads what a response states of its engine."""
+    known = _PLAIN_HEADERS | names.others | {names.request_limit, names.leaving}
+
+    def _read_statement(
+        response: HttpResponse, verdict: ResponseVerdict
+    ) -> EngineStatement:
+        if verdict == ResponseVerdict.MISDIRECTED:
+            # Another engine has responded.
+            return EngineStatement()
+        headers = response.headers
+        request_limit: StatedLimit | None = _read_limit(
+            headers.get(names.request_limit)
+        )
+        if verdict != ResponseVerdict.RAN and request_limit == Ok(None):
+            # A rejection or a damaged response may lack what the engine states.
+            request_limit = None
+        return EngineStatement(
+            request_limit=request_limit,
+            leaving=_read_flag(headers.get(names.leaving)),
+            rest_ms=_read_rest_ms(response),
+            unread_headers=tuple(headers.keys() - known),
+        )
+
+    return _read_statement
+
+
+def _read_limit(text: str | None) -> StatedLimit:
+    if text is None:
+        return Ok(None)
+    if DECIMAL_NUMBER.fullmatch(text.strip()) is None:
+        return Err(text)
+    return Ok(float(text))
+
+
+def _read_flag(text: str | None) -> Result[bool, str]:
+    if text is None:
+        return Ok(False)
+    is_set = _FLAGS.get(text.strip())
+    return Err(text) if is_set is None else Ok(is_set)
+
+
+def _read_rest_ms(response: HttpResponse) -> Result[float, str]:
+    """Read a number of seconds or a date (RFC 9110, section 10.2.3)."""
+    text = response.headers.get(RETRY_AFTER)
+    if text is None or response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return Ok(0.0)
+    if SECONDS.fullmatch(text.strip()):
+        return Ok(min(float(text) * MILLIS_PER_SECOND, MAX_REST_MS))
+    until_s = _date_s(text)
+    if until_s is None:
+        return Err(text)
+    # The engine's clock may differ from the one of this machine.
+    sent_s = _date_s(response.headers.get(DATE, '')) or time.time()
+    rest_ms = (until_s - sent_s) * MILLIS_PER_SECOND
+    return Ok(min(max(rest_ms, 0.0), MAX_REST_MS))
+
+
+def _date_s(text: str) -> float | None:
+    try:
+        return parsedate_to_datetime(text).timestamp()
+    except (ValueError, OverflowError, OSError):
+        return None
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -18,8 +18,8 @@
 from hornbeamdeck.request.gateway_admission import GatewayAdmission, async_admit
 from hornbeamdeck.request.gateway_request import (
     Dialect,
+    EngineStatement,
     RunSummary,
-    StatedLimit,
 )
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.version.gateway import GatewayConfiguration
@@ -63,8 +63,8 @@
         ms.
     :param release_grant: gets a request's id, how its run ended and its
         summary.
-    :param record_request_limit: gets a grant and the request limit that the
-        head of its response states.
+    :param record_statement: gets a grant and what the head of its response
+        states about the engine.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param zone: this instance's availability zone.
@@ -81,7 +81,7 @@
     acquire_grant: Acquire
     report_first_token: Callable[[str, float], Awaitable[None]]
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
-    record_request_limit: Callable[[Grant, StatedLimit], Awaitable[None]]
+    record_statement: Callable[[Grant, EngineStatement], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     zone: str
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
 
-from result import Result
+from result import Ok, Result
 
 from hornbeamdeck.connection.http import Headers, HttpRequest, HttpResponse
 from hornbeamdeck.request.outcome import Failure, NotRun
@@ -12,6 +12,7 @@
 __all__ = (
     'Dialect',
     'EngineAttempt',
+    'EngineStatement',
     'GatewayRequest',
     'ResponseVerdict',
     'RunSummary',
@@ -100,7 +101,30 @@
     [GatewayRequest, HttpResponse], ResponseVerdict
 ]
 StatedLimit: TypeAlias = Result[float | None, str]
-ReadStatedLimit: TypeAlias = Callable[[HttpResponse], StatedLimit]
+
+
+class EngineStatement(NamedTuple):
+    """What the head of an engine's response states about the engine.
+
+    An error is the text of a header that can't be read.
+
+    :param request_limit: requests per second that it accepts from all instances
+        together; `Ok(None)`: no limit; `None`: the response does not show it.
+    :param leaving: whether it is about to stop.
+    :param rest_ms: how long it wants no requests from this instance; 0: it does
+        not ask for rest.
+    :param unread_headers: names of its headers that no code reads.
+    """
+
+    request_limit: StatedLimit | None = None
+    leaving: Result[bool, str] = Ok(False)
+    rest_ms: Result[float, str] = Ok(0.0)
+    unread_headers: tuple[str, ...] = ()
+
+
+ReadStatement: TypeAlias = Callable[
+    [HttpResponse, ResponseVerdict], EngineStatement
+]
 MakeCallerResponse: TypeAlias = Callable[[HttpResponse], HttpResponse]
 MakeFailureResponse: TypeAlias = Callable[[Failure, str], HttpResponse]
 
@@ -111,8 +135,8 @@
     :param read_request: decodes a request, or returns why it is invalid.
     :param engine_headers: makes the headers of a request for an engine.
     :param classify_response: classifies an engine's response by its head.
-    :param stated_request_limit: reads the requests per second that an engine
-        accepts from all instances together; `None`: it states no limit.
+    :param read_statement: reads what a response with a given verdict states
+        about its engine.
     :param caller_response: converts an engine's response for the caller.
     :param failure_response: makes the response for a failure and a request id.
     """
@@ -120,6 +144,6 @@
     read_request: ReadRequest
     engine_headers: MakeEngineHeaders
     classify_response: ClassifyResponse
-    stated_request_limit: ReadStatedLimit
+    read_statement: ReadStatement
     caller_response: MakeCallerResponse
     failure_response: MakeFailureResponse
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -17,6 +17,8 @@
 WAIT_STEP_S = 0.02
 WAIT_STEPS = 500
 TOKEN_COUNTS = '100,20'
+# Position of the metrics endpoint among a gateway's listeners.
+METRICS_LISTENER = 2
 Scenario = Callable[['PlatformFleet'], Awaitable[None]]
 
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -233,7 +233,7 @@
         self.event_gap_s = 0.0
         self.keep_alive_s = 0
         self.extra_bytes = b''
-        self._request_limit = ''
+        self._stated: dict[str, str] = {}
         self._arrivals_s: list[float] = []
         self._sockets: list[socket.socket] = []
 
@@ -259,9 +259,13 @@
         """Return when requests arrived, on the monotonic clock."""
         return self._arrivals_s
 
+    def state(self, headers: Mapping[str, str]) -> None:
+        """Send these headers, and no other statements, from now on."""
+        self._stated = dict(headers)
+
     def state_request_limit(self, text: str) -> None:
         """State a limit in all further responses; empty: state none."""
-        self._request_limit = text
+        self.state({'server-limit': text} if text else {})
 
     async def async_close_connections(self) -> None:
         """Close all connections, as an engine closes idle ones."""
@@ -296,10 +300,7 @@
         self._arrivals_s.append(monotonic())
         fault = self.faults.pop(0) if self.faults else ''
         if fault == 'not_run':
-            headers = {
-                'hornbeamdeck-not-executed': '1',
-                **self._limit_headers(),
-            }
+            headers = {'hornbeamdeck-not-executed': '1', **self._stated}
             await caller.async_respond(HttpResponse(503, headers, b''))
             return
         self.executed.append(request)
@@ -309,11 +310,6 @@
             self.cancelled_runs += 1
             raise
 
-    def _limit_headers(self) -> dict[str, str]:
-        if not self._request_limit:
-            return {}
-        return {'server-limit': self._request_limit}
-
     async def _async_run(
         self,
         request: HttpRequest,
@@ -328,7 +324,7 @@
         headers = {
             REQUEST_ID_HEADER: request.headers[REQUEST_ID_HEADER],
             SEAL_HEADER: f'seal-{self.name}',
-            **self._limit_headers(),
+            **self._stated,
         }
         if self.keep_alive_s:
             headers['keep-alive'] = f'timeout={self.keep_alive_s}'
--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -9,8 +9,14 @@
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.platform.dialect import DIALECT
 from hornbeamdeck.process.liveness import FLEET_CELL
+from hornbeamdeck.request.gateway_request import ResponseVerdict
 from hornbeamdeck.scheduling.request_rate import EngineRate
-from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
+from tests.platform.fleet import (
+    METRICS_LISTENER,
+    TOKEN_COUNTS,
+    PlatformFleet,
+    on_platform,
+)
 from tests.platform.standins import EngineStandin
 from tests.support import async_fetch
 
@@ -23,8 +29,6 @@
 CALL_INTERVAL_S = 0.02
 MAX_CALLS = 300
 CALLERS = 4
-# Position of the metrics endpoint among a gateway's listeners.
-METRICS_LISTENER = 2
 
 
 async def _async_call_repeatedly(
@@ -93,19 +97,19 @@
     }
 
 
-def _stated(text: str) -> object:
-    return DIALECT.stated_request_limit(
-        HttpResponse(200, {'server-limit': text}, b'')
-    )
+def _stated(**headers: str) -> object:
+    named = {name.replace('_', '-'): text for name, text in headers.items()}
+    response = HttpResponse(200, named, b'')
+    return DIALECT.read_statement(response, ResponseVerdict.RAN).request_limit
 
 
 def test_a_stated_limit_is_a_decimal_number() -> None:
     """Guards against a limit that a process takes for another number."""
-    assert DIALECT.stated_request_limit(HttpResponse(200, {}, b'')) == Ok(None)
-    assert _stated('2.7') == Ok(2.7)
-    assert _stated(' 0 ') == Ok(0)
+    assert _stated() == Ok(None)
+    assert _stated(server_limit='2.7') == Ok(2.7)
+    assert _stated(server_limit=' 0 ') == Ok(0)
     for text in ('', 'nan', 'inf', '-1', '1e3', '2,7', '1, 2', '٣', '9' * 99):
-        assert _stated(text) == Err(text)
+        assert _stated(server_limit=text) == Err(text)
 
 
 @on_platform()
