--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -234,7 +234,7 @@
         self.keep_alive_s = 0
         self.extra_bytes = b''
         self._stated: dict[str, str] = {}
-        self._arrivals_s: list[float] = []
+        self._arrivals: list[tuple[str, float]] = []
         self._sockets: list[socket.socket] = []
 
     async def async_start(self) -> None:
@@ -257,7 +257,12 @@
     @property
     def arrivals_s(self) -> list[float]:
         """Return when requests arrived, on the monotonic clock."""
-        return self._arrivals_s
+        return [arrived_s for _, arrived_s in self._arrivals]
+
+    @property
+    def arrivals(self) -> list[tuple[str, float]]:
+        """Return the ids of requests and when they arrived."""
+        return self._arrivals
 
     def state(self, headers: Mapping[str, str]) -> None:
         """Send these headers, and no other statements, from now on."""
@@ -297,7 +302,8 @@
         if expected != self.name:
             await caller.async_respond(HttpResponse(421, {}, b''))
             return
-        self._arrivals_s.append(monotonic())
+        request_id = request.headers[REQUEST_ID_HEADER]
+        self._arrivals.append((request_id, monotonic()))
         fault = self.faults.pop(0) if self.faults else ''
         if fault == 'not_run':
             headers = {'hornbeamdeck-not-executed': '1', **self._stated}
