Keep what engines state in one condition for each incarnation

A limit is one of several things that an engine states of itself. The message to the owner becomes an observation of an engine, and the owner's registry of rates one of conditions, of which the rate is a part, so that the next statement needs a field and not a registry and a message of its own.

No behaviour changes. The message keeps its number and fields on the wire; the tests of limits call the new names and assert the same.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -31,11 +31,11 @@
 )
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
+    EngineObservation,
     Enqueue,
     Message,
     Progress,
     Release,
-    RequestLimit,
     RunEnd,
 )
 
@@ -296,7 +296,7 @@
         per_s = self.stated_limits.stated_per_s(attempt.engine, self.now)
         if per_s == attempt.granted_limit_per_s:
             return
-        stated = RequestLimit(
+        stated = EngineObservation(
             cell='desk',
             upstream=attempt.engine,
             born_ms=1,
@@ -305,7 +305,7 @@
         )
         self._schedule(
             self.now + ENGINE_TO_OWNER_MS,
-            lambda: self._cell.rates.set_limit(stated, self.now),
+            lambda: self._cell.conditions.apply(stated, self.now),
         )
 
     def _report_first_token(self, attempt: _Attempt, elapsed_ms: int) -> None:
--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -16,7 +16,7 @@
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.process.owner_link import OwnerLink
 from hornbeamdeck.request.gateway_request import EngineStatement
-from hornbeamdeck.wire import Grant, RequestLimit
+from hornbeamdeck.wire import EngineObservation, Grant
 
 __all__ = ('EngineStatements',)
 
@@ -171,7 +171,7 @@
     async def _async_report(
         self, engine: str, observation: _Observation
     ) -> None:
-        message = RequestLimit(
+        message = EngineObservation(
             cell=observation.cell,
             upstream=engine,
             born_ms=observation.born_ms,
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.scheduling.queued_request import Deliver
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
+    EngineObservation,
     Enqueue,
     Grant,
     Progress,
@@ -20,7 +21,6 @@
     Refuse,
     Register,
     Release,
-    RequestLimit,
     Suspect,
     ToOwner,
     Withdraw,
@@ -111,8 +111,8 @@
                 suspect = cell.release(message, now_ms())
                 if suspect is not None:
                     await deliver(suspect)
-            case RequestLimit():
-                _set_request_limit(cell, message)
+            case EngineObservation():
+                _apply_observation(cell, message)
             case Suspect():
                 cell.crash_tracker.merge_crash_count(
                     message.fingerprint,
@@ -204,19 +204,21 @@
         await deliver(refusal)
 
 
-def _set_request_limit(cell: AnyCell, stated: RequestLimit) -> None:
+def _apply_observation(cell: AnyCell, observation: EngineObservation) -> None:
     if isinstance(cell, Cell):
         return
-    change = cell.rates.set_limit(stated, now_ms())
-    if change is not None:
+    change = cell.conditions.apply(observation, now_ms())
+    if change is None:
+        return
+    if change.limit is not None:
         _LOGGER.info(
             'request limit changed',
-            cell=stated.cell,
-            engine=stated.upstream,
-            per_s=stated.per_s,
-            previous_per_s=change.previous_per_s,
-            recent_grants=change.recent_grants,
-            age_ms=stated.age_ms,
+            cell=observation.cell,
+            engine=observation.upstream,
+            per_s=observation.per_s,
+            previous_per_s=change.limit.previous_per_s,
+            recent_grants=change.limit.recent_grants,
+            age_ms=observation.age_ms,
         )
 
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.scheduling.cell import Granted, Refused
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
+from hornbeamdeck.scheduling.engine_conditions import EngineConditions
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
 from hornbeamdeck.scheduling.engine_load import (
     EngineLoad,
@@ -26,7 +27,6 @@
     PlacementTracker,
 )
 from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
-from hornbeamdeck.scheduling.request_rate import EngineRates
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.service_load import (
     count_held_by_limit,
@@ -70,7 +70,7 @@
         self.versions = VersionRouting()
         self._wait_queue = WaitQueue()
         self._estimates = ServiceEstimates.initial()
-        self.rates = EngineRates(shared.rate_rules)
+        self.conditions = EngineConditions(shared.rate_rules)
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = float('-inf')
         self._placements = PlacementTracker()
@@ -103,12 +103,14 @@
         for name, engine in engines_by_name.items():
             load = self.loads.get(name)
             if load is None or load.engine.born_ms != engine.born_ms:
-                rate = self.rates.rate_of(engine)
-                load = EngineLoad(engine, properties, self._estimates, rate)
+                condition = self.conditions.condition_of(engine)
+                load = EngineLoad(
+                    engine, properties, self._estimates, condition
+                )
                 load.slowness = slowness.get(name, 1.0)
                 self.loads[name] = load
             load.update(engine, properties)
-        self.rates.remove_unlisted(engines_by_name.values())
+        self.conditions.remove_unlisted(engines_by_name.values())
         self.versions.update_engines(self.loads.values())
 
     def enqueue(
--- /dev/null
+++ b/hornbeamdeck/scheduling/engine_conditions.py
@@ -0,0 +1,108 @@
+"""What the engines of one service have stated of themselves.
+
+An engine states in its responses what it wants of the instances: how many
+requests, or none. A response reaches one instance, which reports it to the
+owner. The owner keeps it here for each incarnation of an engine.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.scheduling.request_rate import EngineRate, RateRules
+from hornbeamdeck.wire import EngineObservation
+
+__all__ = (
+    'ConditionChange',
+    'EngineCondition',
+    'EngineConditions',
+    'LimitChange',
+)
+
+# Engines that have left the list may be back after an outage of the store.
+MAX_UNLISTED_ENGINES: Final = 256
+
+
+class LimitChange(NamedTuple):
+    """A changed request limit of an engine.
+
+    :param previous_per_s: `None`: there was no limit.
+    :param recent_grants: within the long window.
+    """
+
+    previous_per_s: float | None
+    recent_grants: int
+
+
+class ConditionChange(NamedTuple):
+    """What an observation has changed.
+
+    :param limit: `None`: the limit is the same.
+    """
+
+    limit: LimitChange | None = None
+
+
+class EngineCondition:
+    """What one incarnation of an engine has stated."""
+
+    def __init__(self, rules: RateRules) -> None:
+        """Start without statements."""
+        self.rate = EngineRate(rules)
+
+    def apply(
+        self, observation: EngineObservation, now: float
+    ) -> ConditionChange:
+        """Apply what an instance has observed."""
+        return ConditionChange(limit=self._set_limit(observation, now))
+
+    def _set_limit(
+        self, observation: EngineObservation, now: float
+    ) -> LimitChange | None:
+        previous_per_s = self.rate.limit_per_s
+        observed_ms = now - observation.age_ms
+        if not self.rate.set_limit(observation.per_s, observed_ms):
+            return None
+        return LimitChange(previous_per_s, self.rate.recent_grants(now))
+
+
+class EngineConditions:
+    """The conditions of the engines of one service, by incarnation.
+
+    They outlive the engines' entries in the list, which may be missing for
+    seconds after an outage of the store.
+    """
+
+    def __init__(self, rules: RateRules) -> None:
+        """Start without engines."""
+        self._rules = rules
+        self._conditions: dict[tuple[str, int], EngineCondition] = {}
+
+    def condition_of(self, engine: Engine) -> EngineCondition:
+        """Return the condition of an engine's current incarnation."""
+        key = (engine.name, engine.born_ms)
+        # Inserted again, so that the engines that came last are kept longest.
+        condition = self._conditions.pop(key, None)
+        self._conditions[key] = condition or EngineCondition(self._rules)
+        return self._conditions[key]
+
+    def apply(
+        self, observation: EngineObservation, now: float
+    ) -> ConditionChange | None:
+        """Apply what an instance has observed.
+
+        :returns: what it has changed; `None`: nothing.
+        """
+        key = (observation.upstream, observation.born_ms)
+        condition = self._conditions.get(key)
+        if condition is None:
+            return None
+        change = condition.apply(observation, now)
+        return None if change == ConditionChange() else change
+
+    def remove_unlisted(self, listed: Iterable[Engine]) -> None:
+        """Drop all but the last of the engines that have left the list."""
+        keys = {(engine.name, engine.born_ms) for engine in listed}
+        unlisted = [key for key in self._conditions if key not in keys]
+        for key in unlisted[:-MAX_UNLISTED_ENGINES]:
+            self._conditions.pop(key)
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -9,13 +9,13 @@
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.scheduling.engine_conditions import EngineCondition
 from hornbeamdeck.scheduling.engine_health import EngineHealth
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
 from hornbeamdeck.scheduling.gap_estimate import GapEstimate, prefill_ms
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import value_of
-from hornbeamdeck.scheduling.request_rate import EngineRate
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import Register, RunEnd
 
@@ -62,7 +62,7 @@
         engine: Engine,
         properties: EngineProperties,
         estimates: ServiceEstimates,
-        rate: EngineRate,
+        condition: EngineCondition,
     ) -> None:
         """Start idle, at the modelled speed.
 
@@ -70,7 +70,8 @@
         """
         self.update(engine, properties)
         self.estimates = estimates
-        self.rate = rate
+        self.condition = condition
+        self.rate = condition.rate
         self.slowness = 1.0
         self.runs: dict[str, EngineRun] = {}
         self.health = EngineHealth()
--- a/hornbeamdeck/scheduling/request_rate.py
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -8,14 +8,12 @@
 import math
 from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.wire import RequestLimit
 
-__all__ = ('EngineRate', 'EngineRates', 'LimitChange', 'RateRules')
+__all__ = ('EngineRate', 'RateRules')
 
 # Sliding windows in which grants are counted. The short one spreads them: the
 # successor of an owner does not know what that owner has granted.
@@ -24,8 +22,6 @@
 # How far the long window may exceed the limit while it reaches back to grants
 # from before the limit was stated.
 TRANSITION_FACTOR: Final = 1.5
-# Engines that have left the list may be back after an outage of the store.
-MAX_UNLISTED_ENGINES: Final = 256
 
 
 class RateRules(NamedTuple):
@@ -167,58 +163,6 @@
         )
 
 
-class LimitChange(NamedTuple):
-    """A changed request limit of an engine.
-
-    :param previous_per_s: `None`: there was no limit.
-    :param recent_grants: within the long window.
-    """
-
-    previous_per_s: float | None
-    recent_grants: int
-
-
-class EngineRates:
-    """Rates of the engines of one service, by incarnation.
-
-    They outlive the engines' entries in the list, which may be missing for
-    seconds after an outage of the store.
-    """
-
-    def __init__(self, rules: RateRules) -> None:
-        """Start without engines."""
-        self._rules = rules
-        self._rates: dict[tuple[str, int], EngineRate] = {}
-
-    def rate_of(self, engine: Engine) -> EngineRate:
-        """Return the rate of an engine's current incarnation."""
-        key = (engine.name, engine.born_ms)
-        # Inserted again, so that the engines that came last are kept longest.
-        rate = self._rates.pop(key, None) or EngineRate(self._rules)
-        self._rates[key] = rate
-        return rate
-
-    def set_limit(self, stated: RequestLimit, now: float) -> LimitChange | None:
-        """Apply the limit that a response of an engine stated.
-
-        :returns: the change, if there is one.
-        """
-        rate = self._rates.get((stated.upstream, stated.born_ms))
-        if rate is None:
-            return None
-        previous_per_s = rate.limit_per_s
-        if not rate.set_limit(stated.per_s, now - stated.age_ms):
-            return None
-        return LimitChange(previous_per_s, rate.recent_grants(now))
-
-    def remove_unlisted(self, listed: Iterable[Engine]) -> None:
-        """Drop all but the last of the engines that have left the list."""
-        keys = {(engine.name, engine.born_ms) for engine in listed}
-        unlisted = [key for key in self._rates if key not in keys]
-        for key in unlisted[:-MAX_UNLISTED_ENGINES]:
-            self._rates.pop(key)
-
-
 def _most(per_s: float, window_ms: float) -> int:
     # At least one, since only a response shows that the limit has changed.
     return max(math.ceil(per_s * window_ms / MILLIS_PER_SECOND), 1)
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -14,6 +14,7 @@
     AskSnapshot,
     Beat,
     EngineList,
+    EngineObservation,
     Enqueue,
     Envelope,
     Grant,
@@ -24,7 +25,6 @@
     Refuse,
     Register,
     Release,
-    RequestLimit,
     Snapshot,
     Suspect,
     Withdraw,
@@ -60,7 +60,13 @@
 LENGTH_PREFIX: Final = struct.Struct('>I')
 
 ToOwner: TypeAlias = (
-    Enqueue | Withdraw | Register | Progress | Release | RequestLimit | Suspect
+    Enqueue
+    | Withdraw
+    | Register
+    | Progress
+    | Release
+    | EngineObservation
+    | Suspect
 )
 ToIngress: TypeAlias = Grant | Refuse | Suspect
 Message: TypeAlias = (
@@ -87,7 +93,7 @@
         Progress: 'progress',
         Release: 'release',
         Heartbeat: 'heartbeat',
-        RequestLimit: 'request_limit',
+        EngineObservation: 'engine_observation',
         Suspect: 'suspect',
         AskSnapshot: 'ask_snapshot',
         Snapshot: 'snapshot',
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -672,7 +672,7 @@
         return not (self == other)
 
 
-class RequestLimit(object):
+class EngineObservation(object):
     """
     Attributes:
      - cell
@@ -742,7 +742,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RequestLimit')
+        oprot.writeStructBegin('EngineObservation')
         if self.cell is not None:
             oprot.writeFieldBegin('cell', TType.STRING, 1)
             oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
@@ -2533,7 +2533,7 @@
      - snapshot
      - beat
      - engine_list
-     - request_limit
+     - engine_observation
 
     """
 
@@ -2555,11 +2555,11 @@
         'snapshot',
         'beat',
         'engine_list',
-        'request_limit',
+        'engine_observation',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, request_limit=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, engine_observation=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -2577,7 +2577,7 @@
         self.snapshot = snapshot
         self.beat = beat
         self.engine_list = engine_list
-        self.request_limit = request_limit
+        self.engine_observation = engine_observation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2690,8 +2690,8 @@
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.STRUCT:
-                    self.request_limit = RequestLimit()
-                    self.request_limit.read(iprot)
+                    self.engine_observation = EngineObservation()
+                    self.engine_observation.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -2772,9 +2772,9 @@
             oprot.writeFieldBegin('engine_list', TType.STRUCT, 17)
             self.engine_list.write(oprot)
             oprot.writeFieldEnd()
-        if self.request_limit is not None:
-            oprot.writeFieldBegin('request_limit', TType.STRUCT, 18)
-            self.request_limit.write(oprot)
+        if self.engine_observation is not None:
+            oprot.writeFieldBegin('engine_observation', TType.STRUCT, 18)
+            self.engine_observation.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2848,8 +2848,8 @@
     (6, TType.I64, 'born_ms', None, None, ),  # 6
     (7, TType.DOUBLE, 'limit_per_s', None, None, ),  # 7
 )
-all_structs.append(RequestLimit)
-RequestLimit.thrift_spec = (
+all_structs.append(EngineObservation)
+EngineObservation.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
@@ -2997,7 +2997,7 @@
     (15, TType.STRUCT, 'snapshot', [Snapshot, None], None, ),  # 15
     (16, TType.STRUCT, 'beat', [Beat, None], None, ),  # 16
     (17, TType.STRUCT, 'engine_list', [EngineList, None], None, ),  # 17
-    (18, TType.STRUCT, 'request_limit', [RequestLimit, None], None, ),  # 18
+    (18, TType.STRUCT, 'engine_observation', [EngineObservation, None], None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -62,14 +62,14 @@
   7: optional double limit_per_s   // requests that it accepts; unset: no limit
 }
 
-// How many requests per second an upstream accepts from all instances together,
-// as one of its answers stated it.
-struct RequestLimit {
+// What an upstream has stated of itself in its answers to the sender.
+struct EngineObservation {
   1: required string cell
   2: required string upstream
   3: required i64 born_ms
-  4: required i64 age_ms           // since that answer
-  5: optional double per_s         // unset: no limit
+  4: required i64 age_ms           // since the answer that showed the limit
+  5: optional double per_s         // requests that it accepts from all instances
+                                   // together; unset: no limit
 }
 
 struct Refuse {
@@ -205,5 +205,5 @@
   15: optional Snapshot snapshot
   16: optional Beat beat
   17: optional EngineList engine_list
-  18: optional RequestLimit request_limit
+  18: optional EngineObservation engine_observation
 }
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -3,8 +3,9 @@
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.engine_conditions import EngineCondition
 from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
-from hornbeamdeck.scheduling.request_rate import EngineRate, RateRules
+from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
@@ -40,8 +41,8 @@
 
 def make_load(of: Engine) -> EngineLoad:
     """Create the load of an idle engine."""
-    rate = EngineRate(RateRules())
-    return EngineLoad(of, MODEL, ServiceEstimates.initial(), rate)
+    condition = EngineCondition(RateRules())
+    return EngineLoad(of, MODEL, ServiceEstimates.initial(), condition)
 
 
 def make_team(
--- a/tests/scheduling/test_engine_cell_states.py
+++ b/tests/scheduling/test_engine_cell_states.py
@@ -7,7 +7,7 @@
 
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.request_rate import LONG_WINDOW_MS
-from hornbeamdeck.wire import Release, RequestLimit, RunEnd
+from hornbeamdeck.wire import EngineObservation, Release, RunEnd
 from tests.scheduling.engine_cell_factories import (
     MODEL,
     async_discard,
@@ -149,14 +149,14 @@
         self, name: str, born_ms: int, per_s: float | None, age_ms: int
     ) -> None:
         """Report what a response of an engine stated."""
-        stated = RequestLimit(
+        stated = EngineObservation(
             cell='desk',
             upstream=name,
             born_ms=born_ms,
             age_ms=age_ms,
             per_s=per_s,
         )
-        if self.cell.rates.set_limit(stated, self.now) is None:
+        if self.cell.conditions.apply(stated, self.now) is None:
             return
         incarnation = (name, born_ms)
         self.limits.pop(incarnation, None)
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -5,9 +5,9 @@
 from bench.replay import Replay, summarize
 from bench.replay_load import LoadPlan
 from hornbeamdeck.scheduling import engine_choice
+from hornbeamdeck.scheduling.engine_conditions import EngineConditions
 from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
-from hornbeamdeck.scheduling.request_rate import EngineRates
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 
 LOAD = LoadPlan.from_name('bursts_and_losses')
@@ -93,7 +93,7 @@
     assert kept.stated_limits.largest_excess() <= 0
     assert shares['write_up'] > shares['question']
     assert shares['question'] > shares['check']
-    monkeypatch.setattr(EngineRates, 'set_limit', lambda *_stated: None)
+    monkeypatch.setattr(EngineConditions, 'apply', lambda *_stated: None)
     ignored = Replay(plan, SEED)
     ignored.run()
     assert ignored.stated_limits.largest_excess() > 0
