--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -37,8 +37,8 @@
 from hornbeamdeck.process.membership import STATE_DRAINING
 from hornbeamdeck.process.peer_server import make_peer_server
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
+from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_handler import (
-    GatewayContext,
     make_gateway_handler,
     refuse_unreadable,
 )
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -17,7 +17,7 @@
 from hornbeamdeck.request.engine_connection import EngineConnection
 from hornbeamdeck.request.event_parser import Event, EventParser
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
-from hornbeamdeck.request.gateway_handler import GatewayContext
+from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import EngineAttempt, ResponseVerdict
 from hornbeamdeck.wire import Grant, RunEnd
 
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -1,32 +1,21 @@
 """Admits or refuses the gateway requests of a caller's connection."""
 
 from collections.abc import Awaitable, Callable
-from contextlib import AbstractContextManager
 from http import HTTPStatus
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, TypeAlias
 
 import structlog
-from result import Err, Result
+from result import Err
 
-from hornbeamdeck.connection.connection_pool import ConnectionPool
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.request_loop import RequestHandler
 from hornbeamdeck.connection.server import ServerConnection
-from hornbeamdeck.process.freshness_guard import FreshnessGuard
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_admission import GatewayAdmission, async_admit
-from hornbeamdeck.request.gateway_request import (
-    Dialect,
-    EngineStatement,
-    RunSummary,
-)
+from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.version.gateway import GatewayConfiguration
-from hornbeamdeck.wire import Enqueue, Grant, RunEnd
 
 __all__ = (
-    'GatewayContext',
     'RunAdmitted',
     'make_gateway_handler',
     'refuse_unreadable',
@@ -48,48 +37,6 @@
 ]
 
 
-_Granted: TypeAlias = Result[Grant, NotRun]
-Acquire: TypeAlias = Callable[[Enqueue], Awaitable[_Granted]]
-
-
-class GatewayContext(NamedTuple):
-    """Dependencies for answering gateway requests.
-
-    :param freshness_guard: freshness of the configuration and of the list of
-        engines.
-    :param connection_pool: pool of idle connections to engines.
-    :param acquire_grant: waits for a grant.
-    :param report_first_token: gets a request's id and its time to first token,
-        ms.
-    :param release_grant: gets a request's id, how its run ended and its
-        summary.
-    :param record_statement: gets a grant and what the head of its response
-        states about the engine.
-    :param record_granted_tokens: gets a team's name and the number of tokens
-        granted to it.
-    :param zone: this instance's availability zone.
-    :param is_draining: whether a graceful shutdown has begun.
-    :param shutdown_progress: elapsed share of a graceful shutdown; 0 if none
-        has begun.
-    :param track_in_flight: counts a request while it is being answered.
-    """
-
-    dialect: Dialect
-    configuration: Callable[[], GatewayConfiguration]
-    freshness_guard: FreshnessGuard
-    connection_pool: ConnectionPool
-    acquire_grant: Acquire
-    report_first_token: Callable[[str, float], Awaitable[None]]
-    release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
-    record_statement: Callable[[Grant, EngineStatement], Awaitable[None]]
-    record_granted_tokens: Callable[[str, int], None]
-    metrics: GatewayMetrics
-    zone: str
-    is_draining: Callable[[], bool]
-    shutdown_progress: Callable[[], float]
-    track_in_flight: Callable[[], AbstractContextManager[None]]
-
-
 def make_gateway_handler(
     context: GatewayContext, run: RunAdmitted
 ) -> RequestHandler:
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -15,7 +15,7 @@
     GatewayAdmission,
     recheck_key,
 )
-from hornbeamdeck.request.gateway_handler import GatewayContext
+from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
 from hornbeamdeck.request.refusal import deadline_passed
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -14,13 +14,8 @@
 from hornbeamdeck.scheduling.cell import Granted, Refused
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
-from hornbeamdeck.scheduling.engine_conditions import EngineConditions
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
-from hornbeamdeck.scheduling.engine_load import (
-    EngineLoad,
-    ServiceEstimates,
-    start_granted,
-)
+from hornbeamdeck.scheduling.engine_load import EngineLoad, start_granted
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.placement_scan import (
     PlacementScan,
@@ -28,14 +23,13 @@
 )
 from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.service_engines import ServiceEngines
 from hornbeamdeck.scheduling.service_load import (
     count_held_by_limit,
     fastest_first_token_ms,
-    find_running,
     forecast_slots,
     has_untried_engine,
 )
-from hornbeamdeck.scheduling.version_routing import VersionRouting
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
@@ -65,12 +59,12 @@
 
     def __init__(self, shared: SharedState, retry_budget: RetryBudget) -> None:
         """Start without engines; `update_engines` adds them."""
-        self.loads: dict[str, EngineLoad] = {}
+        self._engines = ServiceEngines(shared.rate_rules)
+        self.loads = self._engines.loads
+        self.versions = self._engines.versions
+        self.conditions = self._engines.conditions
         self.crash_tracker = EngineCrashTracker()
-        self.versions = VersionRouting()
         self._wait_queue = WaitQueue()
-        self._estimates = ServiceEstimates.initial()
-        self.conditions = EngineConditions(shared.rate_rules)
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = float('-inf')
         self._placements = PlacementTracker()
@@ -90,28 +84,11 @@
     ) -> None:
         """Apply a new list of engines.
 
-        An engine that restarted under the same name has lost the runs of its
-        previous incarnation, so they are removed here too.
-
         :param slowness: speed factors learned by other owners, used for engines
             that are new here.
         """
         self._placements.request_full_scan()
-        engines_by_name = {engine.name: engine for engine in engines}
-        for removed in self.loads.keys() - engines_by_name.keys():
-            self.loads.pop(removed)
-        for name, engine in engines_by_name.items():
-            load = self.loads.get(name)
-            if load is None or load.engine.born_ms != engine.born_ms:
-                condition = self.conditions.condition_of(engine)
-                load = EngineLoad(
-                    engine, properties, self._estimates, condition
-                )
-                load.slowness = slowness.get(name, 1.0)
-                self.loads[name] = load
-            load.update(engine, properties)
-        self.conditions.remove_unlisted(engines_by_name.values())
-        self.versions.update_engines(self.loads.values())
+        self._engines.update(engines, properties, slowness)
 
     def enqueue(
         self,
@@ -131,7 +108,7 @@
             service_ms=0,
         )
         fastest_ms = fastest_first_token_ms(
-            self.versions.usable(self.loads.values(), now),
+            self._engines.usable(now),
             request.prompt_tokens,
             now,
         )
@@ -171,7 +148,7 @@
         changed since, and periodically on all engines.
         """
         scan = self._placements.start_scan(
-            self.versions.usable(self.loads.values(), now),
+            self._engines.usable(now),
             len(self._wait_queue),
             now,
         )
@@ -202,7 +179,7 @@
 
     def progress(self, message: Progress, now: float) -> None:
         """Record a run's first token."""
-        load = find_running(self.loads.values(), message.request_id)
+        load = self._engines.find_running(message.request_id)
         if load is not None:
             load.first_token(message.request_id, message.first_token_ms, now)
             self._placements.record_engine_change(load.engine.name)
@@ -212,7 +189,7 @@
 
         :returns: the request that is suspected of crashing the engine, if any.
         """
-        load = find_running(self.loads.values(), message.request_id)
+        load = self._engines.find_running(message.request_id)
         if load is None:
             return None
         end = RunEnd(message.end)
@@ -254,7 +231,7 @@
         return forecast_slots(
             [
                 load
-                for load in self.versions.usable(self.loads.values(), now)
+                for load in self._engines.usable(now)
                 if not load.engine.is_draining
             ],
             len(self._wait_queue),
--- a/hornbeamdeck/scheduling/engine_choice.py
+++ b/hornbeamdeck/scheduling/engine_choice.py
@@ -169,7 +169,11 @@
 ) -> float:
     """Return the value of the streams that a request would interrupt."""
     gap_ms = load.gap_ms(queued.request.prompt_tokens, now)
-    return load.interrupted_value(gap_ms / GAP_SHARE)
+    return sum(
+        run.stream_value
+        for run in load.runs.values()
+        if run.is_streaming and gap_ms / GAP_SHARE > run.max_gap_ms
+    )
 
 
 def _without_interruption(
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -129,14 +129,6 @@
             * self.slowness
         )
 
-    def interrupted_value(self, gap_ms: float) -> float:
-        """Return the total value of the streams that a gap would interrupt."""
-        return sum(
-            run.stream_value
-            for run in self.runs.values()
-            if run.is_streaming and gap_ms > run.max_gap_ms
-        )
-
     def add(
         self,
         run: Register,
--- a/hornbeamdeck/scheduling/service_load.py
+++ b/hornbeamdeck/scheduling/service_load.py
@@ -10,7 +10,6 @@
 __all__ = (
     'count_held_by_limit',
     'fastest_first_token_ms',
-    'find_running',
     'forecast_slots',
     'has_untried_engine',
 )
@@ -46,17 +45,6 @@
     )
 
 
-def find_running(
-    loads: Iterable[EngineLoad],
-    request_id: str,
-) -> EngineLoad | None:
-    """Find the engine that runs a request."""
-    for load in loads:
-        if request_id in load.runs:
-            return load
-    return None
-
-
 def count_held_by_limit(loads: Iterable[EngineLoad], now: float) -> int:
     """Count the engines that have slots but may get no request now."""
     return sum(
--- a/tests/request/test_graceful_shutdown.py
+++ b/tests/request/test_graceful_shutdown.py
@@ -4,10 +4,8 @@
 from typing import Any, cast
 
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
-from hornbeamdeck.request.gateway_handler import (
-    GatewayContext,
-    _would_be_cut_off,
-)
+from hornbeamdeck.request.gateway_context import GatewayContext
+from hornbeamdeck.request.gateway_handler import _would_be_cut_off
 from hornbeamdeck.version.gateway import Route, RouteKind, ServiceShare
 
 ROUTE = Route(
