Send nothing to engines that have stated that they leave

Callers saw nothing so far, but a request to an engine that leaves is lost if the engine ends before it does.

Cause: nothing read the header. Whether an engine leaves was known from its entry in the store, which was written 12 s later, and the check before a request is sent asked the list of engines only.

Now the instance that reads the statement sends nothing to that incarnation from then on, whatever the owner grants and the list says (send_guard.py: before an engine is tried, and again once the connection is open). It reports it to the owner with the head, which grants the engine no more, and to the owner's successor; an owner that grants it nevertheless is told again. Only another incarnation ends it: entries are older than what the engine says. If all engines of a service leave, requests are refused at once, as not run and with a time to come back, instead of waiting for their deadline.

--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -1,9 +1,11 @@
 """What engines stated of themselves in responses to this process.
 
-An owner stores the limits only in memory. Each is reported to it by the process
-that received the response, and reported again to its successor.
+The owner grants by what engines state, and this process alone has received the
+response. So it reports each statement to the owner and again to its successor,
+and sends nothing against a statement that the owner does not know yet.
 """
 
+import enum
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -18,7 +20,7 @@
 from hornbeamdeck.request.gateway_request import EngineStatement
 from hornbeamdeck.wire import EngineObservation, Grant
 
-__all__ = ('EngineStatements',)
+__all__ = ('EngineStatements', 'WithholdReason')
 
 _LOGGER = structlog.get_logger(prefix='engines')
 
@@ -34,6 +36,13 @@
 _Entry = TypeVar('_Entry')
 
 
+class WithholdReason(enum.StrEnum):
+    """Why a request that was granted an engine must not be sent to it."""
+
+    NOT_LISTED = 'the engine is draining or was removed'
+    LEAVING = 'the engine has stated that it leaves'
+
+
 class _Observation(NamedTuple):
     """What one incarnation of an engine stated.
 
@@ -51,6 +60,10 @@
     is_leaving: bool = False
     rest_until_ms: float = -math.inf
 
+    def is_limit_recent(self, now: float) -> bool:
+        """Return whether the limit is recent enough to be reported."""
+        return now - self.limit_observed_ms < MAX_LIMIT_AGE_MS
+
 
 class EngineStatements:
     """The last statements of each engine that has made any."""
@@ -112,9 +125,31 @@
             return
         _insert_last(self._observations, engine, observation)
         is_limit_shown = observation.limit_observed_ms > last.limit_observed_ms
-        if is_limit_shown and observation.per_s != grant.limit_per_s:
+        if (
+            (is_limit_shown and observation.per_s != grant.limit_per_s)
+            or observation.is_leaving > last.is_leaving
+            or observation.owner != last.owner
+        ):
             await self._async_report(engine, observation)
 
+    def reason_to_withhold(self, grant: Grant) -> WithholdReason | None:
+        """Return why a granted request must not be sent; `None`: it may be."""
+        last = self._observations.get(grant.upstream)
+        if last is None or last.born_ms < (grant.born_ms or 0):
+            return None
+        return WithholdReason.LEAVING if last.is_leaving else None
+
+    async def async_remind_owner(self, grant: Grant) -> None:
+        """Report again what an owner does not know that has granted a request.
+
+        The report may have been lost with a connection.
+        """
+        observation = self._observations[grant.upstream]
+        owner = self._membership.owner_of(grant.cell)
+        observation = observation._replace(owner=owner)
+        self._observations[grant.upstream] = observation
+        await self._async_report(grant.upstream, observation)
+
     async def async_move_to_successor(self, owner: str) -> None:
         """Report what an owner knew to its successors."""
         known = [
@@ -129,7 +164,7 @@
                 continue
             moved = observation._replace(owner=successor)
             self._observations[engine] = moved
-            if now_ms() - moved.limit_observed_ms < MAX_LIMIT_AGE_MS:
+            if moved.is_leaving or moved.is_limit_recent(now_ms()):
                 await self._async_report(engine, moved)
 
     def _last_observation(self, grant: Grant) -> _Observation:
@@ -171,13 +206,19 @@
     async def _async_report(
         self, engine: str, observation: _Observation
     ) -> None:
+        now = now_ms()
         message = EngineObservation(
             cell=observation.cell,
             upstream=engine,
             born_ms=observation.born_ms,
-            age_ms=int(now_ms() - observation.limit_observed_ms),
-            per_s=observation.per_s,
+            age_ms=0,
+            is_leaving=observation.is_leaving,
         )
+        if observation.is_limit_recent(now):
+            message.age_ms = int(now - observation.limit_observed_ms)
+            message.per_s = observation.per_s
+        else:
+            message.is_limit_unknown = True
         await self._link.async_send(observation.owner, message)
 
     def _log_unreadable(self, engine: str, statement: EngineStatement) -> None:
--- a/hornbeamdeck/process/freshness_guard.py
+++ b/hornbeamdeck/process/freshness_guard.py
@@ -93,8 +93,8 @@
         if not self.is_configuration_current():
             await self._configuration_read.async_wait()
 
-    async def async_may_send_to(self, engine: str) -> bool:
-        """Return whether a request may be sent to an engine now.
+    async def async_refresh_engines(self) -> None:
+        """Read the list of engines if a change could be missing.
 
         This is checked even after a grant: the owner's view may lag, and an
         engine may start draining while the grant is on its way.
@@ -102,4 +102,3 @@
         limit_ms = self._dependencies.bounds().drain_ms - SEND_MARGIN_MS
         if self.engines_age_ms() >= limit_ms:
             await self._engines_read.async_wait()
-        return not self._dependencies.directory.is_draining_or_removed(engine)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -36,6 +36,7 @@
 from hornbeamdeck.process.liveness import FLEET_CELL
 from hornbeamdeck.process.membership import STATE_DRAINING
 from hornbeamdeck.process.peer_server import make_peer_server
+from hornbeamdeck.process.send_guard import SendGuard
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_handler import (
@@ -205,6 +206,11 @@
             dialect=self._adapter.dialect,
             configuration=lambda: components.follower.configuration,
             freshness_guard=self.freshness_guard,
+            send_guard=SendGuard(
+                self.freshness_guard,
+                components.directory,
+                components.grants.engine_statements,
+            ),
             connection_pool=ConnectionPool(
                 lambda: len(components.membership.ranked_ids(FLEET_CELL)),
             ),
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_left
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -97,6 +97,7 @@
         self.edge_refusals: dict[str, int] = defaultdict(int)
         self.store_calls: dict[str, int] = defaultdict(int)
         self.peer_bytes: dict[str, int] = defaultdict(int)
+        self.returned_grants: Counter[str] = Counter()
         self.in_flight = 0
         self.configuration_version = 0
         self.confirmation_ages_ms: dict[str, float] = {}
@@ -145,6 +146,10 @@
         """Count bytes exchanged with other instances."""
         self.peer_bytes[direction] += count
 
+    def count_returned_grant(self, cause: str) -> None:
+        """Count a grant whose engine must not get the request."""
+        self.returned_grants[cause] += 1
+
     def count_dropped_log_line(self) -> None:
         """Count a log line dropped because the buffer was full."""
         self.log_lines_dropped += 1
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -153,6 +153,12 @@
 
 def _engine_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
     yield from _statement_metrics(metrics.engine_statements)
+    yield _counter(
+        'hornbeamdeck_returned_grants',
+        'Grants not used, since their engine must not get the request.',
+        'cause',
+        metrics.returned_grants,
+    )
     limited = _by_service(
         'hornbeamdeck_limited_engines', 'Engines that state a request limit.'
     )
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -207,7 +207,7 @@
 def _apply_observation(cell: AnyCell, observation: EngineObservation) -> None:
     if isinstance(cell, Cell):
         return
-    change = cell.conditions.apply(observation, now_ms())
+    change = cell.apply_observation(observation, now_ms())
     if change is None:
         return
     if change.limit is not None:
@@ -220,6 +220,12 @@
             recent_grants=change.limit.recent_grants,
             age_ms=observation.age_ms,
         )
+    if change.is_leaving:
+        _LOGGER.info(
+            'engine leaves',
+            cell=observation.cell,
+            engine=observation.upstream,
+        )
 
 
 async def _async_refuse(refused: Refused) -> None:
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -73,17 +73,21 @@
         digest.update(request.body)
         return digest.hexdigest()
 
-    async def async_run(self, grant: Grant) -> RunEnd:
+    async def async_run(self, grant: Grant) -> RunEnd | None:
         """Send the request to the granted engine and relay its response.
 
         :returns: how the attempt ended; a complete response that is not a
-            stream is left in `response`.
+            stream is left in `response`. `None`: nothing was sent, since the
+            engine may get no request any more.
         """
         self.event_count = 0
         opened = await self._engine_connection.async_open(grant)
         if isinstance(opened, Err):
             self.cause = opened.err_value.cause
             return RunEnd.NOT_DISPATCHED
+        # Connecting may have taken long enough for an engine to leave.
+        if self._context.send_guard.check(grant) is not None:
+            return None
         sent_ms = now_ms()
         head = await self._async_send_and_read_head(
             opened.ok_value, grant.upstream
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -9,6 +9,7 @@
 from hornbeamdeck.connection.connection_pool import ConnectionPool
 from hornbeamdeck.process.freshness_guard import FreshnessGuard
 from hornbeamdeck.process.gateway_metrics import GatewayMetrics
+from hornbeamdeck.process.send_guard import SendGuard
 from hornbeamdeck.request.gateway_request import (
     Dialect,
     EngineStatement,
@@ -29,6 +30,8 @@
 
     :param freshness_guard: freshness of the configuration and of the list of
         engines.
+    :param send_guard: decides whether an engine that was granted may get a
+        request.
     :param connection_pool: pool of idle connections to engines.
     :param acquire_grant: waits for a grant.
     :param report_first_token: gets a request's id and its time to first token,
@@ -49,6 +52,7 @@
     dialect: Dialect
     configuration: Callable[[], GatewayConfiguration]
     freshness_guard: FreshnessGuard
+    send_guard: SendGuard
     connection_pool: ConnectionPool
     acquire_grant: Acquire
     report_first_token: Callable[[str, float], Awaitable[None]]
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -9,6 +9,7 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.process.engine_statements import WithholdReason
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
     CLIENT_TIMEOUT_GAPS,
@@ -102,14 +103,13 @@
             granted = await self._async_grant()
             if isinstance(granted, Err):
                 return await self._async_handle_refusal(granted.err_value)
-            upstream = granted.ok_value.upstream
-            if not await self._context.freshness_guard.async_may_send_to(
-                upstream
-            ):
-                await self._async_return_grant(upstream)
+            grant = granted.ok_value
+            reason = await self._context.send_guard.async_check(grant)
+            if reason is not None:
+                await self._async_return_grant(grant.upstream, reason)
                 continue
-            end = await self._async_attempt(granted.ok_value)
-            if not self._may_use_another_engine(end):
+            end = await self._async_attempt(grant)
+            if end is not None and not self._may_use_another_engine(end):
                 return await self._async_finish(end)
 
     def timeout_failure(self) -> Failure:
@@ -203,14 +203,17 @@
             )
         return granted
 
-    async def _async_return_grant(self, engine: str) -> None:
-        """Return a grant whose engine is draining or has been removed."""
+    async def _async_return_grant(
+        self, engine: str, reason: WithholdReason
+    ) -> None:
+        """Return a grant whose engine must not get the request."""
         request_id = self._admission.request.request_id
+        self._context.metrics.count_returned_grant(reason.name.lower())
         _LOGGER.info(
             'grant returned',
             request_id=request_id,
             engine=engine,
-            cause='the engine is draining or was removed',
+            cause=reason.value,
             engines_age_ms=_age_for_log(
                 self._context.freshness_guard.engines_age_ms()
             ),
@@ -221,18 +224,19 @@
         excluded = (*self._attempts.excluded, engine)
         self._attempts = self._attempts._replace(excluded=excluded)
 
-    async def _async_attempt(self, grant: Grant) -> RunEnd:
+    async def _async_attempt(self, grant: Grant) -> RunEnd | None:
+        """Try a granted engine; `None`: nothing was sent to it."""
         self._engine = grant.upstream
         self._version = grant.version or ''
         granted_ms = now_ms()
-        end = RunEnd.CANCELLED
+        end: RunEnd | None = None
         try:
             end = await self._engine_attempts.async_run(grant)
         finally:
-            await self._engine_attempts.async_close(end)
+            await self._engine_attempts.async_close(end or RunEnd.CANCELLED)
             await self._context.release_grant(
                 self._admission.request.request_id,
-                end,
+                end or RunEnd.CANCELLED,
                 RunSummary(
                     total_ms=now_ms() - granted_ms,
                     first_byte_ms=self._engine_attempts.first_byte_ms,
@@ -241,6 +245,10 @@
                 ),
             )
         attempts = self._attempts
+        excluded = (*attempts.excluded, grant.upstream)
+        if end is None:
+            self._attempts = attempts._replace(excluded=excluded)
+            return None
         if end != RunEnd.ANSWERED:
             _LOGGER.info(
                 'try ended',
@@ -251,7 +259,7 @@
                 took_ms=int(now_ms() - granted_ms),
             )
         self._attempts = _Attempts(
-            excluded=(*attempts.excluded, grant.upstream),
+            excluded=excluded,
             engines_reached=attempts.engines_reached
             + (end != RunEnd.NOT_DISPATCHED),
             possible_runs=attempts.possible_runs + (end not in _NOT_RUN),
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -14,9 +14,9 @@
 from hornbeamdeck.scheduling.cell import Granted, Refused
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
+from hornbeamdeck.scheduling.engine_conditions import ConditionChange
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
 from hornbeamdeck.scheduling.engine_load import EngineLoad, start_granted
-from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.placement_scan import (
     PlacementScan,
     PlacementTracker,
@@ -25,14 +25,13 @@
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.service_engines import ServiceEngines
 from hornbeamdeck.scheduling.service_load import (
-    count_held_by_limit,
     fastest_first_token_ms,
-    forecast_slots,
-    has_untried_engine,
+    has_engine_left,
 )
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
+    EngineObservation,
     Enqueue,
     Progress,
     RefusalReason,
@@ -67,6 +66,7 @@
         self._wait_queue = WaitQueue()
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = float('-inf')
+        self._has_fewer_engines = False
         self._placements = PlacementTracker()
         self._admission = AdmissionControl(
             shared, retry_budget, self._wait_queue
@@ -89,6 +89,19 @@
         """
         self._placements.request_full_scan()
         self._engines.update(engines, properties, slowness)
+        self._has_fewer_engines = True
+
+    def apply_observation(
+        self, observation: EngineObservation, now: float
+    ) -> ConditionChange | None:
+        """Apply what an instance has seen an engine state of itself.
+
+        :returns: what it has changed; `None`: nothing.
+        """
+        change = self._engines.apply_observation(observation, now)
+        if change is not None and change.is_leaving:
+            self._has_fewer_engines = True
+        return change
 
     def enqueue(
         self,
@@ -108,9 +121,7 @@
             service_ms=0,
         )
         fastest_ms = fastest_first_token_ms(
-            self._engines.usable(now),
-            request.prompt_tokens,
-            now,
+            self._engines.usable(now), request.prompt_tokens, now
         )
         reason = self._reason_to_refuse(request, fastest_ms, now)
         if reason is not None:
@@ -130,13 +141,16 @@
         running requests each time would take most of a core with a few dozen
         engines.
         """
+        if self._has_fewer_engines:
+            yield from self._refuse_without_engine(now)
         if (
             not len(self._wait_queue)
             or now - self._last_expiry_check_ms < MIN_EXPIRY_CHECK_INTERVAL_MS
         ):
             return
         self._last_expiry_check_ms = now
-        for queued in self._wait_queue.expired(now, self._forecast(now)):
+        forecast = self._engines.forecast(self._wait_queue, now)
+        for queued in self._wait_queue.expired(now, forecast):
             self._admission.remove_waiting(queued.request)
             yield self._refuse(queued, RefusalReason.DEADLINE, now)
 
@@ -212,33 +226,37 @@
             load.remove_sender(sender)
         self._placements.request_full_scan()
 
+    def _refuse_without_engine(self, now: float) -> Iterator[Refused]:
+        """Refuse waiting requests whose last engine leaves."""
+        self._has_fewer_engines = False
+        if not self.loads:
+            # Entries that expired in an outage may be back in a moment.
+            return
+        refused = [
+            queued
+            for queued in self._wait_queue.in_order(now)
+            if not has_engine_left(queued.request, self.loads)
+        ]
+        for queued in refused:
+            self._wait_queue.remove(queued.request.request_id)
+            self._admission.remove_waiting(queued.request)
+            yield self._refuse(queued, RefusalReason.NO_UPSTREAM, now)
+
     def _reason_to_refuse(
         self,
         request: Enqueue,
         fastest_ms: float,
         now: float,
     ) -> RefusalReason | None:
-        if not self.loads or not has_untried_engine(request, self.loads):
+        if not has_engine_left(request, self.loads):
             return RefusalReason.NO_UPSTREAM
         if self.crash_tracker.is_confirmed_poison(request.fingerprint, now):
             return RefusalReason.CULPRIT
-        forecast = self._forecast(now)
+        forecast = self._engines.forecast(self._wait_queue, now)
         return self._admission.reason_to_refuse(
             request, forecast, fastest_ms, now
         )
 
-    def _forecast(self, now: float) -> Forecast:
-        return forecast_slots(
-            [
-                load
-                for load in self._engines.usable(now)
-                if not load.engine.is_draining
-            ],
-            len(self._wait_queue),
-            self._wait_queue.interval_ms,
-            now,
-        )
-
     def _try_place(
         self,
         queued: QueuedRequest,
@@ -305,26 +323,13 @@
             reason=reason,
             retry_after_ms=retry_after_ms,
         )
-        log_fields = self._log_fields(request, now)
-        if hold_reason:
-            log_fields['held_for'] = hold_reason
-        return Refused(queued, refusal, log_fields)
-
-    def _log_fields(self, request: Enqueue, now: float) -> dict[str, object]:
-        """Return what a refusal was based on, as log fields."""
-        return {
+        log_fields: dict[str, object] = {
             'waiting': len(self._wait_queue),
-            'engines': len(self.loads),
-            'places': sum(
-                load.has_free_slot(now) for load in self.loads.values()
-            ),
-            'held_by_limit': count_held_by_limit(self.loads.values(), now),
-            'fastest_ms': int(
-                fastest_first_token_ms(
-                    self.loads.values(), request.prompt_tokens, now
-                )
-            ),
+            **self._engines.describe(request, now),
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._admission.describe_quota(request.team),
         }
+        if hold_reason:
+            log_fields['held_for'] = hold_reason
+        return Refused(queued, refusal, log_fields)
--- a/hornbeamdeck/scheduling/engine_conditions.py
+++ b/hornbeamdeck/scheduling/engine_conditions.py
@@ -38,23 +38,38 @@
     """What an observation has changed.
 
     :param limit: `None`: the limit is the same.
+    :param is_leaving: whether it was not known before that the engine leaves.
     """
 
     limit: LimitChange | None = None
+    is_leaving: bool = False
 
 
 class EngineCondition:
-    """What one incarnation of an engine has stated."""
+    """What one incarnation of an engine has stated.
+
+    One that leaves never comes back: a later response without the statement,
+    or an entry in the list that is older than it, does not end it.
+    """
 
     def __init__(self, rules: RateRules) -> None:
         """Start without statements."""
         self.rate = EngineRate(rules)
+        self.is_leaving = False
 
     def apply(
         self, observation: EngineObservation, now: float
     ) -> ConditionChange:
         """Apply what an instance has observed."""
-        return ConditionChange(limit=self._set_limit(observation, now))
+        was_leaving = self.is_leaving
+        self.is_leaving = was_leaving or bool(observation.is_leaving)
+        limit = None
+        if not observation.is_limit_unknown:
+            limit = self._set_limit(observation, now)
+        return ConditionChange(
+            limit=limit,
+            is_leaving=self.is_leaving and not was_leaving,
+        )
 
     def _set_limit(
         self, observation: EngineObservation, now: float
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -84,11 +84,16 @@
         # Number of requests that the engine processes concurrently.
         self.slots = engine.slots or properties.slots or 1
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether its entry or one of its responses says that it leaves."""
+        return self.engine.is_draining or self.condition.is_leaving
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether a request may start now and would start at once."""
         return (
             self.idle_slots() > 0
-            and not self.engine.is_draining
+            and not self.is_leaving
             and self.rate.may_start(now)
         )
 
--- a/hornbeamdeck/scheduling/rollout.py
+++ b/hornbeamdeck/scheduling/rollout.py
@@ -189,9 +189,7 @@
         """Apply a new list of the service's engines."""
         new = [load for load in loads if self.is_new(load)]
         old = [load for load in loads if not self.is_new(load)]
-        names = sorted(
-            load.engine.name for load in new if not load.engine.is_draining
-        )
+        names = sorted(load.engine.name for load in new if not load.is_leaving)
         self._fleet = _Fleet(
             new=tuple(names),
             new_slots=_count_slots(new),
@@ -354,7 +352,7 @@
 
 
 def _count_slots(loads: Collection[EngineLoad]) -> int:
-    return sum(load.slots for load in loads if not load.engine.is_draining)
+    return sum(load.slots for load in loads if not load.is_leaving)
 
 
 def _incarnation(load: EngineLoad) -> tuple[str, int]:
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -3,11 +3,22 @@
 from collections.abc import Collection, Iterable
 
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.engine_conditions import EngineConditions
+from hornbeamdeck.scheduling.engine_conditions import (
+    ConditionChange,
+    EngineConditions,
+)
 from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
+from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.request_rate import RateRules
+from hornbeamdeck.scheduling.service_load import (
+    count_held_by_limit,
+    fastest_first_token_ms,
+    forecast_slots,
+)
 from hornbeamdeck.scheduling.version_routing import VersionRouting
+from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
+from hornbeamdeck.wire import EngineObservation, Enqueue
 
 __all__ = ('ServiceEngines',)
 
@@ -52,6 +63,18 @@
         self.conditions.remove_unlisted(engines_by_name.values())
         self.versions.update_engines(self.loads.values())
 
+    def apply_observation(
+        self, observation: EngineObservation, now: float
+    ) -> ConditionChange | None:
+        """Apply what an instance has seen an engine state of itself.
+
+        :returns: what it has changed; `None`: nothing.
+        """
+        change = self.conditions.apply(observation, now)
+        if change is not None and change.is_leaving:
+            self.versions.update_engines(self.loads.values())
+        return change
+
     def usable(self, now: float) -> Collection[EngineLoad]:
         """Return the engines of the versions that may get requests now."""
         return self.versions.usable(self.loads.values(), now)
@@ -62,3 +85,22 @@
             if request_id in load.runs:
                 return load
         return None
+
+    def forecast(self, wait_queue: WaitQueue, now: float) -> Forecast:
+        """Forecast when slots become free for the requests of a queue."""
+        staying = [load for load in self.usable(now) if not load.is_leaving]
+        return forecast_slots(
+            staying, len(wait_queue), wait_queue.interval_ms, now
+        )
+
+    def describe(self, request: Enqueue, now: float) -> dict[str, object]:
+        """Return what a decision on a request was based on, as log fields."""
+        loads = self.loads.values()
+        return {
+            'engines': len(loads),
+            'places': sum(load.has_free_slot(now) for load in loads),
+            'held_by_limit': count_held_by_limit(loads, now),
+            'fastest_ms': int(
+                fastest_first_token_ms(loads, request.prompt_tokens, now)
+            ),
+        }
--- a/hornbeamdeck/scheduling/service_load.py
+++ b/hornbeamdeck/scheduling/service_load.py
@@ -11,16 +11,15 @@
     'count_held_by_limit',
     'fastest_first_token_ms',
     'forecast_slots',
-    'has_untried_engine',
+    'has_engine_left',
 )
 
 
-def has_untried_engine(
-    request: Enqueue, loads: Mapping[str, EngineLoad]
-) -> bool:
-    """Return whether a retry has an engine left; `True` for a first attempt."""
-    return not request.excluded or any(
-        name not in request.excluded and not load.engine.is_draining
+def has_engine_left(request: Enqueue, loads: Mapping[str, EngineLoad]) -> bool:
+    """Return whether an engine is left that a request has not tried."""
+    excluded = request.excluded or ()
+    return any(
+        name not in excluded and not load.is_leaving
         for name, load in loads.items()
     )
 
@@ -32,14 +31,14 @@
 ) -> float:
     """Estimate the shortest time to first token of a request sent now.
 
-    :returns: 0 if all engines are draining.
+    :returns: 0 if all engines leave.
     """
     work_ms = base_first_token_ms(prompt_tokens)
     return min(
         (
             load.first_token_ms(work_ms, now)
             for load in loads
-            if not load.engine.is_draining
+            if not load.is_leaving
         ),
         default=0.0,
     )
@@ -60,7 +59,7 @@
 ) -> Forecast:
     """Forecast when slots become free.
 
-    :param loads: engines that are not draining.
+    :param loads: engines that do not leave.
     :param waiting: number of waiting requests; later starts are estimated only
         if there are not more free slots than this.
     :param interval_ms: mean time between grants.
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -680,6 +680,8 @@
      - born_ms
      - age_ms
      - per_s
+     - is_limit_unknown
+     - is_leaving
 
     """
 
@@ -689,15 +691,19 @@
         'born_ms',
         'age_ms',
         'per_s',
+        'is_limit_unknown',
+        'is_leaving',
     )
 
 
-    def __init__(self, cell=None, upstream=None, born_ms=None, age_ms=None, per_s=None,):
+    def __init__(self, cell=None, upstream=None, born_ms=None, age_ms=None, per_s=None, is_limit_unknown=None, is_leaving=None,):
         self.cell = cell
         self.upstream = upstream
         self.born_ms = born_ms
         self.age_ms = age_ms
         self.per_s = per_s
+        self.is_limit_unknown = is_limit_unknown
+        self.is_leaving = is_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -733,6 +739,16 @@
                     self.per_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_limit_unknown = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -763,6 +779,14 @@
             oprot.writeFieldBegin('per_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.per_s)
             oprot.writeFieldEnd()
+        if self.is_limit_unknown is not None:
+            oprot.writeFieldBegin('is_limit_unknown', TType.BOOL, 6)
+            oprot.writeBool(self.is_limit_unknown)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 7)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2856,6 +2880,8 @@
     (3, TType.I64, 'born_ms', None, None, ),  # 3
     (4, TType.I64, 'age_ms', None, None, ),  # 4
     (5, TType.DOUBLE, 'per_s', None, None, ),  # 5
+    (6, TType.BOOL, 'is_limit_unknown', None, None, ),  # 6
+    (7, TType.BOOL, 'is_leaving', None, None, ),  # 7
 )
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -70,6 +70,8 @@
   4: required i64 age_ms           // since the answer that showed the limit
   5: optional double per_s         // requests that it accepts from all instances
                                    // together; unset: no limit
+  6: optional bool is_limit_unknown // the sender has not seen it lately
+  7: optional bool is_leaving
 }
 
 struct Refuse {
--- a/tests/process/test_gateway_metrics.py
+++ b/tests/process/test_gateway_metrics.py
@@ -16,6 +16,7 @@
     metrics.count_store_call('engines')
     metrics.count_peer_bytes('sent', 17)
     metrics.count_dropped_log_line()
+    metrics.count_returned_grant('leaving')
     metrics.record_confirmation_ages(500, 250)
     metrics.in_flight = 3
     metrics.configuration_version = 7
@@ -38,6 +39,8 @@
     sent = {'direction': 'sent'}
     assert sample('hornbeamdeck_front_peer_bytes_total', sent) == 17
     assert sample('hornbeamdeck_log_lines_dropped_total') == 1
+    returned = {'cause': 'leaving'}
+    assert sample('hornbeamdeck_returned_grants_total', returned) == 1
     assert sample('hornbeamdeck_proof_age_seconds', {'held': 'engines'}) == 0.25
     assert sample('hornbeamdeck_routed_in_flight') == 3
     assert sample('hornbeamdeck_routed_configuration_version') == 7
