Give engines the rest that they ask an instance for

Callers saw a few late responses: an engine that rejects everything ends each request at once, looks like the idlest engine of its service, and was tried again and again.

Cause: nothing read Retry-After of a rejection.

Now the instance that reads the rejection sends nothing to that incarnation until the time has passed (at most an hour), and checks that again once a connection is open. It reports the rest to the owner and to its successor. The owner keeps it by instance and engine: others may go on sending there. In the forecast of a request its instance's resting engines have slots when the rest ends, so it waits, goes elsewhere, or is refused at once as not run. If all engines rest for one instance only, the caller may come back at once, since it is likely to reach another one; if they rest for all, when the first rest ends, spread over the rate of starts. A longer rest extends a shorter one; a rejection without one, or with a shorter one, ends none.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -305,7 +305,7 @@
         )
         self._schedule(
             self.now + ENGINE_TO_OWNER_MS,
-            lambda: self._cell.conditions.apply(stated, self.now),
+            lambda: self._cell.apply_observation(stated, 'ingress', self.now),
         )
 
     def _report_first_token(self, attempt: _Attempt, elapsed_ms: int) -> None:
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -1,6 +1,6 @@
 """The engine cells of this process, updated from what the store returns."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import structlog
@@ -37,11 +37,13 @@
         bounds: Bounds,
         quotas: TokenQuotas,
         fleet_share: Callable[[], float],
+        instances: Callable[[], Collection[str]],
     ) -> None:
         """Start without cells; `apply_configuration` creates them.
 
         :param fleet_share: returns the share of the fleet's instances whose
             requests are granted here.
+        :param instances: returns the ids of all instances that serve callers.
         """
         self.quotas = quotas
         self._scheduler = scheduler
@@ -52,6 +54,7 @@
             quotas=quotas,
             teams={},
             rate_rules=RateRules(settle_ms, fleet_share),
+            instances=instances,
         )
         self._cells: dict[str, EngineCell] = {}
         self._reported_slowness: dict[str, float] = {}
@@ -111,6 +114,10 @@
                     for load in cell.loads.values()
                 ),
                 held_back=count_held_by_limit(cell.loads.values(), now),
+                resting=sum(
+                    load.condition.is_resting_for_any(now)
+                    for load in cell.loads.values()
+                ),
                 waiting=len(cell),
             )
             for service, cell in self._cells.items()
--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -41,6 +41,7 @@
 
     NOT_LISTED = 'the engine is draining or was removed'
     LEAVING = 'the engine has stated that it leaves'
+    RESTING = 'the engine has asked this instance for rest'
 
 
 class _Observation(NamedTuple):
@@ -60,6 +61,14 @@
     is_leaving: bool = False
     rest_until_ms: float = -math.inf
 
+    def is_current(self, now: float) -> bool:
+        """Return whether a new owner needs to know any of it."""
+        return (
+            self.is_leaving
+            or now < self.rest_until_ms
+            or self.is_limit_recent(now)
+        )
+
     def is_limit_recent(self, now: float) -> bool:
         """Return whether the limit is recent enough to be reported."""
         return now - self.limit_observed_ms < MAX_LIMIT_AGE_MS
@@ -128,6 +137,7 @@
         if (
             (is_limit_shown and observation.per_s != grant.limit_per_s)
             or observation.is_leaving > last.is_leaving
+            or observation.rest_until_ms > last.rest_until_ms
             or observation.owner != last.owner
         ):
             await self._async_report(engine, observation)
@@ -137,7 +147,11 @@
         last = self._observations.get(grant.upstream)
         if last is None or last.born_ms < (grant.born_ms or 0):
             return None
-        return WithholdReason.LEAVING if last.is_leaving else None
+        if last.is_leaving:
+            return WithholdReason.LEAVING
+        if now_ms() < last.rest_until_ms:
+            return WithholdReason.RESTING
+        return None
 
     async def async_remind_owner(self, grant: Grant) -> None:
         """Report again what an owner does not know that has granted a request.
@@ -164,7 +178,7 @@
                 continue
             moved = observation._replace(owner=successor)
             self._observations[engine] = moved
-            if moved.is_leaving or moved.is_limit_recent(now_ms()):
+            if moved.is_current(now_ms()):
                 await self._async_report(engine, moved)
 
     def _last_observation(self, grant: Grant) -> _Observation:
@@ -213,6 +227,7 @@
             born_ms=observation.born_ms,
             age_ms=0,
             is_leaving=observation.is_leaving,
+            rest_ms=math.ceil(max(observation.rest_until_ms - now, 0)),
         )
         if observation.is_limit_recent(now):
             message.age_ms = int(now - observation.limit_observed_ms)
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -152,6 +152,7 @@
                 is_first_start=settings.is_first_start,
             ),
             fleet_share=lambda: fleet_share[0](),
+            instances=lambda: membership.ranked_ids(FLEET_CELL),
         )
         follower = _make_follower(
             _make_configuration_read(store, readers),
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -60,11 +60,13 @@
 
     :param engines: engines that state a limit.
     :param held_back: engines that have slots but may get no request now.
+    :param resting: engines that want no requests from some instance.
     :param waiting: requests that wait for any engine of the service.
     """
 
     engines: int
     held_back: int
+    resting: int
     waiting: int
 
 
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -166,6 +166,10 @@
         'hornbeamdeck_engines_held_by_limit',
         'Engines that have slots but may get no request now.',
     )
+    resting = _by_service(
+        'hornbeamdeck_engines_resting',
+        'Engines that want no requests from some instance.',
+    )
     waiting = _by_service(
         'hornbeamdeck_waiting_requests',
         'Requests that wait for an engine of the service.',
@@ -173,8 +177,9 @@
     for service, counts in metrics.limit_counts.items():
         limited.add_metric((service,), counts.engines)
         held_back.add_metric((service,), counts.held_back)
+        resting.add_metric((service,), counts.resting)
         waiting.add_metric((service,), counts.waiting)
-    yield from (limited, held_back, waiting)
+    yield from (limited, held_back, resting, waiting)
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
--- a/hornbeamdeck/process/peer_server.py
+++ b/hornbeamdeck/process/peer_server.py
@@ -20,7 +20,7 @@
 )
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshots import Snapshots
-from hornbeamdeck.scheduling.queued_request import Deliver
+from hornbeamdeck.scheduling.queued_request import Deliver, make_sender
 from hornbeamdeck.wire import (
     AskSnapshot,
     Envelope,
@@ -58,7 +58,7 @@
         if isinstance(authenticated, Err):
             _LOGGER.warning('peer refused', cause=authenticated.err_value.cause)
             return
-        sender = f'{connection.peer_id}#{next(sequence)}'
+        sender = make_sender(connection.peer_id, next(sequence))
 
         async def _async_received(envelope: Envelope) -> None:
             version = envelope.configuration_version
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -10,7 +10,7 @@
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.cell import Cell, Refused
 from hornbeamdeck.scheduling.engine_cell import EngineCell
-from hornbeamdeck.scheduling.queued_request import Deliver
+from hornbeamdeck.scheduling.queued_request import Deliver, instance_of
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
     EngineObservation,
@@ -112,7 +112,7 @@
                 if suspect is not None:
                     await deliver(suspect)
             case EngineObservation():
-                _apply_observation(cell, message)
+                _apply_observation(cell, message, sender)
             case Suspect():
                 cell.crash_tracker.merge_crash_count(
                     message.fingerprint,
@@ -204,10 +204,12 @@
         await deliver(refusal)
 
 
-def _apply_observation(cell: AnyCell, observation: EngineObservation) -> None:
+def _apply_observation(
+    cell: AnyCell, observation: EngineObservation, sender: str
+) -> None:
     if isinstance(cell, Cell):
         return
-    change = cell.apply_observation(observation, now_ms())
+    change = cell.apply_observation(observation, sender, now_ms())
     if change is None:
         return
     if change.limit is not None:
@@ -226,6 +228,14 @@
             cell=observation.cell,
             engine=observation.upstream,
         )
+    if change.rest_ms:
+        _LOGGER.info(
+            'engine rests',
+            cell=observation.cell,
+            engine=observation.upstream,
+            instance=instance_of(sender),
+            rest_ms=change.rest_ms,
+        )
 
 
 async def _async_refuse(refused: Refused) -> None:
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -5,6 +5,7 @@
 which a retry is worthwhile.
 """
 
+from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
 from hornbeamdeck.scheduling.forecast import Forecast
@@ -32,11 +33,13 @@
 
     :param teams: the teams of the configuration in force, by name.
     :param rate_rules: how engines expect their request limits to be kept.
+    :param instances: returns the ids of all instances that serve callers.
     """
 
     quotas: TokenQuotas
     teams: dict[str, GatewayTeam]
     rate_rules: RateRules = RateRules()
+    instances: Callable[[], Collection[str]] = tuple
 
 
 class AdmissionControl:
@@ -140,9 +143,13 @@
         self,
         request: Enqueue,
         reason: RefusalReason,
+        open_ms: float | None,
         now: float,
     ) -> int:
-        """Return the time after which a retry is worthwhile."""
+        """Return the time after which a retry is worthwhile.
+
+        :param open_ms: when an engine takes requests again, if all rest.
+        """
         team = self._shared.teams.get(request.team)
         if reason == RefusalReason.TEAM_LIMIT and team is not None:
             need = _need_of(request)
@@ -151,6 +158,7 @@
             request.fingerprint,
             self._wait_queue.time_to_empty_ms(),
             self._wait_queue.interval_ms,
+            open_ms,
             now,
         )
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -21,12 +21,15 @@
     PlacementScan,
     PlacementTracker,
 )
-from hornbeamdeck.scheduling.queued_request import Deliver, QueuedRequest
+from hornbeamdeck.scheduling.queued_request import (
+    Deliver,
+    QueuedRequest,
+    instance_of,
+)
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.service_engines import ServiceEngines
 from hornbeamdeck.scheduling.service_load import (
     fastest_first_token_ms,
-    has_engine_left,
 )
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
@@ -58,6 +61,7 @@
 
     def __init__(self, shared: SharedState, retry_budget: RetryBudget) -> None:
         """Start without engines; `update_engines` adds them."""
+        self._shared = shared
         self._engines = ServiceEngines(shared.rate_rules)
         self.loads = self._engines.loads
         self.versions = self._engines.versions
@@ -92,14 +96,17 @@
         self._has_fewer_engines = True
 
     def apply_observation(
-        self, observation: EngineObservation, now: float
+        self, observation: EngineObservation, sender: str, now: float
     ) -> ConditionChange | None:
         """Apply what an instance has seen an engine state of itself.
 
+        :param sender: the connection that the observation came by.
         :returns: what it has changed; `None`: nothing.
         """
-        change = self._engines.apply_observation(observation, now)
-        if change is not None and change.is_leaving:
+        change = self._engines.apply_observation(
+            observation, instance_of(sender), now
+        )
+        if change is not None and (change.is_leaving or change.rest_ms):
             self._has_fewer_engines = True
         return change
 
@@ -121,9 +128,11 @@
             service_ms=0,
         )
         fastest_ms = fastest_first_token_ms(
-            self._engines.usable(now), request.prompt_tokens, now
+            self._engines.open_to(queued.instance, now),
+            request.prompt_tokens,
+            now,
         )
-        reason = self._reason_to_refuse(request, fastest_ms, now)
+        reason = self._reason_to_refuse(queued, fastest_ms, now)
         if reason is not None:
             return self._refuse(queued, reason, now)
         self._wait_queue.push(queued, now, fastest_ms)
@@ -141,14 +150,14 @@
         running requests each time would take most of a core with a few dozen
         engines.
         """
-        if self._has_fewer_engines:
-            yield from self._refuse_without_engine(now)
         if (
             not len(self._wait_queue)
             or now - self._last_expiry_check_ms < MIN_EXPIRY_CHECK_INTERVAL_MS
         ):
             return
         self._last_expiry_check_ms = now
+        if self._has_fewer_engines:
+            yield from self._refuse_without_engine(now)
         forecast = self._engines.forecast(self._wait_queue, now)
         for queued in self._wait_queue.expired(now, forecast):
             self._admission.remove_waiting(queued.request)
@@ -227,7 +236,7 @@
         self._placements.request_full_scan()
 
     def _refuse_without_engine(self, now: float) -> Iterator[Refused]:
-        """Refuse waiting requests whose last engine leaves."""
+        """Refuse waiting requests whose last engine leaves or rests."""
         self._has_fewer_engines = False
         if not self.loads:
             # Entries that expired in an outage may be back in a moment.
@@ -235,7 +244,7 @@
         refused = [
             queued
             for queued in self._wait_queue.in_order(now)
-            if not has_engine_left(queued.request, self.loads)
+            if not self._engines.has_engine_left(queued)
         ]
         for queued in refused:
             self._wait_queue.remove(queued.request.request_id)
@@ -244,15 +253,18 @@
 
     def _reason_to_refuse(
         self,
-        request: Enqueue,
+        queued: QueuedRequest,
         fastest_ms: float,
         now: float,
     ) -> RefusalReason | None:
-        if not has_engine_left(request, self.loads):
+        request = queued.request
+        if not self._engines.has_engine_left(queued):
             return RefusalReason.NO_UPSTREAM
         if self.crash_tracker.is_confirmed_poison(request.fingerprint, now):
             return RefusalReason.CULPRIT
-        forecast = self._engines.forecast(self._wait_queue, now)
+        forecast = self._engines.forecast(
+            self._wait_queue, now, queued.instance
+        )
         return self._admission.reason_to_refuse(
             request, forecast, fastest_ms, now
         )
@@ -316,7 +328,12 @@
         now: float,
     ) -> Refused:
         request = queued.request
-        retry_after_ms = self._admission.retry_after_ms(request, reason, now)
+        open_ms = self._engines.open_again_ms(
+            queued.instance, self._shared.instances(), now
+        )
+        retry_after_ms = self._admission.retry_after_ms(
+            request, reason, open_ms, now
+        )
         hold_reason = self._hold_reasons.pop(request.request_id, '')
         refusal = Refuse(
             request_id=request.request_id,
@@ -325,7 +342,7 @@
         )
         log_fields: dict[str, object] = {
             'waiting': len(self._wait_queue),
-            **self._engines.describe(request, now),
+            **self._engines.describe(queued, now),
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._admission.describe_quota(request.team),
--- a/hornbeamdeck/scheduling/engine_conditions.py
+++ b/hornbeamdeck/scheduling/engine_conditions.py
@@ -5,6 +5,7 @@
 owner. The owner keeps it here for each incarnation of an engine.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -39,26 +40,46 @@
 
     :param limit: `None`: the limit is the same.
     :param is_leaving: whether it was not known before that the engine leaves.
+    :param rest_ms: for how long the engine wants no requests from the instance,
+        if that is longer than before; 0: it is not.
     """
 
     limit: LimitChange | None = None
     is_leaving: bool = False
+    rest_ms: int = 0
 
 
 class EngineCondition:
     """What one incarnation of an engine has stated.
 
     One that leaves never comes back: a later response without the statement,
-    or an entry in the list that is older than it, does not end it.
+    or an entry in the list that is older than it, does not end it. A rest is
+    asked of one instance and ends with its time.
     """
 
     def __init__(self, rules: RateRules) -> None:
         """Start without statements."""
         self.rate = EngineRate(rules)
         self.is_leaving = False
+        self._rest_until_ms: dict[str, float] = {}
+
+    def is_resting(self, instance: str, now: float) -> bool:
+        """Return whether the engine wants no requests from an instance."""
+        return now < self._rest_until_ms.get(instance, now)
+
+    def is_resting_for_any(self, now: float) -> bool:
+        """Return whether the engine wants no requests from some instance."""
+        return any(now < until_ms for until_ms in self._rest_until_ms.values())
+
+    def open_ms(self, instances: Iterable[str]) -> float:
+        """Return when the first of some instances may send requests."""
+        return min(
+            self._rest_until_ms.get(instance, -math.inf)
+            for instance in instances
+        )
 
     def apply(
-        self, observation: EngineObservation, now: float
+        self, observation: EngineObservation, instance: str, now: float
     ) -> ConditionChange:
         """Apply what an instance has observed."""
         was_leaving = self.is_leaving
@@ -69,8 +90,21 @@
         return ConditionChange(
             limit=limit,
             is_leaving=self.is_leaving and not was_leaving,
+            rest_ms=self._extend_rest(instance, observation.rest_ms or 0, now),
         )
 
+    def _extend_rest(self, instance: str, rest_ms: int, now: float) -> int:
+        until_ms = now + rest_ms
+        if until_ms <= self._rest_until_ms.get(instance, now):
+            return 0
+        self._rest_until_ms = {
+            name: end_ms
+            for name, end_ms in self._rest_until_ms.items()
+            if now < end_ms
+        }
+        self._rest_until_ms[instance] = until_ms
+        return rest_ms
+
     def _set_limit(
         self, observation: EngineObservation, now: float
     ) -> LimitChange | None:
@@ -102,7 +136,7 @@
         return self._conditions[key]
 
     def apply(
-        self, observation: EngineObservation, now: float
+        self, observation: EngineObservation, instance: str, now: float
     ) -> ConditionChange | None:
         """Apply what an instance has observed.
 
@@ -112,7 +146,7 @@
         condition = self._conditions.get(key)
         if condition is None:
             return None
-        change = condition.apply(observation, now)
+        change = condition.apply(observation, instance, now)
         return None if change == ConditionChange() else change
 
     def remove_unlisted(self, listed: Iterable[Engine]) -> None:
--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -1,11 +1,13 @@
 """A request that waits for a grant at the owner of its cell."""
 
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.wire import Enqueue, Message
 
-__all__ = ('Deliver', 'QueuedRequest')
+__all__ = ('Deliver', 'QueuedRequest', 'instance_of', 'make_sender')
+
+SEPARATOR: Final = '#'
 
 Deliver: TypeAlias = Callable[[Message], Awaitable[None]]
 
@@ -26,7 +28,25 @@
     deadline_ms: float
     service_ms: float
 
+    @property
+    def instance(self) -> str:
+        """The ingress instance that holds the request."""
+        return instance_of(self.sender)
+
     @property
     def cost_tokens(self) -> int:
         """Tokens that are charged to its team's share."""
         return int(self.request.prompt_tokens + self.request.output_tokens)
+
+
+def make_sender(instance: str, connection: int) -> str:
+    """Name a connection of a remote instance; a local sender is the instance.
+
+    :param connection: distinguishes the connections of one instance.
+    """
+    return f'{instance}{SEPARATOR}{connection}'
+
+
+def instance_of(sender: str) -> str:
+    """Return the instance that a message was received from."""
+    return sender.rpartition(SEPARATOR)[0] or sender
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -9,6 +9,7 @@
 )
 from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
 from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.service_load import (
     count_held_by_limit,
@@ -18,7 +19,7 @@
 from hornbeamdeck.scheduling.version_routing import VersionRouting
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
-from hornbeamdeck.wire import EngineObservation, Enqueue
+from hornbeamdeck.wire import EngineObservation
 
 __all__ = ('ServiceEngines',)
 
@@ -64,13 +65,13 @@
         self.versions.update_engines(self.loads.values())
 
     def apply_observation(
-        self, observation: EngineObservation, now: float
+        self, observation: EngineObservation, instance: str, now: float
     ) -> ConditionChange | None:
         """Apply what an instance has seen an engine state of itself.
 
         :returns: what it has changed; `None`: nothing.
         """
-        change = self.conditions.apply(observation, now)
+        change = self.conditions.apply(observation, instance, now)
         if change is not None and change.is_leaving:
             self.versions.update_engines(self.loads.values())
         return change
@@ -86,21 +87,74 @@
                 return load
         return None
 
-    def forecast(self, wait_queue: WaitQueue, now: float) -> Forecast:
-        """Forecast when slots become free for the requests of a queue."""
+    def open_to(self, instance: str, now: float) -> Collection[EngineLoad]:
+        """Return the usable engines that do not rest for an instance.
+
+        :returns: all that are usable if none is left.
+        """
+        usable = self.usable(now)
+        opened = [
+            load
+            for load in usable
+            if not load.condition.is_resting(instance, now)
+        ]
+        return opened or usable
+
+    def has_engine_left(self, queued: QueuedRequest) -> bool:
+        """Return whether an untried engine may get a request in its time."""
+        excluded = queued.request.excluded or ()
+        instances = (queued.instance,)
+        return any(
+            name not in excluded
+            and not load.is_leaving
+            and load.condition.open_ms(instances) < queued.deadline_ms
+            for name, load in self.loads.items()
+        )
+
+    def open_again_ms(
+        self, instance: str, instances: Collection[str], now: float
+    ) -> float | None:
+        """Return when an engine takes requests of some instance again.
+
+        :param instances: all that a caller may come back to.
+        :returns: `None` if not all engines rest for the given instance.
+        """
+        staying = [
+            load.condition
+            for load in self.loads.values()
+            if not load.is_leaving
+        ]
+        if not staying or not all(
+            condition.is_resting(instance, now) for condition in staying
+        ):
+            return None
+        anyone = instances or (instance,)
+        return min(condition.open_ms(anyone) for condition in staying)
+
+    def forecast(
+        self, wait_queue: WaitQueue, now: float, instance: str = ''
+    ) -> Forecast:
+        """Forecast when slots become free for the requests of a queue.
+
+        :param instance: the ingress of a request; empty: of any.
+        """
         staying = [load for load in self.usable(now) if not load.is_leaving]
         return forecast_slots(
-            staying, len(wait_queue), wait_queue.interval_ms, now
+            staying, instance, len(wait_queue), wait_queue.interval_ms, now
         )
 
-    def describe(self, request: Enqueue, now: float) -> dict[str, object]:
+    def describe(self, queued: QueuedRequest, now: float) -> dict[str, object]:
         """Return what a decision on a request was based on, as log fields."""
         loads = self.loads.values()
         return {
             'engines': len(loads),
             'places': sum(load.has_free_slot(now) for load in loads),
             'held_by_limit': count_held_by_limit(loads, now),
+            'resting': sum(
+                load.condition.is_resting(queued.instance, now)
+                for load in loads
+            ),
             'fastest_ms': int(
-                fastest_first_token_ms(loads, request.prompt_tokens, now)
+                fastest_first_token_ms(loads, queued.request.prompt_tokens, now)
             ),
         }
--- a/hornbeamdeck/scheduling/service_load.py
+++ b/hornbeamdeck/scheduling/service_load.py
@@ -1,29 +1,18 @@
 """Load of all engines of one service, as seen by the owner of its cell."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from itertools import repeat
 
 from hornbeamdeck.scheduling.engine_load import EngineLoad, base_first_token_ms
 from hornbeamdeck.scheduling.forecast import Forecast
-from hornbeamdeck.wire import Enqueue
 
 __all__ = (
     'count_held_by_limit',
     'fastest_first_token_ms',
     'forecast_slots',
-    'has_engine_left',
 )
 
 
-def has_engine_left(request: Enqueue, loads: Mapping[str, EngineLoad]) -> bool:
-    """Return whether an engine is left that a request has not tried."""
-    excluded = request.excluded or ()
-    return any(
-        name not in excluded and not load.is_leaving
-        for name, load in loads.items()
-    )
-
-
 def fastest_first_token_ms(
     loads: Iterable[EngineLoad],
     prompt_tokens: int,
@@ -53,6 +42,7 @@
 
 def forecast_slots(
     loads: Sequence[EngineLoad],
+    instance: str,
     waiting: int,
     interval_ms: float,
     now: float,
@@ -60,21 +50,38 @@
     """Forecast when slots become free.
 
     :param loads: engines that do not leave.
+    :param instance: an engine that rests for it has no free slots until then.
     :param waiting: number of waiting requests; later starts are estimated only
         if there are not more free slots than this.
     :param interval_ms: mean time between grants.
     """
-    free_slots = sum(load.free_slots(now) for load in loads)
+    free_slots = sum(
+        load.free_slots(now)
+        for load in loads
+        if not load.condition.is_resting(instance, now)
+    )
     starts_ms: list[float] = []
     if free_slots <= waiting:
         starts_ms = [
             start_ms
             for load in loads
-            for start_ms in _next_starts_ms(load, now)
+            for start_ms in _starts_after_rest_ms(load, instance, now)
         ]
     return Forecast.from_ends(free_slots, starts_ms, interval_ms, now)
 
 
+def _starts_after_rest_ms(
+    load: EngineLoad, instance: str, now: float
+) -> list[float]:
+    """Estimate when requests of an instance can start, if not now."""
+    starts_ms = _next_starts_ms(load, now)
+    if not load.condition.is_resting(instance, now):
+        return starts_ms
+    open_ms = load.condition.open_ms((instance,))
+    rested_ms = [max(start_ms, open_ms) for start_ms in starts_ms]
+    return [open_ms for _ in range(load.free_slots(now))] + rested_ms
+
+
 def _next_starts_ms(load: EngineLoad, now: float) -> list[float]:
     """Estimate when requests can start beyond those that may start now.
 
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -682,6 +682,7 @@
      - per_s
      - is_limit_unknown
      - is_leaving
+     - rest_ms
 
     """
 
@@ -693,10 +694,11 @@
         'per_s',
         'is_limit_unknown',
         'is_leaving',
+        'rest_ms',
     )
 
 
-    def __init__(self, cell=None, upstream=None, born_ms=None, age_ms=None, per_s=None, is_limit_unknown=None, is_leaving=None,):
+    def __init__(self, cell=None, upstream=None, born_ms=None, age_ms=None, per_s=None, is_limit_unknown=None, is_leaving=None, rest_ms=None,):
         self.cell = cell
         self.upstream = upstream
         self.born_ms = born_ms
@@ -704,6 +706,7 @@
         self.per_s = per_s
         self.is_limit_unknown = is_limit_unknown
         self.is_leaving = is_leaving
+        self.rest_ms = rest_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -749,6 +752,11 @@
                     self.is_leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.rest_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -787,6 +795,10 @@
             oprot.writeFieldBegin('is_leaving', TType.BOOL, 7)
             oprot.writeBool(self.is_leaving)
             oprot.writeFieldEnd()
+        if self.rest_ms is not None:
+            oprot.writeFieldBegin('rest_ms', TType.I64, 8)
+            oprot.writeI64(self.rest_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2882,6 +2894,7 @@
     (5, TType.DOUBLE, 'per_s', None, None, ),  # 5
     (6, TType.BOOL, 'is_limit_unknown', None, None, ),  # 6
     (7, TType.BOOL, 'is_leaving', None, None, ),  # 7
+    (8, TType.I64, 'rest_ms', None, None, ),  # 8
 )
 all_structs.append(Refuse)
 Refuse.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -72,6 +72,7 @@
                                    // together; unset: no limit
   6: optional bool is_limit_unknown // the sender has not seen it lately
   7: optional bool is_leaving
+  8: optional i64 rest_ms          // for which it still wants nothing from the sender
 }
 
 struct Refuse {
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -11,6 +11,8 @@
 from hornbeamdeck.platform.__main__ import PLATFORM_ADAPTER
 from hornbeamdeck.process.gateway import Gateway
 from hornbeamdeck.process.gateway_settings import GatewaySettings
+from hornbeamdeck.process.liveness import FLEET_CELL
+from hornbeamdeck.scheduling.engine_load import EngineLoad
 from tests.platform.standins import EngineStandin, StoreStandin, document
 from tests.support import async_fetch
 
@@ -140,6 +142,17 @@
             await sleep(WAIT_STEP_S)
         raise AssertionError('the condition was not met in time')
 
+    @property
+    def owner(self) -> Gateway:
+        """The gateway that grants for all, as the last one sees it."""
+        membership = self.gateways[-1].components.membership
+        owner_id = membership.owner_of(FLEET_CELL)
+        return next(
+            gateway
+            for gateway in self.gateways
+            if gateway.settings.instance_id == owner_id
+        )
+
     async def async_call(
         self,
         path: str,
@@ -218,3 +231,9 @@
         return _run
 
     return _decorate
+
+
+def load_at(gateway: Gateway, engine: EngineStandin) -> EngineLoad:
+    """Return the load of an engine as a gateway knows it."""
+    cells = gateway.components.cells.cells
+    return cells[engine.name.partition('-')[0]].loads[engine.name]
--- a/tests/platform/test_leaving_engines.py
+++ b/tests/platform/test_leaving_engines.py
@@ -4,12 +4,13 @@
 from curio import sleep
 from result import UnwrapError
 
-from hornbeamdeck.process.gateway import Gateway
-from hornbeamdeck.process.liveness import FLEET_CELL
-from hornbeamdeck.scheduling.engine_load import EngineLoad
 from hornbeamdeck.wire import EngineObservation
-from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
-from tests.platform.standins import EngineStandin
+from tests.platform.fleet import (
+    TOKEN_COUNTS,
+    PlatformFleet,
+    load_at,
+    on_platform,
+)
 
 # Requests sent later than this after such a response must not reach the engine.
 DRAIN_S = 2.0
@@ -33,21 +34,6 @@
         await _async_call(fleet, number, number % len(fleet.gateways))
 
 
-def _owner(fleet: PlatformFleet) -> Gateway:
-    membership = fleet.gateways[-1].components.membership
-    owner_id = membership.owner_of(FLEET_CELL)
-    return next(
-        gateway
-        for gateway in fleet.gateways
-        if gateway.settings.instance_id == owner_id
-    )
-
-
-def _load_at(gateway: Gateway, engine: EngineStandin) -> EngineLoad:
-    cells = gateway.components.cells.cells
-    return cells[engine.name.partition('-')[0]].loads[engine.name]
-
-
 @on_platform()
 async def test_no_request_is_sent_to_an_engine_that_says_it_leaves(
     fleet: PlatformFleet,
@@ -87,15 +73,15 @@
     """Guards against a statement that is lost with the owner that knew it."""
     leaving = fleet.booking_engines[0]
     leaving.state(LEAVING)
-    owner = _owner(fleet)
+    owner = fleet.owner
     others = [each for each in range(3) if fleet.gateways[each] is not owner]
     await _async_call(fleet, 0, others[0])
-    await fleet.async_until(lambda: _load_at(owner, leaving).is_leaving)
+    await fleet.async_until(lambda: load_at(owner, leaving).is_leaving)
     await owner.async_kill()
     await fleet.async_until(
         lambda: any(
             fleet.gateways[each].components.is_owner
-            and _load_at(fleet.gateways[each], leaving).is_leaving
+            and load_at(fleet.gateways[each], leaving).is_leaving
             for each in others
         )
     )
@@ -124,9 +110,9 @@
     scheduler.async_receive = _async_miss_first  # type: ignore[method-assign]
     await _async_call(fleet, 0)
     assert missed
-    assert not _load_at(fleet.gateways[0], leaving).is_leaving
+    assert not load_at(fleet.gateways[0], leaving).is_leaving
     await _async_call(fleet, 1)
-    assert _load_at(fleet.gateways[0], leaving).is_leaving
+    assert load_at(fleet.gateways[0], leaving).is_leaving
     assert len(leaving.arrivals_s) == 1
 
 
@@ -140,7 +126,7 @@
         leaving.state(LEAVING)
         leaving.faults = [fault]
         await fleet.async_call('/seats/x')
-        assert _load_at(fleet.gateways[0], leaving).is_leaving
+        assert load_at(fleet.gateways[0], leaving).is_leaving
 
     _async_check()
 
@@ -156,7 +142,7 @@
     engine.name = 'of-another-service'
     await _async_call(fleet, 0)
     engine.name = name
-    assert not _load_at(fleet.gateways[0], engine).is_leaving
+    assert not load_at(fleet.gateways[0], engine).is_leaving
 
 
 @on_platform()
@@ -175,8 +161,8 @@
     gateway = fleet.gateways[0]
     await fleet.async_until(
         lambda: (
-            _load_at(gateway, other).is_leaving
-            and not _load_at(gateway, engine).is_leaving
+            load_at(gateway, other).is_leaving
+            and not load_at(gateway, engine).is_leaving
         )
     )
     before = len(engine.executed)
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -79,11 +79,15 @@
 
 
 def make_cell(
-    *engines: Engine, properties: EngineProperties = MODEL
+    *engines: Engine,
+    properties: EngineProperties = MODEL,
+    instances: tuple[str, ...] = (),
 ) -> EngineCell:
     """Create a cell with engines and without team limits."""
     made = EngineCell(
-        SharedState(quotas=make_quotas(), teams={}),
+        SharedState(
+            quotas=make_quotas(), teams={}, instances=lambda: instances
+        ),
         RetryBudget(ratio=0.2, slack=20, window_ms=10_000),
     )
     made.update_engines(engines, properties, {})
--- a/tests/scheduling/test_engine_cell_states.py
+++ b/tests/scheduling/test_engine_cell_states.py
@@ -38,6 +38,9 @@
         # By incarnation: what it accepts, and its grants since it said so.
         self.limits: dict[tuple[str, int], float] = {}
         self.limited_grants: dict[tuple[str, int], list[float]] = {}
+        self.leaving: set[tuple[str, int]] = set()
+        # By incarnation and sender: when its rest ends.
+        self.rests: dict[tuple[str, int, str], float] = {}
 
     @rule(
         rank=st.integers(0, 4),
@@ -86,6 +89,9 @@
             assert grant.upstream not in grant.queued.request.excluded
             self.running[request_id] = self.waiting.pop(request_id)
             incarnation = (grant.upstream, grant.born_ms)
+            assert incarnation not in self.leaving
+            resting = (*incarnation, self.running[request_id])
+            assert self.rests.get(resting, 0) <= self.now
             if incarnation in self.limits:
                 self.limited_grants[incarnation].append(self.now)
 
@@ -156,7 +162,7 @@
             age_ms=age_ms,
             per_s=per_s,
         )
-        if self.cell.conditions.apply(stated, self.now) is None:
+        if self.cell.apply_observation(stated, SENDERS[0], self.now) is None:
             return
         incarnation = (name, born_ms)
         self.limits.pop(incarnation, None)
@@ -164,6 +170,41 @@
             self.limits[incarnation] = per_s
             self.limited_grants[incarnation] = []
 
+    @rule(
+        name=st.sampled_from(NAMES),
+        born_ms=st.integers(1, 2),
+        sender=st.sampled_from(SENDERS),
+        rest_ms=st.integers(0, 3000),
+        is_leaving=st.booleans(),
+    )
+    def state_rest_or_leaving(
+        self,
+        name: str,
+        born_ms: int,
+        sender: str,
+        rest_ms: int,
+        is_leaving: bool,
+    ) -> None:
+        """Report that an engine asks for rest or leaves."""
+        load = self.cell.loads.get(name)
+        if load is None or load.engine.born_ms != born_ms:
+            return
+        observation = EngineObservation(
+            cell='desk',
+            upstream=name,
+            born_ms=born_ms,
+            age_ms=0,
+            is_limit_unknown=True,
+            is_leaving=is_leaving,
+            rest_ms=rest_ms,
+        )
+        self.cell.apply_observation(observation, sender, self.now)
+        if is_leaving:
+            self.leaving.add((name, born_ms))
+        resting = (name, born_ms, sender)
+        until_ms = max(self.rests.get(resting, 0), self.now + rest_ms)
+        self.rests[resting] = until_ms
+
     @rule(
         name=st.sampled_from(NAMES),
         per_s=st.sampled_from((0.0, 0.5, 1.0)),
--- a/tests/scheduling/test_request_rate.py
+++ b/tests/scheduling/test_request_rate.py
@@ -161,27 +161,27 @@
     """Guards against a limit that a late report of an older response lifts."""
     conditions = EngineConditions(RULES)
     rate = conditions.condition_of(engine('e1')).rate
-    assert conditions.apply(_limit('e1', 2.5), 1000) is not None
-    assert conditions.apply(_limit('e1', 2.5), 2000) is None
-    assert conditions.apply(_limit('e1', None, age_ms=500), 2100) is None
+    assert conditions.apply(_limit('e1', 2.5), 'a', 1000) is not None
+    assert conditions.apply(_limit('e1', 2.5), 'a', 2000) is None
+    assert conditions.apply(_limit('e1', None, age_ms=500), 'a', 2100) is None
     assert rate.limit_per_s == 2.5
-    change = conditions.apply(_limit('e1', 1.5), 2200)
+    change = conditions.apply(_limit('e1', 1.5), 'a', 2200)
     assert change is not None and change.limit is not None
     assert change.limit.previous_per_s == 2.5
-    assert conditions.apply(_limit('e1', None), 2300) is not None
+    assert conditions.apply(_limit('e1', None), 'a', 2300) is not None
     assert rate.limit_per_s is None
 
 
 def test_a_limit_outlives_an_entry_but_not_an_incarnation() -> None:
     """Guards against losing limits in an outage of the store."""
     cell = make_cell(engine('e1'), engine('e2'))
-    cell.conditions.apply(_limit('e1', 0.5), 0)
+    cell.conditions.apply(_limit('e1', 0.5), 'a', 0)
     cell.update_engines([engine('e2')], MODEL, {})
     cell.update_engines([engine('e1'), engine('e2')], MODEL, {})
     assert cell.loads['e1'].rate.limit_per_s == 0.5
     cell.update_engines([engine('e1', born_ms=2), engine('e2')], MODEL, {})
     assert cell.loads['e1'].rate.limit_per_s is None
-    cell.conditions.apply(_limit('e1', 0.5), 10)
+    cell.conditions.apply(_limit('e1', 0.5), 'a', 10)
     assert cell.loads['e1'].rate.limit_per_s is None
 
 
@@ -190,13 +190,13 @@
     conditions = EngineConditions(RULES)
     listed = engine('listed')
     conditions.condition_of(listed)
-    conditions.apply(_limit('listed', 0.5), 0)
+    conditions.apply(_limit('listed', 0.5), 'a', 0)
     for number in range(2000):
         conditions.condition_of(engine(f'e{number}'))
     conditions.remove_unlisted([listed])
     assert conditions.condition_of(listed).rate.limit_per_s == 0.5
-    assert conditions.apply(_limit('e0', 1.0), 1) is None
-    assert conditions.apply(_limit('e1999', 1.0), 1) is not None
+    assert conditions.apply(_limit('e0', 1.0), 'a', 1) is None
+    assert conditions.apply(_limit('e1999', 1.0), 'a', 1) is not None
 
 
 @pytest.mark.parametrize('properties', [MODEL, PLAIN])
@@ -209,7 +209,7 @@
         engine('other', slots=9),
         properties=properties,
     )
-    cell.conditions.apply(_limit('limited', 2.0), 0)
+    cell.conditions.apply(_limit('limited', 2.0), 'a', 0)
     for number in range(14):
         enqueue(cell, make_request(f'r{number}'))
     engines = [upstream for _, upstream in granted(cell)]
@@ -220,7 +220,7 @@
 def test_retries_count_towards_a_limit() -> None:
     """Guards against second attempts that exceed a limit."""
     cell = make_cell(engine('limited', slots=9), engine('failed'))
-    cell.conditions.apply(_limit('limited', 1.0), 0)
+    cell.conditions.apply(_limit('limited', 1.0), 'a', 0)
     for number in range(3):
         request = make_request(f'r{number}', excluded=['failed'], dispatches=1)
         enqueue(cell, request)
@@ -232,7 +232,7 @@
 def test_a_request_starts_once_a_limit_allows_it() -> None:
     """Guards against a request that waits although its engine accepts it."""
     cell = make_cell(engine('limited'))
-    cell.conditions.apply(_limit('limited', 2.0), 0)
+    cell.conditions.apply(_limit('limited', 2.0), 'a', 0)
     starts_ms = _serve(cell, 6000, interval_ms=100)
     assert len(starts_ms) >= 11
     assert _most_in_window(starts_ms, LONG_WINDOW_MS) <= 8
@@ -242,7 +242,7 @@
     """Guards against waiting in vain for slots that are free but not usable."""
     cell = make_cell(engine('e1', slots=9), engine('e2', slots=9))
     for name in ('e1', 'e2'):
-        cell.conditions.apply(_limit(name, 1.0), 0)
+        cell.conditions.apply(_limit(name, 1.0), 'a', 0)
     refused = []
     for number in range(20):
         refused.append(enqueue(cell, make_request(f'r{number}')))
@@ -256,7 +256,7 @@
     """Guards against limits that cost slots although they are not reached."""
     free = make_cell(engine('e1', slots=9))
     limited = make_cell(engine('e1', slots=9))
-    limited.conditions.apply(_limit('e1', 1_000_000.0), 0)
+    limited.conditions.apply(_limit('e1', 1_000_000.0), 'a', 0)
     assert _serve(free, 3000, interval_ms=50) == _serve(
         limited, 3000, interval_ms=50
     )
