Record grants that are returned once a connection is open

An engine that leaves or asks for rest while a connection to it is opened got no request, but neither the log line nor the count of returned grants that one has which is known of before. The reason is what the attempt returns now.

--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -5,7 +5,6 @@
 and sends nothing against a statement that the owner does not know yet.
 """
 
-import enum
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -17,10 +16,10 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.process.owner_link import OwnerLink
-from hornbeamdeck.request.gateway_request import EngineStatement
+from hornbeamdeck.request.gateway_request import EngineStatement, WithholdReason
 from hornbeamdeck.wire import EngineObservation, Grant
 
-__all__ = ('EngineStatements', 'WithholdReason')
+__all__ = ('EngineStatements',)
 
 _LOGGER = structlog.get_logger(prefix='engines')
 
@@ -36,14 +35,6 @@
 _Entry = TypeVar('_Entry')
 
 
-class WithholdReason(enum.StrEnum):
-    """Why a request that was granted an engine must not be sent to it."""
-
-    NOT_LISTED = 'the engine is draining or was removed'
-    LEAVING = 'the engine has stated that it leaves'
-    RESTING = 'the engine has asked this instance for rest'
-
-
 class _Observation(NamedTuple):
     """What one incarnation of an engine stated.
 
--- a/hornbeamdeck/process/send_guard.py
+++ b/hornbeamdeck/process/send_guard.py
@@ -6,11 +6,9 @@
 """
 
 from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.engine_statements import (
-    EngineStatements,
-    WithholdReason,
-)
+from hornbeamdeck.process.engine_statements import EngineStatements
 from hornbeamdeck.process.freshness_guard import FreshnessGuard
+from hornbeamdeck.request.gateway_request import WithholdReason
 from hornbeamdeck.wire import Grant
 
 __all__ = ('SendGuard',)
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -18,7 +18,11 @@
 from hornbeamdeck.request.event_parser import Event, EventParser
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
-from hornbeamdeck.request.gateway_request import EngineAttempt, ResponseVerdict
+from hornbeamdeck.request.gateway_request import (
+    EngineAttempt,
+    ResponseVerdict,
+    WithholdReason,
+)
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineAttempts',)
@@ -73,12 +77,11 @@
         digest.update(request.body)
         return digest.hexdigest()
 
-    async def async_run(self, grant: Grant) -> RunEnd | None:
+    async def async_run(self, grant: Grant) -> RunEnd | WithholdReason:
         """Send the request to the granted engine and relay its response.
 
         :returns: how the attempt ended; a complete response that is not a
-            stream is left in `response`. `None`: nothing was sent, since the
-            engine may get no request any more.
+            stream is left in `response`. Or why nothing was sent.
         """
         self.event_count = 0
         opened = await self._engine_connection.async_open(grant)
@@ -86,8 +89,9 @@
             self.cause = opened.err_value.cause
             return RunEnd.NOT_DISPATCHED
         # Connecting may have taken long enough for an engine to leave.
-        if self._context.send_guard.check(grant) is not None:
-            return None
+        withheld = self._context.send_guard.check(grant)
+        if withheld is not None:
+            return withheld
         sent_ms = now_ms()
         head = await self._async_send_and_read_head(
             opened.ok_value, grant.upstream
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -17,6 +17,7 @@
     'ResponseVerdict',
     'RunSummary',
     'StatedLimit',
+    'WithholdReason',
 )
 
 
@@ -93,6 +94,14 @@
     INVALID_RESPONSE = enum.auto()
 
 
+class WithholdReason(enum.StrEnum):
+    """Why a request that was granted an engine must not be sent to it."""
+
+    NOT_LISTED = 'the engine is draining or was removed'
+    LEAVING = 'the engine has stated that it leaves'
+    RESTING = 'the engine has asked this instance for rest'
+
+
 ReadRequest: TypeAlias = Callable[[HttpRequest], Result[GatewayRequest, NotRun]]
 MakeEngineHeaders: TypeAlias = Callable[
     [GatewayRequest, EngineAttempt], Headers
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -9,7 +9,6 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.server import ServerConnection
-from hornbeamdeck.process.engine_statements import WithholdReason
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
     CLIENT_TIMEOUT_GAPS,
@@ -17,7 +16,7 @@
     recheck_key,
 )
 from hornbeamdeck.request.gateway_context import GatewayContext
-from hornbeamdeck.request.gateway_request import RunSummary
+from hornbeamdeck.request.gateway_request import RunSummary, WithholdReason
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
 from hornbeamdeck.request.refusal import deadline_passed
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
@@ -106,7 +105,10 @@
             grant = granted.ok_value
             reason = await self._context.send_guard.async_check(grant)
             if reason is not None:
-                await self._async_return_grant(grant.upstream, reason)
+                self._record_returned_grant(grant.upstream, reason)
+                await self._context.release_grant(
+                    grant.request_id, RunEnd.CANCELLED, RunSummary()
+                )
                 continue
             end = await self._async_attempt(grant)
             if end is not None and not self._may_use_another_engine(end):
@@ -203,24 +205,20 @@
             )
         return granted
 
-    async def _async_return_grant(
+    def _record_returned_grant(
         self, engine: str, reason: WithholdReason
     ) -> None:
-        """Return a grant whose engine must not get the request."""
-        request_id = self._admission.request.request_id
+        """Record a grant whose engine must not get the request."""
         self._context.metrics.count_returned_grant(reason.name.lower())
         _LOGGER.info(
             'grant returned',
-            request_id=request_id,
+            request_id=self._admission.request.request_id,
             engine=engine,
             cause=reason.value,
             engines_age_ms=_age_for_log(
                 self._context.freshness_guard.engines_age_ms()
             ),
         )
-        await self._context.release_grant(
-            request_id, RunEnd.CANCELLED, RunSummary()
-        )
         excluded = (*self._attempts.excluded, engine)
         self._attempts = self._attempts._replace(excluded=excluded)
 
@@ -229,14 +227,19 @@
         self._engine = grant.upstream
         self._version = grant.version or ''
         granted_ms = now_ms()
-        end: RunEnd | None = None
+        end = RunEnd.CANCELLED
+        withheld: WithholdReason | None = None
         try:
-            end = await self._engine_attempts.async_run(grant)
+            outcome = await self._engine_attempts.async_run(grant)
+            if isinstance(outcome, WithholdReason):
+                withheld = outcome
+            else:
+                end = outcome
         finally:
-            await self._engine_attempts.async_close(end or RunEnd.CANCELLED)
+            await self._engine_attempts.async_close(end)
             await self._context.release_grant(
                 self._admission.request.request_id,
-                end or RunEnd.CANCELLED,
+                end,
                 RunSummary(
                     total_ms=now_ms() - granted_ms,
                     first_byte_ms=self._engine_attempts.first_byte_ms,
@@ -244,11 +247,10 @@
                     output_tokens=self._generated_tokens(),
                 ),
             )
-        attempts = self._attempts
-        excluded = (*attempts.excluded, grant.upstream)
-        if end is None:
-            self._attempts = attempts._replace(excluded=excluded)
+        if withheld is not None:
+            self._record_returned_grant(grant.upstream, withheld)
             return None
+        attempts = self._attempts
         if end != RunEnd.ANSWERED:
             _LOGGER.info(
                 'try ended',
@@ -259,7 +261,7 @@
                 took_ms=int(now_ms() - granted_ms),
             )
         self._attempts = _Attempts(
-            excluded=excluded,
+            excluded=(*attempts.excluded, grant.upstream),
             engines_reached=attempts.engines_reached
             + (end != RunEnd.NOT_DISPATCHED),
             possible_runs=attempts.possible_runs + (end not in _NOT_RUN),
