--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -6,16 +6,16 @@
 """
 
 import math
-from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple, TypeVar
+from collections.abc import Mapping
+from typing import Final, NamedTuple, TypeAlias
 
 import structlog
-from result import Err, Ok
+from result import Ok
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.process.owner_link import OwnerLink
+from hornbeamdeck.process.unread_statements import UnreadStatements
 from hornbeamdeck.request.gateway_request import EngineStatement, WithholdReason
 from hornbeamdeck.wire import EngineObservation, Grant
 
@@ -27,12 +27,8 @@
 # engine's next response states it.
 MAX_LIMIT_AGE_MS: Final = 30_000
 MAX_ENGINES: Final = 1000
-# Names of unread headers that are counted one by one.
-MAX_HEADER_NAMES: Final = 64
-OTHER_HEADERS: Final = 'other'
-MAX_LOGGED_CHARS: Final = 64
 
-_Entry = TypeVar('_Entry')
+_Fields: TypeAlias = dict[str, object]
 
 
 class _Observation(NamedTuple):
@@ -73,13 +69,12 @@
         self._membership = membership
         self._link = link
         self._observations: dict[str, _Observation] = {}
-        self._unreadable: dict[str, str] = {}
-        self._unread_headers: Counter[str] = Counter()
+        self._unread = UnreadStatements()
 
     @property
     def unread_headers(self) -> Mapping[str, int]:
         """Number of response headers that no code reads, by name."""
-        return self._unread_headers
+        return self._unread.headers
 
     def limits(self) -> dict[str, float]:
         """Return the current limits in requests per second, by engine."""
@@ -118,12 +113,15 @@
         :param grant: the grant of the request.
         """
         engine = grant.upstream
-        self._count_unread(engine, statement.unread_headers)
+        self._unread.record(engine, statement)
         last = self._last_observation(grant)
         observation = self._observe(grant, last, statement)
         if observation == last:
             return
-        _insert_last(self._observations, engine, observation)
+        self._observations.pop(engine, None)
+        self._observations[engine] = observation
+        if len(self._observations) > MAX_ENGINES:
+            self._observations.pop(next(iter(self._observations)))
         is_limit_shown = observation.limit_observed_ms > last.limit_observed_ms
         if (
             (is_limit_shown and observation.per_s != grant.limit_per_s)
@@ -187,7 +185,6 @@
         """Return what is known of the engine after one more response."""
         now = now_ms()
         observation = last
-        self._log_unreadable(grant.upstream, statement)
         limit = statement.request_limit
         if isinstance(limit, Ok):
             per_s = limit.ok_value
@@ -205,7 +202,9 @@
         if observation != last:
             owner = self._membership.owner_of(grant.cell)
             observation = observation._replace(owner=owner)
-            _log_changes(grant, last, observation, now)
+            changes = _changes(grant, last, observation, now)
+            for event, fields in changes.items():
+                _LOGGER.info(event, engine=grant.upstream, **fields)
         return observation
 
     async def _async_report(
@@ -227,66 +226,24 @@
             message.is_limit_unknown = True
         await self._link.async_send(observation.owner, message)
 
-    def _log_unreadable(self, engine: str, statement: EngineStatement) -> None:
-        stated = {
-            'limit': statement.request_limit,
-            'leaving': statement.leaving,
-            'rest': statement.rest_ms,
-        }
-        for subject, value_or_text in stated.items():
-            if not isinstance(value_or_text, Err):
-                continue
-            text = value_or_text.err_value
-            key = f'{engine} {subject}'
-            if self._unreadable.get(key) != text:
-                _insert_last(self._unreadable, key, text)
-                _LOGGER.warning(
-                    'statement not readable',
-                    engine=engine,
-                    subject=subject,
-                    text=text[:MAX_LOGGED_CHARS],
-                )
-
-    def _count_unread(self, engine: str, names: Iterable[str]) -> None:
-        for full_name in names:
-            name = full_name[:MAX_LOGGED_CHARS]
-            if name not in self._unread_headers:
-                if len(self._unread_headers) >= MAX_HEADER_NAMES:
-                    name = OTHER_HEADERS
-                else:
-                    _LOGGER.warning(
-                        'response header not read', engine=engine, header=name
-                    )
-            self._unread_headers[name] += 1
 
-
-def _log_changes(
+def _changes(
     grant: Grant, last: _Observation, observation: _Observation, now: float
-) -> None:
+) -> dict[str, _Fields]:
+    """Describe what is new: the fields of log lines, by event."""
+    changes: dict[str, _Fields] = {}
     if observation.per_s != last.per_s:
-        _LOGGER.info(
-            'request limit stated',
-            engine=grant.upstream,
-            per_s=observation.per_s,
-            previous_per_s=last.per_s,
-        )
+        changes['request limit stated'] = {
+            'per_s': observation.per_s,
+            'previous_per_s': last.per_s,
+        }
     if observation.is_leaving and not last.is_leaving:
-        _LOGGER.info(
-            'engine states that it leaves',
-            engine=grant.upstream,
-            request_id=grant.request_id,
-        )
+        changes['engine states that it leaves'] = {
+            'request_id': grant.request_id,
+        }
     if last.rest_until_ms <= now < observation.rest_until_ms:
-        _LOGGER.info(
-            'engine asks for rest',
-            engine=grant.upstream,
-            request_id=grant.request_id,
-            rest_ms=int(observation.rest_until_ms - now),
-        )
-
-
-def _insert_last(by_key: dict[str, _Entry], key: str, entry: _Entry) -> None:
-    by_key.pop(key, None)
-    by_key[key] = entry
-    if len(by_key) > MAX_ENGINES:
-        by_key.pop(next(iter(by_key)))
+        changes['engine asks for rest'] = {
+            'request_id': grant.request_id,
+            'rest_ms': int(observation.rest_until_ms - now),
+        }
+    return changes
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -19,6 +19,12 @@
 from hornbeamdeck.request.gateway_request import RunSummary, WithholdReason
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
 from hornbeamdeck.request.refusal import deadline_passed
+from hornbeamdeck.request.request_log import (
+    admission_fields,
+    age_for_log,
+    attempt_fields,
+    freshness_fields,
+)
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
 
 __all__ = ('async_run_gateway_request',)
@@ -33,8 +39,6 @@
 # Ends after which a request that may run twice is sent to another engine.
 _RETRYABLE: Final = frozenset((RunEnd.FAILED, RunEnd.ERRORED))
 FINGERPRINT_CHARS: Final = 16
-# Logged as the age of a freshness confirmation that was never received.
-MAX_LOGGED_AGE_MS: Final = 1_000_000
 
 
 class _Attempts(NamedTuple):
@@ -149,36 +153,15 @@
         )
         _LOGGER.info(
             event,
-            request_id=admission.request.request_id,
             code=code,
-            route=admission.route.name,
-            kind=admission.route.kind.value,
-            priority=admission.route.priority,
-            team=admission.team_name,
-            rank=admission.rank,
-            service=admission.service,
+            **admission_fields(admission),
             engine=self._engine,
             engine_version=self._version,
-            prompt_tokens=admission.request.prompt_tokens,
-            output_tokens=admission.request.output_tokens,
-            expected_tokens=admission.request.expected_tokens,
             waited_ms=int(self._waited_ms),
-            first_ms=int(self._engine_attempts.first_byte_ms),
-            begun_ms=int(self._engine_attempts.arrival_to_first_byte_ms),
-            longest_gap_ms=int(self._engine_attempts.longest_gap_ms),
-            objective_ms=admission.route.objective_ms,
-            gap_ms=admission.route.gap_ms,
+            **attempt_fields(self._engine_attempts),
             total_ms=int(total_ms),
             tries=self._attempts.engines_reached,
-            last_event=self._engine_attempts.last_event_id,
-            configuration_version=context.configuration().version,
-            newest_version=context.freshness_guard.newest_confirmed_version,
-            proof_age_ms=_age_for_log(
-                context.freshness_guard.configuration_age_ms()
-            ),
-            engines_age_ms=_age_for_log(
-                context.freshness_guard.engines_age_ms()
-            ),
+            **freshness_fields(context),
         )
 
     async def _async_grant(self) -> Result[Grant, NotRun]:
@@ -215,7 +198,7 @@
             request_id=self._admission.request.request_id,
             engine=engine,
             cause=reason.value,
-            engines_age_ms=_age_for_log(
+            engines_age_ms=age_for_log(
                 self._context.freshness_guard.engines_age_ms()
             ),
         )
@@ -366,7 +349,3 @@
             route=admission.route.name,
             version=self._version_to_resume(),
         )
-
-
-def _age_for_log(age_ms: float) -> int:
-    return int(min(age_ms, MAX_LOGGED_AGE_MS))
--- /dev/null
+++ b/hornbeamdeck/request/request_log.py
@@ -0,0 +1,63 @@
+"""Fields of the log lines about a request."""
+
+from typing import Final
+
+from hornbeamdeck.request.engine_attempts import EngineAttempts
+from hornbeamdeck.request.gateway_admission import GatewayAdmission
+from hornbeamdeck.request.gateway_context import GatewayContext
+
+__all__ = (
+    'admission_fields',
+    'age_for_log',
+    'attempt_fields',
+    'freshness_fields',
+)
+
+# Logged as the age of a freshness confirmation that was never received.
+MAX_LOGGED_AGE_MS: Final = 1_000_000
+
+
+def admission_fields(admission: GatewayAdmission) -> dict[str, object]:
+    """Return what a request asks for."""
+    request = admission.request
+    route = admission.route
+    return {
+        'request_id': request.request_id,
+        'route': route.name,
+        'kind': route.kind.value,
+        'priority': route.priority,
+        'objective_ms': route.objective_ms,
+        'gap_ms': route.gap_ms,
+        'team': admission.team_name,
+        'rank': admission.rank,
+        'service': admission.service,
+        'prompt_tokens': request.prompt_tokens,
+        'output_tokens': request.output_tokens,
+        'expected_tokens': request.expected_tokens,
+    }
+
+
+def attempt_fields(attempts: EngineAttempts) -> dict[str, object]:
+    """Return what was measured on a request's response."""
+    return {
+        'first_ms': int(attempts.first_byte_ms),
+        'begun_ms': int(attempts.arrival_to_first_byte_ms),
+        'longest_gap_ms': int(attempts.longest_gap_ms),
+        'last_event': attempts.last_event_id,
+    }
+
+
+def freshness_fields(context: GatewayContext) -> dict[str, object]:
+    """Return which configuration and list of engines decided, and their age."""
+    guard = context.freshness_guard
+    return {
+        'configuration_version': context.configuration().version,
+        'newest_version': guard.newest_confirmed_version,
+        'proof_age_ms': age_for_log(guard.configuration_age_ms()),
+        'engines_age_ms': age_for_log(guard.engines_age_ms()),
+    }
+
+
+def age_for_log(age_ms: float) -> int:
+    """Return the age of a freshness confirmation as a log field."""
+    return int(min(age_ms, MAX_LOGGED_AGE_MS))
