--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/process/engine_statements.py
@@ -118,6 +118,8 @@
         observation = self._observe(grant, last, statement)
         if observation == last:
             return
+        for event, fields in _changes(grant, last, observation).items():
+            _LOGGER.info(event, engine=engine, **fields)
         self._observations.pop(engine, None)
         self._observations[engine] = observation
         if len(self._observations) > MAX_ENGINES:
@@ -199,13 +201,10 @@
         rest_until_ms = now + statement.rest_ms.unwrap_or(0.0)
         if rest_until_ms > max(now, last.rest_until_ms):
             observation = observation._replace(rest_until_ms=rest_until_ms)
-        if observation != last:
-            owner = self._membership.owner_of(grant.cell)
-            observation = observation._replace(owner=owner)
-            changes = _changes(grant, last, observation, now)
-            for event, fields in changes.items():
-                _LOGGER.info(event, engine=grant.upstream, **fields)
-        return observation
+        if observation == last:
+            return last
+        owner = self._membership.owner_of(grant.cell)
+        return observation._replace(owner=owner)
 
     async def _async_report(
         self, engine: str, observation: _Observation
@@ -228,9 +227,10 @@
 
 
 def _changes(
-    grant: Grant, last: _Observation, observation: _Observation, now: float
+    grant: Grant, last: _Observation, observation: _Observation
 ) -> dict[str, _Fields]:
     """Describe what is new: the fields of log lines, by event."""
+    now = now_ms()
     changes: dict[str, _Fields] = {}
     if observation.per_s != last.per_s:
         changes['request limit stated'] = {
