Replay engines that leave and engines that ask for rest

The replays stated neither. Load resting_engines: nine engines, 13 instances, a burst; three engines reject everything for 5.3 s and ask for 3 s of rest, all nine for 1.5 s, and one leaves.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,7 +18,13 @@
 
 from bench.replay_engine import EngineModel, RunPlan, Token
 from bench.replay_limits import StatedLimits
-from bench.replay_load import Arrival, LoadPlan, Loss, draw_arrivals
+from bench.replay_load import (
+    Arrival,
+    LoadPlan,
+    Loss,
+    draw_arrivals,
+)
+from bench.replay_statements import StatedDepartures, StatedRests
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.engine import Engine
@@ -94,8 +100,11 @@
 class _Attempt:
     """One attempt of a caller to have a request answered."""
 
-    def __init__(self, arrival: Arrival, number: int, now: float) -> None:
+    def __init__(
+        self, arrival: Arrival, number: int, instance: str, now: float
+    ) -> None:
         self.arrival = arrival
+        self.instance = instance
         self.number = number
         self.arrived_ms = now
         self.engine = ''
@@ -105,6 +114,7 @@
         self.last_event_ms = 0.0
         self.longest_gap_ms = 0.0
         self.excluded: list[str] = []
+        self.retries = 0
 
     @property
     def request_id(self) -> str:
@@ -141,7 +151,11 @@
         self._stepping_engines: set[str] = set()
         self._down_engines: set[str] = set()
         self.stated_limits = StatedLimits(plan.limits)
-        self._cell = _make_cell(plan)
+        self.stated_rests = StatedRests(plan.sheds)
+        self.stated_departures = StatedDepartures(plan.departures)
+        self._instances = [f'front-{each}' for each in range(plan.instances)]
+        self._callers = 0
+        self._cell = _make_cell(plan, self._instances)
 
     def run(self) -> list[Outcome]:
         """Run the replay until no event is left.
@@ -152,6 +166,10 @@
             self._schedule(arrival.at_ms, partial(self._arrive, arrival, 1))
         for loss in self._plan.losses:
             self._schedule(loss.at_s * 1000, partial(self._crash, loss))
+        for departure in self._plan.departures:
+            gone_ms = (departure.at_s + departure.for_s) * 1000
+            end = Loss(gone_ms, self._plan.duration_s, departure.engine)
+            self._schedule(gone_ms, partial(self._crash, end))
         self._schedule(SCAN_INTERVAL_MS, self._scan)
         while self._events:
             event = heapq.heappop(self._events)
@@ -169,14 +187,16 @@
             self._schedule(self.now + SCAN_INTERVAL_MS, self._scan)
 
     def _arrive(self, arrival: Arrival, number: int) -> None:
-        attempt = _Attempt(arrival, number, self.now)
+        self._callers += 1
+        instance = self._instances[self._callers % len(self._instances)]
+        attempt = _Attempt(arrival, number, instance, self.now)
         self._attempts[attempt.request_id] = attempt
         self._enqueue(attempt)
 
     def _enqueue(self, attempt: _Attempt) -> None:
         refused = self._cell.enqueue(
             self._to_enqueue(attempt),
-            sender='ingress',
+            sender=attempt.instance,
             deliver=_async_discard,
             now=self.now,
         )
@@ -202,7 +222,7 @@
             patience_ms=min(left_ms, CLIENT_TIMEOUT_MS) - RESPONSE_DELAY_MS,
             gap_ms=kind.gap_ms,
             quota_tokens=arrival.prompt_tokens + arrival.max_tokens,
-            dispatches=0,
+            dispatches=attempt.retries,
             zone='z1',
             route_rank=kind.priority if self._has_route_ranks else None,
             route=kind.name,
@@ -228,6 +248,13 @@
             self._retry_on_another_engine(attempt)
             return
         self.stated_limits.record_arrival(attempt.engine, self.now)
+        addressed = (attempt.instance, attempt.engine, self.now)
+        self.stated_departures.record_arrival(*addressed)
+        rest_ms = self.stated_rests.record_arrival(*addressed)
+        if rest_ms:
+            self._observe(attempt, rest_ms=rest_ms, is_limit_unknown=True)
+            self._retry_on_another_engine(attempt, RunEnd.REJECTED)
+            return
         arrival = attempt.arrival
         self._engines[attempt.engine].accept(
             RunPlan(
@@ -240,14 +267,17 @@
             self._stepping_engines.add(attempt.engine)
             self._step(attempt.engine)
 
-    def _retry_on_another_engine(self, attempt: _Attempt) -> None:
-        """Release a grant whose engine refuses connections; enqueue again."""
+    def _retry_on_another_engine(
+        self, attempt: _Attempt, end: RunEnd = RunEnd.NOT_DISPATCHED
+    ) -> None:
+        """Release a grant whose engine did not run it; enqueue again."""
         release = Release(
             request_id=attempt.request_id,
             cell='desk',
-            end=RunEnd.NOT_DISPATCHED,
+            end=end,
             total_ms=0,
         )
+        attempt.retries += end == RunEnd.REJECTED
         attempt.excluded.append(attempt.engine)
         attempt.engine = ''
         self._schedule(
@@ -281,40 +311,46 @@
             attempt.longest_gap_ms = max(attempt.longest_gap_ms, gap_ms)
         else:
             attempt.first_token_ms = self.now
-            self._report_limit(attempt)
-            elapsed_ms = int(self.now - attempt.granted_ms)
+            self._report_statements(attempt)
+            first_token = Progress(
+                request_id=attempt.request_id,
+                cell='desk',
+                first_token_ms=int(self.now - attempt.granted_ms),
+            )
             self._schedule(
                 self.now + ENGINE_TO_OWNER_MS,
-                partial(self._report_first_token, attempt, elapsed_ms),
+                lambda: self._cell.progress(first_token, self.now),
             )
         attempt.last_event_ms = self.now
         if token.is_last:
             self._finish(attempt, _judge(attempt), RunEnd.ANSWERED)
 
-    def _report_limit(self, attempt: _Attempt) -> None:
-        """Report the limit that a response states if the owner has another."""
+    def _report_statements(self, attempt: _Attempt) -> None:
+        """Report what the head of a response states and the owner lacks."""
+        if self.stated_departures.record_response(
+            attempt.instance, attempt.engine, self.now
+        ):
+            self._observe(attempt, is_leaving=True, is_limit_unknown=True)
         per_s = self.stated_limits.stated_per_s(attempt.engine, self.now)
         if per_s == attempt.granted_limit_per_s:
             return
-        stated = EngineObservation(
+        self._observe(attempt, per_s=per_s)
+
+    def _observe(self, attempt: _Attempt, **stated: Any) -> None:
+        """Report what a response to an attempt states about its engine."""
+        observation = EngineObservation(
             cell='desk',
             upstream=attempt.engine,
             born_ms=1,
             age_ms=0,
-            per_s=per_s,
+            **stated,
         )
         self._schedule(
             self.now + ENGINE_TO_OWNER_MS,
-            lambda: self._cell.apply_observation(stated, 'ingress', self.now),
-        )
-
-    def _report_first_token(self, attempt: _Attempt, elapsed_ms: int) -> None:
-        message = Progress(
-            request_id=attempt.request_id,
-            cell='desk',
-            first_token_ms=elapsed_ms,
+            lambda: self._cell.apply_observation(
+                observation, attempt.instance, self.now
+            ),
         )
-        self._cell.progress(message, self.now)
 
     def _finish(self, attempt: _Attempt, result: str, end: RunEnd) -> None:
         if self._attempts.pop(attempt.request_id, None) is None:
@@ -412,14 +448,14 @@
     return 'on_time'
 
 
-def _make_cell(plan: LoadPlan) -> EngineCell:
+def _make_cell(plan: LoadPlan, instances: list[str]) -> EngineCell:
     quotas = TokenQuotas(
         QuotaView(lambda _team: 0, lambda: True, lambda: 1.0),
         QuotaRules(window_ms=8000, slack=0),
         is_first_start=True,
     )
     cell = EngineCell(
-        SharedState(quotas=quotas, teams={}),
+        SharedState(quotas=quotas, teams={}, instances=lambda: instances),
         RetryBudget(ratio=0.2, slack=100, window_ms=10_000),
     )
     engines = [
--- a/bench/replay_load.py
+++ b/bench/replay_load.py
@@ -7,7 +7,15 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple, Self
 
-__all__ = ('Arrival', 'Kind', 'Limit', 'LoadPlan', 'draw_arrivals')
+__all__ = (
+    'Arrival',
+    'Departure',
+    'Kind',
+    'Limit',
+    'LoadPlan',
+    'Shed',
+    'draw_arrivals',
+)
 
 LOADS_FOLDER: Final = Path(__file__).parent / 'loads'
 # Upper limit of a drawn length, as a multiple of the mean.
@@ -74,11 +82,29 @@
     per_s: float
 
 
+class Shed(NamedTuple):
+    """A time in which an engine rejects all requests and asks for rest."""
+
+    at_s: float
+    for_s: float
+    engine: int
+    rest_s: float
+
+
+class Departure(NamedTuple):
+    """An engine that states from `at_s` on that it leaves, then is gone."""
+
+    at_s: float
+    for_s: float
+    engine: int
+
+
 class LoadPlan(NamedTuple):
     """A load pattern, as stored in its file in `bench/loads`.
 
     :param chunk_tokens: prompt tokens that an engine prefills in one step at
         most.
+    :param instances: number of instances that callers connect to.
     """
 
     duration_s: float
@@ -89,6 +115,9 @@
     losses: tuple[Loss, ...]
     chunk_tokens: int
     limits: tuple[Limit, ...]
+    sheds: tuple[Shed, ...]
+    departures: tuple[Departure, ...]
+    instances: int
 
     @classmethod
     def from_name(cls, name: str) -> Self:
@@ -105,6 +134,11 @@
             losses=tuple(Loss(**each) for each in raw['losses']),
             chunk_tokens=raw.get('chunk_tokens', DEFAULT_CHUNK_TOKENS),
             limits=tuple(Limit(**each) for each in raw.get('limits', ())),
+            sheds=tuple(Shed(**each) for each in raw.get('sheds', ())),
+            departures=tuple(
+                Departure(**each) for each in raw.get('departures', ())
+            ),
+            instances=raw.get('instances', 1),
         )
 
 
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -99,6 +99,24 @@
     assert ignored.stated_limits.largest_excess() > 0
 
 
+def test_engines_that_leave_or_rest_get_no_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against engines that look idle since they reject everything."""
+    plan = LoadPlan.from_name('resting_engines')
+    heeded = Replay(plan, SEED)
+    report = summarize(heeded.run())
+    assert heeded.stated_rests.largest_excess() <= 0
+    assert heeded.stated_departures.late_arrivals == 0
+    monkeypatch.setattr(EngineConditions, 'apply', lambda *_stated: None)
+    ignored = Replay(plan, SEED)
+    ignored_report = summarize(ignored.run())
+    assert ignored.stated_rests.largest_excess() > 0
+    assert ignored.stated_departures.late_arrivals > 0
+    assert heeded.stated_rests.rejections < ignored.stated_rests.rejections
+    assert report['mean'] > ignored_report['mean']
+
+
 # Budget of the owner: 60 % of a core, or 1.4 ms for each of 427 requests a
 # second. A quarter of it is for checks of single engines, at 1.5 us each.
 MAX_CHECKS_PER_REQUEST = 234
