--- a/tests/platform/test_contract_coverage.py
+++ b/tests/platform/test_contract_coverage.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from hornbeamdeck.request.gateway_request import GatewayRequest
+from hornbeamdeck.request.gateway_request import (
+    EngineStatement,
+    GatewayRequest,
+)
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.version.gateway import (
     CallerLimits,
@@ -50,6 +53,7 @@
     'decoded',
     [
         GatewayRequest,
+        EngineStatement,
         EngineProperties,
         CallerLimits,
         Engine,
