Send callers back by the instances that serve, not by all known ones

If all engines of a service rest for an instance, its callers come back at once where another instance may send. One that is down was asked for no rest, so it counted as one that may: callers came back after 100 ms and were refused again. Now the instances with recent heartbeats count, as in the addresses that callers get, and only when all engines rest.

test_callers_are_not_sent_to_an_instance_that_is_down failed before (0.1 s where the rest lasts 3 s).

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -1,6 +1,6 @@
 """The engine cells of this process, updated from what the store returns."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import structlog
@@ -10,7 +10,10 @@
 from hornbeamdeck.process.gateway_metrics import LimitCounts
 from hornbeamdeck.process.gateway_settings import Bounds
 from hornbeamdeck.process.scheduler import Scheduler
-from hornbeamdeck.scheduling.admission_control import SharedState
+from hornbeamdeck.scheduling.admission_control import (
+    ListInstances,
+    SharedState,
+)
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
@@ -37,7 +40,7 @@
         bounds: Bounds,
         quotas: TokenQuotas,
         fleet_share: Callable[[], float],
-        instances: Callable[[], Collection[str]],
+        instances: ListInstances,
     ) -> None:
         """Start without cells; `apply_configuration` creates them.
 
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -45,6 +45,7 @@
 from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
 from hornbeamdeck.rollout.status_writer import StatusWriter
 from hornbeamdeck.rollout.store_interface import RolloutStore
+from hornbeamdeck.scheduling.admission_control import ListInstances
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
@@ -133,6 +134,7 @@
         # These lists are filled below: the components that are created first
         # call components that depend on them.
         fleet_share: list[Callable[[], float]] = []
+        serving: list[ListInstances] = []
         readers: list[StoreReader] = []
         rollouts: list[Rollouts] = []
         cells = EngineCells(
@@ -152,7 +154,7 @@
                 is_first_start=settings.is_first_start,
             ),
             fleet_share=lambda: fleet_share[0](),
-            instances=lambda: membership.ranked_ids(FLEET_CELL),
+            instances=lambda: serving[0](),
         )
         follower = _make_follower(
             _make_configuration_read(store, readers),
@@ -189,6 +191,7 @@
             ),
         )
         fleet_share.append(heartbeats.liveness.live_share)
+        serving.append(heartbeats.liveness.serving_ids)
         grants = Grants(membership, peers, scheduler)
         _register_handlers(peers, heartbeats, grants)
         readers.append(
--- a/hornbeamdeck/process/liveness.py
+++ b/hornbeamdeck/process/liveness.py
@@ -143,6 +143,10 @@
             others.append(membership.own_status)
         return others
 
+    def serving_ids(self) -> list[str]:
+        """List the ids of the instances that may serve callers."""
+        return [status.instance_id for status in self.serving_instances()]
+
     def live_share(self) -> float:
         """Return the share of known live instances with recent heartbeats.
 
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Collection
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.request_rank import route_rank_of
@@ -22,7 +22,9 @@
 from hornbeamdeck.version.gateway import GatewayTeam
 from hornbeamdeck.wire import Enqueue, RefusalReason
 
-__all__ = ('AdmissionControl', 'SharedState')
+__all__ = ('AdmissionControl', 'ListInstances', 'SharedState')
+
+ListInstances: TypeAlias = Callable[[], Collection[str]]
 
 # Number of retries that one request may cost its service.
 MAX_RETRIES: Final = 4
@@ -39,7 +41,7 @@
     quotas: TokenQuotas
     teams: dict[str, GatewayTeam]
     rate_rules: RateRules = RateRules()
-    instances: Callable[[], Collection[str]] = tuple
+    instances: ListInstances = tuple
 
 
 class AdmissionControl:
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -329,7 +329,7 @@
     ) -> Refused:
         request = queued.request
         open_ms = self._engines.open_again_ms(
-            queued.instance, self._shared.instances(), now
+            queued.instance, now, self._shared.instances
         )
         retry_after_ms = self._admission.retry_after_ms(
             request, reason, open_ms, now
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -1,6 +1,6 @@
 """The engines of one service, as the owner of its cell knows them."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_conditions import (
@@ -112,11 +112,14 @@
         )
 
     def open_again_ms(
-        self, instance: str, instances: Collection[str], now: float
+        self,
+        instance: str,
+        now: float,
+        instances: Callable[[], Collection[str]],
     ) -> float | None:
         """Return when an engine takes requests of some instance again.
 
-        :param instances: all that a caller may come back to.
+        :param instances: lists all that a caller may come back to.
         :returns: `None` if not all engines rest for the given instance.
         """
         staying = [
@@ -128,7 +131,7 @@
             condition.is_resting(instance, now) for condition in staying
         ):
             return None
-        anyone = instances or (instance,)
+        anyone = instances() or (instance,)
         return min(condition.open_ms(anyone) for condition in staying)
 
     def forecast(
--- a/tests/platform/test_resting_engines.py
+++ b/tests/platform/test_resting_engines.py
@@ -188,3 +188,21 @@
     )
     assert (await fleet.async_call('/open/x')).status == 200
     assert len(resting.executed) == 1
+
+
+@on_platform(count=2)
+async def test_callers_are_not_sent_to_an_instance_that_is_down(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against callers that come back at once and are refused again."""
+    dead = next(each for each in fleet.gateways if each is not fleet.owner)
+    number = fleet.gateways.index(fleet.owner)
+    await dead.async_kill()
+    liveness = fleet.owner.components.heartbeats.liveness
+    await fleet.async_until(lambda: len(liveness.serving_ids()) == 1)
+    for engine in fleet.booking_engines:
+        engine.state({'retry-after': str(REST_S)})
+        engine.faults = ['not_run']
+    refused = await fleet.async_call('/open/x', number)
+    assert refused.status == 503
+    assert float(refused.headers['retry-after']) > REST_S / 2
