--- a/hornbeamdeck/request/engine_statement.py
+++ b/hornbeamdeck/request/engine_statement.py
@@ -1,7 +1,6 @@
 """Reads what the responses of an engine state about the engine itself."""
 
 import re
-import time
 from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 from types import MappingProxyType
@@ -9,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.request.gateway_request import (
@@ -107,17 +107,17 @@
         return Ok(0.0)
     if SECONDS.fullmatch(text.strip()):
         return Ok(min(float(text) * MILLIS_PER_SECOND, MAX_REST_MS))
-    until_s = _date_s(text)
-    if until_s is None:
+    until_ms = _date_ms(text)
+    if until_ms is None:
         return Err(text)
     # The engine's clock may differ from the one of this machine.
-    sent_s = _date_s(response.headers.get(DATE, '')) or time.time()
-    rest_ms = (until_s - sent_s) * MILLIS_PER_SECOND
-    return Ok(min(max(rest_ms, 0.0), MAX_REST_MS))
+    sent_ms = _date_ms(response.headers.get(DATE, '')) or wall_ms()
+    return Ok(min(max(until_ms - sent_ms, 0.0), MAX_REST_MS))
 
 
-def _date_s(text: str) -> float | None:
+def _date_ms(text: str) -> float | None:
     try:
-        return parsedate_to_datetime(text).timestamp()
+        date = parsedate_to_datetime(text)
+        return date.timestamp() * MILLIS_PER_SECOND
     except (ValueError, OverflowError, OSError):
         return None
