Import the parser of dates when an engine first sends one

Starts are what callers wait for after a loss of all instances. The test of startup imports names the module; it failed before.

--- a/hornbeamdeck/request/engine_statement.py
+++ b/hornbeamdeck/request/engine_statement.py
@@ -1,7 +1,7 @@
 """Reads what the responses of an engine state about the engine itself."""
 
+import importlib
 import re
-from email.utils import parsedate_to_datetime
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final, NamedTuple
@@ -27,6 +27,9 @@
 _FLAGS: Final = MappingProxyType({'0': False, '1': True})
 RETRY_AFTER: Final = 'retry-after'
 DATE: Final = 'date'
+# Imported when an engine first sends a date, which is rare, to reduce startup
+# time and memory.
+DATES_MODULE: Final = 'email.utils'
 # Headers that HTTP defines, and that no decision needs.
 _PLAIN_HEADERS: Final = frozenset(
     (
@@ -117,7 +120,7 @@
 
 def _date_ms(text: str) -> float | None:
     try:
-        date = parsedate_to_datetime(text)
-        return date.timestamp() * MILLIS_PER_SECOND
+        date = importlib.import_module(DATES_MODULE).parsedate_to_datetime(text)
+        return float(date.timestamp() * MILLIS_PER_SECOND)
     except (ValueError, OverflowError, OSError):
         return None
--- a/tests/platform/test_startup_imports.py
+++ b/tests/platform/test_startup_imports.py
@@ -9,6 +9,7 @@
     'fire',
     'http.server',
     'jinja2',
+    'email.utils',
     'prometheus_client',
     'hornbeamdeck.cli',
     'hornbeamdeck.demo',
