Ask which engines rest only while any does

Whether any rests is known by one time now; resting engines are taken out of a scan before it, and not judged one by one; and whether an engine leaves is kept, not derived at each look.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -49,6 +49,7 @@
 
 # Logged reason for holding a request back while engines have free slots.
 HELD_BY_LIMIT: Final = "the team's limit"
+HELD_BY_REST: Final = 'all with free slots rest for its instance'
 HELD_BY_VERSION: Final = 'no slot of a version that it may use'
 # Minimum time between two checks for expired requests. It is a little shorter
 # than the scheduler's check interval (25 ms), so that each of the scheduler's
@@ -127,10 +128,10 @@
             deadline_ms=now + (request.patience_ms or request.deadline_ms),
             service_ms=0,
         )
+        usable = self._engines.usable(now)
+        opened = self._engines.open_to(queued.instance, usable, now)
         fastest_ms = fastest_first_token_ms(
-            self._engines.open_to(queued.instance, now),
-            request.prompt_tokens,
-            now,
+            opened or usable, request.prompt_tokens, now
         )
         reason = self._reason_to_refuse(queued, fastest_ms, now)
         if reason is not None:
@@ -288,7 +289,10 @@
         if not self._admission.may_start(request, blocked, now):
             self._hold_reasons[request.request_id] = HELD_BY_LIMIT
             return None
-        return self._place(queued, candidates, now) if candidates else None
+        opened = self._engines.open_to(queued.instance, candidates, now)
+        if candidates and not opened:
+            self._hold_reasons[request.request_id] = HELD_BY_REST
+        return self._place(queued, list(opened), now) if opened else None
 
     def _place(
         self,
--- a/hornbeamdeck/scheduling/engine_choice.py
+++ b/hornbeamdeck/scheduling/engine_choice.py
@@ -149,8 +149,6 @@
     request = queued.request
     if load.engine.name in (request.excluded or ()):
         return False
-    if load.condition.is_resting(queued.instance, now):
-        return False
     return not load.health.is_in_backoff(request.zone or '', now)
 
 
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import value_of
+from hornbeamdeck.scheduling.request_rate import EngineRate
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import Register, RunEnd
 
@@ -68,38 +69,39 @@
 
         :param estimates: shared by all engines of the service.
         """
+        self.condition = condition
         self.update(engine, properties)
         self.estimates = estimates
-        self.condition = condition
-        self.rate = condition.rate
         self.slowness = 1.0
         self.runs: dict[str, EngineRun] = {}
         self.health = EngineHealth()
         self._prefill_done_ms = 0.0
 
     def update(self, engine: Engine, properties: EngineProperties) -> None:
-        """Apply the engine's current entry in the list of engines."""
+        """Apply the engine's current entry and condition."""
         self.engine = engine
+        # Whether its entry or one of its responses says so.
+        self.is_leaving = engine.is_draining or self.condition.is_leaving
         self.properties = properties
         # Number of requests that the engine processes concurrently.
         self.slots = engine.slots or properties.slots or 1
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether its entry or one of its responses says that it leaves."""
-        return self.engine.is_draining or self.condition.is_leaving
+    def rate(self) -> EngineRate:
+        """Recent grants, and the limit that the engine states."""
+        return self.condition.rate
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether a request may start now and would start at once."""
         return (
             self.idle_slots() > 0
             and not self.is_leaving
-            and self.rate.may_start(now)
+            and self.condition.rate.may_start(now)
         )
 
     def free_slots(self, now: float) -> int:
         """Return the number of requests that may start now."""
-        return self.rate.starts_left(self.idle_slots(), now)
+        return self.condition.rate.starts_left(self.idle_slots(), now)
 
     def idle_slots(self) -> int:
         """Return the number of requests that would start at once."""
@@ -161,7 +163,7 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Estimate the first token and the end of a run that is granted now."""
-        self.rate.record_grant(now)
+        self.condition.rate.record_grant(now)
         run = self.runs[request_id]
         expected_ms = self.first_token_ms(
             base_first_token_ms(run.prompt_tokens), now
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -1,5 +1,6 @@
 """The engines of one service, as the owner of its cell knows them."""
 
+import math
 from collections.abc import Callable, Collection, Iterable
 
 from hornbeamdeck.scheduling.engine import Engine
@@ -33,6 +34,8 @@
         self.versions = VersionRouting()
         self.conditions = EngineConditions(rate_rules)
         self._estimates = ServiceEstimates.initial()
+        # Until when any engine rests for any instance.
+        self._rest_until_ms = -math.inf
 
     def update(
         self,
@@ -72,8 +75,15 @@
         :returns: what it has changed; `None`: nothing.
         """
         change = self.conditions.apply(observation, instance, now)
-        if change is not None and change.is_leaving:
+        if change is None:
+            return None
+        if change.is_leaving:
+            for load in self.loads.values():
+                load.update(load.engine, load.properties)
             self.versions.update_engines(self.loads.values())
+        if change.rest_ms:
+            until_ms = now + change.rest_ms
+            self._rest_until_ms = max(self._rest_until_ms, until_ms)
         return change
 
     def usable(self, now: float) -> Collection[EngineLoad]:
@@ -87,18 +97,17 @@
                 return load
         return None
 
-    def open_to(self, instance: str, now: float) -> Collection[EngineLoad]:
-        """Return the usable engines that do not rest for an instance.
-
-        :returns: all that are usable if none is left.
-        """
-        usable = self.usable(now)
-        opened = [
+    def open_to(
+        self, instance: str, loads: Collection[EngineLoad], now: float
+    ) -> Collection[EngineLoad]:
+        """Return those of some engines that do not rest for an instance."""
+        if now >= self._rest_until_ms:
+            return loads
+        return [
             load
-            for load in usable
+            for load in loads
             if not load.condition.is_resting(instance, now)
         ]
-        return opened or usable
 
     def has_engine_left(self, queued: QueuedRequest) -> bool:
         """Return whether an untried engine may get a request in its time."""
@@ -135,12 +144,14 @@
         return min(condition.open_ms(anyone) for condition in staying)
 
     def forecast(
-        self, wait_queue: WaitQueue, now: float, instance: str = ''
+        self, wait_queue: WaitQueue, now: float, instance: str | None = None
     ) -> Forecast:
         """Forecast when slots become free for the requests of a queue.
 
-        :param instance: the ingress of a request; empty: of any.
+        :param instance: the ingress of a request; `None`: of any.
         """
+        if now >= self._rest_until_ms:
+            instance = None
         staying = [load for load in self.usable(now) if not load.is_leaving]
         return forecast_slots(
             staying, instance, len(wait_queue), wait_queue.interval_ms, now
--- a/hornbeamdeck/scheduling/service_load.py
+++ b/hornbeamdeck/scheduling/service_load.py
@@ -42,7 +42,7 @@
 
 def forecast_slots(
     loads: Sequence[EngineLoad],
-    instance: str,
+    instance: str | None,
     waiting: int,
     interval_ms: float,
     now: float,
@@ -50,22 +50,31 @@
     """Forecast when slots become free.
 
     :param loads: engines that do not leave.
-    :param instance: an engine that rests for it has no free slots until then.
+    :param instance: an engine that rests for it has no free slots until then;
+        `None`: rests do not count.
     :param waiting: number of waiting requests; later starts are estimated only
         if there are not more free slots than this.
     :param interval_ms: mean time between grants.
     """
-    free_slots = sum(
-        load.free_slots(now)
-        for load in loads
-        if not load.condition.is_resting(instance, now)
-    )
+    resting: list[EngineLoad] = []
+    if instance is not None:
+        resting = [
+            load for load in loads if load.condition.is_resting(instance, now)
+        ]
+    free_slots = sum(load.free_slots(now) for load in loads)
+    free_slots -= sum(load.free_slots(now) for load in resting)
     starts_ms: list[float] = []
     if free_slots <= waiting:
         starts_ms = [
             start_ms
             for load in loads
-            for start_ms in _starts_after_rest_ms(load, instance, now)
+            if load not in resting
+            for start_ms in _next_starts_ms(load, now)
+        ]
+        starts_ms += [
+            start_ms
+            for load in resting
+            for start_ms in _starts_after_rest_ms(load, instance or '', now)
         ]
     return Forecast.from_ends(free_slots, starts_ms, interval_ms, now)
 
@@ -73,10 +82,8 @@
 def _starts_after_rest_ms(
     load: EngineLoad, instance: str, now: float
 ) -> list[float]:
-    """Estimate when requests of an instance can start, if not now."""
+    """Estimate when requests can start at an engine that rests."""
     starts_ms = _next_starts_ms(load, now)
-    if not load.condition.is_resting(instance, now):
-        return starts_ms
     open_ms = load.condition.open_ms((instance,))
     rested_ms = [max(start_ms, open_ms) for start_ms in starts_ms]
     return [open_ms for _ in range(load.free_slots(now))] + rested_ms
