Log crashes that an owner counts, and which request a broken attempt was of

'scheduler: crash counted' and the fields fingerprint and shared_parts of 'try ended' say it. No decision changes; the parts of a prompt are read for the log only.

--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -115,6 +115,7 @@
             case Release():
                 suspect = cell.release(message, now_ms())
                 if suspect is not None:
+                    _log_suspect(suspect, message.request_id)
                     await deliver(suspect)
             case EngineObservation() | StreamOrigins():
                 _apply_report(cell, message, sender)
@@ -213,6 +214,20 @@
         await deliver(refusal)
 
 
+def _log_suspect(suspect: Suspect, request_id: str) -> None:
+    """Log a crash that was counted.
+
+    :param request_id: the request whose run has shown it.
+    """
+    _LOGGER.info(
+        'crash counted',
+        request_id=request_id,
+        cell=suspect.cell,
+        fingerprint=suspect.fingerprint,
+        crashes=suspect.crashes,
+    )
+
+
 def _apply_report(
     cell: AnyCell, message: EngineObservation | StreamOrigins, sender: str
 ) -> None:
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Callable
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from result import Ok, Result
 
@@ -10,6 +10,7 @@
 from hornbeamdeck.request.outcome import Failure, NotRun
 
 __all__ = (
+    'MAX_SHARED_PARTS',
     'Dialect',
     'EngineAttempt',
     'EngineStatement',
@@ -22,6 +23,11 @@
 )
 
 
+# Further parts of a prompt, and ids that are longer, are not told to owners.
+MAX_SHARED_PARTS: Final = 64
+MAX_PART_ID_CHARS: Final = 64
+
+
 class GatewayRequest(NamedTuple):
     """A decoded request.
 
@@ -56,6 +62,15 @@
         """Tokens that it counts against its team's limit; 0: not stated."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """The parts that other prompts may have, too: all but the last."""
+        return [
+            part_id
+            for part_id in dict.fromkeys(self.prompt_part_ids[:-1])
+            if len(part_id) <= MAX_PART_ID_CHARS
+        ][:MAX_SHARED_PARTS]
+
 
 class EngineAttempt(NamedTuple):
     """One attempt to run a request on an engine.
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -261,6 +261,8 @@
                 end=end.name.lower(),
                 cause=self._engine_attempts.cause,
                 took_ms=int(now_ms() - granted_ms),
+                fingerprint=self._fingerprint(),
+                shared_parts=self._admission.request.shared_part_ids,
             )
         self._attempts = _Attempts(
             excluded=(*attempts.excluded, grant.upstream),
@@ -343,6 +345,9 @@
             return min(timeout_ms, self._admission.left_ms)
         return self._admission.client_timeout_left_ms
 
+    def _fingerprint(self) -> str:
+        return self._engine_attempts.fingerprint[:FINGERPRINT_CHARS]
+
     def _version_to_resume(self) -> str | None:
         """Return the version at which a stream that has begun goes on."""
         return next(iter(self._engine_attempts.stream_versions), None)
@@ -360,7 +365,7 @@
             prompt_tokens=request.prompt_tokens,
             output_tokens=request.expected_tokens or request.output_tokens,
             excluded=list(self._attempts.excluded),
-            fingerprint=self._engine_attempts.fingerprint[:FINGERPRINT_CHARS],
+            fingerprint=self._fingerprint(),
             objective_ms=self._objective_left_ms(),
             patience_ms=self._client_timeout_left_ms(),
             gap_ms=admission.route.gap_ms,
--- a/tests/platform/test_contract_coverage.py
+++ b/tests/platform/test_contract_coverage.py
@@ -27,7 +27,7 @@
     re.MULTILINE,
 )
 # Decoded but not used by any decision yet; the page says what that costs.
-UNREAD = {'prompt_part_ids', 'memory_tokens', 'header_timeout_ms'}
+UNREAD = {'memory_tokens', 'header_timeout_ms'}
 
 
 def _sources(folder: pathlib.Path) -> str:
