Failing tests for a request that crashes engines under little load

With all instances killed after the third sending 11 end.

The stand-in closes its listener and connections after the head of the response, and serves a second later at its address under a new id.

--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,59 @@
+"""One request that crashes each engine which runs it, and is sent again."""
+
+from curio import sleep
+
+from tests.platform.crashing_engines import (
+    DOWN_S,
+    MARKED_BODY,
+    CrashingFleet,
+    async_restart_all,
+    has_marked_body,
+)
+from tests.platform.fleet import PlatformFleet, on_platform
+
+ENGINES = 8
+# A request that has crashed this many engines may reach as many more.
+MAX_CRASHES = 3
+MAX_REPEATS = 3
+# So slow that hardly any other request meets a dead engine.
+SLOW_INTERVAL_S = DOWN_S / 2
+REPEATS = 12
+
+
+async def _async_call_slowly(crashing: CrashingFleet, repeats: int) -> int:
+    """Send the marked request and another one in turn.
+
+    :returns: how many of the others were served.
+    """
+    served = 0
+    for _ in range(repeats):
+        await crashing.async_call(MARKED_BODY)
+        served += (await crashing.async_call()).status == 200
+        await sleep(SLOW_INTERVAL_S)
+    return served
+
+
+@on_platform(count=3)
+async def test_a_crashing_request_is_stopped_under_little_load(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against crashes that count only if other requests notice them."""
+    crashing = CrashingFleet(fleet, has_marked_body)
+    await crashing.async_start(ENGINES)
+    served = await _async_call_slowly(crashing, REPEATS)
+    assert len(crashing.hits) <= MAX_CRASHES + MAX_REPEATS
+    assert served == REPEATS
+
+
+@on_platform(count=3)
+async def test_a_crashing_request_is_known_after_the_loss_of_all_instances(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a verdict that lies only with processes that may die."""
+    crashing = CrashingFleet(fleet, has_marked_body)
+    await crashing.async_start(ENGINES)
+    await _async_call_slowly(crashing, MAX_CRASHES)
+    await async_restart_all(fleet)
+    served = await _async_call_slowly(crashing, MAX_CRASHES)
+    assert len(crashing.hits) <= MAX_CRASHES + MAX_REPEATS
+    assert served == MAX_CRASHES
