Count a crash when an engine refuses connections after a run broke

Callers saw engines end under one request again and again: 24 of 8 engines under 12 sendings in the failing test. A crash counted only if another run happened to be sent to the dead engine within 2.5 s, and engines that have just failed are passed over while others are free.

The instance whose run broke now connects to the engine at once and 0.2 s later. If it is refused, the engine has ended, and the owner is told; one that doesn't respond may only be cut off. All requests that ran there are reported to the ingress, not only the one with the most crashes. A later crash counts against a request only if that run began after the crash before: engines that end together show nothing about what they ran.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -42,6 +42,7 @@
 )
 from hornbeamdeck.process.send_guard import SendGuard
 from hornbeamdeck.process.tunnel_server import TunnelServer
+from hornbeamdeck.request.engine_end_check import EngineEndCheck
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_handler import (
@@ -261,6 +262,9 @@
             record_statement=make_statement_recorder(
                 components.grants.engine_statements, components.peers
             ),
+            check_engine=EngineEndCheck(
+                components.grants.link.async_send_to_current
+            ).async_start,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
             zone=self.settings.availability_zone,
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -63,12 +63,12 @@
     ) -> None:
         """Start without requests."""
         self._membership = membership
-        self._link = OwnerLink(membership, peers, scheduler)
-        self._link.set_callbacks(self.async_receive)
+        self.link = OwnerLink(membership, peers, scheduler)
+        self.link.set_callbacks(self.async_receive)
         self._waiting: dict[str, _Waiting] = {}
         self._running: dict[str, _Running] = {}
-        self._poison_reports = PoisonReports(membership, self._link)
-        self.engine_statements = EngineStatements(membership, self._link)
+        self._poison_reports = PoisonReports(membership, self.link)
+        self.engine_statements = EngineStatements(membership, self.link)
         self.owner_watch = OwnerWatch(peers, self._awaited_owners)
 
     @property
@@ -121,7 +121,7 @@
             first_token_ms=int(first_token_ms),
             relay=relay or None,
         )
-        await self._link.async_send(running.owner, message)
+        await self.link.async_send(running.owner, message)
 
     async def async_release(
         self,
@@ -143,7 +143,7 @@
             first_byte_ms=int(summary.first_byte_ms),
             relay=summary.relay or None,
         )
-        await self._link.async_send(running.owner, message)
+        await self.link.async_send(running.owner, message)
 
     async def async_receive(self, sender: str, message: Message) -> None:
         """Handle a message from an owner."""
@@ -197,13 +197,13 @@
         request.deadline_ms = max(left_ms, 0)
         self._waiting[request.request_id] = waiting._replace(owner=owner)
         await self.owner_watch.async_start_probing()
-        await self._link.async_send(owner, request)
+        await self.link.async_send(owner, request)
 
     async def _async_stop_waiting(self, request: Enqueue) -> None:
         waiting = self._waiting.pop(request.request_id, None)
         if waiting is None:
             return
-        await self._link.async_send(waiting.owner, _to_withdraw(request))
+        await self.link.async_send(waiting.owner, _to_withdraw(request))
 
     async def _async_granted(self, sender: str, grant: Grant) -> None:
         waiting = self._waiting.get(grant.request_id)
@@ -222,7 +222,7 @@
         running = self._running.get(grant.request_id)
         if running is not None and running.owner == sender:
             return
-        await self._link.async_send(sender, _to_cancelled(grant))
+        await self.link.async_send(sender, _to_cancelled(grant))
 
     async def _async_refused(self, sender: str, refusal: Refuse) -> None:
         waiting = self._waiting.get(refusal.request_id)
@@ -252,16 +252,16 @@
         if owner == running.owner:
             return
         self._running[run.request_id] = _Running(run, owner)
-        await self._link.async_send(owner, run)
-        if self._link.is_connected(running.owner):
+        await self.link.async_send(owner, run)
+        if self.link.is_connected(running.owner):
             # The old owner is live and has only lost the cell. Without this
             # message it would count the run forever, and its upstreams would
             # appear full of ended runs if it became the owner again.
-            await self._link.async_send(running.owner, _to_cancelled(run))
+            await self.link.async_send(running.owner, _to_cancelled(run))
 
     async def _async_leave_queue(self, waiting: _Waiting) -> None:
-        if self._link.is_connected(waiting.owner):
-            await self._link.async_send(
+        if self.link.is_connected(waiting.owner):
+            await self.link.async_send(
                 waiting.owner,
                 _to_withdraw(waiting.request),
             )
--- a/hornbeamdeck/process/owner_link.py
+++ b/hornbeamdeck/process/owner_link.py
@@ -42,6 +42,11 @@
             deliver=self._async_deliver,
         )
 
+    async def async_send_to_current(self, message: ToOwner) -> None:
+        """Send a message to whichever process owns its cell now."""
+        owner = self._membership.owner_of(message.cell)
+        await self.async_send(owner, message)
+
     @property
     def _own_id(self) -> str:
         return self._membership.own_status.instance_id
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -9,7 +9,10 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.cell import Cell, Refused
-from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.engine_cell import (
+    EngineCell,
+    record_engine_end,
+)
 from hornbeamdeck.scheduling.queued_request import Deliver, instance_of
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
@@ -24,6 +27,7 @@
     StreamOrigins,
     Suspect,
     ToOwner,
+    UpstreamEnd,
     Withdraw,
 )
 
@@ -112,10 +116,8 @@
             case Progress():
                 cell.progress(message, now_ms())
                 await self.has_new_origins.set()
-            case Release():
-                suspect = cell.release(message, now_ms())
-                if suspect is not None:
-                    _log_suspect(suspect, message.request_id)
+            case Release() | UpstreamEnd():
+                for suspect in _record_end(cell, message):
                     await deliver(suspect)
             case EngineObservation() | StreamOrigins():
                 _apply_report(cell, message, sender)
@@ -214,18 +216,25 @@
         await deliver(refusal)
 
 
-def _log_suspect(suspect: Suspect, request_id: str) -> None:
-    """Log a crash that was counted.
+def _record_end(cell: AnyCell, message: Release | UpstreamEnd) -> list[Suspect]:
+    """Record that a run or an upstream has ended.
 
-    :param request_id: the request whose run has shown it.
+    :returns: the requests that are now suspected of crashing an upstream.
     """
-    _LOGGER.info(
-        'crash counted',
-        request_id=request_id,
-        cell=suspect.cell,
-        fingerprint=suspect.fingerprint,
-        crashes=suspect.crashes,
-    )
+    suspects: list[Suspect] = []
+    if isinstance(message, Release):
+        suspects = cell.release(message, now_ms())
+    elif isinstance(cell, EngineCell):
+        suspects = record_engine_end(cell, message, now_ms())
+    for suspect in suspects:
+        _LOGGER.info(
+            'crash counted',
+            cell=suspect.cell,
+            fingerprint=suspect.fingerprint,
+            crashes=suspect.crashes,
+            evidence=type(message).__name__,
+        )
+    return suspects
 
 
 def _apply_report(
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -43,6 +43,8 @@
     :param record_statement: gets a grant, what the head of its response states
         about the engine, and the instance that the request was relayed by;
         empty: none.
+    :param check_engine: finds out whether the engine of a grant has ended, in
+        the background.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param zone: this instance's availability zone.
@@ -62,6 +64,7 @@
     report_first_token: Callable[[str, float, str], Awaitable[None]]
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
+    check_engine: Callable[[Grant], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     zone: str
--- a/hornbeamdeck/scheduling/cell.py
+++ b/hornbeamdeck/scheduling/cell.py
@@ -188,7 +188,7 @@
         if load is not None:
             load.first_token(message.request_id, message.first_token_ms, now)
 
-    def release(self, message: Release, now: float) -> Suspect | None:
+    def release(self, message: Release, now: float) -> list[Suspect]:
         """Record the end of a run.
 
         :returns: the request that is suspected of crashing the upstream, if
@@ -196,7 +196,7 @@
         """
         load = self._find_running(message.request_id)
         if load is None:
-            return None
+            return []
         concurrent = load.fingerprints()
         run = load.release(
             message.request_id,
@@ -206,13 +206,14 @@
         )
         if message.end == RunEnd.NOT_DISPATCHED:
             load.start_backoff(now)
-        return self.crash_tracker.record_run_end(
+        suspect = self.crash_tracker.record_run_end(
             load.upstream,
             run.fingerprint,
             message.end,
             concurrent=concurrent,
             now=now,
         )
+        return [] if suspect is None else [suspect]
 
     def remove_sender(self, sender: str) -> None:
         """Remove all requests and runs of a closed connection."""
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -47,9 +47,10 @@
     Release,
     RunEnd,
     Suspect,
+    UpstreamEnd,
 )
 
-__all__ = ('EngineCell',)
+__all__ = ('EngineCell', 'record_engine_end')
 
 # Logged reason for holding a request back while engines have free slots.
 HELD_BY_LIMIT: Final = "the team's limit"
@@ -227,25 +228,25 @@
             )
             self._placements.record_engine_change(load.engine.name)
 
-    def release(self, message: Release, now: float) -> Suspect | None:
+    def release(self, message: Release, now: float) -> list[Suspect]:
         """Record the end of a run.
 
-        :returns: the request that is suspected of crashing the engine, if any.
+        :returns: the requests that are now suspected of crashing the engine.
         """
         load = self._engines.find_running(message.request_id)
         if load is None:
-            return None
+            return []
         end = RunEnd(message.end)
         record_reach(load, message.request_id, message.relay, end, now)
         run = load.end(message.request_id, end, now, message.first_byte_ms or 0)
         if run is None:
-            return None
+            return []
         self._placements.record_engine_change(load.engine.name)
         self.versions.record_run_end(load, run, message, now)
         if end == RunEnd.ANSWERED:
             load.learn_gap(run, message.longest_gap_ms or 0)
         return self.crash_tracker.record_run_end(
-            load.engine, run.fingerprint, end, now
+            load.engine, run.tracked, end, now
         )
 
     def remove_sender(self, sender: str) -> None:
@@ -379,3 +380,16 @@
         if hold_reason:
             log_fields['held_for'] = hold_reason
         return Refused(queued, refusal, log_fields)
+
+
+def record_engine_end(
+    cell: EngineCell, message: UpstreamEnd, now: float
+) -> list[Suspect]:
+    """Record that an engine has ended while it ran requests.
+
+    :returns: the requests that are now suspected of crashing it.
+    """
+    load = cell.loads.get(message.upstream)
+    if load is None or load.engine.born_ms != message.born_ms:
+        return []
+    return cell.crash_tracker.record_engine_end(load.engine, now)
--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -3,19 +3,23 @@
 Load pattern: one request crashes each engine that starts it, and its caller
 retries it on any instance. A broken connection alone is no crash: links reset
 and responses get lost. Silence is none at all: an engine may stop for a second
-and go on with its runs. An engine counts as crashed only if the next connection
-to it fails within a short time, for example while it restarts. Then every run
-that failed with it may be the cause. A request that is answered later did not
-cause the crash.
+and go on with its runs. An engine counts as crashed only if it refuses
+connections within a short time after a run broke, for example while it
+restarts. Then every run that failed with it may be the cause. A request that is
+answered later did not cause the crash.
+
+Engines also end together, for example when a rack loses power. A run that
+began before the previous crash shows nothing new about its request.
 """
 
+import math
 from collections import deque
 from typing import Final, NamedTuple
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.wire import RunEnd, Suspect
 
-__all__ = ('POISON_CRASHES', 'EngineCrashTracker')
+__all__ = ('POISON_CRASHES', 'EngineCrashTracker', 'TrackedRun')
 
 # A request that was running on this many engines when they crashed is refused.
 POISON_CRASHES: Final = 3
@@ -25,14 +29,31 @@
 MAX_TRACKED_REQUESTS: Final = 2000
 
 
+class TrackedRun(NamedTuple):
+    """What a run has in common with other runs.
+
+    :param started_ms: when it was granted; 0: not known.
+    """
+
+    fingerprint: str
+    started_ms: float = 0.0
+
+
 class _FailedRun(NamedTuple):
     at_ms: float
-    fingerprint: str
+    run: TrackedRun
+
 
+class _Suspicion(NamedTuple):
+    """Crashes during which a request was running.
+
+    :param last_ms: when the runs of the last one began to fail; -inf: another
+        owner has counted it.
+    """
 
-class _CrashCount(NamedTuple):
     crashes: int
     expires_ms: float
+    last_ms: float = -math.inf
 
 
 class EngineCrashTracker:
@@ -41,14 +62,14 @@
     def __init__(self) -> None:
         """Start without suspected requests."""
         self._failed_runs: dict[str, deque[_FailedRun]] = {}
-        self._crash_counts: dict[str, _CrashCount] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
 
     def crash_count(self, fingerprint: str, now: float) -> int:
         """Return the number of crashes during which a request was running."""
-        count = self._crash_counts.get(fingerprint)
-        if count is None or count.expires_ms < now:
+        suspicion = self._suspicions.get(fingerprint)
+        if suspicion is None or suspicion.expires_ms < now:
             return 0
-        return count.crashes
+        return suspicion.crashes
 
     def is_confirmed_poison(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is to be refused."""
@@ -59,62 +80,84 @@
     ) -> None:
         """Apply the number of crashes that another owner has counted."""
         crash_count = max(crashes, self.crash_count(fingerprint, now))
-        self._crash_counts[fingerprint] = _CrashCount(
-            crash_count, now + RETENTION_MS
-        )
-        if len(self._crash_counts) > MAX_TRACKED_REQUESTS:
-            self._crash_counts.pop(next(iter(self._crash_counts)))
+        known = self._suspicions.get(fingerprint, _Suspicion(0, 0))
+        self._record(fingerprint, known._replace(crashes=crash_count), now)
 
     def record_run_end(
-        self, engine: Engine, fingerprint: str, end: RunEnd, now: float
-    ) -> Suspect | None:
+        self, engine: Engine, run: TrackedRun, end: RunEnd, now: float
+    ) -> list[Suspect]:
         """Record how a run ended.
 
-        :returns: the request that is suspected of crashing the engine, if any.
+        :returns: the requests that are now suspected of crashing the engine.
         """
         if end == RunEnd.ANSWERED:
-            self.record_answer(fingerprint)
+            self.record_answer(run.fingerprint)
         if end == RunEnd.FAILED:
-            self.record_failed_run(engine.name, fingerprint, now)
+            self.record_failed_run(engine.name, run, now)
         if end != RunEnd.NOT_DISPATCHED:
-            return None
-        suspect = self.record_crash(engine.name, now)
-        if not suspect:
-            return None
-        return Suspect(
-            cell=engine.service,
-            fingerprint=suspect,
-            crashes=self.crash_count(suspect, now),
-        )
+            return []
+        return self.record_engine_end(engine, now)
+
+    def record_engine_end(self, engine: Engine, now: float) -> list[Suspect]:
+        """Record that an engine refuses connections.
+
+        :returns: the requests that are now suspected of crashing it.
+        """
+        return [
+            Suspect(
+                cell=engine.service,
+                fingerprint=fingerprint,
+                crashes=self.crash_count(fingerprint, now),
+            )
+            for fingerprint in self.record_crash(engine.name, now)
+        ]
 
     def record_answer(self, fingerprint: str) -> None:
         """Clear a request that an engine has answered without crashing."""
-        self._crash_counts.pop(fingerprint, None)
+        self._suspicions.pop(fingerprint, None)
 
     def record_failed_run(
-        self, engine: str, fingerprint: str, now: float
+        self, engine: str, run: TrackedRun, now: float
     ) -> None:
         """Record that a run failed, in case its engine has crashed."""
         failed = self._failed_runs.setdefault(engine, deque())
-        failed.append(_FailedRun(now, fingerprint))
+        failed.append(_FailedRun(now, run))
         while failed[0].at_ms < now - SAME_CRASH_MS:
             failed.popleft()
 
-    def record_crash(self, engine: str, now: float) -> str:
+    def record_crash(self, engine: str, now: float) -> list[str]:
         """Record that an engine can't be reached, so it may have crashed.
 
-        :returns: the fingerprint of the suspect with the most crashes, if any.
+        :returns: the fingerprints that this crash counts against.
         """
-        failed = self._failed_runs.pop(engine, ())
-        suspects = {
-            each.fingerprint
-            for each in failed
+        failed_runs = [
+            each
+            for each in self._failed_runs.pop(engine, ())
             if each.at_ms >= now - SAME_CRASH_MS
+        ]
+        crashed_ms = min((each.at_ms for each in failed_runs), default=now)
+        fingerprints = {
+            run.fingerprint
+            for _, run in failed_runs
+            if run.started_ms >= self._last_crash_ms(run.fingerprint)
         }
-        for each in suspects:
-            self.merge_crash_count(each, self.crash_count(each, now) + 1, now)
-        return max(
-            suspects,
-            key=lambda fingerprint: self.crash_count(fingerprint, now),
-            default='',
+        for fingerprint in fingerprints:
+            crashes = self.crash_count(fingerprint, now) + 1
+            suspicion = _Suspicion(crashes, now, crashed_ms)
+            self._record(fingerprint, suspicion, now)
+        return sorted(fingerprints)
+
+    def _last_crash_ms(self, fingerprint: str) -> float:
+        suspicion = self._suspicions.get(fingerprint)
+        return -math.inf if suspicion is None else suspicion.last_ms
+
+    def _record(
+        self, fingerprint: str, suspicion: _Suspicion, now: float
+    ) -> None:
+        """Keep a suspicion from now on, as the most recent one."""
+        self._suspicions.pop(fingerprint, None)
+        self._suspicions[fingerprint] = suspicion._replace(
+            expires_ms=now + RETENTION_MS
         )
+        if len(self._suspicions) > MAX_TRACKED_REQUESTS:
+            self._suspicions.pop(next(iter(self._suspicions)))
--- a/hornbeamdeck/scheduling/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from hornbeamdeck.scheduling.engine_crash_tracker import TrackedRun
 from hornbeamdeck.scheduling.gap_estimate import prefill_ms
 
 __all__ = ('EngineRun', 'record_prefill_overlap')
@@ -45,6 +46,11 @@
         """Whether a gap would be visible in its response now."""
         return self.max_gap_ms > 0 and not self.is_prefilling
 
+    @property
+    def tracked(self) -> TrackedRun:
+        """What it has in common with other runs."""
+        return TrackedRun(self.fingerprint, self.started_ms)
+
 
 def record_prefill_overlap(
     runs: dict[str, EngineRun], prefilled: EngineRun
--- a/hornbeamdeck/wire/__init__.py
+++ b/hornbeamdeck/wire/__init__.py
@@ -37,6 +37,7 @@
     StreamOrigins,
     Suspect,
     TunnelAnswer,
+    UpstreamEnd,
     Withdraw,
 )
 
@@ -74,6 +75,7 @@
     'ToOwner',
     'TunnelAnswer',
     'TunnelResult',
+    'UpstreamEnd',
     'Withdraw',
     'message_of',
     'decode_frame',
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -31,6 +31,7 @@
     StreamOrigins,
     Suspect,
     TunnelAnswer,
+    UpstreamEnd,
     Withdraw,
 )
 
@@ -71,6 +72,7 @@
     | Release
     | EngineObservation
     | StreamOrigins
+    | UpstreamEnd
     | Suspect
 )
 ToIngress: TypeAlias = Grant | Refuse | Suspect
@@ -111,6 +113,7 @@
         TunnelAnswer: 'tunnel_answer',
         RelayedStatement: 'relayed_statement',
         StreamOrigins: 'stream_origins',
+        UpstreamEnd: 'upstream_end',
     }
 )
 
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1269,6 +1269,104 @@
         return not (self == other)
 
 
+class UpstreamEnd(object):
+    """
+    Attributes:
+     - cell
+     - upstream
+     - born_ms
+
+    """
+
+    __slots__ = (
+        'cell',
+        'upstream',
+        'born_ms',
+    )
+
+
+    def __init__(self, cell=None, upstream=None, born_ms=None,):
+        self.cell = cell
+        self.upstream = upstream
+        self.born_ms = born_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamEnd')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 3)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Suspect(object):
     """
     Attributes:
@@ -3292,6 +3390,7 @@
      - tunnel_answer
      - relayed_statement
      - stream_origins
+     - upstream_end
 
     """
 
@@ -3318,10 +3417,11 @@
         'tunnel_answer',
         'relayed_statement',
         'stream_origins',
+        'upstream_end',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, engine_observation=None, open_tunnel=None, tunnel_answer=None, relayed_statement=None, stream_origins=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, engine_observation=None, open_tunnel=None, tunnel_answer=None, relayed_statement=None, stream_origins=None, upstream_end=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -3344,6 +3444,7 @@
         self.tunnel_answer = tunnel_answer
         self.relayed_statement = relayed_statement
         self.stream_origins = stream_origins
+        self.upstream_end = upstream_end
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3484,6 +3585,12 @@
                     self.stream_origins.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.upstream_end = UpstreamEnd()
+                    self.upstream_end.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3582,6 +3689,10 @@
             oprot.writeFieldBegin('stream_origins', TType.STRUCT, 22)
             self.stream_origins.write(oprot)
             oprot.writeFieldEnd()
+        if self.upstream_end is not None:
+            oprot.writeFieldBegin('upstream_end', TType.STRUCT, 23)
+            self.upstream_end.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3695,6 +3806,13 @@
     (6, TType.BOOL, 'is_prefilling', None, None, ),  # 6
     (7, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 7
 )
+all_structs.append(UpstreamEnd)
+UpstreamEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born_ms', None, None, ),  # 3
+)
 all_structs.append(Suspect)
 Suspect.thrift_spec = (
     None,  # 0
@@ -3860,6 +3978,7 @@
     (20, TType.STRUCT, 'tunnel_answer', [TunnelAnswer, None], None, ),  # 20
     (21, TType.STRUCT, 'relayed_statement', [RelayedStatement, None], None, ),  # 21
     (22, TType.STRUCT, 'stream_origins', [StreamOrigins, None], None, ),  # 22
+    (23, TType.STRUCT, 'upstream_end', [UpstreamEnd, None], None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -114,6 +114,13 @@
   7: required string fingerprint
 }
 
+// A run on an upstream broke, and it refuses connections since: it has ended.
+struct UpstreamEnd {
+  1: required string cell
+  2: required string upstream
+  3: required i64 born_ms
+}
+
 // From an owner: what it now holds against a request; from an ingress, to the
 // next owner: what it was told.
 struct Suspect {
@@ -276,4 +283,5 @@
   20: optional TunnelAnswer tunnel_answer
   21: optional RelayedStatement relayed_statement
   22: optional StreamOrigins stream_origins
+  23: optional UpstreamEnd upstream_end
 }
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -9,7 +9,7 @@
     async_restart_all,
     has_marked_body,
 )
-from tests.platform.fleet import PlatformFleet, on_platform
+from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
 
 ENGINES = 8
 # A request that has crashed this many engines may reach as many more.
@@ -18,6 +18,8 @@
 # So slow that hardly any other request meets a dead engine.
 SLOW_INTERVAL_S = DOWN_S / 2
 REPEATS = 12
+# Longer than an instance looks whether an engine has ended.
+CHECK_S = 0.3
 
 
 async def _async_call_slowly(crashing: CrashingFleet, repeats: int) -> int:
@@ -57,3 +59,18 @@
     served = await _async_call_slowly(crashing, MAX_CRASHES)
     assert len(crashing.hits) <= MAX_CRASHES + MAX_REPEATS
     assert served == MAX_CRASHES
+
+
+@on_platform()
+async def test_broken_responses_of_engines_that_run_on_convict_nobody(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a request that is refused since its responses broke."""
+    for engine in fleet.model_engines:
+        engine.faults = ['reset'] * MAX_CRASHES
+    for _ in range(MAX_CRASHES):
+        got = await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
+        assert got.status == 502
+        await sleep(CHECK_S)
+    got = await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
+    assert got.status == 200
--- a/tests/scheduling/test_engine_crash_tracker.py
+++ b/tests/scheduling/test_engine_crash_tracker.py
@@ -4,6 +4,7 @@
     POISON_CRASHES,
     SAME_CRASH_MS,
     EngineCrashTracker,
+    TrackedRun,
 )
 from hornbeamdeck.wire import RunEnd
 from tests.scheduling.engine_cell_factories import engine
@@ -11,10 +12,10 @@
 
 def test_only_runs_that_failed_with_the_engine_are_suspected() -> None:
     tracker = EngineCrashTracker()
-    tracker.record_failed_run('e1', 'long-ago', 0)
-    tracker.record_failed_run('e1', 'beside', 9000)
-    tracker.record_failed_run('e2', 'elsewhere', 9000)
-    assert tracker.record_crash('e1', 9000 + SAME_CRASH_MS / 2) == 'beside'
+    tracker.record_failed_run('e1', TrackedRun('long-ago'), 0)
+    tracker.record_failed_run('e1', TrackedRun('beside'), 9000)
+    tracker.record_failed_run('e2', TrackedRun('elsewhere'), 9000)
+    assert tracker.record_crash('e1', 9000 + SAME_CRASH_MS / 2) == ['beside']
     assert tracker.crash_count('beside', 10_000) == 1
     assert not tracker.crash_count('long-ago', 10_000)
     assert not tracker.crash_count('elsewhere', 10_000)
@@ -26,7 +27,7 @@
     engines.
     """
     tracker = EngineCrashTracker()
-    tracker.record_failed_run('e1', 'beside', 0)
+    tracker.record_failed_run('e1', TrackedRun('beside'), 0)
     for moment in range(10):
         tracker.record_crash('e1', moment)
     assert tracker.crash_count('beside', 100) == 1
@@ -41,7 +42,7 @@
     tracker.merge_crash_count('bad', 2, 0)
     tracker.merge_crash_count('bad', 1, 10)
     assert tracker.crash_count('bad', 20) == 2
-    tracker.record_failed_run('e1', 'bad', 20)
+    tracker.record_failed_run('e1', TrackedRun('bad', 20), 20)
     tracker.record_crash('e1', 30)
     assert tracker.crash_count('bad', 40) == POISON_CRASHES
     assert tracker.is_confirmed_poison('bad', 40)
@@ -57,13 +58,37 @@
 def test_silent_engine_has_not_crashed() -> None:
     """Guards against a request that is refused since engines were silent."""
     tracker = EngineCrashTracker()
+    next_run = TrackedRun('next')
     for number in range(POISON_CRASHES):
         silent = engine(f'e{number}')
-        tracker.record_run_end(silent, 'good', RunEnd.SILENT, number)
-        tracker.record_run_end(silent, 'next', RunEnd.NOT_DISPATCHED, number)
+        run = TrackedRun('good', number)
+        tracker.record_run_end(silent, run, RunEnd.SILENT, number)
+        tracker.record_run_end(silent, next_run, RunEnd.NOT_DISPATCHED, number)
     assert not tracker.crash_count('good', POISON_CRASHES)
-    tracker.record_run_end(engine('e1'), 'bad', RunEnd.FAILED, 10)
-    suspect = tracker.record_run_end(
-        engine('e1'), 'next', RunEnd.NOT_DISPATCHED, 11
+    tracker.record_run_end(engine('e1'), TrackedRun('bad'), RunEnd.FAILED, 10)
+    suspects = tracker.record_run_end(
+        engine('e1'), next_run, RunEnd.NOT_DISPATCHED, 11
     )
-    assert suspect is not None and suspect.fingerprint == 'bad'
+    assert [suspect.fingerprint for suspect in suspects] == ['bad']
+
+
+def test_engines_that_end_together_convict_nobody() -> None:
+    """Guards against a request that is refused since a rack lost power."""
+    tracker = EngineCrashTracker()
+    for number in range(POISON_CRASHES):
+        run = TrackedRun('same', started_ms=number)
+        tracker.record_failed_run(f'e{number}', run, 100 + number)
+    for number in range(POISON_CRASHES):
+        tracker.record_crash(f'e{number}', 200)
+    assert tracker.crash_count('same', 200) == 1
+
+
+def test_each_engine_that_a_request_crashes_in_turn_counts() -> None:
+    """Guards against crashes of a retry that count as those of its request."""
+    tracker = EngineCrashTracker()
+    for number in range(POISON_CRASHES):
+        run = TrackedRun('bad', started_ms=number)
+        tracker.record_failed_run(f'e{number}', run, number + 1)
+    for number in range(POISON_CRASHES):
+        tracker.record_crash(f'e{number}', 200)
+    assert tracker.is_confirmed_poison('bad', 200)
