Remember requests that crash engines when all instances are lost

After the loss of all instances a request that was refused before crashed three engines again (11 of at most 6 in the failing test): the verdict lay only with processes. The owner now keeps the refused requests in a record of the store, as it does the versions of the engines, and a process that becomes the owner reads them before anything else; one call more at the start and one for each verdict. The code of the record of versions serves both.

Every instance of the fleet is told a verdict, not only the one whose run showed it, since any may become the owner while the store is away. A verdict is the last thing that the owner forgets when it knows too many requests.

--- /dev/null
+++ b/hornbeamdeck/process/fleet_record.py
@@ -0,0 +1,187 @@
+"""What the store remembers for a fleet that loses all its processes.
+
+The owner of the fleet's cells keeps each record current. A process that becomes
+the owner reads it: the first write returns what another owner wrote.
+"""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+from itertools import count
+from typing import Any, Final, NamedTuple, Self, TypeAlias
+
+import structlog
+import voluptuous as vol
+from curio import sleep
+from result import Err
+
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.process.store_interface import StoredRecord, StoreInterface
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+
+__all__ = ('FleetRecord',)
+
+_LOGGER = structlog.get_logger(prefix='records')
+
+CHECK_INTERVAL_MS: Final = 200
+# The same until the record is known or this process has had time to start.
+START_CHECK_INTERVAL_MS: Final = 20
+START_CHECKS: Final = 100
+RETRY_MS: Final = 500
+
+_Names: TypeAlias = dict[str, list[str]]
+_NAMES: Final = vol.Schema({str: [str]})
+
+
+class RecordKind(NamedTuple):
+    """Which names of each service a record holds.
+
+    :param record_name: name of the record in the store.
+    :param current: returns the names that a cell knows; `None`: nothing is to
+        be recorded of its service yet.
+    :param add_earlier: tells a cell which names were recorded before.
+    """
+
+    record_name: str
+    current: Callable[[EngineCell, float], Collection[str] | None]
+    add_earlier: Callable[[EngineCell, Iterable[str], float], None]
+
+
+def _current_versions(cell: EngineCell, now: float) -> Collection[str] | None:
+    return cell.origins.history.versions(now) or None
+
+
+def _add_versions(
+    cell: EngineCell, versions: Iterable[str], now: float
+) -> None:
+    cell.origins.history.add_earlier(versions, now)
+
+
+def _crashing_requests(cell: EngineCell, now: float) -> Collection[str]:
+    return cell.crash_tracker.confirmed(now)
+
+
+def _add_crashing_requests(
+    cell: EngineCell, fingerprints: Iterable[str], now: float
+) -> None:
+    for fingerprint in fingerprints:
+        cell.crash_tracker.add_confirmed(fingerprint, now)
+
+
+# Without them, a process that has lost its memory does not know whether a
+# stream may go on at the version that is listed now.
+ENGINE_VERSIONS: Final = RecordKind(
+    'engine-versions', _current_versions, _add_versions
+)
+# Without them, each would crash several engines again.
+CRASHING_REQUESTS: Final = RecordKind(
+    'crashing-requests', _crashing_requests, _add_crashing_requests
+)
+
+
+class FleetRecord:
+    """Keeps one record current."""
+
+    def __init__(
+        self,
+        kind: RecordKind,
+        store: StoreInterface,
+        cells: Mapping[str, EngineCell],
+        is_writer: Callable[[], bool],
+    ) -> None:
+        """Start without knowing what the store holds.
+
+        :param cells: the cells of this process by service.
+        :param is_writer: whether this process owns the fleet's cells now.
+        """
+        self._kind = kind
+        self._store = store
+        self._cells = cells
+        self._is_writer = is_writer
+        # Revision 0: not known.
+        self._stored = StoredRecord(0, {})
+        # Services whose cells know what was recorded.
+        self._informed: set[str] = set()
+
+    @classmethod
+    def of_every_kind(
+        cls,
+        store: StoreInterface,
+        cells: Mapping[str, EngineCell],
+        is_writer: Callable[[], bool],
+    ) -> tuple[Self, ...]:
+        """Make all records of a fleet; the parameters are those of one."""
+        return tuple(
+            cls(kind, store, cells, is_writer)
+            for kind in (ENGINE_VERSIONS, CRASHING_REQUESTS)
+        )
+
+    async def async_run(self) -> None:
+        """Keep the record current while this process is the owner; forever."""
+        for checks in count():
+            interval_ms = CHECK_INTERVAL_MS
+            if checks < START_CHECKS and not self._stored.revision:
+                interval_ms = START_CHECK_INTERVAL_MS
+            await sleep(interval_ms / MILLIS_PER_SECOND)
+            if not self._is_writer():
+                self._stored = StoredRecord(0, {})
+            elif not await self.async_sync():
+                await sleep(RETRY_MS / MILLIS_PER_SECOND)
+
+    async def async_sync(self) -> bool:
+        """Write the record if it is outdated, or if it is not known.
+
+        :returns: whether the store has responded, if it was called.
+        """
+        self._inform_cells()
+        current = self._current_names()
+        if not current or (
+            self._stored.revision and current == self._stored.fields
+        ):
+            return True
+        due = self._stored._replace(fields=current)
+        record_name = self._kind.record_name
+        response = await self._store.write_record(record_name, due)
+        if isinstance(response, Err):
+            return False
+        self._stored = response.ok_value
+        self._informed.clear()
+        self._inform_cells()
+        _LOGGER.info(
+            'record written',
+            record=record_name,
+            current=current,
+            stored=self._stored.fields,
+        )
+        return True
+
+    def _inform_cells(self) -> None:
+        """Tell the cells what was recorded before this process owned them."""
+        if not self._stored.revision:
+            return
+        now = now_ms()
+        recorded = _parse(self._stored.fields)
+        for service in self._cells.keys() - self._informed:
+            self._informed.add(service)
+            self._kind.add_earlier(
+                self._cells[service], recorded.get(service, ()), now
+            )
+
+    def _current_names(self) -> _Names:
+        now = now_ms()
+        current = {
+            service: self._kind.current(cell, now)
+            for service, cell in self._cells.items()
+        }
+        return {
+            service: sorted(names)
+            for service, names in current.items()
+            if names is not None
+        }
+
+
+def _parse(fields: Any) -> _Names:
+    try:
+        return dict(_NAMES(fields))
+    except vol.Invalid as error:
+        _LOGGER.warning('record ignored', cause=str(error))
+        return {}
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -15,6 +15,7 @@
 from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.process.engine_cells import EngineCells
 from hornbeamdeck.process.engine_directory import EngineDirectory
+from hornbeamdeck.process.fleet_record import FleetRecord
 from hornbeamdeck.process.follower import ConfigurationFollower, DocumentSource
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.gateway_metrics import GatewayMetrics
@@ -41,7 +42,6 @@
     StoreReader,
     StoreReaderDependencies,
 )
-from hornbeamdeck.process.version_record import VersionRecord
 from hornbeamdeck.request.gateway_request import Dialect
 from hornbeamdeck.rollout.book import RolloutBook
 from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
@@ -108,7 +108,7 @@
     peers: Peers
     grants: Grants
     origin_reports: OriginReports
-    version_record: VersionRecord
+    fleet_records: tuple[FleetRecord, ...]
     heartbeats: Heartbeats
     reader: StoreReader
     snapshots: Snapshots[GatewayConfiguration]
@@ -249,7 +249,7 @@
             peers=peers,
             grants=grants,
             origin_reports=origin_reports,
-            version_record=VersionRecord(
+            fleet_records=FleetRecord.of_every_kind(
                 store,
                 cells.cells,
                 lambda: (
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -13,6 +13,7 @@
     EngineCell,
     record_engine_end,
 )
+from hornbeamdeck.scheduling.engine_crash_tracker import POISON_CRASHES
 from hornbeamdeck.scheduling.queued_request import Deliver, instance_of
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
@@ -53,6 +54,8 @@
         """Start without cells; `apply_configuration` adds them."""
         self.cells: dict[str, AnyCell] = {}
         self._draining: frozenset[str] = frozenset()
+        # How to reach the instances that this process grants for, by sender.
+        self._ingresses: dict[str, Deliver] = {}
         self._has_waiting = Event()
         # Set when streams were granted or have begun. Whoever waits for it
         # clears it.
@@ -102,6 +105,7 @@
         :param sender: identifies the connection that the message came by.
         :param deliver: sends a response on that connection.
         """
+        self._ingresses[sender] = deliver
         cell = self.cells.get(message.cell)
         if cell is None:
             await self._async_no_cell(message, deliver)
@@ -118,7 +122,7 @@
                 await self.has_new_origins.set()
             case Release() | UpstreamEnd():
                 for suspect in _record_end(cell, message):
-                    await deliver(suspect)
+                    await self._async_report_suspect(suspect, deliver)
             case EngineObservation() | StreamOrigins():
                 _apply_report(cell, message, sender)
             case Suspect():
@@ -136,6 +140,7 @@
 
     async def async_drop_sender(self, sender: str) -> None:
         """Remove all requests and runs of a closed connection."""
+        self._ingresses.pop(sender, None)
         for cell in self.cells.values():
             cell.remove_sender(sender)
             await self._async_grant(cell)
@@ -154,6 +159,20 @@
             await sleep(EXPIRY_CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
             await self.async_evaluate_cells()
 
+    async def _async_report_suspect(
+        self, suspect: Suspect, deliver: Deliver
+    ) -> None:
+        """Report a suspected request, so that it outlasts this process.
+
+        Every instance learns which request is refused, since any of them may
+        become the owner.
+        """
+        if suspect.crashes < POISON_CRASHES:
+            await deliver(suspect)
+            return
+        for deliver_to_ingress in tuple(self._ingresses.values()):
+            await deliver_to_ingress(suspect)
+
     async def _async_enqueue(
         self,
         cell: AnyCell,
--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -75,6 +75,18 @@
         """Return whether a request is to be refused."""
         return self.crash_count(fingerprint, now) >= POISON_CRASHES
 
+    def confirmed(self, now: float) -> list[str]:
+        """Return the requests that are refused."""
+        return [
+            fingerprint
+            for fingerprint in self._suspicions
+            if self.is_confirmed_poison(fingerprint, now)
+        ]
+
+    def add_confirmed(self, fingerprint: str, now: float) -> None:
+        """Refuse a request that the fleet was known to refuse before."""
+        self.merge_crash_count(fingerprint, POISON_CRASHES, now)
+
     def merge_crash_count(
         self, fingerprint: str, crashes: int, now: float
     ) -> None:
@@ -160,4 +172,13 @@
             expires_ms=now + RETENTION_MS
         )
         if len(self._suspicions) > MAX_TRACKED_REQUESTS:
-            self._suspicions.pop(next(iter(self._suspicions)))
+            self._suspicions.pop(self._least_important())
+
+    def _least_important(self) -> str:
+        """Return the oldest suspicion, one that is not confirmed if any."""
+        unconfirmed = (
+            fingerprint
+            for fingerprint, suspicion in self._suspicions.items()
+            if suspicion.crashes < POISON_CRASHES
+        )
+        return next(unconfirmed, next(iter(self._suspicions)))
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -74,3 +74,21 @@
         await sleep(CHECK_S)
     got = await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
     assert got.status == 200
+
+
+@on_platform(count=3)
+async def test_a_crashing_request_is_known_after_the_loss_of_its_owner(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a verdict that ends with the process that made it."""
+    crashing = CrashingFleet(fleet, has_marked_body)
+    await crashing.async_start(ENGINES)
+    await _async_call_slowly(crashing, MAX_CRASHES)
+    owner = fleet.owner
+    fleet.store.is_silent = True
+    await owner.async_kill()
+    fleet.gateways.remove(owner)
+    hits = len(crashing.hits)
+    served = await _async_call_slowly(crashing, MAX_CRASHES)
+    assert len(crashing.hits) == hits
+    assert served == MAX_CRASHES
