Refuse requests with a part of their prompts that crashes engines

An instance now tells the owner which parts of a prompt others may have, too: all but the last. The record in the store, the reports to all instances and to the next owner hold parts as they hold requests; waiting requests learn a verdict, too.

--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -184,7 +184,7 @@
 
 def _prompt_part_ids(text: str) -> tuple[str, ...]:
     entries = (each.strip() for each in text.split(','))
-    return tuple(each.partition(':')[0] for each in entries if each)
+    return tuple(each.partition(':')[0].lower() for each in entries if each)
 
 
 DIALECT: Final = Dialect(
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/process/grants.py
@@ -289,4 +289,5 @@
         output_tokens=request.output_tokens,
         is_prefilling=True,
         fingerprint=request.fingerprint,
+        shared_parts=request.shared_parts,
     )
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -116,7 +116,7 @@
             case Withdraw():
                 cell.withdraw(message.request_id)
             case Register():
-                cell.register(message, sender)
+                _register(cell, message, sender)
             case Progress():
                 cell.progress(message, now_ms())
                 await self.has_new_origins.set()
@@ -235,6 +235,13 @@
         await deliver(refusal)
 
 
+def _register(cell: AnyCell, run: Register, sender: str) -> None:
+    cell.register(run, sender)
+    if isinstance(cell, EngineCell) and not run.is_prefilling:
+        parts = cell.crash_tracker.parts
+        parts.record_answer(run.shared_parts or (), now_ms())
+
+
 def _record_end(cell: AnyCell, message: Release | UpstreamEnd) -> list[Suspect]:
     """Record that a run or an upstream has ended.
 
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -68,7 +68,7 @@
         return [
             part_id
             for part_id in dict.fromkeys(self.prompt_part_ids[:-1])
-            if len(part_id) <= MAX_PART_ID_CHARS
+            if 0 < len(part_id) <= MAX_PART_ID_CHARS
         ][:MAX_SHARED_PARTS]
 
 
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -379,4 +379,5 @@
             version=version,
             resumes=admission.resumes if version is None else None,
             resumable_ms=admission.resumable_ms,
+            shared_parts=request.shared_part_ids or None,
         )
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -15,7 +15,10 @@
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
 from hornbeamdeck.scheduling.engine_conditions import ConditionChange
-from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
+from hornbeamdeck.scheduling.engine_crash_tracker import (
+    EngineCrashTracker,
+    TrackedRun,
+)
 from hornbeamdeck.scheduling.engine_load import (
     EngineLoad,
     record_reach,
@@ -130,6 +133,8 @@
     ) -> Refused | None:
         """Queue a request, or refuse it if it can't be served in time."""
         self.withdraw(request.request_id)
+        if not request.excluded:
+            self.crash_tracker.parts.record_request(request.shared_parts or ())
         queued = QueuedRequest(
             request=request,
             sender=sender,
@@ -171,8 +176,8 @@
         ):
             return
         self._last_expiry_check_ms = now
-        if self._has_fewer_engines:
-            yield from self._refuse_without_engine(now)
+        if self._has_fewer_engines or self.crash_tracker.has_new_verdict:
+            yield from self._refuse_hopeless(now)
         forecast = self._engines.forecast(self._wait_queue, now)
         for queued in self._wait_queue.expired(now, forecast):
             self._admission.remove_waiting(queued.request)
@@ -257,21 +262,22 @@
             load.remove_sender(sender)
         self._placements.request_full_scan()
 
-    def _refuse_without_engine(self, now: float) -> Iterator[Refused]:
-        """Refuse waiting requests whose last engine leaves or rests."""
+    def _refuse_hopeless(self, now: float) -> Iterator[Refused]:
+        """Refuse waiting requests that no engine may get any more."""
         self._has_fewer_engines = False
+        self.crash_tracker.has_new_verdict = False
         if not self.loads:
             # Entries that expired in an outage may be back in a moment.
             return
-        refused = [
-            queued
-            for queued in self._wait_queue.in_order(now)
-            if not self._engines.has_engine_left(queued, now)
-        ]
-        for queued in refused:
-            self._wait_queue.remove(queued.request.request_id)
-            self._admission.remove_waiting(queued.request)
-            yield self._refuse(queued, RefusalReason.NO_UPSTREAM, now)
+        waiting = tuple(self._wait_queue.in_order(now))
+        for queued in waiting:
+            reason = _reason_to_give_up(
+                self._engines, self.crash_tracker, queued, now
+            )
+            if reason is not None:
+                self._wait_queue.remove(queued.request.request_id)
+                self._admission.remove_waiting(queued.request)
+                yield self._refuse(queued, reason, now)
 
     def _reason_to_refuse(
         self,
@@ -280,10 +286,11 @@
         now: float,
     ) -> RefusalReason | None:
         request = queued.request
-        if not self._engines.has_engine_left(queued, now):
-            return RefusalReason.NO_UPSTREAM
-        if self.crash_tracker.is_confirmed_poison(request.fingerprint, now):
-            return RefusalReason.CULPRIT
+        reason = _reason_to_give_up(
+            self._engines, self.crash_tracker, queued, now
+        )
+        if reason is not None:
+            return reason
         forecast = self._engines.forecast(self._wait_queue, now, queued)
         return self._admission.reason_to_refuse(
             request, forecast, fastest_ms, now
@@ -382,6 +389,20 @@
         return Refused(queued, refusal, log_fields)
 
 
+def _reason_to_give_up(
+    engines: ServiceEngines,
+    crash_tracker: EngineCrashTracker,
+    queued: QueuedRequest,
+    now: float,
+) -> RefusalReason | None:
+    """Return why no engine may get a request, if so."""
+    if not engines.has_engine_left(queued, now):
+        return RefusalReason.NO_UPSTREAM
+    if crash_tracker.must_refuse(TrackedRun.of_request(queued.request), now):
+        return RefusalReason.CULPRIT
+    return None
+
+
 def record_engine_end(
     cell: EngineCell, message: UpstreamEnd, now: float
 ) -> list[Suspect]:
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -166,6 +166,7 @@
             stream_value=stream_value,
             output_tokens=run.output_tokens,
             route=route,
+            part_ids=tuple(run.shared_parts or ()),
         )
 
     def start(self, request_id: str, now: float) -> None:
@@ -306,6 +307,7 @@
         output_tokens=request.output_tokens,
         is_prefilling=True,
         fingerprint=request.fingerprint,
+        shared_parts=request.shared_parts,
     )
     zone = request.zone or ''
     load.add(
--- a/hornbeamdeck/scheduling/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -18,6 +18,7 @@
     :param max_gap_ms: longest gap between events that its stream may show; 0:
         it is not a stream.
     :param route: name of its request's route.
+    :param part_ids: the parts of its prompt that others may have, too.
     :param stream_value: value of its stream, compared with other requests.
     :param first_token_at_ms: when its first token was reported; 0: not yet.
     :param output_tokens: number of tokens that it is expected to generate.
@@ -40,6 +41,7 @@
     expected_end_ms: float = 0.0
     overlapping_prefill_ms: float = 0.0
     route: str = ''
+    part_ids: tuple[str, ...] = ()
 
     @property
     def is_streaming(self) -> bool:
@@ -49,7 +51,12 @@
     @property
     def tracked(self) -> TrackedRun:
         """What it has in common with other runs."""
-        return TrackedRun(self.fingerprint, self.started_ms)
+        return TrackedRun(
+            self.fingerprint,
+            self.started_ms,
+            self.first_token_at_ms,
+            self.part_ids,
+        )
 
 
 def record_prefill_overlap(
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -286,6 +286,7 @@
      - version
      - resumes
      - resumable_ms
+     - shared_parts
 
     """
 
@@ -310,10 +311,11 @@
         'version',
         'resumes',
         'resumable_ms',
+        'shared_parts',
     )
 
 
-    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, route_rank=None, route=None, version=None, resumes=None, resumable_ms=None,):
+    def __init__(self, request_id=None, cell=None, team=None, tier_rank=None, deadline_ms=None, prompt_tokens=None, output_tokens=None, excluded=None, fingerprint=None, objective_ms=None, patience_ms=None, gap_ms=None, quota_tokens=None, dispatches=None, zone=None, route_rank=None, route=None, version=None, resumes=None, resumable_ms=None, shared_parts=None,):
         self.request_id = request_id
         self.cell = cell
         self.team = team
@@ -334,6 +336,7 @@
         self.version = version
         self.resumes = resumes
         self.resumable_ms = resumable_ms
+        self.shared_parts = shared_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -449,6 +452,16 @@
                     self.resumable_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.shared_parts = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.shared_parts.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -490,8 +503,8 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter6 in self.excluded:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.excluded:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.fingerprint is not None:
@@ -542,6 +555,13 @@
             oprot.writeFieldBegin('resumable_ms', TType.I32, 21)
             oprot.writeI32(self.resumable_ms)
             oprot.writeFieldEnd()
+        if self.shared_parts is not None:
+            oprot.writeFieldBegin('shared_parts', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRING, len(self.shared_parts))
+            for iter13 in self.shared_parts:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -669,10 +689,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.relays = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.relays.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.relays.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -722,8 +742,8 @@
         if self.relays is not None:
             oprot.writeFieldBegin('relays', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.relays))
-            for iter13 in self.relays:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter20 in self.relays:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rejection_limit_per_s is not None:
@@ -1125,6 +1145,7 @@
      - output_tokens
      - is_prefilling
      - fingerprint
+     - shared_parts
 
     """
 
@@ -1136,10 +1157,11 @@
         'output_tokens',
         'is_prefilling',
         'fingerprint',
+        'shared_parts',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None, prompt_tokens=None, output_tokens=None, is_prefilling=None, fingerprint=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, prompt_tokens=None, output_tokens=None, is_prefilling=None, fingerprint=None, shared_parts=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
@@ -1147,6 +1169,7 @@
         self.output_tokens = output_tokens
         self.is_prefilling = is_prefilling
         self.fingerprint = fingerprint
+        self.shared_parts = shared_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1192,6 +1215,16 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.shared_parts = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.shared_parts.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1230,6 +1263,13 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 7)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.shared_parts is not None:
+            oprot.writeFieldBegin('shared_parts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.shared_parts))
+            for iter27 in self.shared_parts:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1650,11 +1690,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = StreamOrigin()
-                        _elem19.read(iprot)
-                        self.origins.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = StreamOrigin()
+                        _elem33.read(iprot)
+                        self.origins.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1675,8 +1715,8 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter20 in self.origins:
-                iter20.write(oprot)
+            for iter34 in self.origins:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2175,10 +2215,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2203,8 +2243,8 @@
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter27 in self.statuses:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter41 in self.statuses:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2574,31 +2614,31 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Spending()
-                        _elem33.read(iprot)
-                        self.spent.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Spending()
+                        _elem47.read(iprot)
+                        self.spent.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.present = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.present.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.present.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem45)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2615,11 +2655,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.rollouts = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = Rollout()
-                        _elem51.read(iprot)
-                        self.rollouts.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = Rollout()
+                        _elem65.read(iprot)
+                        self.rollouts.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2664,22 +2704,22 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter52 in self.spent:
-                iter52.write(oprot)
+            for iter66 in self.spent:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.present is not None:
             oprot.writeFieldBegin('present', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.present))
-            for iter53 in self.present:
-                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
+            for iter67 in self.present:
+                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter54 in self.statuses:
-                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            for iter68 in self.statuses:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -2693,8 +2733,8 @@
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter55 in self.rollouts:
-                iter55.write(oprot)
+            for iter69 in self.rollouts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2957,11 +2997,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = EngineEntry()
-                        _elem61.read(iprot)
-                        self.engines.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = EngineEntry()
+                        _elem75.read(iprot)
+                        self.engines.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2982,8 +3022,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter62 in self.engines:
-                iter62.write(oprot)
+            for iter76 in self.engines:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3755,6 +3795,7 @@
     (19, TType.STRING, 'version', 'UTF8', None, ),  # 19
     (20, TType.STRING, 'resumes', 'UTF8', None, ),  # 20
     (21, TType.I32, 'resumable_ms', None, None, ),  # 21
+    (22, TType.LIST, 'shared_parts', (TType.STRING, 'UTF8', False), None, ),  # 22
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -3805,6 +3846,7 @@
     (5, TType.I32, 'output_tokens', None, None, ),  # 5
     (6, TType.BOOL, 'is_prefilling', None, None, ),  # 6
     (7, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'shared_parts', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(UpstreamEnd)
 UpstreamEnd.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -65,6 +65,7 @@
   20: optional string resumes      // request that began the stream which this one
                                    // goes on with; empty: not stated
   21: optional i32 resumable_ms    // left for going on with it; unset: it can't be
+  22: optional list<string> shared_parts // of its prompt, which others may have, too
 }
 
 struct Grant {
@@ -112,6 +113,7 @@
   5: required i32 output_tokens
   6: required bool is_prefilling
   7: required string fingerprint
+  8: optional list<string> shared_parts // as in Enqueue
 }
 
 // A run on an upstream broke, and it refuses connections since: it has ended.
@@ -121,11 +123,11 @@
   3: required i64 born_ms
 }
 
-// From an owner: what it now holds against a request; from an ingress, to the
-// next owner: what it was told.
+// From an owner: what it now holds against a request, or against a part of
+// prompts; from an ingress, to the next owner: what it was told.
 struct Suspect {
   1: required string cell
-  2: required string fingerprint
+  2: required string fingerprint   // of the request; "part:" and the id of a part
   3: required i16 crashes
 }
 
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -10,6 +10,7 @@
     read_request,
 )
 from hornbeamdeck.request.gateway_request import (
+    MAX_SHARED_PARTS,
     EngineAttempt,
     GatewayRequest,
     ResponseVerdict,
@@ -154,3 +155,30 @@
 
 def test_unknown_outcome_is_not_reported_as_refused() -> None:
     assert failure_response(Unknown(502, 'x', 'y', 5), 'id-1').status == 502
+
+
+@pytest.mark.parametrize(
+    ('text', 'shared'),
+    [
+        ('', []),
+        ('own:10', []),
+        ('a1:60,own:10', ['a1']),
+        ('a1:60, b2:5 ,a1:60,own:10', ['a1', 'b2']),
+        (',,:;,own', []),
+        ('A1:60,a1:60,own:10', ['a1']),
+        (f'{"f" * 65}:1,a1:60,own:10', ['a1']),
+    ],
+)
+def test_parts_that_other_prompts_may_have(
+    text: str, shared: list[str]
+) -> None:
+    """Guards against a request's own part that is held against others."""
+    decoded = _decoded(hornbeamdeck_prompt_prefix=text)
+    assert decoded.shared_part_ids == shared
+
+
+def test_number_of_shared_parts_is_limited() -> None:
+    """Guards against a prompt that makes the messages to owners large."""
+    text = ','.join(f'{number:x}:1' for number in range(500))
+    decoded = _decoded(hornbeamdeck_prompt_prefix=text)
+    assert len(decoded.shared_part_ids) == MAX_SHARED_PARTS
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -7,6 +7,7 @@
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.engine_crash_tracker import TrackedRun
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.wire import Progress, RefusalReason, Register, Release, RunEnd
@@ -453,7 +454,7 @@
             _release(f'again-{number}', RunEnd.NOT_DISPATCHED),
             number,
         )
-    desk.crash_tracker.record_answer('good')
+    desk.crash_tracker.record_answer(TrackedRun('good'), 3)
     refused = enqueue(desk, make_request('bad-9', fingerprint='bad'), now=9)
     assert _reason(refused) == RefusalReason.CULPRIT
     assert (
--- a/tests/scheduling/test_engine_crash_tracker.py
+++ b/tests/scheduling/test_engine_crash_tracker.py
@@ -51,7 +51,7 @@
 def test_an_answered_request_is_cleared() -> None:
     tracker = EngineCrashTracker()
     tracker.merge_crash_count('good', 2, 0)
-    tracker.record_answer('good')
+    tracker.record_answer(TrackedRun('good'), 0)
     assert not tracker.crash_count('good', 10)
 
 
