Do not take an unframed response without an event for the end of a stream

A response may have neither a length nor chunks and end with its connection. Without framing at least one event must have come now, as for a stream that begins.

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -8,6 +8,7 @@
     'HttpRequest',
     'HttpResponse',
     'bearer_key',
+    'has_framing',
     'header_pairs',
     'join_headers',
     'whole_number',
@@ -54,6 +55,14 @@
     return authorization[len(BEARER_PREFIX) :].strip()
 
 
+def has_framing(head: HttpResponse) -> bool:
+    """Return whether a response shows where its body ends.
+
+    Otherwise the body ends with the connection (RFC 9112, 6.3).
+    """
+    return not {'content-length', 'transfer-encoding'}.isdisjoint(head.headers)
+
+
 def whole_number(text: str) -> int:
     """Read a whole number of at most MAX_NUMBER; drop its decimal places.
 
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -11,7 +11,7 @@
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectionBroken
-from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.http import HttpResponse, has_framing
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.request.engine_connection import (
@@ -216,13 +216,17 @@
             if isinstance(chunk, Err):
                 return self._record_broken(chunk.err_value)
             if not chunk.ok_value:
-                return await self._async_end_stream(parser)
+                return await self._async_end_stream(head, parser)
             events = parser.add_chunk(chunk.ok_value)
             end = await self._async_relay_events(head, events, sent_ms)
         return end or RunEnd.CANCELLED
 
-    async def _async_end_stream(self, parser: EventParser) -> RunEnd:
-        if parser.has_partial_event or not self._caller.has_response_started:
+    async def _async_end_stream(
+        self, head: HttpResponse, parser: EventParser
+    ) -> RunEnd:
+        # Without framing, the end of an engine looks like that of a stream.
+        may_be_empty = self._caller.has_response_started and has_framing(head)
+        if parser.has_partial_event or not (self.event_count or may_be_empty):
             self.cause = 'the stream ended within an event'
             return RunEnd.FAILED
         await self._caller.async_end_response()
--- a/tests/platform/crashing_engines.py
+++ b/tests/platform/crashing_engines.py
@@ -41,11 +41,6 @@
         self._is_marked = is_marked
         self._number = number
 
-    async def async_register(self) -> None:
-        """Enter the engine into the store."""
-        entry = self.entry(SERVICE, born=len(self.hits) + 1)
-        await self._fleet.store.async_put('servers', self.name, entry)
-
     async def async_crash(self) -> None:
         """Close all sockets; serve again after a while."""
         await self.async_stop()
@@ -53,7 +48,8 @@
         await self._fleet.store.async_remove('servers', self.name)
         self.name = f'{SERVICE}-c{self._number}-{len(self.hits)}'
         await self.async_start()
-        await self.async_register()
+        entry = self.entry(SERVICE, born=len(self.hits) + 1)
+        await self._fleet.store.async_put('servers', self.name, entry)
 
     async def _async_run(
         self, request: HttpRequest, caller: ServerConnection, fault: str
@@ -85,20 +81,11 @@
 
     async def async_start(self, engine_count: int) -> None:
         """Replace the fleet's model engines by these."""
-        for replaced in self._fleet.model_engines:
-            await self._fleet.store.async_remove('servers', replaced.name)
-        for number in range(engine_count):
-            engine = CrashingEngine(number, self._fleet, self._is_marked)
-            await engine.async_start()
-            await engine.async_register()
-            self.engines.append(engine)
-        names = {engine.name for engine in self.engines}
-        await self._fleet.async_until(
-            lambda: all(
-                gateway.components.cells.cells[SERVICE].loads.keys() == names
-                for gateway in self._fleet.gateways
-            )
-        )
+        self.engines = [
+            CrashingEngine(number, self._fleet, self._is_marked)
+            for number in range(engine_count)
+        ]
+        await self._fleet.async_replace_model_engines(self.engines)
 
     @property
     def hits(self) -> list[tuple[str, float]]:
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -1,6 +1,6 @@
 """Gateways, a store and engines in one process, for end-to-end tests."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from curio import Kernel, Task, sleep, spawn
@@ -146,6 +146,25 @@
             found = self.kernel._tasks.get(found.parentid)  # noqa: SLF001
         return None
 
+    async def async_replace_model_engines(
+        self, engines: Sequence[EngineStandin]
+    ) -> None:
+        """Serve the service of model engines by others, with new names."""
+        for replaced in self.model_engines:
+            await self.store.async_remove('servers', replaced.name)
+        self.model_engines = list(engines)
+        for engine in engines:
+            await engine.async_start()
+            entry = engine.entry('desk')
+            await self.store.async_put('servers', engine.name, entry)
+        names = {engine.name for engine in engines}
+        await self.async_until(
+            lambda: all(
+                gateway.components.cells.cells['desk'].loads.keys() == names
+                for gateway in self.gateways
+            )
+        )
+
     async def async_stop(self) -> None:
         """Kill all gateways."""
         for gateway in self.gateways:
