Ask the relay whether the engine of a broken run has ended

An instance that reaches no engine itself sends requests through another one. Now the instance that the run went through is asked, with a tunnel request that only checks. Its own view of a partition plays no part in the answer.

--- a/hornbeamdeck/process/engine_dialer.py
+++ b/hornbeamdeck/process/engine_dialer.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.connection.end_check import async_has_ended
 from hornbeamdeck.connection.errors import ConnectFailed
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.tunnel import (
@@ -42,6 +43,8 @@
 # sent.
 DIAL_TIMEOUT_MS: Final = 600
 MAX_RELAYS: Final = 4
+# Covers the connection to a relay and its check of an engine.
+CHECK_TIMEOUT_MS: Final = 700
 # An engine that this many other instances can't reach is likely to be down.
 MIN_WITNESSES: Final = 2
 # How long a machine may take to acknowledge a request. A connection to a
@@ -142,14 +145,8 @@
             failed = opened.err_value
         if path is EnginePath.RELAY_AND_PROBE:
             await self.async_start_probe(grant.upstream, grant.address)
-        request = OpenTunnel(
-            request_id=grant.request_id,
-            cell=grant.cell,
-            upstream=grant.upstream,
-            address=grant.address,
-            born_ms=grant.born_ms or 0,
-            deadline_ms=deadline_ms,
-            is_repeatable=is_repeatable,
+        request = _make_request(
+            grant, deadline_ms=deadline_ms, is_repeatable=is_repeatable
         )
         relays = self._relays_for(grant.relays or ())
         tunnel = await self._async_open_tunnel(
@@ -163,6 +160,28 @@
             )
         )
 
+    async def async_has_ended(self, grant: Grant, relay: str) -> bool:
+        """Return whether the engine of a run that broke refuses connections.
+
+        :param relay: the instance that the run went through, which can tell;
+            empty: this one.
+        """
+        if not relay:
+            return await async_has_ended(grant.address)
+        request = _make_request(
+            grant, deadline_ms=CHECK_TIMEOUT_MS, is_repeatable=True
+        )
+        request.is_check = True
+        for each in self._relays_for((relay,)):
+            if each.instance == relay:
+                opened = await async_open_tunnel(
+                    each, self._identity, request, timeout_ms=CHECK_TIMEOUT_MS
+                )
+                if isinstance(opened, Ok):
+                    await opened.ok_value.close()
+                return opened.err() is TunnelResult.UNREACHED
+        return False
+
     async def async_connect(
         self, engine: str, address: str, *, is_repeatable: bool
     ) -> Result[ClientConnection, ConnectFailed]:
@@ -239,6 +258,20 @@
         ]
 
 
+def _make_request(
+    grant: Grant, *, deadline_ms: int, is_repeatable: bool
+) -> OpenTunnel:
+    return OpenTunnel(
+        request_id=grant.request_id,
+        cell=grant.cell,
+        upstream=grant.upstream,
+        address=grant.address,
+        born_ms=grant.born_ms or 0,
+        deadline_ms=deadline_ms,
+        is_repeatable=is_repeatable,
+    )
+
+
 def _describe(failed: ConnectFailed | None, answers: list[TunnelResult]) -> str:
     cause = failed.cause if failed else 'out of reach'
     names = [answer.name.lower() for answer in answers]
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -263,7 +263,8 @@
                 components.grants.engine_statements, components.peers
             ),
             check_engine=EngineEndCheck(
-                components.grants.link.async_send_to_current
+                self.dialer.async_has_ended,
+                components.grants.link.async_send_to_current,
             ).async_start,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
--- a/hornbeamdeck/process/tunnel_server.py
+++ b/hornbeamdeck/process/tunnel_server.py
@@ -11,6 +11,7 @@
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.address import Address, async_connect
 from hornbeamdeck.connection.client import set_ack_timeout
+from hornbeamdeck.connection.end_check import async_has_ended
 from hornbeamdeck.connection.peer import PeerConnection
 from hornbeamdeck.connection.tunnel import async_splice
 from hornbeamdeck.process.engine_dialer import ACK_TIMEOUT_MS, EngineDialer
@@ -65,6 +66,9 @@
     async def _async_serve(
         self, connection: PeerConnection, request: OpenTunnel
     ) -> None:
+        if request.is_check:
+            await _async_check(connection, request)
+            return
         opened = await self._async_open(request)
         answer = opened.err() or TunnelResult.OPENED
         _LOGGER.info(
@@ -126,6 +130,12 @@
         return TunnelResult.UNREACHED
 
 
+async def _async_check(connection: PeerConnection, request: OpenTunnel) -> None:
+    has_ended = await async_has_ended(request.address)
+    answer = TunnelResult.UNREACHED if has_ended else TunnelResult.OPENED
+    await connection.async_send_now(TunnelAnswer(result=answer))
+
+
 async def _async_pass_on(
     connection: PeerConnection, engine: socket.socket, request: OpenTunnel
 ) -> None:
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -44,7 +44,8 @@
         about the engine, and the instance that the request was relayed by;
         empty: none.
     :param check_engine: finds out whether the engine of a grant has ended, in
-        the background.
+        the background; gets the grant and the instance that its request was
+        relayed by; empty: none.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param zone: this instance's availability zone.
@@ -64,7 +65,7 @@
     report_first_token: Callable[[str, float, str], Awaitable[None]]
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
-    check_engine: Callable[[Grant], Awaitable[None]]
+    check_engine: Callable[[Grant, str], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     zone: str
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -250,8 +250,8 @@
         if withheld is not None:
             self._record_returned_grant(grant.upstream, withheld)
             return None
-        if end == RunEnd.FAILED and not self._engine_attempts.relay:
-            await self._context.check_engine(grant)
+        if end == RunEnd.FAILED:
+            await self._context.check_engine(grant, self._engine_attempts.relay)
         attempts = self._attempts
         if end != RunEnd.ANSWERED:
             _LOGGER.info(
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -3065,6 +3065,7 @@
      - born_ms
      - deadline_ms
      - is_repeatable
+     - is_check
 
     """
 
@@ -3076,10 +3077,11 @@
         'born_ms',
         'deadline_ms',
         'is_repeatable',
+        'is_check',
     )
 
 
-    def __init__(self, request_id=None, cell=None, upstream=None, address=None, born_ms=None, deadline_ms=None, is_repeatable=None,):
+    def __init__(self, request_id=None, cell=None, upstream=None, address=None, born_ms=None, deadline_ms=None, is_repeatable=None, is_check=None,):
         self.request_id = request_id
         self.cell = cell
         self.upstream = upstream
@@ -3087,6 +3089,7 @@
         self.born_ms = born_ms
         self.deadline_ms = deadline_ms
         self.is_repeatable = is_repeatable
+        self.is_check = is_check
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3132,6 +3135,11 @@
                     self.is_repeatable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_check = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3170,6 +3178,10 @@
             oprot.writeFieldBegin('is_repeatable', TType.BOOL, 7)
             oprot.writeBool(self.is_repeatable)
             oprot.writeFieldEnd()
+        if self.is_check is not None:
+            oprot.writeFieldBegin('is_check', TType.BOOL, 8)
+            oprot.writeBool(self.is_check)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3980,6 +3992,7 @@
     (5, TType.I64, 'born_ms', None, None, ),  # 5
     (6, TType.I32, 'deadline_ms', None, None, ),  # 6
     (7, TType.BOOL, 'is_repeatable', None, None, ),  # 7
+    (8, TType.BOOL, 'is_check', None, None, ),  # 8
 )
 all_structs.append(TunnelAnswer)
 TunnelAnswer.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -245,6 +245,8 @@
   5: required i64 born_ms
   6: required i32 deadline_ms      // the tunnel closes then
   7: required bool is_repeatable   // the upstream may get the request twice
+  8: optional bool is_check        // asks only whether the upstream has ended: it
+                                   // is UNREACHED then, and no bytes follow
 }
 
 struct TunnelAnswer {
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -10,6 +10,7 @@
     has_marked_body,
 )
 from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
+from tests.platform.partitions import Cut, partition
 
 ENGINES = 8
 # A request that has crashed this many engines may reach as many more.
@@ -92,3 +93,15 @@
     served = await _async_call_slowly(crashing, MAX_CRASHES)
     assert len(crashing.hits) == hits
     assert served == MAX_CRASHES
+
+
+@on_platform(count=3)
+async def test_a_crashing_request_is_stopped_behind_a_tunnel(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against crashes that an instance without a path can't see."""
+    crashing = CrashingFleet(fleet, has_marked_body)
+    await crashing.async_start(ENGINES)
+    with partition(fleet, {0, 1}, Cut.RESET):
+        await _async_call_slowly(crashing, REPEATS)
+    assert len(crashing.hits) <= MAX_CRASHES + MAX_REPEATS
