Suspect no request that was answered within the last minute

Look-ups are sent alike by many callers, and each has the same digest. An answer cleared the count only; now what was answered within a minute is not suspected at all, as for parts of prompts. The history of parts serves requests, too.

--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -18,8 +18,8 @@
 from collections import deque
 from typing import Final, NamedTuple, Self
 
+from hornbeamdeck.scheduling.answer_history import AnswerHistory
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.prompt_part_history import PromptPartHistory
 from hornbeamdeck.wire import Enqueue, RunEnd, Suspect
 
 __all__ = ('POISON_CRASHES', 'EngineCrashTracker', 'TrackedRun')
@@ -101,9 +101,10 @@
 
     def __init__(self) -> None:
         """Start without suspicions."""
-        self.parts = PromptPartHistory()
+        self.parts = AnswerHistory()
         # Whether something is refused that waiting requests may have.
         self.has_new_verdict = False
+        self._answers = AnswerHistory()
         self._failed_runs: dict[str, deque[_FailedRun]] = {}
         # By fingerprint of a request, or by id of a part after `PART_PREFIX`.
         self._suspicions: dict[str, _Suspicion] = {}
@@ -181,6 +182,7 @@
     def record_answer(self, run: TrackedRun, now: float) -> None:
         """Clear what an engine has answered without crashing."""
         self.parts.record_answer(run.part_ids, now)
+        self._answers.record_answer([run.fingerprint], now)
         for suspect in _suspects_of(run):
             self._suspicions.pop(suspect, None)
 
@@ -220,10 +222,7 @@
     ) -> list[str]:
         """Count a crash against all that a run may have caused it by."""
         counted = []
-        for suspect in _suspects_of(run):
-            part_id = suspect.removeprefix(PART_PREFIX)
-            if part_id != suspect and self.parts.is_sound(part_id, now):
-                continue
+        for suspect in self._unproved(run, now):
             known = self._suspicion(suspect, now)
             suspicion = known.add_crash(run, crashed_ms)
             self._record(suspect, suspicion, now)
@@ -231,6 +230,17 @@
                 counted.append(suspect)
         return counted
 
+    def _unproved(self, run: TrackedRun, now: float) -> list[str]:
+        """Return what may have caused a crash and was not answered lately."""
+        unproved = [
+            _name_part(part_id)
+            for part_id in run.part_ids
+            if not self.parts.is_sound(part_id, now)
+        ]
+        if not self._answers.is_sound(run.fingerprint, now):
+            unproved.append(run.fingerprint)
+        return unproved
+
     def _confirm(self, run: TrackedRun, now: float) -> None:
         """Refuse what has caused enough crashes, one part of a run at most.
 
@@ -277,22 +287,23 @@
             expires_ms=now + RETENTION_MS
         )
         if len(self._suspicions) > MAX_SUSPICIONS:
-            self._suspicions.pop(self._least_important())
-
-    def _least_important(self) -> str:
-        """Return the oldest suspicion, one that is not confirmed if any."""
-        unconfirmed = (
-            suspect
-            for suspect, suspicion in self._suspicions.items()
-            if not suspicion.is_confirmed
-        )
-        return next(unconfirmed, next(iter(self._suspicions)))
+            self._suspicions.pop(_least_important(self._suspicions))
 
 
 def _name_part(part_id: str) -> str:
     return f'{PART_PREFIX}{part_id}'
 
 
+def _least_important(suspicions: dict[str, _Suspicion]) -> str:
+    """Return the oldest suspicion, one that is not confirmed if any."""
+    unconfirmed = (
+        suspect
+        for suspect, suspicion in suspicions.items()
+        if not suspicion.is_confirmed
+    )
+    return next(unconfirmed, next(iter(suspicions)))
+
+
 def _suspects_of(run: TrackedRun) -> list[str]:
     """Return all that may have caused a crash under a run."""
     return [run.fingerprint, *map(_name_part, run.part_ids)]
--- a/tests/scheduling/test_crashing_parts.py
+++ b/tests/scheduling/test_crashing_parts.py
@@ -2,13 +2,13 @@
 
 from typing import Final
 
+from hornbeamdeck.scheduling.answer_history import MAX_ENTRIES, SOUND_MS
 from hornbeamdeck.scheduling.engine_crash_tracker import (
     MAX_SUSPICIONS,
     POISON_CRASHES,
     EngineCrashTracker,
     TrackedRun,
 )
-from hornbeamdeck.scheduling.prompt_part_history import MAX_PARTS, SOUND_MS
 from hornbeamdeck.wire import RefusalReason, RunEnd
 from tests.scheduling.engine_cell_factories import (
     engine,
@@ -149,7 +149,7 @@
         crashes.add(('bad',))
     for number in range(MAX_SUSPICIONS):
         crashes.tracker.merge_crash_count(f'other{number}', 1, crashes.now)
-    for number in range(MAX_PARTS):
+    for number in range(MAX_ENTRIES):
         crashes.tracker.parts.record_request([f'other{number}'])
     assert crashes.refused_parts('bad') == ['bad']
 
--- a/tests/scheduling/test_engine_crash_tracker.py
+++ b/tests/scheduling/test_engine_crash_tracker.py
@@ -92,3 +92,15 @@
     for number in range(POISON_CRASHES):
         tracker.record_crash(f'e{number}', 200)
     assert tracker.is_confirmed_poison('bad', 200)
+
+
+def test_request_that_many_send_alike_outlasts_a_few_crashes() -> None:
+    """Guards against refusing all look-ups as three engines end in turn."""
+    tracker = EngineCrashTracker()
+    lookup = TrackedRun('lookup')
+    tracker.record_run_end(engine('e'), lookup, RunEnd.ANSWERED, 0)
+    for number in range(POISON_CRASHES):
+        run = TrackedRun('lookup', started_ms=number + 1)
+        tracker.record_failed_run(f'e{number}', run, number + 1)
+        tracker.record_crash(f'e{number}', number + 1)
+    assert not tracker.is_confirmed_poison('lookup', POISON_CRASHES + 1)
