Probe an engine that could not be reached with one request at a time

Each time the backoff of a dead engine ended, it was granted as many requests as it has slots. Whoever finds an engine dead knew it before; the others of its slots found out anew.

An engine that could not be reached from a zone now gets one request from there until one has reached it.

--- a/hornbeamdeck/scheduling/engine_choice.py
+++ b/hornbeamdeck/scheduling/engine_choice.py
@@ -147,9 +147,15 @@
 
 def _is_eligible(load: EngineLoad, queued: QueuedRequest, now: float) -> bool:
     request = queued.request
+    zone = request.zone or ''
     if load.engine.name in (request.excluded or ()):
         return False
-    return not load.health.is_in_backoff(request.zone or '', now)
+    if load.health.is_unproved(zone) and any(
+        run.zone == zone for run in load.runs.values()
+    ):
+        # One request shows whether it is back.
+        return False
+    return not load.health.is_in_backoff(zone, now)
 
 
 def _first_token_ms(
--- a/hornbeamdeck/scheduling/engine_health.py
+++ b/hornbeamdeck/scheduling/engine_health.py
@@ -3,7 +3,8 @@
 Load pattern: an engine fails part of its requests while its health check
 passes, or is unreachable from one availability zone only. The outcomes of each
 zone count for that zone only. An engine that fails gets fewer requests, and
-real requests probe whether it has recovered.
+real requests probe whether it has recovered, one at a time if it could not be
+reached.
 """
 
 from typing import Final
@@ -28,6 +29,7 @@
 FAILURE_HALF_LIFE_MS: Final = 3000.0
 HALF: Final = 0.5
 
+_REACHED: Final = frozenset((RunEnd.ANSWERED, RunEnd.ERRORED))
 _FAILURES: Final = frozenset(
     (
         RunEnd.FAILED,
@@ -80,6 +82,17 @@
         health = self._zones.get(zone)
         return health is not None and now < health.backoff_until_ms
 
+    def is_unproved(self, zone: str) -> bool:
+        """Return whether the last request from a zone could not reach it."""
+        health = self._zones.get(zone)
+        return health is not None and health.backoff_ms > 0
+
+    def record_first_token(self, zone: str) -> None:
+        """Record that a request from a zone has reached the engine."""
+        health = self._zones.get(zone)
+        if health is not None:
+            health.backoff_ms = 0.0
+
     def zones_in_backoff(self, now: float) -> list[str]:
         """List the zones whose requests must not use the engine now."""
         return [zone for zone in self._zones if self.is_in_backoff(zone, now)]
@@ -92,8 +105,9 @@
     def record_run_end(self, zone: str, end: RunEnd, now: float) -> None:
         """Update the zone's failure rate and backoff by how a run ended."""
         health = self._zones.setdefault(zone, _ZoneHealth())
-        if end == RunEnd.ANSWERED:
+        if end in _REACHED:
             health.backoff_ms = 0.0
+        if end == RunEnd.ANSWERED:
             health.record(0, now)
         if end in _FAILURES:
             health.record(1, now)
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -196,6 +196,7 @@
         if run is None or not run.is_prefilling:
             return
         record_prefill_overlap(self.runs, run)
+        self.health.record_first_token(run.zone)
         self.runs[request_id] = run._replace(
             is_prefilling=False,
             first_token_at_ms=now,
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -642,3 +642,19 @@
     for number in range(8):
         enqueue(desk, make_request(f'burst-{number}', prompt_tokens=0), now)
     assert len(granted(desk, now)) > 6
+
+
+def test_one_request_at_a_time_probes_an_engine_that_was_out_of_reach() -> None:
+    """Guards against a dead engine that costs many requests an attempt."""
+    desk = make_cell(engine('dead', slots=8))
+    enqueue(desk, make_request('first'))
+    assert len(granted(desk)) == 1
+    desk.release(_release('first', RunEnd.NOT_DISPATCHED), 0)
+    for number in range(4):
+        enqueue(desk, make_request(f'r{number}'), now=1)
+    assert len(granted(desk, 350)) == 1
+    assert not granted(desk, 400)
+    desk.progress(
+        Progress(request_id='r0', cell='desk', first_token_ms=50), 450
+    )
+    assert len(granted(desk, 450)) == 3
