Count a crash once that is reported back to the owner that counted it

An instance tells the next owner what it was told of crashes. If the ownership returns, the first owner hears its own count again, and since the crashes are kept one by one it added to them: 5 instead of 2 in the new test, enough to refuse a request that had run beside two crashes.

--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -115,8 +115,10 @@
     def merge_crash_count(self, suspect: str, crashes: int, now: float) -> None:
         """Apply the number of crashes that another owner has counted."""
         known = self._evidence(suspect, now)
+        # It may have been counted here and come back.
+        more = max(crashes - known.crashes_in_turn, 0)
         merged = known._replace(
-            reported=max(crashes, known.reported),
+            reported=known.reported + more,
             is_confirmed=known.is_confirmed or crashes >= POISON_CRASHES,
         )
         self._record(suspect, merged, now)
--- a/tests/scheduling/test_engine_crash_tracker.py
+++ b/tests/scheduling/test_engine_crash_tracker.py
@@ -48,6 +48,18 @@
     assert tracker.is_confirmed_poison('bad', 40)
 
 
+def test_a_crash_that_is_reported_back_counts_once() -> None:
+    """Guards against crashes that add up as the owner changes to and fro."""
+    tracker = EngineCrashTracker()
+    for number in range(POISON_CRASHES - 1):
+        run = TrackedRun('beside', started_ms=number)
+        tracker.record_failed_run(f'e{number}', run, number)
+        tracker.record_crash(f'e{number}', number)
+        crashes = tracker.crash_count('beside', number)
+        tracker.merge_crash_count('beside', crashes, number)
+    assert tracker.crash_count('beside', 10) == POISON_CRASHES - 1
+
+
 def test_an_answered_request_is_cleared() -> None:
     tracker = EngineCrashTracker()
     tracker.merge_crash_count('good', 2, 0)
