Do not wait for the pace of engines that get no more requests

The proof waited for the pace of each engine that had answered, six at most; the choice of engines had passed one or two of them over after one or two answers, and they got no more. Half of those that have answered are enough now.

--- a/hornbeamdeck/scheduling/version_comparison.py
+++ b/hornbeamdeck/scheduling/version_comparison.py
@@ -63,6 +63,8 @@
 # Engines whose speed must be known before, so that not all of them are of slow
 # hardware.
 MIN_PACED_ENGINES: Final = 6
+# The others may get no more requests.
+MIN_PACED_SHARE: Final = 0.5
 FAST_SHARE: Final = 0.1
 STRATUM_MS: Final = 1000
 ALL_ROUTES: Final = ''
@@ -279,7 +281,8 @@
         """Return whether the new version's fast engines are fast enough."""
         _, new_known = count_slow(self._new_paces, 0)
         limit = SOUND_RATIO * common_pace(self._old_paces, FAST_SHARE)
-        if new_known < min(MIN_PACED_ENGINES, len(self._new_paces)):
+        awaited = math.ceil(len(self._new_paces) * MIN_PACED_SHARE)
+        if new_known < min(MIN_PACED_ENGINES, awaited):
             return False
         return common_pace(self._new_paces, FAST_SHARE) < limit
 
--- a/tests/scheduling/test_version_comparison.py
+++ b/tests/scheduling/test_version_comparison.py
@@ -17,6 +17,7 @@
 ROUTES = ('write_up', 'question', 'check')
 ANSWERS_PER_S = 100
 NEW_SHARE = 0.1
+MANY_ANSWERS = 80
 
 Fails = Callable[[random.Random, str, bool, float], bool]
 
@@ -119,3 +120,24 @@
         seed=seed,
     )
     assert not verdict.reason
+
+
+@pytest.mark.parametrize(
+    ('slow_factor', 'is_good'), [(1.0, True), (3.0, False)]
+)
+def test_engines_that_are_passed_over_do_not_hold_a_version_up(
+    slow_factor: float, *, is_good: bool
+) -> None:
+    """Guards against a proof that waits for engines without requests."""
+    comparison = VersionComparison()
+    for number in range(MANY_ANSWERS):
+        for engine in ('n0', 'n1', 'n2', 'n3', 'o0', 'o1', 'o2', 'o3'):
+            is_new = engine.startswith('n')
+            pace = slow_factor if is_new else 1.0
+            answer = Answer(engine, ROUTES[0], is_new, False, pace)
+            comparison.record(answer, number * 100)
+    for passed_over in ('n4', 'n5'):
+        answer = Answer(passed_over, ROUTES[0], True, False, slow_factor)
+        comparison.record(answer, MANY_ANSWERS * 100)
+    verdict = comparison.verdict(MANY_ANSWERS * 100)
+    assert verdict.is_proved_good == is_good
