Shorten the tests of engines that end under requests

Engines are down for 0.7 s instead of 1 s and all intervals keep their ratio to that, so that the suite stays within its 240 s.

--- a/tests/platform/crashing_engines.py
+++ b/tests/platform/crashing_engines.py
@@ -18,7 +18,7 @@
 from tests.support import async_fetch
 
 SERVICE = 'desk'
-DOWN_S = 1.0
+DOWN_S = 0.7
 MARKED_BODY = b'{"marked": true}'
 
 IsMarked = Callable[[HttpRequest], bool]
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -7,6 +7,7 @@
 
 from hornbeamdeck.connection.http import HttpRequest
 from tests.platform.crashing_engines import (
+    DOWN_S,
     CrashingFleet,
     async_restart_all,
 )
@@ -20,8 +21,8 @@
 SHARED_PART = 'a1'
 MARKED_PART = 'bad'
 MARKED_REQUESTS = 20
-MARKED_INTERVAL_S = 0.2
-SOUND_INTERVAL_S = 0.05
+MARKED_INTERVAL_S = DOWN_S / 5
+SOUND_INTERVAL_S = DOWN_S / 20
 # Of the sound requests, at the end of a run.
 MIN_SERVED_SHARE = 0.9
 
