Refuse beside a culprit only what has enough evidence of its own

Requests that were in the same crashes as a culprit are refused with it, since nothing tells them apart. They must have enough evidence themselves now.

Found by reading the change.

--- a/hornbeamdeck/scheduling/engine_crash_tracker.py
+++ b/hornbeamdeck/scheduling/engine_crash_tracker.py
@@ -251,7 +251,9 @@
             refused |= {
                 suspect: evidence
                 for suspect, evidence in self._suspects.items()
-                if evidence.crash_numbers == explained and not _is_part(suspect)
+                if evidence.crash_numbers == explained
+                and not _is_part(suspect)
+                and _is_proved(suspect, evidence)
             }
         self._suspects = _drop_explained(self._suspects, explained, culprit)
         for suspect, evidence in refused.items():
--- a/tests/scheduling/test_crashing_parts.py
+++ b/tests/scheduling/test_crashing_parts.py
@@ -204,6 +204,17 @@
     assert successor.confirmed(crashes.now) == ['part:bad']
 
 
+def test_what_ran_beside_once_is_not_refused_after_a_change_of_owner() -> None:
+    """Guards against refusing all that ran in the last of several crashes."""
+    crashes = _Crashes()
+    crashes.tracker.merge_crash_count('bad', POISON_CRASHES - 1, 0)
+    for fingerprint in ('bad', 'beside', 'beside-too'):
+        run = TrackedRun(fingerprint, started_ms=1)
+        crashes.tracker.record_failed_run('e1', run, 2)
+    crashes.tracker.record_crash('e1', 3)
+    assert crashes.tracker.confirmed(4) == ['bad']
+
+
 def test_waiting_requests_learn_the_verdict() -> None:
     """Guards against granting what was queued before its part was refused."""
     desk = make_cell(engine('e1', slots=1))
