--- a/hornbeamdeck/connection/store_calls.py
+++ b/hornbeamdeck/connection/store_calls.py
@@ -11,6 +11,7 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.connection.store_responses import StoreUnavailable
 
 __all__ = ('DEFAULT_TIMEOUT_MS', 'StoreCalls')
@@ -25,13 +26,16 @@
     def __init__(
         self,
         address: Address,
+        era: StoreEra,
         *,
         count: Callable[[str], None] | None = None,
     ) -> None:
         """Set the address; no connection is opened yet.
 
+        :param era: updated with each response.
         :param count: called with the role of each call, to count it.
         """
+        self.era = era
         self._address = address
         self._count = count
         self._idle: list[ClientConnection] = []
@@ -84,6 +88,7 @@
             )
         if isinstance(response, Err):
             return Err(StoreUnavailable(response.err_value.cause))
+        self.era.record(response.ok_value)
         if response.ok_value.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return Err(StoreUnavailable(f'status {response.ok_value.status}'))
         return Ok(response.ok_value)
--- a/hornbeamdeck/connection/store_client.py
+++ b/hornbeamdeck/connection/store_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import Final
 from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
@@ -12,6 +13,7 @@
     DEFAULT_TIMEOUT_MS,
     StoreCalls,
 )
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.connection.store_responses import (
     ListedInstance,
     StoredObject,
@@ -40,6 +42,8 @@
     'WatchGap',
 )
 
+HEADER_ERA: Final = 'store-era'
+
 
 class PlatformClient:
     """Calls the store's object API over a few pooled connections.
@@ -58,7 +62,7 @@
 
         :param calls: called with the role of each call, to count it.
         """
-        self._calls = StoreCalls(address, count=calls)
+        self._calls = StoreCalls(address, StoreEra(HEADER_ERA), count=calls)
 
     async def async_get(
         self,
--- /dev/null
+++ b/hornbeamdeck/connection/store_era.py
@@ -0,0 +1,40 @@
+"""The era of a store, which it names in all its responses.
+
+A store that is restored from an older copy has lost acknowledged writes and
+gives out revisions again. Its era rises by one each time.
+"""
+
+import structlog
+
+from hornbeamdeck.connection.http import HttpResponse
+
+__all__ = ('StoreEra',)
+
+_LOGGER = structlog.get_logger(prefix='store')
+
+
+class StoreEra:
+    """The newest era that a response has named."""
+
+    def __init__(self, header: str) -> None:
+        """Start at era 0, which counts for a store that names none.
+
+        :param header: name of the response header, in lower case.
+        """
+        self.current = 0
+        self._header = header
+
+    def record(self, response: HttpResponse) -> int:
+        """Record the era of a response.
+
+        :returns: the era; 0 if the response names none that can be read.
+        """
+        text = response.headers.get(self._header, '')
+        era = int(text) if text.isascii() and text.isdigit() else 0
+        if era > self.current:
+            if self.current:
+                _LOGGER.warning(
+                    'store restored', era=era, previous=self.current
+                )
+            self.current = era
+        return era
--- a/hornbeamdeck/platform/__main__.py
+++ b/hornbeamdeck/platform/__main__.py
@@ -12,7 +12,8 @@
 from hornbeamdeck.platform.entries_endpoint import handle_entries_request
 from hornbeamdeck.platform.rollout_store import open_rollout_store
 from hornbeamdeck.platform.store import open_store
-from hornbeamdeck.process.gateway_components import PlatformAdapter
+from hornbeamdeck.platform.wire_names import HEADER_STORE_ERA
+from hornbeamdeck.process.platform_adapter import PlatformAdapter
 from hornbeamdeck.process.serve_gateway import (
     async_serve_gateway,
     load_gateway_settings,
@@ -22,6 +23,7 @@
 EXIT_USAGE: Final = 2
 
 PLATFORM_ADAPTER: Final = PlatformAdapter(
+    era_header=HEADER_STORE_ERA,
     open_store=open_store,
     open_rollout_store=open_rollout_store,
     dialect=DIALECT,
--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -10,6 +10,7 @@
 from hornbeamdeck.connection.json_calls import JsonCalls, parse_body
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
 
 __all__ = ('ObjectCalls', 'ObjectList', 'object_name')
@@ -41,13 +42,15 @@
     def __init__(
         self,
         address: Address,
+        era: StoreEra,
         count_call: Callable[[str], None],
     ) -> None:
         """Set the address; no connection is opened yet.
 
+        :param era: updated with each response.
         :param count_call: called with the role of each call.
         """
-        super().__init__(StoreCalls(address, count=count_call))
+        super().__init__(StoreCalls(address, era, count=count_call))
 
     async def async_list(
         self,
--- a/hornbeamdeck/platform/rollout_store.py
+++ b/hornbeamdeck/platform/rollout_store.py
@@ -7,6 +7,7 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.rollout_documents import (
     parse_rollout,
@@ -74,13 +75,15 @@
 
 def open_rollout_store(
     address: Address,
+    era: StoreEra,
     count_call: Callable[[str], None],
 ) -> RolloutStore:
     """Create the calls to a store. No connection is opened yet.
 
+    :param era: updated with each response.
     :param count_call: called with the role of each call.
     """
-    store = _RolloutStore(ObjectCalls(address, count_call))
+    store = _RolloutStore(ObjectCalls(address, era, count_call))
     return RolloutStore(
         list_rollouts=store.async_list,
         watch_rollouts=store.async_watch,
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.connection.json_calls import parse_body
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.platform.documents import parse_engine
 from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.wire_names import (
@@ -49,9 +50,10 @@
     def __init__(
         self,
         address: Address,
+        era: StoreEra,
         count_call: Callable[[str], None],
     ) -> None:
-        self._calls = ObjectCalls(address, count_call)
+        self._calls = ObjectCalls(address, era, count_call)
 
     async def async_read_configuration(
         self,
@@ -184,13 +186,15 @@
 
 def open_store(
     address: Address,
+    era: StoreEra,
     count_call: Callable[[str], None],
 ) -> StoreInterface:
     """Create the calls to a store. No connection is opened yet.
 
+    :param era: updated with each response.
     :param count_call: called with the role of each call.
     """
-    store = _Store(address, count_call)
+    store = _Store(address, era, count_call)
     return StoreInterface(
         read_configuration=store.async_read_configuration,
         watch_configuration=store.async_watch_configuration,
--- a/hornbeamdeck/platform/wire_names.py
+++ b/hornbeamdeck/platform/wire_names.py
@@ -45,6 +45,10 @@
     ),
 )
 
+# In all responses of the store: how often it was restored from an older copy,
+# a whole number.
+HEADER_STORE_ERA: Final = 'store-era'
+
 # Kinds and names of objects in the store.
 KIND_CONFIGURATION: Final = 'config'
 NAME_CONFIGURATION: Final = 'main'
--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/process/follower.py
@@ -134,6 +134,7 @@
         self._hinting_peer = ''
         self._hinted_version = 0
         self._hinted = Event()
+        self._ignored_version = 0
 
     async def async_note(self, change: StoredObject) -> None:
         """Apply a document if it is newer and valid."""
@@ -141,6 +142,7 @@
             return
         if change.version <= self.configuration.version:
             # From a stale list or watch response, or from a lagging peer.
+            self._log_ignored(change.version)
             return
         parsed = self._kind.parse(change.body, change.version)
         if isinstance(parsed, Err):
@@ -182,6 +184,14 @@
             await sleep(HINT_INTERVAL_S)
             self._hinted.clear()
 
+    def _log_ignored(self, version: int) -> None:
+        held = self.configuration.version
+        if version not in {held, self._ignored_version}:
+            self._ignored_version = version
+            _LOGGER.info(
+                'older configuration ignored', version=version, held=held
+            )
+
     async def _async_fetch(self) -> None:
         fetched = await self._kind.fetch()
         if isinstance(fetched, Ok) and fetched.ok_value is not None:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -24,10 +24,7 @@
     FreshnessDependencies,
     FreshnessGuard,
 )
-from hornbeamdeck.process.gateway_components import (
-    GatewayComponents,
-    PlatformAdapter,
-)
+from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.heartbeat_pace import MIN_HEARTBEAT_INTERVAL_MS
@@ -36,6 +33,7 @@
 from hornbeamdeck.process.membership import STATE_DRAINING
 from hornbeamdeck.process.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.peer_server import make_peer_server
+from hornbeamdeck.process.platform_adapter import PlatformAdapter
 from hornbeamdeck.process.relayed_statements import (
     async_apply_relayed,
     make_statement_recorder,
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -7,10 +7,9 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import wall_ms
-from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.store_client import StoredObject, StoreUnavailable
+from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.const import KEY_CONFIGURATION
 from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.process.engine_cells import EngineCells
@@ -30,6 +29,10 @@
 )
 from hornbeamdeck.process.origin_reports import OriginReports
 from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.process.platform_adapter import (
+    ParseConfiguration,
+    PlatformAdapter,
+)
 from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.snapshots import Snapshots
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
@@ -42,7 +45,6 @@
     StoreReader,
     StoreReaderDependencies,
 )
-from hornbeamdeck.request.gateway_request import Dialect
 from hornbeamdeck.rollout.book import RolloutBook
 from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
 from hornbeamdeck.rollout.status_writer import StatusWriter
@@ -57,47 +59,20 @@
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import Beat, EngineList, Message
 
-__all__ = ('GatewayComponents', 'PlatformAdapter')
+__all__ = ('GatewayComponents',)
 
 # A suspected instance is probed with a heartbeat every second and is used again
 # when it responds. Until then, no request may be sent to it.
 SUSPICION_MS: Final = 30_000
 
 Follower: TypeAlias = ConfigurationFollower[GatewayConfiguration]
-Parse: TypeAlias = Callable[
-    [str, int],
-    Result[GatewayConfiguration, tuple[object, ...]],
-]
-EntriesEndpoint: TypeAlias = Callable[
-    [HttpRequest, list[InstanceStatus], int],
-    HttpResponse,
-]
-
-
-class PlatformAdapter(NamedTuple):
-    """The functions that adapt a gateway process to its platform.
-
-    :param open_store: takes the store's address and a callback that counts
-        calls by role.
-    :param open_rollout_store: takes the same.
-    :param parse_configuration: parses a configuration document; takes its text
-        and version.
-    :param handle_entries_request: responds to a caller that requests the
-        addresses to connect to; takes the request, the usable instances and for
-        how long, in ms, the response may be cached.
-    """
-
-    open_store: Callable[[Address, Callable[[str], None]], StoreInterface]
-    open_rollout_store: Callable[[Address, Callable[[str], None]], RolloutStore]
-    dialect: Dialect
-    parse_configuration: Parse
-    handle_entries_request: EntriesEndpoint
 
 
 class GatewayComponents(NamedTuple):
     """All components of a gateway process except its sockets."""
 
     metrics: GatewayMetrics
+    store_era: StoreEra
     store: StoreInterface
     membership: Membership
     freshness: Freshness
@@ -122,8 +97,10 @@
     ) -> Self:
         """Create all components; no address is opened yet."""
         metrics = GatewayMetrics()
+        store_era = StoreEra(adapter.era_header)
         store = adapter.open_store(
             settings.platform_address,
+            store_era,
             metrics.count_store_call,
         )
         membership = Membership(
@@ -228,6 +205,7 @@
                 _make_rollouts(
                     adapter.open_rollout_store(
                         settings.platform_address,
+                        store_era,
                         metrics.count_store_call,
                     ),
                     settings.rollouts,
@@ -239,6 +217,7 @@
             )
         return cls(
             metrics=metrics,
+            store_era=store_era,
             store=store,
             membership=membership,
             freshness=freshness,
@@ -306,7 +285,7 @@
 
 def _make_follower(
     read_configuration: ReadConfiguration,
-    parse: Parse,
+    parse: ParseConfiguration,
     metrics: GatewayMetrics,
     cells: EngineCells,
 ) -> Follower:
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -120,6 +120,7 @@
         self.failed_connects: Counter[str] = Counter()
         self.in_flight = 0
         self.configuration_version = 0
+        self.store_era = 0
         self.confirmation_ages_ms: dict[str, float] = {}
         self.log_lines_dropped = 0
         self.engine_statements = EngineStatementCounts({}, {}, (), {}, {})
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -113,6 +113,11 @@
         'Version of the configuration in force.',
         metrics.configuration_version,
     )
+    yield GaugeMetricFamily(
+        'hornbeamdeck_store_era',
+        'Newest era that the store has named in its responses.',
+        metrics.store_era,
+    )
     ages = GaugeMetricFamily(
         'hornbeamdeck_proof_age_seconds',
         'Age of the last proof that what is held is what the store holds.',
--- a/hornbeamdeck/process/metrics_endpoint.py
+++ b/hornbeamdeck/process/metrics_endpoint.py
@@ -36,6 +36,7 @@
             freshness_guard.configuration_age_ms(),
             freshness_guard.engines_age_ms(),
         )
+        metrics.store_era = components.store_era.current
         statements = components.grants.engine_statements
         metrics.engine_statements = EngineStatementCounts(
             limits=statements.limits(),
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -90,6 +90,7 @@
         self._dependencies = dependencies
         self._engine_list = StoreEngineList()
         self._engines_revision = 0
+        self._ignored_revision = 0
         self._has_engines_read_failed = False
         self.is_store_reached = True
 
@@ -207,6 +208,7 @@
         now = now_ms()
         if read.revision < self._engines_revision:
             # This read is older than the last one that was applied.
+            self._log_ignored(read.revision)
             directory.confirm_revision(read.revision, requested_ms)
             return
         self._engines_revision = read.revision
@@ -241,6 +243,15 @@
             self._dependencies.on_engines_changed()
         directory.confirm_revision(read.revision, requested_ms)
 
+    def _log_ignored(self, revision: int) -> None:
+        if revision != self._ignored_revision:
+            self._ignored_revision = revision
+            _LOGGER.info(
+                'older list of engines ignored',
+                revision=revision,
+                held=self._engines_revision,
+            )
+
     def _is_due(self, age_ms: float, max_age_ms: float) -> bool:
         dependencies = self._dependencies
         if dependencies.is_owner():
