Failing tests for a store that comes back from an older copy

Both stand-in stores take a copy, come back from it and name their era.

Configurations of the stand-in get versions in uneven steps, as the platform's do. Watches beyond its revision get status 410.

--- a/hornbeamdeck/connection/store_client.py
+++ b/hornbeamdeck/connection/store_client.py
@@ -32,6 +32,7 @@
 from hornbeamdeck.const import ENCODING
 
 __all__ = (
+    'HEADER_ERA',
     'ListedInstance',
     'PlatformClient',
     'StoreUnavailable',
--- a/hornbeamdeck/standin/platform.py
+++ b/hornbeamdeck/standin/platform.py
@@ -2,7 +2,9 @@
 
 Object versions come from a single counter. The store supports conditional
 writes and a watch by long polling. `PUT /standin/switches` simulates outages,
-slow responses and responses that are lost after the write took effect.
+slow responses and responses that are lost after the write took effect. `PUT
+/standin/copy` keeps a copy of the store, and `PUT /standin/restore` brings the
+store back from it.
 """
 
 import json
@@ -19,6 +21,7 @@
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.listener import Listener
 from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.connection.store_client import HEADER_ERA
 from hornbeamdeck.const import MEBIBYTE, MILLIS_PER_SECOND, PREFIX_INSTANCE
 from hornbeamdeck.standin.http_server import (
     async_setup_http_server,
@@ -40,6 +43,14 @@
     body: str
 
 
+class StoreCopy(NamedTuple):
+    """What a store held when a copy was taken."""
+
+    stored: dict[str, _VersionedObject]
+    events: list[dict[str, Any]]
+    revision: int
+
+
 class FaultSwitches(NamedTuple):
     """Simulated faults.
 
@@ -67,6 +78,22 @@
         self._events: list[dict[str, Any]] = []
         self._changed = Event()
         self._oldest_revision = 0
+        self._era = 1
+        self._copy = self.copy()
+
+    def copy(self) -> StoreCopy:
+        """Copy what the store holds now."""
+        return StoreCopy(
+            self._stored.copy(), self._events.copy(), self._revision
+        )
+
+    async def async_restore(self, copied: StoreCopy) -> None:
+        """Go back to an older copy; waiting watches lose their connection."""
+        self._stored = copied.stored.copy()
+        self._events = copied.events.copy()
+        self._revision = copied.revision
+        self._era += 1
+        await self._async_signal_change()
 
     async def async_handle(
         self,
@@ -75,13 +102,20 @@
     ) -> None:
         """Handle a request, or simulate a fault that the switches set."""
         if request.path.startswith('/standin/'):
-            await connection.async_respond(self._handle_switches(request))
+            await connection.async_respond(
+                await self._async_handle_switches(request)
+            )
             return
         role = request.headers.get('hornbeamdeck-role', 'none')
         self.calls_by_role[role] = self.calls_by_role.get(role, 0) + 1
         if self.switches.is_down:
             return
+        era = self._era
         response = await self._async_route(request)
+        if era != self._era:
+            return
+        headers = {**response.headers, HEADER_ERA: str(era)}
+        response = response._replace(headers=headers)
         await sleep(self.switches.delay_ms / MILLIS_PER_SECOND)
         if request.method in {'PUT', 'DELETE'} and self.switches.lost_answers:
             remaining = self.switches.lost_answers - 1
@@ -132,10 +166,16 @@
             return await self._async_put(key, request)
         return await self._async_delete(key, request)
 
-    def _handle_switches(self, request: HttpRequest) -> HttpResponse:
+    async def _async_handle_switches(
+        self, request: HttpRequest
+    ) -> HttpResponse:
         body = json.loads(request.body or b'{}')
         if request.path == '/standin/switches':
             self.switches = self.switches._replace(**body)
+        if request.path == '/standin/copy':
+            self._copy = self.copy()
+        if request.path == '/standin/restore':
+            await self.async_restore(self._copy)
         if request.path == '/standin/instances':
             self.instance_states.update(body)
         return json_response(
@@ -161,7 +201,7 @@
         query_fields = parse_qs(query)
         prefix = query_fields['prefix'][0]
         since = int(query_fields['since'][0])
-        if since < self._oldest_revision:
+        if not self._oldest_revision <= since <= self._revision:
             return json_response(HTTPStatus.GONE, {})
         try:
             events = await async_with_timeout(
@@ -180,7 +220,8 @@
         prefix: str,
         since: int,
     ) -> list[dict[str, Any]]:
-        while True:
+        era = self._era
+        while era == self._era:
             found = [
                 event
                 for event in self._events
@@ -190,6 +231,7 @@
             if found:
                 return found
             await self._changed.wait()
+        return []
 
     def _get(self, key: str) -> HttpResponse:
         stored = self._stored.get(key)
@@ -245,10 +287,13 @@
         )
         if len(self._events) > MAX_EVENTS:
             self._oldest_revision = self._events.pop(0)[ATTR_VERSION]
+        await self._async_signal_change()
+        return self._revision
+
+    async def _async_signal_change(self) -> None:
         changed = self._changed
         self._changed = Event()
         await changed.set()
-        return self._revision
 
 
 async def async_setup_platform(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,7 +27,7 @@
         return {}
     lines = KNOWN_RED.read_text().splitlines()
     entries = [line for line in lines if line and not line.startswith('#')]
-    return {line.split()[0]: line for line in entries}
+    return {line.split()[0].rstrip(':'): line for line in entries}
 
 
 def pytest_itemcollected(item: pytest.Item) -> None:  # noqa: WPS110
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from copy import deepcopy
 from time import monotonic
 from typing import Any, NamedTuple
 
@@ -23,6 +24,7 @@
 STATUS_SUFFIX = '/status'
 REQUEST_ID_HEADER = 'hornbeamdeck-request-id'
 FALL_S = 2.0
+RESTORE_S = 0.4
 
 RequestHandler = Callable[[HttpRequest, ServerConnection], Awaitable[None]]
 
@@ -50,6 +52,14 @@
     return await async_setup_listener(ANY_LOCAL_PORT, _async_serve)
 
 
+class StoreCopy(NamedTuple):
+    """What a store held when a copy was taken."""
+
+    stored_objects: dict[str, dict[str, Any]]
+    removed: list['Removed']
+    revision: int
+
+
 class Removed(NamedTuple):
     """A removed object.
 
@@ -66,7 +76,8 @@
 
     `next_statuses` are the error statuses of the next calls, one for each.
     While `is_silent` is set, calls get no response. A watch from a revision
-    before `oldest_revision` is rejected with status 410.
+    before `oldest_revision`, or from one that the store has not reached, is
+    rejected with status 410. Each response names the store's era.
     """
 
     def __init__(self) -> None:
@@ -75,17 +86,35 @@
         self.revision = 10
         self.next_statuses: list[int] = []
         self.is_silent = False
+        self._is_down = False
+        self._era = 1
+        self._configuration_version = 0
         self.oldest_revision = 0
         self.calls = 0
         self.listings: Counter[str] = Counter()
         self._changed = Event()
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the last configuration that the operator wrote."""
+        return self._configuration_version
+
     async def async_start(self) -> Address:
         """Start to serve requests."""
         return (await async_listen(self._async_handle)).address
 
     async def async_put(self, kind: str, name: str, spec: Any) -> int:
-        """Write an object as an operator or an engine does."""
+        """Write an object as an operator or an engine does.
+
+        Configurations get the next version, in uneven steps.
+        """
+        if kind == 'config':
+            self._configuration_version += 2 + self._configuration_version % 3
+            spec = {**spec, 'version': self._configuration_version}
+        return await self.async_put_unchanged(kind, name, spec)
+
+    async def async_put_unchanged(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object; a configuration keeps the version that it has."""
         self.revision += 1
         objects_of_kind = self.stored_objects.setdefault(kind, {})
         previous = objects_of_kind.get(name)
@@ -109,6 +138,25 @@
         self.removed.append(Removed(self.revision, kind, stored_object))
         await self._async_signal_change()
 
+    def copy(self) -> StoreCopy:
+        """Copy what the store holds now."""
+        return StoreCopy(
+            deepcopy(self.stored_objects), self.removed.copy(), self.revision
+        )
+
+    async def async_restore(
+        self, copied: StoreCopy, *, away_s: float = RESTORE_S
+    ) -> None:
+        """Be away for a moment and come back with an older copy."""
+        self._is_down = True
+        await self._async_signal_change()
+        await sleep(away_s)
+        self.stored_objects = deepcopy(copied.stored_objects)
+        self.removed = copied.removed.copy()
+        self.revision = copied.revision
+        self._era += 1
+        self._is_down = False
+
     async def _async_signal_change(self) -> None:
         await self._changed.set()
         self._changed = Event()
@@ -121,24 +169,37 @@
         self.calls += 1
         if self.is_silent:
             await sleep(3600)
+        if self._is_down:
+            await self._async_respond(caller, HttpResponse(503, {}, b''))
+            return
         if self.next_statuses:
             status = self.next_statuses.pop(0)
-            await caller.async_respond(HttpResponse(status, {}, b''))
+            await self._async_respond(caller, HttpResponse(status, {}, b''))
+            return
+        response = await self._async_dispatch(request)
+        if self._is_down:
+            caller.reset_on_close()
             return
+        await self._async_respond(caller, response)
+
+    async def _async_respond(
+        self, caller: ServerConnection, response: HttpResponse
+    ) -> None:
+        headers = {**response.headers, 'store-era': str(self._era)}
+        await caller.async_respond(response._replace(headers=headers))
+
+    async def _async_dispatch(self, request: HttpRequest) -> HttpResponse:
         kind, _, name = request.path.removeprefix(OBJECTS_PATH).partition('/')
         match request.method:
             case 'GET' if name:
                 found = self.stored_objects.get(kind, {}).get(name)
-                response = _json_response(200 if found else 404, found)
+                return _json_response(200 if found else 404, found)
             case 'GET' if 'watch' in request.query:
-                response = await self._async_watch(
-                    kind, _query_parameters(request)
-                )
+                return await self._async_watch(kind, _query_parameters(request))
             case 'GET':
-                response = self._list(kind)
+                return self._list(kind)
             case _:
-                response = await self._async_write(request, kind, name)
-        await caller.async_respond(response)
+                return await self._async_write(request, kind, name)
 
     def _list(self, kind: str) -> HttpResponse:
         self.listings[kind] += 1
@@ -152,7 +213,7 @@
         query: Mapping[str, str],
     ) -> HttpResponse:
         since = int(query['watch'])
-        if since < self.oldest_revision:
+        if not self.oldest_revision <= since <= self.revision:
             return _json_response(410, {})
         if not self._events(kind, since):
             with suppress(TaskTimeout):
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -86,7 +86,7 @@
         await fleet.async_stop()
 
 
-def _on_rollout(
+def on_rollout(
     count: int = 1,
 ) -> Callable[[Scenario], Callable[[], None]]:
     """Run a scenario with a new fleet and callers."""
@@ -101,7 +101,7 @@
     return _decorate
 
 
-@_on_rollout()
+@on_rollout()
 async def test_good_version_is_completed_in_time(fleet: RolloutFleet) -> None:
     await fleet.async_order()
     await fleet.async_until(lambda: fleet.state == 'running')
@@ -114,7 +114,7 @@
     assert set(fleet.statuses) == {200}
 
 
-@_on_rollout()
+@on_rollout()
 async def test_bad_version_is_rolled_back(fleet: RolloutFleet) -> None:
     """Guards against a version that fails requests and is used all the same.
 
@@ -133,7 +133,7 @@
     assert before <= allowed
 
 
-@_on_rollout()
+@on_rollout()
 async def test_bad_version_gets_no_requests_while_the_store_is_away(
     fleet: RolloutFleet,
 ) -> None:
@@ -158,7 +158,7 @@
     await fleet.async_until(lambda: fleet.state == 'rolled_back')
 
 
-@_on_rollout(3)
+@on_rollout(3)
 async def test_owner_that_takes_over_goes_on(fleet: RolloutFleet) -> None:
     """Guards against a roll-out that ends with the owner that began it."""
     await fleet.async_order()
@@ -173,7 +173,7 @@
     await fleet.async_until(lambda: fleet.state == 'completed')
 
 
-@_on_rollout()
+@on_rollout()
 async def test_unreadable_order_keeps_the_old_version(
     fleet: RolloutFleet,
 ) -> None:
@@ -188,7 +188,7 @@
     assert fleet.status is None
 
 
-@_on_rollout()
+@on_rollout()
 async def test_version_without_an_order_is_used(fleet: RolloutFleet) -> None:
     """Guards against a release whose engines never get requests."""
     old_engines = tuple(fleet.model_engines)
@@ -202,7 +202,7 @@
     await fleet.async_until(lambda: fleet.executed(fleet.new_engines) > 0)
 
 
-@_on_rollout()
+@on_rollout()
 async def test_withdrawn_order_leaves_the_old_version(
     fleet: RolloutFleet,
 ) -> None:
--- /dev/null
+++ b/tests/process/test_restored_platform.py
@@ -0,0 +1,73 @@
+"""The plain path with a store that comes back from an older copy."""
+
+import json
+from typing import Any
+
+from curio import sleep
+
+from hornbeamdeck.const import KEY_CONFIGURATION, PREFIX_INSTANCE
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from tests.support import on_fleet
+
+PLAN = FleetPlan(instances=3, speeds=(1.0,))
+LOST_WRITES = 20
+
+
+async def _async_write(fleet: Fleet, key: str, body: str) -> None:
+    client = fleet.instances[0].components.platform
+    stored = (await client.async_get(key, role='tests')).unwrap()
+    version = stored.version if stored else None
+    written = await client.async_put(key, body, expected=version, role='tests')
+    written.unwrap()
+
+
+def _configuration(fleet: Fleet) -> Any:
+    return json.loads(fleet.platform.copy().stored[KEY_CONFIGURATION].body)
+
+
+def _services(fleet: Fleet) -> list[set[str]]:
+    return [
+        set(instance.components.follower.configuration.services)
+        for instance in fleet.instances
+    ]
+
+
+async def _async_until_removed(fleet: Fleet, service: str) -> bool:
+    for _ in range(200):
+        if not any(service in services for services in _services(fleet)):
+            return True
+        await sleep(0.02)
+    return False
+
+
+@on_fleet(PLAN)
+async def test_configuration_written_after_the_store_went_back_is_applied(
+    fleet: Fleet,
+) -> None:
+    """Guards against a configuration that is taken for an old one."""
+    copied = fleet.platform.copy()
+    document = _configuration(fleet)
+    for _ in range(LOST_WRITES):
+        await _async_write(fleet, KEY_CONFIGURATION, json.dumps(document))
+    await sleep(0.5)
+    await fleet.platform.async_restore(copied)
+    removed = document['services'].pop()['name']
+    await _async_write(fleet, KEY_CONFIGURATION, json.dumps(document))
+    assert await _async_until_removed(fleet, removed)
+
+
+@on_fleet(PLAN)
+async def test_statuses_that_the_copy_lacks_are_published_again(
+    fleet: Fleet,
+) -> None:
+    """Guards against instances that the store does not list any more."""
+    copied = fleet.platform.copy()
+    keys = {key for key in copied.stored if key.startswith(PREFIX_INSTANCE)}
+    for key in keys:
+        copied.stored.pop(key)
+    await fleet.platform.async_restore(copied)
+    for _ in range(200):
+        if keys <= fleet.platform.copy().stored.keys():
+            return
+        await sleep(0.02)
+    raise AssertionError('a status is missing')
