Order configurations by the operator's version, not by the store's revision

Callers were served by a configuration that had been replaced: after the store had come back from an older copy, each newer document had a revision below the one that was held, was dropped as stale, and the read counted as a confirmation of what was held. A key that was revoked then was still accepted after 8 s.

The operator's own version rises with each document, whatever happens to the store, so it alone says which of two documents is newer; the revision only says where the next watch begins. A document without a version is invalid. What is held stays in force while the store holds an older one.

--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -29,7 +29,7 @@
     routes_by_host,
 )
 
-__all__ = ('parse_configuration', 'parse_engine')
+__all__ = ('configuration_version', 'parse_configuration', 'parse_engine')
 
 _LOGGER = structlog.get_logger(prefix='documents')
 
@@ -38,6 +38,8 @@
 _COUNT: Final = vol.All(vol.Coerce(int), vol.Range(min=0))
 _AMOUNT: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
 _NAME: Final = vol.All(str, vol.Length(min=1))
+_VERSION: Final = vol.All(int, vol.Range(min=1))
+_FIELD_VERSION: Final = 'version'
 
 _ROUTE: Final = vol.Schema(
     {
@@ -100,6 +102,7 @@
 )
 _DOCUMENT: Final = vol.Schema(
     {
+        vol.Required(_FIELD_VERSION): _VERSION,
         vol.Required('routes'): [dict],
         vol.Required('services'): [dict],
         vol.Optional('limits', default=dict): vol.Any(None, dict),
@@ -122,6 +125,17 @@
 )
 
 
+def configuration_version(document: Any) -> int:
+    """Return the version that the operator has given a document.
+
+    :returns: 0 if it states none, which no valid document does.
+    """
+    try:
+        return int(_VERSION(document[_FIELD_VERSION]))
+    except (vol.Invalid, LookupError, TypeError):
+        return 0
+
+
 def parse_configuration(
     text: str,
     version: int,
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -14,7 +14,10 @@
 from hornbeamdeck.connection.json_calls import parse_body
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_era import StoreEra
-from hornbeamdeck.platform.documents import parse_engine
+from hornbeamdeck.platform.documents import (
+    configuration_version,
+    parse_engine,
+)
 from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.wire_names import (
     KIND_CONFIGURATION,
@@ -64,7 +67,7 @@
         if isinstance(fetched, Err):
             return fetched
         if fetched.ok_value.status == HTTPStatus.NOT_FOUND:
-            return Ok(ConfigurationRead(0, None))
+            return Ok(ConfigurationRead(0, 0, None))
         return parse_body(fetched.ok_value).map(_to_configuration)
 
     async def async_watch_configuration(
@@ -74,7 +77,7 @@
     ) -> Result[ConfigurationRead, StoreUnavailable | WatchGap]:
         """Wait for a newer configuration.
 
-        :param since: the revision that the caller has.
+        :param since: the revision that the caller has read.
         :returns: a read without a document if none came within `wait_ms`.
         """
         watched = await self._calls.async_watch(
@@ -89,7 +92,7 @@
             and object_name(event['object']) == NAME_CONFIGURATION
         ]
         if not found:
-            return Ok(ConfigurationRead(since, None))
+            return Ok(ConfigurationRead(since, 0, None))
         return Ok(_to_configuration(found[-1]))
 
     async def async_list_engines(
@@ -214,8 +217,12 @@
 
 
 def _to_configuration(stored: Any) -> ConfigurationRead:
-    spec = json.dumps(stored[_FIELD_SPEC])
-    return ConfigurationRead(stored['metadata']['revision'], spec)
+    spec = stored[_FIELD_SPEC]
+    return ConfigurationRead(
+        stored['metadata']['revision'],
+        configuration_version(spec),
+        json.dumps(spec),
+    )
 
 
 def _to_record(stored: Any) -> StoredRecord:
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -299,7 +299,7 @@
         return Ok(
             StoredObject(
                 KEY_CONFIGURATION,
-                configuration.revision,
+                configuration.version,
                 configuration.document,
             ),
         )
--- a/hornbeamdeck/process/store_interface.py
+++ b/hornbeamdeck/process/store_interface.py
@@ -22,12 +22,14 @@
 class ConfigurationRead(NamedTuple):
     """The result of reading or watching the stored configuration.
 
-    :param revision: revision of the document, or the one from which the next
-        watch starts.
+    :param revision: revision from which the next watch starts.
+    :param version: of the document, as the operator counts; it rises with each
+        document, whatever happens to the store. 0: there is no document.
     :param document: its text; `None` if there is no document or no newer one.
     """
 
     revision: int
+    version: int
     document: str | None
 
 
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -89,6 +89,7 @@
         """Create the reader; reading starts with the `async_follow` methods."""
         self._dependencies = dependencies
         self._engine_list = StoreEngineList()
+        self._configuration_read: ConfigurationRead | None = None
         self._engines_revision = 0
         self._ignored_revision = 0
         self._has_engines_read_failed = False
@@ -104,10 +105,9 @@
                 is_watching = False
                 await sleep(self._check_interval_ms() / MILLIS_PER_SECOND)
                 continue
-            if is_watching and self._dependencies.is_owner():
-                is_watching = await self._async_watch_configuration()
-            else:
-                is_watching = await self.async_read_configuration()
+            is_watching = await self._async_read_or_watch(
+                self._configuration_read if is_watching else None
+            )
             if not is_watching:
                 # A store that lost its history ends every watch immediately,
                 # and a store without a document responds to every read
@@ -152,11 +152,19 @@
         """
         return bool(await self._async_read_engines(0))
 
-    async def _async_watch_configuration(self) -> bool:
+    async def _async_read_or_watch(
+        self, last_read: ConfigurationRead | None
+    ) -> bool:
+        if last_read is not None and self._dependencies.is_owner():
+            return await self._async_watch_configuration(last_read)
+        return await self.async_read_configuration()
+
+    async def _async_watch_configuration(
+        self, last_read: ConfigurationRead
+    ) -> bool:
         requested_ms = now_ms()
-        version = self._dependencies.configuration_version()
         response = await self._dependencies.store.watch_configuration(
-            version, WATCH_TIMEOUT_MS
+            last_read.revision, WATCH_TIMEOUT_MS
         )
         if isinstance(response, Err):
             if isinstance(response.err_value, StoreUnavailable):
@@ -165,7 +173,9 @@
         read = response.ok_value
         if read.document is None:
             # The store held no newer version when the request was sent.
-            self._dependencies.freshness.confirm(version, requested_ms)
+            self._dependencies.freshness.confirm(
+                last_read.version, requested_ms
+            )
             return True
         await self._async_apply_configuration(read, requested_ms)
         return True
@@ -175,9 +185,10 @@
     ) -> None:
         if read.document is None:
             return
-        stored = StoredObject(KEY_CONFIGURATION, read.revision, read.document)
+        self._configuration_read = read
+        stored = StoredObject(KEY_CONFIGURATION, read.version, read.document)
         await self._dependencies.on_document(stored)
-        self._dependencies.freshness.confirm(read.revision, requested_ms)
+        self._dependencies.freshness.confirm(read.version, requested_ms)
 
     async def _async_read_engines(self, revision: int) -> int:
         requested_ms = now_ms()
--- a/hornbeamdeck/version/gateway.py
+++ b/hornbeamdeck/version/gateway.py
@@ -142,7 +142,8 @@
 class GatewayConfiguration(NamedTuple):
     """One version of the configuration, indexed for lookups.
 
-    :param version: revision of the stored document; 0: none was read yet.
+    :param version: of the document, as the operator counts; 0: none was read
+        yet.
     :param document: the text that it was parsed from, sent on to peers.
     :param routes: by host, then by path prefix.
     :param teams_by_key: by digest of the bearer key.
--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -83,11 +83,10 @@
     lost, each new owner would let the team spend the whole limit again.
     """
     limited_team = {**document()['tenants'][0], 'rate_per_s': 100}
-    version = await fleet.store.async_put(
-        'config',
-        'main',
-        document(tenants=[limited_team]),
+    await fleet.store.async_put(
+        'config', 'main', document(tenants=[limited_team])
     )
+    version = fleet.store.configuration_version
     await fleet.async_until(
         lambda: all(
             gateway.components.follower.configuration.version == version
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -205,12 +205,11 @@
             )
         ),
     )
-    version = await fleet.store.async_put(
-        'config', 'main', _document_without_keys()
-    )
+    await fleet.store.async_put('config', 'main', _document_without_keys())
     await fleet.async_until(
         lambda: all(
-            gateway.components.follower.configuration.version == version
+            gateway.components.follower.configuration.version
+            == fleet.store.configuration_version
             for gateway in fleet.gateways
         ),
     )
--- a/tests/process/test_store_reader.py
+++ b/tests/process/test_store_reader.py
@@ -97,7 +97,7 @@
 
     async def _async_read() -> Ok[ConfigurationRead]:
         calls.append('read')
-        return Ok(ConfigurationRead(0, None))
+        return Ok(ConfigurationRead(0, 0, None))
 
     async def _async_sleep(_seconds: float) -> None:
         raise _SleepReached
