Order what is read of the store by its era first

Requests reached engines that had said that they leave: after the store had come back from an older copy, each list of engines had a revision below one seen before and was dropped as older, while it confirmed the list that was held. It took until the revision had passed the old one; on a quiet store, for ever. An instance with a high number of the old history outvoted those that had read the new one, and where the store was away between two watches only, no error told of it and what had changed in between was never read.

A revision is now a type of its own, the era with the number, which can't be compared with a bare number and orders lists, peers' reports and confirmations alike. A watch that is answered in another era is a gap and the list is read again; so is a list whose pages are of two eras, and a late answer of an earlier era counts as none. The first list of an era goes to every peer even if it names the same engines, which tells those that can't reach the store.

An incarnation that leaves never comes back, so an entry of the copy that calls it ready gets no work; an engine that was removed and is listed again gets none until it writes or 10 s have passed; engines that the copy lacks are kept for the two seconds in which they register again.

--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -12,7 +12,7 @@
 from hornbeamdeck.connection.store_responses import StoreUnavailable
 from hornbeamdeck.const import ENCODING
 
-__all__ = ('JsonCalls', 'parse_body')
+__all__ = ('JsonCalls', 'parse_body', 'parse_written')
 
 # The store responds within milliseconds, or a few hundred when it is slow.
 CALL_TIMEOUT_MS: Final = 900
@@ -64,17 +64,6 @@
             timeout_ms=CALL_TIMEOUT_MS,
         )
 
-    async def async_write_on_condition(
-        self, method: str, path: str, body: Any, *, role: str
-    ) -> Result[Any, StoreUnavailable]:
-        """Write what is at a path if the store's condition holds.
-
-        :returns: what is there afterwards; after a conflict that is what
-            another process has written. `None`: there is nothing.
-        """
-        written = await self.async_write(method, path, body, role=role)
-        return written.and_then(_parse_written)
-
 
 def parse_body(response: HttpResponse) -> Result[Any, StoreUnavailable]:
     """Parse a successful response; any other counts as an outage."""
@@ -86,7 +75,12 @@
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
 
-def _parse_written(response: HttpResponse) -> Result[Any, StoreUnavailable]:
+def parse_written(response: HttpResponse) -> Result[Any, StoreUnavailable]:
+    """Parse the response to a write on condition.
+
+    :returns: what is there afterwards; after a conflict that is what another
+        process has written. `None`: there is nothing.
+    """
     if response.status == HTTPStatus.NOT_FOUND:
         return Ok(None)
     if response.status == HTTPStatus.CONFLICT:
--- a/hornbeamdeck/connection/store_era.py
+++ b/hornbeamdeck/connection/store_era.py
@@ -24,13 +24,17 @@
         self.current = 0
         self._header = header
 
+    def of(self, response: HttpResponse) -> int:
+        """Return the era of a response; 0 if it names none."""
+        text = response.headers.get(self._header, '')
+        return int(text) if text.isascii() and text.isdigit() else 0
+
     def record(self, response: HttpResponse) -> int:
         """Record the era of a response.
 
-        :returns: the era; 0 if the response names none that can be read.
+        :returns: the era.
         """
-        text = response.headers.get(self._header, '')
-        era = int(text) if text.isascii() and text.isdigit() else 0
+        era = self.of(response)
         if era > self.current:
             if self.current:
                 _LOGGER.warning(
--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -7,13 +7,19 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
-from hornbeamdeck.connection.json_calls import JsonCalls, parse_body
+from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.json_calls import (
+    JsonCalls,
+    parse_body,
+    parse_written,
+)
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_era import StoreEra
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
 
-__all__ = ('ObjectCalls', 'ObjectList', 'object_name')
+__all__ = ('ObjectCalls', 'ObjectList', 'WrittenObject', 'object_name')
 
 # How long a watch may take beyond the wait time that it requests. A watch that
 # hangs delays the revocation of keys, so it times out sooner than a read.
@@ -28,10 +34,27 @@
     :param revision: the store's revision when the first page was read.
     """
 
-    revision: int
+    revision: StoreRevision
     entries: list[Any]
 
 
+class WrittenObject(NamedTuple):
+    """What is in the store after a write on condition.
+
+    :param stored: after a conflict that is what another process has written;
+        `None`: there is nothing.
+    """
+
+    era: int
+    stored: Any
+
+
+class _Page(NamedTuple):
+    revision: StoreRevision
+    entries: list[Any]
+    has_more: bool
+
+
 class ObjectCalls(JsonCalls):
     """Reads, watches and writes objects.
 
@@ -51,6 +74,11 @@
         :param count_call: called with the role of each call.
         """
         super().__init__(StoreCalls(address, era, count=count_call))
+        self._era = era
+
+    def era_of(self, response: HttpResponse) -> int:
+        """Return the era that a response names; 0 if it names none."""
+        return self._era.of(response)
 
     async def async_list(
         self,
@@ -64,44 +92,93 @@
         """
         entries: list[Any] = []
         query: dict[str, str] = {}
-        revision = 0
+        first: StoreRevision | None = None
         for _ in range(MAX_PAGES):
-            path = f'{PATH_OBJECTS}/{kind}'
-            fetched = await self.async_get(path, query, role=kind)
+            fetched = await self._async_fetch_page(kind, query)
             if isinstance(fetched, Err):
                 return fetched
-            page = parse_body(fetched.ok_value)
-            if isinstance(page, Err):
-                return page
-            entries += page.ok_value['entries']
-            revision = revision or page.ok_value['at']
-            if not page.ok_value['has_more'] or not page.ok_value['entries']:
+            page = fetched.ok_value
+            first = first or page.revision
+            if page.revision.era != first.era:
+                return Err(StoreUnavailable('restored between two pages'))
+            entries += page.entries
+            if not page.has_more:
                 break
             query = {'after': object_name(entries[-1])}
-        return Ok(ObjectList(revision, entries))
+        return Ok(ObjectList(first or StoreRevision(0, 0), entries))
 
     async def async_watch(
         self,
         kind: str,
-        since: int,
+        since: StoreRevision,
         wait_ms: int,
     ) -> Result[Any, StoreUnavailable | WatchGap]:
         """Wait for changes to objects of a kind.
 
+        A store that was restored since may have reached the revision again, by
+        other changes.
+
         :param since: the revision after which changes are returned.
         """
         fetched = await self.async_get(
             f'{PATH_OBJECTS}/{kind}',
-            {'watch': str(since), 'wait_ms': str(wait_ms)},
+            {'watch': str(since.number), 'wait_ms': str(wait_ms)},
             role=f'watch {kind}',
             timeout_ms=wait_ms + WATCH_GRACE_MS,
         )
         if isinstance(fetched, Err):
             return fetched
-        if fetched.ok_value.status == HTTPStatus.GONE:
+        if (
+            fetched.ok_value.status == HTTPStatus.GONE
+            or self.era_of(fetched.ok_value) != since.era
+        ):
             return Err(WatchGap())
         return parse_body(fetched.ok_value)
 
+    async def async_write_on_condition(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any],
+        *,
+        revision: StoreRevision | None,
+        role: str,
+    ) -> Result[WrittenObject, StoreUnavailable]:
+        """Write an object if it still has a revision.
+
+        :param revision: `None`: it must not exist yet. One of an earlier era
+            may stand for other contents by now.
+        """
+        if revision is not None:
+            if revision.era != self._era.current:
+                return Err(StoreUnavailable('the store was restored since'))
+            metadata = {**body['metadata'], 'revision': revision.number}
+            body = {**body, 'metadata': metadata}
+        written = await self.async_write(method, path, body, role=role)
+        if isinstance(written, Err):
+            return written
+        era = self.era_of(written.ok_value)
+        return parse_written(written.ok_value).map(
+            lambda stored: WrittenObject(era, stored)
+        )
+
+    async def _async_fetch_page(
+        self, kind: str, query: dict[str, str]
+    ) -> Result[_Page, StoreUnavailable]:
+        fetched = await self.async_get(
+            f'{PATH_OBJECTS}/{kind}', query, role=kind
+        )
+        if isinstance(fetched, Err):
+            return fetched
+        era = self.era_of(fetched.ok_value)
+        return parse_body(fetched.ok_value).map(
+            lambda page: _Page(
+                StoreRevision(era, page['at']),
+                page['entries'],
+                bool(page['has_more'] and page['entries']),
+            )
+        )
+
 
 def object_name(stored: Any) -> str:
     """Return the name of an object."""
--- a/hornbeamdeck/platform/rollout_documents.py
+++ b/hornbeamdeck/platform/rollout_documents.py
@@ -6,6 +6,7 @@
 import structlog
 import voluptuous as vol
 
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.platform.wire_names import (
     FIELD_NAME,
@@ -67,8 +68,11 @@
 )
 
 
-def parse_rollout(stored: Any) -> RolloutChange:
-    """Parse an order and its status as they are in the store."""
+def parse_rollout(stored: Any, era: int) -> RolloutChange:
+    """Parse an order and its status as they are in the store.
+
+    :param era: of the store when it was read.
+    """
     metadata = stored['metadata']
     service = str(metadata[FIELD_NAME])
     order = _parse_order(service, stored.get('spec'), metadata)
@@ -78,7 +82,12 @@
         phase, started_unix_ms = _parse_status(order, stored.get('status'))
     return RolloutChange(
         service,
-        StoredRollout(metadata['revision'], order, phase, started_unix_ms),
+        StoredRollout(
+            StoreRevision(era, metadata['revision']),
+            order,
+            phase,
+            started_unix_ms,
+        ),
     )
 
 
--- a/hornbeamdeck/platform/rollout_store.py
+++ b/hornbeamdeck/platform/rollout_store.py
@@ -8,6 +8,7 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_era import StoreEra
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.rollout_documents import (
     parse_rollout,
@@ -33,11 +34,15 @@
         listed = await self._calls.async_list(KIND_ROLLOUTS)
         if isinstance(listed, Err):
             return listed
-        changes = tuple(map(parse_rollout, listed.ok_value.entries))
-        return Ok(RolloutsRead(listed.ok_value.revision, changes))
+        revision = listed.ok_value.revision
+        changes = tuple(
+            parse_rollout(stored, revision.era)
+            for stored in listed.ok_value.entries
+        )
+        return Ok(RolloutsRead(revision, changes))
 
     async def async_watch(
-        self, since: int, wait_ms: int
+        self, since: StoreRevision, wait_ms: int
     ) -> Result[RolloutsRead, StoreUnavailable | WatchGap]:
         """Wait for changed or withdrawn orders."""
         watched = await self._calls.async_watch(KIND_ROLLOUTS, since, wait_ms)
@@ -46,10 +51,11 @@
         changes = tuple(
             RolloutChange(object_name(event['object']), None)
             if event['removed']
-            else parse_rollout(event['object'])
+            else parse_rollout(event['object'], since.era)
             for event in watched.ok_value['events']
         )
-        return Ok(RolloutsRead(watched.ok_value['at'], changes))
+        revision = StoreRevision(since.era, watched.ok_value['at'])
+        return Ok(RolloutsRead(revision, changes))
 
     async def async_write_status(
         self, service: str, rollout: StoredRollout
@@ -59,15 +65,16 @@
             'PUT',
             f'{PATH_OBJECTS}/{KIND_ROLLOUTS}/{quote(service)}/status',
             {
-                'metadata': {'name': service, 'revision': rollout.revision},
+                'metadata': {'name': service},
                 'status': rollout_status(rollout),
             },
+            revision=rollout.revision,
             role=KIND_ROLLOUTS,
         )
         return written.map(
-            lambda stored: (
-                parse_rollout(stored)
-                if stored
+            lambda found: (
+                parse_rollout(found.stored, found.era)
+                if found.stored
                 else RolloutChange(service, None)
             )
         )
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -11,14 +11,19 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.connection.json_calls import parse_body
+from hornbeamdeck.connection.json_calls import parse_body, parse_written
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_era import StoreEra
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.documents import (
     configuration_version,
     parse_engine,
 )
-from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
+from hornbeamdeck.platform.object_calls import (
+    ObjectCalls,
+    WrittenObject,
+    object_name,
+)
 from hornbeamdeck.platform.wire_names import (
     KIND_CONFIGURATION,
     KIND_ENGINES,
@@ -67,12 +72,15 @@
         if isinstance(fetched, Err):
             return fetched
         if fetched.ok_value.status == HTTPStatus.NOT_FOUND:
-            return Ok(ConfigurationRead(0, 0, None))
-        return parse_body(fetched.ok_value).map(_to_configuration)
+            return Ok(_no_configuration(self._calls.era_of(fetched.ok_value)))
+        era = self._calls.era_of(fetched.ok_value)
+        return parse_body(fetched.ok_value).map(
+            lambda stored: _to_configuration(stored, era)
+        )
 
     async def async_watch_configuration(
         self,
-        since: int,
+        since: StoreRevision,
         wait_ms: int,
     ) -> Result[ConfigurationRead, StoreUnavailable | WatchGap]:
         """Wait for a newer configuration.
@@ -93,7 +101,7 @@
         ]
         if not found:
             return Ok(ConfigurationRead(since, 0, None))
-        return Ok(_to_configuration(found[-1]))
+        return Ok(_to_configuration(found[-1], since.era))
 
     async def async_list_engines(
         self,
@@ -107,7 +115,7 @@
 
     async def async_watch_engines(
         self,
-        since: int,
+        since: StoreRevision,
         wait_ms: int,
     ) -> Result[EnginesRead, StoreUnavailable | WatchGap]:
         """Wait for changed or removed entries of engines."""
@@ -120,7 +128,8 @@
             else _to_change(event['object'])
             for event in watched.ok_value['events']
         ]
-        return Ok(EnginesRead(watched.ok_value['at'], tuple(changes)))
+        revision = StoreRevision(since.era, watched.ok_value['at'])
+        return Ok(EnginesRead(revision, tuple(changes)))
 
     async def async_list_instances(
         self,
@@ -135,7 +144,7 @@
     async def async_write_status(
         self,
         status: InstanceStatus,
-    ) -> Result[None, StoreUnavailable]:
+    ) -> Result[int, StoreUnavailable]:
         """Write the own status and replace that of an earlier incarnation."""
         body = {
             'metadata': {'name': status.instance_id},
@@ -147,15 +156,19 @@
         )
         if isinstance(created, Err):
             return created
+        era = self._calls.era_of(created.ok_value)
         if created.ok_value.status != HTTPStatus.CONFLICT:
-            return _check_written(created.ok_value)
+            return _check_written(created.ok_value).map(lambda _: era)
+        if parse_written(created.ok_value).map(_to_status) == Ok(status):
+            return Ok(era)
         own_path = f'{path}/{quote(status.instance_id)}'
         replaced = await self._calls.async_write(
             'PUT', own_path, body, role=KIND_INSTANCES
         )
         if isinstance(replaced, Err):
             return replaced
-        return _check_written(replaced.ok_value)
+        era = self._calls.era_of(replaced.ok_value)
+        return _check_written(replaced.ok_value).map(lambda _: era)
 
     async def async_delete_status(
         self,
@@ -175,14 +188,15 @@
     ) -> Result[StoredRecord, StoreUnavailable]:
         """Create a record, or replace the revision that is known here."""
         path = f'{PATH_OBJECTS}/{KIND_RECORDS}'
-        metadata: dict[str, Any] = {'name': name}
         method = 'POST'
-        if record.revision:
+        if record.revision is not None:
             method, path = 'PUT', f'{path}/{quote(name)}'
-            metadata['revision'] = record.revision
-        body = {'metadata': metadata, _FIELD_SPEC: record.fields}
         written = await self._calls.async_write_on_condition(
-            method, path, body, role=KIND_RECORDS
+            method,
+            path,
+            {'metadata': {'name': name}, _FIELD_SPEC: record.fields},
+            revision=record.revision,
+            role=KIND_RECORDS,
         )
         return written.map(_to_record)
 
@@ -216,19 +230,24 @@
     return Ok(None)
 
 
-def _to_configuration(stored: Any) -> ConfigurationRead:
+def _no_configuration(era: int) -> ConfigurationRead:
+    return ConfigurationRead(StoreRevision(era, 0), 0, None)
+
+
+def _to_configuration(stored: Any, era: int) -> ConfigurationRead:
     spec = stored[_FIELD_SPEC]
+    revision = StoreRevision(era, stored['metadata']['revision'])
     return ConfigurationRead(
-        stored['metadata']['revision'],
-        configuration_version(spec),
-        json.dumps(spec),
+        revision, configuration_version(spec), json.dumps(spec)
     )
 
 
-def _to_record(stored: Any) -> StoredRecord:
+def _to_record(written: WrittenObject) -> StoredRecord:
+    stored = written.stored
     if stored is None:
-        return StoredRecord(0, None)
-    return StoredRecord(stored['metadata']['revision'], stored[_FIELD_SPEC])
+        return StoredRecord(None, None)
+    revision = StoreRevision(written.era, stored['metadata']['revision'])
+    return StoredRecord(revision, stored[_FIELD_SPEC])
 
 
 def _to_status(stored: Any) -> InstanceStatus | None:
--- a/hornbeamdeck/process/engine_directory.py
+++ b/hornbeamdeck/process/engine_directory.py
@@ -1,25 +1,33 @@
 """The engines listed in the store, and when that list was last confirmed."""
 
+import math
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.process.list_version import NO_LIST, ListVersion
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.wire import EngineEntry, EngineList
 
-__all__ = ('EngineDirectory', 'engine_from_wire')
+__all__ = ('EngineDirectory',)
 
 # Slowness of an engine for which no value has been learned.
 UNIT_SLOWNESS: Final = 1.0
-# Number of versions available for lists read at one revision of the store.
-# Lists of one revision differ while engines are retained after an outage.
-VERSIONS_PER_REVISION: Final = 1024
 # Names of removed engines are stored because grants for them may still be in
 # transit.
 MAX_REMOVED_ENGINES: Final = 1024
 
 
+class _Removed(NamedTuple):
+    """A removed engine, and the era of the list that did not name it."""
+
+    born_ms: int
+    era: int
+
+
 class EngineDirectory:
     """The newest list of engines that this process has received.
 
@@ -29,11 +37,23 @@
     """
 
     def __init__(self) -> None:
-        """Start without engines; `version` 0 means that no list was read."""
-        self.version = 0
+        """Start without a list."""
+        self.version = NO_LIST
         self.engines: Mapping[str, Engine] = {}
-        self._removed: dict[str, None] = {}
-        self._freshness = Freshness()
+        # When the first list of the current era was received here.
+        self.restored_ms = -math.inf
+        self._removed: dict[str, _Removed] = {}
+        self._freshness: Freshness[ListVersion] = Freshness()
+
+    @property
+    def is_read(self) -> bool:
+        """Whether a list was read."""
+        return self.version != NO_LIST
+
+    @property
+    def era(self) -> int:
+        """Era of the store that holds the current list; 0: no list was read."""
+        return self.version.revision.era
 
     @property
     def confirmed_ms(self) -> float:
@@ -47,25 +67,43 @@
             return name in self._removed
         return engine.is_draining
 
-    def version_for_revision(self, revision: int) -> int | None:
+    def gone_before(self, era: int) -> Mapping[str, int]:
+        """Return the engines that were removed in an earlier era.
+
+        :returns: when each was started, by name.
+        """
+        return {
+            name: removed.born_ms
+            for name, removed in self._removed.items()
+            if removed.era < era
+        }
+
+    def version_for_revision(
+        self, revision: StoreRevision
+    ) -> ListVersion | None:
         """Return the version for a list that was read at a store revision.
 
         :returns: `None` if the current list was read at a later revision.
         """
-        if revision < self.version // VERSIONS_PER_REVISION:
+        current = self.version
+        if revision < current.revision:
             return None
-        return max(revision * VERSIONS_PER_REVISION, self.version + 1)
+        if revision == current.revision:
+            return current._replace(edition=current.edition + 1)
+        return ListVersion(revision)
 
-    def confirm_revision(self, revision: int, requested_ms: float) -> None:
+    def confirm_revision(
+        self, revision: StoreRevision, requested_ms: float
+    ) -> None:
         """Record that a read at a store revision confirmed the current list."""
-        newest = (revision + 1) * VERSIONS_PER_REVISION - 1
-        self.confirm(min(self.version, newest), requested_ms)
+        confirmed = min(self.version, ListVersion.last_of(revision))
+        self.confirm(confirmed, requested_ms)
 
     def age_ms(self, now: float) -> float:
         """Return the age of the last confirmation of the current list."""
         return now - self.confirmed_ms
 
-    def confirm(self, version: int, requested_ms: float) -> None:
+    def confirm(self, version: ListVersion, requested_ms: float) -> None:
         """Record that a version was the newest when a request was sent.
 
         :param requested_ms: when the request was sent, on this process's
@@ -73,21 +111,45 @@
         """
         self._freshness.confirm(version, requested_ms)
 
-    def update(self, version: int, engines: Iterable[Engine]) -> bool:
+    def update(self, version: ListVersion, engines: Iterable[Engine]) -> bool:
         """Replace the current list if the given one is newer.
 
         :returns: whether it was newer.
         """
         if version <= self.version:
             return False
+        if self.is_read and version.revision.era > self.era:
+            self.restored_ms = now_ms()
         listed = {engine.name: engine for engine in engines}
-        self._record_removed(self.engines.keys() - listed.keys())
+        self._record_removed(
+            [each for each in self.engines.values() if each.name not in listed],
+            version.revision.era,
+        )
         for name in listed:
             self._removed.pop(name, None)
         self.version = version
         self.engines = listed
         return True
 
+    def is_newer_than(self, packed_version: int) -> bool:
+        """Whether a peer that reports a version lacks the current list."""
+        return ListVersion.from_packed(packed_version) < self.version
+
+    def confirm_reported(
+        self, packed_version: int, requested_ms: float
+    ) -> None:
+        """Record that a peer has confirmed a version, as `confirm` does."""
+        self.confirm(ListVersion.from_packed(packed_version), requested_ms)
+
+    def update_from_wire(self, message: EngineList) -> bool:
+        """Replace the current list if that of a peer is newer.
+
+        :returns: whether it was newer.
+        :raises ValueError: if the address of an engine is invalid.
+        """
+        engines = [_engine_from_wire(entry) for entry in message.engines]
+        return self.update(ListVersion.from_packed(message.version), engines)
+
     def of_service(self, service: str) -> list[Engine]:
         """Return the engines of one service."""
         return [
@@ -102,7 +164,7 @@
         :param slowness: by engine name.
         """
         return EngineList(
-            version=self.version,
+            version=self.version.packed,
             engines=[
                 EngineEntry(
                     name=engine.name,
@@ -119,17 +181,14 @@
             ],
         )
 
-    def _record_removed(self, names: Iterable[str]) -> None:
-        self._removed.update(dict.fromkeys(names))
+    def _record_removed(self, engines: Iterable[Engine], era: int) -> None:
+        for engine in engines:
+            self._removed[engine.name] = _Removed(engine.born_ms, era)
         while len(self._removed) > MAX_REMOVED_ENGINES:
             self._removed.pop(next(iter(self._removed)))
 
 
-def engine_from_wire(entry: EngineEntry) -> Engine:
-    """Build an engine from an entry that a peer sent.
-
-    :raises ValueError: if the entry's address is invalid.
-    """
+def _engine_from_wire(entry: EngineEntry) -> Engine:
     return Engine(
         name=entry.name,
         service=entry.cell,
--- a/hornbeamdeck/process/fleet_record.py
+++ b/hornbeamdeck/process/fleet_record.py
@@ -97,8 +97,8 @@
         self._store = store
         self._cells = cells
         self._is_writer = is_writer
-        # Revision 0: not known.
-        self._stored = StoredRecord(0, {})
+        # Without a revision: not known.
+        self._stored = StoredRecord(None, {})
         # Services whose cells know what was recorded.
         self._informed: set[str] = set()
 
@@ -123,7 +123,7 @@
                 interval_ms = START_CHECK_INTERVAL_MS
             await sleep(interval_ms / MILLIS_PER_SECOND)
             if not self._is_writer():
-                self._stored = StoredRecord(0, {})
+                self._stored = StoredRecord(None, {})
             elif not await self.async_sync():
                 await sleep(RETRY_MS / MILLIS_PER_SECOND)
 
--- a/hornbeamdeck/process/freshness.py
+++ b/hornbeamdeck/process/freshness.py
@@ -8,7 +8,9 @@
 """
 
 import math
-from typing import Final
+from typing import Final, Generic, TypeVar
+
+from hornbeamdeck.process.list_version import ListVersion
 
 __all__ = ('Freshness',)
 
@@ -17,19 +19,23 @@
 MAX_CONFIRMED_VERSIONS: Final = 16
 
 
-class Freshness:
+# Versions of a configuration, or of lists of engines.
+_Version = TypeVar('_Version', int, ListVersion)
+
+
+class Freshness(Generic[_Version]):
     """The latest confirmation of each of the newest versions."""
 
     def __init__(self) -> None:
         """Start without confirmations."""
-        self._confirmed_ms: dict[int, float] = {}
+        self._confirmed_ms: dict[_Version, float] = {}
 
     @property
-    def newest_confirmed_version(self) -> int:
-        """Newest confirmed version; 0: none."""
-        return max(self._confirmed_ms, default=0)
+    def newest_confirmed_version(self) -> _Version | None:
+        """Newest confirmed version; `None`: none."""
+        return max(self._confirmed_ms, default=None)
 
-    def confirm(self, version: int, requested_ms: float) -> None:
+    def confirm(self, version: _Version, requested_ms: float) -> None:
         """Record that a version was the newest at the time of a request.
 
         :param requested_ms: when the request to the store was sent, on this
@@ -40,7 +46,7 @@
         if len(self._confirmed_ms) > MAX_CONFIRMED_VERSIONS:
             self._confirmed_ms.pop(min(self._confirmed_ms))
 
-    def confirmed_ms(self, version: int) -> float:
+    def confirmed_ms(self, version: _Version) -> float:
         """Return the latest time at which no newer version was stored.
 
         A process that holds a version also holds every earlier change, so
@@ -56,6 +62,6 @@
             default=-math.inf,
         )
 
-    def age_ms(self, version: int, now: float) -> float:
+    def age_ms(self, version: _Version, now: float) -> float:
         """Return the age of the confirmation for a version."""
         return now - self.confirmed_ms(version)
--- a/hornbeamdeck/process/freshness_guard.py
+++ b/hornbeamdeck/process/freshness_guard.py
@@ -38,7 +38,7 @@
         store returned one.
     """
 
-    freshness: Freshness
+    freshness: Freshness[int]
     directory: EngineDirectory
     configuration_version: Callable[[], int]
     bounds: Callable[[], Bounds]
@@ -60,7 +60,7 @@
     @property
     def newest_confirmed_version(self) -> int:
         """Newest confirmed version of the configuration; 0: none."""
-        return self._dependencies.freshness.newest_confirmed_version
+        return self._dependencies.freshness.newest_confirmed_version or 0
 
     def configuration_age_ms(self) -> float:
         """Return the age of the configuration's confirmation."""
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -118,7 +118,7 @@
         return (
             not self.is_draining
             and components.follower.configuration.version > 0
-            and components.directory.version > 0
+            and components.directory.is_read
         )
 
     async def async_start(self) -> None:
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -75,7 +75,7 @@
     store_era: StoreEra
     store: StoreInterface
     membership: Membership
-    freshness: Freshness
+    freshness: Freshness[int]
     directory: EngineDirectory
     follower: Follower
     scheduler: Scheduler
@@ -151,7 +151,7 @@
             on_version=follower.async_hint,
         )
         spending = SpendingLog(settings.bounds.quota_window_ms)
-        freshness = Freshness()
+        freshness: Freshness[int] = Freshness()
         heartbeats = Heartbeats(
             HeartbeatDependencies(
                 membership=membership,
--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/process/heartbeats.py
@@ -19,10 +19,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.store_client import StoredObject
 from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
-from hornbeamdeck.process.engine_directory import (
-    EngineDirectory,
-    engine_from_wire,
-)
+from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.heartbeat_clock import (
     NEVER_CONFIRMED_AGE_MS,
@@ -62,7 +59,7 @@
 
     membership: Membership
     peers: Peers
-    freshness: Freshness
+    freshness: Freshness[int]
     directory: EngineDirectory
     spending: SpendingLog
     spending_reports: SpendingReports
@@ -221,7 +218,7 @@
             configuration_age_ms=confirmation_age_ms(
                 last.received_ms, confirmed_ms
             ),
-            engines_version=dependencies.directory.version,
+            engines_version=dependencies.directory.version.packed,
             engines_age_ms=confirmation_age_ms(
                 last.received_ms,
                 dependencies.directory.confirmed_ms,
@@ -255,25 +252,22 @@
         # echoes. This process stamped that heartbeat before it arrived, so
         # counting back from the stamp never makes a confirmation younger.
         now = now_ms()
-        for target, version, age_ms in (
-            (
-                dependencies.freshness,
-                heartbeat.configuration_version,
+        configuration_ms, engines_ms = (
+            self._clock.requested_ms(heartbeat.echo_ms, age_ms, now)
+            for age_ms in (
                 heartbeat.configuration_age_ms,
-            ),
-            (
-                dependencies.directory,
-                heartbeat.engines_version,
                 heartbeat.engines_age_ms,
-            ),
-        ):
-            requested_ms = self._clock.requested_ms(
-                heartbeat.echo_ms, age_ms, now
             )
-            if requested_ms is None:
-                _LOGGER.warning('proof not accepted', peer=peer_id)
-                return
-            target.confirm(version, requested_ms)
+        )
+        if configuration_ms is None or engines_ms is None:
+            _LOGGER.warning('proof not accepted', peer=peer_id)
+            return
+        dependencies.freshness.confirm(
+            heartbeat.configuration_version, configuration_ms
+        )
+        dependencies.directory.confirm_reported(
+            heartbeat.engines_version, engines_ms
+        )
 
     def _spending_record_ms(self, now: float) -> float:
         if self._dependencies.is_first_start:
@@ -298,7 +292,7 @@
         self, heartbeat: Beat, deliver: Deliver
     ) -> None:
         directory = self._dependencies.directory
-        if heartbeat.engines_version < directory.version:
+        if directory.is_newer_than(heartbeat.engines_version):
             await deliver(
                 directory.to_wire(self._dependencies.engine_slowness())
             )
@@ -306,11 +300,11 @@
     def _apply_engines(self, message: EngineList) -> None:
         dependencies = self._dependencies
         try:
-            engines = [engine_from_wire(entry) for entry in message.engines]
+            is_updated = dependencies.directory.update_from_wire(message)
         except ValueError:
             _LOGGER.warning('peer sent an invalid engine entry')
             return
-        if dependencies.directory.update(message.version, engines):
+        if is_updated:
             dependencies.record_slowness(
                 {entry.name: entry.slowness for entry in message.engines},
             )
--- a/hornbeamdeck/process/store_engine_list.py
+++ b/hornbeamdeck/process/store_engine_list.py
@@ -4,10 +4,15 @@
 expire. After the outage, a list without them does not mean that the engines
 are down: running engines register again within about two seconds. If the list
 were applied as it is, a fleet of healthy engines would get no work.
+
+A store that was restored from an older copy lists what it listed then. Engines
+that it lacks are retained in the same way. Engines that it lists again although
+they were leaving or gone get no work.
 """
 
 import math
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from hornbeamdeck.process.store_interface import EngineChange
@@ -23,6 +28,12 @@
 # so no entry expires in a shorter outage. A confirmation from a peer that
 # reads the store is rarely older than half of this.
 OUTAGE_MS: Final = 2000
+# An engine that is gone does not renew the entry that a restored store lists
+# again, so the entry expires within this time.
+GONE_RETENTION_MS: Final = 10_000
+
+
+NOTHING_GONE: Final[Mapping[str, int]] = MappingProxyType({})
 
 
 class StoreEngineList:
@@ -33,12 +44,16 @@
         self._entries: dict[str, Engine] = {}
         self._retained: dict[str, Engine] = {}
         self._recovered_ms = -math.inf
+        # Engines that are listed although they were gone: since when.
+        self._gone_since_ms: dict[str, float] = {}
 
     def apply_list(
         self,
         listed: Iterable[EngineChange],
         current: Mapping[str, Engine],
         *,
+        gone: Mapping[str, int] = NOTHING_GONE,
+        restored_ms: float = -math.inf,
         confirmation_age_ms: float,
         now: float,
     ) -> None:
@@ -54,18 +69,28 @@
         freshness confirmation.
 
         :param current: the engines that were in use until now.
+        :param gone: engines that were removed before the store was restored:
+            when each was started, by name.
+        :param restored_ms: when the fleet first listed what the store holds
+            since then.
         :param confirmation_age_ms: age of the fleet's last confirmation that
             `current` matched the store.
         """
+        self._recovered_ms = max(self._recovered_ms, restored_ms)
         if confirmation_age_ms > OUTAGE_MS:
             self._recovered_ms = now
         self._entries = {
-            change.name: change.engine
+            change.name: _with_notice(change.engine, current.get(change.name))
             for change in listed
             if change.engine is not None
         }
-        for name in current.keys() - self._entries.keys():
-            self._retain(current[name], now)
+        self._gone_since_ms = {
+            listed_name: self._gone_since_ms.get(listed_name, now)
+            for listed_name, engine in self._entries.items()
+            if gone.get(listed_name) == engine.born_ms
+        }
+        for missing in current.keys() - self._entries.keys():
+            self._retain(current[missing], now)
 
     def apply_changes(
         self, changes: Iterable[EngineChange], now: float
@@ -73,8 +98,11 @@
         """Apply the changes that a watch returned."""
         for change in changes:
             previous = self._entries.pop(change.name, None)
+            self._gone_since_ms.pop(change.name, None)
             if change.engine is not None:
-                self._entries[change.name] = change.engine
+                self._entries[change.name] = _with_notice(
+                    change.engine, previous
+                )
             elif previous is not None:
                 self._retain(previous, now)
 
@@ -84,8 +112,33 @@
             self._retained.clear()
         for name in self._entries:
             self._retained.pop(name, None)
-        return {**self._retained, **self._entries}
+        hidden = {
+            gone
+            for gone, since_ms in self._gone_since_ms.items()
+            if now - since_ms <= GONE_RETENTION_MS
+        }
+        usable = {**self._retained, **self._entries}
+        return {
+            engine.name: engine
+            for engine in usable.values()
+            if engine.name not in hidden
+        }
 
     def _retain(self, engine: Engine, now: float) -> None:
         if now - self._recovered_ms <= RETENTION_MS and not engine.is_draining:
             self._retained[engine.name] = engine
+
+
+def _with_notice(engine: Engine, previous: Engine | None) -> Engine:
+    """Return an engine as leaving if the same incarnation has left before.
+
+    An incarnation that leaves does not come back. An entry that calls it ready
+    is older than its notice, which a restored store has lost.
+    """
+    if (
+        previous is not None
+        and previous.is_draining
+        and previous.born_ms == engine.born_ms
+    ):
+        return engine._replace(is_draining=True)
+    return engine
--- a/hornbeamdeck/process/store_interface.py
+++ b/hornbeamdeck/process/store_interface.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.process.membership import InstanceStatus
 from hornbeamdeck.scheduling.engine import Engine
 
@@ -28,7 +29,7 @@
     :param document: its text; `None` if there is no document or no newer one.
     """
 
-    revision: int
+    revision: StoreRevision
     version: int
     document: str | None
 
@@ -50,18 +51,18 @@
     :param revision: the store's revision at the time of the read.
     """
 
-    revision: int
+    revision: StoreRevision
     changes: tuple[EngineChange, ...]
 
 
 class StoredRecord(NamedTuple):
     """What the instances have recorded in the store under a name.
 
-    :param revision: of its last change; 0: the store holds none yet.
+    :param revision: of its last change; `None`: the store holds none yet.
     :param fields: as JSON types.
     """
 
-    revision: int
+    revision: StoreRevision | None
     fields: Any
 
 
@@ -70,7 +71,7 @@
     Awaitable[Result[ConfigurationRead, StoreUnavailable]],
 ]
 WatchConfiguration: TypeAlias = Callable[
-    [int, int],
+    [StoreRevision, int],
     Awaitable[Result[ConfigurationRead, StoreUnavailable | WatchGap]],
 ]
 ListEngines: TypeAlias = Callable[
@@ -78,14 +79,18 @@
     Awaitable[Result[EnginesRead, StoreUnavailable]],
 ]
 WatchEngines: TypeAlias = Callable[
-    [int, int],
+    [StoreRevision, int],
     Awaitable[Result[EnginesRead, StoreUnavailable | WatchGap]],
 ]
 ListInstances: TypeAlias = Callable[
     [],
     Awaitable[Result[tuple[InstanceStatus, ...], StoreUnavailable]],
 ]
-StatusCall: TypeAlias = Callable[
+WriteStatus: TypeAlias = Callable[
+    [InstanceStatus],
+    Awaitable[Result[int, StoreUnavailable]],
+]
+DeleteStatus: TypeAlias = Callable[
     [InstanceStatus],
     Awaitable[Result[None, StoreUnavailable]],
 ]
@@ -103,6 +108,7 @@
     :param watch_configuration: takes a revision and the longest wait, ms.
     :param watch_engines: takes the same arguments.
     :param write_status: writes this instance's status; overwrites an old one.
+        Returns the era of the store that holds it.
     :param delete_status: deletes this instance's status.
     :param write_record: takes a record's name; creates it, or replaces it if
         the store still holds this revision. Returns what the store holds
@@ -114,6 +120,6 @@
     list_engines: ListEngines
     watch_engines: WatchEngines
     list_instances: ListInstances
-    write_status: StatusCall
-    delete_status: StatusCall
+    write_status: WriteStatus
+    delete_status: DeleteStatus
     write_record: WriteRecord
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/process/store_reader.py
@@ -12,10 +12,15 @@
 
 import structlog
 from curio import sleep
-from result import Err
+from result import Err, Result
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.connection.store_client import StoredObject, StoreUnavailable
+from hornbeamdeck.connection.store_client import (
+    StoredObject,
+    StoreUnavailable,
+    WatchGap,
+)
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
@@ -49,6 +54,8 @@
 # Additional wait per rank before an instance reads the store itself.
 RANK_DELAY_MS: Final = 100
 MAX_RANK_DELAY_MS: Final = 900
+# The revision before the first read.
+NO_REVISION: Final = StoreRevision(0, 0)
 # Intervals between checks whether a read is due. The first ranks, which may
 # become the next owners, check often. The others read up to a second later or
 # not at all, and check less often.
@@ -72,7 +79,7 @@
     """
 
     store: StoreInterface
-    freshness: Freshness
+    freshness: Freshness[int]
     directory: EngineDirectory
     rank: Callable[[], int]
     is_owner: Callable[[], bool]
@@ -90,8 +97,8 @@
         self._dependencies = dependencies
         self._engine_list = StoreEngineList()
         self._configuration_read: ConfigurationRead | None = None
-        self._engines_revision = 0
-        self._ignored_revision = 0
+        self._engines_revision = NO_REVISION
+        self._ignored_revision = NO_REVISION
         self._has_engines_read_failed = False
         self.is_store_reached = True
 
@@ -117,16 +124,16 @@
 
     async def async_follow_engines(self) -> None:
         """Keep the list of engines current; never returns."""
-        revision = 0
+        revision: StoreRevision | None = None
         while True:
             age_ms = self._dependencies.directory.age_ms(now_ms())
             if not self._is_due(age_ms, ENGINES_MAX_AGE_MS):
-                revision = 0
+                revision = None
                 await sleep(self._check_interval_ms() / MILLIS_PER_SECOND)
                 continue
             requested_ms = now_ms()
             revision = await self._async_read_engines(revision)
-            if not revision:
+            if revision is None:
                 await sleep(self._retry_ms() / MILLIS_PER_SECOND)
             elif now_ms() - requested_ms < WATCH_TIMEOUT_MS:
                 await sleep(ENGINES_WATCH_GAP_MS / MILLIS_PER_SECOND)
@@ -150,7 +157,7 @@
 
         :returns: whether the store returned a list.
         """
-        return bool(await self._async_read_engines(0))
+        return await self._async_read_engines(None) is not None
 
     async def _async_read_or_watch(
         self, last_read: ConfigurationRead | None
@@ -190,21 +197,24 @@
         await self._dependencies.on_document(stored)
         self._dependencies.freshness.confirm(read.version, requested_ms)
 
-    async def _async_read_engines(self, revision: int) -> int:
+    async def _async_read_engines(
+        self, since: StoreRevision | None
+    ) -> StoreRevision | None:
         requested_ms = now_ms()
         store = self._dependencies.store
-        if revision:
-            response = await store.watch_engines(revision, WATCH_TIMEOUT_MS)
-        else:
+        response: Result[EnginesRead, StoreUnavailable | WatchGap]
+        if since is None:
             response = await store.list_engines()
+        else:
+            response = await store.watch_engines(since, WATCH_TIMEOUT_MS)
         if isinstance(response, Err):
             if isinstance(response.err_value, StoreUnavailable):
                 self._has_engines_read_failed = True
                 self._record_failure('engines', response.err_value)
-            return 0
+            return None
         self._record_success('engines')
         self._apply_engines(
-            response.ok_value, requested_ms, is_complete=not revision
+            response.ok_value, requested_ms, is_complete=since is None
         )
         return response.ok_value.revision
 
@@ -223,10 +233,13 @@
             directory.confirm_revision(read.revision, requested_ms)
             return
         self._engines_revision = read.revision
+        is_restored = directory.is_read and read.revision.era > directory.era
         if is_complete:
             self._engine_list.apply_list(
                 read.changes,
                 directory.engines,
+                gone=directory.gone_before(read.revision.era),
+                restored_ms=now if is_restored else directory.restored_ms,
                 # A stale list without a failed read is caused by a lagging
                 # instance, not by an outage of the store.
                 confirmation_age_ms=directory.age_ms(now)
@@ -239,11 +252,16 @@
             self._engine_list.apply_changes(read.changes, now)
         engines = self._engine_list.usable_engines(now)
         version = directory.version_for_revision(read.revision)
-        if version is not None and engines != dict(directory.engines):
+        # The others go on with a list of the era before until they get one of
+        # this era, even if it names the same engines.
+        if version is not None and (
+            is_restored or engines != dict(directory.engines)
+        ):
             directory.update(version, engines.values())
             _LOGGER.info(
                 'engines changed',
-                version=version,
+                revision=read.revision.number,
+                era=read.revision.era,
                 engines=len(engines),
                 leaving=sorted(
                     name
@@ -254,13 +272,15 @@
             self._dependencies.on_engines_changed()
         directory.confirm_revision(read.revision, requested_ms)
 
-    def _log_ignored(self, revision: int) -> None:
+    def _log_ignored(self, revision: StoreRevision) -> None:
         if revision != self._ignored_revision:
             self._ignored_revision = revision
             _LOGGER.info(
                 'older list of engines ignored',
-                revision=revision,
-                held=self._engines_revision,
+                revision=revision.number,
+                era=revision.era,
+                held=self._engines_revision.number,
+                held_era=self._engines_revision.era,
             )
 
     def _is_due(self, age_ms: float, max_age_ms: float) -> bool:
--- a/hornbeamdeck/rollout/book.py
+++ b/hornbeamdeck/rollout/book.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.rollout.store_interface import RolloutChange, StoredRollout
 from hornbeamdeck.scheduling.rollout import (
     RolloutBounds,
@@ -33,7 +34,7 @@
     """
 
     rollout: ServiceRollout
-    revision: int
+    revision: StoreRevision
     stored: StoredRollout | None
 
 
@@ -90,7 +91,7 @@
                 duration_ms=entry.rollout.order.duration_ms,
                 phase=entry.rollout.phase,
                 age_ms=max(int(now - entry.rollout.started_ms), 0),
-                revision=entry.revision,
+                revision=entry.revision.packed,
             )
             for service, entry in self.entries.items()
         ]
@@ -158,9 +159,10 @@
             order_id=reported.order_id,
         )
         phase = RolloutPhase(reported.phase)
+        revision = StoreRevision.from_packed(reported.revision)
         entry = self.entries.get(order.service)
         if entry is None or (
-            entry.rollout.order != order and reported.revision > entry.revision
+            entry.rollout.order != order and revision > entry.revision
         ):
             rollout = ServiceRollout(
                 order,
@@ -168,9 +170,7 @@
                 started_ms=now - reported.age_ms,
                 phase=phase,
             )
-            self.entries[order.service] = RolloutEntry(
-                rollout, reported.revision, None
-            )
+            self.entries[order.service] = RolloutEntry(rollout, revision, None)
             return
         is_settled = (
             entry.stored is not None
@@ -181,5 +181,5 @@
             entry.rollout.adopt(max(phase, entry.rollout.phase))
 
 
-def _newest_revision(entry: RolloutEntry) -> int:
+def _newest_revision(entry: RolloutEntry) -> StoreRevision:
     return entry.stored.revision if entry.stored else entry.revision
--- a/hornbeamdeck/rollout/rollouts.py
+++ b/hornbeamdeck/rollout/rollouts.py
@@ -10,9 +10,11 @@
 
 import structlog
 from curio import sleep
-from result import Err
+from result import Err, Result
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.process.gateway_metrics import (
     GatewayMetrics,
@@ -88,14 +90,14 @@
 
     async def async_follow_orders(self) -> None:
         """Keep the orders current; never returns."""
-        revision = 0
+        revision: StoreRevision | None = None
         while True:
             if not self._dependencies.is_reader():
-                revision = 0
+                revision = None
                 await sleep(CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
                 continue
             revision = await self._async_read(revision)
-            wait_ms = WATCH_GAP_MS if revision else RETRY_MS
+            wait_ms = RETRY_MS if revision is None else WATCH_GAP_MS
             await sleep(wait_ms / MILLIS_PER_SECOND)
 
     async def async_confirm_versions(self) -> None:
@@ -106,7 +108,7 @@
         """
         while True:
             if self._dependencies.is_reader() and self._is_any_unknown():
-                await self._async_read(0)
+                await self._async_read(None)
             await sleep(CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
 
     async def async_decide(self) -> None:
@@ -153,20 +155,24 @@
     def _is_any_unknown(self) -> bool:
         return any(each.unknown() for each in self._unknown_versions.values())
 
-    async def _async_read(self, revision: int) -> int:
+    async def _async_read(
+        self, since: StoreRevision | None
+    ) -> StoreRevision | None:
         """List the orders, or watch for changes after a revision.
 
-        :returns: the revision to watch from; 0 if the store did not respond.
+        :returns: the revision to watch from; `None` if the store did not
+            respond.
         """
         requested_ms = now_ms()
         store = self._dependencies.store
-        if revision:
-            response = await store.watch_rollouts(revision, WATCH_TIMEOUT_MS)
-        else:
+        response: Result[RolloutsRead, StoreUnavailable | WatchGap]
+        if since is None:
             response = await store.list_rollouts()
+        else:
+            response = await store.watch_rollouts(since, WATCH_TIMEOUT_MS)
         if isinstance(response, Err):
-            return 0
-        self._apply_read(response.ok_value, is_complete=not revision)
+            return None
+        self._apply_read(response.ok_value, is_complete=since is None)
         for service, versions in self._unknown_versions.items():
             if service not in self._dependencies.book.unreadable:
                 versions.confirm(requested_ms)
--- a/hornbeamdeck/rollout/store_interface.py
+++ b/hornbeamdeck/rollout/store_interface.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.rollout import RolloutOrder, RolloutPhase
 
 __all__ = (
@@ -26,7 +27,7 @@
         process that did; 0: not known.
     """
 
-    revision: int
+    revision: StoreRevision
     order: RolloutOrder | None
     phase: RolloutPhase | None
     started_unix_ms: int
@@ -48,7 +49,7 @@
     :param revision: the store's revision at the time of the read.
     """
 
-    revision: int
+    revision: StoreRevision
     changes: tuple[RolloutChange, ...]
 
 
@@ -57,7 +58,7 @@
     Awaitable[Result[RolloutsRead, StoreUnavailable]],
 ]
 WatchRollouts: TypeAlias = Callable[
-    [int, int],
+    [StoreRevision, int],
     Awaitable[Result[RolloutsRead, StoreUnavailable | WatchGap]],
 ]
 WriteRollout: TypeAlias = Callable[
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -261,8 +261,9 @@
     components = fleet.gateways[ingress].components
     engines = dict(components.directory.engines)
     engines[restarted] = engines[restarted]._replace(born_ms=9, version='v2')
+    version = components.directory.version
     components.directory.update(
-        components.directory.version + 1, engines.values()
+        version._replace(edition=version.edition + 1), engines.values()
     )
     callers = [StreamCaller(fleet, f'first-{each}') for each in range(STREAMS)]
     for caller in callers:
--- a/tests/process/test_store_reader.py
+++ b/tests/process/test_store_reader.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from hornbeamdeck.connection.store_client import StoredObject
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.store_interface import (
@@ -97,7 +98,7 @@
 
     async def _async_read() -> Ok[ConfigurationRead]:
         calls.append('read')
-        return Ok(ConfigurationRead(0, 0, None))
+        return Ok(ConfigurationRead(StoreRevision(0, 0), 0, None))
 
     async def _async_sleep(_seconds: float) -> None:
         raise _SleepReached
--- a/tests/rollout/test_book.py
+++ b/tests/rollout/test_book.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.store_client import StoreUnavailable
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.rollout.book import RolloutBook
 from hornbeamdeck.rollout.status_writer import StatusWriter
 from hornbeamdeck.rollout.store_interface import (
@@ -56,7 +57,7 @@
     """A store with conditional writes, which loses answers."""
 
     def __init__(self) -> None:
-        self.revision = 0
+        self.revision = StoreRevision(1, 0)
         self.created = 0
         self.stored: StoredRollout | None = None
         self.loses_answer = False
@@ -64,17 +65,17 @@
         self.late_writes: list[_LateWrite] = []
 
     def put_order(self, target: str) -> None:
-        self.revision += 1
+        self._count_change()
         status: tuple[RolloutPhase | None, int] = (None, 0)
         if self.stored is None:
-            self.created = self.revision
+            self.created = self.revision.number
         elif self.stored.order and self.stored.order.target == target:
             status = (self.stored.phase, self.stored.started_unix_ms)
         order = RolloutOrder(SERVICE, target, 10_000, self.created)
         self.stored = StoredRollout(self.revision, order, *status)
 
     def withdraw(self) -> None:
-        self.revision += 1
+        self._count_change()
         self.stored = None
 
     def change(self) -> RolloutChange:
@@ -84,7 +85,7 @@
         if self.stored is not None and (
             self.stored.revision == rollout.revision
         ):
-            self.revision += 1
+            self._count_change()
             self.stored = rollout._replace(revision=self.revision)
 
     async def async_write_status(
@@ -98,6 +99,10 @@
         self.write(rollout)
         return Ok(self.change())
 
+    def _count_change(self) -> None:
+        number = self.revision.number + 1
+        self.revision = self.revision._replace(number=number)
+
 
 class _Process:
     """One instance: its book, and its writer."""
@@ -131,7 +136,7 @@
         self.seen: dict[int, tuple[RolloutOrder, RolloutPhase]] = {}
         self.final: dict[RolloutOrder, RolloutPhase] = {}
         self.overtaken: list[RolloutChange] = []
-        self.revisions: dict[int, int] = {}
+        self.revisions: dict[int, StoreRevision] = {}
         self.operations = 0
         self.all = [
             _Process(self.store, is_owner=True),
@@ -220,7 +225,7 @@
         for number, process in enumerate(self.all):
             entry = process.book.entries.get(SERVICE)
             stored = entry.stored if entry else None
-            before = self.revisions.pop(number, 0)
+            before = self.revisions.pop(number, StoreRevision(0, 0))
             if entry is None or stored is None:
                 continue
             assert stored.revision >= before
