Write entries and records again when the store may have lost them

An instance wrote its entry once, when it started, and the owner compared the records of engine versions and of crashing requests with what it had written, not with what is there. After the store had come back from an older copy they were missing for ever: whoever started then found no peers by the store, and after a loss of all nobody knew the versions or the culprits.

An instance that can't reach the store learns of the era from its peers and tries until it can. The owner takes its records for unknown when the era has risen: its next write finds out what is there, and what both know is kept.

--- a/hornbeamdeck/process/fleet_record.py
+++ b/hornbeamdeck/process/fleet_record.py
@@ -32,6 +32,10 @@
 _NAMES: Final = vol.Schema({str: [str]})
 
 
+# What the store holds before this process has written to it.
+_UNKNOWN: Final = StoredRecord(None, {})
+
+
 class RecordKind(NamedTuple):
     """Which names of each service a record holds.
 
@@ -87,18 +91,20 @@
         store: StoreInterface,
         cells: Mapping[str, EngineCell],
         is_writer: Callable[[], bool],
+        era: Callable[[], int],
     ) -> None:
         """Start without knowing what the store holds.
 
         :param cells: the cells of this process by service.
         :param is_writer: whether this process owns the fleet's cells now.
+        :param era: returns the newest era of the store that is known here.
         """
         self._kind = kind
         self._store = store
         self._cells = cells
         self._is_writer = is_writer
-        # Without a revision: not known.
-        self._stored = StoredRecord(None, {})
+        self._era = era
+        self._stored = _UNKNOWN
         # Services whose cells know what was recorded.
         self._informed: set[str] = set()
 
@@ -108,10 +114,11 @@
         store: StoreInterface,
         cells: Mapping[str, EngineCell],
         is_writer: Callable[[], bool],
+        era: Callable[[], int],
     ) -> tuple[Self, ...]:
         """Make all records of a fleet; the parameters are those of one."""
         return tuple(
-            cls(kind, store, cells, is_writer)
+            cls(kind, store, cells, is_writer, era)
             for kind in (ENGINE_VERSIONS, CRASHING_REQUESTS)
         )
 
@@ -119,11 +126,11 @@
         """Keep the record current while this process is the owner; forever."""
         for checks in count():
             interval_ms = CHECK_INTERVAL_MS
-            if checks < START_CHECKS and not self._stored.revision:
+            if checks < START_CHECKS and self._stored is _UNKNOWN:
                 interval_ms = START_CHECK_INTERVAL_MS
             await sleep(interval_ms / MILLIS_PER_SECOND)
             if not self._is_writer():
-                self._stored = StoredRecord(None, {})
+                self._stored = _UNKNOWN
             elif not await self.async_sync():
                 await sleep(RETRY_MS / MILLIS_PER_SECOND)
 
@@ -132,11 +139,13 @@
 
         :returns: whether the store has responded, if it was called.
         """
+        revision = self._stored.revision
+        if revision is not None and revision.era < self._era():
+            # A restored store may hold an older record, or none.
+            self._stored = _UNKNOWN
         self._inform_cells()
         current = self._current_names()
-        if not current or (
-            self._stored.revision and current == self._stored.fields
-        ):
+        if not current or current == self._stored.fields:
             return True
         due = self._stored._replace(fields=current)
         record_name = self._kind.record_name
@@ -156,7 +165,7 @@
 
     def _inform_cells(self) -> None:
         """Tell the cells what was recorded before this process owned them."""
-        if not self._stored.revision:
+        if self._stored.revision is None:
             return
         now = now_ms()
         recorded = _parse(self._stored.fields)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -107,6 +107,8 @@
             self.components.store,
             self.components.membership,
             self.components.heartbeats.liveness.is_told_of_all,
+            era=lambda: self.components.newest_era,
+            rank=self.components.heartbeats.liveness.rank,
         )
         self.listeners: list[Listener] = []
         self._tasks: list[Task] = []
@@ -344,7 +346,7 @@
             components.scheduler.async_refuse_expired(),
             components.grants.owner_watch.async_run(),
             self._async_follow_ownership(),
-            self._registration.async_register(),
+            self._registration.async_keep_registered(),
             self._registration.async_discover(),
         ):
             await self._async_spawn(work)
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -234,6 +234,7 @@
                 lambda: (
                     _is_owner(membership) and heartbeats.liveness.has_settled()
                 ),
+                lambda: store_era.current,
             ),
             heartbeats=heartbeats,
             reader=readers[0],
@@ -243,6 +244,11 @@
             rollouts=rollouts[0] if rollouts else None,
         )
 
+    @property
+    def newest_era(self) -> int:
+        """Newest era of the store that this process or its peers have seen."""
+        return max(self.store_era.current, self.directory.era)
+
     @property
     def is_owner(self) -> bool:
         """Whether this process owns the fleet's cells now."""
