Go on with a roll-out whose order the restored store has lost

An order that a complete list lacks counted as withdrawn, so a store that came back from an older copy rolled back a good version that was half in. Written again, the order was a new one: its revision was below the held one, so that no status was written for 16 s, and where it was taken, a version that had been rolled back got requests for a second time.

An order that was read in an earlier era and is missing now is kept, for 30 s; the same target written again in the later era goes on with the phase, the start and the answers that the fleet knows, and does not get the slack a second time. An older order of the copy, which has its status since before the newer one began, does not replace it. Peers that have read different eras merge by the same rule. A removal that a watch reports is still a withdrawal.

--- a/hornbeamdeck/rollout/book.py
+++ b/hornbeamdeck/rollout/book.py
@@ -3,10 +3,13 @@
 It learns of them from the store and from peers, in any order and repeatedly. A
 roll-out never returns to an earlier phase, and a final phase that the store
 holds outweighs every other.
+
+A store that was restored from an older copy has lost the newest orders until
+the operators write them again. Such an order goes on where it was.
 """
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple, Self
 
 import structlog
 
@@ -24,18 +27,54 @@
 
 _LOGGER = structlog.get_logger(prefix='rollout')
 
+# How long an order that a restored store has lost is kept.
+LOST_ORDER_RETENTION_MS: Final = 30_000
+
 
 class RolloutEntry(NamedTuple):
     """One roll-out.
 
     :param revision: the store's, at which its order was read first.
     :param stored: the object in the store; `None` if only peers have told of
-        it.
+        it, or if the store has lost it.
+    :param lost_ms: when a restored store did not hold it first; `None`: it is
+        not lost.
+    :param has_begun: whether the fleet has begun it in an earlier era.
     """
 
     rollout: ServiceRollout
     revision: StoreRevision
     stored: StoredRollout | None
+    lost_ms: float | None = None
+    has_begun: bool = False
+
+    @property
+    def newest_revision(self) -> StoreRevision:
+        """The revision of its last change that is known here."""
+        return self.stored.revision if self.stored else self.revision
+
+    def is_same(self, order: RolloutOrder, era: int) -> bool:
+        """Return whether an order read in an era is the one that is held.
+
+        Whoever writes a lost order again creates a new object in the store.
+        """
+        held = self.rollout.order
+        is_restored = era != self.newest_revision.era
+        return held == order or (is_restored and held.target == order.target)
+
+    def keep_lost(self, now: float) -> Self:
+        """Return the entry of an order that the store does not hold now."""
+        lost_ms = now if self.lost_ms is None else self.lost_ms
+        return self._replace(stored=None, lost_ms=lost_ms)
+
+    def go_on(self, order: RolloutOrder, revision: StoreRevision) -> Self:
+        """Return the entry of the order as it is read in a later era."""
+        if revision.era <= self.newest_revision.era:
+            return self
+        self.rollout.order = order
+        return self._replace(
+            revision=revision, stored=None, lost_ms=None, has_begun=True
+        )
 
 
 class RolloutBook:
@@ -54,12 +93,18 @@
         self._bounds = bounds
         self._wall_clock_ms = wall_clock_ms
 
-    def apply_list(self, changes: Iterable[RolloutChange], now: float) -> None:
-        """Apply all orders that the store holds."""
+    def apply_list(
+        self, changes: Iterable[RolloutChange], now: float, *, era: int = 0
+    ) -> None:
+        """Apply all orders that the store holds.
+
+        :param era: of the store when they were read.
+        """
         listed = list(changes)
         services = {change.service for change in listed}
         for service in (self.entries.keys() | self.unreadable) - services:
-            self.apply_change(RolloutChange(service, None), now)
+            if not self._keep_lost(service, era, now):
+                self.apply_change(RolloutChange(service, None), now)
         for change in listed:
             self.apply_change(change, now)
 
@@ -104,10 +149,12 @@
         self, stored: StoredRollout, order: RolloutOrder, now: float
     ) -> None:
         entry = self.entries.get(order.service)
-        if entry is not None and stored.revision < _newest_revision(entry):
+        if entry is not None and stored.revision < entry.newest_revision:
             # A response that was overtaken by a later one.
             return
-        if entry is None or entry.rollout.order != order:
+        if entry is None or not entry.is_same(order, stored.revision.era):
+            if self._is_of_copy(entry, stored, now):
+                return
             rollout = ServiceRollout(
                 order,
                 self._bounds,
@@ -125,7 +172,10 @@
                 phase=rollout.phase.name.lower(),
             )
             return
-        self.entries[order.service] = entry._replace(stored=stored)
+        entry = entry.go_on(order, stored.revision)
+        self.entries[order.service] = entry._replace(
+            stored=stored, lost_ms=None
+        )
         if stored.phase is not None and stored.phase.is_final:
             entry.rollout.adopt(stored.phase)
 
@@ -135,6 +185,37 @@
         age_ms = self._wall_clock_ms() - stored.started_unix_ms
         return now - max(age_ms, 0)
 
+    def _is_of_copy(
+        self, entry: RolloutEntry | None, stored: StoredRollout, now: float
+    ) -> bool:
+        """Return whether an order is listed since a newer one was lost.
+
+        The fleet has given it its status before it began the newer one.
+        """
+        if entry is None or stored.phase is None:
+            return False
+        age_ms = int(now - entry.rollout.started_ms)
+        if stored.started_unix_ms >= self._wall_clock_ms() - age_ms:
+            return False
+        service = entry.rollout.order.service
+        return self._keep_lost(service, stored.revision.era, now)
+
+    def _keep_lost(self, service: str, era: int, now: float) -> bool:
+        """Keep an order that the store holds no more since it was restored.
+
+        :returns: whether it is kept.
+        """
+        entry = self.entries.get(service)
+        if entry is None or entry.newest_revision.era >= era:
+            return False
+        if entry.lost_ms is None:
+            _LOGGER.warning(
+                'order lost', service=service, target=entry.rollout.order.target
+            )
+        entry = entry.keep_lost(now)
+        self.entries[service] = entry
+        return now - (entry.lost_ms or now) <= LOST_ORDER_RETENTION_MS
+
     def _withdraw(self, service: str) -> None:
         entry = self.entries.get(service)
         if entry is None:
@@ -161,9 +242,8 @@
         phase = RolloutPhase(reported.phase)
         revision = StoreRevision.from_packed(reported.revision)
         entry = self.entries.get(order.service)
-        if entry is None or (
-            entry.rollout.order != order and revision > entry.revision
-        ):
+        is_same = entry is not None and entry.is_same(order, revision.era)
+        if entry is None or (not is_same and revision > entry.revision):
             rollout = ServiceRollout(
                 order,
                 self._bounds,
@@ -172,14 +252,13 @@
             )
             self.entries[order.service] = RolloutEntry(rollout, revision, None)
             return
+        if is_same:
+            entry = entry.go_on(order, revision)
+            self.entries[order.service] = entry
         is_settled = (
             entry.stored is not None
             and entry.stored.phase is not None
             and entry.stored.phase.is_final
         )
-        if entry.rollout.order == order and not is_settled:
+        if is_same and not is_settled:
             entry.rollout.adopt(max(phase, entry.rollout.phase))
-
-
-def _newest_revision(entry: RolloutEntry) -> StoreRevision:
-    return entry.stored.revision if entry.stored else entry.revision
--- a/hornbeamdeck/rollout/rollouts.py
+++ b/hornbeamdeck/rollout/rollouts.py
@@ -182,7 +182,7 @@
     def _apply_read(self, read: RolloutsRead, *, is_complete: bool) -> None:
         book = self._dependencies.book
         if is_complete:
-            book.apply_list(read.changes, now_ms())
+            book.apply_list(read.changes, now_ms(), era=read.revision.era)
             return
         for change in read.changes:
             book.apply_change(change, now_ms())
--- a/hornbeamdeck/rollout/status_writer.py
+++ b/hornbeamdeck/rollout/status_writer.py
@@ -21,7 +21,7 @@
     RolloutStore,
     StoredRollout,
 )
-from hornbeamdeck.scheduling.rollout import RolloutPhase, ServiceRollout
+from hornbeamdeck.scheduling.rollout import RolloutPhase
 
 __all__ = ('StatusWriter',)
 
@@ -81,11 +81,12 @@
         if stored.phase is not None or (
             self._is_owner() or age_ms >= OWNER_BEGINS_MS
         ):
-            await self._async_write(service, entry.rollout, stored)
+            await self._async_write(service, entry, stored)
 
     async def _async_write(
-        self, service: str, rollout: ServiceRollout, stored: StoredRollout
+        self, service: str, entry: RolloutEntry, stored: StoredRollout
     ) -> None:
+        rollout = entry.rollout
         phase = rollout.phase
         now = now_ms()
         started_unix_ms = self._wall_clock_ms() - int(now - rollout.started_ms)
@@ -109,7 +110,7 @@
             phase=phase.name.lower(),
             stored=str(change.stored),
         )
-        if stored.phase is None and is_own:
+        if stored.phase is None and is_own and not entry.has_begun:
             rollout.begin(now)
         self._book.apply_change(change, now_ms())
 
