Give the calls to the store one set of connections, and read JSON with its era

Reading and conditional writes of JSON, with the era of their responses, are the product's; roll-outs and the rest of the store share one StoreCalls, so that a process has one pool and one known era by construction. The check of an own entry uses the write on condition, which returns what is there.

--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -2,7 +2,7 @@
 
 import json
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
@@ -10,20 +10,37 @@
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_responses import StoreUnavailable
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import ENCODING
 
-__all__ = ('JsonCalls', 'parse_body', 'parse_written')
+__all__ = ('JsonCalls', 'JsonContent', 'parse_body', 'parse_stored')
 
 # The store responds within milliseconds, or a few hundred when it is slow.
 CALL_TIMEOUT_MS: Final = 900
 
 
+class JsonContent(NamedTuple):
+    """What the store holds at a path.
+
+    :param era: of the store; 0 if it names none.
+    :param found: `None`: there is nothing.
+    """
+
+    era: int
+    found: Any
+
+
 class JsonCalls:
     """Reads and writes paths; every failure counts as an outage."""
 
     def __init__(self, calls: StoreCalls) -> None:
         """Use these calls."""
         self._calls = calls
+        self._era = calls.era
+
+    def era_of(self, response: HttpResponse) -> int:
+        """Return the era that a response names; 0 if it names none."""
+        return self._era.of(response)
 
     async def async_get(
         self,
@@ -44,6 +61,13 @@
             timeout_ms=timeout_ms,
         )
 
+    async def async_read(
+        self, path: str, query: dict[str, str], *, role: str
+    ) -> Result[JsonContent, StoreUnavailable]:
+        """Read and parse what is at a path."""
+        fetched = await self.async_get(path, query, role=role)
+        return fetched.and_then(self._parse_content)
+
     async def async_write(
         self,
         method: str,
@@ -64,6 +88,33 @@
             timeout_ms=CALL_TIMEOUT_MS,
         )
 
+    async def async_write_on_condition(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        *,
+        revision: StoreRevision | None,
+        role: str,
+    ) -> Result[JsonContent, StoreUnavailable]:
+        """Write what is at a path if the store's condition holds.
+
+        After a conflict, the returned content is what another process wrote.
+
+        :param revision: on which the write depends; `None`: nothing must exist
+            yet. One of an earlier era may stand for other contents by now.
+        """
+        if revision is not None and revision.era != self._era.current:
+            return Err(StoreUnavailable('the store was restored since'))
+        written = await self.async_write(method, path, body, role=role)
+        return written.and_then(self._parse_content)
+
+    def _parse_content(
+        self, response: HttpResponse
+    ) -> Result[JsonContent, StoreUnavailable]:
+        era = self.era_of(response)
+        return parse_stored(response).map(lambda found: JsonContent(era, found))
+
 
 def parse_body(response: HttpResponse) -> Result[Any, StoreUnavailable]:
     """Parse a successful response; any other counts as an outage."""
@@ -75,11 +126,10 @@
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
 
-def parse_written(response: HttpResponse) -> Result[Any, StoreUnavailable]:
-    """Parse the response to a write on condition.
+def parse_stored(response: HttpResponse) -> Result[Any, StoreUnavailable]:
+    """Parse what a read, or a write on condition, has found.
 
-    :returns: what is there afterwards; after a conflict that is what another
-        process has written. `None`: there is nothing.
+    :returns: `None`: there is nothing.
     """
     if response.status == HTTPStatus.NOT_FOUND:
         return Ok(None)
--- a/hornbeamdeck/connection/store_calls.py
+++ b/hornbeamdeck/connection/store_calls.py
@@ -35,7 +35,7 @@
         :param era: updated with each response.
         :param count: called with the role of each call, to count it.
         """
-        self._era = era
+        self.era = era
         self._address = address
         self._count = count
         self._idle: list[ClientConnection] = []
@@ -88,7 +88,7 @@
             )
         if isinstance(response, Err):
             return Err(StoreUnavailable(response.err_value.cause))
-        if self._era.record(response.ok_value) < self._era.current:
+        if self.era.record(response.ok_value) < self.era.current:
             return Err(StoreUnavailable('answered before the store came back'))
         if response.ok_value.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             return Err(StoreUnavailable(f'status {response.ok_value.status}'))
--- a/hornbeamdeck/platform/rollout_store.py
+++ b/hornbeamdeck/platform/rollout_store.py
@@ -1,13 +1,11 @@
 """The platform's orders for roll-outs, read and answered in its store."""
 
-from collections.abc import Callable
 from urllib.parse import quote
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
-from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.rollout_documents import (
@@ -65,32 +63,27 @@
             'PUT',
             f'{PATH_OBJECTS}/{KIND_ROLLOUTS}/{quote(service)}/status',
             {
-                'metadata': {'name': service},
+                'metadata': {
+                    'name': service,
+                    'revision': rollout.revision.number,
+                },
                 'status': rollout_status(rollout),
             },
             revision=rollout.revision,
             role=KIND_ROLLOUTS,
         )
         return written.map(
-            lambda found: (
-                parse_rollout(found.stored, found.era)
-                if found.stored
+            lambda after: (
+                parse_rollout(after.found, after.era)
+                if after.found
                 else RolloutChange(service, None)
             )
         )
 
 
-def open_rollout_store(
-    address: Address,
-    era: StoreEra,
-    count_call: Callable[[str], None],
-) -> RolloutStore:
-    """Create the calls to a store. No connection is opened yet.
-
-    :param era: updated with each response.
-    :param count_call: called with the role of each call.
-    """
-    store = _RolloutStore(ObjectCalls(address, era, count_call))
+def open_rollout_store(calls: StoreCalls) -> RolloutStore:
+    """Create the calls to a store."""
+    store = _RolloutStore(ObjectCalls(calls))
     return RolloutStore(
         list_rollouts=store.async_list,
         watch_rollouts=store.async_watch,
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store, with the scheduler's own types."""
 
 import json
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import quote
@@ -9,21 +8,18 @@
 import structlog
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.connection.json_calls import parse_body, parse_written
+from hornbeamdeck.connection.json_calls import (
+    JsonContent,
+)
+from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
-from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.documents import (
     configuration_version,
     parse_engine,
 )
-from hornbeamdeck.platform.object_calls import (
-    ObjectCalls,
-    WrittenObject,
-    object_name,
-)
+from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
 from hornbeamdeck.platform.wire_names import (
     KIND_CONFIGURATION,
     KIND_ENGINES,
@@ -55,28 +51,16 @@
     Only a watch from a revision that is too old returns `WatchGap`.
     """
 
-    def __init__(
-        self,
-        address: Address,
-        era: StoreEra,
-        count_call: Callable[[str], None],
-    ) -> None:
-        self._calls = ObjectCalls(address, era, count_call)
+    def __init__(self, calls: ObjectCalls) -> None:
+        self._calls = calls
 
     async def async_read_configuration(
         self,
     ) -> Result[ConfigurationRead, StoreUnavailable]:
         """Read the current configuration."""
         path = f'{PATH_OBJECTS}/{KIND_CONFIGURATION}/{NAME_CONFIGURATION}'
-        fetched = await self._calls.async_get(path, {}, role='configuration')
-        if isinstance(fetched, Err):
-            return fetched
-        if fetched.ok_value.status == HTTPStatus.NOT_FOUND:
-            return Ok(_no_configuration(self._calls.era_of(fetched.ok_value)))
-        era = self._calls.era_of(fetched.ok_value)
-        return parse_body(fetched.ok_value).map(
-            lambda stored: _to_configuration(stored, era)
-        )
+        read = await self._calls.async_read(path, {}, role='configuration')
+        return read.map(lambda each: _to_configuration(each.found, each.era))
 
     async def async_watch_configuration(
         self,
@@ -151,16 +135,13 @@
             _FIELD_SPEC: json.loads(status.to_text()),
         }
         path = f'{PATH_OBJECTS}/{KIND_INSTANCES}'
-        created = await self._calls.async_write(
-            'POST', path, body, role=KIND_INSTANCES
+        created = await self._calls.async_write_on_condition(
+            'POST', path, body, revision=None, role=KIND_INSTANCES
         )
         if isinstance(created, Err):
             return created
-        era = self._calls.era_of(created.ok_value)
-        if created.ok_value.status != HTTPStatus.CONFLICT:
-            return _check_written(created.ok_value).map(lambda _: era)
-        if parse_written(created.ok_value).map(_to_status) == Ok(status):
-            return Ok(era)
+        if _to_status(created.ok_value.found) == status:
+            return Ok(created.ok_value.era)
         own_path = f'{path}/{quote(status.instance_id)}'
         replaced = await self._calls.async_write(
             'PUT', own_path, body, role=KIND_INSTANCES
@@ -188,30 +169,24 @@
     ) -> Result[StoredRecord, StoreUnavailable]:
         """Create a record, or replace the revision that is known here."""
         path = f'{PATH_OBJECTS}/{KIND_RECORDS}'
+        metadata: dict[str, Any] = {'name': name}
         method = 'POST'
         if record.revision is not None:
             method, path = 'PUT', f'{path}/{quote(name)}'
+            metadata['revision'] = record.revision.number
         written = await self._calls.async_write_on_condition(
             method,
             path,
-            {'metadata': {'name': name}, _FIELD_SPEC: record.fields},
+            {'metadata': metadata, _FIELD_SPEC: record.fields},
             revision=record.revision,
             role=KIND_RECORDS,
         )
         return written.map(_to_record)
 
 
-def open_store(
-    address: Address,
-    era: StoreEra,
-    count_call: Callable[[str], None],
-) -> StoreInterface:
-    """Create the calls to a store. No connection is opened yet.
-
-    :param era: updated with each response.
-    :param count_call: called with the role of each call.
-    """
-    store = _Store(address, era, count_call)
+def open_store(calls: StoreCalls) -> StoreInterface:
+    """Create the calls to a store."""
+    store = _Store(ObjectCalls(calls))
     return StoreInterface(
         read_configuration=store.async_read_configuration,
         watch_configuration=store.async_watch_configuration,
@@ -230,11 +205,9 @@
     return Ok(None)
 
 
-def _no_configuration(era: int) -> ConfigurationRead:
-    return ConfigurationRead(StoreRevision(era, 0), 0, None)
-
-
 def _to_configuration(stored: Any, era: int) -> ConfigurationRead:
+    if stored is None:
+        return ConfigurationRead(StoreRevision(era, 0), 0, None)
     spec = stored[_FIELD_SPEC]
     revision = StoreRevision(era, stored['metadata']['revision'])
     return ConfigurationRead(
@@ -242,8 +215,8 @@
     )
 
 
-def _to_record(written: WrittenObject) -> StoredRecord:
-    stored = written.stored
+def _to_record(written: JsonContent) -> StoredRecord:
+    stored = written.found
     if stored is None:
         return StoredRecord(None, None)
     revision = StoreRevision(written.era, stored['metadata']['revision'])
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -8,6 +8,7 @@
 
 from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.connection.peer import PeerIdentity
+from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoredObject, StoreUnavailable
 from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.const import KEY_CONFIGURATION
@@ -97,12 +98,12 @@
     ) -> Self:
         """Create all components; no address is opened yet."""
         metrics = GatewayMetrics()
-        store_era = StoreEra(adapter.era_header)
-        store = adapter.open_store(
+        store_calls = StoreCalls(
             settings.platform_address,
-            store_era,
-            metrics.count_store_call,
+            StoreEra(adapter.era_header),
+            count=metrics.count_store_call,
         )
+        store = adapter.open_store(store_calls)
         membership = Membership(
             _own_status(settings),
             suspect_ms=SUSPICION_MS,
@@ -203,11 +204,7 @@
         if settings.rollouts is not None:
             rollouts.append(
                 _make_rollouts(
-                    adapter.open_rollout_store(
-                        settings.platform_address,
-                        store_era,
-                        metrics.count_store_call,
-                    ),
+                    adapter.open_rollout_store(store_calls),
                     settings.rollouts,
                     cells,
                     heartbeats,
@@ -217,7 +214,7 @@
             )
         return cls(
             metrics=metrics,
-            store_era=store_era,
+            store_era=store_calls.era,
             store=store,
             membership=membership,
             freshness=freshness,
@@ -234,7 +231,7 @@
                 lambda: (
                     _is_owner(membership) and heartbeats.liveness.has_settled()
                 ),
-                lambda: store_era.current,
+                lambda: store_calls.era.current,
             ),
             heartbeats=heartbeats,
             reader=readers[0],
