Order what the plain path reads of its store by era too

The product's own interface counts an object's versions by the store, so that after a restore a new configuration was taken for an old one, and statuses that the copy lacks were never published again. Versions carry the era in their upper bits; a write on the condition of an earlier era is a conflict without a call, and a watch that is answered in another era is a gap. A document of the copy that was in force before is recognised by its number and digest and does not replace a newer one. A lease that an earlier era has acknowledged is not held any more.

Claims of calls that the copy lacks are not covered.

--- a/hornbeamdeck/connection/store_client.py
+++ b/hornbeamdeck/connection/store_client.py
@@ -22,13 +22,13 @@
     VersionConflict,
     WatchGap,
     WatchResponse,
-    parse_changes,
     parse_instances,
     parse_object,
-    parse_object_list,
+    parse_objects,
     parse_response,
     parse_written_version,
 )
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import ENCODING
 
 __all__ = (
@@ -65,6 +65,11 @@
         """
         self._calls = StoreCalls(address, StoreEra(HEADER_ERA), count=calls)
 
+    @property
+    def era(self) -> int:
+        """Newest era that the store has named; see `StoreEra`."""
+        return self._calls.era.current
+
     async def async_get(
         self,
         key: str,
@@ -82,7 +87,8 @@
             and response.ok_value.status == HTTPStatus.NOT_FOUND
         ):
             return Ok(None)
-        return parse_response(response, parse_object)
+        era = self._era_of(response)
+        return parse_response(response, lambda raw: parse_object(raw, era))
 
     async def async_put(
         self,
@@ -100,7 +106,10 @@
         """
         condition = {'if-none-match': '*'}
         if expected is not None:
-            condition = {'if-match': str(expected)}
+            revision = StoreRevision.from_packed(expected)
+            if revision.era != self.era:
+                return Err(VersionConflict())
+            condition = {'if-match': str(revision.number)}
         written = await self._async_call(
             'PUT',
             f'/objects/{quote(key)}',
@@ -109,7 +118,7 @@
             body=body.encode(ENCODING),
             timeout_ms=timeout_ms,
         )
-        return parse_written_version(written)
+        return parse_written_version(written, self._era_of(written))
 
     async def async_delete(
         self,
@@ -119,13 +128,16 @@
         role: str,
     ) -> Result[int, StoreError]:
         """Delete an object if it has the expected version."""
+        revision = StoreRevision.from_packed(expected)
+        if revision.era != self.era:
+            return Err(VersionConflict())
         deleted = await self._async_call(
             'DELETE',
             f'/objects/{quote(key)}',
             role=role,
-            headers={'if-match': str(expected)},
+            headers={'if-match': str(revision.number)},
         )
-        return parse_written_version(deleted)
+        return parse_written_version(deleted, self._era_of(deleted))
 
     async def async_list(
         self,
@@ -138,13 +150,16 @@
         response = await self._async_call(
             'GET', '/objects', query=query, role=role
         )
-        return parse_response(response, parse_object_list)
+        era = self._era_of(response)
+        return parse_response(
+            response, lambda raw: parse_objects(raw, 'found', era)
+        )
 
     async def async_watch(
         self,
         prefix: str,
         *,
-        since: int,
+        since: StoreRevision,
         role: str,
         wait_ms: int,
     ) -> Result[WatchResponse, StoreUnavailable | WatchGap]:
@@ -154,7 +169,7 @@
         :param wait_ms: how long the store holds the call open, milliseconds.
         """
         query = urlencode(
-            {'prefix': prefix, 'since': since, 'timeout_ms': wait_ms},
+            {'prefix': prefix, 'since': since.number, 'timeout_ms': wait_ms},
         )
         response = await self._async_call(
             'GET',
@@ -163,12 +178,14 @@
             role=role,
             timeout_ms=wait_ms + DEFAULT_TIMEOUT_MS,
         )
-        if (
-            isinstance(response, Ok)
-            and response.ok_value.status == HTTPStatus.GONE
+        if isinstance(response, Ok) and (
+            response.ok_value.status == HTTPStatus.GONE
+            or self._era_of(response) != since.era
         ):
             return Err(WatchGap())
-        return parse_response(response, parse_changes)
+        return parse_response(
+            response, lambda raw: parse_objects(raw, 'events', since.era)
+        )
 
     async def async_instances(
         self,
@@ -183,6 +200,9 @@
         """Close the pooled connections."""
         await self._calls.async_close()
 
+    def _era_of(self, response: Result[HttpResponse, StoreUnavailable]) -> int:
+        return response.map_or(0, self._calls.era.of)
+
     async def _async_call(
         self,
         method: str,
--- a/hornbeamdeck/connection/store_responses.py
+++ b/hornbeamdeck/connection/store_responses.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.store_revision import StoreRevision
 
 __all__ = (
     'ListedInstance',
@@ -19,8 +20,7 @@
     'WatchGap',
     'parse_response',
     'parse_instances',
-    'parse_object_list',
-    'parse_changes',
+    'parse_objects',
     'parse_object',
     'parse_written_version',
 )
@@ -50,7 +50,11 @@
 
 
 class StoredObject(NamedTuple):
-    """An object in the store; `body` is `None` after a deletion."""
+    """An object in the store; `body` is `None` after a deletion.
+
+    :param version: orders the object's contents. Where the store counts the
+        versions, that is the packed `StoreRevision` of its last change.
+    """
 
     key: str
     version: int
@@ -60,7 +64,7 @@
 class WatchResponse(NamedTuple):
     """Listed or changed objects, and the revision to watch from next."""
 
-    revision: int
+    revision: StoreRevision
     changes: tuple[StoredObject, ...]
 
 
@@ -77,6 +81,8 @@
 ) -> Result[_Parsed, StoreUnavailable]:
     """Parse the JSON body of a response.
 
+    :param parse: made by one of the functions below, for the response's era.
+
     A malformed response is an error like a missing one. An exception would end
     the tasks that follow the store, and the process would go on with stale
     state.
@@ -93,34 +99,34 @@
 
 def parse_written_version(
     written: Result[HttpResponse, StoreUnavailable],
+    era: int,
 ) -> Result[int, StoreError]:
-    """Parse the version that a conditional write returned."""
+    """Parse the version that a conditional write returned.
+
+    :param era: of the store that wrote it.
+    """
     status = written.map_or(0, lambda response: response.status)
     if status in _CONFLICT_STATUSES:
         return Err(VersionConflict())
-    return parse_response(written, _parse_version)
-
-
-def _parse_version(raw: Any) -> int:
-    return int(raw['version'])
-
+    return parse_response(
+        written, lambda raw: StoreRevision(era, raw['version']).packed
+    )
 
-def parse_object(raw: Any) -> StoredObject:
-    """Parse one object."""
-    return StoredObject(raw['key'], raw['version'], raw['body'])
 
+def parse_object(raw: Any, era: int) -> StoredObject:
+    """Parse one object that was read in an era of the store."""
+    version = StoreRevision(era, raw['version']).packed
+    return StoredObject(raw['key'], version, raw['body'])
 
-def parse_object_list(raw: Any) -> WatchResponse:
-    """Parse a list of objects."""
-    return WatchResponse(
-        raw['revision'], tuple(map(parse_object, raw['found']))
-    )
 
+def parse_objects(raw: Any, field: str, era: int) -> WatchResponse:
+    """Parse a list of objects, or the changes that a watch returned.
 
-def parse_changes(raw: Any) -> WatchResponse:
-    """Parse the changes that a watch returned."""
+    :param field: name of the list.
+    """
     return WatchResponse(
-        raw['revision'], tuple(map(parse_object, raw['events']))
+        StoreRevision(era, raw['revision']),
+        tuple(parse_object(each, era) for each in raw[field]),
     )
 
 
--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/process/follower.py
@@ -13,7 +13,9 @@
     StoreUnavailable,
     WatchResponse,
 )
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import KEY_CONFIGURATION
+from hornbeamdeck.process.applied_documents import AppliedDocuments
 from hornbeamdeck.process.backoff import backoff_s
 from hornbeamdeck.version.configuration import Configuration, parse_document
 
@@ -66,7 +68,7 @@
     prefix: str,
     on_change: OnChange,
     role: str,
-    revision: int,
+    revision: StoreRevision,
 ) -> None:
     while True:
         response = await platform.async_watch(
@@ -135,15 +137,24 @@
         self._hinted_version = 0
         self._hinted = Event()
         self._ignored_version = 0
+        # May be higher than that of the configuration: a restored store holds
+        # earlier documents, which are not applied, under newer versions.
+        self._newest_version = 0
+        self._applied = AppliedDocuments()
 
     async def async_note(self, change: StoredObject) -> None:
         """Apply a document if it is newer and valid."""
         if change.key != KEY_CONFIGURATION or change.body is None:
             return
-        if change.version <= self.configuration.version:
+        if change.version <= self._newest_version:
             # From a stale list or watch response, or from a lagging peer.
             self._log_ignored(change.version)
             return
+        if self._applied.contains(change):
+            # The store was restored, and holds again what it held before.
+            self._newest_version = change.version
+            self._log_ignored(change.version)
+            return
         parsed = self._kind.parse(change.body, change.version)
         if isinstance(parsed, Err):
             _LOGGER.error(
@@ -152,13 +163,15 @@
                 errors=[str(each) for each in parsed.err_value],
             )
             return
+        self._applied.record(change)
+        self._newest_version = change.version
         self.configuration = parsed.ok_value
         _LOGGER.info('configuration applied', version=change.version)
         await self._kind.on_applied(parsed.ok_value)
 
     async def async_hint(self, peer_id: str, version: int) -> None:
         """Record that a peer has a version, to fetch it if it is newer."""
-        if version > self.configuration.version:
+        if version > self._newest_version:
             self._hinting_peer = peer_id
             self._hinted_version = version
             await self._hinted.set()
@@ -177,7 +190,7 @@
         while True:
             await self._hinted.wait()
             await take_from_peer(self._hinting_peer)
-            if self.configuration.version < self._hinted_version:
+            if self._newest_version < self._hinted_version:
                 await self._async_fetch()
             # If both fetches failed, the peer's next message reports the
             # version again. This wait limits how often that causes a fetch.
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -184,7 +184,7 @@
         ]
         if components.settings.policy == 'least_reported_load':
             forever.append(components.reports.async_poll())
-        forever.append(components.membership_sync.async_publish())
+        forever.append(components.membership_sync.async_keep_published())
         for coroutine in forever:
             await self._async_spawn_task(coroutine)
 
--- a/hornbeamdeck/process/lease.py
+++ b/hornbeamdeck/process/lease.py
@@ -24,6 +24,7 @@
     StoredObject,
     StoreUnavailable,
 )
+from hornbeamdeck.connection.store_revision import StoreRevision
 
 __all__ = ('Lease', 'LeaseTerms')
 
@@ -85,8 +86,14 @@
 
     @property
     def is_held(self) -> bool:
-        """Whether this contender holds the lease; check before each command."""
-        return self._clock_ms() < self._held_until_ms
+        """Whether this contender holds the lease; check before each command.
+
+        A store that was restored since may have lost the lease.
+        """
+        is_current = (
+            StoreRevision.from_packed(self._version).era == self._platform.era
+        )
+        return is_current and self._clock_ms() < self._held_until_ms
 
     @property
     def fencing_token(self) -> int:
--- a/hornbeamdeck/process/membership_sync.py
+++ b/hornbeamdeck/process/membership_sync.py
@@ -16,6 +16,7 @@
 __all__ = ('MembershipSync',)
 
 LIST_POLL_INTERVAL_MS: Final = 2000
+ERA_CHECK_INTERVAL_MS: Final = 500
 ROLE: Final = 'membership'
 
 
@@ -49,6 +50,19 @@
                 return
             await sleep(next(waits))
 
+    async def async_keep_published(self) -> None:
+        """Publish the status, again when the store may have lost it; forever.
+
+        The entry is written only if it is not there as it should be.
+        """
+        await self.async_publish()
+        published_era = self._platform.era
+        while True:
+            await sleep(ERA_CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
+            if self._platform.era > published_era:
+                published_era = self._platform.era
+                await self.async_publish()
+
     async def async_follow_statuses(self) -> None:
         """Follow the status objects of all instances, without end."""
         await async_follow(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -25,6 +25,7 @@
         """Create a store without objects or faults."""
         self.stored: dict[str, StoredObject] = {}
         self.version = 0
+        self.era = 0
         self.fault = ''
         self.next_faults: list[str] = []
 
