Send the era of lists and orders to peers beside their number

Packed into one integer, an era above 8,191 would not have fitted into the message, and every heartbeat would have failed. Tests for the order of revisions, among them one that fails where the product takes the number out to compare it, and for the decisions about engines in an older copy.

--- a/hornbeamdeck/connection/store_revision.py
+++ b/hornbeamdeck/connection/store_revision.py
@@ -4,7 +4,7 @@
 
 __all__ = ('StoreRevision',)
 
-# Bits for the number where a message carries both parts in one integer.
+# Bits for the number where one integer carries both parts.
 NUMBER_BITS: Final = 40
 
 
@@ -29,5 +29,5 @@
 
     @property
     def packed(self) -> int:
-        """Both parts in one integer, for messages; keeps the order."""
+        """Both parts in one integer, which keeps the order."""
         return self.era << NUMBER_BITS | self.number
--- a/hornbeamdeck/process/engine_directory.py
+++ b/hornbeamdeck/process/engine_directory.py
@@ -10,7 +10,7 @@
 from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.list_version import NO_LIST, ListVersion
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.wire import EngineEntry, EngineList
+from hornbeamdeck.wire import Beat, EngineEntry, EngineList
 
 __all__ = ('EngineDirectory',)
 
@@ -131,15 +131,13 @@
         self.engines = listed
         return True
 
-    def is_newer_than(self, packed_version: int) -> bool:
-        """Whether a peer that reports a version lacks the current list."""
-        return ListVersion.from_packed(packed_version) < self.version
+    def is_newer_than(self, heartbeat: Beat) -> bool:
+        """Whether the sender of a heartbeat lacks the current list."""
+        return _reported_version(heartbeat) < self.version
 
-    def confirm_reported(
-        self, packed_version: int, requested_ms: float
-    ) -> None:
-        """Record that a peer has confirmed a version, as `confirm` does."""
-        self.confirm(ListVersion.from_packed(packed_version), requested_ms)
+    def confirm_reported(self, heartbeat: Beat, requested_ms: float) -> None:
+        """Record that a peer has confirmed its version, as `confirm` does."""
+        self.confirm(_reported_version(heartbeat), requested_ms)
 
     def update_from_wire(self, message: EngineList) -> bool:
         """Replace the current list if that of a peer is newer.
@@ -148,7 +146,8 @@
         :raises ValueError: if the address of an engine is invalid.
         """
         engines = [_engine_from_wire(entry) for entry in message.engines]
-        return self.update(ListVersion.from_packed(message.version), engines)
+        version = ListVersion.from_wire(message.era, message.version)
+        return self.update(version, engines)
 
     def of_service(self, service: str) -> list[Engine]:
         """Return the engines of one service."""
@@ -164,7 +163,8 @@
         :param slowness: by engine name.
         """
         return EngineList(
-            version=self.version.packed,
+            version=self.version.number_on_wire,
+            era=self.era,
             engines=[
                 EngineEntry(
                     name=engine.name,
@@ -188,6 +188,12 @@
             self._removed.pop(next(iter(self._removed)))
 
 
+def _reported_version(heartbeat: Beat) -> ListVersion:
+    return ListVersion.from_wire(
+        heartbeat.engines_era, heartbeat.engines_version
+    )
+
+
 def _engine_from_wire(entry: EngineEntry) -> Engine:
     return Engine(
         name=entry.name,
--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/process/heartbeats.py
@@ -218,7 +218,8 @@
             configuration_age_ms=confirmation_age_ms(
                 last.received_ms, confirmed_ms
             ),
-            engines_version=dependencies.directory.version.packed,
+            engines_version=dependencies.directory.version.number_on_wire,
+            engines_era=dependencies.directory.era,
             engines_age_ms=confirmation_age_ms(
                 last.received_ms,
                 dependencies.directory.confirmed_ms,
@@ -265,9 +266,7 @@
         dependencies.freshness.confirm(
             heartbeat.configuration_version, configuration_ms
         )
-        dependencies.directory.confirm_reported(
-            heartbeat.engines_version, engines_ms
-        )
+        dependencies.directory.confirm_reported(heartbeat, engines_ms)
 
     def _spending_record_ms(self, now: float) -> float:
         if self._dependencies.is_first_start:
@@ -292,7 +291,7 @@
         self, heartbeat: Beat, deliver: Deliver
     ) -> None:
         directory = self._dependencies.directory
-        if directory.is_newer_than(heartbeat.engines_version):
+        if directory.is_newer_than(heartbeat):
             await deliver(
                 directory.to_wire(self._dependencies.engine_slowness())
             )
--- a/hornbeamdeck/process/list_version.py
+++ b/hornbeamdeck/process/list_version.py
@@ -23,10 +23,13 @@
     edition: int = 0
 
     @classmethod
-    def from_packed(cls, packed: int) -> Self:
-        """Read what `packed` has made."""
-        revision = StoreRevision.from_packed(packed >> EDITION_BITS)
-        return cls(revision, packed & MAX_EDITION)
+    def from_wire(cls, era: int | None, number: int) -> Self:
+        """Read the version that a peer sends.
+
+        :param number: made by `number_on_wire`.
+        """
+        revision = StoreRevision(era or 0, number >> EDITION_BITS)
+        return cls(revision, number & MAX_EDITION)
 
     @classmethod
     def last_of(cls, revision: StoreRevision) -> Self:
@@ -34,9 +37,9 @@
         return cls(revision, MAX_EDITION)
 
     @property
-    def packed(self) -> int:
-        """All parts in one integer, for messages; keeps the order."""
-        return self.revision.packed << EDITION_BITS | self.edition
+    def number_on_wire(self) -> int:
+        """All but the era in one integer, for messages to peers."""
+        return self.revision.number << EDITION_BITS | self.edition
 
 
 NO_LIST: Final = ListVersion(StoreRevision(0, 0))
--- a/hornbeamdeck/rollout/book.py
+++ b/hornbeamdeck/rollout/book.py
@@ -136,7 +136,8 @@
                 duration_ms=entry.rollout.order.duration_ms,
                 phase=entry.rollout.phase,
                 age_ms=max(int(now - entry.rollout.started_ms), 0),
-                revision=entry.revision.packed,
+                revision=entry.revision.number,
+                era=entry.revision.era,
             )
             for service, entry in self.entries.items()
         ]
@@ -240,7 +241,7 @@
             order_id=reported.order_id,
         )
         phase = RolloutPhase(reported.phase)
-        revision = StoreRevision.from_packed(reported.revision)
+        revision = StoreRevision(reported.era or 0, reported.revision)
         entry = self.entries.get(order.service)
         is_same = entry is not None and entry.is_same(order, revision.era)
         if entry is None or (not is_same and revision > entry.revision):
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -2372,6 +2372,7 @@
      - phase
      - age_ms
      - revision
+     - era
 
     """
 
@@ -2383,10 +2384,11 @@
         'phase',
         'age_ms',
         'revision',
+        'era',
     )
 
 
-    def __init__(self, cell=None, target=None, order_id=None, duration_ms=None, phase=None, age_ms=None, revision=None,):
+    def __init__(self, cell=None, target=None, order_id=None, duration_ms=None, phase=None, age_ms=None, revision=None, era=None,):
         self.cell = cell
         self.target = target
         self.order_id = order_id
@@ -2394,6 +2396,7 @@
         self.phase = phase
         self.age_ms = age_ms
         self.revision = revision
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2439,6 +2442,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2477,6 +2485,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 7)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 8)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2532,6 +2544,7 @@
      - configuration_version
      - is_store_reached
      - rollouts
+     - engines_era
 
     """
 
@@ -2549,10 +2562,11 @@
         'configuration_version',
         'is_store_reached',
         'rollouts',
+        'engines_era',
     )
 
 
-    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None, rollouts=None,):
+    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None, rollouts=None, engines_era=None,):
         self.stamp_ms = stamp_ms
         self.echo_ms = echo_ms
         self.configuration_age_ms = configuration_age_ms
@@ -2566,6 +2580,7 @@
         self.configuration_version = configuration_version
         self.is_store_reached = is_store_reached
         self.rollouts = rollouts
+        self.engines_era = engines_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2663,6 +2678,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.engines_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2737,6 +2757,10 @@
                 iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.engines_era is not None:
+            oprot.writeFieldBegin('engines_era', TType.I64, 14)
+            oprot.writeI64(self.engines_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2967,18 +2991,21 @@
     Attributes:
      - version
      - engines
+     - era
 
     """
 
     __slots__ = (
         'version',
         'engines',
+        'era',
     )
 
 
-    def __init__(self, version=None, engines=None,):
+    def __init__(self, version=None, engines=None, era=None,):
         self.version = version
         self.engines = engines
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3005,6 +3032,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3026,6 +3058,10 @@
                 iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3945,6 +3981,7 @@
     (5, TType.I32, 'phase', None, None, ),  # 5
     (6, TType.I64, 'age_ms', None, None, ),  # 6
     (7, TType.I64, 'revision', None, None, ),  # 7
+    (8, TType.I64, 'era', None, None, ),  # 8
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -3962,6 +3999,7 @@
     (11, TType.I64, 'configuration_version', None, None, ),  # 11
     (12, TType.BOOL, 'is_store_reached', None, None, ),  # 12
     (13, TType.LIST, 'rollouts', (TType.STRUCT, [Rollout, None], False), None, ),  # 13
+    (14, TType.I64, 'engines_era', None, None, ),  # 14
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
@@ -3981,6 +4019,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'engines', (TType.STRUCT, [EngineEntry, None], False), None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(OpenTunnel)
 OpenTunnel.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -195,6 +195,7 @@
   5: required i32 phase            // only ever grows
   6: required i64 age_ms           // since the order was first seen
   7: required i64 revision         // of the store, at which the order was read
+  8: optional i64 era              // of the store, which counts the revision
 }
 
 // What a process holds of the store, and how old its proof is that this is
@@ -215,6 +216,7 @@
   11: required i64 configuration_version
   12: required bool is_store_reached // whether the sender's last call was answered
   13: optional list<Rollout> rollouts
+  14: optional i64 engines_era     // of the store, which counts engines_version
 }
 
 struct EngineEntry {
@@ -232,6 +234,7 @@
 struct EngineList {
   1: required i64 version
   2: required list<EngineEntry> engines
+  3: optional i64 era              // of the store, which counts the version
 }
 
 // Asks an instance to connect to an upstream and to pass bytes on. After OPENED
--- a/tests/process/test_engine_directory.py
+++ b/tests/process/test_engine_directory.py
@@ -6,6 +6,13 @@
 from hornbeamdeck.process.engine_directory import EngineDirectory
 from hornbeamdeck.process.list_version import ListVersion
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.wire import (
+    EngineList,
+    decode_frame,
+    encode_frame,
+    message_of,
+)
+from hornbeamdeck.wire.codec import LENGTH_PREFIX
 
 
 def _version(number: int) -> ListVersion:
@@ -60,3 +67,36 @@
     assert directory.is_draining_or_removed('engine-1')
     directory.update(_version(4), [_engine(is_draining=False)])
     assert not directory.is_draining_or_removed('engine-1')
+
+
+def test_list_of_a_later_era_replaces_one_with_a_higher_number() -> None:
+    """Guards against a peer of the old era that outvotes the new one."""
+    before = EngineDirectory()
+    before.update(ListVersion(StoreRevision(4, 900)), [])
+    after = EngineDirectory()
+    after.update(ListVersion(StoreRevision(5, 30)), [_engine(is_draining=True)])
+    assert before.update_from_wire(after.to_wire({}))
+    assert before.version == after.version
+    assert not after.update_from_wire(EngineDirectory().to_wire({}))
+
+
+def test_era_of_any_size_is_sent_to_peers() -> None:
+    """Guards against an era that does not fit into a message."""
+    large = ListVersion(StoreRevision(10**12, 10**12), 3)
+    sent = EngineDirectory()
+    sent.update(large, [])
+    received = EngineDirectory()
+    frame = encode_frame(sent.to_wire({}))
+    message = message_of(decode_frame(frame[LENGTH_PREFIX.size :]).unwrap())
+    assert isinstance(message, EngineList)
+    received.update_from_wire(message)
+    assert received.version == large
+
+
+def test_removed_engines_are_known_in_the_next_era_only() -> None:
+    """Guards against hiding an engine that registers again in one era."""
+    directory = EngineDirectory()
+    directory.update(_version(1), [_engine(is_draining=False)])
+    directory.update(_version(2), [])
+    assert not directory.gone_before(1)
+    assert directory.gone_before(2) == {'engine-1': 1}
--- a/tests/process/test_store_engine_list.py
+++ b/tests/process/test_store_engine_list.py
@@ -86,3 +86,58 @@
         (BOTH[1],), CURRENT, confirmation_age_ms=OUTAGE_MS / 2, now=10_000
     )
     assert _usable(engine_list, 10_000) == {'e2'}
+
+
+def test_engine_that_leaves_is_not_ready_again_in_an_older_copy() -> None:
+    """Guards against a notice of leaving that a restored store has lost."""
+    engine_list = _engine_list()
+    current = {**CURRENT, 'e1': engine('e1', is_draining=True)}
+    engine_list.apply_list(
+        BOTH, current, confirmation_age_ms=0, restored_ms=10_000, now=10_000
+    )
+    assert engine_list.usable_engines(10_000)['e1'].is_draining
+    engine_list.apply_changes([BOTH[0]], 11_000)
+    assert engine_list.usable_engines(11_000)['e1'].is_draining
+
+
+def test_engine_that_starts_again_does_not_leave() -> None:
+    """Guards against a notice that outlasts the incarnation that gave it."""
+    engine_list = _engine_list()
+    current = {**CURRENT, 'e1': engine('e1', is_draining=True)}
+    engine_list.apply_list(
+        BOTH, current, confirmation_age_ms=0, restored_ms=10_000, now=10_000
+    )
+    restarted = engine('e1')._replace(born_ms=99)
+    engine_list.apply_changes([EngineChange('e1', restarted)], 11_000)
+    assert not engine_list.usable_engines(11_000)['e1'].is_draining
+
+
+def test_removed_engine_is_unused_until_it_writes_again() -> None:
+    """Guards against an engine that is gone and listed by an older copy."""
+    engine_list = _engine_list()
+    gone = {'e1': engine('e1').born_ms}
+    engine_list.apply_list(
+        BOTH,
+        {'e2': engine('e2')},
+        gone=gone,
+        confirmation_age_ms=0,
+        restored_ms=10_000,
+        now=10_000,
+    )
+    assert _usable(engine_list, 12_000) == {'e2'}
+    engine_list.apply_changes([BOTH[0]], 12_100)
+    assert _usable(engine_list, 12_100) == {'e1', 'e2'}
+
+
+def test_engines_that_an_older_copy_lacks_are_retained() -> None:
+    """Guards against refusals until engines have registered again."""
+    engine_list = _engine_list()
+    engine_list.apply_list(
+        (BOTH[1],),
+        CURRENT,
+        confirmation_age_ms=100,
+        restored_ms=10_000,
+        now=10_500,
+    )
+    assert _usable(engine_list, 11_900) == {'e1', 'e2'}
+    assert _usable(engine_list, 12_100) == {'e2'}
