--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -47,17 +47,51 @@
     await fleet.store.async_put(
         'servers', engine.name, engine.entry('desk', zone='z2')
     )
-    await sleep(READ_S)
+    await fleet.async_until(
+        lambda: all(
+            _has_read_all(gateway, fleet.store, engine)
+            for gateway in fleet.gateways
+        )
+    )
     return copied
 
 
+def _has_read_all(
+    gateway: Gateway, store: StoreStandin, changed: EngineStandin
+) -> bool:
+    components = gateway.components
+    listed = components.directory.engines[changed.name]
+    version = components.follower.configuration.version
+    return (
+        listed.availability_zone == 'z2'
+        and version == store.configuration_version
+    )
+
+
+async def _async_until_draining(
+    fleet: PlatformFleet, engine: EngineStandin
+) -> None:
+    async def _async_is_known() -> bool:
+        return all(
+            gateway.components.directory.is_draining_or_removed(engine.name)
+            for gateway in fleet.gateways
+        )
+
+    assert await _async_within(CHANGE_MS, _async_is_known)
+
+
 async def _async_restore(fleet: PlatformFleet, *, away_s: float = 0.4) -> None:
     """Lose many writes; the operator and the engines write theirs again."""
     copied = await _async_write_much(fleet)
+    era = fleet.gateways[0].components.directory.era
     newest = fleet.store.stored_objects['config']['main']['spec']
     await fleet.store.async_restore(copied, away_s=away_s)
     await fleet.store.async_put_unchanged('config', 'main', newest)
-    await sleep(READ_S)
+    await fleet.async_until(
+        lambda: all(
+            gateway.components.directory.era > era for gateway in fleet.gateways
+        )
+    )
 
 
 async def _async_within(
@@ -144,7 +178,7 @@
         await _async_restore(fleet, away_s=away_s)
         leaving = fleet.booking_engines[0]
         await _async_say_draining(fleet, leaving)
-        await sleep(CHANGE_MS / 1000)
+        await _async_until_draining(fleet, leaving)
         assert await _async_is_unused(fleet, leaving)
 
     _async_run()
@@ -165,7 +199,7 @@
     await _async_say_draining(fleet, leaving)
     for number in range(2 * LOST_WRITES):
         await fleet.store.async_put('others', f'again-{number}', {})
-    await sleep(CHANGE_MS / 1000)
+    await _async_until_draining(fleet, leaving)
     assert await _async_is_unused(fleet, leaving)
 
 
@@ -208,7 +242,7 @@
     await _async_say_draining(fleet, leaving)
     await fleet.store.async_put('config', 'main', _document_without_keys())
     assert await _async_is_key_refused(fleet)
-    await sleep(CHANGE_MS / 1000)
+    await _async_until_draining(fleet, leaving)
     assert await _async_is_unused(fleet, leaving)
 
 
@@ -247,7 +281,7 @@
     await _async_say_draining(fleet, leaving)
     await fleet.store.async_put('config', 'main', _document_without_keys())
     assert await _async_is_key_refused(fleet)
-    await sleep(CHANGE_MS / 1000)
+    await _async_until_draining(fleet, leaving)
     assert await _async_is_unused(fleet, leaving)
 
 
@@ -283,7 +317,7 @@
     copied = await _async_write_much(fleet)
     leaving = fleet.booking_engines[0]
     await _async_say_draining(fleet, leaving)
-    await sleep(READ_S)
+    await _async_until_draining(fleet, leaving)
     await fleet.store.async_restore(copied)
     for _ in range(5):
         assert await _async_is_unused(fleet, leaving)
@@ -298,7 +332,7 @@
     copied = await _async_write_much(fleet)
     removed = fleet.booking_engines[0]
     await fleet.store.async_remove('servers', removed.name)
-    await sleep(READ_S)
+    await _async_until_draining(fleet, removed)
     await fleet.store.async_restore(copied)
     for _ in range(5):
         assert await _async_is_unused(fleet, removed)
@@ -313,7 +347,7 @@
     copied = await _async_write_much(fleet)
     left = fleet.booking_engines[0]
     await _async_say_draining(fleet, left)
-    await sleep(READ_S)
+    await _async_until_draining(fleet, left)
     await fleet.store.async_restore(copied)
     entry = left.entry('counter', born=2)
     await fleet.store.async_put('servers', left.name, entry)
