--- a/tests/process/test_restored_platform.py
+++ b/tests/process/test_restored_platform.py
@@ -6,8 +6,9 @@
 from curio import sleep
 
 from hornbeamdeck.const import KEY_CONFIGURATION, PREFIX_INSTANCE
+from hornbeamdeck.demo.client import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
-from tests.support import on_fleet
+from tests.support import booking_entry, on_fleet
 
 PLAN = FleetPlan(instances=3, speeds=(1.0,))
 LOST_WRITES = 20
@@ -95,3 +96,22 @@
             return
         await sleep(0.02)
     raise AssertionError('a status is missing')
+
+
+@on_fleet(PLAN)
+async def test_booking_whose_claim_the_copy_lacks_does_not_run_again(
+    fleet: Fleet,
+) -> None:
+    """Guards against a second booking under a key that the store has lost."""
+    copied = fleet.platform.copy()
+    entry = booking_entry('huelgoat')
+    first, *others = [instance.own.address for instance in fleet.instances]
+    assert (await async_call(entry, 1, first)).is_complete
+    await fleet.platform.async_restore(copied)
+    for address in others * 8:
+        again = await async_call(entry, 1, address)
+        assert fleet.booking_service.runs == {'huelgoat': 1}
+        if again.is_complete:
+            return
+        await sleep(0.5)
+    raise AssertionError('the outcome of the booking was lost')
