Write claims again that a restored store has lost

A booking that was sent again after the plain path's store had come back from an older copy ran a second time: the claim of the first run was in the lost part.

Each instance keeps its claims and their outcomes for 60 s, longer than a copy is old, and writes them again in the next era. For the first 4 s in which it knows of an era it admits no new claims (503, not run): by then every instance has called the store, which tells it of the era. A claim whose creation is the first to tell of one is given back.

--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -177,6 +177,7 @@
             components.snapshots.async_fetch_from_seeds(
                 components.settings.seed_peers
             ),
+            components.execution_rights.claims.async_keep_stored(),
             components.membership_sync.async_follow_statuses(),
             components.membership_sync.async_poll_instance_list(),
             components.scheduler.async_refuse_expired(),
--- a/hornbeamdeck/request/claim.py
+++ b/hornbeamdeck/request/claim.py
@@ -30,6 +30,7 @@
     ClaimRecord,
 )
 from hornbeamdeck.request.execution_right import Once, Recorded, in_progress
+from hornbeamdeck.request.kept_claims import KeptClaims
 from hornbeamdeck.request.outcome import Failure
 from hornbeamdeck.request.refusal import platform_down, unprocessable
 
@@ -68,16 +69,26 @@
         """
         self._platform = platform
         self._background = background
+        self._kept = KeptClaims(platform)
+
+    async def async_keep_stored(self) -> None:
+        """Write claims that the store may have lost again; never returns."""
+        await self._kept.async_run()
 
     async def async_claim(
         self,
         call: ClaimCall,
     ) -> Result[Once | Recorded, Failure]:
         """Claim a call, or find the earlier claim of the same call."""
+        if not self._kept.are_admitted():
+            return Err(platform_down())
         record = ClaimRecord.from_call(call)
         claimed: Result[Claim | Recorded, Failure] | None = None
         try:
             claimed = await self._async_create(call, record)
+            if not self._kept.are_admitted():
+                # The first response that tells of a new era.
+                claimed = None
         finally:
             # This also runs if the caller disconnects meanwhile. Otherwise a
             # claim that was created, or whose create is still in transit,
@@ -93,6 +104,7 @@
     def _to_execution_right(self, claimed: Claim | Recorded) -> Once | Recorded:
         if isinstance(claimed, Recorded):
             return claimed
+        self._kept.keep(claimed.object_key, claimed.record)
         return Once(
             record=partial(self._async_record, claimed),
             release=partial(self._async_release, claimed),
@@ -111,6 +123,7 @@
             content_type=response.headers.get('content-type', ''),
             body_base64=base64.b64encode(response.body).decode('ascii'),
         )
+        self._kept.keep(claim.object_key, record)
         await self._background.async_spawn(
             self._async_store_outcome(claim, record.to_text()),
         )
@@ -121,6 +134,7 @@
     async def _async_schedule_release(
         self, object_key: str, nonce: str
     ) -> None:
+        self._kept.drop(object_key, nonce)
         await self._background.async_spawn(
             self._async_delete_claim(object_key, nonce),
         )
@@ -185,7 +199,9 @@
             if not isinstance(written, Err):
                 return
             if not isinstance(written.err_value, StoreUnavailable):
-                # An earlier attempt took effect and its response was lost.
+                # An earlier attempt took effect and its response was lost, or
+                # the store was restored and holds another version.
+                await self._kept.async_write_again(claim.object_key)
                 return
             await sleep(next(delays))
         _LOGGER.warning('outcome not recorded', claim=claim.object_key)
