--- a/bench/faults.py
+++ b/bench/faults.py
@@ -207,6 +207,17 @@
     await async_put_json(address, SWITCHES, {'is_down': False})
 
 
+async def _async_restore(scenario: Scenario) -> None:
+    """Bring the store back from a copy that is a few seconds old."""
+    address = scenario.fleet.platform.address
+    await async_put_json(address, '/standin/copy', {})
+    await curio.sleep(scenario.rng.uniform(0.5, 4))
+    await async_put_json(address, SWITCHES, {'is_down': True})
+    await curio.sleep(scenario.rng.uniform(0.05, 0.5))
+    await async_put_json(address, '/standin/restore', {})
+    await async_put_json(address, SWITCHES, {'is_down': False})
+
+
 async def _async_slow_platform(scenario: Scenario) -> None:
     address = scenario.fleet.platform.address
     await async_put_json(address, SWITCHES, {'delay_ms': 300})
@@ -259,6 +270,7 @@
     _async_pause,
     _async_stop,
     _async_outage,
+    _async_restore,
     _async_slow_platform,
     _async_lost_answers,
     _async_engine_outage,
