--- a/hornbeamdeck/rollout/book.py
+++ b/hornbeamdeck/rollout/book.py
@@ -62,11 +62,6 @@
         is_restored = era != self.newest_revision.era
         return held == order or (is_restored and held.target == order.target)
 
-    def keep_lost(self, now: float) -> Self:
-        """Return the entry of an order that the store does not hold now."""
-        lost_ms = now if self.lost_ms is None else self.lost_ms
-        return self._replace(stored=None, lost_ms=lost_ms)
-
     def go_on(self, order: RolloutOrder, revision: StoreRevision) -> Self:
         """Return the entry of the order as it is read in a later era."""
         if revision.era <= self.newest_revision.era:
@@ -213,9 +208,9 @@
             _LOGGER.warning(
                 'order lost', service=service, target=entry.rollout.order.target
             )
-        entry = entry.keep_lost(now)
-        self.entries[service] = entry
-        return now - (entry.lost_ms or now) <= LOST_ORDER_RETENTION_MS
+        lost_ms = now if entry.lost_ms is None else entry.lost_ms
+        self.entries[service] = entry._replace(stored=None, lost_ms=lost_ms)
+        return now - lost_ms <= LOST_ORDER_RETENTION_MS
 
     def _withdraw(self, service: str) -> None:
         entry = self.entries.get(service)
--- a/tests/rollout/test_book.py
+++ b/tests/rollout/test_book.py
@@ -15,7 +15,7 @@
 
 from hornbeamdeck.connection.store_client import StoreUnavailable
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.rollout.book import RolloutBook
+from hornbeamdeck.rollout.book import LOST_ORDER_RETENTION_MS, RolloutBook
 from hornbeamdeck.rollout.status_writer import StatusWriter
 from hornbeamdeck.rollout.store_interface import (
     RolloutChange,
@@ -266,6 +266,64 @@
     assert owner.phase[1] == RolloutPhase.COMPLETED
 
 
+def _stored(era: int, target: str, started_unix_ms: int) -> StoredRollout:
+    order = RolloutOrder(SERVICE, target, 10_000, era)
+    phase = RolloutPhase.COMPLETED if started_unix_ms else None
+    return StoredRollout(StoreRevision(era, 1), order, phase, started_unix_ms)
+
+
+def _book_of_lost_roll_back() -> RolloutBook:
+    """Return a book with a rolled-back order, of an era that has ended."""
+    book = RolloutBook(BOUNDS, lambda: int(NOW))
+    book.apply_list([RolloutChange(SERVICE, _stored(1, 'v2', 0))], NOW, era=1)
+    book.entries[SERVICE].rollout.adopt(RolloutPhase.ROLLED_BACK)
+    return book
+
+
+def _target_and_phase(book: RolloutBook) -> tuple[str, RolloutPhase]:
+    rollout = book.entries[SERVICE].rollout
+    return rollout.order.target, rollout.phase
+
+
+def test_older_order_of_a_copy_does_not_replace_the_lost_one() -> None:
+    """Guards against a bad version that is used as if it were the old one."""
+    book = _book_of_lost_roll_back()
+    older = _stored(2, 'v1', int(NOW) - 60_000)
+    book.apply_list([RolloutChange(SERVICE, older)], NOW, era=2)
+    assert _target_and_phase(book) == ('v2', RolloutPhase.ROLLED_BACK)
+    again = _stored(2, 'v2', 0)
+    book.apply_list([RolloutChange(SERVICE, again)], NOW, era=2)
+    assert _target_and_phase(book) == ('v2', RolloutPhase.ROLLED_BACK)
+    assert book.entries[SERVICE].stored == again
+
+
+def test_new_order_of_a_later_era_replaces_the_lost_one() -> None:
+    """Guards against an order that is ignored for a lost one's sake."""
+    book = _book_of_lost_roll_back()
+    newer = _stored(2, 'v3', 0)
+    book.apply_list([RolloutChange(SERVICE, newer)], NOW, era=2)
+    assert _target_and_phase(book) == ('v3', RolloutPhase.CANARY)
+
+
+def test_lost_order_that_is_not_written_again_is_withdrawn() -> None:
+    """Guards against an order that is kept for ever."""
+    book = _book_of_lost_roll_back()
+    book.apply_list([], NOW, era=2)
+    assert book.entries[SERVICE].lost_ms == NOW
+    book.entries[SERVICE].rollout.adopt(RolloutPhase.COMPLETED)
+    book.apply_list([], NOW + LOST_ORDER_RETENTION_MS + 1, era=2)
+    assert SERVICE not in book.entries
+
+
+def test_peer_of_the_era_before_tells_that_an_order_was_rolled_back() -> None:
+    """Guards against a bad version that is tried again by a later reader."""
+    book = RolloutBook(BOUNDS, lambda: int(NOW))
+    again = _stored(2, 'v2', 0)
+    book.apply_list([RolloutChange(SERVICE, again)], NOW, era=2)
+    book.merge(_book_of_lost_roll_back().to_wire(NOW), NOW)
+    assert _target_and_phase(book) == ('v2', RolloutPhase.ROLLED_BACK)
+
+
 TestRolloutKnowledge = RolloutKnowledge.TestCase
 TestRolloutKnowledge.settings = settings(
     max_examples=150, stateful_step_count=25, deadline=None
