--- a/hornbeamdeck/connection/store_responses.py
+++ b/hornbeamdeck/connection/store_responses.py
@@ -81,7 +81,7 @@
 ) -> Result[_Parsed, StoreUnavailable]:
     """Parse the JSON body of a response.
 
-    :param parse: made by one of the functions below, for the response's era.
+    :param parse: builds the result from the parsed JSON.
 
     A malformed response is an error like a missing one. An exception would end
     the tasks that follow the store, and the process would go on with stale
