Count a list that the store does not have as an outage again

Reading lists with their era had taken the rule of single objects: a 404 is nothing there. A list that was answered 404 then raised a TypeError in the task that follows engines or roll-outs, which ends it; before, and again now, it is an outage that is retried. Found by reading the change; the test of 404 failed before, those of 429 and 503 held.

--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -5,10 +5,7 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.json_calls import (
-    JsonCalls,
-    parse_body,
-)
+from hornbeamdeck.connection.json_calls import JsonCalls, parse_body
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
@@ -54,10 +51,12 @@
         revisions: list[StoreRevision] = []
         for _ in range(MAX_PAGES):
             path = f'{PATH_OBJECTS}/{kind}'
-            read = await self.async_read(path, query, role=kind)
+            fetched = await self.async_get(path, query, role=kind)
+            read = fetched.and_then(parse_body)
             if isinstance(read, Err):
                 return read
-            era, page = read.ok_value
+            page = read.ok_value
+            era = self.era_of(fetched.unwrap())
             revisions.append(StoreRevision(era, page['at']))
             entries += page['entries']
             if not page['has_more'] or not page['entries']:
