Hash a document of a restored store only where its number matches

Each newer configuration was hashed once to look for it among earlier ones, of which nearly all differ in era or number. Two imports on one line. No change of behaviour.

--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -9,9 +9,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.connection.json_calls import (
-    JsonContent,
-)
+from hornbeamdeck.connection.json_calls import JsonContent
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
--- a/hornbeamdeck/process/applied_documents.py
+++ b/hornbeamdeck/process/applied_documents.py
@@ -34,11 +34,10 @@
     def contains(self, document: StoredObject) -> bool:
         """Return whether a document of an earlier era was read again."""
         revision = StoreRevision.from_packed(document.version)
-        digest = _digest(document)
         return any(
             applied.era < revision.era
             and applied.number == revision.number
-            and applied_digest == digest
+            and applied_digest == _digest(document)
             for applied, applied_digest in self._digests.items()
         )
 
