A silence of an engine is not taken for its speed

Cause: the slowness of an engine was a weighted mean of ratios of observed to expected times to first token. Expected ends of all runs are multiplied with it, and what waits seems not to start in time.

Change: a sample counts as at most three times slower or faster than the estimate, and the mean is one of ratios, a geometric one.

--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -6,6 +6,7 @@
 prompt would take there and the gap that it would cause in the other streams.
 """
 
+import math
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.scheduling.engine import Engine
@@ -35,6 +36,9 @@
 # A sample's weight grows with the time that the model expects for it: the
 # longer that is, the smaller the network's share of the observed time.
 SAMPLE_WEIGHT_MS: Final = 150.0
+# A sample counts as at most this many times slower or faster than the estimate:
+# a sound engine may be silent for a second, whatever its speed.
+MAX_SAMPLE_RATIO: Final = 3.0
 MIN_SLOWNESS: Final = 0.2
 MAX_SLOWNESS: Final = 30.0
 # Ends of a run that show whether the network path to its engine is sound.
@@ -207,8 +211,7 @@
                 run.expected_first_token_ms + SAMPLE_WEIGHT_MS
             )
             observed = elapsed_ms / run.expected_first_token_ms
-            slowness = self.slowness + weight * (observed - self.slowness)
-            self.slowness = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+            self.slowness = _learned_slowness(self.slowness, observed, weight)
         self._cap_backlog(now)
 
     def end(
@@ -288,6 +291,14 @@
         self._prefill_done_ms = min(self._prefill_done_ms, now + remaining_ms)
 
 
+def _learned_slowness(slowness: float, observed: float, weight: float) -> float:
+    ratio = observed / slowness
+    ratio = min(max(ratio, 1 / MAX_SAMPLE_RATIO), MAX_SAMPLE_RATIO)
+    return min(
+        max(slowness * math.pow(ratio, weight), MIN_SLOWNESS), MAX_SLOWNESS
+    )
+
+
 def _open_slots(load: EngineLoad, now: float) -> int:
     """Return the number of requests that an engine has room for."""
     rejections = load.condition.rejections
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -323,6 +323,47 @@
     assert granted(desk, now) == [('next', 'e1')]
 
 
+# A sound engine may be silent for this time.
+SILENCE_MS = 1000.0
+SHORT_RUN_MS = 100
+
+
+def _run_short_streams(
+    desk: EngineCell, name: str, now: float, first_token_ms: float
+) -> None:
+    """Fill the slots of an engine once with short streams."""
+    request_ids = [f'{name}-{number}' for number in range(4)]
+    for request_id in request_ids:
+        request = make_request(request_id, prompt_tokens=100, output_tokens=20)
+        assert enqueue(desk, request, now=now) is None
+    assert len(granted(desk, now)) == len(request_ids)
+    begun_ms = now + first_token_ms
+    for begun in request_ids:
+        message = Progress(
+            request_id=begun, cell='desk', first_token_ms=int(first_token_ms)
+        )
+        desk.progress(message, begun_ms)
+    for ended in request_ids:
+        desk.release(_release(ended, RunEnd.ANSWERED), begun_ms + SHORT_RUN_MS)
+
+
+def test_a_silence_of_an_engine_is_not_taken_for_its_speed() -> None:
+    """Guards against refusing what an engine can serve after it was silent."""
+    desk = make_cell(engine('e1', slots=4))
+    now = 0.0
+    for number in range(12):
+        _run_short_streams(desk, f'usual-{number}', now, first_token_ms=13)
+        now += 1000
+    _run_short_streams(desk, 'silent', now, first_token_ms=SILENCE_MS)
+    now += 2 * SILENCE_MS
+    for number in range(8):
+        request = make_request(
+            f'next-{number}', prompt_tokens=100, output_tokens=20
+        )
+        assert enqueue(desk, request, now=now) is None
+        granted(desk, now)
+
+
 def test_a_failing_engine_is_avoided_and_tried_again() -> None:
     """An engine fails part of its requests while its health check passes.
     Judged by its outcomes, it is avoided for a while, but not for ever.
