Write a status again that the store lost as it was written

An instance on the path without the users' platform could stay out of the store's list of instances: if the store was restored between its acknowledgement of the status and the look at the era, the new era was taken for the one that holds the status, and it was not written again.

The era now comes from the acknowledgement itself, as in InstanceRegistration.

--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -189,7 +189,9 @@
         for coroutine in forever:
             await self._async_spawn_task(coroutine)
 
-    async def _async_spawn_task(self, work: Coroutine[Any, Any, None]) -> None:
+    async def _async_spawn_task(
+        self, work: Coroutine[Any, Any, object]
+    ) -> None:
         self._tasks.append(await spawn(work, daemon=True))
 
     def _pending(self) -> int:
--- a/hornbeamdeck/process/membership_sync.py
+++ b/hornbeamdeck/process/membership_sync.py
@@ -3,9 +3,14 @@
 from typing import Final
 
 from curio import sleep
-from result import Err
-
-from hornbeamdeck.connection.store_client import PlatformClient, StoredObject
+from result import Err, Ok, Result
+
+from hornbeamdeck.connection.store_client import (
+    PlatformClient,
+    StoredObject,
+    StoreError,
+)
+from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
 from hornbeamdeck.process.backoff import backoff_s
 from hornbeamdeck.process.follower import async_follow
@@ -36,32 +41,34 @@
         self._scheduler = scheduler
         self._grants = grants
 
-    async def async_publish(self) -> None:
+    async def async_publish(self) -> int:
         """Write this instance's status object, retrying until it is stored.
 
         Stop when the status has changed meanwhile: the change is written by a
         call of its own.
+
+        :returns: the era of the store that holds it; 0: none holds it.
         """
         waits = backoff_s()
         status = self._membership.own_status
         while status == self._membership.own_status:
-            if await self._async_try_write(status):
+            written = await self._async_try_write(status)
+            if isinstance(written, Ok):
                 self._membership.mark_published()
-                return
+                return StoreRevision.from_packed(written.ok_value).era
             await sleep(next(waits))
+        return 0
 
     async def async_keep_published(self) -> None:
         """Publish the status, again when the store may have lost it; forever.
 
         The entry is written only if it is not there as it should be.
         """
-        await self.async_publish()
-        published_era = self._platform.era
+        published_era = await self.async_publish()
         while True:
             await sleep(ERA_CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
             if self._platform.era > published_era:
-                published_era = self._platform.era
-                await self.async_publish()
+                published_era = await self.async_publish()
 
     async def async_follow_statuses(self) -> None:
         """Follow the status objects of all instances, without end."""
@@ -90,18 +97,19 @@
             await self._grants.async_move_to_current_owners()
             await sleep(LIST_POLL_INTERVAL_MS / MILLIS_PER_SECOND)
 
-    async def _async_try_write(self, status: InstanceStatus) -> bool:
+    async def _async_try_write(
+        self, status: InstanceStatus
+    ) -> Result[int, StoreError]:
         key = f'{PREFIX_INSTANCE}{status.instance_id}'
         existing = await self._platform.async_get(key, role=ROLE)
         if isinstance(existing, Err):
-            return False
-        written = await self._platform.async_put(
+            return existing
+        return await self._platform.async_put(
             key,
             status.to_text(),
             expected=existing.ok_value.version if existing.ok_value else None,
             role=ROLE,
         )
-        return not isinstance(written, Err)
 
     async def _async_apply_status(self, change: StoredObject) -> None:
         self._membership.apply_status(change)
