Restore the store in the stateful model of roll-outs

The model had no rule for a store that goes back. It now restores any of its copies, with other writes after it, and writes the lost order again at once or later; a roll-back that an instance knew must outlive that. Time passes with each order, which tells an older order from a lost one.

Orders that are not kept while they are lost, and older orders of the copy that replace them, are not found by the model; the plain tests beside it find both.

--- a/tests/rollout/test_book.py
+++ b/tests/rollout/test_book.py
@@ -43,8 +43,28 @@
 )
 
 
-def _no_clock() -> int:
-    return 0
+# Number of times that the store is restored.
+MAX_RESTORES = 2
+# Time between two orders. All of them are made before a lost one is given up.
+STEP_MS = 1000
+
+
+class _Clock:
+    """The time that all share."""
+
+    def __init__(self) -> None:
+        self.now_ms = int(NOW)
+
+    def __call__(self) -> int:
+        return self.now_ms
+
+
+class _Copy(NamedTuple):
+    """What a store held at one time."""
+
+    number: int
+    created: int
+    stored: StoredRollout | None
 
 
 class _LateWrite(NamedTuple):
@@ -65,7 +85,7 @@
         self.late_writes: list[_LateWrite] = []
 
     def put_order(self, target: str) -> None:
-        self._count_change()
+        self.count_change()
         status: tuple[RolloutPhase | None, int] = (None, 0)
         if self.stored is None:
             self.created = self.revision.number
@@ -75,17 +95,32 @@
         self.stored = StoredRollout(self.revision, order, *status)
 
     def withdraw(self) -> None:
-        self._count_change()
+        self.count_change()
         self.stored = None
 
     def change(self) -> RolloutChange:
         return RolloutChange(SERVICE, self.stored)
 
+    def copy(self) -> _Copy:
+        return _Copy(self.revision.number, self.created, self.stored)
+
+    def restore(self, copied: _Copy) -> None:
+        """Go back to a copy, in a new era."""
+        era = self.revision.era + 1
+        self.revision = StoreRevision(era, copied.number)
+        self.created = copied.created
+        self.stored = copied.stored
+        if copied.stored is not None:
+            number = copied.stored.revision.number
+            self.stored = copied.stored._replace(
+                revision=StoreRevision(era, number)
+            )
+
     def write(self, rollout: StoredRollout) -> None:
         if self.stored is not None and (
             self.stored.revision == rollout.revision
         ):
-            self._count_change()
+            self.count_change()
             self.stored = rollout._replace(revision=self.revision)
 
     async def async_write_status(
@@ -99,7 +134,7 @@
         self.write(rollout)
         return Ok(self.change())
 
-    def _count_change(self) -> None:
+    def count_change(self) -> None:
         number = self.revision.number + 1
         self.revision = self.revision._replace(number=number)
 
@@ -107,8 +142,8 @@
 class _Process:
     """One instance: its book, and its writer."""
 
-    def __init__(self, store: _Store, *, is_owner: bool) -> None:
-        self.book = RolloutBook(BOUNDS, _no_clock)
+    def __init__(self, store: _Store, clock: _Clock, *, is_owner: bool) -> None:
+        self.book = RolloutBook(BOUNDS, clock)
         self.writer = StatusWriter(
             RolloutStore(
                 list_rollouts=None,  # type: ignore[arg-type]
@@ -117,7 +152,7 @@
             ),
             self.book,
             lambda: is_owner,
-            _no_clock,
+            clock,
         )
 
     @property
@@ -133,53 +168,124 @@
         super().__init__()
         self.store = _Store()
         self.store.put_order('v2')
-        self.seen: dict[int, tuple[RolloutOrder, RolloutPhase]] = {}
-        self.final: dict[RolloutOrder, RolloutPhase] = {}
+        self._seen: dict[int, tuple[RolloutOrder, RolloutPhase]] = {}
+        self._final: dict[RolloutOrder, RolloutPhase] = {}
         self.overtaken: list[RolloutChange] = []
-        self.revisions: dict[int, StoreRevision] = {}
+        self._revisions: dict[int, StoreRevision] = {}
         self.operations = 0
+        self.clock = _Clock()
+        self.copies = [_Store().copy(), self.store.copy()]
+        self.restores = 0
+        # The target of an order that the operator has yet to write again.
+        self.lost_target = ''
+        self._rolled_back: dict[int, str] = {}
         self.all = [
-            _Process(self.store, is_owner=True),
-            _Process(self.store, is_owner=False),
+            _Process(self.store, self.clock, is_owner=True),
+            _Process(self.store, self.clock, is_owner=False),
         ]
-        for process in self.all:
-            process.book.apply_list([self.store.change()], NOW)
+        for number, _ in enumerate(self.all):
+            self.read(number)
 
     @rule(number=NUMBERS)
     def restart(self, number: int) -> None:
         """Restart an instance, which loses everything and may be the owner."""
-        self.all[number] = _Process(self.store, is_owner=True)
-        self.seen.pop(number, None)
-        self.revisions.pop(number, None)
-
-    @precondition(lambda self: self.operations < MAX_OPERATIONS)
+        self.all[number] = _Process(self.store, self.clock, is_owner=True)
+        self._seen.pop(number, None)
+        self._revisions.pop(number, None)
+        self._rolled_back.pop(number, None)
+
+    @precondition(
+        lambda self: self.operations < MAX_OPERATIONS and not self.lost_target
+    )
     @rule(version=st.sampled_from(['v2', 'v3', '']))
     def operate(self, version: str) -> None:
         """Change, renew or withdraw the order."""
         self.operations += 1
+        self.clock.now_ms += STEP_MS
+        self._rolled_back.clear()
         if version:
             self.store.put_order(version)
         else:
             self.store.withdraw()
 
+    @rule()
+    def back_up(self) -> None:
+        self.copies.append(self.store.copy())
+
+    @precondition(
+        lambda self: (
+            self.restores < MAX_RESTORES
+            and not self.lost_target
+            and self.store.stored is not None
+        )
+    )
+    @rule(
+        drawn=st.data(),
+        other_writes=st.integers(0, 2),
+        is_rolled_back=st.booleans(),
+        is_written_again=st.booleans(),
+    )
+    def restore(
+        self,
+        drawn: st.DataObject,
+        other_writes: int,
+        *,
+        is_rolled_back: bool,
+        is_written_again: bool,
+    ) -> None:
+        """Restore the store from any of its copies.
+
+        :param other_writes: changes of other objects that follow, so that the
+            numbers of revisions differ between eras.
+        :param is_rolled_back: whether an instance decides so right before.
+        """
+        if is_rolled_back:
+            self.decide(0, RolloutPhase.ROLLED_BACK)
+        self.restores += 1
+        self.clock.now_ms += STEP_MS
+        order = self.store.stored and self.store.stored.order
+        assert order
+        self.lost_target = order.target
+        for number, process in enumerate(self.all):
+            held = process.phase
+            if held == (order, RolloutPhase.ROLLED_BACK):
+                self._rolled_back[number] = self.lost_target
+        self.store.restore(drawn.draw(st.sampled_from(self.copies)))
+        self._final.clear()
+        for _ in range(other_writes):
+            self.store.count_change()
+        if is_written_again:
+            self.write_again()
+
+    @precondition(lambda self: self.lost_target)
+    @rule()
+    def write_again(self) -> None:
+        """Write the order that the restored store may have lost."""
+        self.clock.now_ms += STEP_MS
+        self.store.put_order(self.lost_target)
+        self.lost_target = ''
+
     @rule(number=NUMBERS)
     def read(self, number: int) -> None:
         if self.store.stored is not None:
             self.overtaken.append(self.store.change())
         changes = [self.store.change()] if self.store.stored else []
-        self.all[number].book.apply_list(changes, NOW)
+        self.all[number].book.apply_list(
+            changes, self.clock.now_ms, era=self.store.revision.era
+        )
 
     @precondition(lambda self: self.overtaken)
     @rule(number=NUMBERS, drawn=st.data())
     def read_overtaken(self, number: int, drawn: st.DataObject) -> None:
         """Apply a response that was sent before another one was received."""
         change = drawn.draw(st.sampled_from(self.overtaken))
-        self.all[number].book.apply_change(change, NOW)
+        self.all[number].book.apply_change(change, self.clock.now_ms)
 
     @rule(receiver=NUMBERS)
     def gossip(self, receiver: int) -> None:
         sender = self.all[1 - receiver]
-        self.all[receiver].book.merge(sender.book.to_wire(NOW), NOW)
+        now = self.clock.now_ms
+        self.all[receiver].book.merge(sender.book.to_wire(now), now)
 
     @rule(number=NUMBERS, phase=st.sampled_from(DECISIONS))
     def decide(self, number: int, phase: RolloutPhase) -> None:
@@ -204,19 +310,19 @@
         stored = self.store.stored
         if stored is None or stored.order is None or stored.phase is None:
             return
-        final = self.final.get(stored.order)
+        final = self._final.get(stored.order)
         assert final is None or final == stored.phase
         if stored.phase.is_final:
-            self.final[stored.order] = stored.phase
+            self._final[stored.order] = stored.phase
 
     @invariant()
     def phase_never_returns(self) -> None:
         for number, process in enumerate(self.all):
             now = process.phase
-            before = self.seen.pop(number, None)
+            before = self._seen.pop(number, None)
             if now is None:
                 continue
-            self.seen[number] = now
+            self._seen[number] = now
             if before is not None and before[0] == now[0]:
                 assert min(before[1], FIRST_FINAL) <= min(now[1], FIRST_FINAL)
 
@@ -225,21 +331,31 @@
         for number, process in enumerate(self.all):
             entry = process.book.entries.get(SERVICE)
             stored = entry.stored if entry else None
-            before = self.revisions.pop(number, StoreRevision(0, 0))
+            before = self._revisions.pop(number, StoreRevision(0, 0))
             if entry is None or stored is None:
                 continue
             assert stored.revision >= before
-            self.revisions[number] = stored.revision
+            self._revisions[number] = stored.revision
             if stored.phase in FINAL:
                 assert entry.rollout.phase == stored.phase
 
+    @invariant()
+    def roll_back_outlives_a_restored_store(self) -> None:
+        for number, target in self._rolled_back.items():
+            held = self.all[number].phase
+            assert held is not None
+            assert held[0].target == target
+            assert held[1] == RolloutPhase.ROLLED_BACK
+
     def teardown(self) -> None:
         """All instances that have read agree with a final status."""
+        if self.lost_target:
+            self.write_again()
         stored = self.store.stored
         if stored is None or stored.phase is None or not stored.phase.is_final:
             return
-        for process in self.all:
-            process.book.apply_list([self.store.change()], NOW)
+        for number, process in enumerate(self.all):
+            self.read(number)
             assert process.phase == (stored.order, stored.phase)
 
 
@@ -255,7 +371,8 @@
     """
     store = _Store()
     store.put_order('v2')
-    owner, cut_off = [_Process(store, is_owner=True) for _ in range(2)]
+    clock = _Clock()
+    owner, cut_off = [_Process(store, clock, is_owner=True) for _ in range(2)]
     for process in (owner, cut_off):
         process.book.apply_list([store.change()], NOW)
     owner.book.entries[SERVICE].rollout.adopt(RolloutPhase.COMPLETED)
@@ -326,5 +443,5 @@
 
 TestRolloutKnowledge = RolloutKnowledge.TestCase
 TestRolloutKnowledge.settings = settings(
-    max_examples=150, stateful_step_count=25, deadline=None
+    max_examples=200, stateful_step_count=25, deadline=None
 )
