Bound late samples of an engine's speed only, and average as before

A geometric mean lies below an arithmetic one, so engines look faster than they are, and it follows a slow-down later.

Now the mean is the arithmetic one of before, and only samples that are late by more than three times count less.

--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -6,7 +6,6 @@
 prompt would take there and the gap that it would cause in the other streams.
 """
 
-import math
 from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.scheduling.engine import Engine
@@ -36,8 +35,8 @@
 # A sample's weight grows with the time that the model expects for it: the
 # longer that is, the smaller the network's share of the observed time.
 SAMPLE_WEIGHT_MS: Final = 150.0
-# A sample counts as at most this many times slower or faster than the estimate:
-# a sound engine may be silent for a second, whatever its speed.
+# A sample counts as at most this many times slower than the estimate: a sound
+# engine may be silent for a second, whatever its speed.
 MAX_SAMPLE_RATIO: Final = 3.0
 MIN_SLOWNESS: Final = 0.2
 MAX_SLOWNESS: Final = 30.0
@@ -292,11 +291,9 @@
 
 
 def _learned_slowness(slowness: float, observed: float, weight: float) -> float:
-    ratio = observed / slowness
-    ratio = min(max(ratio, 1 / MAX_SAMPLE_RATIO), MAX_SAMPLE_RATIO)
-    return min(
-        max(slowness * math.pow(ratio, weight), MIN_SLOWNESS), MAX_SLOWNESS
-    )
+    sample = min(observed, slowness * MAX_SAMPLE_RATIO)
+    learned = slowness + weight * (sample - slowness)
+    return min(max(learned, MIN_SLOWNESS), MAX_SLOWNESS)
 
 
 def _open_slots(load: EngineLoad, now: float) -> int:
