--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -161,6 +161,8 @@
         for number in range(BUSY_CALLERS):
             gateway = number % len(fleet.gateways)
             await callers.spawn(_async_call_repeatedly, fleet, number, gateway)
+    # Raises what ended a caller, and the load with it.
+    assert len(callers.results) == BUSY_CALLERS
     assert MIN_IN_WINDOW <= _count_in_window(limited) <= MAX_IN_WINDOW
 
 
@@ -192,6 +194,7 @@
         await sleep(SETTLE_S + WINDOW_S / 2)
         await owner.async_kill()
         await fleet.async_until(lambda: any(map(_knows_limit, others)))
+    assert len(callers.results) == CALLERS
     assert _count_in_window(limited) <= MAX_IN_WINDOW
 
 
