--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.scheduling.engine_conditions import EngineCondition
 from hornbeamdeck.scheduling.engine_health import EngineHealth
 from hornbeamdeck.scheduling.engine_run import EngineRun, record_prefill_overlap
+from hornbeamdeck.scheduling.engine_slowness import learned_slowness
 from hornbeamdeck.scheduling.gap_estimate import GapEstimate, prefill_ms
 from hornbeamdeck.scheduling.output_estimate import OutputEstimate
 from hornbeamdeck.scheduling.queued_request import QueuedRequest, instance_of
@@ -32,14 +33,6 @@
 # prompt.
 FIRST_TOKEN_OVERHEAD_MS: Final = 12.0
 
-# A sample's weight grows with the time that the model expects for it: the
-# longer that is, the smaller the network's share of the observed time.
-SAMPLE_WEIGHT_MS: Final = 150.0
-# A sample counts as at most this many times slower than the estimate: a sound
-# engine may be silent for a second, whatever its speed.
-MAX_SAMPLE_RATIO: Final = 3.0
-MIN_SLOWNESS: Final = 0.2
-MAX_SLOWNESS: Final = 30.0
 # Ends of a run that show whether the network path to its engine is sound.
 _REACHED: Final = frozenset(
     (RunEnd.ANSWERED, RunEnd.ERRORED, RunEnd.REJECTED),
@@ -206,11 +199,9 @@
             expected_end_ms=now + self.output_ms(run.output_tokens),
         )
         if run.expected_first_token_ms and self.properties.is_model:
-            weight = run.expected_first_token_ms / (
-                run.expected_first_token_ms + SAMPLE_WEIGHT_MS
+            self.slowness = learned_slowness(
+                self.slowness, run.expected_first_token_ms, elapsed_ms
             )
-            observed = elapsed_ms / run.expected_first_token_ms
-            self.slowness = _learned_slowness(self.slowness, observed, weight)
         self._cap_backlog(now)
 
     def end(
@@ -290,12 +281,6 @@
         self._prefill_done_ms = min(self._prefill_done_ms, now + remaining_ms)
 
 
-def _learned_slowness(slowness: float, observed: float, weight: float) -> float:
-    sample = min(observed, slowness * MAX_SAMPLE_RATIO)
-    learned = slowness + weight * (sample - slowness)
-    return min(max(learned, MIN_SLOWNESS), MAX_SLOWNESS)
-
-
 def _open_slots(load: EngineLoad, now: float) -> int:
     """Return the number of requests that an engine has room for."""
     rejections = load.condition.rejections
