--- a/hornbeamdeck/process/engine_dialer.py
+++ b/hornbeamdeck/process/engine_dialer.py
@@ -101,9 +101,7 @@
 
     def is_in_reach(self, engine: str) -> bool:
         """Return whether an engine may be connected to directly."""
-        now = now_ms()
-        unreached = self.reach.unreached(now)
-        return not self.reach.is_partitioned(now) and engine not in unreached
+        return self.reach.is_in_reach(engine, now_ms())
 
     def count_unreached(self) -> int:
         """Count the engines that this process does not reach itself."""
--- a/hornbeamdeck/scheduling/engine_reach.py
+++ b/hornbeamdeck/scheduling/engine_reach.py
@@ -70,9 +70,13 @@
         ]
         return len(failed_since) >= MIN_UNREACHED_ENGINES
 
+    def is_in_reach(self, engine: str, now: float) -> bool:
+        """Return whether an engine may be connected to directly."""
+        return not self.is_partitioned(now) and engine not in self._failed_ms
+
     def path_to(self, engine: str, now: float) -> EnginePath:
         """Return how to connect to an engine now."""
-        if not self.is_partitioned(now) and engine not in self._failed_ms:
+        if self.is_in_reach(engine, now):
             return EnginePath.DIRECT
         if now - self._probed_ms.get(engine, -math.inf) < PROBE_INTERVAL_MS:
             return EnginePath.RELAY
