Tidy what reading the whole change once more has shown

Nothing changes in behaviour, and no assertion does. A docstring of MembershipSync said that the status is written only if it is not there as it should be; it is read and then written each time. The rule that restores the store in the model of roll-outs has a docstring of one line and a comment where the reason isn't plain.

--- a/hornbeamdeck/process/membership_sync.py
+++ b/hornbeamdeck/process/membership_sync.py
@@ -60,10 +60,7 @@
         return 0
 
     async def async_keep_published(self) -> None:
-        """Publish the status, again when the store may have lost it; forever.
-
-        The entry is written only if it is not there as it should be.
-        """
+        """Publish the status, and again when the store may have lost it."""
         published_era = await self.async_publish()
         while True:
             await sleep(ERA_CHECK_INTERVAL_MS / MILLIS_PER_SECOND)
--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -161,7 +161,7 @@
         for number in range(BUSY_CALLERS):
             gateway = number % len(fleet.gateways)
             await callers.spawn(_async_call_repeatedly, fleet, number, gateway)
-    # Raises what ended a caller, and the load with it.
+    # Raises the error of a caller that has failed.
     assert len(callers.results) == BUSY_CALLERS
     assert MIN_IN_WINDOW <= _count_in_window(limited) <= MAX_IN_WINDOW
 
--- a/tests/rollout/test_book.py
+++ b/tests/rollout/test_book.py
@@ -233,12 +233,7 @@
         is_rolled_back: bool,
         is_written_again: bool,
     ) -> None:
-        """Restore the store from any of its copies.
-
-        :param other_writes: changes of other objects that follow, so that the
-            numbers of revisions differ between eras.
-        :param is_rolled_back: whether an instance decides so right before.
-        """
+        """Restore the store from any of its copies."""
         if is_rolled_back:
             self.decide(0, RolloutPhase.ROLLED_BACK)
         self.restores += 1
@@ -247,11 +242,11 @@
         assert order
         self.lost_target = order.target
         for number, process in enumerate(self.all):
-            held = process.phase
-            if held == (order, RolloutPhase.ROLLED_BACK):
-                self._rolled_back[number] = self.lost_target
+            if process.phase == (order, RolloutPhase.ROLLED_BACK):
+                self._rolled_back[number] = order.target
         self.store.restore(drawn.draw(st.sampled_from(self.copies)))
         self._final.clear()
+        # The numbers of revisions then differ between the eras.
         for _ in range(other_writes):
             self.store.count_change()
         if is_written_again:
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -339,10 +339,7 @@
     assert len(granted(desk, now)) == len(request_ids)
     begun_ms = now + first_token_ms
     for begun in request_ids:
-        message = Progress(
-            request_id=begun, cell='desk', first_token_ms=int(first_token_ms)
-        )
-        desk.progress(message, begun_ms)
+        _first_token(desk, begun, begun_ms)
     for ended in request_ids:
         desk.release(_release(ended, RunEnd.ANSWERED), begun_ms + SHORT_RUN_MS)
 
