Log and export what an owner counts of a service's retries

Neither logs nor metrics told which owner had allowed a retry, of which count, or what it had counted as it became the owner. Each granted retry has a log line with the count, as have refusals for too many tries and changes of the owner; two gauges show what is counted and left. No decision changes.

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -130,6 +130,7 @@
                     for load in cell.loads.values()
                 ),
                 waiting=len(cell),
+                retries=cell.retry_budget.counts(now),
             )
             for service, cell in self._cells.items()
         }
@@ -157,6 +158,14 @@
                 },
             )
 
+    def retries_in_window(self) -> dict[str, int]:
+        """Return the retries that this process has allowed, by service."""
+        now = now_ms()
+        return {
+            service: cell.retry_budget.counts(now).retries
+            for service, cell in self._cells.items()
+        }
+
     def record_slowness(self, reported: Mapping[str, float]) -> None:
         """Record the slowness values that another owner reported."""
         self._reported_slowness.update(reported)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -372,7 +372,11 @@
                 logged_ms = now_ms()
                 self.components.cells.log_load()
             if is_owner != was_owner:
-                _LOGGER.info('ownership changed', is_owner=is_owner)
+                _LOGGER.info(
+                    'ownership changed',
+                    is_owner=is_owner,
+                    retries=self.components.cells.retries_in_window(),
+                )
             if was_owner and not is_owner:
                 self.components.cells.quotas.reset()
             was_owner = is_owner
--- a/hornbeamdeck/process/gateway_metrics.py
+++ b/hornbeamdeck/process/gateway_metrics.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.scheduling.retry_budget import RetryCounts
 
 __all__ = (
     'BUCKETS_S',
@@ -79,12 +80,14 @@
     :param held_back: engines that have slots but may get no request now.
     :param resting: engines that want no requests from some instance.
     :param waiting: requests that wait for any engine of the service.
+    :param retries: the service's retries, of which there is a limit.
     """
 
     engines: int
     held_back: int
     resting: int
     waiting: int
+    retries: RetryCounts
 
 
 class LatencyHistogram:
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -35,6 +35,7 @@
         yield from _connection_metrics(self._metrics)
         yield from _store_metrics(self._metrics)
         yield from _engine_metrics(self._metrics)
+        yield from _retry_metrics(self._metrics)
         yield from _rollout_metrics(self._metrics)
 
 
@@ -215,6 +216,20 @@
     yield from (limited, held_back, resting, waiting)
 
 
+def _retry_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
+    retries = _by_service(
+        'hornbeamdeck_retries_in_window',
+        'Retries that this owner has granted within the window of their limit.',
+    )
+    left = _by_service(
+        'hornbeamdeck_retries_left', 'Retries that this owner may grant now.'
+    )
+    for service, counts in metrics.limit_counts.items():
+        retries.add_metric((service,), counts.retries.retries)
+        left.add_metric((service,), counts.retries.left)
+    yield from (retries, left)
+
+
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
     phase = _by_service(
         'hornbeamdeck_rollout_phase', 'Phase of the roll-out of a service.'
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -200,6 +200,8 @@
             await self.has_new_origins.set()
         for grant in granted:
             request = grant.queued.request
+            if isinstance(cell, EngineCell) and request.dispatches:
+                _log_retry(cell, request, now)
             if grant.hold_reason:
                 _LOGGER.info(
                     'request was held back',
@@ -235,6 +237,16 @@
         await deliver(refusal)
 
 
+def _log_retry(cell: EngineCell, request: Enqueue, now: float) -> None:
+    _LOGGER.info(
+        'retry granted',
+        request_id=request.request_id,
+        cell=request.cell,
+        dispatches=request.dispatches,
+        **cell.retry_budget.counts(now)._asdict(),
+    )
+
+
 def _register(cell: AnyCell, run: Register, sender: str) -> None:
     cell.register(run, sender)
     if isinstance(cell, EngineCell) and not run.is_prefilling:
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -74,6 +74,7 @@
     def __init__(self, shared: SharedState, retry_budget: RetryBudget) -> None:
         """Start without engines; `update_engines` adds them."""
         self._shared = shared
+        self.retry_budget = retry_budget
         self._engines = ServiceEngines(shared.rate_rules)
         self.loads = self._engines.loads
         self.versions = self._engines.versions
@@ -386,6 +387,8 @@
         }
         if hold_reason:
             log_fields['held_for'] = hold_reason
+        if reason == RefusalReason.TOO_MANY_TRIES:
+            log_fields.update(self.retry_budget.counts(now)._asdict())
         return Refused(queued, refusal, log_fields)
 
 
--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -6,15 +6,28 @@
 """
 
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
 
-__all__ = ('RetryBudget',)
+__all__ = ('RetryBudget', 'RetryCounts')
 
 # Half of the allowed retries is used, because two owners may both count while
 # ownership moves.
 USED_SHARE: Final = 0.5
 
 
+class RetryCounts(NamedTuple):
+    """What this process has counted for one service within the window.
+
+    :param requests: first attempts.
+    :param retries: retries that it has allowed.
+    :param left: retries that it would allow now.
+    """
+
+    requests: int
+    retries: int
+    left: int
+
+
 class RetryBudget:
     """Counts the requests and retries of one service in a sliding window."""
 
@@ -33,14 +46,19 @@
 
     def try_spend(self, now: float) -> bool:
         """Count a retry and return whether the budget allows it."""
-        self._remove_expired(self._requests, now)
-        self._remove_expired(self._retries, now)
-        allowed = self._ratio * len(self._requests) + self._slack
-        if len(self._retries) + 1 > allowed:
+        if self.counts(now).left < 1:
             return False
         self._retries.append(now)
         return True
 
+    def counts(self, now: float) -> RetryCounts:
+        """Return what counts now."""
+        self._remove_expired(self._requests, now)
+        self._remove_expired(self._retries, now)
+        allowed = self._ratio * len(self._requests) + self._slack
+        retries = len(self._retries)
+        return RetryCounts(len(self._requests), retries, int(allowed - retries))
+
     def _remove_expired(self, times: deque[float], now: float) -> None:
         while times and times[0] < now - self._window_ms:
             times.popleft()
--- a/tests/scheduling/test_retry_budget.py
+++ b/tests/scheduling/test_retry_budget.py
@@ -38,3 +38,14 @@
     budget = RetryBudget(ratio=0, slack=4, window_ms=1000)
     assert [budget.try_spend(0) for _ in range(3)] == [True, True, False]
     assert budget.try_spend(1500)
+
+
+def test_counts_tell_what_is_left() -> None:
+    """Guards against a limit that refuses without a trace of its count."""
+    budget = RetryBudget(ratio=0.2, slack=10, window_ms=1000)
+    budget.record_request(0)
+    assert budget.try_spend(100)
+    before, after = budget.counts(200), budget.counts(1500)
+    assert (before.requests, before.retries) == (1, 1)
+    assert (after.requests, after.retries) == (0, 0)
+    assert after.left == before.left + 1
