--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -1,7 +1,8 @@
 """Exports the metrics of a gateway process in the Prometheus text format."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from itertools import accumulate
+from typing import Final
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -18,10 +19,47 @@
     EngineStatementCounts,
     GatewayMetrics,
     LatencyHistogram,
+    LimitCounts,
 )
 
 __all__ = ('make_registry', 'render')
 
+# Name, documentation and value of each gauge that only an owner reports.
+_LIMIT_GAUGES: Final[
+    tuple[tuple[str, str, Callable[[LimitCounts], int]], ...]
+] = (
+    (
+        'hornbeamdeck_limited_engines',
+        'Engines that state a request limit.',
+        lambda counts: counts.engines,
+    ),
+    (
+        'hornbeamdeck_engines_held_by_limit',
+        'Engines that have slots but may get no request now.',
+        lambda counts: counts.held_back,
+    ),
+    (
+        'hornbeamdeck_engines_resting',
+        'Engines that want no requests from some instance.',
+        lambda counts: counts.resting,
+    ),
+    (
+        'hornbeamdeck_waiting_requests',
+        'Requests that wait for an engine of the service.',
+        lambda counts: counts.waiting,
+    ),
+    (
+        'hornbeamdeck_retries_in_window',
+        'Retries that this owner has granted within the window of their limit.',
+        lambda counts: counts.retries.retries,
+    ),
+    (
+        'hornbeamdeck_retries_left',
+        'Retries that this owner may grant now.',
+        lambda counts: counts.retries.left,
+    ),
+)
+
 
 class _GatewayCollector(Collector):
     """Collects the counts of a process on each read of the endpoint."""
@@ -35,7 +73,7 @@
         yield from _connection_metrics(self._metrics)
         yield from _store_metrics(self._metrics)
         yield from _engine_metrics(self._metrics)
-        yield from _retry_metrics(self._metrics)
+        yield from _limit_metrics(self._metrics)
         yield from _rollout_metrics(self._metrics)
 
 
@@ -193,41 +231,14 @@
         'Tunnels that are open here for other instances.',
         reach.open_tunnels,
     )
-    limited = _by_service(
-        'hornbeamdeck_limited_engines', 'Engines that state a request limit.'
-    )
-    held_back = _by_service(
-        'hornbeamdeck_engines_held_by_limit',
-        'Engines that have slots but may get no request now.',
-    )
-    resting = _by_service(
-        'hornbeamdeck_engines_resting',
-        'Engines that want no requests from some instance.',
-    )
-    waiting = _by_service(
-        'hornbeamdeck_waiting_requests',
-        'Requests that wait for an engine of the service.',
-    )
-    for service, counts in metrics.limit_counts.items():
-        limited.add_metric((service,), counts.engines)
-        held_back.add_metric((service,), counts.held_back)
-        resting.add_metric((service,), counts.resting)
-        waiting.add_metric((service,), counts.waiting)
-    yield from (limited, held_back, resting, waiting)
 
 
-def _retry_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
-    retries = _by_service(
-        'hornbeamdeck_retries_in_window',
-        'Retries that this owner has granted within the window of their limit.',
-    )
-    left = _by_service(
-        'hornbeamdeck_retries_left', 'Retries that this owner may grant now.'
-    )
-    for service, counts in metrics.limit_counts.items():
-        retries.add_metric((service,), counts.retries.retries)
-        left.add_metric((service,), counts.retries.left)
-    yield from (retries, left)
+def _limit_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
+    for name, documentation, read in _LIMIT_GAUGES:
+        gauge = _by_service(name, documentation)
+        for service, counts in metrics.limit_counts.items():
+            gauge.add_metric((service,), read(counts))
+        yield gauge
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
