--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/process/gateway_metrics_export.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from itertools import accumulate
-from typing import Final
+from typing import Final, TypeAlias
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -24,10 +24,10 @@
 
 __all__ = ('make_registry', 'render')
 
+_BY_SERVICE: Final = 'service'
+_LimitGauge: TypeAlias = tuple[str, str, Callable[[LimitCounts], int]]
 # Name, documentation and value of each gauge that only an owner reports.
-_LIMIT_GAUGES: Final[
-    tuple[tuple[str, str, Callable[[LimitCounts], int]], ...]
-] = (
+_LIMIT_GAUGES: Final[tuple[_LimitGauge, ...]] = (
     (
         'hornbeamdeck_limited_engines',
         'Engines that state a request limit.',
@@ -168,27 +168,31 @@
 
 
 def _statement_metrics(stated: EngineStatementCounts) -> Iterator[Metric]:
-    limits = _by_engine(
+    limits = _gauge(
         'hornbeamdeck_engine_request_limit',
         'Requests per second that an engine accepts, as last stated here.',
+        'engine',
     )
     for engine, per_s in stated.limits.items():
         limits.add_metric((engine,), per_s)
-    rejections = _by_engine(
+    rejections = _gauge(
         'hornbeamdeck_engine_rejection_limit',
         'Rejections per second beyond which an engine falls over, as stated.',
+        'engine',
     )
     for engine, per_s in stated.rejection_limits.items():
         rejections.add_metric((engine,), per_s)
-    leaving = _by_engine(
+    leaving = _gauge(
         'hornbeamdeck_engine_leaving',
         'Engines that have stated here that they leave.',
+        'engine',
     )
     for engine in stated.leaving:
         leaving.add_metric((engine,), 1)
-    rests = _by_engine(
+    rests = _gauge(
         'hornbeamdeck_engine_rest_seconds',
         'How long an engine still wants no requests from this process.',
+        'engine',
     )
     for engine, rest_ms in stated.rests_ms.items():
         rests.add_metric((engine,), rest_ms / MILLIS_PER_SECOND)
@@ -235,25 +239,27 @@
 
 def _limit_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
     for name, documentation, read in _LIMIT_GAUGES:
-        gauge = _by_service(name, documentation)
+        gauge = _gauge(name, documentation, _BY_SERVICE)
         for service, counts in metrics.limit_counts.items():
             gauge.add_metric((service,), read(counts))
         yield gauge
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
-    phase = _by_service(
-        'hornbeamdeck_rollout_phase', 'Phase of the roll-out of a service.'
+    phase = _gauge(
+        'hornbeamdeck_rollout_phase',
+        'Phase of the roll-out of a service.',
+        _BY_SERVICE,
     )
     requests = GaugeMetricFamily(
         'hornbeamdeck_rollout_requests',
         'Requests granted during a roll-out, by version.',
-        labels=('service', 'version'),
+        labels=(_BY_SERVICE, 'version'),
     )
     bad_answers = GaugeMetricFamily(
         'hornbeamdeck_rollout_bad_answers',
         'Failed or slow answers during a roll-out, by version.',
-        labels=('service', 'version'),
+        labels=(_BY_SERVICE, 'version'),
     )
     for service, counts in metrics.rollouts.items():
         phase.add_metric((service,), counts.phase)
@@ -264,12 +270,8 @@
     yield from (phase, requests, bad_answers)
 
 
-def _by_engine(name: str, documentation: str) -> GaugeMetricFamily:
-    return GaugeMetricFamily(name, documentation, labels=('engine',))
-
-
-def _by_service(name: str, documentation: str) -> GaugeMetricFamily:
-    return GaugeMetricFamily(name, documentation, labels=('service',))
+def _gauge(name: str, documentation: str, label: str) -> GaugeMetricFamily:
+    return GaugeMetricFamily(name, documentation, labels=(label,))
 
 
 def _counter(
