--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -1,6 +1,6 @@
 """Gateways, a store and engines in one process, for end-to-end tests."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any
 
 from curio import Kernel, Task, sleep, spawn
@@ -21,6 +21,19 @@
 TOKEN_COUNTS = '100,20'
 # Position of the metrics endpoint among a gateway's listeners.
 METRICS_LISTENER = 2
+BOUNDS: Mapping[str, float] = {
+    'stability_ms': 3000,
+    'drain_ms': 2000,
+    'grace_s': 3,
+    'configuration_apply_ms': 2000,
+    'revocation_ms': 5000,
+    'retry_ratio': 0.2,
+    'retry_window_s': 10,
+    'retry_slack': 100,
+    'quota_window_s': 8,
+    'quota_slack': 1000,
+    'entries_ttl_ms': 100,
+}
 Scenario = Callable[['PlatformFleet'], Awaitable[None]]
 
 
@@ -49,19 +62,7 @@
             'is_first_start': True,
             'cores': 1,
             'metrics_port': 0,
-            'bounds': {
-                'stability_ms': 3000,
-                'drain_ms': 2000,
-                'grace_s': 3,
-                'configuration_apply_ms': 2000,
-                'revocation_ms': 5000,
-                'retry_ratio': 0.2,
-                'retry_window_s': 10,
-                'retry_slack': 100,
-                'quota_window_s': 8,
-                'quota_slack': 1000,
-                'entries_ttl_ms': 100,
-            },
+            'bounds': dict(BOUNDS),
             **changes,
         },
     )
@@ -94,6 +95,10 @@
             service = engine.name.partition('-')[0]
             entry = engine.entry(service)
             await self.store.async_put('servers', engine.name, entry)
+        await self.async_add_gateways(count)
+
+    async def async_add_gateways(self, count: int) -> None:
+        """Start gateways, and wait until all are ready and know each other."""
         for number in range(count):
             await self.async_add_gateway(number)
         await self.async_until(
--- a/tests/scheduling/test_retry_budget.py
+++ b/tests/scheduling/test_retry_budget.py
@@ -4,7 +4,9 @@
 from hypothesis import strategies as st
 
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from tests.retry_rule import RetryRule
 
+RULE = RetryRule(ratio=0.2, slack=10, window_ms=2000)
 EVENTS = st.lists(
     st.tuples(st.integers(0, 400), st.booleans()),
     max_size=200,
@@ -49,3 +51,51 @@
     assert (before.requests, before.retries) == (1, 1)
     assert (after.requests, after.retries) == (0, 0)
     assert after.left == before.left + 1
+
+
+OWNER_EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from((0, 0, 20, 700)),
+        st.sampled_from(('request', 'retry', 'retry', 'retry', 'new owner')),
+    ),
+    max_size=200,
+)
+
+
+def _make_successor() -> RetryBudget:
+    return RetryBudget(
+        ratio=RULE.ratio, slack=RULE.slack, window_ms=RULE.window_ms
+    )
+
+
+@given(OWNER_EVENTS)
+def test_any_series_of_owners_keeps_the_limit(
+    events: list[tuple[int, str]],
+) -> None:
+    """Guards against a whole budget of retries for each new owner."""
+    owner = RetryBudget(
+        ratio=RULE.ratio, slack=RULE.slack, window_ms=RULE.window_ms
+    )
+    requests: list[float] = []
+    retries: list[float] = []
+    now = 0.0
+    for passed_ms, event in events:
+        now += passed_ms
+        if event == 'new owner':
+            owner = _make_successor()
+        elif event == 'request':
+            owner.record_request(now)
+            requests.append(now)
+        elif owner.try_spend(now):
+            retries.append(now)
+    assert RULE.excess(requests, retries) <= 0
+
+
+def test_six_owners_in_one_window_keep_the_limit() -> None:
+    """Guards against a whole budget of retries for each new owner."""
+    retries: list[float] = []
+    for number in range(6):
+        owner = _make_successor()
+        now = 100.0 * number
+        retries += [now for _ in range(20) if owner.try_spend(now)]
+    assert RULE.excess([], retries) <= 0
