Leave nothing of the retry budget to what another owner has counted

A request now earns its part of a retry at the one owner that receives it, and that owner saves up few of them. The retries allowed beside them belong to a process that has served the whole fleet for a whole window; one that has served a part of it has that part, and whoever has just started, was frozen or has lost the ownership meanwhile has none. So the sum is bounded without any owner knowing of another one.

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -16,7 +16,8 @@
 )
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.request_rate import RateRules
-from hornbeamdeck.scheduling.retry_budget import RetryBudget
+from hornbeamdeck.scheduling.retry_budget import RetryBudget, RetryRules
+from hornbeamdeck.scheduling.served_share import ServedShare
 from hornbeamdeck.scheduling.service_load import count_held_by_limit
 from hornbeamdeck.scheduling.token_quota import TokenQuotas
 from hornbeamdeck.version.gateway import GatewayConfiguration
@@ -63,6 +64,10 @@
             instances=instances,
         )
         self._is_first_start = is_first_start
+        self._fleet_share = fleet_share
+        self._served_share = ServedShare(
+            bounds.retry_window_ms, now_ms(), is_first_start=is_first_start
+        )
         self._cells: dict[str, EngineCell] = {}
         self._reported_slowness: dict[str, float] = {}
         self._configuration = GatewayConfiguration.empty()
@@ -73,6 +78,14 @@
         """The cells by service."""
         return self._cells
 
+    def record_ownership(self, *, is_owner: bool) -> None:
+        """Record whether this process owns the cells now.
+
+        Called often: the time after a long gap counts as another owner's.
+        """
+        share = self._fleet_share() if is_owner else 0.0
+        self._served_share.record(share, now_ms())
+
     def set_callback(self, on_engines_applied: Callable[[], None]) -> None:
         """Set what is called when the cells have a new list of engines."""
         self._on_engines_applied = on_engines_applied
@@ -171,8 +184,9 @@
         self._reported_slowness.update(reported)
 
     def _make_retry_budget(self) -> RetryBudget:
-        return RetryBudget(
+        rules = RetryRules(
             ratio=self._bounds.retry_ratio,
             slack=self._bounds.retry_slack,
             window_ms=self._bounds.retry_window_ms,
         )
+        return RetryBudget(rules, self._served_share.lowest)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -368,6 +368,7 @@
         while True:
             await sleep(MIN_HEARTBEAT_INTERVAL_MS / MILLIS_PER_SECOND)
             is_owner = self.components.is_owner
+            self.components.cells.record_ownership(is_owner=is_owner)
             if is_owner and now_ms() - logged_ms > LOAD_LOG_INTERVAL_MS:
                 logged_ms = now_ms()
                 self.components.cells.log_load()
--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -1,64 +1,115 @@
 """Limit on the retries that the fleet may send to a service.
 
 Load pattern: engines fail many requests at once, and each retry adds load to
-the engines that still work. The owner receives every attempt, so one count
-covers the whole fleet.
+the engines that still work. The limit holds in any window, for all instances
+together, however many owners follow one another or grant at the same time. So
+no owner relies on what another one has counted:
+
+- Each request earns a fraction of a retry, at the owner that receives it. Only
+  that owner spends it, and it saves up only a few.
+- The retries allowed in addition in each window belong to a process that has
+  been the only owner for a whole window. One that serves a part of the fleet
+  has that part of them.
 """
 
 from collections import deque
-from typing import Final, NamedTuple
+from collections.abc import Callable
+from typing import Final, NamedTuple, TypeAlias
+
+__all__ = ('RetryBudget', 'RetryCounts', 'RetryRules', 'ReadServedShare')
 
-__all__ = ('RetryBudget', 'RetryCounts')
+ReadServedShare: TypeAlias = Callable[[float], float]
 
 # Half of the allowed retries is used, because two owners may both count while
 # ownership moves.
 USED_SHARE: Final = 0.5
+# Share of the slack that may be saved up from requests instead.
+SAVED_SHARE: Final = 0.1
+# What any owner may save up. With less, an owner that has just started could
+# not grant a single retry.
+MIN_SAVED: Final = 2.0
+
+
+class RetryRules(NamedTuple):
+    """How many retries a service may get.
+
+    :param ratio: retries allowed per request.
+    :param slack: retries allowed in addition in any window.
+    """
+
+    ratio: float
+    slack: float
+    window_ms: float
 
 
 class RetryCounts(NamedTuple):
-    """What this process has counted for one service within the window.
+    """What this process has counted for one service.
 
-    :param requests: first attempts.
-    :param retries: retries that it has allowed.
+    :param retries: retries that it has allowed within the window.
     :param left: retries that it would allow now.
+    :param served_share: lowest share of the fleet that it has granted for
+        within the window.
     """
 
-    requests: int
     retries: int
     left: int
+    served_share: float
 
 
 class RetryBudget:
-    """Counts the requests and retries of one service in a sliding window."""
-
-    def __init__(self, *, ratio: float, slack: float, window_ms: float) -> None:
-        """Allow `ratio` retries per request plus `slack` in a window."""
-        self._ratio = ratio * USED_SHARE
-        self._slack = slack * USED_SHARE
-        self._window_ms = window_ms
-        self._requests: deque[float] = deque()
+    """The retries of one service that this process may allow."""
+
+    def __init__(
+        self, rules: RetryRules, served_share: ReadServedShare
+    ) -> None:
+        """Start without earned retries.
+
+        :param served_share: returns the lowest share of the fleet that this
+            process has granted for within the window up to a time.
+        """
+        slack = rules.slack * USED_SHARE
+        self._ratio = rules.ratio * USED_SHARE
+        self._window_ms = rules.window_ms
+        self._served_share = served_share
+        self._min_saved = min(MIN_SAVED, slack) if self._ratio else 0.0
+        self._max_saved = max(
+            slack * SAVED_SHARE if self._ratio else 0.0, self._min_saved
+        )
+        self._slack = slack - self._max_saved
+        self._saved = 0.0
+        self._slack_spent: deque[float] = deque()
         self._retries: deque[float] = deque()
 
     def record_request(self, now: float) -> None:
-        """Count a request on its first attempt."""
-        self._remove_expired(self._requests, now)
-        self._requests.append(now)
+        """Earn a part of a retry by a request on its first attempt."""
+        self._saved += self._ratio
+        self._limit_saved(now)
 
     def try_spend(self, now: float) -> bool:
         """Count a retry and return whether the budget allows it."""
         if self.counts(now).left < 1:
             return False
+        if self._saved >= 1:
+            self._saved -= 1
+        else:
+            self._slack_spent.append(now)
         self._retries.append(now)
         return True
 
     def counts(self, now: float) -> RetryCounts:
         """Return what counts now."""
-        self._remove_expired(self._requests, now)
-        self._remove_expired(self._retries, now)
-        allowed = self._ratio * len(self._requests) + self._slack
-        retries = len(self._retries)
-        return RetryCounts(len(self._requests), retries, int(allowed - retries))
-
-    def _remove_expired(self, times: deque[float], now: float) -> None:
-        while times and times[0] < now - self._window_ms:
-            times.popleft()
+        self._limit_saved(now)
+        for spent in (self._slack_spent, self._retries):
+            while spent and spent[0] < now - self._window_ms:
+                spent.popleft()
+        share = self._served_share(now)
+        slack_left = int(self._slack * share) - len(self._slack_spent)
+        return RetryCounts(
+            len(self._retries),
+            int(self._saved) + max(slack_left, 0),
+            share,
+        )
+
+    def _limit_saved(self, now: float) -> None:
+        max_saved = self._max_saved * self._served_share(now)
+        self._saved = min(self._saved, max(max_saved, self._min_saved))
