Use the retries that a service is allowed, in place of half of them

Half was left unused so that two owners could both count in a window. Since no owner grants what another may have granted, only the time between a grant and its arrival is left to provide for: a twentieth.

--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -20,9 +20,8 @@
 
 ReadServedShare: TypeAlias = Callable[[float], float]
 
-# Half of the allowed retries is used, because two owners may both count while
-# ownership moves.
-USED_SHARE: Final = 0.5
+# Retries that were granted before a window may reach their engines in it.
+USED_SHARE: Final = 0.95
 # Share of the slack that may be saved up from requests instead.
 SAVED_SHARE: Final = 0.1
 # What any owner may save up. With less, an owner that has just started could
