Count a retry when it starts, not when it may wait

A retry was counted as it entered the queue. Retries that waited for engines could leave the window of the limit before they started, and start together with as many new ones: in the new test 34 in one moment where 20 are allowed in 10 s.

A waiting retry now reserves one of those that are left, and is counted when an engine is granted; if no retry is left then, it is held back. One that is withdrawn gives its reservation back (before, a caller that left had spent it).

--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -61,6 +61,7 @@
         self._wait_queue = wait_queue
         self._retry_schedule = RetrySchedule()
         self._token_needs: dict[str, tuple[str, TokenNeed]] = {}
+        self._waiting_retries: set[str] = set()
 
     def reason_to_refuse(
         self,
@@ -106,12 +107,14 @@
         blocked: dict[str, int],
         now: float,
     ) -> bool:
-        """Return whether its team's limit lets a request start.
+        """Return whether its team's limit and the retry budget let it start.
 
         :param blocked: by team, the tokens of the first request that had to
             wait for tokens. Later requests must not use up the tokens that it
             waits for, unless they need very few.
         """
+        if request.request_id in self._waiting_retries:
+            return self._retry_budget.has_retry(now)
         team = self._team_to_charge(request)
         if team is None:
             return True
@@ -128,17 +131,22 @@
         return False
 
     def start(self, request: Enqueue, now: float) -> None:
-        """Charge a request that starts to its team's limit."""
+        """Charge a request that starts to its team's limit or as a retry."""
+        if request.request_id in self._waiting_retries:
+            self._retry_budget.spend(now)
         team = self._team_to_charge(request)
         if team is not None:
             self._shared.quotas.spend(team, int(request.quota_tokens), now)
         self.remove_waiting(request)
 
     def remove_waiting(self, request: Enqueue) -> None:
-        """Stop counting a request among those that wait for tokens.
+        """Stop counting a request among those that wait.
 
         Its team may have been removed from the configuration meanwhile.
         """
+        if request.request_id in self._waiting_retries:
+            self._waiting_retries.remove(request.request_id)
+            self._retry_budget.cancel_reserved()
         counted = self._token_needs.pop(request.request_id, None)
         if counted is not None:
             self._shared.quotas.remove_waiting(*counted)
@@ -181,8 +189,11 @@
         retries = request.dispatches or 0
         if retries > MAX_RETRIES or len(request.excluded) > MAX_RETRIES:
             return RefusalReason.TOO_MANY_TRIES
-        if retries and not self._retry_budget.try_spend(now):
+        if not retries:
+            return None
+        if not self._retry_budget.try_reserve(now):
             return RefusalReason.TOO_MANY_TRIES
+        self._waiting_retries.add(request.request_id)
         return None
 
     def _team_to_charge(self, request: Enqueue) -> GatewayTeam | None:
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -57,6 +57,7 @@
 
 # Logged reason for holding a request back while engines have free slots.
 HELD_BY_LIMIT: Final = "the team's limit"
+HELD_BY_RETRIES: Final = 'the retry budget'
 HELD_BY_REST: Final = 'all with free slots rest for its instance'
 HELD_BY_VERSION: Final = 'no slot of a version that it may use'
 HELD_BY_UNKNOWN_STREAM: Final = 'the version of its stream is not known yet'
@@ -313,12 +314,14 @@
         hold_reason = self._hold_reasons.get(request.request_id)
         candidates = scan.candidates_for(
             request,
-            is_held_by_limit=hold_reason == HELD_BY_LIMIT,
+            is_held_by_limit=hold_reason in {HELD_BY_LIMIT, HELD_BY_RETRIES},
         )
         if candidates is None:
             return None
         if not self._admission.may_start(request, blocked, now):
-            self._hold_reasons[request.request_id] = HELD_BY_LIMIT
+            self._hold_reasons[request.request_id] = (
+                HELD_BY_RETRIES if request.dispatches else HELD_BY_LIMIT
+            )
             return None
         opened = self._engines.open_to(queued.instance, candidates, now)
         if candidates and not opened:
--- a/hornbeamdeck/scheduling/placement_scan.py
+++ b/hornbeamdeck/scheduling/placement_scan.py
@@ -71,7 +71,8 @@
     ) -> list[EngineLoad] | None:
         """List the engines to try for a request.
 
-        :param is_held_by_limit: whether its team's limit held it back before.
+        :param is_held_by_limit: whether its team's limit, or that of retries,
+            held it back before.
         :returns: `None` if the request can be skipped. Requests of the same
             team as a new one are not skipped: those ahead of it take the team's
             tokens first.
--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -44,8 +44,8 @@
 class RetryCounts(NamedTuple):
     """What this process has counted for one service.
 
-    :param retries: retries that it has allowed within the window.
-    :param left: retries that it would allow now.
+    :param retries: retries that it has started within the window.
+    :param left: retries that may start now; some of them may be reserved.
     :param served_share: lowest share of the fleet that it has granted for
         within the window.
     """
@@ -78,22 +78,36 @@
         self._saved = 0.0
         self._slack_spent: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._reserved = 0
 
     def record_request(self, now: float) -> None:
         """Earn a part of a retry by a request on its first attempt."""
         self._saved += self._ratio
         self._limit_saved(now)
 
-    def try_spend(self, now: float) -> bool:
-        """Count a retry and return whether the budget allows it."""
-        if self.counts(now).left < 1:
+    def try_reserve(self, now: float) -> bool:
+        """Let a retry wait, if the budget allows one more than do."""
+        if self.counts(now).left <= self._reserved:
             return False
+        self._reserved += 1
+        return True
+
+    def cancel_reserved(self) -> None:
+        """Stop reserving for a retry that does not wait any more."""
+        self._reserved -= 1
+
+    def has_retry(self, now: float) -> bool:
+        """Return whether a retry may start now."""
+        return self.counts(now).left >= 1
+
+    def spend(self, now: float) -> None:
+        """Count a retry that starts now."""
+        self._limit_saved(now)
         if self._saved >= 1:
             self._saved -= 1
         else:
             self._slack_spent.append(now)
         self._retries.append(now)
-        return True
 
     def counts(self, now: float) -> RetryCounts:
         """Return what counts now."""
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -467,6 +467,45 @@
     assert refusals == 43
 
 
+def test_retry_counts_when_it_starts() -> None:
+    """Guards against retries that were allowed long ago and start together."""
+    desk = make_cell(engine('e1', slots=40), engine('e2', slots=40))
+    for number in range(80):
+        run = _granted_elsewhere()
+        run.request_id = f'run-{number}'
+        run.upstream = f'e{number % 2 + 1}'
+        desk.register(run, 'other')
+    for number in range(60):
+        _enqueue_retry(desk, f'early-{number}', 0)
+    for number in range(60):
+        _enqueue_retry(desk, f'late-{number}', 10_001)
+    for number in range(80):
+        desk.release(_release(f'run-{number}', RunEnd.ANSWERED), 10_001)
+    assert len(granted(desk, 10_001)) <= 20
+
+
+def _enqueue_retry(desk: EngineCell, request_id: str, now: float) -> None:
+    request = make_request(
+        request_id,
+        excluded=['e0'],
+        dispatches=1,
+        deadline_ms=60_000,
+        patience_ms=60_000,
+    )
+    enqueue(desk, request, now)
+
+
+def test_retry_that_does_not_wait_any_more_reserves_nothing() -> None:
+    """Guards against a budget that shrinks with each caller that leaves."""
+    desk = make_cell(engine('e1', slots=40))
+    for number in range(60):
+        _enqueue_retry(desk, f'left-{number}', 0)
+        desk.withdraw(f'left-{number}')
+    for number in range(60):
+        _enqueue_retry(desk, f'r{number}', 0)
+    assert len(granted(desk)) == 17
+
+
 def test_a_request_that_crashes_engines_is_stopped() -> None:
     """One request crashes each engine that starts it, and its caller retries
     it. After the third engine it is refused. Requests that ran on the same
--- a/tests/scheduling/test_retries_of_owners.py
+++ b/tests/scheduling/test_retries_of_owners.py
@@ -11,10 +11,10 @@
 from hornbeamdeck.scheduling.retry_budget import RetryBudget, RetryRules
 from hornbeamdeck.scheduling.served_share import ServedShare
 from tests.retry_rule import RetryRule
+from tests.scheduling.retry_budgets import RECORD_INTERVAL_MS, try_spend
 
 RULE = RetryRule(ratio=0.2, slack=100, window_ms=2000)
 PROCESSES = 4
-RECORD_INTERVAL_MS = 250
 # Longer than a silent process stays the owner.
 FREEZE_MS = 1100
 PROCESS = st.integers(0, PROCESSES - 1)
@@ -109,7 +109,7 @@
         for process in self.processes:
             if process.is_frozen:
                 continue
-            while process.budget.try_spend(self.now):
+            while try_spend(process.budget, self.now):
                 self.retries.append(self.now)
 
     def teardown(self) -> None:
