Let instances that all stop have one owner

Now the first-ranked of the stopping ones that can be reached owns the cells; one that has been stopping for 15 s has ended.

--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/process/membership.py
@@ -28,6 +28,8 @@
 STATE_DRAINING: Final = 'leaving'
 STATE_LIVE: Final = 'live'
 UNLISTED_GRACE_MS: Final = 10_000
+# An instance that has been stopping for this long has ended.
+MAX_STOP_MS: Final = 15_000
 # After any status change, all status objects are serialized again for each
 # peer.
 STATUS_CACHE_SIZE: Final = 2048
@@ -154,7 +156,12 @@
     def apply_instance_list(self, listed: tuple[ListedInstance, ...]) -> None:
         """Replace the platform's instance list by a newly read one."""
         states = {each.address: each.state for each in listed}
-        if states != self._listed_states or self._has_unlisted_in_list_grace():
+        has_unlisted = any(
+            str(status.address) not in self._listed_states
+            and self._is_in_list_grace(status)
+            for status in self._statuses.values()
+        )
+        if states != self._listed_states or has_unlisted:
             self._owners.clear()
         self._listed_states = states
         self._list_read_ms = now_ms()
@@ -190,13 +197,28 @@
             others.append(self.own_status)
         return others
 
+    def stopping(self) -> list[InstanceStatus]:
+        """List this process and the others that are about to end."""
+        now = now_ms()
+        others = [
+            status
+            for status in self.known_peers()
+            if status.state == STATE_DRAINING
+            and status.instance_id not in self.suspected
+            and now - self._first_seen_ms[status.instance_id] < MAX_STOP_MS
+        ]
+        return [*others, self.own_status]
+
     def mark_published(self) -> None:
         """Record that this process's status is visible to other instances."""
         self._owners.clear()
         self.is_published = True
 
     def owner_of(self, cell: str) -> str:
-        """Return the owner of a cell; this process if no other is live.
+        """Return the owner of a cell.
+
+        If no instance is live, it is one of those that are stopping and still
+        serve, the same for all of them.
 
         The owner is cached until a change could affect it: scoring hundreds of
         instances takes almost a millisecond, and every request needs the
@@ -208,10 +230,12 @@
         owner = self._owners.get(cell)
         if owner is None:
             self._owners_valid_until_ms = self.suspected.next_expiry_ms()
-            cores = _cores_by_instance(self.live())
+            live = self.live()
+            cores = _cores_by_instance(live or self.stopping())
             owner = owner_of(cell, cores, cores.__getitem__)
             owner = owner or self.own_status.instance_id
-            self._owners[cell] = owner
+            if live:
+                self._owners[cell] = owner
         return owner
 
     def ranked_ids(self, cell: str) -> tuple[str, ...]:
@@ -283,13 +307,6 @@
         seen_ms = self._first_seen_ms[status.instance_id]
         return self._list_read_ms - seen_ms < UNLISTED_GRACE_MS
 
-    def _has_unlisted_in_list_grace(self) -> bool:
-        return any(
-            str(status.address) not in self._listed_states
-            and self._is_in_list_grace(status)
-            for status in self._statuses.values()
-        )
-
 
 def _cores_by_instance(statuses: Iterable[InstanceStatus]) -> dict[str, float]:
     """Map instances to their processor cores, which ranking compares first.
--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -1,6 +1,6 @@
 """Tests of responses to callers when instances are killed or shut down."""
 
-from curio import sleep, spawn
+from curio import TaskGroup, sleep, spawn
 
 from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
 from tests.platform.standins import document
@@ -117,3 +117,23 @@
     await fleet.gateways[owner].async_kill()
     got = await fleet.async_call('/note/x', caller, tokens=large)
     assert got.status == 429
+
+
+@on_platform(count=4)
+async def test_gateways_that_all_stop_have_one_owner(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against limits that each stopping gateway grants in full."""
+    for engine in fleet.booking_engines:
+        engine.event_gap_s = 1.0
+    async with TaskGroup() as group:
+        for gateway in range(4):
+            await group.spawn(fleet.async_call, '/seats/x', gateway)
+        await sleep(0.2)
+        for stopping in fleet.gateways:
+            await group.spawn(stopping.async_stop)
+        await sleep(0.5)
+        owners = [each for each in fleet.gateways if each.components.is_owner]
+        assert all(gateway.is_draining for gateway in fleet.gateways)
+        assert len(owners) == 1
+    assert all(task.exception is None for task in group.tasks)
