Failing test: brittle engines fall over when their owner is lost

The successor knows the limit that engines state, but neither the rejections of the last second nor how much room the engines had, and offers them their slots again.

--- a/tests/platform/test_brittle_engines.py
+++ b/tests/platform/test_brittle_engines.py
@@ -5,6 +5,7 @@
 from curio import TaskGroup, sleep
 
 from hornbeamdeck.process.gateway import Gateway
+from hornbeamdeck.process.liveness import FLEET_CELL
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
@@ -19,13 +20,13 @@
 DURATION_S = 4.0
 CALLERS = 12
 CALL_INTERVAL_S = 0.02
+OWNER_CHANGE_INTERVAL_S = 0.8
 
 
 async def _async_call_repeatedly(
-    fleet: PlatformFleet, path: str, caller: int
+    fleet: PlatformFleet, path: str, caller: int, gateway: int
 ) -> None:
     """Send requests one after another for a time."""
-    gateway = caller % len(fleet.gateways)
     end_s = monotonic() + DURATION_S
     number = 0
     while monotonic() < end_s:
@@ -42,7 +43,10 @@
 async def _async_call_at_once(fleet: PlatformFleet, path: str) -> None:
     async with TaskGroup() as callers:
         for caller in range(CALLERS):
-            await callers.spawn(_async_call_repeatedly, fleet, path, caller)
+            gateway = caller % len(fleet.gateways)
+            await callers.spawn(
+                _async_call_repeatedly, fleet, path, caller, gateway
+            )
 
 
 @on_platform(count=2)
@@ -118,3 +122,35 @@
     engine.state({})
     await fleet.async_call('/open/x')
     await fleet.async_until(lambda: not _knows_limit(fleet.owner, engine))
+
+
+@on_platform(count=8)
+async def test_brittle_engines_do_not_fall_over_with_their_owner(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a new owner that does not know of the last rejections."""
+    engines = [EngineStandin(f'desk-{number}') for number in range(3, 7)]
+    await fleet.async_replace_model_engines(engines)
+    for engine in engines:
+        engine.event_gap_s = 0.05
+        engine.limit_room(2)
+        engine.state_brittle(MOST_REJECTIONS - 1)
+    membership = fleet.gateways[0].components.membership
+    ranked = [
+        int(instance_id.rpartition('-')[2])
+        for instance_id in membership.ranked_ids(FLEET_CELL)
+    ]
+    async with TaskGroup() as callers:
+        for caller in range(2 * CALLERS):
+            await callers.spawn(
+                _async_call_repeatedly,
+                fleet,
+                '/guide/x',
+                caller,
+                ranked[4 + caller % 4],
+            )
+        for owner in ranked[:4]:
+            await sleep(OWNER_CHANGE_INTERVAL_S)
+            await fleet.gateways[owner].async_kill()
+    assert all(task.exception is None for task in callers.tasks)
+    assert [engine.falls for engine in engines] == [0, 0, 0, 0]
