Grant no places of connections that a closing owner closes itself

A process that ends closes its connections one after another, took the runs of each for ended, and granted their places to requests that still waited at the others. Their engines were sent requests that they had no room for: in the test of brittle engines two such grants within 50 ms of a kill.

It grants nothing from then on. The new test of the scheduler failed before.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -205,6 +205,7 @@
 
     async def async_kill(self) -> None:
         """Close everything immediately, as if the process had died."""
+        self.components.scheduler.close()
         for task in self._tasks:
             await task.cancel()
         for listener in self.listeners:
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -57,10 +57,19 @@
         # How to reach the instances that this process grants for, by sender.
         self._ingresses: dict[str, Deliver] = {}
         self._has_waiting = Event()
+        self._is_closed = False
         # Set when streams were granted or have begun. Whoever waits for it
         # clears it.
         self.has_new_origins = Event()
 
+    def close(self) -> None:
+        """Grant nothing more, since this process ends.
+
+        It closes its connections one after another. The runs of those that are
+        closed go on at the upstreams until their ingresses say otherwise.
+        """
+        self._is_closed = True
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a new configuration; each service has one cell today."""
         weights = {
@@ -191,6 +200,8 @@
         await self._has_waiting.set()
 
     async def _async_grant(self, cell: AnyCell) -> None:
+        if self._is_closed:
+            return
         now = now_ms()
         refusals = [*cell.refuse_expired(now), *cell.shed()]
         granted = list(cell.place_waiting(now))
