Do not offer brittle engines their slots again after a change of owner

Engines that reject more than they state fell over when their owner was lost. Its successor knew the limit, but neither the rejections of the last second nor how much room the engines had, and offered them all slots.

A process that has not owned the cells for as long as rejections count now starts requests at brittle engines in place of those that have ended only, and goes on from that number, one more a second.

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -15,6 +15,7 @@
     SharedState,
 )
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.rejection_limit import REJECTION_WINDOW_MS
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget, RetryRules
 from hornbeamdeck.scheduling.served_share import ServedShare
@@ -60,13 +61,23 @@
         self._shared = SharedState(
             quotas=quotas,
             teams={},
-            rate_rules=RateRules(settle_ms, fleet_share),
+            rate_rules=RateRules(
+                settle_ms,
+                fleet_share,
+                is_new_owner=lambda: (
+                    not self._recently_served_share.lowest(now_ms())
+                ),
+            ),
             instances=instances,
         )
         self._is_first_start = is_first_start
         self._fleet_share = fleet_share
+        started_ms = now_ms()
         self._served_share = ServedShare(
-            bounds.retry_window_ms, now_ms(), is_first_start=is_first_start
+            bounds.retry_window_ms, started_ms, is_first_start=is_first_start
+        )
+        self._recently_served_share = ServedShare(
+            REJECTION_WINDOW_MS, started_ms, is_first_start=is_first_start
         )
         self._cells: dict[str, EngineCell] = {}
         self._reported_slowness: dict[str, float] = {}
@@ -84,7 +95,9 @@
         Called often: the time after a long gap counts as another owner's.
         """
         share = self._fleet_share() if is_owner else 0.0
-        self._served_share.record(share, now_ms())
+        now = now_ms()
+        self._served_share.record(share, now)
+        self._recently_served_share.record(share, now)
 
     def set_callback(self, on_engines_applied: Callable[[], None]) -> None:
         """Set what is called when the cells have a new list of engines."""
--- a/hornbeamdeck/scheduling/engine_conditions.py
+++ b/hornbeamdeck/scheduling/engine_conditions.py
@@ -64,7 +64,7 @@
     def __init__(self, rules: RateRules) -> None:
         """Start without statements."""
         self.rate = EngineRate(rules)
-        self.rejections = RejectionLimit()
+        self.rejections = RejectionLimit(rules.is_new_owner)
         self.is_leaving = False
         self._rest_until_ms: dict[str, float] = {}
 
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -286,7 +286,7 @@
     rejections = load.condition.rejections
     if rejections.per_s is None:
         return load.idle_slots()
-    unanswered = sum(not run.first_token_at_ms for run in load.runs.values())
+    unanswered = sum(run.is_prefilling for run in load.runs.values())
     return rejections.starts_left(load.slots, len(load.runs), unanswered, now)
 
 
--- a/hornbeamdeck/scheduling/rejection_limit.py
+++ b/hornbeamdeck/scheduling/rejection_limit.py
@@ -3,17 +3,21 @@
 Load pattern: an engine lets fewer requests wait than before and falls over when
 it rejects too many in a second. Its slots look free, so bounded by slots alone
 it is offered again what it has just rejected, from all sides.
+
+A new owner does not know what was rejected right before. For as long as that
+counts, it starts requests only in place of those that have ended.
 """
 
 import math
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
-__all__ = ('RejectionLimit',)
+__all__ = ('REJECTION_WINDOW_MS', 'RejectionLimit')
 
 # A little longer than the second that counts, since a rejection is recorded
 # later than the engine made it.
-WINDOW_MS: Final = 1200.0
+REJECTION_WINDOW_MS: Final = 1200.0
 # Rejections that are left to an owner that still grants beside this one.
 MARGIN: Final = 1
 # Interval at which an engine that rejects nothing is trusted with one more
@@ -24,8 +28,15 @@
 class RejectionLimit:
     """Recent rejections of an engine, and the limit that it states, if any."""
 
-    def __init__(self) -> None:
-        """Start without rejections and without a limit."""
+    def __init__(self, is_new_owner: Callable[[], bool]) -> None:
+        """Start without rejections and without a limit.
+
+        :param is_new_owner: returns whether another owner may have granted
+            within the window that counts.
+        """
+        self._is_new_owner = is_new_owner
+        # Most runs at once that the engine has accepted from other owners.
+        self._inherited = 0
         # Rejections per second; `None`: it does not fall over.
         self.per_s: float | None = None
         self._stated_ms = -math.inf
@@ -54,6 +65,7 @@
         """
         self._rejected_ms.append(now)
         self._forget(now)
+        self._inherited = min(self._inherited, running)
         self._room = max(running, 1)
         self._room_since_ms = now
 
@@ -71,6 +83,9 @@
         :param running: number of its runs.
         :param unanswered: number of those that it may still reject.
         """
+        if self.per_s is not None and self._is_new_owner():
+            return self._starts_in_place(running, unanswered, now)
+        self._inherited = 0
         room_left = self._room_for(slots, now) - running
         if self.per_s is None or not self.recent_rejections(now):
             return max(room_left, 0)
@@ -78,6 +93,15 @@
         rejections_left -= self.recent_rejections(now) + unanswered
         return max(min(room_left, rejections_left), 0)
 
+    def _starts_in_place(
+        self, running: int, unanswered: int, now: float
+    ) -> int:
+        """Return how many runs have ended that an engine had room for."""
+        self._inherited = max(self._inherited, running - unanswered)
+        self._room = max(self._inherited, 1)
+        self._room_since_ms = now
+        return max(self._inherited - running, 0)
+
     def _room_for(self, slots: int, now: float) -> int:
         if self._room is None:
             return slots
@@ -89,5 +113,8 @@
         return room
 
     def _forget(self, now: float) -> None:
-        while self._rejected_ms and self._rejected_ms[0] <= now - WINDOW_MS:
+        while (
+            self._rejected_ms
+            and self._rejected_ms[0] <= now - REJECTION_WINDOW_MS
+        ):
             self._rejected_ms.popleft()
--- a/hornbeamdeck/scheduling/request_rate.py
+++ b/hornbeamdeck/scheduling/request_rate.py
@@ -31,10 +31,13 @@
     :param fleet_share: returns the share of the fleet whose requests are
         granted here. It is less than 1 while another instance may take itself
         for the owner, too.
+    :param is_new_owner: returns whether another owner may have granted requests
+        within the second for which rejections count.
     """
 
     settle_ms: float = 0.0
     fleet_share: Callable[[], float] = lambda: 1.0
+    is_new_owner: Callable[[], bool] = bool
 
 
 class _Bound(NamedTuple):
--- a/tests/scheduling/test_rejection_limit.py
+++ b/tests/scheduling/test_rejection_limit.py
@@ -3,7 +3,10 @@
 import pytest
 
 from hornbeamdeck.scheduling.engine_cell import EngineCell
-from hornbeamdeck.scheduling.rejection_limit import WINDOW_MS, RejectionLimit
+from hornbeamdeck.scheduling.rejection_limit import (
+    REJECTION_WINDOW_MS,
+    RejectionLimit,
+)
 from hornbeamdeck.wire import EngineObservation, Release, RunEnd
 from tests.scheduling.engine_cell_factories import (
     PLAIN,
@@ -31,7 +34,7 @@
 
 
 def _limit(per_s: float | None = LIMIT) -> RejectionLimit:
-    made = RejectionLimit()
+    made = RejectionLimit(bool)
     made.set_limit(per_s, 0)
     return made
 
@@ -55,8 +58,8 @@
     limit = _limit()
     for now in range(3):
         limit.record_rejection(1, now)
-    assert not limit.starts_left(SLOTS, 0, 0, WINDOW_MS - 1)
-    assert limit.starts_left(SLOTS, 0, 0, WINDOW_MS + 3) > 0
+    assert not limit.starts_left(SLOTS, 0, 0, REJECTION_WINDOW_MS - 1)
+    assert limit.starts_left(SLOTS, 0, 0, REJECTION_WINDOW_MS + 3) > 0
 
 
 def test_room_grows_again_one_by_one() -> None:
@@ -64,7 +67,7 @@
     limit = _limit()
     limit.record_rejection(1, 0)
     rooms = [
-        limit.starts_left(SLOTS, 0, 0, second * SECOND_MS + WINDOW_MS)
+        limit.starts_left(SLOTS, 0, 0, second * SECOND_MS + REJECTION_WINDOW_MS)
         for second in range(SLOTS + 1)
     ]
     assert rooms == sorted(rooms)
@@ -74,7 +77,7 @@
 
 def test_older_statement_does_not_replace_a_newer_one() -> None:
     """Guards against a report that was delayed."""
-    limit = RejectionLimit()
+    limit = RejectionLimit(bool)
     assert limit.set_limit(3, 100)
     assert not limit.set_limit(None, 50)
     assert limit.per_s == 3
@@ -124,3 +127,32 @@
     restarted = engine('e1', slots=SLOTS, born_ms=2)
     cell.update_engines([restarted], PLAIN, {})
     assert cell.loads['e1'].condition.rejections.per_s is None
+
+
+def _limit_of_new_owner() -> RejectionLimit:
+    made = RejectionLimit(lambda: True)
+    made.set_limit(LIMIT, 0)
+    return made
+
+
+def test_new_owner_starts_requests_in_place_of_ended_ones_only() -> None:
+    """Guards against offers beyond the room that a former owner had found."""
+    limit = _limit_of_new_owner()
+    assert not limit.starts_left(SLOTS, 3, 0, 0)
+    assert limit.starts_left(SLOTS, 2, 0, 10) == 1
+    assert not limit.starts_left(SLOTS, 3, 1, 20)
+
+
+def test_requests_of_a_former_owner_on_their_way_show_no_room() -> None:
+    """Guards against room that is taken from requests about to be rejected."""
+    limit = _limit_of_new_owner()
+    assert not limit.starts_left(SLOTS, 4, 2, 0)
+    assert not limit.starts_left(SLOTS, 2, 0, 10)
+
+
+def test_rejection_shows_a_new_owner_that_there_is_less_room() -> None:
+    """Guards against the same offer again and again."""
+    limit = _limit_of_new_owner()
+    limit.starts_left(SLOTS, 3, 0, 0)
+    limit.record_rejection(2, 10)
+    assert not limit.starts_left(SLOTS, 2, 0, 20)
