Count what an instance had spent before it was restarted

The report of one that was restarted replaced that of its former process, so tokens spent in the window before counted for nothing, and were granted again where the owner changed soon after.

The last report of a process that has ended counts until the window is over.

--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/process/heartbeats.py
@@ -110,6 +110,7 @@
             dependencies.membership.own_status.instance_id,
             dependencies.spending.report(now),
             self._spending_record_ms(now),
+            now,
         )
         targets = self._targets()
         for former_target in self._unanswered_since_ms.keys() - set(targets):
@@ -243,7 +244,7 @@
             can_serve=heartbeat.configuration_version > 0,
         )
         dependencies.spending_reports.record(
-            peer_id, heartbeat.spent, heartbeat.memory_ms
+            peer_id, heartbeat.spent, heartbeat.memory_ms, now_ms()
         )
         if heartbeat.rollouts:
             dependencies.merge_rollouts(heartbeat.rollouts)
--- a/hornbeamdeck/process/spending.py
+++ b/hornbeamdeck/process/spending.py
@@ -51,36 +51,57 @@
         ]
 
 
+class _Report(NamedTuple):
+    """Spending of one process in the window before its report.
+
+    :param memory_ms: how long it had recorded its spending.
+    """
+
+    tokens: dict[str, int]
+    memory_ms: float
+    received_ms: float
+
+
 class SpendingReports:
     """Spending reports of all ingress instances, for an owner or successor."""
 
     def __init__(self, window_ms: float) -> None:
         """Start without reports."""
         self._window_ms = window_ms
-        self._reports: dict[str, dict[str, int]] = {}
-        self._record_durations_ms: dict[str, float] = {}
+        self._reports: dict[str, _Report] = {}
+        # Last reports of processes whose successors have reported since.
+        self._ended: list[_Report] = []
 
     def record(
         self,
         peer_id: str,
         spent: Iterable[Spending],
         memory_ms: float,
+        now: float,
     ) -> None:
         """Record the report of one instance.
 
         :param memory_ms: how long the instance has recorded its spending.
         """
-        self._reports[peer_id] = {each.team: each.tokens for each in spent}
-        self._record_durations_ms[peer_id] = memory_ms
+        last = self._reports.get(peer_id)
+        if last is not None and memory_ms < last.memory_ms:
+            self._ended = [
+                each for each in (*self._ended, last) if self._counts(each, now)
+            ]
+        tokens = {each.team: each.tokens for each in spent}
+        self._reports[peer_id] = _Report(tokens, memory_ms, now)
 
     def drop(self, peer_id: str) -> None:
         """Drop the report of a removed instance."""
         self._reports.pop(peer_id, None)
-        self._record_durations_ms.pop(peer_id, None)
 
-    def tokens_spent(self, team: str) -> int:
+    def tokens_spent(self, team: str, now: float) -> int:
         """Return a team's spending summed over all reports."""
-        return sum(report.get(team, 0) for report in self._reports.values())
+        return sum(
+            report.tokens.get(team, 0)
+            for report in (*self._reports.values(), *self._ended)
+            if self._counts(report, now)
+        )
 
     def is_complete(self) -> bool:
         """Return whether enough reports cover a whole window.
@@ -88,8 +109,11 @@
         At least half of the reporting instances must, and at least one.
         """
         covering = sum(
-            memory_ms >= self._window_ms
-            for memory_ms in self._record_durations_ms.values()
+            report.memory_ms >= self._window_ms
+            for report in self._reports.values()
         )
-        needed = math.ceil(len(self._record_durations_ms) / 2)
+        needed = math.ceil(len(self._reports) / 2)
         return covering >= max(needed, 1)
+
+    def _counts(self, report: _Report, now: float) -> bool:
+        return now - report.received_ms < self._window_ms
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -41,13 +41,13 @@
 class QuotaView(NamedTuple):
     """State outside this module that the limits depend on.
 
-    :param spent: tokens of a team in the last window, as reported by the
-        ingresses.
+    :param spent: tokens of a team in the window up to a time, as reported by
+        the ingresses.
     :param covers_window: whether those reports cover a whole window.
     :param share: share of the fleet's instances that this owner serves.
     """
 
-    spent: Callable[[str], int]
+    spent: Callable[[str, float], int]
     covers_window: Callable[[], bool]
     share: Callable[[], float]
 
@@ -186,7 +186,7 @@
     def _refilled_bucket(self, team: GatewayTeam, now: float) -> _Bucket:
         bucket = self._buckets.get(team.name)
         if bucket is None:
-            bucket = _Bucket(self._initial_level(team), now)
+            bucket = _Bucket(self._initial_level(team, now), now)
             self._buckets[team.name] = bucket
         bucket.fill(self._refill_per_ms(team), self._capacity(team), now)
         return bucket
@@ -211,7 +211,7 @@
         per_ms = team.rate_per_s / MILLIS_PER_SECOND + slack_per_ms
         return per_ms * self._share()
 
-    def _initial_level(self, team: GatewayTeam) -> float:
+    def _initial_level(self, team: GatewayTeam, now: float) -> float:
         # After a restart of the whole fleet, the tokens spent right before it
         # are unknown. An empty bucket gives each team its rate, which hardly
         # affects teams below their limit. A full one could exceed the limit.
@@ -221,5 +221,5 @@
         if not self._view.covers_window():
             return 0.0
         refill = self._refill_per_ms(team) * self._rules.window_ms
-        remaining = capacity + refill - self._view.spent(team.name)
+        remaining = capacity + refill - self._view.spent(team.name, now)
         return min(capacity, remaining)
--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -2,6 +2,7 @@
 
 from curio import TaskGroup, sleep, spawn
 
+from hornbeamdeck.clock import now_ms
 from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
 from tests.platform.standins import document
 
@@ -108,7 +109,7 @@
     await fleet.async_until(
         lambda: all(
             gateway.components.heartbeats._dependencies.spending_reports.tokens_spent(
-                'guides'
+                'guides', now_ms()
             )
             >= 69_000
             for gateway in successors
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -69,7 +69,7 @@
     """Create the token limits of an owner."""
     return TokenQuotas(
         QuotaView(
-            spent=lambda _team: spent,
+            spent=lambda _team, _now: spent,
             covers_window=lambda: covers_window,
             share=lambda: share,
         ),
