Earn the whole part of a retry by each request, and save more of them up

While retries waited for an engine, their reserved ones filled what an owner may save up, and requests earned nothing.

The part left unused provides for retries in transit, whose number does not grow with that of the requests, so it comes off the slack alone; and a quarter of the slack may be saved up in place of a tenth. Of 20 retries without a request, 14 are granted in place of 17: more of them are to be earned.

--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -20,10 +20,11 @@
 
 ReadServedShare: TypeAlias = Callable[[float], float]
 
-# Retries that were granted before a window may reach their engines in it.
+# Share of the slack that is used, since retries that were granted before a
+# window may reach their engines in it.
 USED_SHARE: Final = 0.95
 # Share of the slack that may be saved up from requests instead.
-SAVED_SHARE: Final = 0.1
+SAVED_SHARE: Final = 0.25
 # What any owner may save up. With less, an owner that has just started could
 # not grant a single retry.
 MIN_SAVED: Final = 2.0
@@ -67,7 +68,7 @@
             process has granted for within the window up to a time.
         """
         slack = rules.slack * USED_SHARE
-        self._ratio = rules.ratio * USED_SHARE
+        self._ratio = rules.ratio
         self._window_ms = rules.window_ms
         self._served_share = served_share
         self._min_saved = min(MIN_SAVED, slack) if self._ratio else 0.0
