Tell the next owners what limits engines have stated

A successor learned of a brittle engine only when the first instance that had seen its statement reported it.

The owner's heartbeats name the limits that it knows, with their age; there are none in a usual fleet.

--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/process/engine_cells.py
@@ -22,6 +22,7 @@
 from hornbeamdeck.scheduling.service_load import count_held_by_limit
 from hornbeamdeck.scheduling.token_quota import TokenQuotas
 from hornbeamdeck.version.gateway import GatewayConfiguration
+from hornbeamdeck.wire import EngineObservation
 
 __all__ = ('EngineCells',)
 
@@ -141,6 +142,15 @@
             },
         }
 
+    def engine_limits(self) -> list[EngineObservation]:
+        """Return the limits that engines have stated, of all services."""
+        now = now_ms()
+        return [
+            limit
+            for service, cell in self._cells.items()
+            for limit in cell.conditions.limits(service, now)
+        ]
+
     def limit_counts(self) -> dict[str, LimitCounts]:
         """Count the engines with a request limit, by service."""
         now = now_ms()
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -171,6 +171,10 @@
                 merge_rollouts=lambda reported: (
                     rollouts[0].merge(reported) if rollouts else None
                 ),
+                engine_limits=lambda: (
+                    cells.engine_limits() if _is_owner(membership) else []
+                ),
+                apply_limits=scheduler.apply_limits,
             ),
         )
         fleet_share.append(heartbeats.liveness.live_share)
--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/process/heartbeats.py
@@ -37,7 +37,13 @@
 from hornbeamdeck.process.sent_updates import SentUpdates
 from hornbeamdeck.process.spending import SpendingLog, SpendingReports
 from hornbeamdeck.scheduling.queued_request import Deliver
-from hornbeamdeck.wire import Beat, EngineList, Message, Rollout
+from hornbeamdeck.wire import (
+    Beat,
+    EngineList,
+    EngineObservation,
+    Message,
+    Rollout,
+)
 
 __all__ = ('HeartbeatDependencies', 'Heartbeats')
 
@@ -53,6 +59,9 @@
     :param on_engines_changed: called when the list of engines has changed.
     :param rollouts: returns what this process knows of roll-outs.
     :param merge_rollouts: applies what a peer knows of them.
+    :param engine_limits: returns the limits that engines have stated, as the
+        owner knows them; none if this process is not the owner.
+    :param apply_limits: applies those that a peer has sent.
     :param is_first_start: whether no process of the fleet ran before.
     :param is_store_reached: whether the last call to the store succeeded.
     """
@@ -71,6 +80,8 @@
     is_first_start: bool
     rollouts: Callable[[], list[Rollout]]
     merge_rollouts: Callable[[list[Rollout]], None]
+    engine_limits: Callable[[], list[EngineObservation]]
+    apply_limits: Callable[[list[EngineObservation], str], None]
 
 
 class Heartbeats:
@@ -230,6 +241,7 @@
             spent=dependencies.spending.report(now),
             is_store_reached=dependencies.is_store_reached(),
             rollouts=dependencies.rollouts() or None,
+            limits=dependencies.engine_limits() or None,
         )
 
     def _apply_heartbeat(self, peer_id: str, heartbeat: Beat) -> None:
@@ -248,6 +260,8 @@
         )
         if heartbeat.rollouts:
             dependencies.merge_rollouts(heartbeat.rollouts)
+        if heartbeat.limits:
+            dependencies.apply_limits(heartbeat.limits, peer_id)
         if not heartbeat.echo_ms:
             return
         # The peer's ages count back from the arrival of the heartbeat that it
--- a/hornbeamdeck/process/scheduler.py
+++ b/hornbeamdeck/process/scheduler.py
@@ -142,6 +142,15 @@
                 )
         await self._async_grant(cell)
 
+    def apply_limits(
+        self, limits: Iterable[EngineObservation], sender: str
+    ) -> None:
+        """Apply the limits of engines that an owner knows."""
+        for limit in limits:
+            cell = self.cells.get(limit.cell)
+            if cell is not None:
+                _apply_report(cell, limit, sender)
+
     async def async_evaluate_cells(self) -> None:
         """Evaluate all cells again after a change to their data."""
         for cell in tuple(self.cells.values()):
--- a/hornbeamdeck/scheduling/engine_conditions.py
+++ b/hornbeamdeck/scheduling/engine_conditions.py
@@ -125,6 +125,19 @@
         return LimitChange(previous_per_s, self.rate.recent_grants(now))
 
 
+def _limits_of(
+    service: str, engine: str, born_ms: int, condition: EngineCondition
+) -> EngineObservation:
+    return EngineObservation(
+        cell=service,
+        upstream=engine,
+        born_ms=born_ms,
+        age_ms=0,
+        per_s=condition.rate.limit_per_s,
+        rejection_limit_per_s=condition.rejections.per_s,
+    )
+
+
 class EngineConditions:
     """The conditions of the engines of one service, by incarnation.
 
@@ -159,6 +172,17 @@
         change = condition.apply(observation, instance, now)
         return None if change == ConditionChange() else change
 
+    def limits(self, service: str, now: float) -> list[EngineObservation]:
+        """Return the limits that engines have stated, for other instances."""
+        limits = []
+        for (engine, born_ms), condition in self._conditions.items():
+            stated_ms = condition.rejections.stated_ms
+            if math.isfinite(stated_ms):
+                limit = _limits_of(service, engine, born_ms, condition)
+                limit.age_ms = int(now - stated_ms)
+                limits.append(limit)
+        return limits
+
     def remove_unlisted(self, listed: Iterable[Engine]) -> None:
         """Drop all but the last of the engines that have left the list."""
         keys = {(engine.name, engine.born_ms) for engine in listed}
--- a/hornbeamdeck/scheduling/rejection_limit.py
+++ b/hornbeamdeck/scheduling/rejection_limit.py
@@ -39,7 +39,7 @@
         self._inherited = 0
         # Rejections per second; `None`: it does not fall over.
         self.per_s: float | None = None
-        self._stated_ms = -math.inf
+        self.stated_ms = -math.inf
         self._rejected_ms: deque[float] = deque()
         # Requests at once that it has room for; `None`: as many as its slots.
         self._room: int | None = None
@@ -51,9 +51,9 @@
         :param stated_ms: when it did.
         :returns: whether the limit has changed.
         """
-        if stated_ms < self._stated_ms:
+        if stated_ms < self.stated_ms:
             return False
-        self._stated_ms = stated_ms
+        self.stated_ms = stated_ms
         is_changed = per_s != self.per_s
         self.per_s = per_s
         return is_changed
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -2557,6 +2557,7 @@
      - is_store_reached
      - rollouts
      - engines_era
+     - limits
 
     """
 
@@ -2575,10 +2576,11 @@
         'is_store_reached',
         'rollouts',
         'engines_era',
+        'limits',
     )
 
 
-    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None, rollouts=None, engines_era=None,):
+    def __init__(self, stamp_ms=None, echo_ms=None, configuration_age_ms=None, engines_version=None, engines_age_ms=None, status=None, memory_ms=None, spent=None, present=None, statuses=None, configuration_version=None, is_store_reached=None, rollouts=None, engines_era=None, limits=None,):
         self.stamp_ms = stamp_ms
         self.echo_ms = echo_ms
         self.configuration_age_ms = configuration_age_ms
@@ -2593,6 +2595,7 @@
         self.is_store_reached = is_store_reached
         self.rollouts = rollouts
         self.engines_era = engines_era
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2695,6 +2698,17 @@
                     self.engines_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = EngineObservation()
+                        _elem71.read(iprot)
+                        self.limits.append(_elem71)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2736,22 +2750,22 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter66 in self.spent:
-                iter66.write(oprot)
+            for iter72 in self.spent:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.present is not None:
             oprot.writeFieldBegin('present', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.present))
-            for iter67 in self.present:
-                oprot.writeString(iter67.encode('utf-8') if sys.version_info[0] == 2 else iter67)
+            for iter73 in self.present:
+                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter68 in self.statuses:
-                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
+            for iter74 in self.statuses:
+                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -2765,14 +2779,21 @@
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter69 in self.rollouts:
-                iter69.write(oprot)
+            for iter75 in self.rollouts:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_era is not None:
             oprot.writeFieldBegin('engines_era', TType.I64, 14)
             oprot.writeI64(self.engines_era)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter76 in self.limits:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3036,11 +3057,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = EngineEntry()
-                        _elem75.read(iprot)
-                        self.engines.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = EngineEntry()
+                        _elem82.read(iprot)
+                        self.engines.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3066,8 +3087,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter76 in self.engines:
-                iter76.write(oprot)
+            for iter83 in self.engines:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -4013,6 +4034,7 @@
     (12, TType.BOOL, 'is_store_reached', None, None, ),  # 12
     (13, TType.LIST, 'rollouts', (TType.STRUCT, [Rollout, None], False), None, ),  # 13
     (14, TType.I64, 'engines_era', None, None, ),  # 14
+    (15, TType.LIST, 'limits', (TType.STRUCT, [EngineObservation, None], False), None, ),  # 15
 )
 all_structs.append(EngineEntry)
 EngineEntry.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -218,6 +218,7 @@
   12: required bool is_store_reached // whether the sender's last call was answered
   13: optional list<Rollout> rollouts
   14: optional i64 engines_era     // of the store, which counts engines_version
+  15: optional list<EngineObservation> limits // from an owner, as it was told
 }
 
 struct EngineEntry {
--- a/tests/platform/test_brittle_engines.py
+++ b/tests/platform/test_brittle_engines.py
@@ -152,5 +152,19 @@
         for owner in ranked[:4]:
             await sleep(OWNER_CHANGE_INTERVAL_S)
             await fleet.gateways[owner].async_kill()
-    assert all(task.exception is None for task in callers.tasks)
     assert [engine.falls for engine in engines] == [0, 0, 0, 0]
+    assert all(task.exception is None for task in callers.tasks)
+
+
+@on_platform(count=3)
+async def test_next_owners_know_limits_before_they_own(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against grants before the first instance reports a limit."""
+    brittle = fleet.booking_engines[0]
+    brittle.state_brittle(MOST_REJECTIONS)
+    fleet.booking_engines[1].faults = ['not_run'] * 100
+    assert (await fleet.async_call('/open/x')).status == 200
+    await fleet.async_until(
+        lambda: all(_knows_limit(each, brittle) for each in fleet.gateways)
+    )
--- a/tests/process/test_heartbeats.py
+++ b/tests/process/test_heartbeats.py
@@ -87,6 +87,8 @@
                 is_first_start=False,
                 rollouts=list,
                 merge_rollouts=lambda _reported: None,
+                engine_limits=list,
+                apply_limits=lambda _limits, _peer_id: None,
             ),
         )
 
