Let callers of the brittle engines' tests outwait their deadline

A caller of the tests gives up on a response after two seconds, and its request had three. With four copies of the fleet test at once, one request that waited longer failed its caller in place of being refused.

--- a/tests/platform/test_brittle_engines.py
+++ b/tests/platform/test_brittle_engines.py
@@ -20,6 +20,8 @@
 DURATION_S = 4.0
 CALLERS = 12
 CALL_INTERVAL_S = 0.02
+# Shorter than a caller of the tests waits for its response.
+DEADLINE_MS = 1500
 OWNER_CHANGE_INTERVAL_S = 0.8
 
 
@@ -36,6 +38,7 @@
             gateway,
             tokens=TOKEN_COUNTS if path == '/guide/x' else '',
             hornbeamdeck_request_id=f'{caller}-{number}',
+            hornbeamdeck_deadline_ms=str(DEADLINE_MS),
         )
         await sleep(CALL_INTERVAL_S)
 
