Try what two engines that end at once cost

The postmortem on crashing requests suspected that instances which then take themselves for partitioned for a moment cost requests under way. The test also fails if a caller's stream is broken off.

--- a/tests/platform/test_partitioned_instances.py
+++ b/tests/platform/test_partitioned_instances.py
@@ -1,6 +1,8 @@
 """Instances that reach callers, the store and each other, but no engine."""
 
-from curio import TaskGroup
+from functools import partial
+
+from curio import TaskGroup, sleep
 
 from hornbeamdeck.connection.client import async_fetch_on_new_connection
 from tests.platform.fleet import (
@@ -10,6 +12,7 @@
     on_platform,
 )
 from tests.platform.partitions import Cut, partition
+from tests.platform.standins import EngineStandin
 
 # Requests to each gateway while the partition lasts.
 REQUESTS = 40
@@ -90,3 +93,32 @@
         engine.keep_alive_s = 10
     await _async_count_answered(fleet)
     await _async_check_served(fleet, Cut.NEW_REFUSED, {0, 1})
+
+
+@on_platform(3)
+async def test_engines_that_end_at_once_fail_no_request_of_others(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against an instance that believes itself partitioned by that."""
+    engines = [EngineStandin(f'desk-{number}') for number in range(3, 11)]
+    await fleet.async_replace_model_engines(engines)
+    for engine in engines:
+        engine.event_gap_s = 0.05
+    async with TaskGroup() as callers:
+        for number in range(REQUESTS):
+            await callers.spawn(
+                partial(
+                    fleet.async_call,
+                    '/guide/x',
+                    number % 3,
+                    tokens=TOKEN_COUNTS,
+                    hornbeamdeck_request_id=f'r{number}',
+                )
+            )
+            if number == REQUESTS // 2:
+                for ended in engines[:2]:
+                    await ended.async_stop()
+                for ended in engines[:2]:
+                    await ended.async_close_connections()
+            await sleep(0.02)
+    assert [each.status for each in callers.results] == [200] * REQUESTS
