--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -25,8 +25,8 @@
 USED_SHARE: Final = 0.95
 # Share of the slack that may be saved up from requests instead.
 SAVED_SHARE: Final = 0.25
-# What any owner may save up. With less, an owner that has just started could
-# not grant a single retry.
+# Retries that any owner may save up. With less than one, an owner that has just
+# started could not grant any.
 MIN_SAVED: Final = 2.0
 
 
