--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -201,6 +201,14 @@
             if gateway.settings.instance_id == owner_id
         )
 
+    def ranked_gateways(self) -> list[int]:
+        """Return the indexes of all gateways, the first owner first."""
+        membership = self.gateways[0].components.membership
+        return [
+            int(instance_id.rpartition('-')[2])
+            for instance_id in membership.ranked_ids(FLEET_CELL)
+        ]
+
     async def async_call(
         self,
         path: str,
--- a/tests/platform/test_brittle_engines.py
+++ b/tests/platform/test_brittle_engines.py
@@ -5,7 +5,6 @@
 from curio import TaskGroup, sleep
 
 from hornbeamdeck.process.gateway import Gateway
-from hornbeamdeck.process.liveness import FLEET_CELL
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
@@ -138,11 +137,7 @@
         engine.event_gap_s = 0.05
         engine.limit_room(2)
         engine.state_brittle(MOST_REJECTIONS - 1)
-    membership = fleet.gateways[0].components.membership
-    ranked = [
-        int(instance_id.rpartition('-')[2])
-        for instance_id in membership.ranked_ids(FLEET_CELL)
-    ]
+    ranked = fleet.ranked_gateways()
     async with TaskGroup() as callers:
         for caller in range(2 * CALLERS):
             await callers.spawn(
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -68,11 +68,7 @@
         'retry_window_s': RULE.window_ms / MILLIS_PER_SECOND,
     }
     await fleet.async_add_gateways(GATEWAYS)
-    membership = fleet.gateways[0].components.membership
-    return [
-        int(instance_id.rpartition('-')[2])
-        for instance_id in membership.ranked_ids(FLEET_CELL)
-    ]
+    return fleet.ranked_gateways()
 
 
 async def _async_call_repeatedly(
