Begin with the retries that may be saved up where nobody can have granted any

A fleet that starts for the first time had nothing saved up, a quarter of its slack, until requests had earned it.

A process that has served the whole fleet for a whole window when it first counts begins with all of it; nobody else can have had any.

--- a/hornbeamdeck/scheduling/retry_budget.py
+++ b/hornbeamdeck/scheduling/retry_budget.py
@@ -62,7 +62,10 @@
     def __init__(
         self, rules: RetryRules, served_share: ReadServedShare
     ) -> None:
-        """Start without earned retries.
+        """Start with as many saved retries as may be, or none.
+
+        Nobody can have granted any if this process has served the whole fleet
+        for a whole window when the budget is first used.
 
         :param served_share: returns the lowest share of the fleet that this
             process has granted for within the window up to a time.
@@ -76,14 +79,14 @@
             slack * SAVED_SHARE if self._ratio else 0.0, self._min_saved
         )
         self._slack = slack - self._max_saved
-        self._saved = 0.0
+        self._saved: float | None = None
         self._slack_spent: deque[float] = deque()
         self._retries: deque[float] = deque()
         self._reserved = 0
 
     def record_request(self, now: float) -> None:
         """Earn a part of a retry by a request on its first attempt."""
-        self._saved += self._ratio
+        self._saved = self._limit_saved(now) + self._ratio
         self._limit_saved(now)
 
     def try_reserve(self, now: float) -> bool:
@@ -103,16 +106,16 @@
 
     def spend(self, now: float) -> None:
         """Count a retry that starts now."""
-        self._limit_saved(now)
-        if self._saved >= 1:
-            self._saved -= 1
+        saved = self._limit_saved(now)
+        if saved >= 1:
+            self._saved = saved - 1
         else:
             self._slack_spent.append(now)
         self._retries.append(now)
 
     def counts(self, now: float) -> RetryCounts:
         """Return what counts now."""
-        self._limit_saved(now)
+        saved = self._limit_saved(now)
         for spent in (self._slack_spent, self._retries):
             while spent and spent[0] < now - self._window_ms:
                 spent.popleft()
@@ -120,10 +123,15 @@
         slack_left = int(self._slack * share) - len(self._slack_spent)
         return RetryCounts(
             len(self._retries),
-            int(self._saved) + max(slack_left, 0),
+            int(saved) + max(slack_left, 0),
             share,
         )
 
-    def _limit_saved(self, now: float) -> None:
-        max_saved = self._max_saved * self._served_share(now)
-        self._saved = min(self._saved, max(max_saved, self._min_saved))
+    def _limit_saved(self, now: float) -> float:
+        """Drop what may not be saved up, and return what is left of it."""
+        share = self._served_share(now)
+        if self._saved is None:
+            self._saved = self._max_saved if share >= 1 else 0.0
+        limit = max(self._max_saved * share, self._min_saved)
+        self._saved = min(self._saved, limit)
+        return self._saved
