--- a/hornbeamdeck/scheduling/exposure.py
+++ b/hornbeamdeck/scheduling/exposure.py
@@ -4,8 +4,7 @@
 
 __all__ = ('Exposure',)
 
-# Share of the limit that is used. A grant may be returned unused, and while
-# ownership moves two owners grant.
+# Share of the limit that is used. A grant that counts may be returned unused.
 USED_SHARE: Final = 0.9
 
 
