--- a/bench/ablated_instance.py
+++ b/bench/ablated_instance.py
@@ -17,7 +17,8 @@
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.engine_stream import EngineStream
 from hornbeamdeck.connection.errors import ConnectionBroken
-from hornbeamdeck.process import instance, scheduler
+from hornbeamdeck.ownership import scheduler
+from hornbeamdeck.process import instance
 from hornbeamdeck.request import admitted_request, claim, relay
 from hornbeamdeck.request.execution_right import Once
 from hornbeamdeck.scheduling import upstream_crash_tracker
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -29,7 +29,7 @@
 from hornbeamdeck.const import ENCODING, PREFIX_INSTANCE
 from hornbeamdeck.demo.client import async_call
 from hornbeamdeck.demo.configuration import make_configuration
-from hornbeamdeck.process.membership import (
+from hornbeamdeck.membership.membership import (
     STATE_LIVE,
     InstanceStatus,
     Membership,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -22,7 +22,7 @@
 from hornbeamdeck.connection.store_client import PlatformClient
 from hornbeamdeck.const import ENCODING, KEY_CONFIGURATION
 from hornbeamdeck.demo.configuration import make_configuration
-from hornbeamdeck.process.rendezvous import owner_of
+from hornbeamdeck.membership.rendezvous import owner_of
 
 ANY_PORT: Final = '127.0.0.1:0'
 CALL_TIMEOUT_MS: Final = 5000
--- a/hornbeamdeck/cli.py
+++ b/hornbeamdeck/cli.py
@@ -17,8 +17,8 @@
     make_report,
     read_lines,
 )
+from hornbeamdeck.observability.logs import setup_logs
 from hornbeamdeck.process.gateway_settings import GatewaySettings
-from hornbeamdeck.process.logs import setup_logs
 from hornbeamdeck.process.serve import async_serve
 from hornbeamdeck.process.settings import (
     Settings,
--- /dev/null
+++ b/hornbeamdeck/engines/__init__.py
@@ -0,0 +1,1 @@
+"""How this process reaches engines, and what they state of themselves."""
--- a/hornbeamdeck/process/engine_dialer.py
+++ b/hornbeamdeck/engines/engine_dialer.py
@@ -24,7 +24,7 @@
     TunnelSocket,
     async_open_tunnel,
 )
-from hornbeamdeck.process.membership import InstanceStatus
+from hornbeamdeck.membership.membership import InstanceStatus
 from hornbeamdeck.scheduling.engine_reach import EnginePath, EngineReach
 from hornbeamdeck.scheduling.relay_choice import RelayCandidate, RelayChoice
 from hornbeamdeck.wire import Grant, OpenTunnel, TunnelResult
--- a/hornbeamdeck/process/engine_statements.py
+++ b/hornbeamdeck/engines/engine_statements.py
@@ -13,9 +13,9 @@
 from result import Ok
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.owner_link import OwnerLink
-from hornbeamdeck.process.unread_statements import UnreadStatements
+from hornbeamdeck.engines.unread_statements import UnreadStatements
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.ownership.owner_link import OwnerLink
 from hornbeamdeck.request.gateway_request import (
     EngineStatement,
     ShownLimit,
--- a/hornbeamdeck/process/relayed_statements.py
+++ b/hornbeamdeck/engines/relayed_statements.py
@@ -9,8 +9,8 @@
 
 from result import Ok
 
-from hornbeamdeck.process.engine_statements import EngineStatements
-from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.engines.engine_statements import EngineStatements
+from hornbeamdeck.membership.peers import Peers
 from hornbeamdeck.request.gateway_request import EngineStatement
 from hornbeamdeck.wire import Grant, RelayedStatement
 
--- a/hornbeamdeck/process/send_guard.py
+++ b/hornbeamdeck/engines/send_guard.py
@@ -7,11 +7,11 @@
 
 from typing import Final
 
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.engine_statements import EngineStatements
-from hornbeamdeck.process.freshness_guard import FreshnessGuard
+from hornbeamdeck.engines.engine_statements import EngineStatements
 from hornbeamdeck.request.gateway_request import WithholdReason
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.wire import Grant
 
 __all__ = ('SendGuard',)
--- a/hornbeamdeck/process/tunnel_server.py
+++ b/hornbeamdeck/engines/tunnel_server.py
@@ -14,8 +14,8 @@
 from hornbeamdeck.connection.end_check import async_has_ended
 from hornbeamdeck.connection.peer import PeerConnection
 from hornbeamdeck.connection.tunnel import async_splice
-from hornbeamdeck.process.engine_dialer import ACK_TIMEOUT_MS, EngineDialer
-from hornbeamdeck.process.send_guard import SendGuard
+from hornbeamdeck.engines.engine_dialer import ACK_TIMEOUT_MS, EngineDialer
+from hornbeamdeck.engines.send_guard import SendGuard
 from hornbeamdeck.scheduling.engine_reach import EnginePath
 from hornbeamdeck.wire import Grant, OpenTunnel, TunnelAnswer, TunnelResult
 
--- a/hornbeamdeck/process/heartbeats.py
+++ b/hornbeamdeck/membership/heartbeats.py
@@ -19,24 +19,24 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.store_client import StoredObject
 from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.heartbeat_clock import (
+from hornbeamdeck.membership.heartbeat_clock import (
     NEVER_CONFIRMED_AGE_MS,
     HeartbeatClock,
     confirmation_age_ms,
 )
-from hornbeamdeck.process.heartbeat_pace import HeartbeatPace
-from hornbeamdeck.process.liveness import (
+from hornbeamdeck.membership.heartbeat_pace import HeartbeatPace
+from hornbeamdeck.membership.liveness import (
     FLEET_CELL,
     HEARTBEAT_RECEIVERS,
     Liveness,
 )
-from hornbeamdeck.process.membership import InstanceStatus, Membership
-from hornbeamdeck.process.peers import Peers
-from hornbeamdeck.process.sent_updates import SentUpdates
-from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.membership.membership import InstanceStatus, Membership
+from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.membership.sent_updates import SentUpdates
+from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
 from hornbeamdeck.scheduling.queued_request import Deliver
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness import Freshness
 from hornbeamdeck.wire import (
     Beat,
     EngineList,
--- a/hornbeamdeck/process/instance_registration.py
+++ b/hornbeamdeck/membership/instance_registration.py
@@ -9,9 +9,9 @@
 
 from hornbeamdeck.connection.store_client import StoredObject
 from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
+from hornbeamdeck.membership.membership import STATE_LIVE, Membership
 from hornbeamdeck.process.backoff import backoff_s
-from hornbeamdeck.process.membership import STATE_LIVE, Membership
-from hornbeamdeck.process.store_interface import StoreInterface
+from hornbeamdeck.store.store_interface import StoreInterface
 
 __all__ = ('InstanceRegistration',)
 
--- a/hornbeamdeck/process/liveness.py
+++ b/hornbeamdeck/membership/liveness.py
@@ -4,8 +4,8 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.heartbeat_pace import HeartbeatPace
-from hornbeamdeck.process.membership import (
+from hornbeamdeck.membership.heartbeat_pace import HeartbeatPace
+from hornbeamdeck.membership.membership import (
     STATE_LIVE,
     InstanceStatus,
     Membership,
--- a/hornbeamdeck/process/membership.py
+++ b/hornbeamdeck/membership/membership.py
@@ -16,8 +16,8 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_client import ListedInstance, StoredObject
-from hornbeamdeck.process.rendezvous import owner_of, ranking
-from hornbeamdeck.process.suspected_instances import (
+from hornbeamdeck.membership.rendezvous import owner_of, ranking
+from hornbeamdeck.membership.suspected_instances import (
     FIRST_SUSPICION_MS,
     SuspectedInstances,
 )
--- a/hornbeamdeck/process/membership_sync.py
+++ b/hornbeamdeck/membership/membership_sync.py
@@ -12,11 +12,11 @@
 )
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND, PREFIX_INSTANCE
+from hornbeamdeck.membership.membership import InstanceStatus, Membership
+from hornbeamdeck.ownership.grants import Grants
+from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.process.backoff import backoff_s
-from hornbeamdeck.process.follower import async_follow
-from hornbeamdeck.process.grants import Grants
-from hornbeamdeck.process.membership import InstanceStatus, Membership
-from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.store.follower import async_follow
 
 __all__ = ('MembershipSync',)
 
--- a/hornbeamdeck/process/peer_server.py
+++ b/hornbeamdeck/membership/peer_server.py
@@ -14,13 +14,13 @@
     PeerIdentity,
     async_run_peer,
 )
-from hornbeamdeck.process.follower import (
+from hornbeamdeck.ownership.scheduler import Scheduler
+from hornbeamdeck.scheduling.queued_request import Deliver, make_sender
+from hornbeamdeck.store.follower import (
     ConfigurationFollower,
     VersionedDocument,
 )
-from hornbeamdeck.process.scheduler import Scheduler
-from hornbeamdeck.process.snapshots import Snapshots
-from hornbeamdeck.scheduling.queued_request import Deliver, make_sender
+from hornbeamdeck.store.snapshots import Snapshots
 from hornbeamdeck.wire import (
     AskSnapshot,
     Envelope,
--- a/hornbeamdeck/process/peers.py
+++ b/hornbeamdeck/membership/peers.py
@@ -12,7 +12,7 @@
     PeerIdentity,
     async_run_peer,
 )
-from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.membership.membership import Membership
 from hornbeamdeck.wire import Envelope, Message, message_of
 
 __all__ = ('OnLost', 'OnMessage', 'Peers')
--- a/hornbeamdeck/process/sent_updates.py
+++ b/hornbeamdeck/membership/sent_updates.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.membership.membership import Membership
 
 __all__ = ('STATUS_RESEND_MS', 'SentUpdates')
 
--- /dev/null
+++ b/hornbeamdeck/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a process."""
--- a/hornbeamdeck/process/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -14,7 +14,7 @@
 from prometheus_client.registry import Collector
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.gateway_metrics import (
+from hornbeamdeck.observability.gateway_metrics import (
     BUCKETS_S,
     EngineStatementCounts,
     GatewayMetrics,
--- a/hornbeamdeck/process/metrics_endpoint.py
+++ b/hornbeamdeck/observability/metrics_endpoint.py
@@ -5,20 +5,20 @@
 from typing import Final
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
-from hornbeamdeck.process.engine_dialer import EngineDialer
-from hornbeamdeck.process.freshness_guard import FreshnessGuard
-from hornbeamdeck.process.gateway_components import GatewayComponents
-from hornbeamdeck.process.gateway_endpoints import Endpoint
-from hornbeamdeck.process.gateway_metrics import (
+from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.tunnel_server import TunnelServer
+from hornbeamdeck.observability.gateway_metrics import (
     EngineReachCounts,
     EngineStatementCounts,
 )
-from hornbeamdeck.process.tunnel_server import TunnelServer
+from hornbeamdeck.process.gateway_components import GatewayComponents
+from hornbeamdeck.process.gateway_endpoints import Endpoint
+from hornbeamdeck.store.freshness_guard import FreshnessGuard
 
 __all__ = ('make_metrics_endpoint',)
 
 # Imported when metrics are first read; see `gateway_metrics`.
-METRICS_EXPORT_MODULE: Final = 'hornbeamdeck.process.gateway_metrics_export'
+METRICS_EXPORT_MODULE: Final = f'{__package__}.gateway_metrics_export'
 METRICS_CONTENT_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 
 
--- a/hornbeamdeck/process/baseline_policies.py
+++ b/hornbeamdeck/ownership/baseline_policies.py
@@ -17,7 +17,7 @@
 from hornbeamdeck.connection.client import async_fetch_on_new_connection
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.placement_policy import Acquire, Policy
+from hornbeamdeck.ownership.placement_policy import Acquire, Policy
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import refusal_from_owner
 from hornbeamdeck.version.configuration import Configuration
--- a/hornbeamdeck/process/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -6,10 +6,9 @@
 import structlog
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.gateway_metrics import LimitCounts
+from hornbeamdeck.observability.gateway_metrics import LimitCounts
+from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.process.gateway_settings import Bounds
-from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.scheduling.admission_control import (
     ListInstances,
     SharedState,
@@ -21,6 +20,7 @@
 from hornbeamdeck.scheduling.served_share import ServedShare
 from hornbeamdeck.scheduling.service_load import count_held_by_limit
 from hornbeamdeck.scheduling.token_quota import TokenQuotas
+from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import EngineObservation
 
--- a/hornbeamdeck/process/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -14,13 +14,13 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
-from hornbeamdeck.process.engine_statements import EngineStatements
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.owner_link import OwnerLink
-from hornbeamdeck.process.owner_watch import OwnerWatch
-from hornbeamdeck.process.peers import Peers
-from hornbeamdeck.process.poison_reports import PoisonReports
-from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.engines.engine_statements import EngineStatements
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.ownership.owner_link import OwnerLink
+from hornbeamdeck.ownership.owner_watch import OwnerWatch
+from hornbeamdeck.ownership.poison_reports import PoisonReports
+from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import deadline_passed, refusal_from_owner
--- a/hornbeamdeck/process/origin_reports.py
+++ b/hornbeamdeck/ownership/origin_reports.py
@@ -15,13 +15,13 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.liveness import (
+from hornbeamdeck.membership.liveness import (
     FLEET_CELL,
     HEARTBEAT_RECEIVERS,
     Liveness,
 )
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.membership.peers import Peers
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.wire import StreamOrigins
 
--- a/hornbeamdeck/process/owner_link.py
+++ b/hornbeamdeck/ownership/owner_link.py
@@ -1,8 +1,8 @@
 """Sends messages to the owner of a cell, in this process or in another."""
 
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.peers import OnMessage, Peers
-from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.membership.peers import OnMessage, Peers
+from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.wire import Message, ToOwner
 
 __all__ = ('OwnerLink',)
--- a/hornbeamdeck/process/owner_watch.py
+++ b/hornbeamdeck/ownership/owner_watch.py
@@ -9,7 +9,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.membership.peers import Peers
 from hornbeamdeck.wire import Heartbeat
 
 __all__ = ('OwnerWatch',)
--- a/hornbeamdeck/process/poison_reports.py
+++ b/hornbeamdeck/ownership/poison_reports.py
@@ -7,8 +7,8 @@
 
 from typing import Final, NamedTuple
 
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.owner_link import OwnerLink
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.ownership.owner_link import OwnerLink
 from hornbeamdeck.wire import Suspect
 
 __all__ = ('PoisonReports',)
--- a/hornbeamdeck/platform/entries_endpoint.py
+++ b/hornbeamdeck/platform/entries_endpoint.py
@@ -7,7 +7,7 @@
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import ENCODING, MILLIS_PER_SECOND
-from hornbeamdeck.process.membership import InstanceStatus
+from hornbeamdeck.membership.membership import InstanceStatus
 
 __all__ = ('handle_entries_request',)
 
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
+from hornbeamdeck.membership.membership import InstanceStatus
 from hornbeamdeck.platform.documents import (
     configuration_version,
     parse_engine,
@@ -26,8 +27,7 @@
     NAME_CONFIGURATION,
     PATH_OBJECTS,
 )
-from hornbeamdeck.process.membership import InstanceStatus
-from hornbeamdeck.process.store_interface import (
+from hornbeamdeck.store.store_interface import (
     ConfigurationRead,
     EngineChange,
     EnginesRead,
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -19,27 +19,23 @@
 from hornbeamdeck.connection.request_loop import async_serve_requests
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.engine_dialer import EngineDialer
-from hornbeamdeck.process.freshness_guard import (
-    FreshnessDependencies,
-    FreshnessGuard,
+from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.relayed_statements import (
+    async_apply_relayed,
+    make_statement_recorder,
 )
+from hornbeamdeck.engines.send_guard import SendGuard
+from hornbeamdeck.engines.tunnel_server import TunnelServer
+from hornbeamdeck.membership.heartbeat_pace import MIN_HEARTBEAT_INTERVAL_MS
+from hornbeamdeck.membership.instance_registration import InstanceRegistration
+from hornbeamdeck.membership.liveness import FLEET_CELL
+from hornbeamdeck.membership.membership import STATE_DRAINING
+from hornbeamdeck.membership.peer_server import make_peer_server
+from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
-from hornbeamdeck.process.heartbeat_pace import MIN_HEARTBEAT_INTERVAL_MS
-from hornbeamdeck.process.instance_registration import InstanceRegistration
-from hornbeamdeck.process.liveness import FLEET_CELL
-from hornbeamdeck.process.membership import STATE_DRAINING
-from hornbeamdeck.process.metrics_endpoint import make_metrics_endpoint
-from hornbeamdeck.process.peer_server import make_peer_server
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
-from hornbeamdeck.process.relayed_statements import (
-    async_apply_relayed,
-    make_statement_recorder,
-)
-from hornbeamdeck.process.send_guard import SendGuard
-from hornbeamdeck.process.tunnel_server import TunnelServer
 from hornbeamdeck.request.engine_end_check import EngineEndCheck
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
@@ -49,6 +45,10 @@
 )
 from hornbeamdeck.request.gateway_run import async_run_gateway_request
 from hornbeamdeck.scheduling.queued_request import Deliver
+from hornbeamdeck.store.freshness_guard import (
+    FreshnessDependencies,
+    FreshnessGuard,
+)
 from hornbeamdeck.wire import Message, RelayedStatement
 
 __all__ = ('Gateway',)
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -13,39 +13,25 @@
 from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.const import KEY_CONFIGURATION
 from hornbeamdeck.hybrid_clock import HybridClock
-from hornbeamdeck.process.engine_cells import EngineCells
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.fleet_record import FleetRecord
-from hornbeamdeck.process.follower import ConfigurationFollower, DocumentSource
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
-from hornbeamdeck.process.gateway_settings import GatewaySettings
-from hornbeamdeck.process.grants import Grants
-from hornbeamdeck.process.heartbeats import HeartbeatDependencies, Heartbeats
-from hornbeamdeck.process.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
-from hornbeamdeck.process.membership import (
+from hornbeamdeck.membership.heartbeats import HeartbeatDependencies, Heartbeats
+from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
+from hornbeamdeck.membership.membership import (
     STATE_LIVE,
     InstanceStatus,
     Membership,
 )
-from hornbeamdeck.process.origin_reports import OriginReports
-from hornbeamdeck.process.peers import Peers
+from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
+from hornbeamdeck.ownership.engine_cells import EngineCells
+from hornbeamdeck.ownership.grants import Grants
+from hornbeamdeck.ownership.origin_reports import OriginReports
+from hornbeamdeck.ownership.scheduler import Scheduler
+from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
+from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import (
     ParseConfiguration,
     PlatformAdapter,
 )
-from hornbeamdeck.process.scheduler import Scheduler
-from hornbeamdeck.process.snapshots import Snapshots
-from hornbeamdeck.process.spending import SpendingLog, SpendingReports
-from hornbeamdeck.process.store_interface import (
-    ConfigurationRead,
-    ReadConfiguration,
-    StoreInterface,
-)
-from hornbeamdeck.process.store_reader import (
-    StoreReader,
-    StoreReaderDependencies,
-)
 from hornbeamdeck.rollout.book import RolloutBook
 from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
 from hornbeamdeck.rollout.status_writer import StatusWriter
@@ -57,6 +43,20 @@
     QuotaView,
     TokenQuotas,
 )
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.fleet_record import FleetRecord
+from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
+from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.snapshots import Snapshots
+from hornbeamdeck.store.store_interface import (
+    ConfigurationRead,
+    ReadConfiguration,
+    StoreInterface,
+)
+from hornbeamdeck.store.store_reader import (
+    StoreReader,
+    StoreReaderDependencies,
+)
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import Beat, EngineList, Message
 
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -15,10 +15,9 @@
 )
 from hornbeamdeck.connection.request_loop import async_serve_requests
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
-from hornbeamdeck.process.follower import CONFIGURATION_ROLE, async_follow
+from hornbeamdeck.membership.membership import STATE_DRAINING, InstanceStatus
+from hornbeamdeck.membership.peer_server import make_peer_server
 from hornbeamdeck.process.instance_components import InstanceComponents
-from hornbeamdeck.process.membership import STATE_DRAINING, InstanceStatus
-from hornbeamdeck.process.peer_server import make_peer_server
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.request.admitted_request import AnswerContext
 from hornbeamdeck.request.router import (
@@ -26,6 +25,7 @@
     make_request_handler,
     refuse_unreadable,
 )
+from hornbeamdeck.store.follower import CONFIGURATION_ROLE, async_follow
 
 __all__ = ('Instance', 'async_setup_instance')
 
--- a/hornbeamdeck/process/instance_components.py
+++ b/hornbeamdeck/process/instance_components.py
@@ -8,34 +8,34 @@
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.store_client import PlatformClient
 from hornbeamdeck.hybrid_clock import HybridClock
-from hornbeamdeck.process.background import Background
-from hornbeamdeck.process.baseline_policies import (
+from hornbeamdeck.membership.membership import (
+    STATE_LIVE,
+    InstanceStatus,
+    Membership,
+)
+from hornbeamdeck.membership.membership_sync import MembershipSync
+from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.observability.metrics import Metrics
+from hornbeamdeck.ownership.baseline_policies import (
     LoadReports,
     least_reported_load,
     round_robin,
 )
-from hornbeamdeck.process.follower import (
-    ConfigurationFollower,
-    make_configuration_follower,
-)
-from hornbeamdeck.process.grants import Grants
+from hornbeamdeck.ownership.grants import Grants
+from hornbeamdeck.ownership.placement_policy import Policy
+from hornbeamdeck.ownership.scheduler import Scheduler
+from hornbeamdeck.process.background import Background
 from hornbeamdeck.process.issued_key_calls import IssuedKeyCalls
-from hornbeamdeck.process.membership import (
-    STATE_LIVE,
-    InstanceStatus,
-    Membership,
-)
-from hornbeamdeck.process.membership_sync import MembershipSync
-from hornbeamdeck.process.metrics import Metrics
-from hornbeamdeck.process.peers import Peers
-from hornbeamdeck.process.placement_policy import Policy
-from hornbeamdeck.process.scheduler import Scheduler
 from hornbeamdeck.process.settings import Settings
-from hornbeamdeck.process.snapshots import Snapshots
 from hornbeamdeck.request.claim import Claims
 from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.idempotency import IdempotencyContext
 from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.store.follower import (
+    ConfigurationFollower,
+    make_configuration_follower,
+)
+from hornbeamdeck.store.snapshots import Snapshots
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import Enqueue, RunEnd
 
--- a/hornbeamdeck/process/platform_adapter.py
+++ b/hornbeamdeck/process/platform_adapter.py
@@ -7,10 +7,10 @@
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.store_calls import StoreCalls
-from hornbeamdeck.process.membership import InstanceStatus
-from hornbeamdeck.process.store_interface import StoreInterface
+from hornbeamdeck.membership.membership import InstanceStatus
 from hornbeamdeck.request.gateway_request import Dialect
 from hornbeamdeck.rollout.store_interface import RolloutStore
+from hornbeamdeck.store.store_interface import StoreInterface
 from hornbeamdeck.version.gateway import GatewayConfiguration
 
 __all__ = ('ParseConfiguration', 'PlatformAdapter')
--- a/hornbeamdeck/process/serve_gateway.py
+++ b/hornbeamdeck/process/serve_gateway.py
@@ -9,10 +9,10 @@
 from result import Err, Result
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.observability.log_buffer import LogBuffer
+from hornbeamdeck.observability.logs import setup_logs
 from hornbeamdeck.process.gateway import Gateway
 from hornbeamdeck.process.gateway_settings import GatewaySettings
-from hornbeamdeck.process.log_buffer import LogBuffer
-from hornbeamdeck.process.logs import setup_logs
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
 from hornbeamdeck.process.settings import SettingsError, load_settings_file
 from hornbeamdeck.process.signals import stop_event
--- a/hornbeamdeck/request/admitted_request.py
+++ b/hornbeamdeck/request/admitted_request.py
@@ -10,9 +10,9 @@
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import HEADER_OUTCOME, HEADER_REQUEST_ID
+from hornbeamdeck.observability.metrics import Metrics
+from hornbeamdeck.ownership.placement_policy import Policy
 from hornbeamdeck.process.background import Background
-from hornbeamdeck.process.metrics import Metrics
-from hornbeamdeck.process.placement_policy import Policy
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.execution_right import Once, Recorded
 from hornbeamdeck.request.idempotency import (
--- a/hornbeamdeck/request/endpoints.py
+++ b/hornbeamdeck/request/endpoints.py
@@ -11,7 +11,7 @@
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import ENCODING
-from hornbeamdeck.process.membership import Membership
+from hornbeamdeck.membership.membership import Membership
 from hornbeamdeck.request.admission import authenticate_team
 from hornbeamdeck.request.admitted_request import AnswerContext
 from hornbeamdeck.request.idempotency import issue_key_for_team
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -10,8 +10,8 @@
     keep_alive_ms,
 )
 from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.process.engine_dialer import EngineDialer, Unreached
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
+from hornbeamdeck.engines.engine_dialer import EngineDialer, Unreached
+from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineConnection', 'record_unreached')
--- a/hornbeamdeck/request/forward.py
+++ b/hornbeamdeck/request/forward.py
@@ -10,7 +10,7 @@
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import HEADER_DEADLINE
-from hornbeamdeck.process.membership import InstanceStatus
+from hornbeamdeck.membership.membership import InstanceStatus
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.outcome import Unknown
 from hornbeamdeck.request.relay import without_hop_by_hop
--- a/hornbeamdeck/request/gateway_admission.py
+++ b/hornbeamdeck/request/gateway_admission.py
@@ -8,10 +8,10 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.freshness_guard import FreshnessGuard
 from hornbeamdeck.request.gateway_request import GatewayRequest
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import unauthorized
+from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.version.gateway import (
     GatewayConfiguration,
     GatewayTeam,
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -7,16 +7,16 @@
 from result import Result
 
 from hornbeamdeck.connection.connection_pool import ConnectionPool
-from hornbeamdeck.process.engine_dialer import EngineDialer
-from hornbeamdeck.process.freshness_guard import FreshnessGuard
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
-from hornbeamdeck.process.send_guard import SendGuard
+from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.send_guard import SendGuard
+from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_request import (
     Dialect,
     EngineStatement,
     RunSummary,
 )
 from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
 
--- a/hornbeamdeck/request/idempotency.py
+++ b/hornbeamdeck/request/idempotency.py
@@ -6,8 +6,8 @@
 
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.const import HEADER_IDEMPOTENCY_KEY
+from hornbeamdeck.membership.membership import Membership
 from hornbeamdeck.process.issued_key_calls import IssuedKeyCalls
-from hornbeamdeck.process.membership import Membership
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.claim import Claims
 from hornbeamdeck.request.claim_record import ClaimCall, claim_key
--- a/hornbeamdeck/request/placement.py
+++ b/hornbeamdeck/request/placement.py
@@ -9,7 +9,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectFailed
-from hornbeamdeck.process.placement_policy import Policy
+from hornbeamdeck.ownership.placement_policy import Policy
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import deadline_passed
--- a/hornbeamdeck/request/relay.py
+++ b/hornbeamdeck/request/relay.py
@@ -22,7 +22,7 @@
     HEADER_OUTCOME,
     HEADER_REQUEST_ID,
 )
-from hornbeamdeck.process.placement_policy import Policy
+from hornbeamdeck.ownership.placement_policy import Policy
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.outcome import Outcome, Unknown
 from hornbeamdeck.request.placement import Placement
--- a/hornbeamdeck/rollout/rollouts.py
+++ b/hornbeamdeck/rollout/rollouts.py
@@ -16,7 +16,7 @@
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.gateway_metrics import (
+from hornbeamdeck.observability.gateway_metrics import (
     GatewayMetrics,
     RolloutCounts,
 )
--- a/hornbeamdeck/process/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -7,9 +7,9 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.list_version import NO_LIST, ListVersion
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.list_version import NO_LIST, ListVersion
 from hornbeamdeck.wire import Beat, EngineEntry, EngineList
 
 __all__ = ('EngineDirectory',)
--- a/hornbeamdeck/process/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -15,8 +15,8 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.store_interface import StoredRecord, StoreInterface
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 
 __all__ = ('FleetRecord',)
 
--- a/hornbeamdeck/process/follower.py
+++ b/hornbeamdeck/store/follower.py
@@ -15,8 +15,8 @@
 )
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import KEY_CONFIGURATION
-from hornbeamdeck.process.applied_documents import AppliedDocuments
 from hornbeamdeck.process.backoff import backoff_s
+from hornbeamdeck.store.applied_documents import AppliedDocuments
 from hornbeamdeck.version.configuration import Configuration, parse_document
 
 __all__ = (
--- a/hornbeamdeck/process/freshness.py
+++ b/hornbeamdeck/store/freshness.py
@@ -10,7 +10,7 @@
 import math
 from typing import Final, Generic, TypeVar
 
-from hornbeamdeck.process.list_version import ListVersion
+from hornbeamdeck.store.list_version import ListVersion
 
 __all__ = ('Freshness',)
 
--- a/hornbeamdeck/process/freshness_guard.py
+++ b/hornbeamdeck/store/freshness_guard.py
@@ -10,10 +10,10 @@
 from typing import Final, NamedTuple
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.coalesced_read import CoalescedRead
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.freshness import Freshness
 from hornbeamdeck.process.gateway_settings import Bounds
+from hornbeamdeck.store.coalesced_read import CoalescedRead
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness import Freshness
 
 __all__ = ('FreshnessDependencies', 'FreshnessGuard')
 
--- a/hornbeamdeck/process/snapshots.py
+++ b/hornbeamdeck/store/snapshots.py
@@ -23,12 +23,12 @@
 )
 from hornbeamdeck.connection.store_client import StoredObject
 from hornbeamdeck.const import KEY_CONFIGURATION, PREFIX_INSTANCE
+from hornbeamdeck.membership.membership import InstanceStatus, Membership
 from hornbeamdeck.process.backoff import backoff_s
-from hornbeamdeck.process.follower import (
+from hornbeamdeck.store.follower import (
     ConfigurationFollower,
     VersionedDocument,
 )
-from hornbeamdeck.process.membership import InstanceStatus, Membership
 from hornbeamdeck.wire import AskSnapshot, Snapshot
 
 __all__ = ('Snapshots',)
--- a/hornbeamdeck/process/store_engine_list.py
+++ b/hornbeamdeck/store/store_engine_list.py
@@ -15,8 +15,8 @@
 from types import MappingProxyType
 from typing import Final
 
-from hornbeamdeck.process.store_interface import EngineChange
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.store.store_interface import EngineChange
 
 __all__ = ('StoreEngineList',)
 
--- a/hornbeamdeck/process/store_interface.py
+++ b/hornbeamdeck/store/store_interface.py
@@ -7,7 +7,7 @@
 
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.process.membership import InstanceStatus
+from hornbeamdeck.membership.membership import InstanceStatus
 from hornbeamdeck.scheduling.engine import Engine
 
 __all__ = (
--- a/hornbeamdeck/process/store_reader.py
+++ b/hornbeamdeck/store/store_reader.py
@@ -22,11 +22,11 @@
 )
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.liveness import HEARTBEAT_RECEIVERS
-from hornbeamdeck.process.store_engine_list import StoreEngineList
-from hornbeamdeck.process.store_interface import (
+from hornbeamdeck.membership.liveness import HEARTBEAT_RECEIVERS
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.store_engine_list import StoreEngineList
+from hornbeamdeck.store.store_interface import (
     ConfigurationRead,
     EnginesRead,
     StoreInterface,
--- a/tests/process/test_engine_dialer.py
+++ b/tests/engines/test_engine_dialer.py
@@ -14,13 +14,13 @@
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectFailed
 from hornbeamdeck.connection.peer import PeerIdentity
-from hornbeamdeck.hybrid_clock import HybridClock
-from hornbeamdeck.process.engine_dialer import (
+from hornbeamdeck.engines.engine_dialer import (
     DIAL_TIMEOUT_MS,
     EngineDialer,
     Unreached,
 )
-from hornbeamdeck.process.membership import STATE_LIVE, InstanceStatus
+from hornbeamdeck.hybrid_clock import HybridClock
+from hornbeamdeck.membership.membership import STATE_LIVE, InstanceStatus
 from hornbeamdeck.wire import Grant, TunnelResult
 
 ANSWER_MS = 10
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the process package."""
--- a/tests/process/test_heartbeats.py
+++ b/tests/membership/test_heartbeats.py
@@ -12,7 +12,7 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_client import StoredObject
-from hornbeamdeck.process import (
+from hornbeamdeck.membership import (
     heartbeat_pace,
     heartbeats,
     liveness,
@@ -20,17 +20,17 @@
     sent_updates,
     suspected_instances,
 )
-from hornbeamdeck.process import membership as membership_module
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.membership import (
+from hornbeamdeck.membership import membership as membership_module
+from hornbeamdeck.membership.membership import (
     STATE_DRAINING,
     STATE_LIVE,
     InstanceStatus,
     Membership,
 )
-from hornbeamdeck.process.peers import Peers
-from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness import Freshness
 from hornbeamdeck.wire import Beat, Message
 
 VERSION = 7
--- a/tests/process/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -8,9 +8,9 @@
 
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.store_client import ListedInstance, StoredObject
-from hornbeamdeck.process import membership as membership_module
-from hornbeamdeck.process.membership import InstanceStatus, Membership
-from hornbeamdeck.process.rendezvous import owner_of, ranking
+from hornbeamdeck.membership import membership as membership_module
+from hornbeamdeck.membership.membership import InstanceStatus, Membership
+from hornbeamdeck.membership.rendezvous import owner_of, ranking
 
 NAMES = ('a', 'b', 'c', 'd')
 STATES = ('live', 'leaving')
--- a/tests/process/test_membership_sync.py
+++ b/tests/membership/test_membership_sync.py
@@ -11,14 +11,14 @@
     StoreError,
 )
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.process.grants import Grants
-from hornbeamdeck.process.membership import Membership
-from hornbeamdeck.process.membership_sync import (
+from hornbeamdeck.membership.membership import Membership
+from hornbeamdeck.membership.membership_sync import (
     ERA_CHECK_INTERVAL_MS,
     MembershipSync,
 )
-from hornbeamdeck.process.scheduler import Scheduler
-from tests.process.test_membership import status
+from hornbeamdeck.ownership.grants import Grants
+from hornbeamdeck.ownership.scheduler import Scheduler
+from tests.membership.test_membership import status
 
 WAIT_S = 2 * ERA_CHECK_INTERVAL_MS / 1000
 
--- a/tests/process/test_gateway_metrics.py
+++ b/tests/observability/test_gateway_metrics.py
@@ -2,8 +2,14 @@
 
 import pytest
 
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics, RolloutCounts
-from hornbeamdeck.process.gateway_metrics_export import make_registry, render
+from hornbeamdeck.observability.gateway_metrics import (
+    GatewayMetrics,
+    RolloutCounts,
+)
+from hornbeamdeck.observability.gateway_metrics_export import (
+    make_registry,
+    render,
+)
 
 
 def test_recorded_counts_are_exported() -> None:
--- a/tests/process/test_log_buffer.py
+++ b/tests/observability/test_log_buffer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hornbeamdeck.process import log_buffer
+from hornbeamdeck.observability import log_buffer
 
 
 def test_lines_are_dropped_and_counted_while_the_reader_is_stalled(
--- a/tests/process/test_scheduler.py
+++ b/tests/ownership/test_scheduler.py
@@ -2,7 +2,7 @@
 
 from curio import run
 
-from hornbeamdeck.process.scheduler import Scheduler
+from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.wire import Grant, Message
 from tests.scheduling.engine_cell_factories import (
     engine,
--- a/tests/process/test_spending.py
+++ b/tests/ownership/test_spending.py
@@ -1,6 +1,6 @@
 """Spending of teams as reported by ingress instances."""
 
-from hornbeamdeck.process.spending import SpendingLog, SpendingReports
+from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
 from hornbeamdeck.wire import Spending
 
 
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -8,10 +8,10 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.platform.__main__ import PLATFORM_ADAPTER
 from hornbeamdeck.process.gateway import Gateway
 from hornbeamdeck.process.gateway_settings import GatewaySettings
-from hornbeamdeck.process.liveness import FLEET_CELL
 from hornbeamdeck.scheduling.engine_load import EngineLoad
 from tests.platform.standins import EngineStandin, StoreStandin, document
 from tests.support import async_fetch
--- a/tests/platform/test_engine_statements.py
+++ b/tests/platform/test_engine_statements.py
@@ -1,7 +1,7 @@
 """What engines state of themselves, as operators see it."""
 
 from hornbeamdeck.connection.http import HttpRequest
-from hornbeamdeck.process.unread_statements import MAX_HEADER_NAMES
+from hornbeamdeck.engines.unread_statements import MAX_HEADER_NAMES
 from tests.platform.fleet import (
     METRICS_LISTENER,
     TOKEN_COUNTS,
--- a/tests/platform/test_request_limits.py
+++ b/tests/platform/test_request_limits.py
@@ -7,8 +7,8 @@
 from result import Err, Ok
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.platform.dialect import DIALECT
-from hornbeamdeck.process.liveness import FLEET_CELL
 from hornbeamdeck.request.gateway_request import ResponseVerdict
 from hornbeamdeck.scheduling.request_rate import EngineRate
 from tests.platform.fleet import (
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -3,8 +3,8 @@
 from curio import sleep
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
 from hornbeamdeck.process.gateway import Gateway
-from hornbeamdeck.process.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.stream_caller import StreamCaller, async_set_versions
 
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -8,7 +8,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.liveness import FLEET_CELL
+from hornbeamdeck.membership.liveness import FLEET_CELL
 from tests.platform.fleet import BOUNDS, PlatformFleet, on_platform
 from tests.platform.standins import EngineStandin
 from tests.retry_rule import RetryRule
--- a/tests/platform/test_stale_instance.py
+++ b/tests/platform/test_stale_instance.py
@@ -4,7 +4,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.process.store_reader import WATCH_TIMEOUT_MS
+from hornbeamdeck.store.store_reader import WATCH_TIMEOUT_MS
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import document, route
 
--- a/tests/platform/test_startup_imports.py
+++ b/tests/platform/test_startup_imports.py
@@ -14,7 +14,7 @@
     'hornbeamdeck.cli',
     'hornbeamdeck.demo',
     'hornbeamdeck.explain',
-    'hornbeamdeck.process.gateway_metrics_export',
+    'hornbeamdeck.observability.gateway_metrics_export',
     'hornbeamdeck.process.instance',
     'hornbeamdeck.standin',
 )
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -3,9 +3,9 @@
 from curio import sleep
 
 from hornbeamdeck.clock import now_ms
-from hornbeamdeck.process.freshness_guard import REVOCATION_MARGIN_MS
-from hornbeamdeck.process.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
-from hornbeamdeck.process.rendezvous import ranking
+from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
+from hornbeamdeck.membership.rendezvous import ranking
+from hornbeamdeck.store.freshness_guard import REVOCATION_MARGIN_MS
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import StoreStandin, document
 
--- a/tests/process/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -3,9 +3,9 @@
 import math
 
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.list_version import ListVersion
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.list_version import ListVersion
 from hornbeamdeck.wire import (
     EngineList,
     decode_frame,
--- a/tests/process/test_follower.py
+++ b/tests/store/test_follower.py
@@ -9,7 +9,7 @@
 
 from hornbeamdeck.connection.store_client import StoredObject, StoreUnavailable
 from hornbeamdeck.const import KEY_CONFIGURATION
-from hornbeamdeck.process.follower import ConfigurationFollower, DocumentSource
+from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
 
 
 class _Document(NamedTuple):
@@ -62,7 +62,7 @@
         await follower.async_hint('peer', 7)
         await follower.async_fetch_hinted(_async_fetch_from_peer)
 
-    monkeypatch.setattr('hornbeamdeck.process.follower.sleep', _async_sleep)
+    monkeypatch.setattr('hornbeamdeck.store.follower.sleep', _async_sleep)
     with pytest.raises(_SleepReached):
         curio.run(_async_follow)
     return follower.configuration.version
--- a/tests/process/test_freshness.py
+++ b/tests/store/test_freshness.py
@@ -2,7 +2,7 @@
 
 import math
 
-from hornbeamdeck.process.freshness import Freshness
+from hornbeamdeck.store.freshness import Freshness
 
 
 def test_age_is_infinite_without_confirmation() -> None:
--- a/tests/process/test_lease.py
+++ b/tests/store/test_lease.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hornbeamdeck.process.lease import Lease, LeaseTerms
+from hornbeamdeck.store.lease import Lease, LeaseTerms
 from tests.fakes import FAULT_DOWN, FAULT_LOST_RESPONSE, FakePlatform
 
 NAMES = ('a', 'b', 'c')
--- a/tests/process/test_restored_store_model.py
+++ b/tests/store/test_restored_store_model.py
@@ -21,24 +21,24 @@
 )
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import KEY_CONFIGURATION
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.follower import ConfigurationFollower, DocumentSource
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.store_engine_list import (
+from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
+from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.store_engine_list import (
     GONE_RETENTION_MS,
     RETENTION_MS,
 )
-from hornbeamdeck.process.store_interface import (
+from hornbeamdeck.store.store_interface import (
     ConfigurationRead,
     EngineChange,
     EnginesRead,
     StoreInterface,
 )
-from hornbeamdeck.process.store_reader import (
+from hornbeamdeck.store.store_reader import (
     StoreReader,
     StoreReaderDependencies,
 )
-from hornbeamdeck.scheduling.engine import Engine
 
 INSTANCES = 2
 NUMBERS = st.integers(0, INSTANCES - 1)
@@ -46,7 +46,7 @@
 LAGGING = st.sampled_from([None, None, *range(INSTANCES)])
 NAME = 'e1'
 CLOCKS = tuple(
-    f'hornbeamdeck.process.{module}.now_ms'
+    f'hornbeamdeck.store.{module}.now_ms'
     for module in ('store_reader', 'engine_directory')
 )
 STEP_MS = 100.0
--- a/tests/process/test_store_engine_list.py
+++ b/tests/store/test_store_engine_list.py
@@ -1,7 +1,7 @@
 """Tests of the engine list across outages of the store."""
 
-from hornbeamdeck.process.store_engine_list import OUTAGE_MS, StoreEngineList
-from hornbeamdeck.process.store_interface import EngineChange
+from hornbeamdeck.store.store_engine_list import OUTAGE_MS, StoreEngineList
+from hornbeamdeck.store.store_interface import EngineChange
 from tests.scheduling.engine_cell_factories import engine
 
 BOTH = (
--- a/tests/process/test_store_reader.py
+++ b/tests/store/test_store_reader.py
@@ -9,19 +9,19 @@
 
 from hornbeamdeck.connection.store_client import StoredObject
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.process.engine_directory import EngineDirectory
-from hornbeamdeck.process.freshness import Freshness
-from hornbeamdeck.process.store_interface import (
+from hornbeamdeck.store.engine_directory import EngineDirectory
+from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.store_interface import (
     ConfigurationRead,
     StoreInterface,
 )
-from hornbeamdeck.process.store_reader import (
+from hornbeamdeck.store.store_reader import (
     CONFIGURATION_MAX_AGE_MS,
     StoreReader,
     StoreReaderDependencies,
 )
 
-SLEEP = 'hornbeamdeck.process.store_reader.sleep'
+SLEEP = 'hornbeamdeck.store.store_reader.sleep'
 
 
 async def _async_ignore(_stored: StoredObject) -> None:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -51,7 +51,7 @@
         'assert all(hasattr(c, name) for name in c.__all__)\n'
         'print([m for m in sys.modules if m in (\n'
         '"hornbeamdeck.process.instance", "hornbeamdeck.cli",\n'
-        '"hornbeamdeck.process.scheduler")])'
+        '"hornbeamdeck.ownership.scheduler")])'
     )
     completed = subprocess.run(
         [sys.executable, '-c', code],
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,16 @@
     'types',
     'typing',
 )
+# Packages of the project that a package without a process may import. What
+# lives as long as the process can then change without them.
+LOWER_PACKAGES = {
+    'connection': ('clock', 'const', 'hybrid_clock', 'wire'),
+    'scheduling': ('const', 'version', 'wire'),
+    'version': ('connection', 'const'),
+    'wire': (),
+}
+# Packages that only the process itself, commands and adapters may import.
+UPPER_PACKAGES = ('coordination', 'demo', 'explain', 'platform', 'standin')
 PLATFORM_NAMES = re.compile(
     r'hornbeamdeck-(expect|token-counts|prompt-prefix|response-seal'
     r'|not-executed|kv-backup|pin-ms|tenant|hold)'
@@ -83,3 +93,41 @@
         if not _is_in(module, SCHEDULING_IMPORTS)
     ]
     assert not forbidden
+
+
+def _imported_packages(package: str) -> Iterator[str]:
+    """Yield the other packages of the project that a package imports."""
+    for path in (ROOT / package).rglob('*.py'):
+        for module in _imports(path):
+            name, _, rest = module.partition('.')
+            imported = rest.partition('.')[0]
+            if name == ROOT.name and imported not in {'', package}:
+                yield imported
+
+
+def test_packages_without_a_process_import_none_that_lives_as_long() -> None:
+    """Guards against connections or decisions that depend on the process."""
+    forbidden = {
+        package: set(_imported_packages(package)) - set(lower)
+        for package, lower in LOWER_PACKAGES.items()
+    }
+    assert not any(forbidden.values()), forbidden
+
+
+def test_no_component_imports_commands_or_adapters() -> None:
+    """Guards against a running process that needs a stand-in or the demo."""
+    packages = (
+        'engines',
+        'membership',
+        'observability',
+        'ownership',
+        'process',
+        'request',
+        'rollout',
+        'store',
+    )
+    forbidden = {
+        package: set(_imported_packages(package)) & set(UPPER_PACKAGES)
+        for package in packages
+    }
+    assert not any(forbidden.values()), forbidden
--- a/tests/test_metrics_documentation.py
+++ b/tests/test_metrics_documentation.py
@@ -6,9 +6,9 @@
 
 from hornbeamdeck.demo.client import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
-from hornbeamdeck.process.gateway_metrics import GatewayMetrics
-from hornbeamdeck.process.gateway_metrics_export import make_registry
-from hornbeamdeck.process.metrics import Metrics
+from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
+from hornbeamdeck.observability.gateway_metrics_export import make_registry
+from hornbeamdeck.observability.metrics import Metrics
 from tests.support import booking_entry, completion_entry, on_fleet
 
 ROOT = pathlib.Path(__file__).parent.parent
