--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Self, TypeAlias
 
+import structlog
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import wall_ms
@@ -39,6 +40,7 @@
 from hornbeamdeck.scheduling.admission_control import ListInstances
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.scheduling.token_quota import (
+    BucketStart,
     QuotaRules,
     QuotaView,
     TokenQuotas,
@@ -62,6 +64,8 @@
 
 __all__ = ('GatewayComponents',)
 
+_LOGGER = structlog.get_logger(prefix='scheduler')
+
 # A suspected instance is probed with a heartbeat every second and is used again
 # when it responds. Until then, no request may be sent to it.
 SUSPICION_MS: Final = 30_000
@@ -128,6 +132,7 @@
                     spent=reports.tokens_spent,
                     covers_window=reports.is_complete,
                     share=lambda: fleet_share[0](),
+                    on_start=_log_bucket_start,
                 ),
                 QuotaRules(
                     window_ms=settings.bounds.quota_window_ms,
@@ -256,6 +261,10 @@
         return _is_owner(self.membership)
 
 
+def _log_bucket_start(start: BucketStart) -> None:
+    _LOGGER.info('team limit taken over', **start._asdict())
+
+
 def _is_owner(membership: Membership) -> bool:
     return membership.owner_of(FLEET_CELL) == membership.own_status.instance_id
 
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -14,6 +14,7 @@
 
 __all__ = (
     'SMALL_REQUEST_SHARE',
+    'BucketStart',
     'TokenNeed',
     'QuotaRules',
     'QuotaView',
@@ -38,6 +39,21 @@
 SMALL_REQUEST_SHARE: Final = 0.1
 
 
+class BucketStart(NamedTuple):
+    """What a new owner knows of a team's limit when it starts to count.
+
+    :param level_tokens: tokens that it grants the team at once.
+    :param spent_tokens: the team's spending within the window, as reported.
+    :param covers_window: whether the reports cover a whole window.
+    """
+
+    team: str
+    level_tokens: int
+    spent_tokens: int
+    covers_window: bool
+    share: float
+
+
 class QuotaView(NamedTuple):
     """State outside this module that the limits depend on.
 
@@ -45,11 +61,13 @@
         the ingresses.
     :param covers_window: whether those reports cover a whole window.
     :param share: share of the fleet's instances that this owner serves.
+    :param on_start: called for each bucket that a new owner starts.
     """
 
     spent: Callable[[str, float], int]
     covers_window: Callable[[], bool]
     share: Callable[[], float]
+    on_start: Callable[[BucketStart], None] | None = None
 
 
 class QuotaRules(NamedTuple):
@@ -188,9 +206,25 @@
         if bucket is None:
             bucket = _Bucket(self._initial_level(team, now), now)
             self._buckets[team.name] = bucket
+            self._report_start(team, bucket, now)
         bucket.fill(self._refill_per_ms(team), self._capacity(team), now)
         return bucket
 
+    def _report_start(
+        self, team: GatewayTeam, bucket: _Bucket, now: float
+    ) -> None:
+        if self._is_first_start or self._view.on_start is None:
+            return
+        self._view.on_start(
+            BucketStart(
+                team=team.name,
+                level_tokens=int(bucket.level),
+                spent_tokens=self._view.spent(team.name, now),
+                covers_window=self._view.covers_window(),
+                share=self._view.share(),
+            )
+        )
+
     def _tokens_ahead(self, team: GatewayTeam, rank: int) -> int:
         """Return the tokens that waiting requests get before a new request."""
         waiting = self._waiting.get(team.name, {})
