--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -1,5 +1,8 @@
 """Factories for tests of engine cells."""
 
+from collections.abc import Callable
+
+from hornbeamdeck.ownership.spending import SpendingReports
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
@@ -78,6 +81,27 @@
     )
 
 
+def make_reported_quotas(
+    reports: SpendingReports,
+    *,
+    share: Callable[[], float],
+    window_ms: float,
+    slack: float,
+    is_first_start: bool,
+    **_bounds: float,
+) -> TokenQuotas:
+    """Create the token limits of an owner that adds up reports."""
+    return TokenQuotas(
+        QuotaView(
+            spent=reports.tokens_spent,
+            covers_window=reports.is_complete,
+            share=share,
+        ),
+        QuotaRules(window_ms=window_ms, slack=slack),
+        is_first_start=is_first_start,
+    )
+
+
 def make_cell(
     *engines: Engine,
     properties: EngineProperties = MODEL,
