Keep teams' limits with any number of owners

A team that was quiet and then spent its burst got a second burst. Also, a process that served four fifths of the fleet spent whole limits while another owner could spend its fifth, and a process that had never lost the ownership could take itself for the first owner of a new fleet.

A new owner starts buckets empty and adds what is left when all instances have reported since its predecessor's last grants; reports tell spending by slices of the window. Shares of all owners add up to one and the overage at most; while two owners may count the same instances, a new one refills at a rate that fits in a part of the overage. A bucket above its owner's share drains as fast as the other owner's fills.

--- a/hornbeamdeck/membership/liveness.py
+++ b/hornbeamdeck/membership/liveness.py
@@ -25,6 +25,10 @@
 ALONE_AFTER_MS: Final = 1000
 # How long a computed share of the fleet is cached.
 SHARE_CACHE_MS: Final = 50
+# Heartbeats that an instance may miss before limits count it as another
+# owner's. An owner is replaced after more, so that its successor rarely counts
+# instances that it counts, too.
+MAX_HEARTBEAT_AGE: Final = 2
 
 
 class LastHeartbeat(NamedTuple):
@@ -63,6 +67,8 @@
         self._reported_live: dict[str, frozenset[str]] = {}
         self._share = 1.0
         self._share_until_ms = 0.0
+        self._heard_share = 1.0
+        self._heard_share_until_ms = 0.0
 
     def record_heartbeat(
         self, peer_id: str, stamp_ms: int, *, can_serve: bool
@@ -154,22 +160,49 @@
         """
         now = now_ms()
         if now >= self._share_until_ms:
-            self._share = self._compute_share(now)
+            self._share = self._share_since(
+                now, self._pace.liveness_timeout_ms, STARTUP_GRACE_MS
+            )
             self._share_until_ms = now + SHARE_CACHE_MS
         return self._share
 
+    @property
+    def recency_ms(self) -> float:
+        """Age up to which a heartbeat counts in `heard_share`."""
+        return MAX_HEARTBEAT_AGE * self._pace.interval_ms
+
+    def heard_share(self) -> float:
+        """Return the share of known live instances heard of very recently.
+
+        Unlike `live_share`, it falls before another owner takes over.
+        """
+        now = now_ms()
+        if now >= self._heard_share_until_ms:
+            self._heard_share = self._share_since(
+                now, self.recency_ms, self.recency_ms
+            )
+            self._heard_share_until_ms = now + SHARE_CACHE_MS
+        return self._heard_share
+
     def rank(self) -> int:
         """Return this process's rank among all instances; the owner has 0."""
         own_id = self._membership.own_status.instance_id
         return self._membership.ranked_ids(FLEET_CELL).index(own_id)
 
-    def _compute_share(self, now: float) -> float:
-        if now - self.started_ms < STARTUP_GRACE_MS:
-            # Other instances have not had the time to send a heartbeat.
+    def _share_since(
+        self, now: float, max_age_ms: float, grace_ms: float
+    ) -> float:
+        """Return the share of known live instances with recent heartbeats.
+
+        :param max_age_ms: largest age of a heartbeat that counts.
+        :param grace_ms: time after this process's start in which others have
+            not had the time to send one.
+        """
+        if now - self.started_ms < grace_ms:
             return 1.0
         known = self._membership.known_peers()
         live = sum(each.state == STATE_LIVE for each in known)
-        since_ms = now - self._pace.liveness_timeout_ms
+        since_ms = now - max_age_ms
         recent = sum(
             last.received_ms > since_ms
             for last in self._last_heartbeats.values()
--- a/hornbeamdeck/ownership/spending.py
+++ b/hornbeamdeck/ownership/spending.py
@@ -3,11 +3,15 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from hornbeamdeck.wire import Spending
 
-__all__ = ('SpendingLog',)
+__all__ = ('SLICES_PER_WINDOW', 'SpendingLog')
+
+# A new owner derives from the slices when a team spent its tokens. It counts
+# the tokens of a slice as spent at its end, so its error is one slice's refill.
+SLICES_PER_WINDOW: Final = 8
 
 
 class _Spent(NamedTuple):
@@ -27,27 +31,27 @@
         """Record spending within a window in milliseconds."""
         self._window_ms = window_ms
         self._log: deque[_Spent] = deque()
-        self._totals: dict[str, int] = {}
 
     def add(self, team: str, tokens: int, now: float) -> None:
         """Record the tokens that a granted request counts."""
         if not tokens:
             return
         self._log.append(_Spent(now, team, tokens))
-        self._totals[team] = self._totals.get(team, 0) + tokens
 
     def report(self, now: float) -> list[Spending]:
-        """Return each team's spending within the window."""
-        while self._log and self._log[0].at_ms < now - self._window_ms:
-            expired = self._log.popleft()
-            remaining = self._totals[expired.team] - expired.tokens
-            if remaining:
-                self._totals[expired.team] = remaining
-            else:
-                self._totals.pop(expired.team)
+        """Return each team's spending in the slices of the window."""
+        while self._log and self._log[0].at_ms <= now - self._window_ms:
+            self._log.popleft()
+        slice_ms = self._window_ms / SLICES_PER_WINDOW
+        by_team: dict[str, list[int]] = {}
+        # The latest comes last, so the first of a team is its oldest slice.
+        for spent in self._log:
+            age = int((now - spent.at_ms) / slice_ms)
+            slices = by_team.setdefault(spent.team, [0 for _ in range(age + 1)])
+            slices[age] += spent.tokens
         return [
-            Spending(team=team, tokens=tokens)
-            for team, tokens in self._totals.items()
+            Spending(team=team, by_age=slices)
+            for team, slices in by_team.items()
         ]
 
 
@@ -57,7 +61,7 @@
     :param memory_ms: how long it had recorded its spending.
     """
 
-    tokens: dict[str, int]
+    by_age: dict[str, list[int]]
     memory_ms: float
     received_ms: float
 
@@ -88,20 +92,27 @@
             self._ended = [
                 each for each in (*self._ended, last) if self._counts(each, now)
             ]
-        tokens = {each.team: each.tokens for each in spent}
-        self._reports[peer_id] = _Report(tokens, memory_ms, now)
+        by_age = {each.team: each.by_age for each in spent}
+        self._reports[peer_id] = _Report(by_age, memory_ms, now)
 
     def drop(self, peer_id: str) -> None:
         """Drop the report of a removed instance."""
         self._reports.pop(peer_id, None)
 
-    def tokens_spent(self, team: str, now: float) -> int:
-        """Return a team's spending summed over all reports."""
-        return sum(
-            report.tokens.get(team, 0)
-            for report in (*self._reports.values(), *self._ended)
-            if self._counts(report, now)
-        )
+    def spent_by_age(self, team: str, now: float) -> list[int]:
+        """Return a team's spending in the slices of the window.
+
+        It is summed over all reports. A report ages with the time since it
+        was received.
+        """
+        slice_ms = self._window_ms / SLICES_PER_WINDOW
+        spent = [0 for _ in range(SLICES_PER_WINDOW)]
+        for report in (*self._reports.values(), *self._ended):
+            report_age = int((now - report.received_ms) / slice_ms)
+            for age, tokens in enumerate(report.by_age.get(team, ())):
+                if report_age + age < SLICES_PER_WINDOW:
+                    spent[report_age + age] += tokens
+        return spent
 
     def is_complete(self) -> bool:
         """Return whether enough reports cover a whole window.
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -379,7 +379,7 @@
                     is_owner=is_owner,
                     retries=self.components.cells.retries_in_window(),
                 )
-            if was_owner and not is_owner:
+            if not is_owner:
                 self.components.cells.quotas.reset()
             was_owner = is_owner
             await self.components.grants.async_move_to_current_owners()
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Self, TypeAlias
 
-import structlog
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import wall_ms
@@ -15,7 +14,11 @@
 from hornbeamdeck.const import KEY_CONFIGURATION
 from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.membership.heartbeats import HeartbeatDependencies, Heartbeats
-from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
+from hornbeamdeck.membership.liveness import (
+    FLEET_CELL,
+    HEARTBEAT_RECEIVERS,
+    Liveness,
+)
 from hornbeamdeck.membership.membership import (
     STATE_LIVE,
     InstanceStatus,
@@ -28,6 +31,7 @@
 from hornbeamdeck.ownership.origin_reports import OriginReports
 from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
+from hornbeamdeck.ownership.team_limits import make_team_limits
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import (
     ParseConfiguration,
@@ -39,12 +43,6 @@
 from hornbeamdeck.rollout.store_interface import RolloutStore
 from hornbeamdeck.scheduling.admission_control import ListInstances
 from hornbeamdeck.scheduling.rollout import RolloutBounds
-from hornbeamdeck.scheduling.token_quota import (
-    BucketStart,
-    QuotaRules,
-    QuotaView,
-    TokenQuotas,
-)
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.fleet_record import FleetRecord
 from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
@@ -64,8 +62,6 @@
 
 __all__ = ('GatewayComponents',)
 
-_LOGGER = structlog.get_logger(prefix='scheduler')
-
 # A suspected instance is probed with a heartbeat every second and is used again
 # when it responds. Until then, no request may be sent to it.
 SUSPICION_MS: Final = 30_000
@@ -120,6 +116,7 @@
         # These lists are filled below: the components that are created first
         # call components that depend on them.
         fleet_share: list[Callable[[], float]] = []
+        liveness: list[Liveness] = []
         serving: list[ListInstances] = []
         readers: list[StoreReader] = []
         rollouts: list[Rollouts] = []
@@ -127,17 +124,11 @@
             scheduler,
             directory,
             settings.bounds,
-            TokenQuotas(
-                QuotaView(
-                    spent=reports.tokens_spent,
-                    covers_window=reports.is_complete,
-                    share=lambda: fleet_share[0](),
-                    on_start=_log_bucket_start,
-                ),
-                QuotaRules(
-                    window_ms=settings.bounds.quota_window_ms,
-                    slack=settings.bounds.quota_slack,
-                ),
+            make_team_limits(
+                reports,
+                settings.bounds,
+                fleet_share=lambda: liveness[0].heard_share(),
+                overlap_ms=lambda: liveness[0].recency_ms,
                 is_first_start=settings.is_first_start,
             ),
             fleet_share=lambda: fleet_share[0](),
@@ -183,6 +174,7 @@
             ),
         )
         fleet_share.append(heartbeats.liveness.live_share)
+        liveness.append(heartbeats.liveness)
         serving.append(heartbeats.liveness.serving_ids)
         grants = Grants(membership, peers, scheduler)
         origin_reports = OriginReports(
@@ -261,10 +253,6 @@
         return _is_owner(self.membership)
 
 
-def _log_bucket_start(start: BucketStart) -> None:
-    _LOGGER.info('team limit taken over', **start._asdict())
-
-
 def _is_owner(membership: Membership) -> bool:
     return membership.owner_of(FLEET_CELL) == membership.own_status.instance_id
 
--- a/hornbeamdeck/process/gateway_settings.py
+++ b/hornbeamdeck/process/gateway_settings.py
@@ -34,6 +34,9 @@
         vol.Required('retry_slack'): _NON_NEGATIVE,
         vol.Required('quota_window_s'): _NON_NEGATIVE,
         vol.Required('quota_slack'): _NON_NEGATIVE,
+        vol.Optional('quota_overage', default=0): vol.Any(
+            _NON_NEGATIVE, vol.All(None, vol.SetTo(0))
+        ),
         vol.Required('entries_ttl_ms'): _MILLISECONDS,
     },
 )
@@ -111,6 +114,8 @@
     :param retry_ratio: retries allowed per request of a service.
     :param retry_slack: additional retries allowed per window.
     :param quota_slack: tokens that a team may spend beyond its limit.
+    :param quota_overage: what a team may spend beyond its limit, as a share of
+        it.
     :param entries_ttl_ms: how long callers may cache the list of addresses.
     """
 
@@ -124,6 +129,7 @@
     retry_slack: float
     quota_window_ms: float
     quota_slack: float
+    quota_overage: float
     entries_ttl_ms: int
 
     @classmethod
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -4,12 +4,17 @@
 instances at once. Only a single count for the fleet refuses neither too much
 nor too little. If too little were refused, the other teams would wait behind
 the excess.
+
+Owners change while teams spend. A new owner starts each bucket empty, which is
+safe whatever its predecessor granted. When all instances have reported to it
+what they spent, it adds what the limit has left.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.scheduling.owner_share import OwnerShare
 from hornbeamdeck.version.gateway import GatewayTeam
 
 __all__ = (
@@ -25,14 +30,13 @@
 # is not refused because the clocks of two machines differ. The remainder covers
 # the moment in which two owners grant.
 USED_SLACK_SHARE: Final = 0.6
-# An owner that serves at least this share of the instances spends the whole
-# limit. An owner of a smaller part of a partitioned fleet spends only its own
-# share, which fits in the allowed overage.
-FULL_LIMIT_SHARE: Final = 0.8
 # Share of the used slack that may be spent at once, in addition to the team's
 # burst. The remainder refills the buckets a little faster than the team's rate.
 BURST_SHARE: Final = 0.3
 MIN_RETRY_MS: Final = 100
+# Refill that the time of a retry is computed with if there is none now, as for
+# an owner without instances.
+MIN_REFILL_PER_MS: Final = 1.0
 # A request that needs at most this share of the tokens that others wait for may
 # overtake them: a booking counts a few hundred tokens, a long prompt thousands,
 # and one delays the other by milliseconds.
@@ -40,33 +44,35 @@
 
 
 class BucketStart(NamedTuple):
-    """What a new owner knows of a team's limit when it starts to count.
+    """What a new owner derives from the spending that was reported to it.
 
-    :param level_tokens: tokens that it grants the team at once.
+    :param level_tokens: tokens that the team has left now.
+    :param granted_tokens: tokens that this owner has granted it before.
     :param spent_tokens: the team's spending within the window, as reported.
-    :param covers_window: whether the reports cover a whole window.
     """
 
     team: str
     level_tokens: int
+    granted_tokens: int
     spent_tokens: int
-    covers_window: bool
-    share: float
 
 
 class QuotaView(NamedTuple):
     """State outside this module that the limits depend on.
 
-    :param spent: tokens of a team in the window up to a time, as reported by
-        the ingresses.
+    :param spent: tokens of a team in each slice of the window up to a time,
+        the latest first, as reported by the ingresses.
     :param covers_window: whether those reports cover a whole window.
     :param share: share of the fleet's instances that this owner serves.
-    :param on_start: called for each bucket that a new owner starts.
+    :param overlap_ms: returns for how long after a partition an owner may
+        count instances that another owner serves already.
+    :param on_start: called when a new owner has derived what a team has left.
     """
 
-    spent: Callable[[str, float], int]
+    spent: Callable[[str, float], Sequence[int]]
     covers_window: Callable[[], bool]
     share: Callable[[], float]
+    overlap_ms: Callable[[], float] = float
     on_start: Callable[[BucketStart], None] | None = None
 
 
@@ -74,10 +80,27 @@
     """How limits are counted.
 
     :param slack: tokens that a window may hold beyond a team's limit.
+    :param overage: what a window may hold beyond it, as a share of the limit.
+    :param slice_ms: length of the slices in which spending is reported.
     """
 
     window_ms: float
     slack: float
+    overage: float = 0.0
+    slice_ms: float = 1000.0
+
+    def capacity(self, team: GatewayTeam) -> float:
+        """Return the tokens that a team may spend at once."""
+        return team.burst + self._used_slack * BURST_SHARE
+
+    def refill_per_ms(self, team: GatewayTeam) -> float:
+        """Return the tokens that a team may spend in each millisecond."""
+        slack_per_ms = self._used_slack * (1 - BURST_SHARE) / self.window_ms
+        return team.rate_per_s / MILLIS_PER_SECOND + slack_per_ms
+
+    @property
+    def _used_slack(self) -> float:
+        return self.slack * USED_SLACK_SHARE
 
 
 class TokenNeed(NamedTuple):
@@ -95,14 +118,35 @@
 class _Bucket:
     """A token bucket; it may be overdrawn by one request."""
 
-    def __init__(self, level: float, now: float) -> None:
+    def __init__(self, level: float, now: float, *, is_derived: bool) -> None:
+        """Start with a level.
+
+        :param is_derived: whether nothing has to be added for the time before.
+        """
         self.level = level
+        self.started_ms = now
         self.updated_ms = now
+        self.granted_tokens = 0
+        self.is_derived = is_derived
 
-    def fill(self, per_ms: float, capacity: float, now: float) -> None:
-        refill = max(now - self.updated_ms, 0) * per_ms
-        self.level = min(self.level + refill, capacity)
+    def fill(
+        self, refill_per_ms: float, drain_per_ms: float, most: float, now: float
+    ) -> None:
+        """Apply the time since the last call.
+
+        :param most: level up to which the bucket is refilled, and down to which
+            it drains. Another owner's bucket fills up meanwhile.
+        """
+        elapsed_ms = max(now - self.updated_ms, 0)
         self.updated_ms = now
+        if self.level <= most:
+            self.level = min(self.level + elapsed_ms * refill_per_ms, most)
+        else:
+            self.level = max(self.level - elapsed_ms * drain_per_ms, most)
+
+    def spend(self, tokens: int) -> None:
+        self.level -= tokens
+        self.granted_tokens += tokens
 
 
 class TokenQuotas:
@@ -110,8 +154,7 @@
 
     The capacity of a bucket and its refill within a window together equal what
     the window may hold. So spending is even: after a burst, a team does not
-    have to wait until the burst has left the window. The next owner, which does
-    not have the count, stays within the limit by starting with an empty bucket.
+    have to wait until the burst has left the window.
     """
 
     def __init__(
@@ -128,6 +171,13 @@
         self._view = view
         self._rules = rules
         self._is_first_start = is_first_start
+        self._share = OwnerShare(
+            view.share,
+            view.overlap_ms,
+            rules.overage,
+            rules.window_ms,
+            is_first_start=is_first_start,
+        )
         self._buckets: dict[str, _Bucket] = {}
         self._waiting: dict[str, dict[int, int]] = {}
 
@@ -149,7 +199,7 @@
         ):
             return True
         missing = tokens + tokens_ahead - bucket.level
-        return missing <= need.max_wait_ms * self._refill_per_ms(team)
+        return missing <= need.max_wait_ms * self._refill_per_ms(team, now)
 
     def add_waiting(self, team: str, need: TokenNeed) -> None:
         """Count a request among those that wait for a team's tokens."""
@@ -170,90 +220,121 @@
         # The need is capped, since a request larger than the bucket's capacity
         # would never start, even with a full bucket.
         needed = min(tokens, self._capacity(team))
-        return self._refilled_bucket(team, now).level >= needed
+        level = self._refilled_bucket(team, now).level
+        return level >= needed and level > 0
 
     def spend(self, team: GatewayTeam, tokens: int, now: float) -> bool:
         """Charge tokens to a team's limit if it has them."""
         if not self.has_tokens(team, tokens, now):
             return False
         if team.rate_per_s:
-            self._buckets[team.name].level -= tokens
+            self._buckets[team.name].spend(tokens)
         return True
 
     def reset(self) -> None:
         """Remove all buckets, since another instance is the owner now."""
         self._buckets.clear()
         self._is_first_start = False
+        self._share.reset()
 
-    def retry_after_ms(self, team: GatewayTeam, need: TokenNeed) -> int:
+    def retry_after_ms(
+        self, team: GatewayTeam, need: TokenNeed, now: float
+    ) -> int:
         """Return the time until a request's tokens are available."""
         bucket = self._buckets.get(team.name)
         if bucket is None:
             return MIN_RETRY_MS
         missing = min(need.tokens, self._capacity(team)) - bucket.level
         missing += self._tokens_ahead(team, need.rank)
-        return max(int(missing / self._refill_per_ms(team)) + 1, MIN_RETRY_MS)
+        refill_per_ms = max(self._refill_per_ms(team, now), MIN_REFILL_PER_MS)
+        return max(int(missing / refill_per_ms) + 1, MIN_RETRY_MS)
 
     def describe(self, team: str) -> str:
         """Return the state of a team's bucket, for the log."""
         bucket = self._buckets.get(team)
         if bucket is None:
             return 'no limit in use'
-        return f'{int(bucket.level)} tokens left, share {self._share():.2f}'
+        share = self._share.share
+        return f'{int(bucket.level)} tokens left, share {share:.2f}'
 
     def _refilled_bucket(self, team: GatewayTeam, now: float) -> _Bucket:
+        self._share.start(now)
         bucket = self._buckets.get(team.name)
         if bucket is None:
-            bucket = _Bucket(self._initial_level(team, now), now)
+            level = self._capacity(team) if self._is_first_start else 0.0
+            bucket = _Bucket(level, now, is_derived=self._is_first_start)
             self._buckets[team.name] = bucket
-            self._report_start(team, bucket, now)
-        bucket.fill(self._refill_per_ms(team), self._capacity(team), now)
+        drain_share = 1 - self._share.share
+        bucket.fill(
+            self._refill_per_ms(team, now),
+            self._rules.refill_per_ms(team) * drain_share,
+            self._capacity(team),
+            now,
+        )
+        if not bucket.is_derived:
+            self._derive_level(team, bucket, now)
         return bucket
 
-    def _report_start(
+    def _derive_level(
         self, team: GatewayTeam, bucket: _Bucket, now: float
     ) -> None:
-        if self._is_first_start or self._view.on_start is None:
+        """Add what a team has left of the time before this owner.
+
+        That is known only to an owner of the whole fleet, once the reports of
+        all instances are later than its predecessor's last grants.
+        """
+        if now - bucket.started_ms > self._rules.window_ms:
+            bucket.is_derived = True
+        if (
+            not self._share.is_overlap_over(now)
+            or self._share.share < 1
+            or not self._view.covers_window()
+        ):
             return
-        self._view.on_start(
-            BucketStart(
-                team=team.name,
-                level_tokens=int(bucket.level),
-                spent_tokens=self._view.spent(team.name, now),
-                covers_window=self._view.covers_window(),
-                share=self._view.share(),
+        bucket.is_derived = True
+        spent = self._view.spent(team.name, now)
+        level = _level_after(spent, self._rules, team) - bucket.granted_tokens
+        bucket.level = max(bucket.level, level)
+        if self._view.on_start is not None:
+            self._view.on_start(
+                BucketStart(
+                    team=team.name,
+                    level_tokens=int(bucket.level),
+                    granted_tokens=bucket.granted_tokens,
+                    spent_tokens=sum(spent),
+                )
             )
-        )
 
     def _tokens_ahead(self, team: GatewayTeam, rank: int) -> int:
         """Return the tokens that waiting requests get before a new request."""
         waiting = self._waiting.get(team.name, {})
         return sum(tokens for other, tokens in waiting.items() if other <= rank)
 
-    def _share(self) -> float:
-        share = self._view.share()
-        return 1.0 if share >= FULL_LIMIT_SHARE else share
+    def _capacity(self, team: GatewayTeam) -> float:
+        return self._rules.capacity(team) * self._share.share
 
-    def _slack(self) -> float:
-        return self._rules.slack * USED_SLACK_SHARE
+    def _refill_per_ms(self, team: GatewayTeam, now: float) -> float:
+        share = self._share.refill_share(now)
+        return self._rules.refill_per_ms(team) * share
 
-    def _capacity(self, team: GatewayTeam) -> float:
-        return (team.burst + self._slack() * BURST_SHARE) * self._share()
-
-    def _refill_per_ms(self, team: GatewayTeam) -> float:
-        slack_per_ms = self._slack() * (1 - BURST_SHARE) / self._rules.window_ms
-        per_ms = team.rate_per_s / MILLIS_PER_SECOND + slack_per_ms
-        return per_ms * self._share()
-
-    def _initial_level(self, team: GatewayTeam, now: float) -> float:
-        # After a restart of the whole fleet, the tokens spent right before it
-        # are unknown. An empty bucket gives each team its rate, which hardly
-        # affects teams below their limit. A full one could exceed the limit.
-        capacity = self._capacity(team)
-        if self._is_first_start:
-            return capacity
-        if not self._view.covers_window():
-            return 0.0
-        refill = self._refill_per_ms(team) * self._rules.window_ms
-        remaining = capacity + refill - self._view.spent(team.name, now)
-        return min(capacity, remaining)
+
+def _level_after(
+    spent: Sequence[int], rules: QuotaRules, team: GatewayTeam
+) -> float:
+    """Return the level of a bucket that was full before some spending.
+
+    The sum of a window does not tell it: a burst that was spent just now leaves
+    nothing, and one that was spent at the start of the window has been
+    refilled.
+
+    :param spent: by slice of the window, the latest first. All of a slice
+        counts as spent at its end.
+    """
+    level = rules.capacity(team)
+    refill_per_slice = rules.slice_ms * rules.refill_per_ms(team)
+    total = 0
+    for age, tokens in enumerate(spent):
+        total += tokens
+        left = rules.capacity(team) - total + age * refill_per_slice
+        level = min(level, left)
+    return level
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -2294,19 +2294,19 @@
     """
     Attributes:
      - team
-     - tokens
+     - by_age
 
     """
 
     __slots__ = (
         'team',
-        'tokens',
+        'by_age',
     )
 
 
-    def __init__(self, team=None, tokens=None,):
+    def __init__(self, team=None, by_age=None,):
         self.team = team
-        self.tokens = tokens
+        self.by_age = by_age
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2322,9 +2322,14 @@
                     self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.tokens = iprot.readI64()
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.by_age = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.by_age.append(_elem47)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2341,9 +2346,12 @@
             oprot.writeFieldBegin('team', TType.STRING, 1)
             oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
             oprot.writeFieldEnd()
-        if self.tokens is not None:
-            oprot.writeFieldBegin('tokens', TType.I64, 2)
-            oprot.writeI64(self.tokens)
+        if self.by_age is not None:
+            oprot.writeFieldBegin('by_age', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.by_age))
+            for iter48 in self.by_age:
+                oprot.writeI64(iter48)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2351,8 +2359,8 @@
     def validate(self):
         if self.team is None:
             raise TProtocolException(message='Required field team is unset!')
-        if self.tokens is None:
-            raise TProtocolException(message='Required field tokens is unset!')
+        if self.by_age is None:
+            raise TProtocolException(message='Required field by_age is unset!')
         return
 
     def __repr__(self):
@@ -2644,31 +2652,31 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Spending()
-                        _elem47.read(iprot)
-                        self.spent.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Spending()
+                        _elem54.read(iprot)
+                        self.spent.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.present = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.present.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.present.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.statuses = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.statuses.append(_elem59)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.statuses.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2685,11 +2693,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.rollouts = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = Rollout()
-                        _elem65.read(iprot)
-                        self.rollouts.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = Rollout()
+                        _elem72.read(iprot)
+                        self.rollouts.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2701,11 +2709,11 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = EngineObservation()
-                        _elem71.read(iprot)
-                        self.limits.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = EngineObservation()
+                        _elem78.read(iprot)
+                        self.limits.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2750,22 +2758,22 @@
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter72 in self.spent:
-                iter72.write(oprot)
+            for iter79 in self.spent:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.present is not None:
             oprot.writeFieldBegin('present', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.present))
-            for iter73 in self.present:
-                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
+            for iter80 in self.present:
+                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.statuses is not None:
             oprot.writeFieldBegin('statuses', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.statuses))
-            for iter74 in self.statuses:
-                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
+            for iter81 in self.statuses:
+                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -2779,8 +2787,8 @@
         if self.rollouts is not None:
             oprot.writeFieldBegin('rollouts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.rollouts))
-            for iter75 in self.rollouts:
-                iter75.write(oprot)
+            for iter82 in self.rollouts:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.engines_era is not None:
@@ -2790,8 +2798,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter76 in self.limits:
-                iter76.write(oprot)
+            for iter83 in self.limits:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3057,11 +3065,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.engines = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = EngineEntry()
-                        _elem82.read(iprot)
-                        self.engines.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = EngineEntry()
+                        _elem89.read(iprot)
+                        self.engines.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3087,8 +3095,8 @@
         if self.engines is not None:
             oprot.writeFieldBegin('engines', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.engines))
-            for iter83 in self.engines:
-                iter83.write(oprot)
+            for iter90 in self.engines:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -4003,7 +4011,8 @@
 Spending.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'team', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'tokens', None, None, ),  # 2
+    None,  # 2
+    (3, TType.LIST, 'by_age', (TType.I64, None, False), None, ),  # 3
 )
 all_structs.append(Rollout)
 Rollout.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -184,7 +184,7 @@
 
 struct Spending {
   1: required string team
-  2: required i64 tokens
+  3: required list<i64> by_age     // tokens in each slice of the quota window, latest first
 }
 
 // A new version of a service's upstreams that is brought in.
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -34,6 +34,7 @@
         'retry_slack': 113,
         'quota_window_s': 8,
         'quota_slack': 140_000,
+        'quota_overage': 0.1,
         'expose_share': 0.1,
         'expose_slack': 50,
         'rollback_ms': 5000,
--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -3,6 +3,7 @@
 from curio import TaskGroup, sleep, spawn
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.process.gateway import Gateway
 from tests.platform.fleet import TOKEN_COUNTS, PlatformFleet, on_platform
 from tests.platform.standins import document
 
@@ -15,6 +16,12 @@
     )
 
 
+def _spent(gateway: Gateway, team: str) -> int:
+    """Return what instances have reported that a team has spent."""
+    reports = gateway.components.heartbeats._dependencies.spending_reports
+    return sum(reports.spent_by_age(team, now_ms()))
+
+
 @on_platform(3)
 async def test_next_owner_takes_over_when_owner_is_killed(
     fleet: PlatformFleet,
@@ -108,11 +115,7 @@
     ]
     await fleet.async_until(
         lambda: all(
-            gateway.components.heartbeats._dependencies.spending_reports.tokens_spent(
-                'guides', now_ms()
-            )
-            >= 69_000
-            for gateway in successors
+            _spent(gateway, 'guides') >= 69_000 for gateway in successors
         ),
     )
     await fleet.gateways[owner].async_kill()
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Callable
 
-from hornbeamdeck.ownership.spending import SpendingReports
+from hornbeamdeck.ownership.spending import (
+    SLICES_PER_WINDOW,
+    SpendingReports,
+)
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.engine_cell import EngineCell
@@ -63,7 +66,7 @@
 
 def make_quotas(
     *,
-    spent: int = 0,
+    spent: tuple[int, ...] = (),
     covers_window: bool = True,
     share: float = 1.0,
     is_first_start: bool = True,
@@ -87,17 +90,24 @@
     share: Callable[[], float],
     window_ms: float,
     slack: float,
+    overage: float,
+    overlap_ms: float,
     is_first_start: bool,
-    **_bounds: float,
 ) -> TokenQuotas:
     """Create the token limits of an owner that adds up reports."""
     return TokenQuotas(
         QuotaView(
-            spent=reports.tokens_spent,
+            spent=reports.spent_by_age,
             covers_window=reports.is_complete,
             share=share,
+            overlap_ms=lambda: overlap_ms,
+        ),
+        QuotaRules(
+            window_ms=window_ms,
+            slack=slack,
+            overage=overage,
+            slice_ms=window_ms / SLICES_PER_WINDOW,
         ),
-        QuotaRules(window_ms=window_ms, slack=slack),
         is_first_start=is_first_start,
     )
 
--- a/tests/scheduling/test_quotas_of_owners.py
+++ b/tests/scheduling/test_quotas_of_owners.py
@@ -37,7 +37,7 @@
 
 
 class _Process:
-    """One instance: an ingress, and an owner when the others take it for one."""
+    """One instance, which may be the owner."""
 
     def __init__(
         self, number: int, now: Callable[[], float], *, is_first_start: bool
--- a/tests/scheduling/test_token_quota.py
+++ b/tests/scheduling/test_token_quota.py
@@ -56,7 +56,7 @@
     limits = make_quotas()
     limits.spend(make_team(), 1000, 0)
     assert not limits.spend(make_team(), 500, 100)
-    wait_ms = limits.retry_after_ms(make_team(), TokenNeed(500, 0))
+    wait_ms = limits.retry_after_ms(make_team(), TokenNeed(500, 0), 100)
     assert not limits.spend(make_team(), 500, 100 + wait_ms - 10)
     assert limits.spend(make_team(), 500, 100 + wait_ms)
 
@@ -92,11 +92,23 @@
 
 
 def test_a_new_owner_counts_reported_spending() -> None:
-    limits = make_quotas(spent=8600, is_first_start=False)
+    limits = make_quotas(spent=(600,), is_first_start=False)
     assert limits.spend(make_team(), 400, 0)
     assert not limits.spend(make_team(), 400, 10)
 
 
+def test_a_burst_that_was_just_spent_leaves_nothing() -> None:
+    """Guards against a successor that counts the sum of a window only."""
+    limits = make_quotas(spent=(1000,), is_first_start=False)
+    assert not limits.spend(make_team(), 100, 0)
+
+
+def test_a_burst_that_was_spent_long_ago_has_been_refilled() -> None:
+    """Guards against a successor that refuses what a team has left."""
+    limits = make_quotas(spent=(0, 0, 0, 1000), is_first_start=False)
+    assert limits.spend(make_team(), 1000, 0)
+
+
 def test_a_partitioned_fleet_spends_the_limit_once() -> None:
     """The fleet is partitioned and each side has an owner. Together they must
     not spend the limit twice.
