Refuse what still waits when a planned stop ends

A request that waited at an instance at the end of its grace period had its connection closed, though it had not run. It gets 503 with Retry-After now.

The listed roll-out test killed the instance that its own callers used, so that they ended and the roll-out got no traffic. They use an instance that lives from the start on; what the test asserts is unchanged.

--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -23,7 +23,11 @@
 from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.request.gateway_request import RunSummary
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.request.refusal import deadline_passed, refusal_from_owner
+from hornbeamdeck.request.refusal import (
+    deadline_passed,
+    instance_stops,
+    refusal_from_owner,
+)
 from hornbeamdeck.wire import (
     Enqueue,
     Grant,
@@ -81,7 +85,7 @@
         deadline_ms = now_ms() + request.deadline_ms
         waiting = _Waiting(request, deadline_ms, '', Queue())
         self._waiting[request.request_id] = waiting
-        decision: Grant | Refuse | None = None
+        decision: Grant | Refuse | NotRun | None = None
         try:
             decision = await self._async_enqueue_and_wait(waiting)
         finally:
@@ -96,6 +100,8 @@
                 )
         if decision is None:
             return Err(deadline_passed())
+        if isinstance(decision, NotRun):
+            return Err(decision)
         if isinstance(decision, Refuse):
             return Err(refusal_from_owner(decision))
         return Ok(decision)
@@ -174,13 +180,23 @@
         for owner in owners:
             await self._async_move(owner)
 
+    async def async_refuse_waiting(self) -> int:
+        """Refuse the requests that still wait when this process ends.
+
+        :returns: how many they are.
+        """
+        waiting = tuple(self._waiting.values())
+        for each in waiting:
+            await each.decisions.put(instance_stops())
+        return len(waiting)
+
     def _awaited_owners(self) -> set[str]:
         owners = {each.owner for each in self._waiting.values()}
         return owners - {'', self._membership.own_status.instance_id}
 
     async def _async_enqueue_and_wait(
         self, waiting: _Waiting
-    ) -> Grant | Refuse | None:
+    ) -> Grant | Refuse | NotRun | None:
         await self._async_enqueue(waiting)
         try:
             return await async_with_timeout(
@@ -244,7 +260,7 @@
         for waiting in queued:
             if self._membership.owner_of(waiting.request.cell) != owner:
                 waiting.request.is_moved = True
-                await self._async_leave_queue(waiting)
+                await _async_leave_queue(self.link, waiting)
                 await self._async_enqueue(waiting)
 
     async def _async_move_run(self, running: _Running) -> None:
@@ -260,12 +276,10 @@
             # appear full of ended runs if it became the owner again.
             await self.link.async_send(running.owner, _to_cancelled(run))
 
-    async def _async_leave_queue(self, waiting: _Waiting) -> None:
-        if self.link.is_connected(waiting.owner):
-            await self.link.async_send(
-                waiting.owner,
-                _to_withdraw(waiting.request),
-            )
+
+async def _async_leave_queue(link: OwnerLink, waiting: _Waiting) -> None:
+    if link.is_connected(waiting.owner):
+        await link.async_send(waiting.owner, _to_withdraw(waiting.request))
 
 
 def _to_withdraw(request: Enqueue) -> Withdraw:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -61,6 +61,9 @@
 # A graceful shutdown ends this long before the platform kills the process.
 SHUTDOWN_MARGIN_MS: Final = 700
 DRAIN_POLL_MS: Final = 50
+# Time for callers to get the refusals with which a planned stop ends, a part of
+# the shutdown margin.
+REFUSAL_WRITE_MS: Final = 100
 # Interval at which the owner logs the load of its engines.
 LOAD_LOG_INTERVAL_MS: Final = 2000
 # Longest time from the first to the last byte of a request.
@@ -198,8 +201,11 @@
             self._unfinished or now_ms() < accept_until_ms
         ):
             await sleep(DRAIN_POLL_MS / MILLIS_PER_SECOND)
+        refused = await components.grants.async_refuse_waiting()
+        if refused:
+            await sleep(REFUSAL_WRITE_MS / MILLIS_PER_SECOND)
         cut_off = self._unfinished
-        _LOGGER.info('planned stop ends', cut_off=cut_off)
+        _LOGGER.info('planned stop ends', cut_off=cut_off, refused=refused)
         await self.async_kill()
         return cut_off
 
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -12,6 +12,7 @@
     'deadline_passed',
     'engines_unreachable',
     'forbidden',
+    'instance_stops',
     'refusal_from_owner',
     'platform_down',
     'unauthorized',
@@ -22,6 +23,7 @@
 RETRY_MS: Final = 1000
 # Short, because a caller that comes back is likely to reach another instance.
 UNREACHABLE_RETRY_MS: Final = 50
+STOPPING_RETRY_MS: Final = 50
 MAX_SERVICE_NAME_CHARS: Final = 64
 
 _CODES: Final = MappingProxyType(
@@ -85,6 +87,16 @@
     )
 
 
+def instance_stops() -> NotRun:
+    """Make the refusal for a request that waits at an instance that stops."""
+    return NotRun(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'leaving',
+        'this instance is about to stop; another one serves',
+        STOPPING_RETRY_MS,
+    )
+
+
 def platform_down() -> NotRun:
     """Make the refusal for a call whose claim could not be created."""
     return NotRun(
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -76,6 +76,9 @@
 async def _async_play(scenario: Scenario, count: int) -> None:
     fleet = RolloutFleet()
     await fleet.async_start(count)
+    if fleet.owner is fleet.gateways[-1]:
+        # The callers use an instance that lives until the end of the test.
+        fleet.gateways.insert(0, fleet.gateways.pop())
     try:
         async with TaskGroup() as group:
             for number in range(CALLERS):
@@ -163,12 +166,8 @@
     """Guards against a roll-out that ends with the owner that began it."""
     await fleet.async_order()
     await fleet.async_until(lambda: fleet.state == 'running')
-    owner = next(
-        gateway for gateway in fleet.gateways if gateway.components.is_owner
-    )
-    if owner is fleet.gateways[-1]:
-        # The callers stay connected to an instance that lives.
-        fleet.gateways.insert(0, fleet.gateways.pop())
+    owner = fleet.owner
+    assert owner is not fleet.gateways[-1]
     await owner.async_kill()
     await fleet.async_until(lambda: fleet.state == 'completed')
 
