Keep the slots of runs that move to another owner

When the owner changed while all slots were taken, each ingress told the former owner that its runs were cancelled.

--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -274,7 +274,9 @@
             # The old owner is live and has only lost the cell. Without this
             # message it would count the run forever, and its upstreams would
             # appear full of ended runs if it became the owner again.
-            await self.link.async_send(running.owner, _to_cancelled(run))
+            moved = _to_cancelled(run)
+            moved.is_moved = True
+            await self.link.async_send(running.owner, moved)
 
 
 async def _async_leave_queue(link: OwnerLink, waiting: _Waiting) -> None:
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1881,6 +1881,7 @@
      - longest_gap_ms
      - first_byte_ms
      - relay
+     - is_moved
 
     """
 
@@ -1893,10 +1894,11 @@
         'longest_gap_ms',
         'first_byte_ms',
         'relay',
+        'is_moved',
     )
 
 
-    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None, first_byte_ms=None, relay=None,):
+    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None, first_byte_ms=None, relay=None, is_moved=None,):
         self.request_id = request_id
         self.cell = cell
         self.end = end
@@ -1905,6 +1907,7 @@
         self.longest_gap_ms = longest_gap_ms
         self.first_byte_ms = first_byte_ms
         self.relay = relay
+        self.is_moved = is_moved
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1955,6 +1958,11 @@
                     self.relay = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_moved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1997,6 +2005,10 @@
             oprot.writeFieldBegin('relay', TType.STRING, 8)
             oprot.writeString(self.relay.encode('utf-8') if sys.version_info[0] == 2 else self.relay)
             oprot.writeFieldEnd()
+        if self.is_moved is not None:
+            oprot.writeFieldBegin('is_moved', TType.BOOL, 9)
+            oprot.writeBool(self.is_moved)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3988,6 +4000,7 @@
     (6, TType.I32, 'longest_gap_ms', None, None, ),  # 6
     (7, TType.I32, 'first_byte_ms', None, None, ),  # 7
     (8, TType.STRING, 'relay', 'UTF8', None, ),  # 8
+    (9, TType.BOOL, 'is_moved', None, None, ),  # 9
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -164,6 +164,7 @@
   6: optional i32 longest_gap_ms   // between two events of a whole answer
   7: optional i32 first_byte_ms    // since the request was sent
   8: optional string relay         // the instance that the request went through
+  9: optional bool is_moved        // it goes on, and another owner accounts for it
 }
 
 struct Heartbeat {
