Tell of a roll-back after the last request of the bad version

A request that was granted before the verdict could reach an engine of the bad version after the status was written (seen twice in whole suites beside load, 98 == 97 in test_bad_version_is_rolled_back). A grant of a version that has been rolled back is returned unused, and the status is written a quarter of a second after the verdict; the bound on roll-backs counts seconds.

--- a/hornbeamdeck/engines/send_guard.py
+++ b/hornbeamdeck/engines/send_guard.py
@@ -5,7 +5,8 @@
 the process that relays the response first.
 """
 
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeAlias
 
 from hornbeamdeck.engines.engine_statements import EngineStatements
 from hornbeamdeck.request.gateway_request import WithholdReason
@@ -16,6 +17,8 @@
 
 __all__ = ('SendGuard',)
 
+IsRolledBack: TypeAlias = Callable[[str, str], bool]
+
 # What an engine has stated in a response, which the owner may not know yet.
 _STATED: Final = frozenset((WithholdReason.LEAVING, WithholdReason.RESTING))
 
@@ -28,11 +31,17 @@
         freshness_guard: FreshnessGuard,
         directory: EngineDirectory,
         statements: EngineStatements,
+        is_rolled_back: IsRolledBack,
     ) -> None:
-        """Check against this list and these statements."""
+        """Check against this list and these statements.
+
+        :param is_rolled_back: returns whether a version of a service has been
+            rolled back, as far as this process knows.
+        """
         self._freshness_guard = freshness_guard
         self._directory = directory
         self._statements = statements
+        self._is_rolled_back = is_rolled_back
 
     async def async_check(self, grant: Grant) -> WithholdReason | None:
         """Return why a request must not be sent; `None`: it may be.
@@ -52,6 +61,8 @@
         listed = self._directory.engines.get(grant.upstream)
         if listed is not None and _has_changed_version(listed, grant):
             return WithholdReason.RESTARTED
+        if self._is_rolled_back(grant.cell, grant.version or ''):
+            return WithholdReason.ROLLED_BACK
         return self._statements.reason_to_withhold(grant)
 
 
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -100,6 +100,7 @@
             self.freshness_guard,
             self.components.directory,
             self.components.grants.engine_statements,
+            self._is_rolled_back,
         )
         self.tunnels = TunnelServer(
             self.dialer, self._send_guard, lambda: self.is_draining
@@ -281,6 +282,12 @@
             track_in_flight=self._count_in_flight,
         )
 
+    def _is_rolled_back(self, service: str, version: str) -> bool:
+        rollouts = self.components.rollouts
+        return rollouts is not None and rollouts.is_rolled_back(
+            service, version
+        )
+
     def _elapsed_grace_share(self) -> float:
         elapsed_ms = now_ms() - self._stop_requested_ms
         return max(elapsed_ms / self.settings.bounds.grace_ms, 0)
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -122,6 +122,7 @@
     LEAVING = 'the engine has stated that it leaves'
     RESTING = 'the engine has asked this instance for rest'
     RESTARTED = 'the engine has restarted at another version'
+    ROLLED_BACK = 'the version of the engine has been rolled back'
 
 
 ReadRequest: TypeAlias = Callable[[HttpRequest], Result[GatewayRequest, NotRun]]
--- a/hornbeamdeck/rollout/rollouts.py
+++ b/hornbeamdeck/rollout/rollouts.py
@@ -123,6 +123,13 @@
         entry = self._dependencies.book.entries.get(service)
         return entry.rollout.phase if entry else None
 
+    def is_rolled_back(self, service: str, version: str) -> bool:
+        """Return whether a version of a service has been rolled back."""
+        entry = self._dependencies.book.entries.get(service)
+        if entry is None or entry.rollout.order.target != version:
+            return False
+        return entry.rollout.phase == RolloutPhase.ROLLED_BACK
+
     def merge(self, reported: list[Rollout]) -> None:
         """Apply what a peer knows."""
         self._dependencies.book.merge(reported, now_ms())
--- a/hornbeamdeck/rollout/status_writer.py
+++ b/hornbeamdeck/rollout/status_writer.py
@@ -30,6 +30,9 @@
 # Interval of checks whether a status is due, and between attempts to write it.
 CHECK_INTERVAL_MS: Final = 100
 RETRY_MS: Final = 300
+# Requests that were granted before a version was rolled back have reached its
+# engines by then, or are sent to none. The status tells that none follows.
+ROLL_BACK_SETTLE_MS: Final = 250
 # How long the owner alone may write the first status of an order. Whoever
 # writes that may use the slack, and only the owner has a use for it.
 OWNER_BEGINS_MS: Final = 2000
@@ -54,6 +57,8 @@
         self._book = book
         self._is_owner = is_owner
         self._wall_clock_ms = wall_clock_ms
+        # When the status of a service's roll-back was first due.
+        self._rolled_back_ms: dict[str, float] = {}
 
     async def async_run(self, is_writer: Callable[[], bool]) -> None:
         """Write each status that is due; never returns.
@@ -76,7 +81,12 @@
         stored = entry.stored
         phase = entry.rollout.phase
         if stored is None or not _is_status_due(stored, phase):
+            self._rolled_back_ms.pop(service, None)
             return
+        if phase == RolloutPhase.ROLLED_BACK:
+            due_ms = self._rolled_back_ms.setdefault(service, now_ms())
+            if now_ms() - due_ms < ROLL_BACK_SETTLE_MS:
+                return
         age_ms = now_ms() - entry.rollout.started_ms
         if stored.phase is not None or (
             self._is_owner() or age_ms >= OWNER_BEGINS_MS
