--- a/tests/platform/partitions.py
+++ b/tests/platform/partitions.py
@@ -1,9 +1,9 @@
-"""Partitions between single gateways of a test fleet and all engines."""
+"""Partitions between gateways of a test fleet, or from all engines."""
 
 import enum
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from typing import Any
+from typing import Any, TypeVar
 from unittest.mock import patch
 
 from curio import current_task, sleep
@@ -84,7 +84,75 @@
     fleet: PlatformFleet, gateways: set[int], cut: Cut
 ) -> Iterator[Partition]:
     """Cut gateways off from all engines until the end of the context."""
-    made = Partition(fleet, gateways, cut)
+    with _patched(Partition(fleet, gateways, cut)) as made:
+        yield made
+
+
+class PeerPartition:
+    """A partition between gateways; each side reaches engines and store.
+
+    The end of a connection that a gateway has accepted is told by the port
+    from which its peer has connected.
+    """
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        """Start without a partition."""
+        self.cut_off: set[int] = set()
+        self._fleet = fleet
+        self._origins: dict[int, int] = {}
+
+    async def async_connect(
+        self, sock: Socket, address: Any, original: _Connect
+    ) -> None:
+        """Connect, unless the address belongs to the other side."""
+        gateway = await self._async_own_gateway()
+        while self._is_cut(gateway, self._peer_ports().get(address[1])):
+            await sleep(HANG_STEP_S)
+        await original(sock, address)
+        if gateway is not None:
+            local_port = sock._socket.getsockname()[1]  # noqa: SLF001
+            self._origins[local_port] = gateway
+
+    async def async_receive(
+        self, sock: Socket, limit: int, original: _Receive
+    ) -> bytes:
+        """Receive, unless the sender belongs to the other side."""
+        received = await original(sock, limit)
+        gateway = await self._async_own_gateway()
+        port = _peer(sock)[1]
+        sender = self._peer_ports().get(port, self._origins.get(port))
+        while received and self._is_cut(gateway, sender):
+            await sleep(HANG_STEP_S)
+        return received
+
+    async def _async_own_gateway(self) -> int | None:
+        return await self._fleet.async_gateway_of_task(await current_task())
+
+    def _peer_ports(self) -> dict[int, int]:
+        return {
+            gateway.components.membership.own_status.peer_address.port: number
+            for number, gateway in enumerate(self._fleet.gateways)
+        }
+
+    def _is_cut(self, one: int | None, other: int | None) -> bool:
+        if one is None or other is None:
+            return False
+        return (one in self.cut_off) != (other in self.cut_off)
+
+
+@contextmanager
+def peer_partition(fleet: PlatformFleet) -> Iterator[PeerPartition]:
+    """Let a test cut gateways off from each other, by `cut_off`."""
+    with _patched(PeerPartition(fleet)) as made:
+        yield made
+
+
+_AnyPartition = TypeVar('_AnyPartition', Partition, PeerPartition)
+
+
+@contextmanager
+def _patched(made: _AnyPartition) -> Iterator[_AnyPartition]:
+    """Route all connects and reads through a partition."""
     original_connect = Socket.connect
     original_receive = Socket.recv
 
