Tell shares by team and slots in use by speed from the log

`hornbeamdeck explain` could not show whether one team's load or a lack of room refuses the others, and whether slow engines hold the slots.

--- a/hornbeamdeck/explain/log_lines.py
+++ b/hornbeamdeck/explain/log_lines.py
@@ -15,6 +15,7 @@
 INSTANCE_ID: Final = 'instance_id'
 ZONE: Final = 'availability_zone'
 TIMESTAMP: Final = 'timestamp'
+LOAD: Final = 'scheduler: load'
 ROLLOUT_PREFIX: Final = 'rollout: '
 # Logged each second during a roll-out; the steps between tell its course.
 ROLLOUT_PROGRESS: Final = 'rollout: progress'
@@ -32,6 +33,7 @@
     :param zones: availability zone by instance ID, as each instance logged it
         at its start.
     :param rollouts: the steps of all roll-outs, in the order of the file.
+    :param loads: lines in which owners log the load of a service.
     """
 
     by_request: dict[str, list[LogLine]]
@@ -40,6 +42,7 @@
     first_s: float
     zones: dict[str, str]
     rollouts: list[LogLine]
+    loads: list[LogLine]
 
 
 def read_lines(raw: Iterable[str]) -> LogLines:
@@ -48,26 +51,17 @@
     A process that is killed can leave a truncated line. Damaged lines are
     counted and skipped, so that operators can still read the others.
     """
-    by_request: dict[str, list[LogLine]] = defaultdict(list)
-    zones: dict[str, str] = {}
-    rollouts: list[LogLine] = []
-    lines = 0
-    damaged = 0
-    first_s = 0.0
-    for text in raw:
-        if '{' not in text:
-            continue
-        line = _parse(text[text.index('{') :])
-        if line is None:
-            damaged += 1
-            continue
-        lines += 1
-        first_s = first_s or unix_seconds(line)
-        _record_zone(line, zones)
-        rollouts += _rollout_steps(line)
-        if line.get(REQUEST_ID):
-            by_request[str(line[REQUEST_ID])].append(line)
-    return LogLines(dict(by_request), lines, damaged, first_s, zones, rollouts)
+    parsed = [_parse(text[text.index('{') :]) for text in raw if '{' in text]
+    valid = [line for line in parsed if line is not None]
+    return LogLines(
+        by_request=_by_request(valid),
+        lines=len(valid),
+        damaged=len(parsed) - len(valid),
+        first_s=next(filter(None, map(unix_seconds, valid)), 0.0),
+        zones=_zones(valid),
+        rollouts=list(filter(_is_rollout_step, valid)),
+        loads=[line for line in valid if line[EVENT] == LOAD],
+    )
 
 
 def unix_seconds(line: LogLine) -> float:
@@ -82,16 +76,25 @@
     return written.timestamp()
 
 
-def _record_zone(line: LogLine, zones: dict[str, str]) -> None:
-    if line.get(ZONE):
-        zones[str(line.get(INSTANCE_ID))] = str(line[ZONE])
+def _by_request(lines: Iterable[LogLine]) -> dict[str, list[LogLine]]:
+    by_request: dict[str, list[LogLine]] = defaultdict(list)
+    for line in lines:
+        if line.get(REQUEST_ID):
+            by_request[str(line[REQUEST_ID])].append(line)
+    return dict(by_request)
+
+
+def _zones(lines: Iterable[LogLine]) -> dict[str, str]:
+    return {
+        str(line.get(INSTANCE_ID)): str(line[ZONE])
+        for line in lines
+        if line.get(ZONE)
+    }
 
 
-def _rollout_steps(line: LogLine) -> list[LogLine]:
+def _is_rollout_step(line: LogLine) -> bool:
     event: str = line[EVENT]
-    if event.startswith(ROLLOUT_PREFIX) and event != ROLLOUT_PROGRESS:
-        return [line]
-    return []
+    return event.startswith(ROLLOUT_PREFIX) and event != ROLLOUT_PROGRESS
 
 
 def _parse(text: str) -> LogLine | None:
--- a/hornbeamdeck/explain/report.py
+++ b/hornbeamdeck/explain/report.py
@@ -5,6 +5,12 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final, NamedTuple
 
+from hornbeamdeck.explain.load import (
+    SlotUse,
+    TeamOutcomes,
+    slots_in_use,
+    teams_by_requests,
+)
 from hornbeamdeck.explain.log_lines import LogLine, LogLines
 from hornbeamdeck.explain.outcomes import Explained, Outcome
 
@@ -45,6 +51,8 @@
     """Summary of all requests in a log.
 
     :param rollouts: the steps of roll-outs, one text line each.
+    :param teams: how the requests of each team ended.
+    :param slots: slots in use at the times at which requests waited.
     """
 
     lines: int
@@ -52,11 +60,20 @@
     outcomes: dict[str, int]
     causes: list[Cause]
     rollouts: list[str]
+    teams: list[TeamOutcomes]
+    slots: list[SlotUse]
 
     def to_dict(self) -> dict[str, Any]:
         """Return the report as plain values for JSON."""
         causes = [cause._asdict() for cause in self.causes]
-        return {**self._asdict(), 'causes': causes}
+        teams = [team._asdict() for team in self.teams]
+        slots = [use._asdict() for use in self.slots]
+        return {
+            **self._asdict(),
+            'causes': causes,
+            'teams': teams,
+            'slots': slots,
+        }
 
     def to_text(self) -> Iterator[str]:
         """Return the lines of the text report, most frequent cause first."""
@@ -70,17 +87,22 @@
                 yield f'       decided on (medians): {_row(cause.decided_on)}'
             for dimension, counts in cause.by.items():
                 yield f'       by {dimension}: {_row(counts) or "not told"}'
-        if self.rollouts:
-            yield ''
-            yield 'Roll-outs:'
-            yield from self.rollouts
+        yield from _section('Roll-outs:', self.rollouts)
+        if len(self.teams) > 1:
+            teams = [team.to_text() for team in self.teams]
+            yield from _section('Teams:', teams)
+        yield from _section(
+            'Slots in use while requests waited:',
+            [use.to_text() for use in self.slots],
+        )
 
 
 def make_report(logs: LogLines, explained: Iterable[Explained]) -> Report:
     """Count explained requests. Those that were on time have no cause."""
     outcomes: Counter[str] = Counter()
     groups: dict[tuple[str, str], list[Explained]] = defaultdict(list)
-    for each in explained:
+    told = list(explained)
+    for each in told:
         outcomes[each.outcome] += 1
         if each.outcome != Outcome.ON_TIME:
             groups[each.outcome, each.cause].append(each)
@@ -91,6 +113,8 @@
         outcomes=dict(outcomes.most_common()),
         causes=[_to_cause(*key, members) for key, members in ordered],
         rollouts=list(describe_lines(logs.rollouts)),
+        teams=teams_by_requests(told),
+        slots=list(slots_in_use(logs.loads, logs.first_s)),
     )
 
 
@@ -107,6 +131,14 @@
         yield f'{line.get("timestamp", "")} {where} {line["event"]}: {fields}'
 
 
+def _section(title: str, lines: list[str]) -> Iterator[str]:
+    """Return the lines of a part of the report, none if it is empty."""
+    if lines:
+        yield ''
+        yield title
+        yield from lines
+
+
 def _to_cause(outcome: str, cause: str, members: list[Explained]) -> Cause:
     return Cause(
         outcome=str(outcome),
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -233,3 +233,31 @@
     by = make_report(logs, explain_all(logs)).causes[0].by
     assert by['instance'] == {'front-1': 1, 'front-2': 1}
     assert by['zone'] == {'z1': 1}
+
+
+def test_report_tells_how_much_of_each_team_is_served() -> None:
+    """Guards against one team's load that can't be told from a lack of room."""
+    refused = _line(FAILED, 'r2', code='overloaded', team='guides')
+    logs = read_lines(
+        [_answered(), refused, _answered(request_id='r3', team='desk')]
+    )
+    report = make_report(logs, explain_all(logs))
+    assert [team.to_text().strip() for team in report.teams] == [
+        '2 guides: on time 50%, refused 50%',
+        '1 desk: on time 100%',
+    ]
+
+
+def test_report_tells_which_slots_are_in_use() -> None:
+    """Guards against full engines that can't be told from slow ones."""
+    engines = {'e1': [3, 4, 0.7], 'e2': [4, 4, 3.0]}
+    logs = read_lines(
+        [
+            _line('scheduler: load', cell='desk', waiting=0, engines=engines),
+            _line('scheduler: load', cell='desk', waiting=9, engines=engines),
+        ]
+    )
+    report = make_report(logs, explain_all(logs))
+    assert [use.to_text().strip() for use in report.slots] == [
+        '0 s desk: 9 waiting, fast 3 of 4, slow 4 of 4'
+    ]
