--- a/bench/replay.py
+++ b/bench/replay.py
@@ -603,7 +603,7 @@
 
 def _make_cell(plan: LoadPlan, instances: list[str]) -> EngineCell:
     quotas = TokenQuotas(
-        QuotaView(lambda _team, _now: 0, lambda: True, lambda: 1.0),
+        QuotaView(lambda _team, _now: (), lambda: True, lambda: 1.0),
         QuotaRules(window_ms=8000, slack=0),
         is_first_start=True,
     )
