Let teams go on with their rate after a change of the owner

Starting buckets empty and refilling only a part of the rate refused teams far below their limits for half a second after each change of the owner; eight fleet tests that lose the owner failed (429, "the team is over its limit"). A new owner refills the whole rate and starts with a tenth of the slack, no more than the reports leave. The tests of several owners hold as before.

--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -168,7 +168,7 @@
         team = self._shared.teams.get(request.team)
         if reason == RefusalReason.TEAM_LIMIT and team is not None:
             need = _need_of(request)
-            return self._shared.quotas.retry_after_ms(team, need, now)
+            return self._shared.quotas.retry_after_ms(team, need)
         return self._retry_schedule.assign(
             request.fingerprint,
             self._wait_queue.time_to_empty_ms(),
--- a/hornbeamdeck/scheduling/moved_runs.py
+++ b/hornbeamdeck/scheduling/moved_runs.py
@@ -12,8 +12,9 @@
 
 __all__ = ('MovedRuns',)
 
-# All ingresses have heard of the new owner by then.
-HOLD_MS: Final = 2000.0
+# All ingresses have heard of the new owner by then: heartbeats are at most this
+# far apart.
+HOLD_MS: Final = 1000.0
 
 
 class MovedRuns:
--- a/hornbeamdeck/scheduling/owner_share.py
+++ b/hornbeamdeck/scheduling/owner_share.py
@@ -11,23 +11,22 @@
 
 __all__ = ('OwnerShare',)
 
-# Part of the overage for what two owners grant until both know that the fleet
-# is partitioned. The rest is added to the share of an owner that serves most
-# instances, so that a few that are down do not lower every limit.
-OVERLAP_OVERAGE_SHARE: Final = 0.5
+# Part of the overage that is added to the share of an owner that serves most
+# instances, so that a few that are down do not lower every limit. The rest is
+# for what two owners grant until both know that the fleet is partitioned.
+MAJORITY_OVERAGE_SHARE: Final = 0.5
 # At most one owner serves more than this share of the fleet.
 MAJORITY_SHARE: Final = 0.5
 
 
 class OwnerShare:
-    """The share of this process, and the rate at which it may be used."""
+    """The share of this process, and since when it is the owner."""
 
     def __init__(
         self,
         served: Callable[[], float],
         overlap_ms: Callable[[], float],
         overage: float,
-        window_ms: float,
         *,
         is_first_start: bool,
     ) -> None:
@@ -43,7 +42,6 @@
         self._served = served
         self._overlap_ms = overlap_ms
         self._overage = overage
-        self._window_ms = window_ms
         self._owner_since_ms = -math.inf if is_first_start else math.inf
 
     @property
@@ -52,8 +50,7 @@
         served = self._served()
         if served <= MAJORITY_SHARE:
             return served
-        added = self._overage * (1 - OVERLAP_OVERAGE_SHARE)
-        return min(served + added, 1)
+        return min(served + self._overage * MAJORITY_OVERAGE_SHARE, 1)
 
     def start(self, now: float) -> None:
         """Record that this process acts as the owner."""
@@ -66,15 +63,3 @@
     def is_overlap_over(self, now: float) -> bool:
         """Whether a former owner counts none of the instances served here."""
         return self._overlap_ms() <= max(now - self._owner_since_ms, 0)
-
-    def refill_share(self, now: float) -> float:
-        """Return the share of each limit's rate that is refilled now.
-
-        While a former owner may still refill the whole rate, this process adds
-        only what fits in its part of the overage.
-        """
-        if self.is_overlap_over(now):
-            return self.share
-        overlap_overage = self._overage * OVERLAP_OVERAGE_SHARE
-        share = overlap_overage * self._window_ms / self._overlap_ms()
-        return min(self.share, share)
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -5,9 +5,9 @@
 nor too little. If too little were refused, the other teams would wait behind
 the excess.
 
-Owners change while teams spend. A new owner starts each bucket empty, which is
-safe whatever its predecessor granted. When all instances have reported to it
-what they spent, it adds what the limit has left.
+Owners change while teams spend. A new owner starts each bucket almost empty,
+which is safe whatever its predecessor granted. When all instances have reported
+to it what they spent, it adds what the limit has left.
 """
 
 from collections.abc import Callable, Sequence
@@ -34,6 +34,9 @@
 # burst. The remainder refills the buckets a little faster than the team's rate.
 BURST_SHARE: Final = 0.3
 MIN_RETRY_MS: Final = 100
+# Part of the slack with which a new owner starts each bucket, for four owners
+# in a window.
+START_SLACK_SHARE: Final = (1 - USED_SLACK_SHARE) / 4
 # Refill that the time of a retry is computed with if there is none now, as for
 # an owner without instances.
 MIN_REFILL_PER_MS: Final = 1.0
@@ -175,7 +178,6 @@
             view.share,
             view.overlap_ms,
             rules.overage,
-            rules.window_ms,
             is_first_start=is_first_start,
         )
         self._buckets: dict[str, _Bucket] = {}
@@ -199,7 +201,7 @@
         ):
             return True
         missing = tokens + tokens_ahead - bucket.level
-        return missing <= need.max_wait_ms * self._refill_per_ms(team, now)
+        return missing <= need.max_wait_ms * self._refill_per_ms(team)
 
     def add_waiting(self, team: str, need: TokenNeed) -> None:
         """Count a request among those that wait for a team's tokens."""
@@ -237,16 +239,14 @@
         self._is_first_start = False
         self._share.reset()
 
-    def retry_after_ms(
-        self, team: GatewayTeam, need: TokenNeed, now: float
-    ) -> int:
+    def retry_after_ms(self, team: GatewayTeam, need: TokenNeed) -> int:
         """Return the time until a request's tokens are available."""
         bucket = self._buckets.get(team.name)
         if bucket is None:
             return MIN_RETRY_MS
         missing = min(need.tokens, self._capacity(team)) - bucket.level
         missing += self._tokens_ahead(team, need.rank)
-        refill_per_ms = max(self._refill_per_ms(team, now), MIN_REFILL_PER_MS)
+        refill_per_ms = max(self._refill_per_ms(team), MIN_REFILL_PER_MS)
         return max(int(missing / refill_per_ms) + 1, MIN_RETRY_MS)
 
     def describe(self, team: str) -> str:
@@ -261,12 +261,12 @@
         self._share.start(now)
         bucket = self._buckets.get(team.name)
         if bucket is None:
-            level = self._capacity(team) if self._is_first_start else 0.0
+            level = self._initial_level(team, now)
             bucket = _Bucket(level, now, is_derived=self._is_first_start)
             self._buckets[team.name] = bucket
         drain_share = 1 - self._share.share
         bucket.fill(
-            self._refill_per_ms(team, now),
+            self._refill_per_ms(team),
             self._rules.refill_per_ms(team) * drain_share,
             self._capacity(team),
             now,
@@ -313,9 +313,19 @@
     def _capacity(self, team: GatewayTeam) -> float:
         return self._rules.capacity(team) * self._share.share
 
-    def _refill_per_ms(self, team: GatewayTeam, now: float) -> float:
-        share = self._share.refill_share(now)
-        return self._rules.refill_per_ms(team) * share
+    def _refill_per_ms(self, team: GatewayTeam) -> float:
+        return self._rules.refill_per_ms(team) * self._share.share
+
+    def _initial_level(self, team: GatewayTeam, now: float) -> float:
+        """Return what a team surely has left when this owner starts to count.
+
+        A new owner does not know what was granted since the last reports.
+        Its small start lets teams go on that use a part of their rate.
+        """
+        if self._is_first_start:
+            return self._capacity(team)
+        left = _level_after(self._view.spent(team.name, now), self._rules, team)
+        return max(min(left, self._rules.slack * START_SLACK_SHARE), 0)
 
 
 def _level_after(
--- a/tests/scheduling/test_token_quota.py
+++ b/tests/scheduling/test_token_quota.py
@@ -56,7 +56,7 @@
     limits = make_quotas()
     limits.spend(make_team(), 1000, 0)
     assert not limits.spend(make_team(), 500, 100)
-    wait_ms = limits.retry_after_ms(make_team(), TokenNeed(500, 0), 100)
+    wait_ms = limits.retry_after_ms(make_team(), TokenNeed(500, 0))
     assert not limits.spend(make_team(), 500, 100 + wait_ms - 10)
     assert limits.spend(make_team(), 500, 100 + wait_ms)
 
