Hold what callers don't read instead of holding the engine's slot

A caller that didn't read its stream stopped the relay: the engine could not send, and its slot stayed occupied.

Responses of a gateway are written through a spool. Bytes go to the socket at once while it takes them; the rest is held and written by a task of its own, and the slot is released when the engine has ended. What is held counts toward a budget; beyond its share the engine is not read, and the slowest of the least urgent callers that have stalled is disconnected. An engine that cuts off a response that its caller does not read is not recorded as failed.

New optional setting memory_mb.

--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -1,7 +1,7 @@
 """The server side of an HTTP connection."""
 
 import struct
-from typing import Final
+from typing import Final, Protocol
 
 import h11
 from curio import socket
@@ -18,12 +18,24 @@
 )
 from hornbeamdeck.connection.reader import ReadLimits, RequestReader
 
-__all__ = ('ServerConnection',)
+__all__ = ('Outlet', 'ServerConnection', 'async_reset_connection')
 
 WRITE_TIMEOUT_MS: Final = 30_000
 LINGER_MS: Final = 2000
 
 
+class Outlet(Protocol):
+    """Writes a response to the caller, at the caller's pace."""
+
+    async def async_write(
+        self, encoded: bytes, *, is_last: bool
+    ) -> Result[None, ConnectionBroken]:
+        """Accept bytes; return when more may be written.
+
+        :param is_last: whether these bytes end the response.
+        """
+
+
 class ServerConnection:
     """Reads requests from one connection and writes the responses."""
 
@@ -38,6 +50,7 @@
         """
         read_limits = limits or ReadLimits()
         self._sock = sock
+        self._outlet: Outlet | None = None
         self._is_closing = False
         self._is_head_request = False
         self._protocol = h11.Connection(
@@ -46,6 +59,11 @@
         )
         self._reader = RequestReader(sock, self._protocol, read_limits)
 
+    @property
+    def sock(self) -> socket.socket:
+        """The connected socket, for an outlet."""
+        return self._sock
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request can be read from this connection."""
@@ -59,6 +77,15 @@
         """Whether a response has begun on this connection."""
         return self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}
 
+    @property
+    def is_response_complete(self) -> bool:
+        """Whether a response has been written to its end."""
+        return self._protocol.our_state in {h11.DONE, h11.MUST_CLOSE}
+
+    def write_through(self, outlet: Outlet | None) -> None:
+        """Write through an outlet from now on; `None`: write to the socket."""
+        self._outlet = outlet
+
     def close_after_response(self) -> None:
         """Send `connection: close` with the next response.
 
@@ -94,7 +121,7 @@
         if response.body and not self._is_head_request:
             encoded += self._protocol.send(h11.Data(data=response.body)) or b''
         encoded += self._protocol.send(h11.EndOfMessage()) or b''
-        return await self._async_write(encoded)
+        return await self._async_write(encoded, is_last=True)
 
     async def async_start_response(
         self,
@@ -116,6 +143,7 @@
         """Write the end of a complete body."""
         return await self._async_write(
             self._protocol.send(h11.EndOfMessage()) or b'',
+            is_last=True,
         )
 
     def reset_on_close(self) -> None:
@@ -154,7 +182,11 @@
     async def _async_write(
         self,
         encoded: bytes,
+        *,
+        is_last: bool = False,
     ) -> Result[None, ConnectionBroken]:
+        if self._outlet is not None:
+            return await self._outlet.async_write(encoded, is_last=is_last)
         try:
             await async_with_timeout(
                 WRITE_TIMEOUT_MS, self._sock.sendall(encoded)
@@ -162,3 +194,15 @@
         except (OSError, TaskTimeout) as error:
             return Err(ConnectionBroken(repr(error)))
         return Ok(None)
+
+
+async def async_reset_connection(connection: ServerConnection) -> None:
+    """Reset a connection and end the task that serves its request.
+
+    The task sees the same end as after a disconnect by the caller.
+    """
+    connection.reset_on_close()
+    try:
+        await connection.sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
--- /dev/null
+++ b/hornbeamdeck/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that is held for callers, engines and other instances."""
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -31,6 +31,8 @@
 from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.membership.membership import STATE_DRAINING
 from hornbeamdeck.membership.peer_server import make_peer_server
+from hornbeamdeck.memory.budget import MemoryBudget
+from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
@@ -88,6 +90,7 @@
         )
         self.is_draining = False
         self.in_flight = 0
+        self.spools = Spools(MemoryBudget.from_settings(settings.memory_mb))
         self.dialer = EngineDialer(
             self.components.identity,
             settings.availability_zone,
@@ -167,6 +170,8 @@
             availability_zone=settings.availability_zone,
             incarnation=self.components.membership.own_status.incarnation,
             is_first_start=settings.is_first_start,
+            memory_mb=settings.memory_mb,
+            budget_bytes=self.spools.budget.budget_bytes,
         )
 
     async def async_stop(self) -> int:
@@ -269,6 +274,7 @@
             ).async_start,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
+            spools=self.spools,
             zone=self.settings.availability_zone,
             is_draining=lambda: self.is_draining,
             shutdown_progress=self._elapsed_grace_share,
--- a/hornbeamdeck/process/gateway_settings.py
+++ b/hornbeamdeck/process/gateway_settings.py
@@ -91,6 +91,10 @@
             vol.Range(min=0, max=MAX_PORT),
         ),
         vol.Optional('log_level', default='info'): vol.In(LOG_LEVELS),
+        vol.Optional('memory_mb', default=None): vol.Any(
+            None,
+            vol.All(vol.Coerce(float), vol.Range(min=0, min_included=False)),
+        ),
         vol.Required('bounds'): BOUNDS_SCHEMA,
         vol.Optional('rollouts', default=None): _check_rollouts,
     },
@@ -155,6 +159,7 @@
     :param metrics_port: where metrics are served; 0 lets the system choose.
     :param cores: processor share, used as this instance's weight in the choice
         of owners.
+    :param memory_mb: memory that the process may use; `None`: not stated.
     :param rollouts: limits of new versions; `None`: the deployment has no
         roll-outs.
     """
@@ -172,6 +177,7 @@
     cores: float
     metrics_port: int
     log_level: str
+    memory_mb: float | None
     bounds: Bounds
     rollouts: RolloutBounds | None
 
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -267,6 +267,8 @@
         self.event_count += len(unsent)
         encoded = b''.join(event.encoded for event in unsent)
         relayed = await self._caller.async_send_chunk(encoded)
+        # A caller that holds back the relay must not make its engine look slow.
+        self._last_event_ms = now_ms()
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
 
     def _record_broken(self, broken: ConnectionBroken) -> RunEnd:
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -9,6 +9,7 @@
 from hornbeamdeck.connection.connection_pool import ConnectionPool
 from hornbeamdeck.engines.engine_dialer import EngineDialer
 from hornbeamdeck.engines.send_guard import SendGuard
+from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_request import (
     Dialect,
@@ -48,6 +49,7 @@
         relayed by; empty: none.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
+    :param spools: hold what callers have not read yet.
     :param zone: this instance's availability zone.
     :param is_draining: whether a graceful shutdown has begun.
     :param shutdown_progress: elapsed share of a graceful shutdown; 0 if none
@@ -68,6 +70,7 @@
     check_engine: Callable[[Grant, str], Awaitable[None]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
+    spools: Spools
     zone: str
     is_draining: Callable[[], bool]
     shutdown_progress: Callable[[], float]
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -28,6 +28,11 @@
     attempt_fields,
     freshness_fields,
 )
+from hornbeamdeck.request.response_delivery import (
+    ResponseDelivery,
+    open_delivery,
+    unread,
+)
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
 
 __all__ = ('async_run_gateway_request',)
@@ -80,17 +85,31 @@
     However it ends, the caller gets exactly one final response, or its
     connection is broken.
     """
-    run = GatewayRun(context, admission, caller)
-    failure: Failure | None = None
+    async with open_delivery(context.spools, admission, caller) as delivery:
+        run = GatewayRun(context, admission, caller, delivery)
+        try:
+            failure = await _async_run_in_time(run, admission, caller)
+            if failure is None:
+                failure = await delivery.async_complete()
+            else:
+                await delivery.async_break_off()
+        except BaseException:
+            run.log('caller left', code=delivery.left_code)
+            raise
+        if failure is None:
+            run.log('request answered')
+        else:
+            await run.async_fail(failure)
+
+
+async def _async_run_in_time(
+    run: 'GatewayRun', admission: GatewayAdmission, caller: ServerConnection
+) -> Failure | None:
     try:
-        failure = await async_with_timeout(admission.left_ms, run.async_run())
+        return await async_with_timeout(admission.left_ms, run.async_run())
     except TaskTimeout:
-        failure = run.timeout_failure()
-    except BaseException:
-        run.log('caller left', code='caller_left')
-        raise
-    if failure is not None:
-        await run.async_fail(failure)
+        # The deadline may pass just after the end of the response was written.
+        return None if caller.is_response_complete else run.timeout_failure()
 
 
 class GatewayRun:
@@ -101,11 +120,13 @@
         context: GatewayContext,
         admission: GatewayAdmission,
         caller: ServerConnection,
+        delivery: ResponseDelivery,
     ) -> None:
         """Initialize; no grant has been requested yet."""
         self._context = context
         self._admission = admission
         self._caller = caller
+        self._delivery = delivery
         self._attempts = _Attempts()
         self._engine_attempts = EngineAttempts(context, admission, caller)
         self._engine = ''
@@ -115,8 +136,8 @@
     async def async_run(self) -> Failure | None:
         """Send the request to engines until one answers or none is allowed.
 
-        :returns: the failure that the caller is still to get; `None` if it
-            has got its response.
+        :returns: the failure that the caller is still to get; `None` if its
+            response is complete. The caller may not have read all of it yet.
         """
         while True:
             granted = await self._async_grant()
@@ -233,7 +254,7 @@
             if isinstance(outcome, WithholdReason):
                 withheld = outcome
             else:
-                end = outcome
+                end = self._delivery.attribute(outcome)
         finally:
             await self._engine_attempts.async_close(end)
             await self._context.release_grant(
@@ -326,10 +347,11 @@
             return await self._async_handle_refusal(engines_unreachable())
         response = self._engine_attempts.response
         if end == RunEnd.ANSWERED or response is not None:
-            self.log('request answered')
             if response is not None:
                 await self._caller.async_respond(response)
             return None
+        if self._delivery.is_broken:
+            return unread()
         return Unknown(
             HTTPStatus.BAD_GATEWAY,
             'engine_broken',
--- /dev/null
+++ b/hornbeamdeck/request/response_delivery.py
@@ -0,0 +1,129 @@
+"""Delivers a response to its caller after its run has ended."""
+
+from http import HTTPStatus
+from typing import Final, Self
+
+from result import Err
+
+from hornbeamdeck.connection.server import (
+    ServerConnection,
+    async_reset_connection,
+)
+from hornbeamdeck.memory.spool import Spool, SpoolTerms
+from hornbeamdeck.memory.spools import Spools
+from hornbeamdeck.request.gateway_admission import GatewayAdmission
+from hornbeamdeck.request.outcome import Unknown
+from hornbeamdeck.wire import RunEnd
+
+__all__ = ('ResponseDelivery', 'open_delivery', 'unread')
+
+# A caller that reads nothing for less than this has not stalled, however short
+# the gaps are that its route allows.
+MIN_STALL_MS: Final = 2000
+# How long a caller whose deadline has passed may read nothing of a response
+# that is complete.
+MAX_UNREAD_MS: Final = 30_000
+# Engines cut off responses that are not read for some seconds. A response that
+# breaks after less than this has broken for another reason.
+MAX_HELD_BACK_MS: Final = 1000
+CODE_LEFT: Final = 'caller_left'
+CODE_UNREAD: Final = 'caller_too_slow'
+
+
+class ResponseDelivery:
+    """What the caller of one request has not read yet.
+
+    The engine's slot is released when the engine has ended; the request ends
+    when its caller has read the response.
+    """
+
+    def __init__(
+        self, spool: Spool, caller: ServerConnection, deadline_ms: float
+    ) -> None:
+        """Initialize; the response has not begun.
+
+        :param deadline_ms: of the request, on this process's clock.
+        """
+        self._spool = spool
+        self._caller = caller
+        self._deadline_ms = deadline_ms
+        # Whether an engine has cut off the response since it was not read.
+        self._is_cut_off = False
+
+    async def __aenter__(self) -> Self:
+        """Write the response through the spool."""
+        await self._spool.__aenter__()
+        self._caller.write_through(self._spool)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Drop what the caller has not read."""
+        self._caller.write_through(None)
+        await self._spool.__aexit__()
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the response has ended early because of its caller."""
+        return self._is_cut_off or self._spool.broken is not None
+
+    @property
+    def left_code(self) -> str:
+        """Why the run was cancelled: by its caller, or for its caller."""
+        broken = self._spool.broken
+        return CODE_UNREAD if broken and broken.is_timeout else CODE_LEFT
+
+    def attribute(self, end: RunEnd) -> RunEnd:
+        """Return how an attempt has ended, without what its caller caused.
+
+        An engine that is not read for some seconds, since its caller does not
+        read, cuts off its response. That is no failure of the engine.
+        """
+        is_cut_off = self._spool.held_back_ms > MAX_HELD_BACK_MS
+        if end == RunEnd.FAILED and is_cut_off:
+            self._is_cut_off = True
+            return RunEnd.CANCELLED
+        return end
+
+    async def async_complete(self) -> Unknown | None:
+        """Wait until the caller has read a complete response.
+
+        It is delivered also after its deadline, for as long as it is read.
+
+        :returns: the failure if the caller does not read it.
+        """
+        flushed = await self._spool.async_flush(
+            self._deadline_ms, MAX_UNREAD_MS
+        )
+        return unread() if isinstance(flushed, Err) else None
+
+    async def async_break_off(self) -> None:
+        """Wait until the caller has read what there is of a response."""
+        await self._spool.async_flush(
+            self._deadline_ms, self._spool.terms.stall_ms
+        )
+
+
+def open_delivery(
+    spools: Spools, admission: GatewayAdmission, caller: ServerConnection
+) -> ResponseDelivery:
+    """Make the delivery of an admitted request's response."""
+
+    async def _async_reset() -> None:
+        await async_reset_connection(caller)
+
+    terms = SpoolTerms(
+        request_id=admission.request.request_id,
+        rank=admission.rank,
+        stall_ms=max(admission.route.gap_ms, MIN_STALL_MS),
+    )
+    spool = spools.open(caller.sock, terms, _async_reset)
+    return ResponseDelivery(spool, caller, admission.deadline_ms)
+
+
+def unread() -> Unknown:
+    """Make the failure of a request whose caller does not read."""
+    return Unknown(
+        HTTPStatus.BAD_GATEWAY,
+        CODE_UNREAD,
+        'the caller did not read its response',
+    )
--- /dev/null
+++ b/tests/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the memory that is held for peers."""
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -22,7 +22,7 @@
         'control': '10.0.0.1:1',
     },
     'platform': {'address': '10.0.0.9:5'},
-    'limits': {'cpu_share': 0.731},
+    'limits': {'cpu_share': 0.731, 'memory_mb': 152},
     'bounds': {
         'stability_ms': 3000,
         'drain_ms': 2000,
@@ -59,6 +59,7 @@
     assert settings.bounds.grace_ms == 8500
     assert str(settings.entries_address) == '10.0.0.1:4'
     assert settings.rollouts is not None
+    assert settings.memory_mb == 152
     port, _, path = role['metrics'].partition('/')
     assert int(port) == settings.metrics_port
     assert path == 'metrics'
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,6 +29,7 @@
 # lives as long as the process can then change without them.
 LOWER_PACKAGES = {
     'connection': ('clock', 'const', 'hybrid_clock', 'wire'),
+    'memory': ('clock', 'connection', 'const'),
     'scheduling': ('const', 'version', 'wire'),
     'version': ('connection', 'const'),
     'wire': (),
