Test the budget for unread responses and deliver broken ones to their end

Before the connection of a broken response is reset, its caller now gets until the deadline to read what was received. Callers that read as events come see no difference: nothing was ever held for them.

--- a/hornbeamdeck/memory/spool.py
+++ b/hornbeamdeck/memory/spool.py
@@ -1,7 +1,10 @@
 """Holds what a caller has not read yet of its response."""
 
 import os
+from array import array
 from collections import deque
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import Final, NamedTuple, Protocol, Self, TypeAlias
 
 from curio import Event, Task, sleep, socket, spawn
@@ -10,6 +13,7 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.errors import ConnectionBroken
+from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('Room', 'Spool', 'SpoolTerms')
 
@@ -18,6 +22,7 @@
 # Interval at which a response that waits for room looks for it again. What its
 # own caller reads wakes it at once.
 ROOM_CHECK_MS: Final = 50
+SOCKET_CHECK_MS: Final = 20
 
 _Written: TypeAlias = Result[None, ConnectionBroken]
 _WRITTEN: Final[_Written] = Ok(None)
@@ -78,12 +83,13 @@
         """
         self.terms = terms
         self.broken: ConnectionBroken | None = None
+        # What the caller has not read yet.
+        self.held_bytes = 0
         # How long the engine was not read since there was no room.
         self.held_back_ms = 0.0
         self._sock = sock
         self._room = room
         self._chunks: deque[bytearray] = deque()
-        self._held_bytes = 0
         self._progress = Event()
         self._writer: Task | None = None
         self._held_since_ms = 0.0
@@ -102,14 +108,9 @@
         if writer is not None:
             await writer.cancel()
 
-    @property
-    def held_bytes(self) -> int:
-        """How many bytes the caller has not read yet."""
-        return self._held_bytes
-
     def stalled_ms(self, now: float) -> float:
         """Return for how long the caller has read nothing of what is held."""
-        return now - self._progressed_ms if self._held_bytes else 0
+        return now - self._progressed_ms if self.held_bytes else 0
 
     def bytes_per_ms(self, now: float) -> float:
         """Return how fast the caller reads since something is held for it."""
@@ -127,7 +128,7 @@
         if self.broken is not None:
             return Err(self.broken)
         unsent: bytes | memoryview = encoded
-        if not self._held_bytes:
+        if not self.held_bytes:
             sent = self._send_now(encoded)
             if sent == len(encoded):
                 return _WRITTEN
@@ -145,7 +146,7 @@
             goes on reading.
         :param stall_ms: how long it may then read nothing.
         """
-        while self._held_bytes and self.broken is None:
+        while self.held_bytes and self.broken is None:
             end_ms = max(until_ms, self._progressed_ms + stall_ms)
             if now_ms() >= end_ms:
                 self.break_off('the caller does not read its response')
@@ -154,6 +155,19 @@
             await self._async_wait_for_progress(end_ms - now_ms())
         return _WRITTEN if self.broken is None else Err(self.broken)
 
+    async def async_flush_socket(self, until_ms: float) -> None:
+        """Wait until the caller's system has what the socket has taken.
+
+        A reset discards what it has not. Returns at once if the caller has
+        read its response as it came.
+        """
+        while (
+            self._taken_bytes
+            and now_ms() < until_ms
+            and _has_unsent(self._sock)
+        ):
+            await sleep(SOCKET_CHECK_MS / MILLIS_PER_SECOND)
+
     def break_off(self, cause: str) -> None:
         """Drop what is held and accept nothing more."""
         if self.broken is None:
@@ -173,7 +187,7 @@
             return 0
 
     async def _async_hold(self, unsent: bytes | memoryview) -> None:
-        if not self._held_bytes:
+        if not self.held_bytes:
             self._held_since_ms = now_ms()
             self._progressed_ms = self._held_since_ms
             self._taken_bytes = 0
@@ -190,7 +204,7 @@
         self._room.count_without_room()
         waiting_ms = now_ms()
         try:
-            while self._held_bytes and self.broken is None:
+            while self.held_bytes and self.broken is None:
                 await self._async_wait_for_progress(ROOM_CHECK_MS)
                 if await self._room.async_make(self):
                     return
@@ -231,15 +245,25 @@
         if not self._chunks or len(self._chunks[-1]) > CHUNK_BYTES:
             self._chunks.append(bytearray())
         self._chunks[-1].extend(unsent)
-        self._held_bytes += len(unsent)
+        self.held_bytes += len(unsent)
         self._room.hold(len(unsent))
 
     def _count_taken(self, taken: int) -> None:
         # Nothing is held any more if the spool was broken off meanwhile.
-        dropped = min(taken, self._held_bytes)
-        self._held_bytes -= dropped
+        dropped = min(taken, self.held_bytes)
+        self.held_bytes -= dropped
         self._room.drop(dropped)
 
     def _drop(self) -> None:
         self._chunks.clear()
-        self._count_taken(self._held_bytes)
+        self._count_taken(self.held_bytes)
+
+
+def _has_unsent(sock: socket.socket) -> bool:
+    """Return whether bytes were written that the other side does not have."""
+    unsent = array('i', [0])
+    try:
+        ioctl(sock.fileno(), TIOCOUTQ, unsent)
+    except OSError:
+        return False
+    return bool(unsent[0])
--- a/hornbeamdeck/request/response_delivery.py
+++ b/hornbeamdeck/request/response_delivery.py
@@ -3,8 +3,9 @@
 from http import HTTPStatus
 from typing import Final, Self
 
-from result import Err
+from result import Err, Ok
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.server import (
     ServerConnection,
     async_reset_connection,
@@ -98,9 +99,11 @@
 
     async def async_break_off(self) -> None:
         """Wait until the caller has read what there is of a response."""
-        await self._spool.async_flush(
-            self._deadline_ms, self._spool.terms.stall_ms
-        )
+        stall_ms = self._spool.terms.stall_ms
+        flushed = await self._spool.async_flush(self._deadline_ms, stall_ms)
+        if isinstance(flushed, Ok):
+            until_ms = max(self._deadline_ms, now_ms() + stall_ms)
+            await self._spool.async_flush_socket(until_ms)
 
 
 def open_delivery(
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -1,13 +1,18 @@
 """Tests of callers that read their responses slowly or not at all."""
 
+from collections.abc import Callable
 from typing import Final
 
 from curio import TaskGroup
+from result import Err
 
 from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.const import MEBIBYTE
+from hornbeamdeck.memory.budget import MemoryBudget, Purpose
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
+    load_at,
     make_request,
     on_platform,
 )
@@ -40,18 +45,17 @@
 
     def __init__(self, name: str) -> None:
         super().__init__(name, events=EVENTS)
+        # The engine ends at this event of a stream.
+        self.cut_at = 0
         self._padding = b'x' * EVENT_BYTES
 
-    @property
-    def is_running(self) -> bool:
-        """Return whether any request runs."""
-        return bool(self._room.running)
-
     def shorten(self) -> None:
         """Run requests that start from now on with few events."""
         self.events = 3
 
     def _event(self, number: int) -> bytes:
+        if number == self.cut_at:
+            raise ConnectionError
         return super()._event(number).rstrip() + self._padding + b'\n\n'
 
 
@@ -69,7 +73,17 @@
     )
 
 
-async def _async_fill_slots(fleet: PlatformFleet) -> list[ClientConnection]:
+def _are_slots_free(fleet: PlatformFleet) -> bool:
+    """Return whether all slots have been released."""
+    return not any(
+        load_at(fleet.gateways[0], engine).runs
+        for engine in fleet.model_engines
+    )
+
+
+async def _async_fill_slots(
+    fleet: PlatformFleet, on_wait: Callable[[], None] | None = None
+) -> list[ClientConnection]:
     """Occupy all slots with streams of 5 MB whose callers don't read.
 
     Streams that start later are short.
@@ -86,12 +100,21 @@
     )
     for engine in engines:
         engine.shorten()
-    await fleet.async_until(
-        lambda: not any(engine.is_running for engine in engines)
-    )
+
+    def _have_ended() -> bool:
+        if on_wait is not None:
+            on_wait()
+        return _are_slots_free(fleet)
+
+    await fleet.async_until(_have_ended)
     return callers
 
 
+def _held_bytes(fleet: PlatformFleet) -> int:
+    budget = fleet.gateways[0].spools.budget
+    return budget.held_bytes(Purpose.UNREAD_RESPONSES)
+
+
 async def _async_read_all(connection: ClientConnection) -> int:
     """Read a response; return the length of its body."""
     (await connection.async_read_head()).unwrap()
@@ -107,6 +130,13 @@
     return response.status
 
 
+async def _async_expect_answers(fleet: PlatformFleet) -> None:
+    async with TaskGroup() as calls:
+        for number in range(SLOTS):
+            await calls.spawn(_async_call, fleet, number)
+    assert calls.results == [200] * SLOTS
+
+
 @on_platform()
 async def test_callers_that_do_not_read_leave_slots_free(
     fleet: PlatformFleet,
@@ -118,10 +148,70 @@
     of all others were refused.
     """
     callers = await _async_fill_slots(fleet)
-    async with TaskGroup() as calls:
-        for number in range(SLOTS):
-            await calls.spawn(_async_call, fleet, number)
-    assert calls.results == [200] * SLOTS
+    await _async_expect_answers(fleet)
     for caller in callers:
         assert await _async_read_all(caller) > EVENTS * EVENT_BYTES
         await caller.async_close()
+
+
+@on_platform()
+async def test_stalled_callers_are_disconnected_when_memory_is_short(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against slots and memory that callers hold without reading.
+
+    All that eight callers don't read does not fit. Without an end of some of
+    them, the engines of the others could not be read for as long as they wait.
+    """
+    spools = fleet.gateways[0].spools
+    spools.budget = MemoryBudget(4 * MEBIBYTE)
+    share_bytes = spools.budget.share_bytes(Purpose.UNREAD_RESPONSES)
+    highest = [0]
+
+    def _watch() -> None:
+        highest.append(_held_bytes(fleet))
+
+    callers = await _async_fill_slots(fleet, _watch)
+    assert 0 < spools.disconnected_callers < SLOTS
+    assert max(highest) < share_bytes + SLOTS * 2 * EVENT_BYTES
+    await _async_expect_answers(fleet)
+    for caller in callers:
+        await caller.async_close()
+    await fleet.async_until(lambda: not fleet.gateways[0].in_flight)
+    assert not _held_bytes(fleet)
+
+
+@on_platform()
+async def test_broken_stream_is_delivered_up_to_its_break(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a late caller that loses what was received for it."""
+    await _async_allow_long_streams(fleet)
+    engine = LargeEngine('desk-l1')
+    engine.cut_at = EVENTS
+    await fleet.async_replace_model_engines([engine])
+    caller = await _async_request_stream(fleet, 'cut')
+    await fleet.async_until(lambda: bool(engine.executed))
+    await fleet.async_until(lambda: _are_slots_free(fleet))
+    assert _held_bytes(fleet) > 0
+    (await caller.async_read_head()).unwrap()
+    received = 0
+    chunk = await caller.async_read_chunk()
+    while chunk.ok():
+        received += len(chunk.unwrap())
+        chunk = await caller.async_read_chunk()
+    assert isinstance(chunk, Err)
+    assert received > (EVENTS - 1) * EVENT_BYTES
+
+
+@on_platform()
+async def test_nothing_is_held_for_a_caller_that_has_left(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against bytes and tasks that outlive their caller."""
+    callers = await _async_fill_slots(fleet)
+    assert _held_bytes(fleet) > 0
+    for caller in callers:
+        await caller.async_close()
+    await fleet.async_until(lambda: not fleet.gateways[0].in_flight)
+    assert not _held_bytes(fleet)
