Count request bodies, tunnels and messages to peers toward the budget

Bodies that are read or kept were bounded one by one only: 4 MB each, for any number of connections. A request without room gets 503 with Retry-After; no byte of it reached an engine. New tunnels are refused as busy without room, and a relay reads 16 KB at a time, so that 256 tunnels hold at most 8 MB.

The queue of messages to a peer had no bound while the peer sent but did not read. A write that takes more than 5 s now breaks the connection, and the peer is reported lost as usual.

New metrics: hornbeamdeck_held_bytes, hornbeamdeck_times_without_room_total, hornbeamdeck_disconnected_callers_total.

--- a/hornbeamdeck/connection/errors.py
+++ b/hornbeamdeck/connection/errors.py
@@ -38,10 +38,16 @@
 
 
 class BadRequest(NamedTuple):
-    """A request that can't be read, and the HTTP status to respond with."""
+    """A request that can't be read, and the HTTP status to respond with.
+
+    :param code: machine-readable name of the reason.
+    :param retry_after_ms: delay before a retry; `None`: it would fail too.
+    """
 
     status: int
     detail: str
+    code: str = 'unreadable'
+    retry_after_ms: int | None = None
 
 
 ReadError: TypeAlias = BadRequest | CallerClosed | ConnectionBroken
--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -12,6 +12,7 @@
 
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.hybrid_clock import HybridClock
@@ -32,6 +33,9 @@
 HANDSHAKE_TIMEOUT_MS: Final = 1000
 NONCE_BYTES: Final = 16
 READ_BYTES: Final = 65536
+# A peer that does not take messages for longer is lost. Without a limit, the
+# queue would grow for as long as the peer sends but does not read.
+WRITE_TIMEOUT_MS: Final = 5000
 
 PeerError: TypeAlias = ConnectFailed | ConnectionBroken
 
@@ -43,6 +47,7 @@
     :param count_bytes: called with the direction (`sent` or `received`) and
         the number of bytes.
     :param clock: stamps sent messages and observes the received stamps.
+    :param outgoing: counts the bytes of messages that peers have not taken.
     """
 
     instance_id: str
@@ -50,6 +55,7 @@
     configuration_version: Callable[[], int]
     count_bytes: Callable[[str, int], None]
     clock: HybridClock
+    outgoing: ByteAccount = Unlimited()
 
 
 class PeerConnection:
@@ -160,7 +166,7 @@
         """
         try:
             await self._async_write_all()
-        except OSError:
+        except (OSError, TaskTimeout):
             return
         finally:
             await self._async_shut_down()
@@ -174,9 +180,19 @@
             frames = self._encode(await self._outbox.get())
             while not self._outbox.empty():
                 frames += self._encode(await self._outbox.get())
-            await self._sock.sendall(frames)
+            await self._async_write_frames(frames)
             self._identity.count_bytes('sent', len(frames))
 
+    async def _async_write_frames(self, frames: bytes) -> None:
+        outgoing = self._identity.outgoing
+        outgoing.hold(len(frames))
+        try:
+            await async_with_timeout(
+                WRITE_TIMEOUT_MS, self._sock.sendall(frames)
+            )
+        finally:
+            outgoing.drop(len(frames))
+
     async def _async_shut_down(self) -> None:
         try:
             await self._sock.shutdown(socket.SHUT_RDWR)
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
 from hornbeamdeck.connection.errors import (
     BadRequest,
     CallerClosed,
@@ -22,6 +23,8 @@
 
 READ_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 32_768
+# Bodies are dropped within seconds; another instance may have room at once.
+NO_ROOM_RETRY_MS: Final = 500
 
 
 class ReadLimits(NamedTuple):
@@ -46,8 +49,13 @@
         sock: socket.socket,
         protocol: h11.Connection,
         limits: ReadLimits,
+        bodies: ByteAccount | None = None,
     ) -> None:
-        """Share the socket and the protocol state with the sending half."""
+        """Share the socket and the protocol state with the sending half.
+
+        :param bodies: counts the bytes of the body that is held.
+        """
+        self._bodies = bodies or Unlimited()
         self._sock = sock
         self._protocol = protocol
         self._limits = limits
@@ -59,6 +67,7 @@
         are limited. Otherwise a caller that sends one byte a minute would hold
         a task and its memory without end.
         """
+        self._bodies.drop()
         try:
             first_byte = await async_with_timeout(
                 self._limits.idle_ms,
@@ -85,8 +94,8 @@
         """Return when the caller has disconnected.
 
         Bytes of the next request that arrive meanwhile are buffered, up to the
-        largest body size. A caller that pipelines more than that is treated as
-        disconnected.
+        largest body size and as long as there is room. A caller that pipelines
+        more than that is treated as disconnected.
         """
         buffered_bytes = 0
         while buffered_bytes <= self._limits.max_body_bytes:
@@ -97,6 +106,9 @@
             if not received:
                 return
             buffered_bytes += len(received)
+            if not self._bodies.has_room(len(received)):
+                return
+            self._bodies.hold(len(received))
             self._protocol.receive_data(received)
 
     async def async_discard_input(self) -> None:
@@ -136,6 +148,8 @@
         request = head.ok_value
         if not isinstance(request, h11.Request):
             return Err(CallerClosed())
+        if not self._bodies.has_room(_stated_length(request)):
+            return Err(_no_room())
         body = await self._async_read_body()
         return body.map(lambda read: _to_request(request, read))
 
@@ -147,7 +161,11 @@
                 return event
             if not isinstance(event.ok_value, h11.Data):
                 return Ok(bytes(body))
-            body += event.ok_value.data
+            received = event.ok_value.data
+            if not self._bodies.has_room(len(received)):
+                return Err(_no_room())
+            self._bodies.hold(len(received))
+            body += received
             if len(body) > self._limits.max_body_bytes:
                 return Err(
                     BadRequest(
@@ -169,6 +187,21 @@
                 return received
 
 
+def _stated_length(head: h11.Request) -> int:
+    """Return the stated length of the body; 0 if it is not stated."""
+    stated = dict(head.headers).get(b'content-length', b'0')
+    return int(stated)
+
+
+def _no_room() -> BadRequest:
+    return BadRequest(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'this instance has no memory for the body now',
+        'no_memory',
+        NO_ROOM_RETRY_MS,
+    )
+
+
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     path, _, query = head.target.decode('ascii').partition('?')
     return HttpRequest(
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -6,6 +6,7 @@
 from curio import Task, current_task, socket, spawn
 from result import Err
 
+from hornbeamdeck.connection.byte_account import ByteAccount
 from hornbeamdeck.connection.errors import BadRequest, ReadError
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.reader import ReadLimits
@@ -24,6 +25,7 @@
     handle_request: RequestHandler,
     to_error_response: ErrorResponseBuilder,
     limits: ReadLimits | None = None,
+    bodies: ByteAccount | None = None,
 ) -> None:
     """Serve requests until the caller closes or the connection must close.
 
@@ -31,8 +33,21 @@
     :param to_error_response: builds the response to a request that can't be
         read.
     :param limits: size and time limits for the caller's requests.
+    :param bodies: counts the bytes that are held of them.
     """
-    connection = ServerConnection(sock, limits)
+    connection = ServerConnection(sock, limits, bodies)
+    try:
+        await _async_serve(connection, handle_request, to_error_response)
+    finally:
+        if bodies is not None:
+            bodies.drop()
+
+
+async def _async_serve(
+    connection: ServerConnection,
+    handle_request: RequestHandler,
+    to_error_response: ErrorResponseBuilder,
+) -> None:
     while True:
         request = await connection.async_read_request()
         if isinstance(request, Err):
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.connection.byte_account import ByteAccount
 from hornbeamdeck.connection.errors import ConnectionBroken, ReadError
 from hornbeamdeck.connection.http import (
     Headers,
@@ -43,10 +44,12 @@
         self,
         sock: socket.socket,
         limits: ReadLimits | None = None,
+        bodies: ByteAccount | None = None,
     ) -> None:
         """Use a connected socket.
 
         :param limits: on the caller's requests; `None`: the defaults.
+        :param bodies: counts the bytes of requests; `None`: nothing does.
         """
         read_limits = limits or ReadLimits()
         self._sock = sock
@@ -57,7 +60,7 @@
             h11.SERVER,
             max_incomplete_event_size=read_limits.max_header_bytes,
         )
-        self._reader = RequestReader(sock, self._protocol, read_limits)
+        self._reader = RequestReader(sock, self._protocol, read_limits, bodies)
 
     @property
     def sock(self) -> socket.socket:
--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -17,12 +17,16 @@
 
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
 from hornbeamdeck.connection.peer import PeerConnection, PeerIdentity
 from hornbeamdeck.wire import OpenTunnel, TunnelAnswer, TunnelResult, message_of
 
 __all__ = ('Relay', 'TunnelSocket', 'async_open_tunnel', 'async_splice')
 
 READ_BYTES: Final = 65_536
+# A relay holds up to this many bytes for each direction of a tunnel, so that
+# the largest number of tunnels stays below 10 MB however slowly they are read.
+SPLICE_BYTES: Final = 16_384
 CHUNK_LENGTH: Final = struct.Struct('>I')
 END_OF_STREAM: Final = CHUNK_LENGTH.pack(0)
 _ANSWERS: Final = MappingProxyType({each.value: each for each in TunnelResult})
@@ -145,24 +149,39 @@
 
 
 async def async_splice(
-    ingress: socket.socket, engine: socket.socket, received: bytes
+    ingress: socket.socket,
+    engine: socket.socket,
+    received: bytes,
+    account: ByteAccount | None = None,
 ) -> None:
     """Pass bytes on in both directions until one side has closed.
 
     :param received: what the ingress has sent already.
+    :param account: counts the bytes that one side has not taken yet.
     """
-    async with TaskGroup(wait=any) as copying:
-        await copying.spawn(_async_copy_to_engine, ingress, engine, received)
-        await copying.spawn(_async_copy_to_ingress, engine, ingress)
+    held = account or Unlimited()
+    try:
+        async with TaskGroup(wait=any) as copying:
+            await copying.spawn(
+                _async_copy_to_engine, ingress, engine, received, held
+            )
+            await copying.spawn(_async_copy_to_ingress, engine, ingress, held)
+    finally:
+        held.drop()
 
 
 async def _async_copy_to_engine(
-    ingress: socket.socket, engine: socket.socket, received: bytes
+    ingress: socket.socket,
+    engine: socket.socket,
+    received: bytes,
+    held: ByteAccount,
 ) -> None:
     try:
         while True:
+            held.hold(len(received))
             await engine.sendall(received)
-            received = await ingress.recv(READ_BYTES)
+            held.drop(len(received))
+            received = await ingress.recv(SPLICE_BYTES)
             if not received:
                 return
     except OSError:
@@ -170,14 +189,16 @@
 
 
 async def _async_copy_to_ingress(
-    engine: socket.socket, ingress: socket.socket
+    engine: socket.socket, ingress: socket.socket, held: ByteAccount
 ) -> None:
     try:
         while True:
-            received = await engine.recv(READ_BYTES)
+            received = await engine.recv(SPLICE_BYTES)
             if not received:
                 await ingress.sendall(END_OF_STREAM)
                 return
+            held.hold(len(received))
             await ingress.sendall(CHUNK_LENGTH.pack(len(received)) + received)
+            held.drop(len(received))
     except OSError:
         return
--- a/hornbeamdeck/engines/tunnel_server.py
+++ b/hornbeamdeck/engines/tunnel_server.py
@@ -10,6 +10,7 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
 from hornbeamdeck.connection.client import set_ack_timeout
 from hornbeamdeck.connection.end_check import async_has_ended
 from hornbeamdeck.connection.peer import PeerConnection
@@ -39,16 +40,19 @@
         dialer: EngineDialer,
         send_guard: SendGuard,
         is_draining: Callable[[], bool],
+        open_account: Callable[[], ByteAccount] = Unlimited,
     ) -> None:
         """Start without tunnels.
 
         :param send_guard: decides whether an engine may get requests from here.
         :param is_draining: whether this process is about to stop.
+        :param open_account: makes what counts the bytes held for a tunnel.
         """
         self.open_tunnels = 0
         self._dialer = dialer
         self._send_guard = send_guard
         self._is_draining = is_draining
+        self._open_account = open_account
 
     async def async_serve(
         self, connection: PeerConnection, request: OpenTunnel
@@ -84,13 +88,17 @@
             return
         async with opened.ok_value as engine:
             if isinstance(sent, Ok):
-                await _async_pass_on(connection, engine, request)
+                await _async_pass_on(
+                    connection, engine, request, self._open_account()
+                )
 
     async def _async_open(
         self, request: OpenTunnel
     ) -> Result[socket.socket, TunnelResult]:
         if self._is_draining() or self.open_tunnels > MAX_TUNNELS:
             return Err(TunnelResult.BUSY)
+        if not self._open_account().has_room(0):
+            return Err(TunnelResult.BUSY)
         reach = self._dialer.reach
         path = reach.path_to(request.upstream, now_ms())
         if path is EnginePath.RELAY_AND_PROBE:
@@ -137,13 +145,16 @@
 
 
 async def _async_pass_on(
-    connection: PeerConnection, engine: socket.socket, request: OpenTunnel
+    connection: PeerConnection,
+    engine: socket.socket,
+    request: OpenTunnel,
+    account: ByteAccount,
 ) -> None:
     ingress, received = connection.detach()
     limit_ms = request.deadline_ms + DEADLINE_MARGIN_MS
     try:
         await async_with_timeout(
-            limit_ms, async_splice(ingress, engine, received)
+            limit_ms, async_splice(ingress, engine, received, account)
         )
     except TaskTimeout:
         _LOGGER.info('tunnel exceeded its deadline', engine=request.upstream)
--- a/hornbeamdeck/memory/budget.py
+++ b/hornbeamdeck/memory/budget.py
@@ -7,7 +7,7 @@
 
 from hornbeamdeck.const import MEBIBYTE
 
-__all__ = ('MemoryBudget', 'Purpose')
+__all__ = ('Account', 'MemoryBudget', 'Purpose')
 
 # What a process needs for itself: 35 to 40 MB when idle, more under load.
 PROCESS_MB: Final = 64
@@ -61,6 +61,10 @@
             budget_mb = max(spare_mb, MIN_BUDGET_MB)
         return cls(int(budget_mb * MEBIBYTE))
 
+    def open_account(self, purpose: Purpose) -> 'Account':
+        """Make what counts the bytes of one connection."""
+        return Account(self, purpose)
+
     def held_bytes(self, purpose: Purpose) -> int:
         """Return how many bytes are held for a purpose."""
         return self._held[purpose]
@@ -85,3 +89,34 @@
     def drop(self, purpose: Purpose, held_bytes: int) -> None:
         """Count bytes that are no longer held."""
         self._held[purpose] -= held_bytes
+
+
+class Account:
+    """The bytes held for one connection, counted in the budget too."""
+
+    def __init__(self, budget: MemoryBudget, purpose: Purpose) -> None:
+        """Start with nothing held."""
+        self._budget = budget
+        self._purpose = purpose
+        self._held_bytes = 0
+
+    def has_room(self, wanted_bytes: int) -> bool:
+        """Return whether so many more bytes may be held.
+
+        That there is no room is counted.
+        """
+        has_room = self._budget.has_room(self._purpose, wanted_bytes)
+        if not has_room:
+            self._budget.count_without_room(self._purpose)
+        return has_room
+
+    def hold(self, held_bytes: int) -> None:
+        """Count bytes that are held from now on."""
+        self._held_bytes += held_bytes
+        self._budget.hold(self._purpose, held_bytes)
+
+    def drop(self, dropped_bytes: int | None = None) -> None:
+        """Count bytes that are no longer held; `None`: all of them."""
+        dropped = self._held_bytes if dropped_bytes is None else dropped_bytes
+        self._held_bytes -= dropped
+        self._budget.drop(self._purpose, dropped)
--- a/hornbeamdeck/memory/spools.py
+++ b/hornbeamdeck/memory/spools.py
@@ -1,14 +1,14 @@
 """Opens the spools of a process, and ends the slowest when memory is short."""
 
 from collections.abc import Awaitable, Callable
-from typing import Final, TypeAlias
+from typing import Final, Self, TypeAlias
 
 import structlog
 from curio import socket
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
-from hornbeamdeck.memory.budget import MemoryBudget, Purpose
+from hornbeamdeck.memory.budget import Account, MemoryBudget, Purpose
 from hornbeamdeck.memory.spool import Spool, SpoolTerms
 
 __all__ = ('Spools',)
@@ -32,6 +32,15 @@
         self.budget = budget
         self._resets: dict[Spool, AsyncReset] = {}
 
+    @classmethod
+    def from_settings(cls, memory_mb: float | None) -> Self:
+        """Make the spools of a process that may use this much memory."""
+        return cls(MemoryBudget.from_settings(memory_mb))
+
+    def open_peer_account(self) -> Account:
+        """Make what counts the messages that other instances have not taken."""
+        return self.budget.open_account(Purpose.PEER_MESSAGES)
+
     def open(
         self, sock: socket.socket, terms: SpoolTerms, async_reset: AsyncReset
     ) -> Spool:
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -8,9 +8,11 @@
 from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Self
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.memory.budget import Purpose
+from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.scheduling.retry_budget import RetryCounts
 
 __all__ = (
@@ -20,6 +22,7 @@
     'GatewayMetrics',
     'LatencyHistogram',
     'LimitCounts',
+    'MemoryCounts',
     'RolloutCounts',
 )
 
@@ -73,6 +76,29 @@
     open_tunnels: int
 
 
+class MemoryCounts(NamedTuple):
+    """Bytes that are held for callers, engines and instances.
+
+    :param held_bytes: by purpose.
+    :param times_without_room: how often no more could be held, by purpose.
+    :param disconnected_callers: callers disconnected since they did not read.
+    """
+
+    held_bytes: Mapping[str, int]
+    times_without_room: Mapping[str, int]
+    disconnected_callers: int
+
+    @classmethod
+    def from_spools(cls, spools: Spools) -> Self:
+        """Read the counts of a process."""
+        budget = spools.budget
+        return cls(
+            {each.value: budget.held_bytes(each) for each in Purpose},
+            {each.value: budget.times_without_room[each] for each in Purpose},
+            spools.disconnected_callers,
+        )
+
+
 class LimitCounts(NamedTuple):
     """Limited engines of a service as the owner of its cell counts them.
 
@@ -128,6 +154,7 @@
         self.log_lines_dropped = 0
         self.engine_statements = EngineStatementCounts({}, {}, (), {}, {})
         self.engine_reach = EngineReachCounts(0, 0, 0)
+        self.memory = MemoryCounts({}, {}, 0)
         # By service; empty unless this process is the owner.
         self.limit_counts: dict[str, LimitCounts] = {}
         # By service; empty in deployments without roll-outs.
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -21,6 +21,7 @@
     LatencyHistogram,
     LimitCounts,
 )
+from hornbeamdeck.observability.memory_metrics_export import memory_metrics
 
 __all__ = ('make_registry', 'render')
 
@@ -73,6 +74,7 @@
         yield from _connection_metrics(self._metrics)
         yield from _store_metrics(self._metrics)
         yield from _engine_metrics(self._metrics)
+        yield from memory_metrics(self._metrics.memory)
         yield from _limit_metrics(self._metrics)
         yield from _rollout_metrics(self._metrics)
 
--- a/hornbeamdeck/observability/metrics_endpoint.py
+++ b/hornbeamdeck/observability/metrics_endpoint.py
@@ -7,9 +7,11 @@
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.engines.engine_dialer import EngineDialer
 from hornbeamdeck.engines.tunnel_server import TunnelServer
+from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import (
     EngineReachCounts,
     EngineStatementCounts,
+    MemoryCounts,
 )
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import Endpoint
@@ -27,6 +29,7 @@
     freshness_guard: FreshnessGuard,
     dialer: EngineDialer,
     tunnels: TunnelServer,
+    spools: Spools,
 ) -> Endpoint:
     """Make the endpoint, which collects from the components when it is read."""
     metrics = components.metrics
@@ -50,6 +53,7 @@
             opened_tunnels=dialer.tunnels_opened,
             open_tunnels=tunnels.open_tunnels,
         )
+        metrics.memory = MemoryCounts.from_spools(spools)
         metrics.limit_counts = {}
         if components.is_owner:
             metrics.limit_counts = components.cells.limit_counts()
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -31,8 +31,7 @@
 from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.membership.membership import STATE_DRAINING
 from hornbeamdeck.membership.peer_server import make_peer_server
-from hornbeamdeck.memory.budget import MemoryBudget
-from hornbeamdeck.memory.spools import Spools
+from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
@@ -90,7 +89,7 @@
         )
         self.is_draining = False
         self.in_flight = 0
-        self.spools = Spools(MemoryBudget.from_settings(settings.memory_mb))
+        self.spools = self.components.spools
         self.dialer = EngineDialer(
             self.components.identity,
             settings.availability_zone,
@@ -102,7 +101,10 @@
             self.components.grants.engine_statements,
         )
         self.tunnels = TunnelServer(
-            self.dialer, self._send_guard, lambda: self.is_draining
+            self.dialer,
+            self._send_guard,
+            lambda: self.is_draining,
+            lambda: self.spools.budget.open_account(Purpose.TUNNELS),
         )
         self._stop_requested_ms = math.inf
         self._adapter = adapter
@@ -140,6 +142,7 @@
                     self.freshness_guard,
                     self.dialer,
                     self.tunnels,
+                    self.spools,
                 ),
             ),
         )
@@ -319,7 +322,10 @@
             )
 
         async def _async_serve(sock: socket.socket) -> None:
-            await async_serve_requests(sock, respond, _refuse, _limits())
+            bodies = self.spools.budget.open_account(Purpose.REQUEST_BODIES)
+            await async_serve_requests(
+                sock, respond, _refuse, _limits(), bodies
+            )
 
         return await async_setup_listener(self.settings.address, _async_serve)
 
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -22,6 +22,7 @@
     Membership,
 )
 from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.ownership.engine_cells import EngineCells
 from hornbeamdeck.ownership.grants import Grants
@@ -95,6 +96,7 @@
     identity: PeerIdentity
     spending: SpendingLog
     rollouts: Rollouts | None
+    spools: Spools
 
     @classmethod
     def from_settings(
@@ -150,7 +152,10 @@
             metrics,
             cells,
         )
-        identity = _make_identity(settings, metrics, follower)
+        spools = Spools.from_settings(settings.memory_mb)
+        identity = _make_identity(settings, metrics, follower)._replace(
+            outgoing=spools.open_peer_account()
+        )
         peers = Peers(
             membership,
             identity,
@@ -248,6 +253,7 @@
             identity=identity,
             spending=spending,
             rollouts=rollouts[0] if rollouts else None,
+            spools=spools,
         )
 
     @property
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -137,7 +137,9 @@
 
 def refuse_unreadable(context: GatewayContext, bad: BadRequest) -> HttpResponse:
     """Make the response to a request that can't be parsed."""
-    refusal = NotRun(HTTPStatus(bad.status), 'unreadable', bad.detail)
+    refusal = NotRun(
+        HTTPStatus(bad.status), bad.code, bad.detail, bad.retry_after_ms
+    )
     context.metrics.count_refusal(refusal.code)
     return context.dialect.failure_response(refusal, '')
 
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -215,3 +215,22 @@
         await caller.async_close()
     await fleet.async_until(lambda: not fleet.gateways[0].in_flight)
     assert not _held_bytes(fleet)
+
+
+@on_platform()
+async def test_request_without_room_for_its_body_is_refused(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against bodies that use up the memory of an instance."""
+    budget = fleet.gateways[0].spools.budget
+    room_bytes = budget.share_bytes(Purpose.REQUEST_BODIES)
+    budget.hold(Purpose.REQUEST_BODIES, room_bytes)
+    refused = await fleet.async_call('/seats/x')
+    assert refused.status == 503
+    assert float(refused.headers['retry-after']) > 0
+    assert not any(engine.executed for engine in fleet.booking_engines)
+    budget.drop(Purpose.REQUEST_BODIES, room_bytes)
+    assert (await fleet.async_call('/seats/x')).status == 200
+    await fleet.async_until(
+        lambda: not budget.held_bytes(Purpose.REQUEST_BODIES)
+    )
