--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -24,6 +24,7 @@
     (ANSWERED, FAILED, CALLER_LEFT, REFUSED_AT_EDGE)
 )
 DEADLINE_PASSED: Final = 'deadline_passed'
+CALLER_TOO_SLOW: Final = 'caller_too_slow'
 # Failure codes after which an engine may have run the request.
 _BROKEN_CODES: Final = frozenset(('engine_broken', DEADLINE_PASSED))
 # Numeric log fields on which a refusal was decided.
@@ -119,7 +120,10 @@
         late = _late_cause(last, lines)
         outcome = Outcome.LATE if late else Outcome.ON_TIME
         return (outcome, late, _numbers(last, _TIMING_FIELDS))
-    if event == CALLER_LEFT:
+    if last.get('code') == CALLER_TOO_SLOW:
+        cause = 'did not read its response'
+        return (Outcome.CALLER_LEFT, cause, _numbers(last, _TIMING_FIELDS))
+    if event == CALLER_LEFT or last.get('code') == 'caller_left':
         cause = 'after its first byte' if _begun_ms(last) else 'while waiting'
         return (Outcome.CALLER_LEFT, cause, _numbers(last, _TIMING_FIELDS))
     if event == REFUSED_AT_EDGE:
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -31,7 +31,6 @@
 from hornbeamdeck.request.response_delivery import (
     ResponseDelivery,
     open_delivery,
-    unread,
 )
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
 
@@ -351,7 +350,7 @@
                 await self._caller.async_respond(response)
             return None
         if self._delivery.is_broken:
-            return unread()
+            return self._delivery.failure()
         return Unknown(
             HTTPStatus.BAD_GATEWAY,
             'engine_broken',
--- a/hornbeamdeck/request/response_delivery.py
+++ b/hornbeamdeck/request/response_delivery.py
@@ -16,7 +16,7 @@
 from hornbeamdeck.request.outcome import Unknown
 from hornbeamdeck.wire import RunEnd
 
-__all__ = ('ResponseDelivery', 'open_delivery', 'unread')
+__all__ = ('ResponseDelivery', 'open_delivery')
 
 # A caller that reads nothing for less than this has not stalled, however short
 # the gaps are that its route allows.
@@ -69,9 +69,18 @@
 
     @property
     def left_code(self) -> str:
-        """Why the run was cancelled: by its caller, or for its caller."""
+        """Whether the caller has left or was too slow."""
         broken = self._spool.broken
-        return CODE_UNREAD if broken and broken.is_timeout else CODE_LEFT
+        is_too_slow = broken is not None and broken.is_timeout
+        return CODE_UNREAD if self._is_cut_off or is_too_slow else CODE_LEFT
+
+    def failure(self) -> Unknown:
+        """Make the failure of a response that ended because of its caller."""
+        return Unknown(
+            HTTPStatus.BAD_GATEWAY,
+            self.left_code,
+            'the caller did not read its response',
+        )
 
     def attribute(self, end: RunEnd) -> RunEnd:
         """Return how an attempt has ended, without what its caller caused.
@@ -95,7 +104,7 @@
         flushed = await self._spool.async_flush(
             self._deadline_ms, MAX_UNREAD_MS
         )
-        return unread() if isinstance(flushed, Err) else None
+        return self.failure() if isinstance(flushed, Err) else None
 
     async def async_break_off(self) -> None:
         """Wait until the caller has read what there is of a response."""
@@ -121,12 +130,3 @@
     )
     spool = spools.open(caller.sock, terms, _async_reset)
     return ResponseDelivery(spool, caller, admission.deadline_ms)
-
-
-def unread() -> Unknown:
-    """Make the failure of a request whose caller does not read."""
-    return Unknown(
-        HTTPStatus.BAD_GATEWAY,
-        CODE_UNREAD,
-        'the caller did not read its response',
-    )
--- a/tests/connection/test_tunnel.py
+++ b/tests/connection/test_tunnel.py
@@ -3,14 +3,17 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from curio import TaskGroup, run, socket
+from curio import TaskGroup, run, sleep, socket
 
 from hornbeamdeck.connection.tunnel import (
     CHUNK_LENGTH,
     END_OF_STREAM,
+    SPLICE_BYTES,
     TunnelSocket,
     async_splice,
 )
+from hornbeamdeck.const import MEBIBYTE
+from hornbeamdeck.memory.budget import MemoryBudget, Purpose
 
 LARGE = bytes(range(256)) * 8192
 
@@ -97,6 +100,26 @@
         await TunnelSocket(ingress).recv(9)
 
 
+@_on_curio
+async def test_bytes_of_an_unread_tunnel_are_counted() -> None:
+    """Guards against tunnels that hold memory without a limit."""
+    _ingress, relay_in = socket.socketpair()
+    relay_out, engine = socket.socketpair()
+    budget = MemoryBudget(MEBIBYTE)
+    account = budget.open_account(Purpose.TUNNELS)
+    async with TaskGroup() as tasks:
+        splice = await tasks.spawn(
+            async_splice, relay_in, relay_out, b'', account
+        )
+        sending = await tasks.spawn(engine.sendall, LARGE)
+        while not budget.held_bytes(Purpose.TUNNELS):
+            await sleep(0.01)
+        assert budget.held_bytes(Purpose.TUNNELS) <= SPLICE_BYTES
+        await splice.cancel()
+        await sending.cancel()
+    assert not budget.held_bytes(Purpose.TUNNELS)
+
+
 @_on_curio
 async def test_ingress_that_closes_ends_the_tunnel() -> None:
     """Guards against runs that go on at an engine without their caller."""
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -142,6 +142,11 @@
             'configuration_unproved',
         ),
         ([_line('request: caller left')], 'caller left', 'while waiting'),
+        (
+            [_line('request: request failed', code='caller_too_slow')],
+            'caller left',
+            'did not read its response',
+        ),
     ],
 )
 def test_cause_is_determined(
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -204,6 +204,21 @@
     assert received > (EVENTS - 1) * EVENT_BYTES
 
 
+@on_platform()
+async def test_planned_stop_waits_for_unread_responses(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against complete responses that a planned stop cuts off."""
+    callers = await _async_fill_slots(fleet)
+    async with TaskGroup() as tasks:
+        stop = await tasks.spawn(fleet.gateways[0].async_stop)
+        reads = [
+            await tasks.spawn(_async_read_all, caller) for caller in callers
+        ]
+    assert stop.result == 0
+    assert all(read.result > EVENTS * EVENT_BYTES for read in reads)
+
+
 @on_platform()
 async def test_nothing_is_held_for_a_caller_that_has_left(
     fleet: PlatformFleet,
