Hold the first of the responses that grow before the others

Eight unread streams of 24 MB grew alike until the share was used up, and all eight slots stayed occupied until callers were disconnected after 2 s. Beyond a quarter of the share only the first one grows now, by rank and age, so that its engine ends and its slot is released.

--- a/hornbeamdeck/memory/spool.py
+++ b/hornbeamdeck/memory/spool.py
@@ -22,6 +22,8 @@
 # Interval at which a response that waits for room looks for it again. What its
 # own caller reads wakes it at once.
 ROOM_CHECK_MS: Final = 50
+# A response has stopped to grow if nothing was added for so long.
+GROWING_MS: Final = 2 * ROOM_CHECK_MS
 SOCKET_CHECK_MS: Final = 20
 
 _Written: TypeAlias = Result[None, ConnectionBroken]
@@ -87,6 +89,7 @@
         self.held_bytes = 0
         # How long the engine was not read since there was no room.
         self.held_back_ms = 0.0
+        self.is_complete = False
         self._sock = sock
         self._room = room
         self._chunks: deque[bytearray] = deque()
@@ -94,6 +97,8 @@
         self._writer: Task | None = None
         self._held_since_ms = 0.0
         self._progressed_ms = 0.0
+        self._grown_ms = 0.0
+        self._is_waiting = False
         self._taken_bytes = 0
 
     async def __aenter__(self) -> Self:
@@ -112,6 +117,12 @@
         """Return for how long the caller has read nothing of what is held."""
         return now - self._progressed_ms if self.held_bytes else 0
 
+    def is_growing(self, now: float) -> bool:
+        """Return whether more is about to be held than is held now."""
+        if self.is_complete or not self.held_bytes:
+            return False
+        return self._is_waiting or now - self._grown_ms < GROWING_MS
+
     def bytes_per_ms(self, now: float) -> float:
         """Return how fast the caller reads since something is held for it."""
         elapsed_ms = now - self._held_since_ms
@@ -127,6 +138,7 @@
         """
         if self.broken is not None:
             return Err(self.broken)
+        self.is_complete = is_last
         unsent: bytes | memoryview = encoded
         if not self.held_bytes:
             sent = self._send_now(encoded)
@@ -191,7 +203,12 @@
             self._held_since_ms = now_ms()
             self._progressed_ms = self._held_since_ms
             self._taken_bytes = 0
-        self._append(unsent)
+        if not self._chunks or len(self._chunks[-1]) > CHUNK_BYTES:
+            self._chunks.append(bytearray())
+        self._chunks[-1].extend(unsent)
+        self.held_bytes += len(unsent)
+        self._room.hold(len(unsent))
+        self._grown_ms = now_ms()
         if self._writer is None:
             self._writer = await spawn(self._async_write_held, daemon=True)
         # An engine that is always ahead of this task would otherwise keep it
@@ -203,12 +220,14 @@
             return
         self._room.count_without_room()
         waiting_ms = now_ms()
+        self._is_waiting = True
         try:
             while self.held_bytes and self.broken is None:
                 await self._async_wait_for_progress(ROOM_CHECK_MS)
                 if await self._room.async_make(self):
                     return
         finally:
+            self._is_waiting = False
             self.held_back_ms += now_ms() - waiting_ms
 
     async def _async_wait_for_progress(self, limit_ms: float) -> None:
@@ -240,14 +259,6 @@
             self._count_taken(sent)
             await self._progress.set()
 
-    def _append(self, unsent: bytes | memoryview) -> None:
-        """Add bytes to the last chunk, or as a new one if it is long."""
-        if not self._chunks or len(self._chunks[-1]) > CHUNK_BYTES:
-            self._chunks.append(bytearray())
-        self._chunks[-1].extend(unsent)
-        self.held_bytes += len(unsent)
-        self._room.hold(len(unsent))
-
     def _count_taken(self, taken: int) -> None:
         # Nothing is held any more if the spool was broken off meanwhile.
         dropped = min(taken, self.held_bytes)
--- a/hornbeamdeck/memory/spools.py
+++ b/hornbeamdeck/memory/spools.py
@@ -15,9 +15,10 @@
 
 _LOGGER = structlog.get_logger(prefix='memory')
 
-# Less urgent responses are held up to this part of the share while something
-# is held for a more urgent one.
-LESS_URGENT_SHARE: Final = 0.75
+# Up to this part of the share, all responses are held. Beyond it, only the
+# first of those that grow is, so that some engines end and release their slots.
+# If all grew alike, the share would be used up before any of them has ended.
+OPEN_SHARE: Final = 0.25
 _PURPOSE: Final = Purpose.UNREAD_RESPONSES
 
 AsyncReset: TypeAlias = Callable[[], Awaitable[None]]
@@ -72,12 +73,12 @@
     async def async_make(self, spool: Spool) -> bool:
         """Return whether more may be held for a response.
 
-        If not, the slowest of the least urgent callers that have stopped
-        reading is disconnected.
+        If the share is used up, the slowest of the least urgent callers that
+        have stopped reading is disconnected.
         """
-        if self._has_room(spool):
-            return True
         now = now_ms()
+        if self.budget.has_room(_PURPOSE):
+            return self._is_first(spool, now)
         stalled = [
             each
             for each in self._resets
@@ -86,21 +87,25 @@
         if stalled:
             slowest = max(
                 stalled,
-                key=lambda each: (each.terms.rank, -each.bytes_per_ms(now)),
+                key=lambda each: (
+                    each.terms.rank,
+                    -each.bytes_per_ms(now),
+                    # Of those that read nothing, one that holds a slot.
+                    not each.is_complete,
+                ),
             )
             await self._async_disconnect(slowest, now)
-        return self._has_room(spool)
+        return self.budget.has_room(_PURPOSE) and self._is_first(spool, now)
 
-    def _has_room(self, spool: Spool) -> bool:
-        if not self.budget.has_room(_PURPOSE):
-            return False
-        limit_bytes = self.budget.share_bytes(_PURPOSE) * LESS_URGENT_SHARE
-        if self.budget.held_bytes(_PURPOSE) <= limit_bytes:
+    def _is_first(self, spool: Spool, now: float) -> bool:
+        """Return whether a response may grow before the others."""
+        open_bytes = self.budget.share_bytes(_PURPOSE) * OPEN_SHARE
+        if self.budget.held_bytes(_PURPOSE) <= open_bytes:
             return True
-        return not any(
-            each.held_bytes and each.terms.rank < spool.terms.rank
-            for each in self._resets
-        )
+        growing = [each for each in self._resets if each.is_growing(now)]
+        # Of equal rank, the one that was opened first.
+        first = min(growing, key=lambda each: each.terms.rank, default=spool)
+        return first is spool
 
     async def _async_disconnect(self, spool: Spool, now: float) -> None:
         self.disconnected_callers += 1
--- a/tests/memory/test_spool.py
+++ b/tests/memory/test_spool.py
@@ -161,6 +161,22 @@
         assert not slow.was_reset
 
 
+@curio_test
+async def test_first_response_is_held_before_the_others() -> None:
+    """Guards against memory that is used up before any engine has ended."""
+    spools = _spools(share_bytes=3 * len(LARGE))
+    callers = [_Caller(spools), _Caller(spools)]
+    async with callers[0].spool, callers[1].spool:
+        for each in callers:
+            await spawn(_async_write, each.spool, LARGE, daemon=True)
+        await sleep(0)
+        assert await spools.async_make(callers[0].spool)
+        assert not await spools.async_make(callers[1].spool)
+        # The first one has stopped to grow.
+        await sleep(0.2)
+        assert await spools.async_make(callers[1].spool)
+
+
 @curio_test
 async def test_caller_that_has_not_stalled_is_not_disconnected() -> None:
     spools = _spools(share_bytes=1000)
