Deliver failure responses in full; let a single body exceed the share

A failure response that the socket did not take at once was dropped with its spool, and the connection could have been used again without it. The request now ends when it has been read, or the connection is reset.

A body that the configuration allows but that is larger than the share of the smallest budget (4 MB) would never have had room. One is accepted while nothing else is held for requests.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -148,7 +148,9 @@
         request = head.ok_value
         if not isinstance(request, h11.Request):
             return Err(CallerClosed())
-        if not self._bodies.has_room(_stated_length(request)):
+        stated_bytes = _stated_length(request)
+        is_allowed = stated_bytes <= self._limits.max_body_bytes
+        if is_allowed and not self._bodies.has_room(stated_bytes):
             return Err(_no_room())
         body = await self._async_read_body()
         return body.map(lambda read: _to_request(request, read))
--- a/hornbeamdeck/memory/budget.py
+++ b/hornbeamdeck/memory/budget.py
@@ -103,9 +103,11 @@
     def has_room(self, wanted_bytes: int) -> bool:
         """Return whether so many more bytes may be held.
 
-        That there is no room is counted.
+        There always is while nothing is held for others, so that one that is
+        larger than the share is possible. That there is no room is counted.
         """
-        has_room = self._budget.has_room(self._purpose, wanted_bytes)
+        is_only = self._budget.held_bytes(self._purpose) == self._held_bytes
+        has_room = is_only or self._budget.has_room(self._purpose, wanted_bytes)
         if not has_room:
             self._budget.count_without_room(self._purpose)
         return has_room
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -99,6 +99,8 @@
             run.log('request answered')
         else:
             await run.async_fail(failure)
+            if await delivery.async_complete() is not None:
+                caller.reset_on_close()
 
 
 async def _async_run_in_time(
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -18,6 +18,20 @@
     assert shares <= budget.budget_bytes
 
 
+def test_single_connection_may_hold_more_than_the_share() -> None:
+    """Guards against a body that is allowed and yet never has room."""
+    budget = MemoryBudget(1000)
+    account = budget.open_account(Purpose.REQUEST_BODIES)
+    other = budget.open_account(Purpose.REQUEST_BODIES)
+    assert account.has_room(900)
+    account.hold(400)
+    assert account.has_room(500)
+    assert not other.has_room(1)
+    account.drop()
+    assert other.has_room(1)
+    assert budget.times_without_room == {Purpose.REQUEST_BODIES: 1}
+
+
 def test_one_purpose_does_not_use_the_share_of_another() -> None:
     """Guards against unread responses that keep new requests out."""
     budget = MemoryBudget(1000)
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -232,6 +232,23 @@
     assert not _held_bytes(fleet)
 
 
+@on_platform()
+async def test_connection_is_reused_after_a_response_read_late(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against the rest of one response in the next one."""
+    callers = await _async_fill_slots(fleet)
+    caller = callers[0]
+    assert await _async_read_all(caller) > EVENTS * EVENT_BYTES
+    await fleet.async_until(lambda: fleet.gateways[0].in_flight < SLOTS)
+    request = make_request(
+        STREAM_PATH, tokens=TOKEN_COUNTS, hornbeamdeck_request_id='next'
+    )
+    response = (await caller.async_fetch(request)).unwrap()
+    assert response.status == 200
+    assert response.body.startswith(b'id: 1\n')
+
+
 @on_platform()
 async def test_request_without_room_for_its_body_is_refused(
     fleet: PlatformFleet,
