--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -1,7 +1,7 @@
 """The server side of an HTTP connection."""
 
 import struct
-from typing import Final
+from typing import Final, Protocol
 
 import h11
 from curio import socket
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.connection.byte_account import ByteAccount
 from hornbeamdeck.connection.errors import ConnectionBroken, ReadError
 from hornbeamdeck.connection.http import (
     Headers,
@@ -18,12 +19,24 @@
 )
 from hornbeamdeck.connection.reader import ReadLimits, RequestReader
 
-__all__ = ('ServerConnection',)
+__all__ = ('Outlet', 'ServerConnection', 'async_reset_connection')
 
 WRITE_TIMEOUT_MS: Final = 30_000
 LINGER_MS: Final = 2000
 
 
+class Outlet(Protocol):
+    """Writes a response to the caller, at the caller's pace."""
+
+    async def async_write(
+        self, encoded: bytes, *, is_last: bool
+    ) -> Result[None, ConnectionBroken]:
+        """Accept bytes; return when more may be written.
+
+        :param is_last: whether these bytes end the response.
+        """
+
+
 class ServerConnection:
     """Reads requests from one connection and writes the responses."""
 
@@ -31,20 +44,28 @@
         self,
         sock: socket.socket,
         limits: ReadLimits | None = None,
+        bodies: ByteAccount | None = None,
     ) -> None:
         """Use a connected socket.
 
         :param limits: on the caller's requests; `None`: the defaults.
+        :param bodies: counts the bytes of requests; `None`: nothing does.
         """
         read_limits = limits or ReadLimits()
         self._sock = sock
+        self._outlet: Outlet | None = None
         self._is_closing = False
         self._is_head_request = False
         self._protocol = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=read_limits.max_header_bytes,
         )
-        self._reader = RequestReader(sock, self._protocol, read_limits)
+        self._reader = RequestReader(sock, self._protocol, read_limits, bodies)
+
+    @property
+    def sock(self) -> socket.socket:
+        """The connected socket, for an outlet."""
+        return self._sock
 
     @property
     def is_reusable(self) -> bool:
@@ -59,6 +80,15 @@
         """Whether a response has begun on this connection."""
         return self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}
 
+    @property
+    def is_response_complete(self) -> bool:
+        """Whether a response has been written to its end."""
+        return self._protocol.our_state in {h11.DONE, h11.MUST_CLOSE}
+
+    def write_through(self, outlet: Outlet | None) -> None:
+        """Write through an outlet from now on; `None`: write to the socket."""
+        self._outlet = outlet
+
     def close_after_response(self) -> None:
         """Send `connection: close` with the next response.
 
@@ -94,7 +124,7 @@
         if response.body and not self._is_head_request:
             encoded += self._protocol.send(h11.Data(data=response.body)) or b''
         encoded += self._protocol.send(h11.EndOfMessage()) or b''
-        return await self._async_write(encoded)
+        return await self._async_write(encoded, is_last=True)
 
     async def async_start_response(
         self,
@@ -116,6 +146,7 @@
         """Write the end of a complete body."""
         return await self._async_write(
             self._protocol.send(h11.EndOfMessage()) or b'',
+            is_last=True,
         )
 
     def reset_on_close(self) -> None:
@@ -154,7 +185,11 @@
     async def _async_write(
         self,
         encoded: bytes,
+        *,
+        is_last: bool = False,
     ) -> Result[None, ConnectionBroken]:
+        if self._outlet is not None:
+            return await self._outlet.async_write(encoded, is_last=is_last)
         try:
             await async_with_timeout(
                 WRITE_TIMEOUT_MS, self._sock.sendall(encoded)
@@ -162,3 +197,15 @@
         except (OSError, TaskTimeout) as error:
             return Err(ConnectionBroken(repr(error)))
         return Ok(None)
+
+
+async def async_reset_connection(connection: ServerConnection) -> None:
+    """Reset a connection and end the task that serves its request.
+
+    The task sees the same end as after a disconnect by the caller.
+    """
+    connection.reset_on_close()
+    try:
+        await connection.sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -31,6 +31,7 @@
 from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.membership.membership import STATE_DRAINING
 from hornbeamdeck.membership.peer_server import make_peer_server
+from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
@@ -91,6 +92,7 @@
         )
         self.is_draining = False
         self.in_flight = 0
+        self.spools = self.components.spools
         self.dialer = EngineDialer(
             self.components.identity,
             settings.availability_zone,
@@ -103,7 +105,10 @@
             self._is_rolled_back,
         )
         self.tunnels = TunnelServer(
-            self.dialer, self._send_guard, lambda: self.is_draining
+            self.dialer,
+            self._send_guard,
+            lambda: self.is_draining,
+            lambda: self.spools.budget.open_account(Purpose.TUNNELS),
         )
         self._stop_requested_ms = math.inf
         self._adapter = adapter
@@ -141,6 +146,7 @@
                     self.freshness_guard,
                     self.dialer,
                     self.tunnels,
+                    self.spools,
                 ),
             ),
         )
@@ -171,6 +177,8 @@
             availability_zone=settings.availability_zone,
             incarnation=self.components.membership.own_status.incarnation,
             is_first_start=settings.is_first_start,
+            memory_mb=settings.memory_mb,
+            budget_bytes=self.spools.budget.budget_bytes,
         )
 
     async def async_stop(self) -> int:
@@ -276,6 +284,7 @@
             ).async_start,
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
+            spools=self.spools,
             zone=self.settings.availability_zone,
             is_draining=lambda: self.is_draining,
             shutdown_progress=self._elapsed_grace_share,
@@ -326,7 +335,10 @@
             )
 
         async def _async_serve(sock: socket.socket) -> None:
-            await async_serve_requests(sock, respond, _refuse, _limits())
+            bodies = self.spools.budget.open_account(Purpose.REQUEST_BODIES)
+            await async_serve_requests(
+                sock, respond, _refuse, _limits(), bodies
+            )
 
         return await async_setup_listener(self.settings.address, _async_serve)
 
