Bound what an engine may send in a response

Cause: an engine that sends interim responses, header lines or chunks without end held its calls until the silence limit or the deadline. h11 takes 25 us for a chunk, so a megabyte of short chunks took seconds. Change: ResponseLimits and ResponseReader bound heads, interim responses, bodies, framing, events and the time without progress for every user of ClientConnection; chunks are decoded in one pass for each read. Sending has a time limit of its own. An attempt that a limit has ended is FAILED, with the limit as its cause and a count in the metrics.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -1,7 +1,9 @@
 """The client side of an HTTP connection."""
 
+import math
 import select
-from typing import Final, Self
+from collections.abc import Coroutine
+from typing import Any, Self, TypeVar
 
 import h11
 from curio import socket
@@ -10,6 +12,7 @@
 
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.chunk_decoder import BadChunk
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
 from hornbeamdeck.connection.http import (
     Headers,
@@ -18,6 +21,12 @@
     header_pairs,
     join_headers,
 )
+from hornbeamdeck.connection.response_limits import (
+    LimitExceeded,
+    ResponseLimits,
+)
+from hornbeamdeck.connection.response_reader import ResponseReader, SilenceError
+from hornbeamdeck.connection.sending import async_send_within
 
 __all__ = (
     'ClientConnection',
@@ -25,25 +34,35 @@
     'set_ack_timeout',
 )
 
-MAX_HEADER_BYTES: Final = 65_536
-MAX_BODY_BYTES: Final = 16_777_216
-READ_BYTES: Final = 65_536
+_Read = TypeVar('_Read')
 
 
 class ClientConnection:
-    """Sends requests on one connection and reads the responses."""
+    """Sends requests on one connection and reads the responses.
+
+    After an error it must be closed.
+    """
 
-    def __init__(self, sock: socket.socket, address: Address) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        address: Address,
+        limits: ResponseLimits | None = None,
+    ) -> None:
         """Use a connected socket, or a tunnel to the server.
 
         :param address: of the server; it is also sent as the Host header.
+        :param limits: on the responses; `None`: the defaults.
         """
         self._sock = sock
         self._address = address
+        self._method = ''
+        used_limits = limits or ResponseLimits()
         self._protocol = h11.Connection(
             h11.CLIENT,
-            max_incomplete_event_size=MAX_HEADER_BYTES,
+            max_incomplete_event_size=used_limits.max_head_bytes,
         )
+        self._reader = ResponseReader(sock, self._protocol, used_limits)
 
     @classmethod
     async def async_open(
@@ -52,6 +71,7 @@
         *,
         timeout_ms: int,
         ack_timeout_ms: int = 0,
+        limits: ResponseLimits | None = None,
     ) -> Result[Self, ConnectFailed]:
         """Open a connection.
 
@@ -59,13 +79,14 @@
         :param ack_timeout_ms: the connection breaks when written bytes stay
             unacknowledged for longer than this, milliseconds; 0: the default
             of the operating system, which is many minutes.
+        :param limits: on the responses; `None`: the defaults.
         :returns: the connection, or an error; after an error no byte was
             written.
         """
         connected = await async_connect(address, timeout_ms=timeout_ms)
         if ack_timeout_ms and isinstance(connected, Ok):
             set_ack_timeout(connected.ok_value, ack_timeout_ms)
-        return connected.map(lambda sock: cls(sock, address))
+        return connected.map(lambda sock: cls(sock, address, limits))
 
     @property
     def address(self) -> Address:
@@ -82,9 +103,13 @@
         return (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
-            and not any(self._protocol.trailing_data)
+            and not self._reader.has_unread
         )
 
+    def apply_limits(self, limits: ResponseLimits) -> None:
+        """Set the limits for the responses to further requests."""
+        self._reader.limits = limits
+
     def has_no_pending_input(self) -> bool:
         """Whether nothing arrived after the last response, not even a close."""
         poll = select.poll()
@@ -94,10 +119,16 @@
     async def async_send(
         self,
         request: HttpRequest,
+        *,
+        limit_ms: float = math.inf,
     ) -> Result[None, ConnectionBroken]:
-        """Write a complete request."""
+        """Write a complete request.
+
+        :param limit_ms: time limit, milliseconds.
+        """
         if self._protocol.our_state is h11.DONE:
             self._protocol.start_next_cycle()
+        self._method = request.method
         headers = {
             'host': str(self._address),
             **request.headers,
@@ -110,35 +141,23 @@
             encoded = self._encode_head(request.method, target, headers)
             encoded += self._protocol.send(h11.Data(data=request.body)) or b''
             encoded += self._protocol.send(h11.EndOfMessage()) or b''
-            await self._sock.sendall(encoded)
-        except (OSError, h11.LocalProtocolError) as error:
-            return Err(ConnectionBroken(repr(error)))
-        return Ok(None)
+        except h11.LocalProtocolError as error:
+            return Err(ConnectionBroken(repr(error), is_unsent=True))
+        sent = await async_send_within(self._sock, encoded, limit_ms)
+        self._reader.start()
+        return sent
 
     async def async_read_head(self) -> Result[HttpResponse, ConnectionBroken]:
         """Read status and headers of the response; its body is empty."""
-        while True:
-            event = await self._async_next_event()
-            if isinstance(event, Err):
-                return event
-            if isinstance(event.ok_value, h11.Response):
-                return Ok(_to_response(event.ok_value))
-            if not isinstance(event.ok_value, h11.InformationalResponse):
-                return Err(ConnectionBroken('closed before the response head'))
+        read = await _async_catch(self._reader.async_read_head(self._method))
+        return read.map(_to_response)
 
     async def async_read_chunk(self) -> Result[bytes, ConnectionBroken]:
-        """Read the next chunk of the body.
+        """Read the next bytes of a stream of events.
 
         :returns: the bytes, empty at the end of a complete body.
         """
-        event = await self._async_next_event()
-        if isinstance(event, Err):
-            return event
-        if isinstance(event.ok_value, h11.Data):
-            return Ok(bytes(event.ok_value.data))
-        if isinstance(event.ok_value, h11.EndOfMessage):
-            return Ok(b'')
-        return Err(ConnectionBroken('closed before the end of the body'))
+        return await _async_catch(self._reader.async_read_event_bytes())
 
     async def async_fetch(
         self,
@@ -155,17 +174,8 @@
         return body.map(lambda read: head.ok_value._replace(body=read))
 
     async def async_read_body(self) -> Result[bytes, ConnectionBroken]:
-        """Read the rest of the body."""
-        body = bytearray()
-        while True:
-            chunk = await self.async_read_chunk()
-            if isinstance(chunk, Err):
-                return chunk
-            if not chunk.ok_value:
-                return Ok(bytes(body))
-            body += chunk.ok_value
-            if len(body) > MAX_BODY_BYTES:
-                return Err(ConnectionBroken('the response body is too large'))
+        """Read the rest of the body, which is not a stream of events."""
+        return await _async_catch(self._reader.async_read_body())
 
     async def async_close(self) -> None:
         """Close; the upstream cancels an unfinished run unless resumable."""
@@ -179,19 +189,6 @@
         )
         return self._protocol.send(event) or b''
 
-    async def _async_next_event(self) -> Result[h11.Event, ConnectionBroken]:
-        try:
-            while True:
-                event = self._protocol.next_event()
-                if isinstance(event, h11.Event):
-                    return Ok(event)
-                if event is h11.PAUSED:
-                    return Err(ConnectionBroken('no request is in progress'))
-                self._protocol.receive_data(await self._sock.recv(READ_BYTES))
-        except (OSError, h11.RemoteProtocolError) as error:
-            is_timeout = isinstance(error, TimeoutError)
-            return Err(ConnectionBroken(repr(error), is_timeout))
-
 
 def set_ack_timeout(sock: socket.socket, timeout_ms: int) -> None:
     """Break a connection when written bytes stay unacknowledged for longer."""
@@ -223,6 +220,21 @@
         await opened.ok_value.async_close()
 
 
+async def _async_catch(
+    reading: Coroutine[Any, Any, _Read],
+) -> Result[_Read, ConnectionBroken]:
+    try:
+        return Ok(await reading)
+    except LimitExceeded as exceeded:
+        return Err(exceeded.to_broken())
+    except SilenceError as silence:
+        return Err(ConnectionBroken(str(silence), is_timeout=True))
+    except (OSError, BadChunk, h11.RemoteProtocolError) as error:
+        return Err(
+            ConnectionBroken(repr(error), isinstance(error, TimeoutError))
+        )
+
+
 def _to_response(event: h11.Response) -> HttpResponse:
     headers = join_headers(event.headers)
     return HttpResponse(event.status_code, headers, b'')
--- a/hornbeamdeck/connection/errors.py
+++ b/hornbeamdeck/connection/errors.py
@@ -27,10 +27,15 @@
     """An open connection failed, or the other side violated the protocol.
 
     :param is_timeout: whether the other side has only been silent too long.
+    :param limit: name of the limit that was exceeded; empty: none.
+    :param is_unsent: whether no byte of a request was sent, so that it has
+        certainly not run.
     """
 
     cause: str
     is_timeout: bool = False
+    limit: str = ''
+    is_unsent: bool = False
 
 
 class CallerClosed(NamedTuple):
--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -72,6 +72,13 @@
         """
         await self._sock.sendall(sent)
 
+    async def send(self, unsent: bytes | memoryview) -> int:
+        """Send bytes to the engine and return how many were taken.
+
+        :raises OSError: if the tunnel has broken.
+        """
+        return int(await self._sock.send(unsent))
+
     async def close(self) -> None:
         """Close the tunnel, and with it the connection to the engine."""
         await self._sock.close()
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -121,6 +121,7 @@
         self.peer_bytes: dict[str, int] = defaultdict(int)
         self.returned_grants: Counter[str] = Counter()
         self.failed_connects: Counter[str] = Counter()
+        self.exceeded_limits: Counter[str] = Counter()
         self.in_flight = 0
         self.configuration_version = 0
         self.store_era = 0
@@ -179,6 +180,10 @@
         """Count an attempt that could not connect to its engine."""
         self.failed_connects[cause] += 1
 
+    def count_exceeded_limit(self, limit: str) -> None:
+        """Count an attempt that a limit on its engine has ended."""
+        self.exceeded_limits[limit] += 1
+
     def count_dropped_log_line(self) -> None:
         """Count a log line dropped because the buffer was full."""
         self.log_lines_dropped += 1
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -219,6 +219,12 @@
         'cause',
         metrics.failed_connects,
     )
+    yield _counter(
+        'hornbeamdeck_attempts_ended_by_limit',
+        'Attempts that a limit on what engines send or read has ended.',
+        'limit',
+        metrics.exceeded_limits,
+    )
     reach = metrics.engine_reach
     yield GaugeMetricFamily(
         'hornbeamdeck_engines_out_of_reach',
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -1,17 +1,16 @@
 """Attempts to run a request on an engine, and the relay of its response."""
 
 import hashlib
-from collections.abc import Coroutine
 from http import HTTPStatus
-from typing import Any, Final, TypeVar
+from typing import Final
 
-from curio.errors import TaskTimeout
 from result import Err, Result
 
-from hornbeamdeck.clock import async_with_timeout, now_ms
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.connection.http import HttpResponse, has_framing
+from hornbeamdeck.connection.response_limits import ResponseLimits
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.request.engine_connection import (
@@ -32,8 +31,6 @@
 
 EVENT_STREAM: Final = 'text/event-stream'
 
-_Read = TypeVar('_Read')
-
 
 class EngineAttempts:
     """Sends one request to engines, one after another."""
@@ -62,6 +59,9 @@
         self._admission = admission
         self._caller = caller
         self._last_event_ms = 0.0
+        # Attempts in which at least one byte was sent.
+        self._sent_count = 0
+        self._was_possibly_executing = False
         self._version = ''
         self._stream_versions: list[str] = []
         self._engine_connection = EngineConnection(
@@ -101,9 +101,11 @@
         if withheld is not None:
             return withheld
         sent_ms = now_ms()
-        head = await self._async_send_and_read_head(
-            opened.ok_value, grant.upstream
-        )
+        connection = opened.ok_value
+        sent = await self._async_send(connection, grant.upstream)
+        if isinstance(sent, Err):
+            return self._record_unsent(sent.err_value)
+        head = await connection.async_read_head()
         if isinstance(head, Err):
             return self._record_broken(head.err_value)
         self._engine_connection.record_keep_alive(head.ok_value)
@@ -134,12 +136,18 @@
         """
         await self._engine_connection.async_close(end)
 
-    async def _async_send_and_read_head(
+    async def _async_send(
         self,
         connection: ClientConnection,
         engine: str,
-    ) -> Result[HttpResponse, ConnectionBroken]:
+    ) -> Result[None, ConnectionBroken]:
         admission = self._admission
+        limits = self._context.configuration().limits
+        connection.apply_limits(
+            ResponseLimits.of_engine(
+                limits.max_body_bytes, admission.silence_limit_ms
+            )
+        )
         attempt = EngineAttempt(
             engine=engine,
             team=admission.team_name,
@@ -151,11 +159,12 @@
                 admission.request, attempt
             ),
         )
+        self._sent_count += 1
+        self._was_possibly_executing = self.is_possibly_executing
         self.is_possibly_executing = True
-        sent = await connection.async_send(request)
-        if isinstance(sent, Err):
-            return sent
-        return await self._async_read_with_timeout(connection.async_read_head())
+        return await connection.async_send(
+            request, limit_ms=admission.sending_limit_ms(self._sent_count)
+        )
 
     async def _async_relay(
         self,
@@ -188,7 +197,7 @@
         connection = self._engine_connection.connection
         if connection is None:
             return RunEnd.CANCELLED
-        body = await self._async_read_with_timeout(connection.async_read_body())
+        body = await connection.async_read_body()
         if isinstance(body, Err):
             return self._record_broken(body.err_value)
         self._record_first_byte(sent_ms)
@@ -210,9 +219,7 @@
         connection = self._engine_connection.connection
         end: RunEnd | None = None
         while connection is not None and end is None:
-            chunk = await self._async_read_with_timeout(
-                connection.async_read_chunk()
-            )
+            chunk = await connection.async_read_chunk()
             if isinstance(chunk, Err):
                 return self._record_broken(chunk.err_value)
             if not chunk.ok_value:
@@ -269,8 +276,19 @@
         relayed = await self._caller.async_send_chunk(encoded)
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
 
+    def _record_unsent(self, broken: ConnectionBroken) -> RunEnd:
+        """Record that the request was not sent, or only a part of it."""
+        end = self._record_broken(broken)
+        if not broken.is_unsent:
+            return end
+        self._sent_count -= 1
+        self.is_possibly_executing = self._was_possibly_executing
+        return RunEnd.NOT_DISPATCHED
+
     def _record_broken(self, broken: ConnectionBroken) -> RunEnd:
         self.cause = broken.cause
+        if broken.limit:
+            self._context.metrics.count_exceeded_limit(broken.limit)
         return RunEnd.SILENT if broken.is_timeout else RunEnd.FAILED
 
     def _record_first_byte(self, sent_ms: float) -> None:
@@ -307,16 +325,3 @@
         if event.event_id.isdigit() and self.last_event_id.isdigit():
             return int(event.event_id) - int(self.last_event_id)
         return 1
-
-    async def _async_read_with_timeout(
-        self,
-        reading: Coroutine[Any, Any, Result[_Read, ConnectionBroken]],
-    ) -> Result[_Read, ConnectionBroken]:
-        limit_ms = self._admission.silence_limit_ms
-        if not limit_ms:
-            return await reading
-        try:
-            return await async_with_timeout(limit_ms, reading)
-        except TaskTimeout:
-            cause = f'silent for {limit_ms} ms'
-            return Err(ConnectionBroken(cause, is_timeout=True))
--- a/hornbeamdeck/request/event_parser.py
+++ b/hornbeamdeck/request/event_parser.py
@@ -7,6 +7,8 @@
 
 # A blank line ends an event, in any of the three line endings.
 _EVENT_END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
+# Bytes of an event's end that the previous chunk may hold.
+MAX_SPLIT_BYTES: Final = 3
 _ID_FIELD: Final = re.compile(rb'^id:[ ]?(.*?)\r?$', re.MULTILINE)
 
 
@@ -29,7 +31,7 @@
 
     def __init__(self) -> None:
         """Initialize with nothing received."""
-        self._pending = b''
+        self._pending = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -37,15 +39,22 @@
         return bool(self._pending.strip())
 
     def add_chunk(self, chunk: bytes) -> list[Event]:
-        """Add a chunk and return the events that are complete now."""
-        pending = self._pending + chunk
+        """Add a chunk and return the events that are complete now.
+
+        Blank lines alone are no event.
+        """
+        # Pending bytes are searched once only. An engine that sends a long
+        # event in small pieces would otherwise occupy the process.
+        searched = max(len(self._pending) - MAX_SPLIT_BYTES, 0)
+        self._pending += chunk
         events = []
         start = 0
-        for end in _EVENT_END.finditer(pending):
-            encoded = pending[start : end.end()]
+        for end in _EVENT_END.finditer(self._pending, searched):
+            encoded = bytes(self._pending[start : end.end()])
             start = end.end()
-            events.append(Event(_event_id(encoded), encoded))
-        self._pending = pending[start:]
+            if encoded.strip():
+                events.append(Event(_event_id(encoded), encoded))
+        self._pending = self._pending[start:] if start else self._pending
         return events
 
 
--- a/hornbeamdeck/request/gateway_admission.py
+++ b/hornbeamdeck/request/gateway_admission.py
@@ -38,6 +38,11 @@
 # many times the allowed gap if that is longer.
 MAX_SILENT_OBJECTIVES: Final = 3
 MAX_SILENT_GAPS: Final = 3
+# How much of its objective a request may take to be sent if another engine may
+# get it afterwards, and how much of the time left if none may.
+SENDING_OBJECTIVE_SHARE: Final = 0.25
+SENDING_LEFT_SHARE: Final = 0.5
+MIN_SENDING_MS: Final = 100
 # A longer text names no request.
 MAX_ID_CHARS: Final = 256
 # Part of the client timeout reserved for the transfer back to the caller.
@@ -120,6 +125,17 @@
             return max(gap_limit_ms, MAX_SILENT_OBJECTIVES * route.objective_ms)
         return MAX_SILENT_OBJECTIVES * route.objective_ms
 
+    def sending_limit_ms(self, sent_count: int) -> float:
+        """Return how long an engine may take to read the request.
+
+        :param sent_count: which attempt this is, 1 for the first.
+        """
+        route = self.route
+        if route.is_repeatable and sent_count < route.max_attempts:
+            share_ms = route.objective_ms * SENDING_OBJECTIVE_SHARE
+            return max(share_ms, MIN_SENDING_MS)
+        return self.left_ms * SENDING_LEFT_SHARE
+
     @property
     def rank(self) -> int:
         """Its priority, 0 first; the team's overrides the route's."""
--- /dev/null
+++ b/tests/platform/endless.py
@@ -0,0 +1,121 @@
+"""What engines send without end, and how they read requests."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, cast
+
+from curio import sleep, socket
+
+from hornbeamdeck.connection.http import Headers, HttpRequest
+
+
+class Endless(NamedTuple):
+    """Bytes that an engine sends until its connection is closed.
+
+    :param block: repeated without end.
+    :param first: sent before, in place of a valid head.
+    :param has_head: whether a valid head comes first.
+    :param gap_s: wait after each block.
+    """
+
+    block: bytes
+    first: bytes = b''
+    has_head: bool = False
+    gap_s: float = 0.0
+
+
+def _repeat(part: bytes) -> bytes:
+    return part * (65_536 // len(part))
+
+
+def _chunk(part: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
+ENDLESS: Mapping[str, Endless] = {
+    'endless_head': Endless(
+        _repeat(b'x: ' + b'y' * 61 + b'\r\n'), b'HTTP/1.1 200 OK\r\n'
+    ),
+    'endless_field': Endless(b'y' * 65_536, b'HTTP/1.1 200 OK\r\nx: '),
+    'noise': Endless(bytes(range(256)) * 256),
+    'slow_head': Endless(b'x: y\r\n', b'HTTP/1.1 200 OK\r\n', gap_s=0.01),
+    'endless_interim': Endless(
+        _repeat(b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n')
+    ),
+    'slow_interim': Endless(b'HTTP/1.1 103 Hints\r\n\r\n', gap_s=0.05),
+    'endless_chunks': Endless(_chunk(b'z' * 16_384) * 4, has_head=True),
+    'endless_lines': Endless(_repeat(_chunk(b'short\n')), has_head=True),
+    'endless_bytes': Endless(_repeat(_chunk(b'z')), has_head=True),
+    'endless_extension': Endless(
+        _repeat(b'1;%b\r\nz\r\n' % (b'e' * 2000)), has_head=True
+    ),
+    'endless_size': Endless(b'0' * 65_536, has_head=True),
+    'blank_lines': Endless(_repeat(_chunk(b'\n\n')), has_head=True),
+}
+
+
+async def async_send_endlessly(
+    sock: socket.socket, fault: str, headers: Headers, request: HttpRequest
+) -> None:
+    """Send without end until the connection is closed.
+
+    :param headers: of a valid response, without type and framing.
+    """
+    sent = ENDLESS[fault]
+    kind = 'text/plain'
+    if 'hornbeamdeck-token-counts' in request.headers:
+        kind = 'text/event-stream'
+    fields = {
+        **headers,
+        'content-type': kind,
+        'transfer-encoding': 'chunked',
+    }
+    lines = [f'{name}: {text}\r\n' for name, text in fields.items()]
+    head = ''.join(['HTTP/1.1 200 OK\r\n', *lines, '\r\n'])
+    await sock.sendall(head.encode() if sent.has_head else sent.first)
+    while True:
+        await sock.sendall(sent.block)
+        await sleep(sent.gap_s)
+
+
+class Reading:
+    """How an engine reads requests.
+
+    `is_on` is not set: not at all. Otherwise `gap_s` is the wait before each
+    `most_bytes`.
+    """
+
+    def __init__(self) -> None:
+        self.is_on = True
+        self.gap_s = 0.0
+        self.most_bytes = 65_536
+
+
+class PacedReader:
+    """Reads requests as `reading` tells."""
+
+    def __init__(self) -> None:
+        self.reading = Reading()
+
+    async def async_pace(self, sock: socket.socket) -> socket.socket:
+        """Return a socket that is read as set, or wait without end."""
+        if not self.reading.is_on:
+            await sleep(3600)
+        return cast(socket.socket, _PacedSocket(sock, self.reading))
+
+
+class _PacedSocket:
+    """A socket that is read no faster than an engine is set to."""
+
+    def __init__(self, sock: socket.socket, reading: Reading) -> None:
+        self._sock = sock
+        self._reading = reading
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    async def recv(self, max_bytes: int) -> bytes:
+        """Receive bytes after a wait."""
+        if self._reading.gap_s:
+            await sleep(self._reading.gap_s)
+            max_bytes = min(max_bytes, self._reading.most_bytes)
+        return bytes(await self._sock.recv(max_bytes))
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -17,6 +17,11 @@
 from hornbeamdeck.connection.listener import Listener, async_setup_listener
 from hornbeamdeck.connection.request_loop import async_serve_requests
 from hornbeamdeck.connection.server import ServerConnection
+from tests.platform.endless import (
+    ENDLESS,
+    PacedReader,
+    async_send_endlessly,
+)
 
 ANY_LOCAL_PORT = Address('127.0.0.1', 0)
 OBJECTS_PATH = '/v1/objects/'
@@ -317,18 +322,21 @@
             self._fallen_until_s = now_s + FALL_S
 
 
-class EngineStandin:
+class EngineStandin(PacedReader):
     """An engine that runs requests addressed to it, with optional faults.
 
     `faults` has one entry for each of the next requests: `not_run`, `reset`,
     `cut` (the stream breaks within an event), `other_id`, `error`, `no_seal`,
-    `silent`, or an empty text for a correct response. `keep_alive_s` is the
+    `silent`, or an empty text for a correct response. A fault in `ENDLESS` is
+    something that the engine sends until the connection is closed. `reading`
+    tells how it reads requests. `keep_alive_s` is the
     idle time of connections that responses announce, if not 0. `extra_bytes`
     are sent after each response.
     A call takes `event_gap_s`, as an event of a stream does.
     """
 
     def __init__(self, name: str, *, events: int = 3) -> None:
+        super().__init__()
         self.name = name
         self.events = events
         self._version = ''
@@ -350,8 +358,9 @@
 
         async def _async_serve(sock: socket.socket) -> None:
             self._sockets.append(sock)
+            paced = await self.async_pace(sock)
             await async_serve_requests(
-                sock, self._async_handle, _bad_request_response
+                paced, self._async_handle, _bad_request_response
             )
 
         self._listener = await async_setup_listener(
@@ -477,6 +486,9 @@
             SEAL_HEADER: f'seal-{self.name}',
             **self._stated,
         }
+        if fault in ENDLESS:
+            sock = caller._sock  # noqa: SLF001
+            await async_send_endlessly(sock, fault, headers, request)
         if self.keep_alive_s:
             headers['keep-alive'] = f'timeout={self.keep_alive_s}'
         if fault == 'other_id':
