End attempts whose request an engine does not read

Cause: the operating system takes up to 4 MB that the other side does not read, so a request seemed sent and the call waited for its deadline. Change: connections that this process opens hold at most 64 KB unsent, so the limit for sending takes effect; a relay closes a tunnel whose engine does not read. A body whose stated length is too large is not read at all.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -15,6 +15,9 @@
 
 
 MAX_CACHED_ADDRESSES: Final = 4096
+# The operating system would take 4 MB that the other side does not read. A
+# request would seem to have been sent, and the memory counts as this process's.
+MAX_UNSENT_BYTES: Final = 65_536
 
 
 class Address(NamedTuple):
@@ -78,6 +81,9 @@
         await sock.close()
         raise
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES
+    )
     return Ok(sock)
 
 
--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -82,6 +82,8 @@
         # Received bytes that the protocol state has not got yet.
         self._received = bytearray()
         self._decoder: ChunkDecoder | None = None
+        # Length of the body as the head states it; 0: not stated.
+        self._announced_bytes = 0
         self._progress = EventProgress()
         # Time spent waiting, and bytes received, since the last progress.
         self._waited_ms = 0.0
@@ -131,15 +133,17 @@
         """Read the rest of a body that is not a stream."""
         parts = []
         body_bytes = 0
+        self._check_body_bytes(self._announced_bytes)
         while part := await self._async_read_content():
             body_bytes += len(part)
-            if body_bytes > self.limits.max_body_bytes:
-                raise LimitExceeded(
-                    ResponseLimit.BODY, self.limits.max_body_bytes
-                )
+            self._check_body_bytes(body_bytes)
             parts.append(part)
         return b''.join(parts)
 
+    def _check_body_bytes(self, body_bytes: int) -> None:
+        if body_bytes > self.limits.max_body_bytes:
+            raise LimitExceeded(ResponseLimit.BODY, self.limits.max_body_bytes)
+
     async def _async_take_head(self, max_bytes: int) -> bytes:
         """Take a head with the blank line that ends it."""
         begun_ms = now_ms() if self._received else math.inf
@@ -160,12 +164,15 @@
             begun_ms = min(begun_ms, now_ms())
 
     def _start_body(self, method: str, head: h11.Response) -> None:
-        names = {name for name, _ in head.headers}
+        fields = dict(head.headers)
         has_body = (
             method not in _BODILESS_METHODS
             and head.status_code not in _BODILESS_STATUSES
         )
-        if has_body and b'transfer-encoding' in names:
+        self._announced_bytes = (
+            int(fields.get(b'content-length', 0)) if has_body else 0
+        )
+        if has_body and b'transfer-encoding' in fields:
             self._decoder = ChunkDecoder(self.limits.max_framing_bytes)
         else:
             self._protocol.receive_data(self._take(len(self._received)))
--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -7,6 +7,7 @@
 response.
 """
 
+import math
 import struct
 from types import MappingProxyType
 from typing import Final, NamedTuple
@@ -18,6 +19,7 @@
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.peer import PeerConnection, PeerIdentity
+from hornbeamdeck.connection.sending import async_send_within
 from hornbeamdeck.wire import OpenTunnel, TunnelAnswer, TunnelResult, message_of
 
 __all__ = ('Relay', 'TunnelSocket', 'async_open_tunnel', 'async_splice')
@@ -152,23 +154,36 @@
 
 
 async def async_splice(
-    ingress: socket.socket, engine: socket.socket, received: bytes
+    ingress: socket.socket,
+    engine: socket.socket,
+    received: bytes,
+    *,
+    sending_limit_ms: float = math.inf,
 ) -> None:
     """Pass bytes on in both directions until one side has closed.
 
     :param received: what the ingress has sent already.
+    :param sending_limit_ms: how long the engine may take to read a part of the
+        request, at most `READ_BYTES`; then both sides are closed.
     """
     async with TaskGroup(wait=any) as copying:
-        await copying.spawn(_async_copy_to_engine, ingress, engine, received)
+        await copying.spawn(
+            _async_copy_to_engine, ingress, engine, received, sending_limit_ms
+        )
         await copying.spawn(_async_copy_to_ingress, engine, ingress)
 
 
 async def _async_copy_to_engine(
-    ingress: socket.socket, engine: socket.socket, received: bytes
+    ingress: socket.socket,
+    engine: socket.socket,
+    received: bytes,
+    limit_ms: float,
 ) -> None:
     try:
         while True:
-            await engine.sendall(received)
+            sent = await async_send_within(engine, received, limit_ms)
+            if isinstance(sent, Err):
+                return
             received = await ingress.recv(READ_BYTES)
             if not received:
                 return
--- a/hornbeamdeck/engines/tunnel_server.py
+++ b/hornbeamdeck/engines/tunnel_server.py
@@ -25,6 +25,10 @@
 
 # Shorter than the time that an ingress waits for a tunnel.
 CONNECT_TIMEOUT_MS: Final = 150
+# How much of the deadline an engine may take to read a part of a request. The
+# ingress has a shorter limit where another engine may get the request, but does
+# not see what the sockets in between still hold.
+SENDING_DEADLINE_SHARE: Final = 0.5
 # Each takes two descriptors and up to two buffers.
 MAX_TUNNELS: Final = 256
 # A tunnel is open a little longer than the ingress waits for a response.
@@ -143,7 +147,13 @@
     limit_ms = request.deadline_ms + DEADLINE_MARGIN_MS
     try:
         await async_with_timeout(
-            limit_ms, async_splice(ingress, engine, received)
+            limit_ms,
+            async_splice(
+                ingress,
+                engine,
+                received,
+                sending_limit_ms=request.deadline_ms * SENDING_DEADLINE_SHARE,
+            ),
         )
     except TaskTimeout:
         _LOGGER.info('tunnel exceeded its deadline', engine=request.upstream)
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -43,6 +43,9 @@
     ),
     'slow_interim': Endless(b'HTTP/1.1 103 Hints\r\n\r\n', gap_s=0.05),
     'endless_chunks': Endless(_chunk(b'z' * 16_384) * 4, has_head=True),
+    'paced_chunks': Endless(
+        _chunk(b'z' * 16_384) * 4, has_head=True, gap_s=0.005
+    ),
     'endless_lines': Endless(_repeat(_chunk(b'short\n')), has_head=True),
     'endless_bytes': Endless(_repeat(_chunk(b'z')), has_head=True),
     'endless_extension': Endless(
@@ -99,6 +102,7 @@
     async def async_pace(self, sock: socket.socket) -> socket.socket:
         """Return a socket that is read as set, or wait without end."""
         if not self.reading.is_on:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             await sleep(3600)
         return cast(socket.socket, _PacedSocket(sock, self.reading))
 
