Count a store that sends without end as an outage

Cause: a list with more than 100 pages was taken for the whole list, so the engines on later pages counted as gone; a body without the expected fields ended the tasks that follow the store. Change: such a list, one of more than 8 MiB and such a body count as an outage.

--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -13,7 +13,13 @@
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import ENCODING
 
-__all__ = ('JsonCalls', 'JsonContent', 'parse_body', 'parse_stored')
+__all__ = (
+    'JsonCalls',
+    'JsonContent',
+    'parse_body',
+    'parse_fields',
+    'parse_stored',
+)
 
 # The store responds within milliseconds, or a few hundred when it is slow.
 CALL_TIMEOUT_MS: Final = 900
@@ -126,6 +132,23 @@
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
 
+def parse_fields(
+    fetched: Result[HttpResponse, StoreUnavailable], *names: str
+) -> Result[dict[str, Any], StoreUnavailable]:
+    """Parse a response whose body has these fields.
+
+    Any other counts as an outage. An exception would end the tasks that follow
+    the store.
+    """
+    parsed = fetched.and_then(parse_body)
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    if isinstance(body, dict) and body.keys() >= set(names):
+        return Ok(body)
+    return Err(StoreUnavailable('malformed response: fields are missing'))
+
+
 def parse_stored(response: HttpResponse) -> Result[Any, StoreUnavailable]:
     """Parse what a read, or a write on condition, has found.
 
--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -5,9 +5,10 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.json_calls import JsonCalls, parse_body
+from hornbeamdeck.connection.json_calls import JsonCalls, parse_fields
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
+from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
 
 __all__ = ('ObjectCalls', 'ObjectList', 'object_name')
@@ -15,8 +16,11 @@
 # How long a watch may take beyond the wait time that it requests. A watch that
 # hangs delays the revocation of keys, so it times out sooner than a read.
 WATCH_GRACE_MS: Final = 400
-# Upper limit of pages read for one list. A page has about 500 entries.
-MAX_PAGES: Final = 100
+# Upper limit of one list. A longer list counts as an outage: what is missing in
+# a list counts as gone. A page has about 500 entries of a few hundred bytes.
+MAX_LIST_BYTES: Final = 8 * MEBIBYTE
+# What a page counts at least, so that a list has at most 100 pages.
+MIN_PAGE_BYTES: Final = MAX_LIST_BYTES // 100
 
 
 class ObjectList(NamedTuple):
@@ -49,22 +53,26 @@
         entries: list[Any] = []
         query: dict[str, str] = {}
         revisions: list[StoreRevision] = []
-        for _ in range(MAX_PAGES):
-            path = f'{PATH_OBJECTS}/{kind}'
-            fetched = await self.async_get(path, query, role=kind)
-            read = fetched.and_then(parse_body)
+        left_bytes = MAX_LIST_BYTES
+        while left_bytes > 0:
+            fetched = await self.async_get(
+                f'{PATH_OBJECTS}/{kind}', query, role=kind
+            )
+            read = parse_fields(fetched, 'entries', 'at', 'has_more')
             if isinstance(read, Err):
                 return read
             page = read.ok_value
-            era = self.era_of(fetched.unwrap())
-            revisions.append(StoreRevision(era, page['at']))
+            left_bytes -= max(len(fetched.unwrap().body), MIN_PAGE_BYTES)
+            revisions.append(
+                StoreRevision(self.era_of(fetched.unwrap()), page['at'])
+            )
+            if revisions[-1].era != revisions[0].era:
+                return Err(StoreUnavailable('restored between two pages'))
             entries += page['entries']
             if not page['has_more'] or not page['entries']:
-                break
+                return Ok(ObjectList(revisions[0], entries))
             query = {'after': object_name(entries[-1])}
-        if len({revision.era for revision in revisions}) > 1:
-            return Err(StoreUnavailable('restored between two pages'))
-        return Ok(ObjectList(revisions[0], entries))
+        return Err(StoreUnavailable('limit exceeded: list'))
 
     async def async_watch(
         self,
@@ -92,7 +100,7 @@
             or self.era_of(fetched.ok_value) != since.era
         ):
             return Err(WatchGap())
-        return parse_body(fetched.ok_value)
+        return parse_fields(fetched, 'events', 'at')
 
 
 def object_name(stored: Any) -> str:
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -6,14 +6,15 @@
 from curio import sleep, socket
 
 from hornbeamdeck.connection.http import Headers, HttpRequest
+from hornbeamdeck.connection.server import ServerConnection
 
 
 class Endless(NamedTuple):
     """Bytes that an engine sends until its connection is closed.
 
     :param block: repeated without end.
-    :param first: sent before, in place of a valid head.
-    :param has_head: whether a valid head comes first.
+    :param first: sent before.
+    :param has_head: whether a valid head comes before all.
     :param gap_s: wait after each block.
     """
 
@@ -52,17 +53,38 @@
         _repeat(b'1;%b\r\nz\r\n' % (b'e' * 2000)), has_head=True
     ),
     'endless_size': Endless(b'0' * 65_536, has_head=True),
+    'endless_event': Endless(
+        _repeat(_chunk(b'data: more\n')),
+        _chunk(b'id: 1\ndata: word 1\n\n'),
+        has_head=True,
+    ),
     'blank_lines': Endless(_repeat(_chunk(b'\n\n')), has_head=True),
 }
 
 
-async def async_send_endlessly(
-    sock: socket.socket, fault: str, headers: Headers, request: HttpRequest
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'
+
+
+async def async_send_raw(
+    caller: ServerConnection,
+    fault: str,
+    headers: Headers,
+    request: HttpRequest,
 ) -> None:
-    """Send without end until the connection is closed.
+    """Send what a fault puts in place of a response, or before it.
 
     :param headers: of a valid response, without type and framing.
     """
+    sock = caller._sock  # noqa: SLF001
+    if fault == 'interim':
+        await sock.sendall(INTERIM * 4)
+    if fault in ENDLESS:
+        await _async_send_endlessly(sock, fault, headers, request)
+
+
+async def _async_send_endlessly(
+    sock: socket.socket, fault: str, headers: Headers, request: HttpRequest
+) -> None:
     sent = ENDLESS[fault]
     kind = 'text/plain'
     if 'hornbeamdeck-token-counts' in request.headers:
@@ -74,7 +96,9 @@
     }
     lines = [f'{name}: {text}\r\n' for name, text in fields.items()]
     head = ''.join(['HTTP/1.1 200 OK\r\n', *lines, '\r\n'])
-    await sock.sendall(head.encode() if sent.has_head else sent.first)
+    if sent.has_head:
+        await sock.sendall(head.encode())
+    await sock.sendall(sent.first)
     while True:
         await sock.sendall(sent.block)
         await sleep(sent.gap_s)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -20,7 +20,7 @@
 from tests.platform.endless import (
     ENDLESS,
     PacedReader,
-    async_send_endlessly,
+    async_send_raw,
 )
 
 ANY_LOCAL_PORT = Address('127.0.0.1', 0)
@@ -82,7 +82,9 @@
     `next_statuses` are the error statuses of the next calls, one for each.
     While `is_silent` is set, calls get no response. A watch from a revision
     before `oldest_revision`, or from one that the store has not reached, is
-    rejected with status 410. Each response names the store's era.
+    rejected with status 410. Each response names the store's era. `endless`
+    names what all responses are: one of `ENDLESS`, or `pages` that each
+    announce another one; empty: correct.
     """
 
     def __init__(self) -> None:
@@ -96,6 +98,7 @@
         self._configuration_version = 0
         self.oldest_revision = 0
         self.calls = 0
+        self.endless = ''
         self.listings: Counter[str] = Counter()
         self._changed = Event()
 
@@ -174,6 +177,8 @@
         self.calls += 1
         if self.is_silent:
             await sleep(3600)
+        if self.endless in ENDLESS:
+            await async_send_raw(caller, self.endless, {}, request)
         if self._is_down:
             await self._async_respond(caller, HttpResponse(503, {}, b''))
             return
@@ -209,7 +214,11 @@
     def _list(self, kind: str) -> HttpResponse:
         self.listings[kind] += 1
         entries = list(self.stored_objects.get(kind, {}).values())
-        page = {'entries': entries, 'has_more': False, 'at': self.revision}
+        page = {
+            'entries': entries,
+            'has_more': self.endless == 'pages',
+            'at': self.revision,
+        }
         return _json_response(200, page)
 
     async def _async_watch(
@@ -327,9 +336,10 @@
 
     `faults` has one entry for each of the next requests: `not_run`, `reset`,
     `cut` (the stream breaks within an event), `other_id`, `error`, `no_seal`,
-    `silent`, or an empty text for a correct response. A fault in `ENDLESS` is
-    something that the engine sends until the connection is closed. `reading`
-    tells how it reads requests. `keep_alive_s` is the
+    `silent`, `interim` (four interim responses come first), or an empty text
+    for a correct response. A fault in `ENDLESS` is something that the engine
+    sends until the connection is closed. `reading` tells how it reads requests.
+    `keep_alive_s` is the
     idle time of connections that responses announce, if not 0. `extra_bytes`
     are sent after each response.
     A call takes `event_gap_s`, as an event of a stream does.
@@ -486,9 +496,7 @@
             SEAL_HEADER: f'seal-{self.name}',
             **self._stated,
         }
-        if fault in ENDLESS:
-            sock = caller._sock  # noqa: SLF001
-            await async_send_endlessly(sock, fault, headers, request)
+        await async_send_raw(caller, fault, headers, request)
         if self.keep_alive_s:
             headers['keep-alive'] = f'timeout={self.keep_alive_s}'
         if fault == 'other_id':
