--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -174,7 +174,8 @@
         )
         if has_body and b'transfer-encoding' in fields:
             self._decoder = ChunkDecoder(self.limits.max_framing_bytes)
-        else:
+        elif self._received:
+            # h11 takes no bytes for the end of the connection.
             self._protocol.receive_data(self._take(len(self._received)))
         self._record_progress()
 
