--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -7,9 +7,12 @@
 response.
 """
 
+import math
 import struct
+from collections.abc import Awaitable, Callable
+from functools import partial
 from types import MappingProxyType
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeAlias
 
 from curio import TaskGroup, socket
 from curio.errors import TaskTimeout
@@ -18,11 +21,15 @@
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
+from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.connection.peer import PeerConnection, PeerIdentity
+from hornbeamdeck.connection.sending import async_send_within
 from hornbeamdeck.wire import OpenTunnel, TunnelAnswer, TunnelResult, message_of
 
 __all__ = ('Relay', 'TunnelSocket', 'async_open_tunnel', 'async_splice')
 
+_Send: TypeAlias = Callable[[bytes], Awaitable[Result[None, ConnectionBroken]]]
+
 READ_BYTES: Final = 65_536
 # A relay holds up to this many bytes for each direction of a tunnel, so that
 # the largest number of tunnels stays below 10 MB however slowly they are read.
@@ -76,6 +83,13 @@
         """
         await self._sock.sendall(sent)
 
+    async def send(self, unsent: bytes | memoryview) -> int:
+        """Send bytes to the engine and return how many were taken.
+
+        :raises OSError: if the tunnel has broken.
+        """
+        return int(await self._sock.send(unsent))
+
     async def close(self) -> None:
         """Close the tunnel, and with it the connection to the engine."""
         await self._sock.close()
@@ -153,17 +167,22 @@
     engine: socket.socket,
     received: bytes,
     account: ByteAccount | None = None,
+    *,
+    sending_limit_ms: float = math.inf,
 ) -> None:
     """Pass bytes on in both directions until one side has closed.
 
     :param received: what the ingress has sent already.
     :param account: counts the bytes that one side has not taken yet.
+    :param sending_limit_ms: how long the engine may take to read a part of the
+        request, at most `SPLICE_BYTES`; then both sides are closed.
     """
     held = account or Unlimited()
+    to_engine = partial(async_send_within, engine, limit_ms=sending_limit_ms)
     try:
         async with TaskGroup(wait=any) as copying:
             await copying.spawn(
-                _async_copy_to_engine, ingress, engine, received, held
+                _async_copy_to_engine, ingress, to_engine, received, held
             )
             await copying.spawn(_async_copy_to_ingress, engine, ingress, held)
     finally:
@@ -172,14 +191,16 @@
 
 async def _async_copy_to_engine(
     ingress: socket.socket,
-    engine: socket.socket,
+    async_send: _Send,
     received: bytes,
     held: ByteAccount,
 ) -> None:
     try:
         while True:
             held.hold(len(received))
-            await engine.sendall(received)
+            sent = await async_send(received)
+            if isinstance(sent, Err):
+                return
             held.drop(len(received))
             received = await ingress.recv(SPLICE_BYTES)
             if not received:
