Replay loads of several teams

The replay sent all requests as one team, so that it could not show what a heavy team takes from the others. Loads without teams draw the same requests as before.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -24,6 +24,7 @@
     InstanceLoss,
     LoadPlan,
     Loss,
+    TeamLoad,
     draw_arrivals,
 )
 from bench.replay_statements import (
@@ -33,6 +34,7 @@
     StatedDepartures,
     StatedRests,
 )
+from bench.replay_teams import summarize_teams
 from bench.replay_versions import ResumedStreams, StreamPart
 from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Refused
@@ -47,12 +49,13 @@
     QuotaView,
     TokenQuotas,
 )
-from hornbeamdeck.version.gateway import EngineProperties
+from hornbeamdeck.version.gateway import EngineProperties, GatewayTeam
 from hornbeamdeck.wire import (
     EngineObservation,
     Enqueue,
     Message,
     Progress,
+    Register,
     Release,
     RunEnd,
     UpstreamEnd,
@@ -185,7 +188,7 @@
             for number, version in enumerate(plan.versions)
         }
         self._callers = 0
-        self._cell = _make_cell(plan, self._instances)
+        self._cell = _make_cell(plan, self._instances, {}, 0)
 
     def run(self) -> list[Outcome]:
         """Run the replay until no event is left.
@@ -205,6 +208,8 @@
             gone_ms = (departure.at_s + departure.for_s) * 1000
             end = Loss(gone_ms, self._plan.duration_s, departure.engine)
             self._schedule(gone_ms, partial(self._crash, end))
+        for change_s in self._plan.owner_changes_s:
+            self._schedule(change_s * MS_PER_S, self._change_owner)
         self._schedule(SCAN_INTERVAL_MS, self._scan)
         while self._events:
             event = heapq.heappop(self._events)
@@ -233,13 +238,14 @@
         self._attempts[attempt.request_id] = attempt
         self._enqueue(attempt)
 
-    def _enqueue(self, attempt: _Attempt) -> None:
+    def _enqueue(self, attempt: _Attempt, *, is_moved: bool = False) -> None:
         refused = self._cell.enqueue(
             _to_enqueue(
                 attempt,
                 self.now,
                 self.engine_ends.parts_of(attempt.arrival),
                 has_route_ranks=self._has_route_ranks,
+                is_moved=is_moved,
             ),
             sender=attempt.instance,
             deliver=_async_discard,
@@ -474,6 +480,23 @@
         cost += REPEATED_REFUSAL_COST * arrival.value
         self.outcomes.append(Outcome(arrival, 'refused', 0.0, cost))
 
+    def _change_owner(self) -> None:
+        """Continue with a cell that is told of all runs and waiting requests.
+
+        The next owner learns the slowness of the engines with their list.
+        """
+        slowness = {
+            name: load.slowness for name, load in self._cell.loads.items()
+        }
+        self._cell = _make_cell(self._plan, self._instances, slowness, self.now)
+        attempts = list(self._attempts.values())
+        for attempt in attempts:
+            if attempt.engine:
+                self._cell.register(_to_register(attempt), attempt.instance)
+        for waiting in attempts:
+            if not waiting.engine and waiting.request_id in self._attempts:
+                self._enqueue(waiting, is_moved=True)
+
     def _lose_instances(self, loss: InstanceLoss) -> None:
         """Lose instances; their callers come back to others at once."""
         lost = set(self._instances[: loss.instances])
@@ -531,6 +554,7 @@
     shared_parts: list[str],
     *,
     has_route_ranks: bool,
+    is_moved: bool = False,
 ) -> Enqueue:
     arrival = attempt.arrival
     kind = arrival.kind
@@ -538,7 +562,7 @@
     return Enqueue(
         request_id=attempt.request_id,
         cell='desk',
-        team='',
+        team=arrival.team,
         tier_rank=TEAM_PRIORITY,
         deadline_ms=left_ms,
         prompt_tokens=arrival.prompt_tokens,
@@ -549,6 +573,7 @@
         patience_ms=min(left_ms, CLIENT_TIMEOUT_MS) - RESPONSE_DELAY_MS,
         gap_ms=kind.gap_ms,
         quota_tokens=arrival.prompt_tokens + arrival.max_tokens,
+        is_moved=is_moved or None,
         dispatches=attempt.retries,
         zone='z1',
         route_rank=kind.priority if has_route_ranks else None,
@@ -601,14 +626,23 @@
     return 'on_time'
 
 
-def _make_cell(plan: LoadPlan, instances: list[str]) -> EngineCell:
+def _make_cell(
+    plan: LoadPlan,
+    instances: list[str],
+    slowness: dict[str, float],
+    now: float,
+) -> EngineCell:
     quotas = TokenQuotas(
         QuotaView(lambda _team, _now: 0, lambda: True, lambda: 1.0),
         QuotaRules(window_ms=8000, slack=0),
         is_first_start=True,
     )
     cell = EngineCell(
-        SharedState(quotas=quotas, teams={}, instances=lambda: instances),
+        SharedState(
+            quotas=quotas,
+            teams={each.name: _to_gateway_team(each) for each in plan.teams},
+            instances=lambda: instances,
+        ),
         RetryBudget(RetryRules(0.2, 100, 10_000), lambda _now: 1.0),
     )
     engines = [
@@ -625,12 +659,36 @@
         for each in range(len(plan.slowness))
     ]
     properties = EngineProperties(plan.slots, TOKENS_PER_EVENT, 660_000)
-    cell.origins.history.add_earlier((), 0)
-    cell.origins.update_engines(engines, 0)
-    cell.update_engines(engines, properties, {})
+    cell.origins.history.add_earlier((), now)
+    cell.origins.update_engines(engines, now)
+    cell.update_engines(engines, properties, slowness)
     return cell
 
 
+def _to_gateway_team(team: TeamLoad) -> GatewayTeam:
+    return GatewayTeam(
+        name=team.name,
+        priority=None,
+        rate_per_s=team.rate_per_s,
+        burst=team.rate_per_s,
+        default_request_tokens=0,
+    )
+
+
+def _to_register(attempt: _Attempt) -> Register:
+    """Tell the next owner of a run that its predecessor granted."""
+    arrival = attempt.arrival
+    return Register(
+        request_id=attempt.request_id,
+        cell='desk',
+        upstream=attempt.engine,
+        prompt_tokens=arrival.prompt_tokens,
+        output_tokens=arrival.hint_tokens,
+        is_prefilling=not attempt.first_token_ms,
+        fingerprint=arrival.request_id,
+    )
+
+
 def summarize(outcomes: list[Outcome]) -> dict[str, Any]:
     """Compute the score, the shares of value earned and the result counts."""
     offered: dict[str, float] = defaultdict(float)
@@ -665,6 +723,7 @@
         'cost': round(cost / total, 4),
         'shares': {kind: round(share, 3) for kind, share in shares.items()},
         'results': dict(sorted(results.items())),
+        **summarize_teams(outcomes),
     }
 
 
--- a/bench/replay_load.py
+++ b/bench/replay_load.py
@@ -18,6 +18,7 @@
     'LoadPlan',
     'Partition',
     'Shed',
+    'TeamLoad',
     'draw_arrivals',
 )
 
@@ -61,12 +62,28 @@
 
 
 class Burst(NamedTuple):
-    """A higher rate of one kind for a while; an empty `kind` means all."""
+    """A higher rate for a while.
+
+    :param kind: of the requests; empty: all kinds.
+    :param team: that sends them; empty: all teams.
+    """
 
     at_s: float
     for_s: float
     times: float
     kind: str
+    team: str = ''
+
+
+class TeamLoad(NamedTuple):
+    """A team that sends a share of the requests of each kind.
+
+    :param rate_per_s: its limit, which is its weight too; 0: none.
+    """
+
+    name: str
+    share: float
+    rate_per_s: float = 0.0
 
 
 class Loss(NamedTuple):
@@ -146,6 +163,8 @@
         most.
     :param instances: number of instances that callers connect to.
     :param versions: of the software of each engine.
+    :param teams: that send the requests; empty: one team without a name.
+    :param owner_changes_s: when another instance becomes the owner.
     """
 
     duration_s: float
@@ -164,6 +183,8 @@
     instance_losses: tuple[InstanceLoss, ...]
     versions: tuple[str, ...]
     crashing: tuple[CrashingPart, ...]
+    teams: tuple[TeamLoad, ...]
+    owner_changes_s: tuple[float, ...]
 
     @classmethod
     def from_name(cls, name: str) -> Self:
@@ -198,6 +219,8 @@
             crashing=tuple(
                 CrashingPart(**each) for each in raw.get('crashing', ())
             ),
+            teams=tuple(TeamLoad(**each) for each in raw.get('teams', ())),
+            owner_changes_s=tuple(raw.get('owner_changes_s', ())),
         )
 
 
@@ -216,28 +239,53 @@
     max_tokens: int
     hint_tokens: int
     value: float
+    team: str = ''
 
 
 def draw_arrivals(plan: LoadPlan, seed: int) -> list[Arrival]:
-    """Draw all arrivals of a pattern, sorted by time."""
+    """Draw all arrivals of a pattern, sorted by time.
+
+    What a team sends does not depend on which other teams there are, so that
+    the same requests can be replayed without some of the teams.
+    """
     rng = random.Random(seed)
-    arrivals = [
-        arrival
-        for kind in plan.kinds
-        for arrival in _draw_arrivals_of_kind(plan, kind, rng)
-    ]
+    if plan.teams:
+        arrivals = [
+            arrival
+            for team in plan.teams
+            for kind in plan.kinds
+            for arrival in _draw_arrivals_of_team(plan, kind, team, seed)
+        ]
+    else:
+        arrivals = [
+            arrival
+            for kind in plan.kinds
+            for arrival in _draw_arrivals_of_kind(plan, kind, rng)
+        ]
     return sorted(arrivals, key=lambda arrival: arrival.at_ms)
 
 
+def _draw_arrivals_of_team(
+    plan: LoadPlan, kind: Kind, team: TeamLoad, seed: int
+) -> Iterator[Arrival]:
+    rng = random.Random(f'{seed} {kind.name} {team.name}')
+    of_team = kind._replace(per_s=kind.per_s * team.share)
+    for arrival in _draw_arrivals_of_kind(plan, of_team, rng, team.name):
+        yield arrival._replace(
+            request_id=f'{team.name}-{arrival.request_id}', team=team.name
+        )
+
+
 def _draw_arrivals_of_kind(
     plan: LoadPlan,
     kind: Kind,
     rng: random.Random,
+    team: str = '',
 ) -> Iterator[Arrival]:
     at_s = 0.0
     count = 0
     while at_s < plan.duration_s:
-        factor = _rate_factor(plan, kind, at_s)
+        factor = _rate_factor(plan, kind, team, at_s)
         at_s += rng.expovariate(kind.per_s * factor)
         count += 1
         yield _draw_arrival(kind, f'{kind.name}-{count}', at_s * 1000, rng)
@@ -275,10 +323,11 @@
     return max(int(min(drawn, mean * MAX_LENGTH_FACTOR)), MIN_LENGTH_TOKENS)
 
 
-def _rate_factor(plan: LoadPlan, kind: Kind, at_s: float) -> float:
+def _rate_factor(plan: LoadPlan, kind: Kind, team: str, at_s: float) -> float:
     factor = 1.0
     for burst in plan.bursts:
         is_active = burst.at_s <= at_s < burst.at_s + burst.for_s
-        if is_active and burst.kind in {'', kind.name}:
+        is_of_team = burst.team in {'', team}
+        if is_active and is_of_team and burst.kind in {'', kind.name}:
             factor *= burst.times
     return factor
