Share slot time fairly among teams of a rank

FairShares keeps a tag of slot time by team; WaitQueue orders a rank by standing, and requests beyond their team's share neither count for the admission of the others nor use up their wait. TierQueue uses the same class in place of its own tags by tokens.

--- a/hornbeamdeck/scheduling/cell.py
+++ b/hornbeamdeck/scheduling/cell.py
@@ -125,7 +125,7 @@
         if wait_ms + queued.service_ms > request.deadline_ms:
             return self._refuse(queued, RefusalReason.DEADLINE)
         queue = self._tiers.setdefault(request.tier_rank, TierQueue())
-        queue.push(queued)
+        queue.push(queued, now)
         entry = (
             queued.deadline_ms - queued.service_ms,
             request.request_id,
@@ -165,7 +165,7 @@
             skipped: list[QueuedRequest] = []
             is_full = yield from self._grants_of_tier(queue, skipped, now)
             for queued in skipped:
-                queue.push(queued)
+                queue.push(queued, now)
             if is_full:
                 return
 
@@ -246,7 +246,8 @@
                 skipped.append(queue.remove(request.request_id))
                 continue
             weight = self._weights.get(request.team, 1)
-            queue.serve(request.request_id, weight)
+            cost_ms = _service_ms(load, request)
+            queue.serve(request.request_id, weight, cost_ms, now)
             load.add(_to_register(queued, load), queued.sender)
             yield Granted(queued, load.upstream.name)
         return False
--- a/hornbeamdeck/scheduling/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -18,6 +18,8 @@
     :param max_gap_ms: longest gap between events that its stream may show; 0:
         it is not a stream.
     :param route: name of its request's route.
+    :param team: that is charged for it; empty: none.
+    :param cost_ms: slot time that its team was charged when it started.
     :param part_ids: the parts of its prompt that others may have, too.
     :param stream_value: value of its stream, compared with other requests.
     :param first_token_at_ms: when its first token was reported; 0: not yet.
@@ -42,6 +44,8 @@
     overlapping_prefill_ms: float = 0.0
     route: str = ''
     part_ids: tuple[str, ...] = ()
+    team: str = ''
+    cost_ms: float = 0.0
 
     @property
     def is_streaming(self) -> bool:
--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, TypeAlias
 
+from hornbeamdeck.scheduling.standing import Standing
 from hornbeamdeck.wire import Enqueue, Message
 
 __all__ = ('Deliver', 'QueuedRequest', 'instance_of', 'make_sender')
@@ -20,6 +21,7 @@
     :param deliver: sends its grant or refusal to the ingress.
     :param deadline_ms: monotonic time of this process, in milliseconds.
     :param service_ms: estimated duration of the run, in milliseconds.
+    :param standing: among the waiting requests of its rank.
     """
 
     request: Enqueue
@@ -27,6 +29,7 @@
     deliver: Deliver
     deadline_ms: float
     service_ms: float
+    standing: Standing = Standing.WITHIN_SHARE
 
     @property
     def instance(self) -> str:
--- a/hornbeamdeck/scheduling/tier_queue.py
+++ b/hornbeamdeck/scheduling/tier_queue.py
@@ -1,15 +1,16 @@
 """Queue of one tier: fair between teams, earliest deadline first in a team.
 
-Teams are served by start tags (start-time fair queueing). Each served request
-increases its team's tag by the request's tokens divided by the team's weight,
-and the team with the smallest tag is next. A team that was idle starts at the
-current tag, so it can't accumulate unused turns.
+Teams are served by their tags (`FairShares`). Each served request increases its
+team's tag by the time that it takes divided by the team's weight, and the team
+with the smallest tag is next. A team that was idle continues at the virtual
+time, so it can't accumulate unused turns.
 """
 
 import heapq
 import itertools
 from collections.abc import Iterator
 
+from hornbeamdeck.scheduling.fair_shares import FairShares
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 
 __all__ = ('TierQueue',)
@@ -18,17 +19,16 @@
 class _TeamQueue:
     """The waiting requests of one team in one tier."""
 
-    def __init__(self, tag: float) -> None:
-        self.tag = tag
+    def __init__(self) -> None:
         self.requests: dict[str, QueuedRequest] = {}
-        self.cost_tokens = 0
+        self.service_ms = 0.0
         self._by_deadline: list[tuple[float, int, str]] = []
         self._by_arrival: list[str] = []
 
     def push(self, queued: QueuedRequest, sequence: int) -> None:
         request_id = queued.request.request_id
         self.requests[request_id] = queued
-        self.cost_tokens += queued.cost_tokens
+        self.service_ms += queued.service_ms
         entry = (queued.deadline_ms, sequence, request_id)
         heapq.heappush(self._by_deadline, entry)
         self._by_arrival.append(request_id)
@@ -45,7 +45,7 @@
 
     def remove(self, request_id: str) -> QueuedRequest:
         queued = self.requests.pop(request_id)
-        self.cost_tokens -= queued.cost_tokens
+        self.service_ms -= queued.service_ms
         self._compact()
         return queued
 
@@ -70,10 +70,10 @@
     def __init__(self) -> None:
         """Start empty."""
         self.service_ms = 0.0
+        self._shares = FairShares()
         self._teams: dict[str, _TeamQueue] = {}
         self._order: list[tuple[float, str]] = []
         self._team_of: dict[str, str] = {}
-        self._tag = 0.0
         self._sequence = itertools.count()
 
     def __len__(self) -> int:
@@ -89,12 +89,13 @@
         for team in self._teams.values():
             yield from team.requests.values()
 
-    def push(self, queued: QueuedRequest) -> None:
+    def push(self, queued: QueuedRequest, now: float = 0) -> None:
         """Add a request."""
         name = queued.request.team
-        team = self._teams.get(name)
-        if team is None or not team.requests and team.tag < self._tag:
-            team = self._activate(name)
+        team = self._teams.setdefault(name, _TeamQueue())
+        self._shares.add_waiting(name, now)
+        if not team.requests:
+            heapq.heappush(self._order, (self._shares.tag(name), name))
         team.push(queued, next(self._sequence))
         self._team_of[queued.request.request_id] = name
         self.service_ms += queued.service_ms
@@ -103,14 +104,25 @@
         """Return the next request to serve without removing it."""
         return self._next_team().earliest()
 
-    def serve(self, request_id: str, weight: int) -> QueuedRequest:
-        """Remove a request that is served and charge its team for it."""
+    def serve(
+        self,
+        request_id: str,
+        weight: float,
+        cost_ms: float | None = None,
+        now: float = 0,
+    ) -> QueuedRequest:
+        """Remove a request that is served and charge its team for it.
+
+        :param cost_ms: time that it is expected to take where it is served;
+            `None`: as long as estimated when it was pushed.
+        """
         name = self._team_of[request_id]
-        team = self._teams[name]
-        self._tag = max(self._tag, team.tag)
-        cost = team.requests[request_id].cost_tokens
-        team.tag += cost / weight
-        heapq.heappush(self._order, (team.tag, name))
+        if cost_ms is None:
+            team = self._teams[name]
+            cost_ms = team.requests[request_id].service_ms
+        self._shares.apply_weight(name, weight)
+        self._shares.charge(name, cost_ms, now)
+        heapq.heappush(self._order, (self._shares.tag(name), name))
         return self.remove(request_id)
 
     def remove(self, request_id: str) -> QueuedRequest:
@@ -118,32 +130,24 @@
         name = self._team_of.pop(request_id)
         team = self._teams[name]
         queued = team.remove(request_id)
+        if not team.requests:
+            self._teams.pop(name)
+        self._shares.remove_waiting(name)
         self.service_ms -= queued.service_ms
         return queued
 
     def newest_of_largest_team(self) -> QueuedRequest:
         """Return the request to refuse: the newest of the largest team.
 
-        The largest team is the one that waits for the most tokens.
+        The largest team is the one whose requests take the most time.
         """
-        largest = max(self._teams.values(), key=lambda team: team.cost_tokens)
+        largest = max(self._teams.values(), key=lambda team: team.service_ms)
         return largest.newest()
 
-    def _activate(self, name: str) -> _TeamQueue:
-        team = _TeamQueue(self._tag)
-        self._teams[name] = team
-        heapq.heappush(self._order, (self._tag, name))
-        return team
-
     def _next_team(self) -> _TeamQueue:
         while True:
             tag, name = self._order[0]
             team = self._teams.get(name)
-            if team is not None and team.tag == tag:
-                if team.requests:
-                    return team
-                # An idle team keeps its tag until the others have reached it.
-                # Otherwise it could gain turns by emptying its queue.
-                self._tag = max(self._tag, tag)
-                self._teams.pop(name)
+            if team is not None and self._shares.tag(name) == tag:
+                return team
             heapq.heappop(self._order)
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -7,10 +7,11 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Final, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine_choice import TimeBudget
+from hornbeamdeck.scheduling.fair_shares import FairShares
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import (
@@ -19,6 +20,7 @@
     pick_by_route_rank,
     rank_of,
 )
+from hornbeamdeck.scheduling.standing import Standing
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('WaitQueue',)
@@ -42,7 +44,9 @@
 FAIR_TURN_GRANTS: Final = 6
 
 
-_OrderKey: TypeAlias = tuple[Rank, float]
+_OrderKey: TypeAlias = tuple[Rank, Standing, float]
+# The sort keys while its team is within its share, and while beyond it.
+_OrderKeys: TypeAlias = tuple[_OrderKey, _OrderKey]
 
 
 class _Entry(NamedTuple):
@@ -50,15 +54,17 @@
 
     :param start_ms: when it must start to meet its objective.
     :param objective_ms: when its response is late.
-    :param key_on_time: sort key up to `start_ms`.
-    :param key_late: sort key after `start_ms`.
+    :param admitted_until_ms: latest expected start at which it was admitted.
+    :param keys_on_time: sort keys up to `start_ms`.
+    :param keys_late: sort keys after `start_ms`.
     """
 
     queued: QueuedRequest
     start_ms: float
     objective_ms: float
-    key_on_time: _OrderKey
-    key_late: _OrderKey
+    admitted_until_ms: float
+    keys_on_time: _OrderKeys
+    keys_late: _OrderKeys
 
     @classmethod
     def from_queued(
@@ -66,31 +72,51 @@
         queued: QueuedRequest,
         start_ms: float,
         objective_ms: float,
+        admitted_until_ms: float,
     ) -> Self:
-        """Compute the sort keys: retries first, then by rank and start time."""
-        request = queued.request
-        if request.excluded:
-            key = (RETRY_RANK, start_ms)
-            return cls(queued, start_ms, objective_ms, key, key)
+        """Compute the sort keys: by rank, standing and start time."""
+        keyed = (queued.request, queued.standing, start_ms)
         return cls(
             queued,
             start_ms,
             objective_ms,
-            _order_key(request, start_ms, is_late=False),
-            _order_key(request, start_ms, is_late=True),
+            admitted_until_ms,
+            _order_keys(*keyed, is_late=False),
+            _order_keys(*keyed, is_late=True),
+        )
+
+    def order(self, now: float, beyond: Container[str]) -> _OrderKey:
+        """Return the sort key; the lowest starts first.
+
+        :param beyond: teams that are beyond their share.
+        """
+        keys = self.keys_late if self.start_ms < now else self.keys_on_time
+        return keys[self.queued.request.team in beyond]
+
+    def is_beyond(self, beyond: Container[str]) -> bool:
+        """Return whether it is refused before those within a share."""
+        return (
+            self.queued.request.team in beyond
+            and self.keys_late[1][1] == Standing.BEYOND_SHARE
         )
 
-    def order(self, now: float) -> _OrderKey:
-        """Return the sort key; the lowest starts first."""
-        return self.key_late if self.start_ms < now else self.key_on_time
+    def place(
+        self, now: float, beyond: Container[str]
+    ) -> tuple[bool, _OrderKey]:
+        """Return the sort key for refusals; the highest is refused first."""
+        return (self.is_beyond(beyond), self.order(now, beyond))
 
 
 class WaitQueue:
     """Waiting requests, ordered by rank and by when each must start."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, shares: FairShares | None = None) -> None:
+        """Start empty.
+
+        :param shares: what the teams have used.
+        """
         self.interval_ms = INITIAL_INTERVAL_MS
+        self._shares = shares or FairShares()
         self._entries: dict[str, _Entry] = {}
         self._granted_ms = 0.0
         self._grants = 0
@@ -116,13 +142,22 @@
             )
             end_ms = min(queued.deadline_ms, end_ms)
             queued = queued._replace(deadline_ms=end_ms)
-        entry = _Entry.from_queued(queued, start_ms, objective_ms)
+        entry = _Entry.from_queued(
+            queued,
+            start_ms,
+            objective_ms,
+            now + self.max_wait_ms(request, fastest_ms),
+        )
         self._entries[request.request_id] = entry
+        self._shares.add_waiting(request.team, now)
 
     def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove a request and return it, if it waits here."""
         entry = self._entries.pop(request_id, None)
-        return entry.queued if entry else None
+        if entry is None:
+            return None
+        self._shares.remove_waiting(entry.queued.request.team)
+        return entry.queued
 
     def ids_from_sender(self, sender: str) -> list[str]:
         """Return the ids of the requests that were received on a connection."""
@@ -134,12 +169,17 @@
 
     def in_order(self, now: float) -> Iterator[QueuedRequest]:
         """Iterate over the waiting requests in the order of their start."""
+        beyond = self.teams_beyond_share(now)
         if self._grants % FAIR_TURN_GRANTS:
-            ordered = self._ordered(now)
+            ordered = self._ordered(now, beyond)
         else:
             ordered = sorted(
                 self._entries.values(),
-                key=lambda entry: (entry.start_ms < now, entry.start_ms),
+                key=lambda entry: (
+                    entry.start_ms < now,
+                    entry.is_beyond(beyond),
+                    entry.start_ms,
+                ),
             )
         return (entry.queued for entry in ordered)
 
@@ -162,7 +202,7 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Remove a request that starts and update the time between grants."""
-        self._entries.pop(request_id)
+        self.remove(request_id)
         elapsed_ms = now - self._granted_ms
         self._granted_ms = now
         self._grants += 1
@@ -183,13 +223,33 @@
     ) -> bool:
         """Return whether a new request is expected to start in time."""
         start_ms = now + _objective_ms(request) - fastest_ms
-        own_key = _order_key(request, start_ms, is_late=start_ms < now)
+        beyond = self.teams_beyond_share(now, request.team)
+        keys = _order_keys(
+            request,
+            Standing.WITHIN_SHARE,
+            start_ms,
+            is_late=start_ms < now,
+        )
+        own_key = keys[request.team in beyond]
         max_wait_ms = self.max_wait_ms(request, fastest_ms)
+        if own_key[1] == Standing.BEYOND_SHARE:
+            max_wait_ms = min(max_wait_ms, self._spare_wait_ms(now, beyond))
+        own_place = (own_key[1] == Standing.BEYOND_SHARE, own_key)
         requests_ahead = sum(
-            entry.order(now) <= own_key for entry in self._entries.values()
+            entry.place(now, beyond) <= own_place
+            for entry in self._entries.values()
         )
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
 
+    def teams_beyond_share(
+        self, now: float, arriving: str | None = None
+    ) -> frozenset[str]:
+        """Return the waiting teams that are beyond their share.
+
+        :param arriving: the team of a request that may wait, too.
+        """
+        return self._shares.beyond(now, arriving)
+
     def max_wait_ms(self, request: Enqueue, fastest_ms: float) -> float:
         """Return the longest expected wait at which a request is admitted."""
         slack_ms = _objective_ms(request) - fastest_ms
@@ -201,10 +261,22 @@
             return max_wait_ms
         return max(max_wait_ms, max_late_ms)
 
-    def _ordered(self, now: float) -> list[_Entry]:
+    def _ordered(self, now: float, beyond: Container[str]) -> list[_Entry]:
         return sorted(
             self._entries.values(),
-            key=lambda entry: entry.order(now),
+            key=lambda entry: entry.order(now, beyond),
+        )
+
+    def _spare_wait_ms(self, now: float, beyond: Container[str]) -> float:
+        """Return the shortest wait that is left to requests within a share.
+
+        A request beyond its team's share may start before less urgent ones, so
+        it is admitted only where it does not use up their time.
+        """
+        return min(
+            max(entry.admitted_until_ms - now, 0.0)
+            for entry in self._entries.values()
+            if not entry.is_beyond(beyond)
         )
 
     def _forecast_expired(self, now: float, forecast: Forecast) -> list[_Entry]:
@@ -214,9 +286,14 @@
         refusal leaves the caller more time to come back, and the requests
         behind move up.
         """
+        beyond = self.teams_beyond_share(now)
         requests_ahead = 0
         forecast_expired = []
-        for entry in self._ordered(now):
+        ordered = sorted(
+            self._entries.values(),
+            key=lambda entry: entry.place(now, beyond),
+        )
+        for entry in ordered:
             if entry.queued.deadline_ms < now or entry.queued.request.excluded:
                 continue
             if (
@@ -230,21 +307,34 @@
 
     def _remove_all(self, requests: list[QueuedRequest]) -> list[QueuedRequest]:
         for queued in requests:
-            self._entries.pop(queued.request.request_id)
+            self.remove(queued.request.request_id)
         return requests
 
 
-def _order_key(
-    request: Enqueue, start_ms: float, *, is_late: bool
-) -> _OrderKey:
-    """Return the sort key of a request that is not a retry.
+def _order_keys(
+    request: Enqueue, standing: Standing, start_ms: float, *, is_late: bool
+) -> _OrderKeys:
+    """Return the sort keys of a request.
 
-    A stream that goes on is first among those of its rank: only some of the
-    engines may take it, and if it is refused, its first part is lost.
+    Retries are first. A stream that goes on is first among those of its rank:
+    only some of the engines may take it, and if it is refused, its first part
+    is lost. So what its team has used does not count.
     """
+    if request.excluded:
+        key = (RETRY_RANK, Standing.RETURNING, start_ms)
+        return (key, key)
     if request.resumes is not None:
-        return (rank_of(request, is_late=False), -math.inf)
-    return (rank_of(request, is_late=is_late), start_ms)
+        rank = rank_of(request, is_late=False)
+        key = (rank, Standing.RETURNING, -math.inf)
+        return (key, key)
+    rank = rank_of(request, is_late=is_late)
+    if standing == Standing.RETURNING:
+        key = (rank, standing, start_ms)
+        return (key, key)
+    return (
+        (rank, Standing.WITHIN_SHARE, start_ms),
+        (rank, Standing.BEYOND_SHARE, start_ms),
+    )
 
 
 def _objective_ms(request: Enqueue) -> int:
