--- a/bench/heavy_teams.py
+++ b/bench/heavy_teams.py
@@ -19,6 +19,7 @@
 from bench.replay import Outcome
 from bench.replay_load import LoadPlan, TeamLoad
 from bench.replay_owners import OwnersReplay
+from bench.replay_statements import MS_PER_S
 
 __all__ = ('LightShare', 'measure_light_teams')
 
@@ -38,6 +39,13 @@
     answers: float
 
 
+class _Got(NamedTuple):
+    """What a team gets in a time."""
+
+    value: float
+    answers: int
+
+
 def measure_light_teams(
     plan: LoadPlan, seed: int, owner_changes_s: tuple[float, ...] = ()
 ) -> list[LightShare]:
@@ -81,22 +89,22 @@
 
 def _got(
     outcomes: Iterable[Outcome], team: TeamLoad, begin_s: float, end_s: float
-) -> tuple[float, int]:
+) -> _Got:
     """Return the value and the answers that a team gets in a time."""
+    of_team = (each for each in outcomes if each.arrival.team == team.name)
+    answers = (each for each in of_team if each.result in ANSWERED)
+    begin_ms, end_ms = begin_s * MS_PER_S, end_s * MS_PER_S
     values = [
-        outcome.earned_value
-        for outcome in outcomes
-        if outcome.arrival.team == team.name
-        and begin_s * 1000 <= outcome.arrival.at_ms < end_s * 1000
-        and outcome.result in ANSWERED
+        each.earned_value
+        for each in answers
+        if begin_ms <= each.arrival.at_ms < end_ms
     ]
-    return sum(values), len(values)
+    return _Got(sum(values), len(values))
 
 
-def _ratio(
-    team: TeamLoad, beside: tuple[float, int], alone: tuple[float, int]
-) -> LightShare:
-    return LightShare(team.name, beside[0] / alone[0], beside[1] / alone[1])
+def _ratio(team: TeamLoad, beside: _Got, alone: _Got) -> LightShare:
+    value = beside.value / alone.value
+    return LightShare(team.name, value, beside.answers / alone.answers)
 
 
 def summarize_light_teams(shares: list[LightShare]) -> dict[str, Any]:
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -12,6 +12,7 @@
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.retry_budget import RetryCounts
+from hornbeamdeck.scheduling.standing import StandingCounts
 
 __all__ = (
     'BUCKETS_S',
@@ -81,6 +82,7 @@
     :param resting: engines that want no requests from some instance.
     :param waiting: requests that wait for any engine of the service.
     :param retries: the service's retries, of which there is a limit.
+    :param standings: requests by the standing of their teams.
     """
 
     engines: int
@@ -88,6 +90,7 @@
     resting: int
     waiting: int
     retries: RetryCounts
+    standings: StandingCounts
 
 
 class LatencyHistogram:
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -21,6 +21,7 @@
     LatencyHistogram,
     LimitCounts,
 )
+from hornbeamdeck.observability.standing_metrics import standing_metrics
 
 __all__ = ('make_registry', 'render')
 
@@ -243,6 +244,7 @@
         for service, counts in metrics.limit_counts.items():
             gauge.add_metric((service,), read(counts))
         yield gauge
+    yield from standing_metrics(metrics.limit_counts)
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -167,6 +167,7 @@
                 ),
                 waiting=len(cell),
                 retries=cell.retry_budget.counts(now),
+                standings=cell.standings.counts(now),
             )
             for service, cell in self._cells.items()
         }
@@ -179,6 +180,7 @@
                 'load',
                 cell=service,
                 waiting=len(cell),
+                beyond_share=cell.standings.counts(now).beyond,
                 engines={
                     name: (len(load.runs), load.slots, round(load.slowness, 2))
                     for name, load in cell.loads.items()
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -38,7 +38,7 @@
 from hornbeamdeck.scheduling.service_load import (
     fastest_first_token_ms,
 )
-from hornbeamdeck.scheduling.slot_charges import SlotCharges
+from hornbeamdeck.scheduling.team_standings import TeamStandings
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
@@ -83,8 +83,8 @@
         self.conditions = self._engines.conditions
         self.origins = self._engines.origins
         self.crash_tracker = EngineCrashTracker()
-        self._charges = SlotCharges(shared.teams)
-        self._wait_queue = WaitQueue(self._charges.shares)
+        self._wait_queue = WaitQueue()
+        self.standings = TeamStandings(shared.teams, self._wait_queue)
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = float('-inf')
         self._has_fewer_engines = False
@@ -109,7 +109,7 @@
             that are new here.
         """
         self._placements.request_full_scan()
-        self._charges.update_weights()
+        self.standings.update_weights()
         self._engines.update(engines, properties, slowness)
         self._has_fewer_engines = True
 
@@ -251,7 +251,7 @@
         run = load.end(message.request_id, end, now, message.first_byte_ms or 0)
         if run is None:
             return []
-        self._charges.correct_end(run, now)
+        self.standings.correct_end(run, now)
         self._placements.record_engine_change(load.engine.name)
         self.versions.record_run_end(load, run, message, now)
         if end == RunEnd.ANSWERED:
@@ -354,7 +354,7 @@
         self.versions.record_grant(load)
         self.origins.record_grant(queued.request, load.engine, now)
         start_granted(load, queued, now)
-        self._charges.charge_start(load, queued.request, now)
+        self.standings.charge_start(load, queued.request, now)
         return Granted(
             queued,
             load.engine.name,
@@ -392,6 +392,7 @@
             'rank': request.tier_rank,
             'objective_ms': request.objective_ms,
             'quota': self._admission.describe_quota(request.team),
+            'standing': self.standings.record_refusal(queued, now),
         }
         if hold_reason:
             log_fields['held_for'] = hold_reason
--- a/hornbeamdeck/scheduling/fair_shares.py
+++ b/hornbeamdeck/scheduling/fair_shares.py
@@ -40,6 +40,10 @@
 LEAD_MEMORY_MS: Final = 4000.0
 # Number of requests over which the mean cost is averaged.
 COSTS_AVERAGED: Final = 50
+# Until this many requests have started, an owner does not know what the teams
+# use. It takes a team with more requests waiting than its share of all waiting
+# requests for one beyond its share.
+STARTS_UNTIL_KNOWN: Final = 50
 DEFAULT_WEIGHT: Final = 1.0
 
 
@@ -81,6 +85,7 @@
         self._by_tag: list[tuple[float, str]] = []
         self._virtual_ms = 0.0
         self._mean_cost_ms = 0.0
+        self._starts = 0
 
     def apply_weights(self, weights: Mapping[str, float]) -> None:
         """Apply the weights; all other teams have the default weight."""
@@ -117,6 +122,7 @@
 
     def charge(self, team: str, cost_ms: float, now: float) -> None:
         """Charge a team for a request that starts."""
+        self._starts += 1
         if self._mean_cost_ms:
             change_ms = (cost_ms - self._mean_cost_ms) / COSTS_AVERAGED
             self._mean_cost_ms += change_ms
@@ -162,7 +168,7 @@
             team is kept from what no other team asks for.
         """
         teams = self._waiting_teams
-        if arriving is not None and arriving not in teams:
+        if arriving is not None:
             teams = teams | {arriving}
         if len(teams) < 2:
             return frozenset()
@@ -171,7 +177,23 @@
             for team in teams
             if self.standing(team, now) == Standing.BEYOND_SHARE
         )
-        return frozenset() if len(beyond) == len(teams) else beyond
+        if self._starts < STARTS_UNTIL_KNOWN:
+            beyond |= self._crowding()
+        return frozenset() if beyond >= teams else beyond
+
+    def _crowding(self) -> frozenset[str]:
+        """Return the teams with more than their share of what waits."""
+        waiting = [self._teams[team] for team in self._waiting_teams]
+        total_weight = sum(share.weight for share in waiting)
+        requests_per_weight = (
+            sum(share.waiting for share in waiting) / total_weight
+        )
+        return frozenset(
+            team
+            for team in self._waiting_teams
+            if self._teams[team].waiting - 1
+            > self._teams[team].weight * requests_per_weight
+        )
 
     def _share_of(self, team: str, now: float) -> _TeamShare:
         share = self._teams.get(team)
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -6,21 +6,26 @@
 new request late.
 """
 
-import math
-from collections.abc import Container, Iterator
-from typing import Final, NamedTuple, Self, TypeAlias
+from collections import Counter
+from collections.abc import Iterator
+from itertools import chain
+from typing import Final
 
 from hornbeamdeck.scheduling.engine_choice import TimeBudget
 from hornbeamdeck.scheduling.fair_shares import FairShares
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import (
-    RETRY_RANK,
-    Rank,
     pick_by_route_rank,
-    rank_of,
 )
 from hornbeamdeck.scheduling.standing import Standing
+from hornbeamdeck.scheduling.wait_entry import (
+    WaitEntry,
+    in_order_of_start,
+    order_keys,
+    spare_wait_ms,
+    split_by_share,
+)
 from hornbeamdeck.wire import Enqueue
 
 __all__ = ('WaitQueue',)
@@ -44,69 +49,6 @@
 FAIR_TURN_GRANTS: Final = 6
 
 
-_OrderKey: TypeAlias = tuple[Rank, Standing, float]
-# The sort keys while its team is within its share, and while beyond it.
-_OrderKeys: TypeAlias = tuple[_OrderKey, _OrderKey]
-
-
-class _Entry(NamedTuple):
-    """A waiting request.
-
-    :param start_ms: when it must start to meet its objective.
-    :param objective_ms: when its response is late.
-    :param admitted_until_ms: latest expected start at which it was admitted.
-    :param keys_on_time: sort keys up to `start_ms`.
-    :param keys_late: sort keys after `start_ms`.
-    """
-
-    queued: QueuedRequest
-    start_ms: float
-    objective_ms: float
-    admitted_until_ms: float
-    keys_on_time: _OrderKeys
-    keys_late: _OrderKeys
-
-    @classmethod
-    def from_queued(
-        cls,
-        queued: QueuedRequest,
-        start_ms: float,
-        objective_ms: float,
-        admitted_until_ms: float,
-    ) -> Self:
-        """Compute the sort keys: by rank, standing and start time."""
-        keyed = (queued.request, queued.standing, start_ms)
-        return cls(
-            queued,
-            start_ms,
-            objective_ms,
-            admitted_until_ms,
-            _order_keys(*keyed, is_late=False),
-            _order_keys(*keyed, is_late=True),
-        )
-
-    def order(self, now: float, beyond: Container[str]) -> _OrderKey:
-        """Return the sort key; the lowest starts first.
-
-        :param beyond: teams that are beyond their share.
-        """
-        keys = self.keys_late if self.start_ms < now else self.keys_on_time
-        return keys[self.queued.request.team in beyond]
-
-    def is_beyond(self, beyond: Container[str]) -> bool:
-        """Return whether it is refused before those within a share."""
-        return (
-            self.queued.request.team in beyond
-            and self.keys_late[1][1] == Standing.BEYOND_SHARE
-        )
-
-    def place(
-        self, now: float, beyond: Container[str]
-    ) -> tuple[bool, _OrderKey]:
-        """Return the sort key for refusals; the highest is refused first."""
-        return (self.is_beyond(beyond), self.order(now, beyond))
-
-
 class WaitQueue:
     """Waiting requests, ordered by rank and by when each must start."""
 
@@ -116,8 +58,8 @@
         :param shares: what the teams have used.
         """
         self.interval_ms = INITIAL_INTERVAL_MS
-        self._shares = shares or FairShares()
-        self._entries: dict[str, _Entry] = {}
+        self.shares = shares or FairShares()
+        self._entries: dict[str, WaitEntry] = {}
         self._granted_ms = 0.0
         self._grants = 0
 
@@ -142,21 +84,21 @@
             )
             end_ms = min(queued.deadline_ms, end_ms)
             queued = queued._replace(deadline_ms=end_ms)
-        entry = _Entry.from_queued(
+        entry = WaitEntry.from_queued(
             queued,
             start_ms,
             objective_ms,
             now + self.max_wait_ms(request, fastest_ms),
         )
         self._entries[request.request_id] = entry
-        self._shares.add_waiting(request.team, now)
+        self.shares.add_waiting(request.team, now)
 
     def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove a request and return it, if it waits here."""
         entry = self._entries.pop(request_id, None)
         if entry is None:
             return None
-        self._shares.remove_waiting(entry.queued.request.team)
+        self.shares.remove_waiting(entry.queued.request.team)
         return entry.queued
 
     def ids_from_sender(self, sender: str) -> list[str]:
@@ -171,13 +113,13 @@
         """Iterate over the waiting requests in the order of their start."""
         beyond = self.teams_beyond_share(now)
         if self._grants % FAIR_TURN_GRANTS:
-            ordered = self._ordered(now, beyond)
+            ordered = in_order_of_start(self._entries.values(), now, beyond)
         else:
             ordered = sorted(
                 self._entries.values(),
                 key=lambda entry: (
                     entry.start_ms < now,
-                    entry.is_beyond(beyond),
+                    entry.team in beyond and not entry.is_first,
                     entry.start_ms,
                 ),
             )
@@ -224,21 +166,21 @@
         """Return whether a new request is expected to start in time."""
         start_ms = now + _objective_ms(request) - fastest_ms
         beyond = self.teams_beyond_share(now, request.team)
-        keys = _order_keys(
-            request,
-            Standing.WITHIN_SHARE,
-            start_ms,
-            is_late=start_ms < now,
-        )
-        own_key = keys[request.team in beyond]
+        is_beyond = request.team in beyond and request.resumes is None
+        own_key = order_keys(
+            request, Standing.WITHIN_SHARE, start_ms, is_late=start_ms < now
+        )[is_beyond]
         max_wait_ms = self.max_wait_ms(request, fastest_ms)
-        if own_key[1] == Standing.BEYOND_SHARE:
-            max_wait_ms = min(max_wait_ms, self._spare_wait_ms(now, beyond))
-        own_place = (own_key[1] == Standing.BEYOND_SHARE, own_key)
+        groups = split_by_share(self._entries.values(), beyond)
         requests_ahead = sum(
-            entry.place(now, beyond) <= own_place
-            for entry in self._entries.values()
+            entry.order(now, is_beyond=is_beyond) <= own_key
+            for entry in groups[is_beyond]
         )
+        if is_beyond:
+            # It may start before less urgent requests within a share, so it is
+            # admitted only where it does not use up their time.
+            requests_ahead += len(groups[0])
+            max_wait_ms = min(max_wait_ms, spare_wait_ms(groups[0], now))
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
 
     def teams_beyond_share(
@@ -248,7 +190,7 @@
 
         :param arriving: the team of a request that may wait, too.
         """
-        return self._shares.beyond(now, arriving)
+        return self.shares.beyond(now, arriving)
 
     def max_wait_ms(self, request: Enqueue, fastest_ms: float) -> float:
         """Return the longest expected wait at which a request is admitted."""
@@ -261,25 +203,17 @@
             return max_wait_ms
         return max(max_wait_ms, max_late_ms)
 
-    def _ordered(self, now: float, beyond: Container[str]) -> list[_Entry]:
-        return sorted(
-            self._entries.values(),
-            key=lambda entry: entry.order(now, beyond),
-        )
-
-    def _spare_wait_ms(self, now: float, beyond: Container[str]) -> float:
-        """Return the shortest wait that is left to requests within a share.
-
-        A request beyond its team's share may start before less urgent ones, so
-        it is admitted only where it does not use up their time.
-        """
-        return min(
-            max(entry.admitted_until_ms - now, 0.0)
+    def count_by_standing(self, now: float) -> Counter[Standing]:
+        """Count the waiting requests."""
+        beyond = self.teams_beyond_share(now)
+        return Counter(
+            entry.order(now, is_beyond=entry.team in beyond)[1]
             for entry in self._entries.values()
-            if not entry.is_beyond(beyond)
         )
 
-    def _forecast_expired(self, now: float, forecast: Forecast) -> list[_Entry]:
+    def _forecast_expired(
+        self, now: float, forecast: Forecast
+    ) -> list[WaitEntry]:
         """Find requests that are not expected to start before their deadline.
 
         More urgent requests that arrived later have overtaken them. An early
@@ -289,9 +223,9 @@
         beyond = self.teams_beyond_share(now)
         requests_ahead = 0
         forecast_expired = []
-        ordered = sorted(
-            self._entries.values(),
-            key=lambda entry: entry.place(now, beyond),
+        ordered = chain.from_iterable(
+            in_order_of_start(entries, now, beyond)
+            for entries in split_by_share(self._entries.values(), beyond)
         )
         for entry in ordered:
             if entry.queued.deadline_ms < now or entry.queued.request.excluded:
@@ -311,32 +245,6 @@
         return requests
 
 
-def _order_keys(
-    request: Enqueue, standing: Standing, start_ms: float, *, is_late: bool
-) -> _OrderKeys:
-    """Return the sort keys of a request.
-
-    Retries are first. A stream that goes on is first among those of its rank:
-    only some of the engines may take it, and if it is refused, its first part
-    is lost. So what its team has used does not count.
-    """
-    if request.excluded:
-        key = (RETRY_RANK, Standing.RETURNING, start_ms)
-        return (key, key)
-    if request.resumes is not None:
-        rank = rank_of(request, is_late=False)
-        key = (rank, Standing.RETURNING, -math.inf)
-        return (key, key)
-    rank = rank_of(request, is_late=is_late)
-    if standing == Standing.RETURNING:
-        key = (rank, standing, start_ms)
-        return (key, key)
-    return (
-        (rank, Standing.WITHIN_SHARE, start_ms),
-        (rank, Standing.BEYOND_SHARE, start_ms),
-    )
-
-
 def _objective_ms(request: Enqueue) -> int:
     if request.objective_ms is None:
         return int(request.deadline_ms)
