--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.scheduling.retry_budget import RetryCounts
+from hornbeamdeck.scheduling.standing import StandingCounts
 
 __all__ = (
     'BUCKETS_S',
@@ -107,6 +108,7 @@
     :param resting: engines that want no requests from some instance.
     :param waiting: requests that wait for any engine of the service.
     :param retries: the service's retries, of which there is a limit.
+    :param standings: requests by the standing of their teams.
     """
 
     engines: int
@@ -114,6 +116,7 @@
     resting: int
     waiting: int
     retries: RetryCounts
+    standings: StandingCounts
 
 
 class LatencyHistogram:
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -22,6 +22,7 @@
     LimitCounts,
 )
 from hornbeamdeck.observability.memory_metrics_export import memory_metrics
+from hornbeamdeck.observability.standing_metrics import standing_metrics
 
 __all__ = ('make_registry', 'render')
 
@@ -251,6 +252,7 @@
         for service, counts in metrics.limit_counts.items():
             gauge.add_metric((service,), read(counts))
         yield gauge
+    yield from standing_metrics(metrics.limit_counts)
 
 
 def _rollout_metrics(metrics: GatewayMetrics) -> Iterator[Metric]:
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -6,18 +6,25 @@
 new request late.
 """
 
-import math
+from collections import Counter
 from collections.abc import Iterator
-from typing import Final, NamedTuple, Self, TypeAlias
+from itertools import chain
+from typing import Final
 
 from hornbeamdeck.scheduling.engine_choice import TimeBudget
+from hornbeamdeck.scheduling.fair_shares import FairShares
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import (
-    RETRY_RANK,
-    Rank,
     pick_by_route_rank,
-    rank_of,
+)
+from hornbeamdeck.scheduling.standing import Standing
+from hornbeamdeck.scheduling.wait_entry import (
+    WaitEntry,
+    in_order_of_start,
+    order_keys,
+    spare_wait_ms,
+    split_by_share,
 )
 from hornbeamdeck.wire import Enqueue
 
@@ -42,56 +49,17 @@
 FAIR_TURN_GRANTS: Final = 6
 
 
-_OrderKey: TypeAlias = tuple[Rank, float]
-
-
-class _Entry(NamedTuple):
-    """A waiting request.
-
-    :param start_ms: when it must start to meet its objective.
-    :param objective_ms: when its response is late.
-    :param key_on_time: sort key up to `start_ms`.
-    :param key_late: sort key after `start_ms`.
-    """
-
-    queued: QueuedRequest
-    start_ms: float
-    objective_ms: float
-    key_on_time: _OrderKey
-    key_late: _OrderKey
-
-    @classmethod
-    def from_queued(
-        cls,
-        queued: QueuedRequest,
-        start_ms: float,
-        objective_ms: float,
-    ) -> Self:
-        """Compute the sort keys: retries first, then by rank and start time."""
-        request = queued.request
-        if request.excluded:
-            key = (RETRY_RANK, start_ms)
-            return cls(queued, start_ms, objective_ms, key, key)
-        return cls(
-            queued,
-            start_ms,
-            objective_ms,
-            _order_key(request, start_ms, is_late=False),
-            _order_key(request, start_ms, is_late=True),
-        )
-
-    def order(self, now: float) -> _OrderKey:
-        """Return the sort key; the lowest starts first."""
-        return self.key_late if self.start_ms < now else self.key_on_time
-
-
 class WaitQueue:
     """Waiting requests, ordered by rank and by when each must start."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, shares: FairShares | None = None) -> None:
+        """Start empty.
+
+        :param shares: what the teams have used.
+        """
         self.interval_ms = INITIAL_INTERVAL_MS
-        self._entries: dict[str, _Entry] = {}
+        self.shares = shares or FairShares()
+        self._entries: dict[str, WaitEntry] = {}
         self._granted_ms = 0.0
         self._grants = 0
 
@@ -116,13 +84,22 @@
             )
             end_ms = min(queued.deadline_ms, end_ms)
             queued = queued._replace(deadline_ms=end_ms)
-        entry = _Entry.from_queued(queued, start_ms, objective_ms)
+        entry = WaitEntry.from_queued(
+            queued,
+            start_ms,
+            objective_ms,
+            now + self.max_wait_ms(request, fastest_ms),
+        )
         self._entries[request.request_id] = entry
+        self.shares.add_waiting(request.team, now)
 
     def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove a request and return it, if it waits here."""
         entry = self._entries.pop(request_id, None)
-        return entry.queued if entry else None
+        if entry is None:
+            return None
+        self.shares.remove_waiting(entry.queued.request.team)
+        return entry.queued
 
     def ids_from_sender(self, sender: str) -> list[str]:
         """Return the ids of the requests that were received on a connection."""
@@ -134,12 +111,17 @@
 
     def in_order(self, now: float) -> Iterator[QueuedRequest]:
         """Iterate over the waiting requests in the order of their start."""
+        beyond = self.teams_beyond_share(now)
         if self._grants % FAIR_TURN_GRANTS:
-            ordered = self._ordered(now)
+            ordered = in_order_of_start(self._entries.values(), now, beyond)
         else:
             ordered = sorted(
                 self._entries.values(),
-                key=lambda entry: (entry.start_ms < now, entry.start_ms),
+                key=lambda entry: (
+                    entry.start_ms < now,
+                    entry.team in beyond and not entry.is_first,
+                    entry.start_ms,
+                ),
             )
         return (entry.queued for entry in ordered)
 
@@ -162,7 +144,7 @@
 
     def start(self, request_id: str, now: float) -> None:
         """Remove a request that starts and update the time between grants."""
-        self._entries.pop(request_id)
+        self.remove(request_id)
         elapsed_ms = now - self._granted_ms
         self._granted_ms = now
         self._grants += 1
@@ -183,13 +165,33 @@
     ) -> bool:
         """Return whether a new request is expected to start in time."""
         start_ms = now + _objective_ms(request) - fastest_ms
-        own_key = _order_key(request, start_ms, is_late=start_ms < now)
+        beyond = self.teams_beyond_share(now, request.team)
+        is_beyond = request.team in beyond and request.resumes is None
+        own_key = order_keys(
+            request, Standing.WITHIN_SHARE, start_ms, is_late=start_ms < now
+        )[is_beyond]
         max_wait_ms = self.max_wait_ms(request, fastest_ms)
+        groups = split_by_share(self._entries.values(), beyond)
         requests_ahead = sum(
-            entry.order(now) <= own_key for entry in self._entries.values()
+            entry.order(now, is_beyond=is_beyond) <= own_key
+            for entry in groups[is_beyond]
         )
+        if is_beyond:
+            # It may start before less urgent requests within a share, so it is
+            # admitted only where it does not use up their time.
+            requests_ahead += len(groups[0])
+            max_wait_ms = min(max_wait_ms, spare_wait_ms(groups[0], now))
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
 
+    def teams_beyond_share(
+        self, now: float, arriving: str | None = None
+    ) -> frozenset[str]:
+        """Return the waiting teams that are beyond their share.
+
+        :param arriving: the team of a request that may wait, too.
+        """
+        return self.shares.beyond(now, arriving)
+
     def max_wait_ms(self, request: Enqueue, fastest_ms: float) -> float:
         """Return the longest expected wait at which a request is admitted."""
         slack_ms = _objective_ms(request) - fastest_ms
@@ -201,22 +203,31 @@
             return max_wait_ms
         return max(max_wait_ms, max_late_ms)
 
-    def _ordered(self, now: float) -> list[_Entry]:
-        return sorted(
-            self._entries.values(),
-            key=lambda entry: entry.order(now),
+    def count_by_standing(self, now: float) -> Counter[Standing]:
+        """Count the waiting requests."""
+        beyond = self.teams_beyond_share(now)
+        return Counter(
+            entry.order(now, is_beyond=entry.team in beyond)[1]
+            for entry in self._entries.values()
         )
 
-    def _forecast_expired(self, now: float, forecast: Forecast) -> list[_Entry]:
+    def _forecast_expired(
+        self, now: float, forecast: Forecast
+    ) -> list[WaitEntry]:
         """Find requests that are not expected to start before their deadline.
 
         More urgent requests that arrived later have overtaken them. An early
         refusal leaves the caller more time to come back, and the requests
         behind move up.
         """
+        beyond = self.teams_beyond_share(now)
         requests_ahead = 0
         forecast_expired = []
-        for entry in self._ordered(now):
+        ordered = chain.from_iterable(
+            in_order_of_start(entries, now, beyond)
+            for entries in split_by_share(self._entries.values(), beyond)
+        )
+        for entry in ordered:
             if entry.queued.deadline_ms < now or entry.queued.request.excluded:
                 continue
             if (
@@ -230,23 +241,10 @@
 
     def _remove_all(self, requests: list[QueuedRequest]) -> list[QueuedRequest]:
         for queued in requests:
-            self._entries.pop(queued.request.request_id)
+            self.remove(queued.request.request_id)
         return requests
 
 
-def _order_key(
-    request: Enqueue, start_ms: float, *, is_late: bool
-) -> _OrderKey:
-    """Return the sort key of a request that is not a retry.
-
-    A stream that goes on is first among those of its rank: only some of the
-    engines may take it, and if it is refused, its first part is lost.
-    """
-    if request.resumes is not None:
-        return (rank_of(request, is_late=False), -math.inf)
-    return (rank_of(request, is_late=is_late), start_ms)
-
-
 def _objective_ms(request: Enqueue) -> int:
     if request.objective_ms is None:
         return int(request.deadline_ms)
