Retry held requests before a new one behind them is placed

Change: a request held because it would be late or would break streams is tried on all engines in a scan with new requests.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -13,7 +13,11 @@
 )
 from hornbeamdeck.scheduling.cell import Granted, Refused
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.engine_choice import Choice, choose_engine
+from hornbeamdeck.scheduling.engine_choice import (
+    HELD_FOR_BETTER_SLOT,
+    Choice,
+    choose_engine,
+)
 from hornbeamdeck.scheduling.engine_conditions import ConditionChange
 from hornbeamdeck.scheduling.engine_crash_tracker import (
     EngineCrashTracker,
@@ -315,6 +319,7 @@
         candidates = scan.candidates_for(
             request,
             is_held_by_limit=hold_reason in {HELD_BY_LIMIT, HELD_BY_RETRIES},
+            waits_for_better_slot=hold_reason in HELD_FOR_BETTER_SLOT,
         )
         if candidates is None:
             return None
--- a/hornbeamdeck/scheduling/engine_choice.py
+++ b/hornbeamdeck/scheduling/engine_choice.py
@@ -14,7 +14,7 @@
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rank import value_of
 
-__all__ = ('TimeBudget', 'Choice', 'choose_engine')
+__all__ = ('HELD_FOR_BETTER_SLOT', 'TimeBudget', 'Choice', 'choose_engine')
 
 # The gap in a stream is estimated by a model. A stream counts as interrupted if
 # the estimate exceeds this share of the gap that its route allows.
@@ -32,6 +32,11 @@
 # A request that waits for a better slot starts this long before it would be
 # late: slots are checked every 25 ms, and the estimates have errors.
 START_MARGIN_MS: Final = 40.0
+_WOULD_BREAK_STREAMS: Final = 'it would break streams'
+_WOULD_BE_LATE: Final = 'it would be late there'
+# Reasons to hold a request that end when time passes, without any change of an
+# engine.
+HELD_FOR_BETTER_SLOT: Final = frozenset((_WOULD_BREAK_STREAMS, _WOULD_BE_LATE))
 
 
 class TimeBudget(NamedTuple):
@@ -116,8 +121,8 @@
     if best is not None:
         return Choice(best)
     if on_time:
-        return Choice(None, 'it would break streams')
-    return Choice(None, 'it would be late there')
+        return Choice(None, _WOULD_BREAK_STREAMS)
+    return Choice(None, _WOULD_BE_LATE)
 
 
 def _choose_without_slack(
--- a/hornbeamdeck/scheduling/placement_scan.py
+++ b/hornbeamdeck/scheduling/placement_scan.py
@@ -68,17 +68,24 @@
         request: Enqueue,
         *,
         is_held_by_limit: bool,
+        waits_for_better_slot: bool,
     ) -> list[EngineLoad] | None:
         """List the engines to try for a request.
 
         :param is_held_by_limit: whether its team's limit, or that of retries,
             held it back before.
+        :param waits_for_better_slot: whether it was held although slots were
+            free. Such a request may start merely because time has passed. It is
+            tried on all engines before a new one behind it is, which could
+            otherwise take its slot between two full scans.
         :returns: `None` if the request can be skipped. Requests of the same
             team as a new one are not skipped: those ahead of it take the team's
             tokens first.
         """
         if request.request_id in self._arrived:
             return self.free
+        if waits_for_better_slot and self._arrived:
+            return self.free
         if request.team in self._teams:
             return self.free if is_held_by_limit else self._changed
         return self._changed or None
