Measure the cost of placing requests on 45 and 112 engines

bench.capacity measured only the plain scheduler. The new figures are the time per request of a full service with 100 waiting requests: enqueue, progress, release, and the placement that each of them triggers.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,6 +8,7 @@
 import json
 import time
 import tracemalloc
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Final
@@ -34,8 +35,18 @@
     InstanceStatus,
     Membership,
 )
+from hornbeamdeck.scheduling.admission_control import SharedState
 from hornbeamdeck.scheduling.cell import Cell
+from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.scheduling.retry_budget import RetryBudget, RetryRules
+from hornbeamdeck.scheduling.token_quota import (
+    QuotaRules,
+    QuotaView,
+    TokenQuotas,
+)
 from hornbeamdeck.version.configuration import Configuration, parse_document
+from hornbeamdeck.version.gateway import EngineProperties
 from hornbeamdeck.wire import (
     Enqueue,
     Grant,
@@ -51,6 +62,11 @@
 TEAM_COUNTS: Final = (1000, 10_000, 33_000)
 WAITING_COUNTS: Final = (10, 100, 1000)
 UPSTREAM_COUNTS: Final = (4, 12, 36)
+# Engines of the largest services, and the speeds of their engines.
+ENGINE_COUNTS: Final = (45, 112)
+ENGINE_SLOWNESS: Final = (0.68, 0.68, 3.0)
+ENGINE_SLOTS: Final = 8
+ENGINE_WAITING: Final = 100
 FLEET_SIZES: Final = (2, 4, 8)
 ROUNDS: Final = 2000
 IDLE_DURATION_S: Final = 10.0
@@ -240,6 +256,87 @@
     }
 
 
+def measure_placement() -> list[Figures]:
+    """Measure the time per request of a full service, by engines."""
+    return [_measure_engines(count) for count in ENGINE_COUNTS]
+
+
+def _make_engine_cell(count: int) -> EngineCell:
+    quotas = TokenQuotas(
+        QuotaView(lambda _team, _now: 0, lambda: True, lambda: 1.0),
+        QuotaRules(window_ms=8000, slack=0),
+        is_first_start=True,
+    )
+    cell = EngineCell(
+        SharedState(quotas=quotas, teams={}),
+        RetryBudget(RetryRules(0.2, 100, 10_000), lambda _now: 1.0),
+    )
+    engines = [
+        Engine(
+            f'e{each}',
+            CELL,
+            f'127.0.0.1:{each + 1}',
+            'z1',
+            ENGINE_SLOTS,
+            is_draining=False,
+            born_ms=1,
+        )
+        for each in range(count)
+    ]
+    slowness = {
+        each.name: ENGINE_SLOWNESS[number % len(ENGINE_SLOWNESS)]
+        for number, each in enumerate(engines)
+    }
+    cell.update_engines(
+        engines, EngineProperties(ENGINE_SLOTS, 5, 660_000), slowness
+    )
+    return cell
+
+
+def _measure_engines(count: int) -> Figures:
+    cell = _make_engine_cell(count)
+    clock_ms = [0.0]
+    running: deque[str] = deque()
+    numbers = iter(range(10**6))
+
+    def _enqueue_and_place() -> None:
+        now = clock_ms[0]
+        request = _make_request(next(numbers))
+        cell.enqueue(request, sender='s', deliver=_async_discard, now=now)
+        running.extend(
+            each.queued.request.request_id for each in cell.place_waiting(now)
+        )
+
+    for _ in range(count * ENGINE_SLOTS + ENGINE_WAITING):
+        _enqueue_and_place()
+
+    def _replace_one_request() -> None:
+        clock_ms[0] += 1
+        now = clock_ms[0]
+        ended_id = running.popleft()
+        cell.progress(
+            Progress(request_id=ended_id, cell=CELL, first_token_ms=50), now
+        )
+        list(cell.place_waiting(now))
+        cell.release(
+            Release(
+                request_id=ended_id,
+                cell=CELL,
+                end=RunEnd.ANSWERED,
+                total_ms=500,
+            ),
+            now,
+        )
+        list(cell.refuse_expired(now))
+        _enqueue_and_place()
+
+    return {
+        'engines': count,
+        'request_us': _mean_us(_replace_one_request, ROUNDS),
+        'waiting': len(cell),
+    }
+
+
 def measure_frames() -> Figures:
     """Measure the size of the message frames of one request."""
     request_id = 'f' * ID_CHARS
@@ -344,6 +441,7 @@
         'members': measure_membership(),
         'teams': measure_configuration(),
         'decisions': measure_decisions(),
+        'placement': measure_placement(),
         'messages': measure_frames(),
         'control': measure_peer_bytes(),
         'idle': measure_idle(),
