--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -263,7 +263,7 @@
 
 def _make_engine_cell(count: int) -> EngineCell:
     quotas = TokenQuotas(
-        QuotaView(lambda _team, _now: 0, lambda: True, lambda: 1.0),
+        QuotaView(lambda _team, _now: (), lambda: True, lambda: 1.0),
         QuotaRules(window_ms=8000, slack=0),
         is_first_start=True,
     )
--- a/bench/engine_capacity.py
+++ b/bench/engine_capacity.py
@@ -43,7 +43,7 @@
 
 def _make_cell(engines: int) -> EngineCell:
     quotas = TokenQuotas(
-        QuotaView(lambda _team, _now: 0, lambda: True, lambda: 1.0),
+        QuotaView(lambda _team, _now: (), lambda: True, lambda: 1.0),
         QuotaRules(window_ms=8000, slack=0),
         is_first_start=True,
     )
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -28,7 +28,6 @@
     record_reach,
     start_granted,
 )
-from hornbeamdeck.scheduling.moved_runs import MovedRuns
 from hornbeamdeck.scheduling.placement_scan import (
     PlacementScan,
     PlacementTracker,
@@ -95,7 +94,6 @@
         self._last_expiry_check_ms = float('-inf')
         self._has_fewer_engines = False
         self._placements = PlacementTracker()
-        self._moved_runs = MovedRuns()
         self._admission = AdmissionControl(
             shared, retry_budget, self._wait_queue
         )
@@ -202,7 +200,7 @@
         could not be placed before are tried again only on engines that have
         changed since, and periodically on all engines.
         """
-        for request_id in self._moved_runs.pop_expired(now):
+        for request_id in self._engines.moved_runs.pop_expired(now):
             load = self._engines.find_running(request_id)
             if load is not None:
                 load.end(request_id, RunEnd.CANCELLED, now)
@@ -233,7 +231,7 @@
     def register(self, run: Register, sender: str) -> None:
         """Account for a run that another owner granted."""
         self.withdraw(run.request_id)
-        self._moved_runs.drop(run.request_id)
+        self._engines.moved_runs.drop(run.request_id)
         load = self.loads.get(run.upstream)
         if load is not None:
             load.add(run, sender)
@@ -260,9 +258,9 @@
         if load is None:
             return []
         if message.is_moved:
-            self._moved_runs.hold(message.request_id, now)
+            self._engines.moved_runs.hold(message.request_id, now)
             return []
-        self._moved_runs.drop(message.request_id)
+        self._engines.moved_runs.drop(message.request_id)
         end = RunEnd(message.end)
         record_reach(load, message.request_id, message.relay, end, now)
         run = load.end(message.request_id, end, now, message.first_byte_ms or 0)
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -11,6 +11,7 @@
 from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
 from hornbeamdeck.scheduling.engine_memory import could_hold, has_room
 from hornbeamdeck.scheduling.forecast import Forecast
+from hornbeamdeck.scheduling.moved_runs import MovedRuns
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.service_load import (
@@ -34,6 +35,7 @@
         """Start without engines; `update` adds them."""
         self.loads: dict[str, EngineLoad] = {}
         self.versions = VersionRouting()
+        self.moved_runs = MovedRuns()
         self.conditions = EngineConditions(rate_rules)
         self.origins = OriginBook(rate_rules.fleet_share)
         self._estimates = ServiceEstimates.initial()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -409,11 +409,6 @@
         """State a limit in all further responses; empty: state none."""
         self.state({'server-limit': text} if text else {})
 
-    @property
-    def running(self) -> int:
-        """Return how many requests the engine runs now."""
-        return self._room.running
-
     @property
     def falls(self) -> int:
         """Return how often the engine has fallen over."""
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -63,7 +63,9 @@
         waiting = grants.waiting_count
         stop = await spawn(owner.async_stop)
         while not stop.terminated:
-            running = max(engine.running for engine in fleet.model_engines)
+            running = max(
+                engine._room.running for engine in fleet.model_engines
+            )
             most_running = max(most_running, running)
             await sleep(0.02)
     await stop.join()
