--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -179,8 +179,10 @@
         if is_beyond:
             # It may start before less urgent requests within a share, so it is
             # admitted only where it does not use up their time.
+            # A slot that is free is one that those can't use.
             requests_ahead += len(groups[0])
-            max_wait_ms = min(max_wait_ms, spare_wait_ms(groups[0], now))
+            if forecast.start_in_ms(0):
+                max_wait_ms = min(max_wait_ms, spare_wait_ms(groups[0], now))
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
 
     def teams_beyond_share(
--- a/tests/scheduling/test_wait_queue_shares.py
+++ b/tests/scheduling/test_wait_queue_shares.py
@@ -122,6 +122,17 @@
     assert shared.queue.can_start_in_time(urgent, FASTEST_MS, free, 100)
 
 
+def test_a_free_slot_is_not_kept_for_those_that_can_not_use_it() -> None:
+    """A request within its share waits for a faster engine than the one that
+    has a slot. A heavy team's request must not be refused meanwhile.
+    """
+    shared = SharedQueue()
+    shared.push(make_request('held', team='light', tier_rank=2))
+    short = make_request('short', team='heavy', tier_rank=0)
+    one_free = Forecast((0, 150, 200), 15)
+    assert shared.queue.can_start_in_time(short, FASTEST_MS, one_free, 170)
+
+
 def test_requests_beyond_their_share_are_refused_first() -> None:
     """All wait, and there are slots in time for half of them."""
     shared = SharedQueue()
