--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -1,9 +1,10 @@
 """Connections between two instances: handshake and framed messages.
 
-What a peer may send is bounded: a frame of at most `MAX_FRAME_BYTES`, 2 MB, also
-for a snapshot; before both sides are authenticated, `MAX_HANDSHAKE_BYTES`, 4 KB,
-within `HANDSHAKE_TIMEOUT_MS`. Those who ask for a snapshot or a tunnel limit the
-time for its answer. A peer that sends no frames otherwise is found by heartbeats.
+What a peer may send is bounded: a frame of at most `MAX_FRAME_BYTES`, 2 MB,
+also for a snapshot; before both sides are authenticated, `MAX_HANDSHAKE_BYTES`,
+4 KB, within `HANDSHAKE_TIMEOUT_MS`. Those who ask for a snapshot or a tunnel
+limit the time for its answer. A peer that otherwise sends no frames is found by
+heartbeats.
 """
 
 import hashlib
--- a/hornbeamdeck/connection/store_calls.py
+++ b/hornbeamdeck/connection/store_calls.py
@@ -1,8 +1,8 @@
 """Calls to the store over a few pooled connections.
 
 Each call has a time limit, which covers sending, and the default
-`ResponseLimits`: 64 KB of heads, 8 interim responses, 4 MB of body and 256 KB of
-its framing. A call that exceeds one counts as an outage.
+`ResponseLimits`: 64 KB of heads, 8 interim responses, 4 MB of body and 256 KB
+of its framing. A call that exceeds one counts as an outage.
 """
 
 from collections.abc import Callable
--- a/hornbeamdeck/request/engine_end_check.py
+++ b/hornbeamdeck/request/engine_end_check.py
@@ -1,8 +1,9 @@
 """Reports engines that have ended after a run on them broke.
 
 Other requests would show it only by chance: an engine that has just failed gets
-none while others are free. A check connects and reads nothing from the engine;
-connecting has a time limit, and so has the answer of another instance that checks.
+none while others are free. A check connects and reads nothing from the engine.
+Connecting has a time limit, and so has the answer of another instance that
+checks.
 """
 
 from collections.abc import Awaitable, Callable
