--- a/hornbeamdeck/connection/response_limits.py
+++ b/hornbeamdeck/connection/response_limits.py
@@ -10,8 +10,9 @@
 
 MAX_HEAD_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 4 * MEBIBYTE
-# A body of the largest size in chunks of 100 bytes has this much framing.
-MAX_FRAMING_BYTES: Final = 262_144
+# A body of the largest size in chunks of 200 bytes has this much framing. Each
+# chunk takes about 3 µs, and more than 20,000 would hold up other calls.
+MAX_FRAMING_BYTES: Final = 131_072
 MAX_INTERIM_RESPONSES: Final = 8
 # A lost packet is sent again after 200 ms; a head that takes longer than this
 # is not merely delayed by one.
--- a/hornbeamdeck/connection/store_calls.py
+++ b/hornbeamdeck/connection/store_calls.py
@@ -1,7 +1,7 @@
 """Calls to the store over a few pooled connections.
 
 Each call has a time limit, which covers sending, and the default
-`ResponseLimits`: 64 KB of heads, 8 interim responses, 4 MB of body and 256 KB
+`ResponseLimits`: 64 KB of heads, 8 interim responses, 4 MB of body and 128 KB
 of its framing. A call that exceeds one counts as an outage.
 """
 
