--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -209,7 +209,7 @@
 
     def _take(self, count: int) -> bytes:
         taken = bytes(self._received[:count])
-        del self._received[:count]  # noqa: WPS420
+        self._received = self._received[count:]
         return taken
 
     async def _async_receive_more(
