--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench.replay import Replay, summarize
+from bench.replay_account import AccountedReplay
 from bench.replay_load import LoadPlan
 from hornbeamdeck.scheduling import engine_choice
 from hornbeamdeck.scheduling.engine_conditions import EngineConditions
@@ -86,6 +87,26 @@
     assert min(shares.values()) > MIN_SHARE_ON_TIME
 
 
+# Users require that the largest requests of a route are served at least this
+# share as often as the route.
+MIN_LARGEST_SHARE = 0.5
+
+
+def test_uneven_engines_serve_all_routes_in_order() -> None:
+    """Guards against an assignment to engines of different speed that refuses
+    requests beside free slots, starves large ones, or prefers lower ranks.
+    """
+    replay = AccountedReplay(LoadPlan.from_name('uneven_engines'), SEED)
+    shares = summarize(replay.run())['shares']
+    assert 'refused beside a free slot' not in replay.sums
+    assert shares['write_up'] > shares['question']
+    assert shares['question'] > shares['check']
+    assert shares['label'] > shares['check']
+    for route in ('write_up', 'question', 'label', 'check'):
+        largest = shares[f'largest {route}']
+        assert largest / shares[route] > MIN_LARGEST_SHARE
+
+
 def test_limited_engines_get_no_more_than_they_accept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
