--- a/tests/platform/test_engine_faults.py
+++ b/tests/platform/test_engine_faults.py
@@ -244,8 +244,10 @@
             engine.event_gap_s = 0.02
         await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
         await fleet.async_until(lambda: len(gaps_ms) == 1)
-        fleet.model_engines[0].faults = ['cut']
-        fleet.model_engines[1].faults = ['']
+        # Whichever engine gets the next request breaks its stream.
+        shared_faults = ['cut']
+        for faulty in fleet.model_engines:
+            faulty.faults = shared_faults
         for _ in range(2):
             await fleet.async_call('/guide/x', tokens=TOKEN_COUNTS)
         await fleet.async_until(lambda: len(gaps_ms) == 3)
