Spread the times at which callers return that an ingress refuses itself

All callers whose keys could not be proved, that found no configuration or no grant in time were told one second: requests of two seconds that are refused at one moment come back at one moment. They are told 0.5 to 2 s, spread by the call.

--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -99,7 +99,7 @@
                     RunSummary(),
                 )
         if decision is None:
-            return Err(deadline_passed())
+            return Err(deadline_passed(request.fingerprint))
         if isinstance(decision, NotRun):
             return Err(decision)
         if isinstance(decision, Refuse):
--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -8,6 +8,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.request.refusal import spread_retry_ms
 from hornbeamdeck.scheduling.cell import Cell, Refused
 from hornbeamdeck.scheduling.engine_cell import (
     EngineCell,
@@ -252,7 +253,7 @@
         refusal = Refuse(
             request_id=message.request_id,
             reason=RefusalReason.UNKNOWN_CELL,
-            retry_after_ms=MILLIS_PER_SECOND,
+            retry_after_ms=spread_retry_ms(message.fingerprint),
         )
         await deliver(refusal)
 
--- a/hornbeamdeck/request/claim.py
+++ b/hornbeamdeck/request/claim.py
@@ -81,7 +81,7 @@
     ) -> Result[Once | Recorded, Failure]:
         """Claim a call, or find the earlier claim of the same call."""
         if not self._kept.are_admitted():
-            return Err(platform_down())
+            return Err(platform_down(call.fingerprint))
         record = ClaimRecord.from_call(call)
         claimed: Result[Claim | Recorded, Failure] | None = None
         try:
@@ -98,7 +98,7 @@
                     call.object_key, record.nonce
                 )
         if claimed is None:
-            return Err(platform_down())
+            return Err(platform_down(call.fingerprint))
         return claimed.map(self._to_execution_right)
 
     def _to_execution_right(self, claimed: Claim | Recorded) -> Once | Recorded:
--- a/hornbeamdeck/request/gateway_admission.py
+++ b/hornbeamdeck/request/gateway_admission.py
@@ -10,7 +10,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.request.gateway_request import GatewayRequest
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.request.refusal import unauthorized
+from hornbeamdeck.request.refusal import spread_retry_ms, unauthorized
 from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.version.gateway import (
     GatewayConfiguration,
@@ -25,9 +25,6 @@
     'recheck_key',
 )
 
-# Retry delay for callers of an instance that has no configuration yet, or that
-# can't confirm that its configuration is current.
-UNCONFIRMED_RETRY_MS: Final = 1000
 # Callers disconnect from a stream that has not begun after the longest of these
 # times: a minimum, a multiple of the objective and a multiple of the gap.
 MIN_CLIENT_TIMEOUT_MS: Final = 2000
@@ -181,17 +178,21 @@
     arrived_ms: float,
 ) -> Result[GatewayAdmission, NotRun]:
     if not configuration.version:
-        return Err(_unconfirmed('no_configuration', 'no configuration yet'))
+        return Err(
+            _unconfirmed(request, 'no_configuration', 'no configuration yet')
+        )
     route = configuration.find_route(request.host, request.http_request.path)
     if route is None:
-        return Err(_deny_if_current(freshness_guard, _no_route()))
+        return Err(_deny_if_current(freshness_guard, request, _no_route()))
     team = None
     if configuration.teams and not route.is_public:
         if not freshness_guard.may_accept_keys():
-            return Err(_stale_configuration())
+            return Err(_stale_configuration(request))
         team = configuration.team_of_key(request.bearer_key)
         if team is None:
-            return Err(_deny_if_current(freshness_guard, unauthorized()))
+            return Err(
+                _deny_if_current(freshness_guard, request, unauthorized())
+            )
     return Ok(
         GatewayAdmission(
             request=request,
@@ -215,13 +216,15 @@
     if admission.team is None:
         return Ok(None)
     if not may_accept_keys:
-        return Err(_stale_configuration())
+        return Err(_stale_configuration(admission.request))
     if configuration.team_of_key(admission.request.bearer_key) is None:
         return Err(unauthorized())
     return Ok(None)
 
 
-def _deny_if_current(freshness_guard: FreshnessGuard, denial: NotRun) -> NotRun:
+def _deny_if_current(
+    freshness_guard: FreshnessGuard, request: GatewayRequest, denial: NotRun
+) -> NotRun:
     """Return a denial only if the configuration is in force.
 
     A denial is final for its caller, so a stale configuration must not cause
@@ -230,7 +233,7 @@
     return (
         denial
         if freshness_guard.is_configuration_current()
-        else _stale_configuration()
+        else _stale_configuration(request)
     )
 
 
@@ -238,17 +241,18 @@
     return NotRun(HTTPStatus.NOT_FOUND, 'no_route', 'no route leads there')
 
 
-def _stale_configuration() -> NotRun:
+def _stale_configuration(request: GatewayRequest) -> NotRun:
     return _unconfirmed(
+        request,
         'configuration_unproved',
         'this instance can not prove that its configuration is current',
     )
 
 
-def _unconfirmed(code: str, detail: str) -> NotRun:
+def _unconfirmed(request: GatewayRequest, code: str, detail: str) -> NotRun:
     return NotRun(
         HTTPStatus.SERVICE_UNAVAILABLE,
         code,
         detail,
-        UNCONFIRMED_RETRY_MS,
+        spread_retry_ms(request.request_id),
     )
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -167,7 +167,7 @@
                 'deadline_passed',
                 'the time ran out after the request was sent to an engine',
             )
-        return deadline_passed()
+        return deadline_passed(self._fingerprint())
 
     async def async_fail(self, failure: Failure) -> None:
         """Report a failure to the caller, by a response if none has started."""
--- a/hornbeamdeck/request/placement.py
+++ b/hornbeamdeck/request/placement.py
@@ -12,7 +12,7 @@
 from hornbeamdeck.ownership.placement_policy import Policy
 from hornbeamdeck.request.admission import Admission
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.request.refusal import deadline_passed
+from hornbeamdeck.request.refusal import deadline_passed, spread_retry_ms
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import Enqueue, RunEnd
 
@@ -22,7 +22,6 @@
 
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_ATTEMPTS: Final = 5
-RETRY_MS: Final = 1000
 FINGERPRINT_CHARS: Final = 16
 
 
@@ -58,13 +57,13 @@
             return Ok(Placement(name, connected.ok_value, granted_ms))
         excluded.append(name)
         if not admission.left_ms:
-            return Err(deadline_passed())
+            return Err(deadline_passed(admission.fingerprint))
     return Err(
         NotRun(
             HTTPStatus.SERVICE_UNAVAILABLE,
             'no_upstream',
             'no upstream accepted a connection',
-            RETRY_MS,
+            spread_retry_ms(admission.fingerprint),
         ),
     )
 
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -1,9 +1,11 @@
 """Makes the refusals, all issued before any byte reached an upstream."""
 
+import zlib
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
 
+from hornbeamdeck.const import ENCODING
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.wire import RefusalReason, Refuse
 
@@ -15,12 +17,17 @@
     'instance_stops',
     'refusal_from_owner',
     'platform_down',
+    'spread_retry_ms',
     'unauthorized',
     'unknown_service',
     'unprocessable',
 )
 
-RETRY_MS: Final = 1000
+# Callers that an ingress refuses itself have no place in an owner's queue. If
+# all were told one time, requests that are refused at one moment would return
+# at one moment.
+MIN_RETRY_MS: Final = 500
+MAX_RETRY_MS: Final = 2000
 # Short, because a caller that comes back is likely to reach another instance.
 UNREACHABLE_RETRY_MS: Final = 50
 STOPPING_RETRY_MS: Final = 50
@@ -51,6 +58,15 @@
 )
 
 
+def spread_retry_ms(fingerprint: str) -> int:
+    """Return the time after which a caller is to return, in milliseconds.
+
+    :param fingerprint: the times are spread evenly by it.
+    """
+    spread = zlib.crc32(fingerprint.encode(ENCODING))
+    return MIN_RETRY_MS + spread % (MAX_RETRY_MS - MIN_RETRY_MS)
+
+
 def refusal_from_owner(refusal: Refuse) -> NotRun:
     """Convert an owner's refusal to the one that the caller gets."""
     if refusal.reason == RefusalReason.CULPRIT:
@@ -63,17 +79,17 @@
         status,
         code,
         detail,
-        refusal.retry_after_ms,
+        refusal.retry_after_ms or None,
     )
 
 
-def deadline_passed() -> NotRun:
+def deadline_passed(fingerprint: str) -> NotRun:
     """Make the refusal for a request without a grant before its deadline."""
     return NotRun(
         HTTPStatus.SERVICE_UNAVAILABLE,
         'deadline_passed',
         'the deadline passed before an upstream was free',
-        RETRY_MS,
+        spread_retry_ms(fingerprint),
     )
 
 
@@ -97,13 +113,13 @@
     )
 
 
-def platform_down() -> NotRun:
+def platform_down(fingerprint: str) -> NotRun:
     """Make the refusal for a call whose claim could not be created."""
     return NotRun(
         HTTPStatus.SERVICE_UNAVAILABLE,
         'platform_down',
         'the call may run once only, and that could not be recorded',
-        RETRY_MS,
+        spread_retry_ms(fingerprint),
     )
 
 
