--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -8,6 +8,8 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.response_limits import ResponseLimits
+from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.membership.liveness import FLEET_CELL
 from hornbeamdeck.platform.__main__ import PLATFORM_ADAPTER
 from hornbeamdeck.process.gateway import Gateway
@@ -34,6 +36,10 @@
     'quota_slack': 1000,
     'entries_ttl_ms': 100,
 }
+# Callers have no limits of their own on what an instance sends.
+CLIENT_LIMITS = ResponseLimits(
+    max_body_bytes=64 * MEBIBYTE, max_framing_bytes=MEBIBYTE
+)
 Scenario = Callable[['PlatformFleet'], Awaitable[None]]
 
 
@@ -231,6 +237,7 @@
         opened = await ClientConnection.async_open(
             self.address(gateway),
             timeout_ms=2000,
+            limits=CLIENT_LIMITS,
         )
         return opened.unwrap()
 
