Refuse at a stopping instance in one way, and forget limits once

The handler had a refusal of its own beside the one for requests that wait. An instance that is no owner reset its counts four times a second; where another instance still asks it for grants, each reset would give every team a new start. It resets them when it loses the ownership, and once if it never had it.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -390,6 +390,9 @@
     async def _async_follow_ownership(self) -> None:
         """Move requests when the owner changes; never returns."""
         was_owner = self.components.is_owner
+        # A process that has never been the owner must not take itself for the
+        # first owner of a new fleet later.
+        has_counts = True
         logged_ms = 0.0
         while True:
             await sleep(MIN_HEARTBEAT_INTERVAL_MS / MILLIS_PER_SECOND)
@@ -404,7 +407,8 @@
                     is_owner=is_owner,
                     retries=self.components.cells.retries_in_window(),
                 )
-            if not is_owner:
+            if has_counts and not is_owner:
                 self.components.cells.quotas.reset()
+            has_counts = is_owner
             was_owner = is_owner
             await self.components.grants.async_move_to_current_owners()
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -14,6 +14,7 @@
 from hornbeamdeck.request.gateway_admission import GatewayAdmission, async_admit
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.request.refusal import instance_stops
 
 __all__ = (
     'RunAdmitted',
@@ -28,8 +29,6 @@
 # shutdown may still run at its end. Other responses take a fraction of that.
 MAX_SHUTDOWN_SHARE_STREAM: Final = 0.35
 MAX_SHUTDOWN_SHARE_OTHER: Final = 0.8
-# Short, because another instance is available at once.
-DRAINING_RETRY_MS: Final = 20
 
 RunAdmitted: TypeAlias = Callable[
     [GatewayAdmission, ServerConnection],
@@ -80,7 +79,7 @@
         return
     if _would_be_cut_off(context, admitted.ok_value):
         await _async_refuse(
-            context, gateway_request.request_id, _draining(), caller
+            context, gateway_request.request_id, instance_stops(), caller
         )
         return
     await run(admitted.ok_value, caller)
@@ -103,15 +102,6 @@
     return context.shutdown_progress() > share
 
 
-def _draining() -> NotRun:
-    return NotRun(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'leaving',
-        'this instance is about to stop; another one serves',
-        DRAINING_RETRY_MS,
-    )
-
-
 async def _async_refuse(
     context: GatewayContext,
     request_id: str,
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -30,7 +30,8 @@
 MAX_RETRY_MS: Final = 2000
 # Short, because a caller that comes back is likely to reach another instance.
 UNREACHABLE_RETRY_MS: Final = 50
-STOPPING_RETRY_MS: Final = 50
+# Short, because another instance is available at once.
+STOPPING_RETRY_MS: Final = 20
 MAX_SERVICE_NAME_CHARS: Final = 64
 
 _CODES: Final = MappingProxyType(
@@ -104,7 +105,7 @@
 
 
 def instance_stops() -> NotRun:
-    """Make the refusal for a request that waits at an instance that stops."""
+    """Make the refusal for a request that an instance gets as it stops."""
     return NotRun(
         HTTPStatus.SERVICE_UNAVAILABLE,
         'leaving',
