--- a/hornbeamdeck/scheduling/wait_entry.py
+++ b/hornbeamdeck/scheduling/wait_entry.py
@@ -13,8 +13,6 @@
     'WaitEntry',
     'in_order_of_start',
     'order_keys',
-    'spare_wait_ms',
-    'split_by_share',
 )
 
 _OrderKey: TypeAlias = tuple[Rank, Standing, float]
@@ -28,7 +26,6 @@
     :param is_first: whether what its team has used does not count.
     :param start_ms: when it must start to meet its objective.
     :param objective_ms: when its response is late.
-    :param admitted_until_ms: latest expected start at which it was admitted.
     :param keys_on_time: sort keys up to `start_ms`.
     :param keys_late: sort keys after `start_ms`.
     """
@@ -38,7 +35,6 @@
     is_first: bool
     start_ms: float
     objective_ms: float
-    admitted_until_ms: float
     keys_on_time: _OrderKeys
     keys_late: _OrderKeys
 
@@ -48,7 +44,6 @@
         queued: QueuedRequest,
         start_ms: float,
         objective_ms: float,
-        admitted_until_ms: float,
     ) -> Self:
         """Compute the sort keys: by rank, standing and start time."""
         keyed = (queued.request, queued.standing, start_ms)
@@ -59,7 +54,6 @@
             keys_on_time[0] == keys_on_time[1],
             start_ms,
             objective_ms,
-            admitted_until_ms,
             keys_on_time,
             order_keys(*keyed, is_late=True),
         )
@@ -86,28 +80,6 @@
     )
 
 
-def split_by_share(
-    entries: Iterable[WaitEntry], beyond: Container[str]
-) -> tuple[list[WaitEntry], list[WaitEntry]]:
-    """Return the entries within a share, and those that are refused first."""
-    within = []
-    others = []
-    for entry in entries:
-        if entry.team in beyond and not entry.is_first:
-            others.append(entry)
-        else:
-            within.append(entry)
-    return within, others
-
-
-def spare_wait_ms(entries: Iterable[WaitEntry], now: float) -> float:
-    """Return the shortest time in which all entries were to start."""
-    until_ms = min(
-        (entry.admitted_until_ms for entry in entries), default=math.inf
-    )
-    return max(until_ms - now, 0.0)
-
-
 def order_keys(
     request: Enqueue, standing: Standing, start_ms: float, *, is_late: bool
 ) -> _OrderKeys:
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from itertools import chain
 from typing import Final
 
 from hornbeamdeck.scheduling.engine_choice import TimeBudget
@@ -23,8 +22,6 @@
     WaitEntry,
     in_order_of_start,
     order_keys,
-    spare_wait_ms,
-    split_by_share,
 )
 from hornbeamdeck.wire import Enqueue
 
@@ -88,7 +85,6 @@
             queued,
             start_ms,
             objective_ms,
-            now + self.max_wait_ms(request, fastest_ms),
         )
         self._entries[request.request_id] = entry
         self.shares.add_waiting(request.team, now)
@@ -170,19 +166,11 @@
         own_key = order_keys(
             request, Standing.WITHIN_SHARE, start_ms, is_late=start_ms < now
         )[is_beyond]
-        max_wait_ms = self.max_wait_ms(request, fastest_ms)
-        groups = split_by_share(self._entries.values(), beyond)
         requests_ahead = sum(
-            entry.order(now, is_beyond=is_beyond) <= own_key
-            for entry in groups[is_beyond]
+            entry.order(now, is_beyond=entry.team in beyond) <= own_key
+            for entry in self._entries.values()
         )
-        if is_beyond:
-            # It may start before less urgent requests within a share, so it is
-            # admitted only where it does not use up their time.
-            # A slot that is free is one that those can't use.
-            requests_ahead += len(groups[0])
-            if forecast.start_in_ms(0):
-                max_wait_ms = min(max_wait_ms, spare_wait_ms(groups[0], now))
+        max_wait_ms = self.max_wait_ms(request, fastest_ms)
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
 
     def teams_beyond_share(
@@ -225,10 +213,7 @@
         beyond = self.teams_beyond_share(now)
         requests_ahead = 0
         forecast_expired = []
-        ordered = chain.from_iterable(
-            in_order_of_start(entries, now, beyond)
-            for entries in split_by_share(self._entries.values(), beyond)
-        )
+        ordered = in_order_of_start(self._entries.values(), now, beyond)
         for entry in ordered:
             if entry.queued.deadline_ms < now or entry.queued.request.excluded:
                 continue
