Review: a planned stop cuts off bookings that it has accepted

Cause: requests may start until 6.4 s after the SIGTERM, and are cut off at 7.3 s, whatever their route's timeout is. Case 1 now has bookings among its requests; so new connections and the ready check find the machine as it is.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -27,12 +27,14 @@
 # Each caller keeps one connection and uses it again before it has been idle for
 # four fifths of the 15 s of `idle_timeout_ms`: 293 requests a second.
 CALLERS: Final = 3225
+# Of the site's requests that aren't streams, so many are bookings.
+BOOKING_SHARE: Final = 0.71
 PROGRAMS: Final = 25
 PERIOD_S: Final = 11.0
 DEADLINE_S: Final = 1.5
 CONNECT_S: Final = 1.0
-LOSS_S: Final = 28.0
-END_S: Final = 48.0
+LOSS_S: Final = 16.0
+END_S: Final = 34.0
 # From here on nothing disturbs the machines that are left.
 REST_S: Final = 5.0
 PROBERS: Final = 10
@@ -145,6 +147,7 @@
         self._index = index
         self._directory = directory
         self._sent = 0
+        self._is_sent = False
         self._machine: Machine | None = None
         self._failed: set[str] = set()
         self._streams: (
@@ -152,23 +155,31 @@
         ) = None
 
     async def async_run(self) -> None:
-        """Send a request in each period, and repeat it once if it fails."""
+        """Send a request in each period.
+
+        A lookup that fails is repeated once, a booking only if it wasn't sent.
+        """
         await asyncio.sleep(random.uniform(0, PERIOD_S))
         while not self._case.is_over:
             started_s = self._case.record.now_s
-            if not await self.async_ask():
-                await self.async_ask()
+            is_booking = random.random() < BOOKING_SHARE
+            is_answered = await self.async_ask(is_booking)
+            if not is_answered and not (is_booking and self._is_sent):
+                await self.async_ask(is_booking)
             elapsed_s = self._case.record.now_s - started_s
             await asyncio.sleep(PERIOD_S - elapsed_s)
 
-    async def async_ask(self) -> bool:
+    async def async_ask(self, is_booking: bool = False) -> bool:
         """Send one request; return whether it was answered with success."""
         self._sent += 1
+        self._is_sent = False
         request_id = f'{self._index:08x}{self._sent:08x}'
+        self._case.record.write('sent', request=request_id)
         answer: Message | None = None
         with suppress(OSError, TimeoutError):
             answer = await asyncio.wait_for(
-                self._async_ask(request_id), DEADLINE_S
+                self._async_ask(make_request(request_id, is_booking)),
+                DEADLINE_S,
             )
         is_answered = answer is not None and answer.status == OK
         self._case.record.write(
@@ -198,26 +209,28 @@
             CONNECT_S,
         )
 
-    async def _async_ask(self, request_id: str) -> Message | None:
+    async def _async_ask(self, request: bytes) -> Message | None:
         if self._streams is None:
             machine = await self._directory.async_choose(self._failed)
             await self.async_connect(machine)
         if self._streams is None:
             return None
         reader, writer = self._streams
-        writer.write(make_request(request_id))
-        self._case.record.write('sent', request=request_id)
+        writer.write(request)
+        self._is_sent = True
         return await async_read(reader)
 
 
-def make_request(request_id: str) -> bytes:
-    """Encode a lookup."""
+def make_request(request_id: str, is_booking: bool) -> bytes:
+    """Encode a booking or a lookup."""
     headers = {
         'Host': HOST,
         'Hornbeamdeck-Request-Id': request_id,
         'Hornbeamdeck-Deadline-Ms': int(DEADLINE_S * 1000),
         'Authorization': f'Bearer {KEY}',
     }
+    if is_booking:
+        return encode('POST /book/1 HTTP/1.1', headers, b'two seats')
     return encode('GET /seats/1 HTTP/1.1', headers)
 
 
@@ -269,15 +282,20 @@
     return is_answered
 
 
-async def async_play(case: Case, *, is_troubled: bool) -> int:
-    """Play the case and return the exit status."""
-    if not await case.async_start():
-        return NOT_RUN
+def make_callers(case: Case) -> list[Caller]:
+    """Make the callers, a part of them in each program."""
     programs = [Directory(case) for _ in range(PROGRAMS)]
-    callers = [
+    return [
         Caller(case, index, programs[index % PROGRAMS])
         for index in range(CALLERS)
     ]
+
+
+async def async_play(case: Case, *, is_troubled: bool) -> int:
+    """Play the case and return the exit status."""
+    if not await case.async_start():
+        return NOT_RUN
+    callers = make_callers(case)
     tasks = [asyncio.create_task(each.async_run()) for each in callers]
     watch = asyncio.create_task(case.async_watch_ready())
     await asyncio.sleep(LOSS_S)
--- a/review/standin_engine.py
+++ b/review/standin_engine.py
@@ -20,13 +20,22 @@
 class Engine:
     """Runs each request for a fixed time and answers it."""
 
-    def __init__(self, name: str, on_run: Callable[[str, Message], None]):
+    def __init__(
+        self,
+        name: str,
+        on_run: Callable[[str, Message], None],
+        work_s: float = WORK_S,
+    ) -> None:
         """Start without runs.
 
         :param on_run: called with the name and each request that begins.
+        :param work_s: how long a request takes.
         """
         self.name = name
         self.address = ''
+        # It neither starts nor answers anything until then.
+        self.silent_until_s = 0.0
+        self._work_s = work_s
         self._on_run = on_run
 
     async def async_start(self, host: str, port: int) -> None:
@@ -51,6 +60,9 @@
             **fields,
         }
 
+    async def _async_end_silence(self) -> None:
+        await asyncio.sleep(max(self.silent_until_s - time.monotonic(), 0))
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -66,8 +78,10 @@
             return encode('HTTP/1.1 200 OK', headers)
         if request.headers.get(HEADER_EXPECTED, self.name) != self.name:
             return encode('HTTP/1.1 421 Misdirected Request', headers)
+        await self._async_end_silence()
         self._on_run(self.name, request)
-        await asyncio.sleep(WORK_S)
+        await asyncio.sleep(self._work_s)
+        await self._async_end_silence()
         headers = {
             'Hornbeamdeck-Request-Id': request.headers[HEADER_ID],
             'Hornbeamdeck-Response-Seal': 'seal',
