--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,14 +1,18 @@
-"""Another writer leaves an odd entry among those of the engines."""
+"""A machine is stopped as planned while an engine is silent for a moment."""
 
 import asyncio
+import json
 import os
 import random
+import signal
 import sys
 import tempfile
+import time
+from contextlib import suppress
 from pathlib import Path
-from typing import Final
+from typing import Final, NamedTuple
 
-from configuration import HOST, KEY, SERVICE, make_configuration
+from configuration import HOST, KEY, SERVICE, make_configuration, make_route
 from deployment import Machine, Ports, free_ports
 from http_messages import OK, Message, async_exchange, encode
 from record import Record
@@ -17,25 +21,52 @@
 
 FOLDER: Final = Path(__file__).parent
 LOOPBACK: Final = '127.0.0.1'
-MACHINES: Final = 3
-DESCRIPTORS: Final = 1535
-ENGINES: Final = 3
-DEADLINE_S: Final = 1.5
-REQUESTS_PER_S: Final = 40
-# When the other writer writes, when an engine reports `draining`, and the end.
-WRITE_S: Final = 6.0
-DRAIN_S: Final = 12.0
-END_S: Final = 24.0
-# `drain_ms` of the deployment.
-DRAIN_BOUND_S: Final = 2.0
-PLACEHOLDER: Final = 'zone of another type'
-# The entry has 2.6 KB; `value_bytes` allows 1 MB.
-DEPTH: Final = 1200
+MACHINES: Final = 2
+DESCRIPTORS: Final = 4100
+ENGINES: Final = 2
+# The largest work of the site's bookings.
+WORK_S: Final = 0.45
+# The sheet of the site: what callers and the operator allow for a booking.
+DEADLINE_S: Final = 4.0
+TIMEOUT_MS: Final = 2000
+OBJECTIVE_MS: Final = 409
+CALLERS_PER_S: Final = 2
+# Callers keep a list of addresses for its time to live, some three times as
+# long; `ttl_max_s` isn't reached.
+KEPT_TTLS: Final = (1, 3)
+# These ask for addresses just before the SIGTERM and keep them for longer.
+PATIENT_CALLERS: Final = 18
+ASKED_S: Final = 0.02
+# In the last moments of that time, a caller sends its last booking.
+LAST_MOMENTS_S: Final = 0.1
+MARGIN_S: Final = 0.03
+# Before each stop, nothing is disturbed for this time.
+REST_S: Final = 8.0
+# After the SIGTERM: when an engine falls silent, and for how long.
+SILENT_FROM_S: Final = 5.8
+SILENT_S: Final = 1.25
+# The rule excuses some requests that were sent up to this time after it.
+EXCUSED_S: Final = 3.0
+GRACE_S: Final = 8.0
 HELD: Final = 0
 BROKEN: Final = 1
 NOT_RUN: Final = 2
 
 
+class Booking(NamedTuple):
+    """A booking, and how it ended for its caller.
+
+    :param sent_s: since the start of the case.
+    :param status: `None`: its connection ended without a whole answer.
+    """
+
+    request_id: str
+    machine: str
+    sent_s: float
+    ended_s: float
+    status: int | None
+
+
 class Case:
     """The deployment and what is known of it."""
 
@@ -43,13 +74,14 @@
         """Make everything that is started later."""
         ports = free_ports(len(Ports._fields) + ENGINES + 1)
         self.record = Record(FOLDER)
+        self.runs: set[str] = set()
+        self.bookings: list[Booking] = []
+        self.is_over = False
+        self._callers = 0
         self.store = Store()
         self.store_port = ports.pop()
-        self.sent_s: dict[str, float] = {}
-        self.runs: list[tuple[str, str, float]] = []
-        self.answers: list[int] = []
         self.engines = [
-            Engine(f'engine-{index}', self._record_run)
+            Engine(f'engine-{index}', self._record_run, WORK_S)
             for index in range(ENGINES)
         ]
         self.engine_ports = [ports.pop() for _ in self.engines]
@@ -60,7 +92,16 @@
     async def async_start(self) -> bool:
         """Start all; return whether every machine is ready."""
         await self.store.async_start(LOOPBACK, self.store_port)
-        self.store.put('config', 'main', make_configuration(version=7))
+        configuration = make_configuration(version=7)
+        configuration['routes'] = [
+            make_route(
+                '/book/',
+                'non_idempotent',
+                timeout_ms=TIMEOUT_MS,
+                target_latency_ms=OBJECTIVE_MS,
+            ),
+        ]
+        self.store.put('config', 'main', configuration)
         for engine, port in zip(self.engines, self.engine_ports, strict=True):
             await engine.async_start(LOOPBACK, port)
             self.store.put('servers', engine.name, engine.entry(SERVICE))
@@ -72,85 +113,142 @@
         ready = [await each.async_wait_ready() for each in self.machines]
         return all(ready)
 
-    def write_odd_entry(self) -> None:
-        """Write an entry whose zone is a list, and not a text."""
-        self.store.verbatim[PLACEHOLDER] = '[' * DEPTH + ']' * DEPTH
-        odd = self.engines[0].entry(
-            SERVICE,
-            zone=PLACEHOLDER,
+    async def async_call(self, kept_ttls: int) -> None:
+        """Ask for addresses as a caller does, and book while they are kept.
+
+        :param kept_ttls: how many times its time to live a list is kept.
+        """
+        self._callers += 1
+        index = self._callers
+        asked_s = self.record.now_s
+        asked = random.choice(self.machines)
+        found = await asked.async_get(
+            asked.ports.directory, f'/v1/resolve?name={HOST}'
         )
-        self.store.put('servers', 'from-another-writer', odd)
-        self.record.write('odd entry written')
-
-    def drain(self, engine: Engine) -> float:
-        """Report that an engine is draining; return when that was accepted."""
-        draining = engine.entry(SERVICE, state='draining')
-        self.store.put('servers', engine.name, draining)
-        self.record.write('draining', engine=engine.name)
-        return self.record.now_s
-
-    async def async_ask(self, machine: Machine, request_id: str) -> None:
-        """Send a request on a new connection."""
-        self.sent_s[request_id] = self.record.now_s
+        if found is None or found.status != OK:
+            return
+        answer = json.loads(found.body)
+        host = random.choice(answer['addresses']).partition(':')[0]
+        machine = next(each for each in self.machines if each.host == host)
+        await self._async_book(machine, f'{index:015x}a')
+        until_s = asked_s + answer['ttl_s'] * kept_ttls - MARGIN_S
+        until_s -= random.uniform(0, LAST_MOMENTS_S)
+        await asyncio.sleep(until_s - self.record.now_s)
+        await self._async_book(machine, f'{index:015x}b')
+
+    async def _async_book(self, machine: Machine, request_id: str) -> None:
+        sent_s = self.record.now_s
         self.record.write('sent', request=request_id, machine=machine.name)
-        headers = {
-            'Host': HOST,
-            'Hornbeamdeck-Request-Id': request_id,
-            'Hornbeamdeck-Deadline-Ms': int(DEADLINE_S * 1000),
-            'Authorization': f'Bearer {KEY}',
-        }
         answer = await async_exchange(
             machine.host,
             machine.ports.front,
-            encode('GET /seats/1 HTTP/1.1', headers),
+            make_request(request_id),
             DEADLINE_S,
         )
-        status = 0 if answer is None else answer.status
-        self.answers.append(status)
+        status = None if answer is None else answer.status
+        booking = Booking(
+            request_id, machine.name, sent_s, self.record.now_s, status
+        )
+        self.bookings.append(booking)
         self.record.write('answer', request=request_id, status=status)
 
     def _record_run(self, engine: str, request: Message) -> None:
         request_id = request.headers['hornbeamdeck-request-id']
-        self.runs.append((engine, request_id, self.record.now_s))
+        self.runs.add(request_id)
         self.record.write('run', engine=engine, request=request_id)
 
 
+def make_request(request_id: str) -> bytes:
+    """Encode a booking."""
+    headers = {
+        'Host': HOST,
+        'Hornbeamdeck-Request-Id': request_id,
+        'Hornbeamdeck-Deadline-Ms': int(DEADLINE_S * 1000),
+        'Authorization': f'Bearer {KEY}',
+    }
+    return encode('POST /book/1 HTTP/1.1', headers, b'two seats')
+
+
+def find_lost(case: Case, machine: str, stopped_s: float) -> list[Booking]:
+    """Find the bookings that the rule counts as lost.
+
+    The stopped machine took them later than the time that the rule excuses,
+    they ran, and the connection ended before the route's timeout.
+    """
+    unanswered = [
+        booking
+        for booking in case.bookings
+        if booking.machine == machine
+        and booking.status is None
+        and booking.request_id in case.runs
+    ]
+    return [
+        booking
+        for booking in unanswered
+        if EXCUSED_S < booking.sent_s - stopped_s < GRACE_S
+        and booking.ended_s - booking.sent_s < TIMEOUT_MS / 1000
+    ]
+
+
 async def async_play(case: Case, *, is_troubled: bool) -> int:
     """Play the case and return the exit status."""
     if not await case.async_start():
         return NOT_RUN
-    disturbance = asyncio.create_task(_async_disturb(case, is_troubled))
-    asked = []
-    for index in range(int(REQUESTS_PER_S * END_S)):
-        machine = random.choice(case.machines)
-        asking = case.async_ask(machine, f'{index:016x}')
-        asked.append(asyncio.create_task(asking))
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    await asyncio.gather(*asked)
-    late_s = await disturbance + DRAIN_BOUND_S
-    late_runs = [run for run in case.runs if case.sent_s[run[1]] > late_s]
-    at_draining = [run for run in late_runs if run[0] == case.engines[0].name]
+    callers = asyncio.create_task(_async_call_all(case))
+    lost: list[Booking] = []
+    for machine in case.machines:
+        await asyncio.sleep(REST_S)
+        stopped_s = await _async_stop(case, machine, is_troubled)
+        lost += find_lost(case, machine.name, stopped_s)
+    case.is_over = True
+    await callers
+    for booking in lost:
+        case.record.write('lost', **booking._asdict())
     case.record.write(
         'counted',
-        requests=len(case.answers),
-        answered=case.answers.count(OK),
-        late_runs=len(late_runs),
-        at_draining=len(at_draining),
+        bookings=len(case.bookings),
+        answered=sum(each.status == OK for each in case.bookings),
+        lost=len(lost),
     )
     asyncio.get_running_loop().set_exception_handler(_ignore)
-    return BROKEN if at_draining else HELD
+    return BROKEN if lost else HELD
 
 
-async def _async_disturb(case: Case, is_troubled: bool) -> float:
-    """Let the other writer write, then drain an engine.
+async def _async_call_all(case: Case) -> None:
+    callers = []
+    while not case.is_over:
+        kept_ttls = random.choice(KEPT_TTLS)
+        callers.append(asyncio.create_task(case.async_call(kept_ttls)))
+        await asyncio.sleep(1 / CALLERS_PER_S)
+    await asyncio.gather(*callers)
 
-    :returns: when the store had accepted that the engine is draining.
+
+async def _async_stop(case: Case, stopped: Machine, is_troubled: bool) -> float:
+    """Stop a machine as planned; an engine is silent for a moment later.
+
+    :returns: when it was asked to stop.
     """
-    await asyncio.sleep(WRITE_S)
+    callers = [
+        asyncio.create_task(case.async_call(max(KEPT_TTLS)))
+        for _ in range(PATIENT_CALLERS)
+    ]
+    await asyncio.sleep(ASKED_S)
+    stopped_s = case.record.now_s
+    if is_troubled:
+        case.record.write('SIGTERM', machine=stopped.name)
+        stopped.send_signal(signal.SIGTERM)
+    await asyncio.sleep(SILENT_FROM_S)
+    engine = case.engines[0]
+    engine.silent_until_s = time.monotonic() + SILENT_S
+    case.record.write('silent', engine=engine.name, for_s=SILENT_S)
+    await asyncio.sleep(GRACE_S - SILENT_FROM_S)
     if is_troubled:
-        case.write_odd_entry()
-    await asyncio.sleep(DRAIN_S - WRITE_S)
-    return case.drain(case.engines[0])
+        case.record.write('SIGKILL', machine=stopped.name)
+        stopped.end()
+        stopped.start(DESCRIPTORS)
+    await asyncio.gather(*callers)
+    await stopped.async_wait_ready()
+    return stopped_s
 
 
 def _ignore(_loop: asyncio.AbstractEventLoop, _context: object) -> None:
@@ -169,8 +267,15 @@
                 machine.end()
         case.record.write('ended', status=status)
         case.record.close()
+        with suppress(KeyError):
+            _keep_logs(Path(folder), Path(os.environ['KEEP_LOGS']))
     return status
 
 
+def _keep_logs(folder: Path, kept: Path) -> None:
+    for log in folder.glob('*.log'):
+        (kept / log.name).write_bytes(log.read_bytes())
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run.
-# TROUBLE=0 plays it without the odd entry.
+# TROUBLE=0 plays it without the stop of a machine.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
--- a/review/standin_store.py
+++ b/review/standin_store.py
@@ -33,8 +33,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.revision = FIRST_REVISION
-        # Texts that stand for JSON that another writer has encoded.
-        self.verbatim: dict[str, str] = {}
+        self._is_away = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._stored: dict[str, dict[str, Any]] = {}
         self._changes: list[Change] = []
         self._changed = asyncio.Event()
@@ -60,6 +60,16 @@
         self._record(Change(self.revision, kind, removed=False, stored=stored))
         return stored
 
+    def go_away(self) -> None:
+        """Reset all connections, new ones too."""
+        self._is_away = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def come_back(self) -> None:
+        """Serve calls again; nothing was lost."""
+        self._is_away = False
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         self.revision += 1
@@ -74,21 +84,20 @@
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_away:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
         request = await async_read(reader)
         while request is not None:
             status, body = await self._async_answer(request)
             headers = {'Content-Type': 'application/json', 'Store-Era': 1}
-            encoded = self._encode(body)
+            encoded = json.dumps(body).encode()
             writer.write(encode(f'HTTP/1.1 {status} -', headers, encoded))
             request = await async_read(reader)
+        self._writers.discard(writer)
         writer.close()
 
-    def _encode(self, body: Any) -> bytes:
-        text = json.dumps(body)
-        for placeholder, verbatim in self.verbatim.items():
-            text = text.replace(json.dumps(placeholder), verbatim)
-        return text.encode()
-
     async def _async_answer(self, request: Message) -> Answer:
         parts = urlsplit(request.target)
         names = [unquote(part) for part in parts.path.split('/')[3:]]
