--- a/review/deployment.py
+++ b/review/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import resource
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 READY_LIMIT_S: Final = 1.0
 POLL_S: Final = 0.2
 START_POLLS: Final = 100
+PORTS: Final = range(18_000, 30_000)
 # As the pages of the small deployments state them.
 BOUNDS: Final = (
     ('stability_ms', 3000),
@@ -145,15 +147,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Find ports that are free on all loopback addresses used here."""
-    sockets = [_bind_anywhere() for _ in range(count)]
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for opened in sockets:
-        opened.close()
+    """Find ports that are free on all loopback addresses used here.
+
+    They are below those that the system gives to outgoing connections, one of
+    which could take a port before its process has started.
+    """
+    ports: list[int] = []
+    for port in random.sample(PORTS, len(PORTS)):
+        if len(ports) < count and _is_free(port):
+            ports.append(port)
     return ports
 
 
-def _bind_anywhere() -> socket.socket:
-    opened = socket.socket()
-    opened.bind(('', 0))
-    return opened
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(('', port))
+        except OSError:
+            return False
+    return True
