--- a/review/deployment.py
+++ b/review/deployment.py
@@ -20,7 +20,9 @@
 READY_LIMIT_S: Final = 1.0
 POLL_S: Final = 0.2
 START_POLLS: Final = 100
-PORTS: Final = range(18_000, 30_000)
+FIRST_PORT: Final = 18_000
+LAST_PORT: Final = 30_000
+PORTS: Final = range(FIRST_PORT, LAST_PORT)
 # As the pages of the small deployments state them.
 BOUNDS: Final = (
     ('stability_ms', 3000),
