--- a/review/1/play.py
+++ b/review/1/play.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from configuration import HOST, KEY, SERVICE, make_configuration
-from deployment import Machine, Ports, free_ports
+from deployment import NOT_RUN, Machine, Ports, end_on_sigterm, free_ports
 from http_messages import OK, Message, async_read, encode
 from record import Record
 from standin_engine import Engine
@@ -43,7 +43,6 @@
 READY_POLL_S: Final = 1.0
 HELD: Final = 0
 BROKEN: Final = 1
-NOT_RUN: Final = 2
 
 
 class Case:
@@ -325,6 +324,7 @@
 
 def main() -> int:
     """Play the case in a temporary folder."""
+    end_on_sigterm()
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     with tempfile.TemporaryDirectory() as folder:
         case = Case(Path(folder))
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -13,7 +13,7 @@
 from typing import Final, NamedTuple
 
 from configuration import HOST, KEY, SERVICE, make_configuration, make_route
-from deployment import Machine, Ports, free_ports
+from deployment import NOT_RUN, Machine, Ports, end_on_sigterm, free_ports
 from http_messages import OK, Message, async_exchange, encode
 from record import Record
 from standin_engine import Engine
@@ -50,7 +50,6 @@
 GRACE_S: Final = 8.0
 HELD: Final = 0
 BROKEN: Final = 1
-NOT_RUN: Final = 2
 
 
 class Booking(NamedTuple):
@@ -257,6 +256,7 @@
 
 def main() -> int:
     """Play the case in a temporary folder."""
+    end_on_sigterm()
     is_troubled = os.environ.get('TROUBLE', '1') != '0'
     with tempfile.TemporaryDirectory() as folder:
         case = Case(Path(folder))
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import json
+import logging
 import os
 import random
 import resource
+import signal
 import socket
 import subprocess
+import sys
 import tomllib
 from collections.abc import Sequence
 from pathlib import Path
@@ -20,6 +23,8 @@
 READY_LIMIT_S: Final = 1.0
 POLL_S: Final = 0.2
 START_POLLS: Final = 100
+# Exit status of a case that couldn't run.
+NOT_RUN: Final = 2
 FIRST_PORT: Final = 18_000
 LAST_PORT: Final = 30_000
 PORTS: Final = range(FIRST_PORT, LAST_PORT)
@@ -148,6 +153,17 @@
         return False
 
 
+def end_on_sigterm() -> None:
+    """Leave as usual on SIGTERM, so that all processes are ended."""
+
+    def _leave(_number: int, _frame: object) -> None:
+        # The connections of the stand-ins end with the case.
+        logging.disable()
+        sys.exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, _leave)
+
+
 def free_ports(count: int) -> list[int]:
     """Find ports that are free on all loopback addresses used here.
 
