Tell requests that a planned stop cuts off from callers that left

A request that was still running when its instance ended was logged and counted as 'caller left': the task that serves it is cancelled in both cases.

The shutdown of a process is one object now (scheduling/shutdown.py). Such a request is logged as 'request cut off' with may_have_run, counted under the code cut_off, and explained; a refusal at the edge holds shutdown_left_ms. Decisions are unchanged.

The new test fails on the code before (no cut_off, caller_left counted).

--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -16,12 +16,13 @@
 ANSWERED: Final = 'request: request answered'
 FAILED: Final = 'request: request failed'
 CALLER_LEFT: Final = 'request: caller left'
+CUT_OFF: Final = 'request: request cut off'
 REFUSED_AT_EDGE: Final = 'edge: request refused at the edge'
 REFUSED: Final = 'scheduler: request refused'
 HELD_BACK: Final = 'scheduler: request was held back'
 ATTEMPT_ENDED: Final = 'request: try ended'
 _FINAL_EVENTS: Final = frozenset(
-    (ANSWERED, FAILED, CALLER_LEFT, REFUSED_AT_EDGE)
+    (ANSWERED, FAILED, CALLER_LEFT, CUT_OFF, REFUSED_AT_EDGE)
 )
 DEADLINE_PASSED: Final = 'deadline_passed'
 CALLER_TOO_SLOW: Final = 'caller_too_slow'
@@ -126,6 +127,10 @@
     if event == CALLER_LEFT or last.get('code') == 'caller_left':
         cause = 'after its first byte' if _begun_ms(last) else 'while waiting'
         return (Outcome.CALLER_LEFT, cause, _numbers(last, _TIMING_FIELDS))
+    if event == CUT_OFF:
+        ran = 'may have run' if last.get('may_have_run') else 'not sent'
+        cause = f'cut off by a planned stop, {ran}'
+        return (Outcome.BROKEN, cause, _numbers(last, _TIMING_FIELDS))
     if event == REFUSED_AT_EDGE:
         code = str(last.get('code'))
         return (Outcome.REFUSED, code, _numbers(last, _REFUSAL_FIELDS))
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -1,6 +1,5 @@
 """One running gateway process: startup, endpoints and graceful shutdown."""
 
-import math
 from collections.abc import Coroutine, Iterator
 from contextlib import contextmanager
 from http import HTTPStatus
@@ -46,6 +45,7 @@
 )
 from hornbeamdeck.request.gateway_run import async_run_gateway_request
 from hornbeamdeck.scheduling.queued_request import Deliver
+from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.store.freshness_guard import (
     FreshnessDependencies,
     FreshnessGuard,
@@ -90,7 +90,7 @@
                 read_engines=self.components.reader.async_read_engines,
             ),
         )
-        self.is_draining = False
+        self.shutdown = Shutdown()
         self.in_flight = 0
         self.spools = self.components.spools
         self.dialer = EngineDialer(
@@ -107,10 +107,9 @@
         self.tunnels = TunnelServer(
             self.dialer,
             self._send_guard,
-            lambda: self.is_draining,
+            lambda: self.shutdown.is_requested,
             lambda: self.spools.budget.open_account(Purpose.TUNNELS),
         )
-        self._stop_requested_ms = math.inf
         self._adapter = adapter
         self._registration = InstanceRegistration(
             self.components.store,
@@ -127,7 +126,7 @@
         """Whether callers may be directed to this process."""
         components = self.components
         return (
-            not self.is_draining
+            not self.shutdown.is_requested
             and components.follower.configuration.version > 0
             and components.directory.is_read
         )
@@ -188,8 +187,12 @@
             period.
         """
         components = self.components
-        self.is_draining = True
-        self._stop_requested_ms = now_ms()
+        bounds = self.settings.bounds
+        requested_ms = now_ms()
+        deadline_ms = requested_ms + bounds.grace_ms - SHUTDOWN_MARGIN_MS
+        self.shutdown.request(
+            requested_ms, grace_ms=bounds.grace_ms, ends_ms=deadline_ms
+        )
         components.membership.own_status = (
             components.membership.own_status._replace(
                 state=STATE_DRAINING,
@@ -199,12 +202,8 @@
         await components.heartbeats.async_send_heartbeats()
         await components.grants.async_move_to_current_owners()
         await self._async_spawn(self._registration.async_deregister())
-        bounds = self.settings.bounds
-        deadline_ms = (
-            self._stop_requested_ms + bounds.grace_ms - SHUTDOWN_MARGIN_MS
-        )
         accept_until_ms = (
-            self._stop_requested_ms + ENTRIES_CACHE_TTLS * bounds.entries_ttl_ms
+            requested_ms + ENTRIES_CACHE_TTLS * bounds.entries_ttl_ms
         )
         while now_ms() < deadline_ms and (
             self._unfinished or now_ms() < accept_until_ms
@@ -214,6 +213,7 @@
         if refused:
             await sleep(REFUSAL_WRITE_MS / MILLIS_PER_SECOND)
         cut_off = self._unfinished
+        self.shutdown.end()
         _LOGGER.info('planned stop ends', cut_off=cut_off, refused=refused)
         await self.async_kill()
         return cut_off
@@ -286,8 +286,7 @@
             metrics=components.metrics,
             spools=self.spools,
             zone=self.settings.availability_zone,
-            is_draining=lambda: self.is_draining,
-            shutdown_progress=self._elapsed_grace_share,
+            shutdown=self.shutdown,
             track_in_flight=self._count_in_flight,
         )
 
@@ -297,10 +296,6 @@
             service, version
         )
 
-    def _elapsed_grace_share(self) -> float:
-        elapsed_ms = now_ms() - self._stop_requested_ms
-        return max(elapsed_ms / self.settings.bounds.grace_ms, 0)
-
     @contextmanager
     def _count_in_flight(self) -> Iterator[None]:
         self.in_flight += 1
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -17,6 +17,7 @@
     RunSummary,
 )
 from hornbeamdeck.request.outcome import NotRun
+from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import Enqueue, Grant, RunEnd
@@ -51,9 +52,7 @@
         granted to it.
     :param spools: hold what callers have not read yet.
     :param zone: this instance's availability zone.
-    :param is_draining: whether a graceful shutdown has begun.
-    :param shutdown_progress: elapsed share of a graceful shutdown; 0 if none
-        has begun.
+    :param shutdown: the graceful shutdown of this process, if it has begun.
     :param track_in_flight: counts a request while it is being answered.
     """
 
@@ -72,6 +71,5 @@
     metrics: GatewayMetrics
     spools: Spools
     zone: str
-    is_draining: Callable[[], bool]
-    shutdown_progress: Callable[[], float]
+    shutdown: Shutdown
     track_in_flight: Callable[[], AbstractContextManager[None]]
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -7,6 +7,7 @@
 import structlog
 from result import Err
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.request_loop import RequestHandler
@@ -48,7 +49,7 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
-        if context.is_draining():
+        if context.shutdown.is_requested:
             caller.close_after_response()
         with context.track_in_flight():
             await _async_admit(context, run, request, caller)
@@ -99,7 +100,7 @@
         if admission.route.is_stream
         else MAX_SHUTDOWN_SHARE_OTHER
     )
-    return context.shutdown_progress() > share
+    return context.shutdown.elapsed_share(now_ms()) > share
 
 
 async def _async_refuse(
@@ -116,9 +117,10 @@
         status=int(refusal.status),
         configuration_version=context.configuration().version,
         newest_version=context.freshness_guard.newest_confirmed_version,
-        proof_age_ms=_age_for_log(
+        proof_age_ms=_span_for_log(
             context.freshness_guard.configuration_age_ms()
         ),
+        shutdown_left_ms=_span_for_log(context.shutdown.left_ms(now_ms())),
     )
     await caller.async_respond(
         context.dialect.failure_response(refusal, request_id)
@@ -134,5 +136,5 @@
     return context.dialect.failure_response(refusal, '')
 
 
-def _age_for_log(age_ms: float) -> int | None:
-    return int(age_ms) if age_ms < float('inf') else None
+def _span_for_log(span_ms: float) -> int | None:
+    return int(span_ms) if span_ms < float('inf') else None
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -93,7 +93,10 @@
             else:
                 await delivery.async_break_off()
         except BaseException:
-            run.log('caller left', code=delivery.left_code)
+            if context.shutdown.has_ended:
+                run.log('request cut off', code='cut_off')
+            else:
+                run.log('caller left', code=delivery.left_code)
             raise
         if failure is None:
             run.log('request answered')
--- a/hornbeamdeck/request/request_log.py
+++ b/hornbeamdeck/request/request_log.py
@@ -49,6 +49,7 @@
         'stream_versions': attempts.stream_versions,
         'relay': attempts.relay,
         'dialed_ms': int(attempts.dialed_ms),
+        'may_have_run': attempts.is_possibly_executing,
     }
 
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -142,6 +142,11 @@
             'configuration_unproved',
         ),
         ([_line('request: caller left')], 'caller left', 'while waiting'),
+        (
+            [_line('request: request cut off', may_have_run=True)],
+            'broken',
+            'cut off by a planned stop, may have run',
+        ),
         (
             [_line('request: request failed', code='caller_too_slow')],
             'caller left',
--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -138,6 +138,6 @@
             await group.spawn(stopping.async_stop)
         await sleep(0.5)
         owners = [each for each in fleet.gateways if each.components.is_owner]
-        assert all(gateway.is_draining for gateway in fleet.gateways)
+        assert all(gateway.shutdown.is_requested for gateway in fleet.gateways)
         assert len(owners) == 1
     assert all(task.exception is None for task in group.tasks)
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Requests that wait at an instance while it is asked to stop."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from curio import TaskGroup, sleep, spawn
@@ -101,3 +102,16 @@
     assert stopped.most_running <= SLOTS
     assert {each.status for each in stopped.refused} == {503}
     assert all('retry-after' in each.headers for each in stopped.refused)
+
+
+@on_platform(3)
+async def test_requests_that_a_stop_cuts_off_are_told_from_left_callers(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a log that blames callers for what a stop cuts off."""
+    owner = fleet.owner
+    stopped = await _async_stop_owner(fleet, 3)
+    codes = Counter(code for _, _, code in owner.components.metrics.requests)
+    assert stopped.closed
+    assert codes['cut_off']
+    assert not codes['caller_left']
--- a/tests/request/test_graceful_shutdown.py
+++ b/tests/request/test_graceful_shutdown.py
@@ -3,11 +3,14 @@
 import math
 from typing import Any, cast
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_handler import _would_be_cut_off
+from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.version.gateway import Route, RouteKind, ServiceShare
 
+GRACE_MS = 8000
 ROUTE = Route(
     name='r',
     host='walks.example',
@@ -25,7 +28,11 @@
 
 
 def _is_started(share: float, kind: RouteKind) -> bool:
-    context = cast(GatewayContext, _ContextInShutdown(share))
+    shutdown = Shutdown()
+    if share:
+        now = now_ms() - share * GRACE_MS
+        shutdown.request(now, grace_ms=GRACE_MS, ends_ms=now + GRACE_MS)
+    context = cast(GatewayContext, _ContextInShutdown(shutdown))
     admission = GatewayAdmission(
         request=cast(Any, None),
         route=ROUTE._replace(kind=kind),
@@ -40,11 +47,8 @@
 class _ContextInShutdown:
     """Stub of the gateway's context during a graceful shutdown."""
 
-    def __init__(self, share: float) -> None:
-        self._share = share
-
-    def shutdown_progress(self) -> float:
-        return self._share
+    def __init__(self, shutdown: Shutdown) -> None:
+        self.shutdown = shutdown
 
 
 def test_no_stream_starts_that_the_shutdown_would_cut_off() -> None:
