Refuse calls that a planned stop may cut off

What callers saw: bookings sent 5.8 to 6 s after the SIGTERM of their instance were accepted, ran, and ended with a closed connection 0.7 s before the SIGKILL.

Cause: whether a request may begin during a stop depended on the elapsed share of the grace period alone, 0.8 of it for calls and 0.35 for streams, and not on how long the request may take. 0.8 of 8 s plus a limit of 2 s is 8.4 s; running requests are cut off at 7.3 s. The silent engine of the case only makes a call use its limit.

Now a request begins if its deadline, with 100 ms to write the response, lies before the moment at which running ones are cut off; otherwise it is refused with 503, which is true then, and its caller is told to come back at once.

Evidence: test_calls_that_a_stop_would_cut_off_are_refused fails before (cut_off=1, may_have_run=True) and passes now.

--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Final, TypeAlias
+from typing import TypeAlias
 
 import structlog
 from result import Err
@@ -25,12 +25,6 @@
 
 _LOGGER = structlog.get_logger(prefix='edge')
 
-# Shares of a graceful shutdown after which no stream, or no other request, is
-# started. Streams run for seconds; one that begins in the last two thirds of a
-# shutdown may still run at its end. Other responses take a fraction of that.
-MAX_SHUTDOWN_SHARE_STREAM: Final = 0.35
-MAX_SHUTDOWN_SHARE_OTHER: Final = 0.8
-
 RunAdmitted: TypeAlias = Callable[
     [GatewayAdmission, ServerConnection],
     Awaitable[None],
@@ -78,7 +72,7 @@
             context, gateway_request.request_id, admitted.err_value, caller
         )
         return
-    if _would_be_cut_off(context, admitted.ok_value):
+    if not context.shutdown.may_begin(now_ms(), admitted.ok_value.deadline_ms):
         await _async_refuse(
             context, gateway_request.request_id, instance_stops(), caller
         )
@@ -86,23 +80,6 @@
     await run(admitted.ok_value, caller)
 
 
-def _would_be_cut_off(
-    context: GatewayContext, admission: GatewayAdmission
-) -> bool:
-    """Whether a graceful shutdown would cut off a request that starts now.
-
-    Some callers use an address far longer than its time to live and send
-    requests in the last seconds of a shutdown. A stream that began then would
-    be cut off in the middle.
-    """
-    share = (
-        MAX_SHUTDOWN_SHARE_STREAM
-        if admission.route.is_stream
-        else MAX_SHUTDOWN_SHARE_OTHER
-    )
-    return context.shutdown.elapsed_share(now_ms()) > share
-
-
 async def _async_refuse(
     context: GatewayContext,
     request_id: str,
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -7,6 +7,7 @@
 
 from hornbeamdeck.connection.client import async_fetch_on_new_connection
 from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.process.gateway import Gateway
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
@@ -18,6 +19,12 @@
 # More than the two engines have slots.
 CALLERS = 12
 CLIENT_TIMEOUT_MS = 8000
+# How long callers keep an address; longer than the stop.
+ADDRESS_TTL_MS = 2000
+# When a late call is sent after the stop request. Its engine would answer
+# after the process has ended, but before the time limit of the route.
+LATE_S = 1.2
+SLOW_ENGINE_S = 1.4
 
 
 class _Stopped(NamedTuple):
@@ -46,6 +53,26 @@
     return got.ok()
 
 
+async def _async_call_late(
+    fleet: PlatformFleet, gateway: Gateway, deadline_ms: int
+) -> HttpResponse | None:
+    """Send a call that must not run twice, late in a stop.
+
+    :returns: `None`: the connection has been closed.
+    """
+    bounds = gateway.settings.bounds._replace(entries_ttl_ms=ADDRESS_TTL_MS)
+    gateway.reload(gateway.settings._replace(bounds=bounds))
+    stop = await spawn(gateway.async_stop)
+    await sleep(LATE_S)
+    got = await async_fetch_on_new_connection(
+        fleet.address(0),
+        make_request('/seats/pay/x', hornbeamdeck_deadline_ms=str(deadline_ms)),
+        timeout_ms=CLIENT_TIMEOUT_MS,
+    )
+    await stop.join()
+    return got.ok()
+
+
 async def _async_stop_owner(
     fleet: PlatformFleet, event_gap_s: float
 ) -> _Stopped:
@@ -115,3 +142,27 @@
     assert stopped.closed
     assert codes['cut_off']
     assert not codes['caller_left']
+
+
+@on_platform()
+async def test_calls_that_a_stop_would_cut_off_are_refused(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a call that runs while its connection is closed."""
+    for engine in fleet.booking_engines:
+        engine.event_gap_s = SLOW_ENGINE_S
+    response = await _async_call_late(fleet, fleet.gateways[0], 3000)
+    assert response is not None
+    assert response.status == 503
+    assert 'retry-after' in response.headers
+    assert not any(engine.executed for engine in fleet.booking_engines)
+
+
+@on_platform()
+async def test_calls_that_end_before_the_stop_does_are_answered(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against refusing what there is time for."""
+    response = await _async_call_late(fleet, fleet.gateways[0], 800)
+    assert response is not None
+    assert response.status == 200
