Make the queue message of a request in a module of its own

What a request asks its owner for is a function of its admission and of the attempts so far (request/ queue_request.py). No change of behaviour.

--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -30,6 +30,7 @@
 __all__ = ('EngineAttempts',)
 
 EVENT_STREAM: Final = 'text/event-stream'
+FINGERPRINT_CHARS: Final = 16
 
 
 class EngineAttempts:
@@ -78,7 +79,7 @@
         for part in (request.path, request.query, self._admission.team_name):
             digest.update(f'{part}\x00'.encode(ENCODING))
         digest.update(request.body)
-        return digest.hexdigest()
+        return digest.hexdigest()[:FINGERPRINT_CHARS]
 
     async def async_run(self, grant: Grant) -> RunEnd | WithholdReason:
         """Send the request to the granted engine and relay its response.
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -11,13 +11,13 @@
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
-    CLIENT_TIMEOUT_GAPS,
     GatewayAdmission,
     recheck_key,
 )
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import RunSummary, WithholdReason
 from hornbeamdeck.request.outcome import Failure, NotRun, Unknown
+from hornbeamdeck.request.queue_request import make_enqueue
 from hornbeamdeck.request.refusal import (
     deadline_passed,
     engines_unreachable,
@@ -32,7 +32,7 @@
     ResponseDelivery,
     open_delivery,
 )
-from hornbeamdeck.wire import Enqueue, Grant, RunEnd
+from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('async_run_gateway_request',)
 
@@ -52,7 +52,6 @@
 _NOT_SENT: Final = frozenset((RunEnd.NOT_DISPATCHED, RunEnd.UNREACHABLE))
 # Ends after which a request that may run twice is sent to another engine.
 _RETRYABLE: Final = frozenset((RunEnd.FAILED, RunEnd.SILENT, RunEnd.ERRORED))
-FINGERPRINT_CHARS: Final = 16
 # A request is refused after this many engines that neither this instance nor
 # any other that it asked could reach. Another instance may reach them.
 MAX_UNREACHABLE: Final = 2
@@ -170,7 +169,7 @@
                 'deadline_passed',
                 'the time ran out after the request was sent to an engine',
             )
-        return deadline_passed(self._fingerprint())
+        return deadline_passed(self._engine_attempts.fingerprint)
 
     async def async_fail(self, failure: Failure) -> None:
         """Report a failure to the caller, by a response if none has started."""
@@ -208,7 +207,16 @@
     async def _async_grant(self) -> Result[Grant, NotRun]:
         admission = self._admission
         requested_ms = now_ms()
-        granted = await self._context.acquire_grant(self._enqueue())
+        granted = await self._context.acquire_grant(
+            make_enqueue(
+                admission,
+                self._engine_attempts,
+                excluded=self._attempts.excluded,
+                engines_reached=self._attempts.engines_reached,
+                has_response_started=self._caller.has_response_started,
+                zone=self._context.zone,
+            )
+        )
         self._waited_ms += now_ms() - requested_ms
         if isinstance(granted, Err):
             return granted
@@ -288,7 +296,7 @@
                 end=end.name.lower(),
                 cause=self._engine_attempts.cause,
                 took_ms=int(now_ms() - granted_ms),
-                fingerprint=self._fingerprint(),
+                fingerprint=self._engine_attempts.fingerprint,
                 shared_parts=self._admission.request.shared_part_ids,
             )
         self._attempts = _Attempts(
@@ -361,49 +369,3 @@
             'engine_broken',
             'the engine broke after the request was sent to it',
         )
-
-    def _objective_left_ms(self) -> int:
-        if self._caller.has_response_started:
-            return self._admission.route.gap_ms
-        return self._admission.objective_left_ms
-
-    def _client_timeout_left_ms(self) -> int:
-        if self._caller.has_response_started:
-            timeout_ms = CLIENT_TIMEOUT_GAPS * self._admission.route.gap_ms
-            return min(timeout_ms, self._admission.left_ms)
-        return self._admission.client_timeout_left_ms
-
-    def _fingerprint(self) -> str:
-        return self._engine_attempts.fingerprint[:FINGERPRINT_CHARS]
-
-    def _version_to_resume(self) -> str | None:
-        """Return the version at which a stream that has begun goes on."""
-        return next(iter(self._engine_attempts.stream_versions), None)
-
-    def _enqueue(self) -> Enqueue:
-        admission = self._admission
-        request = admission.request
-        version = self._version_to_resume()
-        return Enqueue(
-            request_id=request.request_id,
-            cell=admission.service,
-            team=admission.team_name,
-            tier_rank=admission.rank,
-            deadline_ms=admission.left_ms,
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=request.expected_tokens or request.output_tokens,
-            excluded=list(self._attempts.excluded),
-            fingerprint=self._fingerprint(),
-            objective_ms=self._objective_left_ms(),
-            patience_ms=self._client_timeout_left_ms(),
-            gap_ms=admission.route.gap_ms,
-            quota_tokens=admission.quota_tokens,
-            dispatches=self._attempts.engines_reached,
-            zone=self._context.zone,
-            route_rank=admission.route_rank,
-            route=admission.route.name,
-            version=version,
-            resumes=admission.resumes if version is None else None,
-            resumable_ms=admission.resumable_ms,
-            shared_parts=request.shared_part_ids or None,
-        )
