Don't send a call that has waited too long during a planned stop

What callers would see: a call that must run once is accepted early in a stop, waits for a free place, is sent as the instance is about to end, runs, and its connection is closed. The cause is that of: what may begin was decided at admission only, and a wait moves the beginning.

A call of that kind is now checked again when it is granted; if it may be cut off its grant goes back and it is refused with 503. Streams, and what another engine may run again, are sent as before: most end long before their deadline, and their callers can repeat them.

--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -21,6 +21,7 @@
 from hornbeamdeck.request.refusal import (
     deadline_passed,
     engines_unreachable,
+    instance_stops,
 )
 from hornbeamdeck.request.request_log import (
     admission_fields,
@@ -225,6 +226,8 @@
             admission,
             may_accept_keys=self._context.freshness_guard.may_accept_keys(),
         )
+        if self._would_be_cut_off():
+            allowed = Err(instance_stops())
         if isinstance(allowed, Err):
             request_id = admission.request.request_id
             await self._context.release_grant(
@@ -237,6 +240,19 @@
             )
         return granted
 
+    def _would_be_cut_off(self) -> bool:
+        """Return whether a planned stop may cut off a call that runs once.
+
+        It may have waited for longer than the stop leaves. Streams are sent
+        all the same, since most end long before their deadline.
+        """
+        route = self._admission.route
+        if route.is_stream or route.is_repeatable:
+            return False
+        return not self._context.shutdown.may_begin(
+            now_ms(), self._admission.deadline_ms
+        )
+
     def _record_returned_grant(
         self, engine: str, reason: WithholdReason
     ) -> None:
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -14,6 +14,7 @@
     make_request,
     on_platform,
 )
+from tests.platform.standins import document, route
 
 SLOTS = 4
 # More than the two engines have slots.
@@ -38,12 +39,12 @@
 
 
 async def _async_call(
-    fleet: PlatformFleet, gateway: int, number: int
+    fleet: PlatformFleet, gateway: int, number: int, path: str = '/note/x'
 ) -> HttpResponse | None:
     """Return a response; `None` if the connection has been closed."""
     request = make_request(
-        '/note/x',
-        tokens=TOKEN_COUNTS,
+        path,
+        tokens=TOKEN_COUNTS if path == '/note/x' else '',
         hornbeamdeck_request_id=f'id-{number}',
         hornbeamdeck_deadline_ms='9000',
     )
@@ -53,6 +54,30 @@
     return got.ok()
 
 
+async def _async_wait_during_stop(
+    fleet: PlatformFleet,
+) -> tuple[HttpResponse, ...]:
+    """Stop a gateway while calls that must not run twice wait there.
+
+    :returns: the responses to those whose connections were not closed.
+    """
+    gateway = fleet.gateways[0]
+    pay = route('/seats/pay/', kind='non_idempotent', target_latency_ms=3000)
+    await fleet.store.async_put('config', 'main', document(routes=[pay]))
+    follower = gateway.components.follower
+    version = fleet.store.configuration_version
+    await fleet.async_until(lambda: follower.configuration.version == version)
+    for engine in fleet.booking_engines:
+        engine.event_gap_s = SLOW_ENGINE_S
+    async with TaskGroup() as callers:
+        for number in range(CALLERS):
+            await callers.spawn(_async_call, fleet, 0, number, '/seats/pay/x')
+        await fleet.async_until(lambda: gateway.in_flight == CALLERS)
+        stop = await spawn(gateway.async_stop)
+    await stop.join()
+    return tuple(each for each in callers.results if each is not None)
+
+
 async def _async_call_late(
     fleet: PlatformFleet, gateway: Gateway, deadline_ms: int
 ) -> HttpResponse | None:
@@ -166,3 +191,13 @@
     response = await _async_call_late(fleet, fleet.gateways[0], 800)
     assert response is not None
     assert response.status == 200
+
+
+@on_platform()
+async def test_calls_that_waited_too_long_in_a_stop_are_refused(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a call that is sent as its instance is about to end."""
+    responses = await _async_wait_during_stop(fleet)
+    statuses = Counter(each.status for each in responses)
+    assert statuses == {200: 2 * SLOTS, 503: CALLERS - 2 * SLOTS}
