Let no request begin once a planned stop closes its connections

What callers could see: a request that arrives after the last check of what is still running, and before its connection is closed, is sent to an engine and cut off. A stop ends as soon as nothing runs and the addresses of callers have expired, long before its limit, so the deadline of the request said nothing: cancelling the tasks and closing five listeners takes several turns of the kernel, in which new requests were still served.

The stop now ends in one step: from the last check on, nothing begins, whatever its kind, and what still comes in is refused with 503.

Evidence: a call made at that moment was answered with 200 (test_no_call_begins_while_a_stop_closes_its_connections, fails before); now 503.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -209,11 +209,11 @@
             self._unfinished or now_ms() < accept_until_ms
         ):
             await sleep(DRAIN_POLL_MS / MILLIS_PER_SECOND)
+        self.shutdown.end()
         refused = await components.grants.async_refuse_waiting()
         if refused:
             await sleep(REFUSAL_WRITE_MS / MILLIS_PER_SECOND)
         cut_off = self._unfinished
-        self.shutdown.end()
         _LOGGER.info('planned stop ends', cut_off=cut_off, refused=refused)
         await self.async_kill()
         return cut_off
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -241,17 +241,17 @@
         return granted
 
     def _would_be_cut_off(self) -> bool:
-        """Return whether a planned stop may cut off a call that runs once.
+        """Return whether a planned stop may cut off what would be sent now.
 
-        It may have waited for longer than the stop leaves. Streams are sent
-        all the same, since most end long before their deadline.
+        A call that runs once may have waited for longer than the stop leaves.
+        Streams are sent all the same, since most end long before their
+        deadline.
         """
+        shutdown = self._context.shutdown
         route = self._admission.route
         if route.is_stream or route.is_repeatable:
-            return False
-        return not self._context.shutdown.may_begin(
-            now_ms(), self._admission.deadline_ms
-        )
+            return shutdown.has_ended
+        return not shutdown.may_begin(now_ms(), self._admission.deadline_ms)
 
     def _record_returned_grant(
         self, engine: str, reason: WithholdReason
--- a/hornbeamdeck/scheduling/shutdown.py
+++ b/hornbeamdeck/scheduling/shutdown.py
@@ -47,7 +47,7 @@
         self._ends_ms = ends_ms
 
     def end(self) -> None:
-        """Record that running requests are cut off from now on."""
+        """Let no more requests begin, since connections are closed next."""
         self.has_ended = True
 
     def left_ms(self, now: float) -> float:
@@ -59,6 +59,8 @@
 
         :param deadline_ms: when its final response is due.
         """
+        if self.has_ended:
+            return False
         if now < self._unconditional_until_ms:
             return True
         return deadline_ms + RESPONSE_WRITE_MS <= self._ends_ms
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from typing import NamedTuple
+from unittest.mock import patch
 
 from curio import TaskGroup, sleep, spawn
 
@@ -201,3 +202,22 @@
     responses = await _async_wait_during_stop(fleet)
     statuses = Counter(each.status for each in responses)
     assert statuses == {200: 2 * SLOTS, 503: CALLERS - 2 * SLOTS}
+
+
+@on_platform()
+async def test_no_call_begins_while_a_stop_closes_its_connections(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a call that is sent between the last check and the end."""
+    gateway = fleet.gateways[0]
+    grants = gateway.components.grants
+    refuse_waiting = grants.async_refuse_waiting
+    responses: list[HttpResponse] = []
+
+    async def _async_call_then_refuse() -> int:
+        responses.append(await fleet.async_call('/seats/pay/x'))
+        return await refuse_waiting()
+
+    with patch.object(grants, 'async_refuse_waiting', _async_call_then_refuse):
+        await gateway.async_stop()
+    assert [each.status for each in responses] == [503]
