Refuse calls that the shutdown of a plain instance may cut off

Evidence: a booking with a deadline of 10 s, 1.5 s before the end, ran (test_bookings_that_a_shutdown_would_cut_off_are_refused, fails before); now it is refused as not run, and one with a deadline of 1 s is answered.

--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -25,6 +25,7 @@
     make_request_handler,
     refuse_unreadable,
 )
+from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.store.follower import CONFIGURATION_ROLE, async_follow
 
 __all__ = ('Instance', 'async_setup_instance')
@@ -42,7 +43,7 @@
     def __init__(self, components: InstanceComponents) -> None:
         """Create the instance; `async_start` opens the addresses."""
         self.components = components
-        self.is_draining = False
+        self.shutdown = Shutdown()
         self.in_flight = 0
         self._listeners: list[Listener] = []
         self._tasks: list[Task] = []
@@ -91,7 +92,12 @@
         :returns: how many requests were cut off at the drain deadline.
         """
         components = self.components
-        self.is_draining = True
+        drain_ms = components.settings.drain_ms
+        requested_ms = now_ms()
+        deadline_ms = requested_ms + drain_ms
+        self.shutdown.request(
+            requested_ms, grace_ms=drain_ms, ends_ms=deadline_ms
+        )
         components.membership.own_status = self.own._replace(
             state=STATE_DRAINING
         )
@@ -101,15 +107,13 @@
         # for it.
         await self._async_spawn_task(components.membership_sync.async_publish())
         await components.grants.async_move_to_current_owners()
-        deadline_ms = now_ms() + components.settings.drain_ms
         # Callers cache the list of addresses for this time and continue to
         # connect to this instance.
-        ttl_ms = min(
-            components.settings.entries_ttl_ms, components.settings.drain_ms
-        )
+        ttl_ms = min(components.settings.entries_ttl_ms, drain_ms)
         await sleep(ttl_ms / MILLIS_PER_SECOND)
         await self._listeners[0].async_stop_accepting()
         await self._async_drain(deadline_ms)
+        self.shutdown.end()
         cut_off = self._pending()
         if cut_off:
             _LOGGER.error('requests cut off', pending=cut_off)
@@ -143,7 +147,7 @@
             make_answer_context=self.request_context,
             membership=self.components.membership,
             entries_ttl_ms=self.components.settings.entries_ttl_ms,
-            is_draining=lambda: self.is_draining,
+            shutdown=self.shutdown,
             track_in_flight=self._count_in_flight,
         )
         respond = make_request_handler(router_context)
--- a/hornbeamdeck/request/endpoints.py
+++ b/hornbeamdeck/request/endpoints.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.request.admitted_request import AnswerContext
 from hornbeamdeck.request.idempotency import issue_key_for_team
 from hornbeamdeck.request.outcome import NotRun, to_response
+from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.version.entities import Team
 
 __all__ = ('RouterContext', 'answer_own_endpoint')
@@ -32,14 +33,14 @@
 
     :param make_answer_context: returns the dependencies for answering a
         request, with the configuration in force now.
-    :param is_draining: whether a graceful shutdown has begun.
+    :param shutdown: the graceful shutdown of this process, if it has begun.
     :param track_in_flight: counts a request while it is being answered.
     """
 
     make_answer_context: Callable[[], AnswerContext]
     membership: Membership
     entries_ttl_ms: int
-    is_draining: Callable[[], bool]
+    shutdown: Shutdown
     track_in_flight: Callable[[], AbstractContextManager[None]]
 
 
@@ -75,7 +76,7 @@
 
 def _health(routing: RouterContext, context: AnswerContext) -> HttpResponse:
     version = context.configuration.version
-    if routing.is_draining():
+    if routing.shutdown.is_requested:
         return _json_response(
             HTTPStatus.SERVICE_UNAVAILABLE, {'state': 'leaving'}
         )
@@ -112,7 +113,7 @@
     team: Team,
     request_id: str,
 ) -> HttpResponse:
-    if routing.is_draining():
+    if routing.shutdown.is_requested:
         # The records of issued keys are in this process's memory and are lost
         # when it stops.
         refusal = NotRun(
--- a/hornbeamdeck/request/router.py
+++ b/hornbeamdeck/request/router.py
@@ -5,6 +5,7 @@
 
 from result import Err, Result
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.request_loop import RequestHandler
@@ -22,7 +23,7 @@
 )
 from hornbeamdeck.request.endpoints import RouterContext, answer_own_endpoint
 from hornbeamdeck.request.outcome import NotRun, to_response
-from hornbeamdeck.request.refusal import bad_request
+from hornbeamdeck.request.refusal import bad_request, instance_stops
 
 __all__ = ('RouterContext', 'make_request_handler', 'refuse_unreadable')
 
@@ -36,7 +37,7 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
-        if routing.is_draining():
+        if routing.shutdown.is_requested:
             caller.close_after_response()
         context = routing.make_answer_context()
         with routing.track_in_flight():
@@ -65,6 +66,10 @@
         response = to_response(admitted.err_value, request_id)
         await caller.async_respond(response)
         return
+    if not routing.shutdown.may_begin(now_ms(), admitted.ok_value.deadline_ms):
+        response = to_response(instance_stops(), request_id)
+        await caller.async_respond(response)
+        return
     await async_answer_admitted_request(context, admitted.ok_value, caller)
 
 
