--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -129,6 +129,7 @@
             not self.shutdown.is_requested
             and components.follower.configuration.version > 0
             and components.directory.is_read
+            and all(each.accept_state.is_accepting for each in self.listeners)
         )
 
     async def async_start(self) -> None:
