Leave descriptors for engines, store and peers when callers keep connections

What callers saw: after the loss of a machine, those left took connections until every descriptor was gone. Then nobody was served: an engine, the store and other instances need descriptors, too.

Cause: nothing limited the connections of callers, and each of the listeners for ready checks, the directory, peers and metrics could take all descriptors as well.

The process counts its sockets (connection/open_sockets.py). Callers may have what its own connections leave, less a tenth (scheduling/socket_limits.py). Near the limit responses say 'connection: close'; at the limit a new connection ends the one idle for longest; if all are busy, the requests beyond are refused with 503 (connection/connection_limit.py). The endpoints, and peers that have not proved who they are, have a twentieth each. The limit is the least of the operating system's and of the deployment's max_descriptors, which the template passes on now. Metrics tell what is open, closed for room and not accepted.

Evidence: test_idle_connections_leave_descriptors_for_all_others runs a real process with 220 descriptors and floods one listener after the other; it fails before for callers, ready, directory and metrics, and passes now.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -1,6 +1,7 @@
 """IP addresses with a port, and the sockets opened for them."""
 
 import ipaddress
+import socket as stdlib_socket
 from functools import lru_cache
 from typing import Final, NamedTuple, Self
 
@@ -10,6 +11,7 @@
 
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.errors import ConnectFailed
+from hornbeamdeck.connection.open_sockets import CountedSocket
 
 __all__ = ('Address', 'async_connect', 'listen')
 
@@ -51,7 +53,9 @@
 
 def _new_socket(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-    return socket.socket(family, socket.SOCK_STREAM)
+    return CountedSocket(
+        stdlib_socket.socket(family, stdlib_socket.SOCK_STREAM)
+    )
 
 
 async def async_connect(
--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -1,7 +1,6 @@
 """The client side of an HTTP connection."""
 
 import math
-import select
 from collections.abc import Coroutine
 from typing import Any, Self, TypeVar
 
@@ -21,6 +20,7 @@
     header_pairs,
     join_headers,
 )
+from hornbeamdeck.connection.pending_input import has_pending_input
 from hornbeamdeck.connection.response_limits import (
     LimitExceeded,
     ResponseLimits,
@@ -112,9 +112,7 @@
 
     def has_no_pending_input(self) -> bool:
         """Whether nothing arrived after the last response, not even a close."""
-        poll = select.poll()
-        poll.register(self._sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_pending_input(self._sock)
 
     async def async_send(
         self,
--- a/hornbeamdeck/connection/listener.py
+++ b/hornbeamdeck/connection/listener.py
@@ -9,6 +9,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address, bound_address, listen
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('AcceptState', 'Listener', 'ServeConnection', 'async_setup_listener')
@@ -78,13 +79,16 @@
 async def async_setup_listener(
     address: Address,
     serve_connection: ServeConnection,
+    connections: ConnectionLimit | None = None,
 ) -> Listener:
     """Listen and serve each accepted connection in its own task.
 
+    :param connections: limits the open connections; `None`: there is no limit.
     :raises OSError: if the address can't be bound.
     """
     sock = listen(address)
     accept_state = AcceptState()
+    used_connections = connections or ConnectionLimit()
     tasks: set[Task] = set()
 
     async def _async_serve(
@@ -99,11 +103,14 @@
         except Exception:
             _LOGGER.exception('connection failed')
         finally:
+            used_connections.remove()
             tasks.discard(own_task[0])
 
     async def _async_accept() -> None:
         while True:
-            client = await _async_accept_next(sock, accept_state)
+            client = await _async_accept_within(
+                used_connections, sock, accept_state
+            )
             # Filled after the spawn, because only then the task is known.
             own_task: list[Task] = []
             task = await spawn(_async_serve, client, own_task, daemon=True)
@@ -126,6 +133,17 @@
     )
 
 
+async def _async_accept_within(
+    connections: ConnectionLimit, sock: socket.socket, state: AcceptState
+) -> socket.socket:
+    """Accept the next connection that may stay open."""
+    while True:
+        client = await _async_accept_next(sock, state)
+        if await connections.async_add():
+            return client
+        await client.close()
+
+
 async def _async_accept_next(
     sock: socket.socket, state: AcceptState
 ) -> socket.socket:
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -1,5 +1,6 @@
 """Reads complete requests from a connection, limited in size and time."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
@@ -60,12 +61,16 @@
         self._protocol = protocol
         self._limits = limits
 
-    async def async_read(self) -> Result[HttpRequest, ReadError]:
+    async def async_read(
+        self, on_begun: Callable[[], None] | None = None
+    ) -> Result[HttpRequest, ReadError]:
         """Read one complete request.
 
         Both the wait for the first byte and the time from there to the last
         are limited. Otherwise a caller that sends one byte a minute would hold
         a task and its memory without end.
+
+        :param on_begun: called when its first bytes have arrived.
         """
         self._bodies.drop()
         try:
@@ -77,6 +82,8 @@
             return Err(CallerClosed())
         if isinstance(first_byte, Err):
             return first_byte
+        if on_begun is not None:
+            on_begun()
         try:
             return await async_with_timeout(
                 self._limits.request_ms,
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -1,12 +1,14 @@
 """Serves the requests of one connection in sequence."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TypeAlias
 
 from curio import Task, current_task, socket, spawn
 from result import Err
 
 from hornbeamdeck.connection.byte_account import ByteAccount
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.errors import BadRequest, ReadError
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.reader import ReadLimits
@@ -26,6 +28,7 @@
     to_error_response: ErrorResponseBuilder,
     limits: ReadLimits | None = None,
     bodies: ByteAccount | None = None,
+    connections: ConnectionLimit | None = None,
 ) -> None:
     """Serve requests until the caller closes or the connection must close.
 
@@ -34,11 +37,16 @@
         read.
     :param limits: size and time limits for the caller's requests.
     :param bodies: counts the bytes that are held of them.
+    :param connections: the connections of the listener; ends idle ones.
     """
     connection = ServerConnection(sock, limits, bodies)
+    used_connections = connections or ConnectionLimit()
     try:
-        await _async_serve(connection, handle_request, to_error_response)
+        await _async_serve(
+            connection, handle_request, to_error_response, used_connections
+        )
     finally:
+        used_connections.leave_idle(sock)
         if bodies is not None:
             bodies.drop()
 
@@ -47,9 +55,12 @@
     connection: ServerConnection,
     handle_request: RequestHandler,
     to_error_response: ErrorResponseBuilder,
+    connections: ConnectionLimit,
 ) -> None:
+    on_begun = partial(connections.leave_idle, connection.sock)
     while True:
-        request = await connection.async_read_request()
+        connections.enter_idle(connection.sock, connection.close_after_response)
+        request = await connection.async_read_request(on_begun)
         if isinstance(request, Err):
             await _async_handle_read_error(
                 connection, request.err_value, to_error_response
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -1,6 +1,7 @@
 """The server side of an HTTP connection."""
 
 import struct
+from collections.abc import Callable
 from typing import Final, Protocol
 
 import h11
@@ -101,9 +102,14 @@
         """Prepare to read the next request."""
         self._protocol.start_next_cycle()
 
-    async def async_read_request(self) -> Result[HttpRequest, ReadError]:
-        """Read one complete request."""
-        request = await self._reader.async_read()
+    async def async_read_request(
+        self, on_begun: Callable[[], None] | None = None
+    ) -> Result[HttpRequest, ReadError]:
+        """Read one complete request.
+
+        :param on_begun: called when its first bytes have arrived.
+        """
+        request = await self._reader.async_read(on_begun)
         if isinstance(request, Ok):
             self._is_head_request = request.ok_value.method == 'HEAD'
         return request
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -18,6 +18,7 @@
 
 __all__ = (
     'BUCKETS_S',
+    'ConnectionCounts',
     'EngineReachCounts',
     'EngineStatementCounts',
     'GatewayMetrics',
@@ -100,6 +101,22 @@
         )
 
 
+class ConnectionCounts(NamedTuple):
+    """Sockets that a process has open, and connections of others among them.
+
+    :param open_connections: by the side that has opened them.
+    :param closed_for_room: closed since there were too many, by the same.
+    :param open_sockets: for any purpose.
+    :param failed_accepts: connections that could not be accepted.
+    """
+
+    open_connections: Mapping[str, int]
+    closed_for_room: Mapping[str, int]
+    open_sockets: int
+    most_sockets: int
+    failed_accepts: int
+
+
 class LimitCounts(NamedTuple):
     """Limited engines of a service as the owner of its cell counts them.
 
@@ -159,6 +176,7 @@
         self.engine_statements = EngineStatementCounts({}, {}, (), {}, {})
         self.engine_reach = EngineReachCounts(0, 0, 0)
         self.memory = MemoryCounts({}, {}, 0)
+        self.connections = ConnectionCounts({}, {}, 0, 0, 0)
         # By service; empty unless this process is the owner.
         self.limit_counts: dict[str, LimitCounts] = {}
         # By service; empty in deployments without roll-outs.
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -14,6 +14,9 @@
 from prometheus_client.registry import Collector
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
+from hornbeamdeck.observability.connection_metrics_export import (
+    connection_metrics,
+)
 from hornbeamdeck.observability.gateway_metrics import (
     BUCKETS_S,
     EngineStatementCounts,
@@ -76,6 +79,7 @@
         yield from _store_metrics(self._metrics)
         yield from _engine_metrics(self._metrics)
         yield from memory_metrics(self._metrics.memory)
+        yield from connection_metrics(self._metrics.connections)
         yield from _limit_metrics(self._metrics)
         yield from _rollout_metrics(self._metrics)
 
--- a/hornbeamdeck/observability/metrics_endpoint.py
+++ b/hornbeamdeck/observability/metrics_endpoint.py
@@ -1,6 +1,7 @@
 """The metrics endpoint of a gateway process."""
 
 import importlib
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
@@ -9,6 +10,7 @@
 from hornbeamdeck.engines.tunnel_server import TunnelServer
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import (
+    ConnectionCounts,
     EngineReachCounts,
     EngineStatementCounts,
     MemoryCounts,
@@ -30,6 +32,7 @@
     dialer: EngineDialer,
     tunnels: TunnelServer,
     spools: Spools,
+    count_connections: Callable[[], ConnectionCounts],
 ) -> Endpoint:
     """Make the endpoint, which collects from the components when it is read."""
     metrics = components.metrics
@@ -54,6 +57,7 @@
             open_tunnels=tunnels.open_tunnels,
         )
         metrics.memory = MemoryCounts.from_spools(spools)
+        metrics.connections = count_connections()
         metrics.limit_counts = {}
         if components.is_owner:
             metrics.limit_counts = components.cells.limit_counts()
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -33,6 +33,7 @@
 from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
 from hornbeamdeck.process.gateway_components import GatewayComponents
+from hornbeamdeck.process.gateway_connections import GatewayConnections
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
@@ -120,6 +121,7 @@
         )
         self.listeners: list[Listener] = []
         self._tasks: list[Task] = []
+        self._connections = GatewayConnections.from_settings(settings)
 
     @property
     def is_ready(self) -> bool:
@@ -147,11 +149,16 @@
                     self.dialer,
                     self.tunnels,
                     self.spools,
+                    lambda: self._connections.counts(self.listeners),
                 ),
             ),
         )
         for address, endpoint in endpoints:
-            self.listeners.append(await async_serve_endpoint(address, endpoint))
+            self.listeners.append(
+                await async_serve_endpoint(
+                    address, endpoint, self._connections.limits.most_brief
+                )
+            )
         peers = await async_setup_listener(
             settings.peer_address,
             make_peer_server(
@@ -161,7 +168,9 @@
                 self.components.snapshots,
                 self._async_handle_peer,
                 self.tunnels.async_serve,
+                self._connections.peers,
             ),
+            self._connections.peers,
         )
         callers = await self._async_listen_to_callers(self._make_context())
         self.listeners += (peers, callers)
@@ -179,6 +188,7 @@
             is_first_start=settings.is_first_start,
             memory_mb=settings.memory_mb,
             budget_bytes=self.spools.budget.budget_bytes,
+            most_sockets=self._connections.limits.most_sockets,
         )
 
     async def async_stop(self) -> int:
@@ -288,6 +298,7 @@
             spools=self.spools,
             zone=self.settings.availability_zone,
             shutdown=self.shutdown,
+            caller_connections=self._connections.callers,
             track_in_flight=self._count_in_flight,
         )
 
@@ -333,10 +344,17 @@
         async def _async_serve(sock: socket.socket) -> None:
             bodies = self.spools.budget.open_account(Purpose.REQUEST_BODIES)
             await async_serve_requests(
-                sock, respond, _refuse, _limits(), bodies
+                sock,
+                respond,
+                _refuse,
+                _limits(),
+                bodies,
+                self._connections.callers,
             )
 
-        return await async_setup_listener(self.settings.address, _async_serve)
+        return await async_setup_listener(
+            self.settings.address, _async_serve, self._connections.callers
+        )
 
     def _ready_endpoint(self, _request: HttpRequest) -> HttpResponse:
         status = HTTPStatus.OK
--- /dev/null
+++ b/hornbeamdeck/process/gateway_connections.py
@@ -0,0 +1,53 @@
+"""The connections that others may have open at a gateway process."""
+
+from collections.abc import Iterable
+from typing import Self
+
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
+from hornbeamdeck.connection.listener import Listener
+from hornbeamdeck.connection.open_sockets import count_open_sockets
+from hornbeamdeck.observability.gateway_metrics import ConnectionCounts
+from hornbeamdeck.process.descriptors import read_socket_limits
+from hornbeamdeck.process.gateway_settings import GatewaySettings
+from hornbeamdeck.scheduling.socket_limits import SocketLimits
+
+__all__ = ('GatewayConnections',)
+
+
+class GatewayConnections:
+    """Limits of a process, and its connections by who has opened them."""
+
+    def __init__(self, limits: SocketLimits) -> None:
+        """Start without connections."""
+        self.limits = limits
+        self.callers = ConnectionLimit(self._most_callers)
+        self.peers = ConnectionLimit(self._most_peers)
+
+    @classmethod
+    def from_settings(cls, settings: GatewaySettings) -> Self:
+        """Make the limits of a process with these settings."""
+        return cls(
+            read_socket_limits(
+                settings.max_descriptors, settings.file_descriptors
+            )
+        )
+
+    def counts(self, listeners: Iterable[Listener]) -> ConnectionCounts:
+        """Return what is open now."""
+        sides = {'callers': self.callers, 'peers': self.peers}
+        return ConnectionCounts(
+            {side: each.open_count for side, each in sides.items()},
+            {side: each.closed_count for side, each in sides.items()},
+            open_sockets=count_open_sockets(),
+            most_sockets=self.limits.most_sockets,
+            failed_accepts=sum(
+                each.accept_state.failures for each in listeners
+            ),
+        )
+
+    def _most_callers(self, callers: int) -> int:
+        return self.limits.most_callers(callers, count_open_sockets())
+
+    def _most_peers(self, _peers: int) -> int:
+        # Those that have proved who they are stay, however many they are.
+        return self.limits.most_brief + self.peers.busy_count
--- a/hornbeamdeck/process/gateway_endpoints.py
+++ b/hornbeamdeck/process/gateway_endpoints.py
@@ -6,6 +6,7 @@
 from curio import socket
 
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.listener import Listener, async_setup_listener
@@ -18,12 +19,14 @@
 
 
 async def async_serve_endpoint(
-    address: Address, endpoint: Endpoint
+    address: Address, endpoint: Endpoint, most_connections: int
 ) -> Listener:
     """Open a separate address for one endpoint.
 
+    :param most_connections: beyond it, idle connections are ended.
     :raises OSError: if the address can't be bound.
     """
+    connections = ConnectionLimit(lambda _open_count: most_connections)
 
     async def _async_respond(
         request: HttpRequest,
@@ -32,9 +35,14 @@
         await caller.async_respond(endpoint(request))
 
     async def _async_serve(sock: socket.socket) -> None:
-        await async_serve_requests(sock, _async_respond, _bad_request_response)
-
-    return await async_setup_listener(address, _async_serve)
+        await async_serve_requests(
+            sock,
+            _async_respond,
+            _bad_request_response,
+            connections=connections,
+        )
+
+    return await async_setup_listener(address, _async_serve, connections)
 
 
 def _bad_request_response(bad: BadRequest) -> HttpResponse:
--- a/hornbeamdeck/process/gateway_settings.py
+++ b/hornbeamdeck/process/gateway_settings.py
@@ -98,6 +98,12 @@
             None,
             vol.All(vol.Coerce(float), vol.Range(min=0, min_included=False)),
         ),
+        vol.Optional('max_descriptors', default=None): vol.Any(
+            None, vol.All(int, vol.Range(min=1))
+        ),
+        vol.Optional('file_descriptors', default=0): vol.All(
+            int, vol.Range(min=0)
+        ),
         vol.Required('bounds'): BOUNDS_SCHEMA,
         vol.Optional('rollouts', default=None): _check_rollouts,
     },
@@ -166,6 +172,10 @@
     :param cores: processor share, used as this instance's weight in the choice
         of owners.
     :param memory_mb: memory that the process may use; `None`: not stated.
+    :param max_descriptors: descriptors that the process may have open; `None`:
+        as many as the operating system allows.
+    :param file_descriptors: how many of these are kept for files, so that no
+        socket can have them.
     :param rollouts: limits of new versions; `None`: the deployment has no
         roll-outs.
     """
@@ -184,6 +194,8 @@
     metrics_port: int
     log_level: str
     memory_mb: float | None
+    max_descriptors: int | None
+    file_descriptors: int
     bounds: Bounds
     rollouts: RolloutBounds | None
 
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.connection_pool import ConnectionPool
 from hornbeamdeck.engines.engine_dialer import EngineDialer
 from hornbeamdeck.engines.send_guard import SendGuard
@@ -53,6 +54,7 @@
     :param spools: hold what callers have not read yet.
     :param zone: this instance's availability zone.
     :param shutdown: the graceful shutdown of this process, if it has begun.
+    :param caller_connections: the connections that callers have open.
     :param track_in_flight: counts a request while it is being answered.
     """
 
@@ -72,4 +74,5 @@
     spools: Spools
     zone: str
     shutdown: Shutdown
+    caller_connections: ConnectionLimit
     track_in_flight: Callable[[], AbstractContextManager[None]]
--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -15,7 +15,10 @@
 from hornbeamdeck.request.gateway_admission import GatewayAdmission, async_admit
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.outcome import NotRun
-from hornbeamdeck.request.refusal import instance_stops
+from hornbeamdeck.request.refusal import (
+    instance_stops,
+    too_many_connections,
+)
 
 __all__ = (
     'RunAdmitted',
@@ -43,7 +46,8 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
-        if context.shutdown.is_requested:
+        connections = context.caller_connections
+        if context.shutdown.is_requested or connections.is_crowded:
             caller.close_after_response()
         with context.track_in_flight():
             await _async_admit(context, run, request, caller)
@@ -64,6 +68,11 @@
         await _async_refuse(context, '', decoded.err_value, caller)
         return
     gateway_request = decoded.ok_value
+    if context.caller_connections.is_exhausted:
+        request_id = gateway_request.request_id
+        refusal = too_many_connections(request_id)
+        await _async_refuse(context, request_id, refusal, caller)
+        return
     admitted = await async_admit(
         context.configuration, context.freshness_guard, gateway_request
     )
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -18,6 +18,7 @@
     'refusal_from_owner',
     'platform_down',
     'spread_retry_ms',
+    'too_many_connections',
     'unauthorized',
     'unknown_service',
     'unprocessable',
@@ -114,6 +115,16 @@
     )
 
 
+def too_many_connections(fingerprint: str) -> NotRun:
+    """Make the refusal for a request beyond the connections of callers."""
+    return NotRun(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'too_many_connections',
+        'this instance has no more connections for callers',
+        spread_retry_ms(fingerprint),
+    )
+
+
 def platform_down(fingerprint: str) -> NotRun:
     """Make the refusal for a call whose claim could not be created."""
     return NotRun(
--- /dev/null
+++ b/tests/connection/test_connection_limit.py
@@ -0,0 +1,148 @@
+"""Listeners whose callers keep more connections than they may."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+from curio import TaskGroup, run, sleep, socket
+
+from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.listener import async_setup_listener
+from hornbeamdeck.connection.request_loop import async_serve_requests
+from hornbeamdeck.connection.server import ServerConnection
+from tests.support import async_fetch
+
+ANY_LOCAL_PORT = Address('127.0.0.1', 0)
+MOST = 20
+FLOOD = 60
+TIMEOUT_MS = 2000
+LONG_IDLE_S = 1.1
+REQUEST = HttpRequest('GET', '/', '', {}, b'')
+
+Scenario = Callable[[Address, ConnectionLimit, AsyncExitStack], Awaitable[None]]
+
+
+def _on_limited_listener(scenario: Scenario) -> Callable[[], None]:
+    """Run a scenario with a listener that allows `MOST` connections.
+
+    The listener answers at once, and marks responses as a gateway does.
+    """
+
+    async def _async_scenario() -> None:
+        connections = ConnectionLimit(lambda _open_count: MOST)
+
+        async def _async_respond(
+            request: HttpRequest, caller: ServerConnection
+        ) -> None:
+            if connections.is_crowded:
+                caller.close_after_response()
+            await sleep(float(request.query or 0))
+            status = 503 if connections.is_exhausted else 200
+            await caller.async_respond(HttpResponse(status, {}, b''))
+
+        async def _async_serve(sock: socket.socket) -> None:
+            await async_serve_requests(
+                sock,
+                _async_respond,
+                lambda bad: HttpResponse(bad.status, {}, b''),
+                connections=connections,
+            )
+
+        listener = await async_setup_listener(
+            ANY_LOCAL_PORT, _async_serve, connections
+        )
+        async with AsyncExitStack() as opened:
+            await scenario(listener.address, connections, opened)
+        await listener.async_unload()
+
+    def _run() -> None:
+        run(_async_scenario)
+
+    _run.__doc__ = scenario.__doc__
+    return _run
+
+
+async def _async_flood(
+    address: Address, opened: AsyncExitStack, count: int
+) -> list[socket.socket]:
+    """Open connections and send nothing on them."""
+    flood = []
+    for _ in range(count):
+        connected = await async_connect(address, timeout_ms=TIMEOUT_MS)
+        flood.append(await opened.enter_async_context(connected.unwrap()))
+        await sleep(0)
+    return flood
+
+
+async def _async_is_closed(sock: socket.socket) -> bool:
+    return not await async_with_timeout(TIMEOUT_MS, sock.recv(1))
+
+
+@_on_limited_listener
+async def test_idle_connections_beyond_the_limit_are_ended(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against idle callers that take the descriptors of a process."""
+    flood = await _async_flood(address, opened, MOST)
+    await sleep(LONG_IDLE_S)
+    for each in flood:
+        assert (await async_fetch(address, REQUEST)).status == 200
+        assert connections.open_count <= MOST + 1
+        assert await _async_is_closed(each)
+        await opened.enter_async_context(
+            (await async_connect(address, timeout_ms=TIMEOUT_MS)).unwrap()
+        )
+
+
+@_on_limited_listener
+async def test_callers_are_answered_while_others_flood_the_listener(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against a flood of new connections that keeps out all callers."""
+    await _async_flood(address, opened, FLOOD)
+    assert (await async_fetch(address, REQUEST)).status == 200
+    assert connections.open_count < FLOOD
+
+
+@_on_limited_listener
+async def test_responses_end_their_connection_near_the_limit(
+    address: Address, _connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against callers that lose a connection they rely on."""
+    response = await async_fetch(address, REQUEST)
+    assert 'connection' not in response.headers
+    await _async_flood(address, opened, MOST - 1)
+    response = await async_fetch(address, REQUEST)
+    assert response.headers['connection'] == 'close'
+
+
+@_on_limited_listener
+async def test_requests_beyond_the_limit_are_refused(
+    address: Address, _connections: ConnectionLimit, _opened: AsyncExitStack
+) -> None:
+    """Guards against callers that get no answer while all others are busy."""
+    slow = REQUEST._replace(query='1')
+    async with TaskGroup() as callers:
+        for _ in range(MOST):
+            await callers.spawn(async_fetch, address, slow)
+        await sleep(0.3)
+        response = await async_fetch(address, REQUEST)
+    assert response.status == 503
+    assert {each.status for each in callers.results} == {200}
+
+
+@_on_limited_listener
+async def test_limit_counts_what_is_open(
+    address: Address, connections: ConnectionLimit, _opened: AsyncExitStack
+) -> None:
+    """Guards against a limit that closed connections use up."""
+    for number in range(FLOOD):
+        connected = await async_connect(address, timeout_ms=TIMEOUT_MS)
+        async with connected.unwrap() as sock:
+            await sock.sendall(b'GET' if number % 2 else b'')
+            await sleep(0)
+    await sleep(0.1)
+    assert connections.open_count == 0
+    assert connections.busy_count == 0
--- /dev/null
+++ b/tests/platform/gateway_process.py
@@ -0,0 +1,122 @@
+"""A gateway in a process of its own, which may open few descriptors."""
+
+import json
+import os
+import resource
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+from curio import sleep
+from result import Ok
+
+from hornbeamdeck.connection.address import Address, listen
+from hornbeamdeck.connection.client import async_fetch_on_new_connection
+from hornbeamdeck.connection.http import HttpRequest
+from hornbeamdeck.platform.__main__ import SETTINGS_VARIABLE
+from tests.platform.fleet import BOUNDS
+from tests.platform.standins import EngineStandin, StoreStandin, document
+
+READY_POLL_S = 0.05
+READY_POLLS = 200
+CALL_TIMEOUT_MS = 1000
+READY = HttpRequest('GET', '/v1/ready', '', {'host': 'walks.example'}, b'')
+
+
+class GatewayAddresses(NamedTuple):
+    """Where a gateway process listens."""
+
+    callers: Address
+    ready: Address
+    directory: Address
+    peers: Address
+    metrics: Address
+
+
+async def async_is_ready(addresses: GatewayAddresses) -> bool:
+    """Ask on a new connection, as the platform does."""
+    got = await async_fetch_on_new_connection(
+        addresses.ready, READY, timeout_ms=CALL_TIMEOUT_MS
+    )
+    return isinstance(got, Ok) and got.ok_value.status == 200
+
+
+@asynccontextmanager
+async def gateway_process(
+    descriptors: int,
+) -> AsyncIterator[GatewayAddresses]:
+    """Run a store, engines and one gateway process until it is not needed.
+
+    :param descriptors: how many the operating system lets the process open.
+    """
+    store = StoreStandin()
+    store_address = await store.async_start()
+    await store.async_put('config', 'main', document())
+    for name in ('counter-1', 'counter-2'):
+        engine = EngineStandin(name)
+        await engine.async_start()
+        await store.async_put('servers', name, engine.entry('counter'))
+    addresses = GatewayAddresses(*await _async_find_free_addresses(5))
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.json'
+        path.write_text(json.dumps(_make_settings(addresses, store_address)))
+        process = _start(path, descriptors)
+        try:
+            await _async_wait_ready(addresses)
+            yield addresses
+        finally:
+            process.kill()
+            process.wait()
+
+
+async def _async_find_free_addresses(count: int) -> Sequence[Address]:
+    sockets = [listen(Address('127.0.0.1', 0)) for _ in range(count)]
+    addresses = [Address(*each.getsockname()) for each in sockets]
+    for each in sockets:
+        await each.close()
+    return addresses
+
+
+def _make_settings(
+    addresses: GatewayAddresses, store: Address
+) -> dict[str, object]:
+    return {
+        'instance_id': 'front-0',
+        'availability_zone': 'z1',
+        'address': str(addresses.callers),
+        'ready_address': str(addresses.ready),
+        'entries_address': str(addresses.directory),
+        'peer_address': str(addresses.peers),
+        'platform_address': str(store),
+        'seed_peers': [],
+        'fleet_secret': 'a-secret-for-the-tests',
+        'is_first_start': True,
+        'cores': 1,
+        'metrics_port': addresses.metrics.port,
+        'bounds': dict(BOUNDS),
+    }
+
+
+def _start(settings: Path, descriptors: int) -> subprocess.Popen[bytes]:
+    def _limit() -> None:
+        limits = (descriptors, descriptors)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    return subprocess.Popen(  # noqa: S603
+        [sys.executable, '-m', 'hornbeamdeck.platform'],
+        env={**os.environ, SETTINGS_VARIABLE: str(settings)},
+        stdout=subprocess.DEVNULL,
+        preexec_fn=_limit,
+    )
+
+
+async def _async_wait_ready(addresses: GatewayAddresses) -> None:
+    for _ in range(READY_POLLS):
+        if await async_is_ready(addresses):
+            return
+        await sleep(READY_POLL_S)
+    raise AssertionError('the gateway process was not ready in time')
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -22,7 +22,7 @@
         'control': '10.0.0.1:1',
     },
     'platform': {'address': '10.0.0.9:5'},
-    'limits': {'cpu_share': 0.731, 'memory_mb': 152},
+    'limits': {'cpu_share': 0.731, 'memory_mb': 152, 'max_fds': 1570},
     'bounds': {
         'stability_ms': 3000,
         'drain_ms': 2000,
@@ -61,6 +61,8 @@
     assert str(settings.entries_address) == '10.0.0.1:4'
     assert settings.rollouts is not None
     assert settings.memory_mb == 152
+    assert settings.max_descriptors == 1570
+    assert settings.file_descriptors == 200
     port, _, path = role['metrics'].partition('/')
     assert int(port) == settings.metrics_port
     assert path == 'metrics'
--- /dev/null
+++ b/tests/platform/test_descriptors.py
@@ -0,0 +1,106 @@
+"""A gateway process at whose listeners others hold open connections."""
+
+from contextlib import AsyncExitStack
+
+import pytest
+from curio import run, sleep
+from result import Ok
+
+from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.client import (
+    ClientConnection,
+    async_fetch_on_new_connection,
+)
+from hornbeamdeck.connection.http import HttpRequest
+from tests.platform.fleet import make_request
+from tests.platform.gateway_process import (
+    GatewayAddresses,
+    async_is_ready,
+    gateway_process,
+)
+
+DESCRIPTORS = 220
+# More than the process may have open.
+FLOOD = 320
+HOLD_S = 1.5
+TIMEOUT_MS = 1000
+CALLS = 20
+METRICS = HttpRequest('GET', '/metrics', '', {'host': 'x'}, b'')
+DIRECTORY = HttpRequest(
+    'GET', '/v1/resolve', 'name=walks.example', {'host': 'x'}, b''
+)
+
+
+async def _async_hold(address: Address, opened: AsyncExitStack) -> None:
+    """Open idle connections, as many as are taken."""
+    for _ in range(FLOOD):
+        connected = await async_connect(address, timeout_ms=TIMEOUT_MS)
+        if isinstance(connected, Ok):
+            await opened.enter_async_context(connected.ok_value)
+
+
+async def _async_count_answered(address: Address) -> int:
+    """Make calls on new connections; return how many are answered."""
+    answered = 0
+    for number in range(CALLS):
+        request = make_request(
+            '/seats/pay/x', hornbeamdeck_request_id=f'new-{number}'
+        )
+        got = await async_fetch_on_new_connection(
+            address, request, timeout_ms=TIMEOUT_MS
+        )
+        answered += got.map_or(False, lambda each: each.status == 200)
+    return answered
+
+
+async def _async_is_served(address: Address, request: HttpRequest) -> bool:
+    got = await async_fetch_on_new_connection(
+        address, request, timeout_ms=TIMEOUT_MS
+    )
+    return isinstance(got, Ok) and got.ok_value.status == 200
+
+
+async def _async_check_serves(addresses: GatewayAddresses) -> None:
+    assert await async_is_ready(addresses)
+    assert await _async_is_served(addresses.directory, DIRECTORY)
+    assert await _async_is_served(addresses.metrics, METRICS)
+    assert await _async_count_answered(addresses.callers) == CALLS
+
+
+@pytest.mark.parametrize('flooded', GatewayAddresses._fields)
+def test_idle_connections_leave_descriptors_for_all_others(
+    flooded: str,
+) -> None:
+    """Guards against one listener that takes every descriptor for good."""
+
+    async def _async_scenario() -> None:
+        async with gateway_process(DESCRIPTORS) as addresses:
+            async with AsyncExitStack() as opened:
+                await _async_hold(getattr(addresses, flooded), opened)
+                await _async_check_serves(addresses)
+                await sleep(HOLD_S)
+                await _async_check_serves(addresses)
+            await _async_check_serves(addresses)
+
+    run(_async_scenario)
+
+
+def test_callers_keep_connections_that_they_use() -> None:
+    """Guards against a limit that ends connections while there is room."""
+
+    async def _async_scenario() -> None:
+        async with gateway_process(DESCRIPTORS) as addresses:
+            opened = await ClientConnection.async_open(
+                addresses.callers, timeout_ms=TIMEOUT_MS
+            )
+            connection = opened.unwrap()
+            for number in range(CALLS):
+                request = make_request(
+                    '/seats/x', hornbeamdeck_request_id=f'kept-{number}'
+                )
+                response = (await connection.async_fetch(request)).unwrap()
+                assert response.status == 200
+                assert 'connection' not in response.headers
+            await connection.async_close()
+
+    run(_async_scenario)
