Tell a missing socket from an engine that can't be reached

What callers saw: a closed connection, or engines that were avoided though sound. When a process could open no socket, the error of the operating system ended the task that wanted one: the task of a request, or one that follows the store for as long as the process lives.

Cause: the socket was made outside of the part of async_connect that catches errors; and a failure to connect always counted against the other side, as a refusal.

async_connect now waits for a socket within its time limit, and otherwise returns an error that says it is local. A request then returns its grant and is refused as not run once no engine is left; an engine isn't recorded as out of reach, counted as ended, or reported to the owner.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -1,17 +1,19 @@
 """IP addresses with a port, and the sockets opened for them."""
 
+import errno
 import ipaddress
 import socket as stdlib_socket
 from functools import lru_cache
 from typing import Final, NamedTuple, Self
 
-from curio import socket
+from curio import sleep, socket
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.errors import ConnectFailed
 from hornbeamdeck.connection.open_sockets import CountedSocket
+from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('Address', 'async_connect', 'listen')
 
@@ -20,6 +22,11 @@
 # The operating system would take 4 MB that the other side does not read. A
 # request would seem to have been sent, and the memory counts as this process's.
 MAX_UNSENT_BYTES: Final = 65_536
+# Pause before another try to open a socket when the process may open no more.
+SOCKET_RETRY_MS: Final = 20
+_LOCAL_ERRORS: Final = frozenset(
+    (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
+)
 
 
 class Address(NamedTuple):
@@ -58,6 +65,21 @@
     )
 
 
+async def _async_open_socket(
+    address: Address, timeout_ms: int
+) -> Result[socket.socket, ConnectFailed]:
+    """Open a socket, or wait for one that another purpose gives back."""
+    until_ms = now_ms() + timeout_ms
+    while True:
+        try:
+            return Ok(_new_socket(address))
+        except OSError as error:
+            cause = repr(error)
+        if now_ms() >= until_ms:
+            return Err(ConnectFailed(str(address), cause, is_local=True))
+        await sleep(SOCKET_RETRY_MS / MILLIS_PER_SECOND)
+
+
 async def async_connect(
     address: Address,
     *,
@@ -68,7 +90,10 @@
     :param timeout_ms: time limit for the TCP handshake, milliseconds.
     :returns: the socket, or an error; after an error no byte was written.
     """
-    sock = _new_socket(address)
+    opened = await _async_open_socket(address, timeout_ms)
+    if isinstance(opened, Err):
+        return opened
+    sock = opened.ok_value
     try:
         await async_with_timeout(
             timeout_ms,
@@ -80,7 +105,8 @@
         return Err(ConnectFailed(str(address), cause, is_timeout=True))
     except OSError as error:
         await sock.close()
-        return Err(ConnectFailed(str(address), repr(error)))
+        is_local = error.errno in _LOCAL_ERRORS
+        return Err(ConnectFailed(str(address), repr(error), is_local=is_local))
     except BaseException:
         await sock.close()
         raise
--- a/hornbeamdeck/connection/end_check.py
+++ b/hornbeamdeck/connection/end_check.py
@@ -6,6 +6,7 @@
 from result import Ok
 
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.errors import ConnectFailed
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('async_has_ended',)
@@ -31,6 +32,10 @@
         )
         if isinstance(connected, Ok):
             await connected.ok_value.close()
-        elif not connected.err_value.is_timeout:
+        elif _is_refused(connected.err_value):
             return True
     return False
+
+
+def _is_refused(failed: ConnectFailed) -> bool:
+    return not (failed.is_timeout or failed.is_local)
--- a/hornbeamdeck/connection/errors.py
+++ b/hornbeamdeck/connection/errors.py
@@ -16,11 +16,14 @@
 
     :param is_timeout: whether nothing responded within the time limit; `False`:
         the connection was refused or reset.
+    :param is_local: whether this process had no socket for it, which says
+        nothing of the other side.
     """
 
     address: str
     cause: str
     is_timeout: bool = False
+    is_local: bool = False
 
 
 class ConnectionBroken(NamedTuple):
--- a/hornbeamdeck/engines/engine_dialer.py
+++ b/hornbeamdeck/engines/engine_dialer.py
@@ -141,6 +141,8 @@
             if isinstance(opened, Ok):
                 return Ok(EngineLink(opened.ok_value))
             failed = opened.err_value
+            if failed.is_local:
+                return Err(Unreached(failed.cause, failed, is_confirmed=False))
         if path is EnginePath.RELAY_AND_PROBE:
             await self.async_start_probe(grant.upstream, grant.address)
         request = _make_request(
@@ -189,7 +191,8 @@
             timeout_ms=CONNECT_TIMEOUT_MS,
             ack_timeout_ms=ACK_TIMEOUT_MS if is_repeatable else 0,
         )
-        self.record(engine, is_reached=isinstance(opened, Ok))
+        if isinstance(opened, Ok) or not opened.err_value.is_local:
+            self.record(engine, is_reached=isinstance(opened, Ok))
         return opened
 
     async def async_start_probe(self, engine: str, address: str) -> None:
--- a/hornbeamdeck/engines/tunnel_server.py
+++ b/hornbeamdeck/engines/tunnel_server.py
@@ -128,6 +128,8 @@
         connected = await async_connect(
             Address.from_text(request.address), timeout_ms=CONNECT_TIMEOUT_MS
         )
+        if isinstance(connected, Err) and connected.err_value.is_local:
+            return Err(TunnelResult.BUSY)
         is_reached = isinstance(connected, Ok)
         self._dialer.record(request.upstream, is_reached=is_reached)
         if isinstance(connected, Err):
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.connection.http import HttpResponse
 from hornbeamdeck.engines.engine_dialer import EngineDialer, Unreached
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
+from hornbeamdeck.request.gateway_request import WithholdReason
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineConnection', 'record_unreached')
@@ -99,10 +100,18 @@
             await self._pool.async_close_engine(self._engine)
 
 
-def record_unreached(unreached: Unreached, metrics: GatewayMetrics) -> RunEnd:
-    """Count an attempt that has reached no engine; return how it ended."""
+def record_unreached(
+    unreached: Unreached, metrics: GatewayMetrics
+) -> RunEnd | WithholdReason:
+    """Count an attempt that has reached no engine.
+
+    :returns: how it ended for the engine, or that it was not tried.
+    """
     failed = unreached.failed
     if failed is not None:
+        if failed.is_local:
+            metrics.count_failed_connect('local')
+            return WithholdReason.NO_SOCKET
         cause = 'timeout' if failed.is_timeout else 'refused'
         metrics.count_failed_connect(cause)
     if unreached.is_confirmed:
--- a/tests/platform/test_descriptors.py
+++ b/tests/platform/test_descriptors.py
@@ -3,7 +3,7 @@
 from contextlib import AsyncExitStack
 
 import pytest
-from curio import run, sleep
+from curio import TaskGroup, run, sleep
 from result import Ok
 
 from hornbeamdeck.connection.address import Address, async_connect
@@ -12,7 +12,8 @@
     async_fetch_on_new_connection,
 )
 from hornbeamdeck.connection.http import HttpRequest
-from tests.platform.fleet import make_request
+from tests.connection.missing_sockets import missing_sockets
+from tests.platform.fleet import PlatformFleet, make_request, on_platform
 from tests.platform.gateway_process import (
     GatewayAddresses,
     async_is_ready,
@@ -25,6 +26,7 @@
 HOLD_S = 1.5
 TIMEOUT_MS = 1000
 CALLS = 20
+SLOTS = 4
 METRICS = HttpRequest('GET', '/metrics', '', {'host': 'x'}, b'')
 DIRECTORY = HttpRequest(
     'GET', '/v1/resolve', 'name=walks.example', {'host': 'x'}, b''
@@ -67,6 +69,13 @@
     assert await _async_count_answered(addresses.callers) == CALLS
 
 
+async def _async_call(fleet: PlatformFleet, request_id: str) -> int:
+    response = await fleet.async_call(
+        '/seats/pay/x', hornbeamdeck_request_id=request_id
+    )
+    return response.status
+
+
 @pytest.mark.parametrize('flooded', GatewayAddresses._fields)
 def test_idle_connections_leave_descriptors_for_all_others(
     flooded: str,
@@ -104,3 +113,24 @@
             await connection.async_close()
 
     run(_async_scenario)
+
+
+@on_platform()
+async def test_engines_are_not_blamed_for_missing_sockets(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against sound engines that are avoided after a shortage here."""
+    caller = await fleet.async_open()
+    with missing_sockets():
+        refused = await caller.async_fetch(make_request('/seats/pay/x'))
+    assert refused.unwrap().status == 503
+    assert not fleet.gateways[0].dialer.count_unreached()
+    # More at once than one engine has slots.
+    for engine in fleet.booking_engines:
+        engine.event_gap_s = 0.3
+    async with TaskGroup() as calls:
+        for number in range(2 * SLOTS):
+            await calls.spawn(_async_call, fleet, f'after-{number}')
+    assert calls.results == [200] * 2 * SLOTS
+    assert all(engine.executed for engine in fleet.booking_engines)
+    await caller.async_close()
