Limit the connections of callers and peers at a plain instance, too

The same cause as at the gateway: nothing limited what others may open, so idle callers could take every descriptor of 'hornbeamdeck serve'. It uses the same limits, from what the operating system allows, since its settings state none. What both kinds of process share is in process/connections.py.

Evidence: test_too_many_connections.py covers what callers of both are told near the limit and beyond it: 'connection: close', and 503 with a time to come back for what has not run.

--- a/hornbeamdeck/process/gateway_connections.py
+++ b/hornbeamdeck/process/connections.py
@@ -1,4 +1,4 @@
-"""The connections that others may have open at a gateway process."""
+"""The connections that others may have open at a process."""
 
 from collections.abc import Iterable
 from typing import Self
@@ -11,10 +11,10 @@
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.scheduling.socket_limits import SocketLimits
 
-__all__ = ('GatewayConnections',)
+__all__ = ('ProcessConnections',)
 
 
-class GatewayConnections:
+class ProcessConnections:
     """Limits of a process, and its connections by who has opened them."""
 
     def __init__(self, limits: SocketLimits) -> None:
@@ -23,9 +23,14 @@
         self.callers = ConnectionLimit(self._most_callers)
         self.peers = ConnectionLimit(self._most_peers)
 
+    @classmethod
+    def from_system(cls) -> Self:
+        """Make the limits that the operating system sets alone."""
+        return cls(read_socket_limits())
+
     @classmethod
     def from_settings(cls, settings: GatewaySettings) -> Self:
-        """Make the limits of a process with these settings."""
+        """Make the limits of a gateway process with these settings."""
         return cls(
             read_socket_limits(
                 settings.max_descriptors, settings.file_descriptors
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -32,8 +32,8 @@
 from hornbeamdeck.membership.peer_server import make_peer_server
 from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
+from hornbeamdeck.process.connections import ProcessConnections
 from hornbeamdeck.process.gateway_components import GatewayComponents
-from hornbeamdeck.process.gateway_connections import GatewayConnections
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
@@ -121,7 +121,7 @@
         )
         self.listeners: list[Listener] = []
         self._tasks: list[Task] = []
-        self._connections = GatewayConnections.from_settings(settings)
+        self._connections = ProcessConnections.from_settings(settings)
 
     @property
     def is_ready(self) -> bool:
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -17,6 +17,7 @@
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
 from hornbeamdeck.membership.membership import STATE_DRAINING, InstanceStatus
 from hornbeamdeck.membership.peer_server import make_peer_server
+from hornbeamdeck.process.connections import ProcessConnections
 from hornbeamdeck.process.instance_components import InstanceComponents
 from hornbeamdeck.process.settings import Settings
 from hornbeamdeck.request.admitted_request import AnswerContext
@@ -45,6 +46,7 @@
         self.components = components
         self.shutdown = Shutdown()
         self.in_flight = 0
+        self.connections = ProcessConnections.from_system()
         self._listeners: list[Listener] = []
         self._tasks: list[Task] = []
 
@@ -63,16 +65,19 @@
         callers = await async_setup_listener(
             components.settings.address,
             self._serve_callers(),
+            self.connections.callers,
         )
         serve_peer = make_peer_server(
             components.identity,
             components.scheduler,
             components.follower,
             components.snapshots,
+            connections=self.connections.peers,
         )
         peers = await async_setup_listener(
             components.settings.peer_address,
             serve_peer,
+            self.connections.peers,
         )
         self._listeners = [callers, peers]
         components.membership.own_status = self.own._replace(
@@ -148,12 +153,18 @@
             membership=self.components.membership,
             entries_ttl_ms=self.components.settings.entries_ttl_ms,
             shutdown=self.shutdown,
+            caller_connections=self.connections.callers,
             track_in_flight=self._count_in_flight,
         )
         respond = make_request_handler(router_context)
 
         async def _async_serve(sock: socket.socket) -> None:
-            await async_serve_requests(sock, respond, refuse_unreadable)
+            await async_serve_requests(
+                sock,
+                respond,
+                refuse_unreadable,
+                connections=self.connections.callers,
+            )
 
         return _async_serve
 
--- a/hornbeamdeck/request/endpoints.py
+++ b/hornbeamdeck/request/endpoints.py
@@ -9,6 +9,7 @@
 
 from result import Err
 
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import ENCODING
 from hornbeamdeck.membership.membership import Membership
@@ -34,6 +35,7 @@
     :param make_answer_context: returns the dependencies for answering a
         request, with the configuration in force now.
     :param shutdown: the graceful shutdown of this process, if it has begun.
+    :param caller_connections: the connections that callers have open.
     :param track_in_flight: counts a request while it is being answered.
     """
 
@@ -41,6 +43,7 @@
     membership: Membership
     entries_ttl_ms: int
     shutdown: Shutdown
+    caller_connections: ConnectionLimit
     track_in_flight: Callable[[], AbstractContextManager[None]]
 
 
--- a/hornbeamdeck/request/router.py
+++ b/hornbeamdeck/request/router.py
@@ -23,7 +23,11 @@
 )
 from hornbeamdeck.request.endpoints import RouterContext, answer_own_endpoint
 from hornbeamdeck.request.outcome import NotRun, to_response
-from hornbeamdeck.request.refusal import bad_request, instance_stops
+from hornbeamdeck.request.refusal import (
+    bad_request,
+    instance_stops,
+    too_many_connections,
+)
 
 __all__ = ('RouterContext', 'make_request_handler', 'refuse_unreadable')
 
@@ -37,7 +41,8 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
-        if routing.shutdown.is_requested:
+        connections = routing.caller_connections
+        if routing.shutdown.is_requested or connections.is_crowded:
             caller.close_after_response()
         context = routing.make_answer_context()
         with routing.track_in_flight():
@@ -53,6 +58,10 @@
     caller: ServerConnection,
 ) -> None:
     request_id = make_request_id()
+    if routing.caller_connections.is_exhausted:
+        refusal = too_many_connections(request_id)
+        await caller.async_respond(to_response(refusal, request_id))
+        return
     if request.path in COMPLETION_PATHS:
         admitted = _admit_completion_call(context, request, request_id)
     elif request.path.startswith(PLAIN_PREFIX):
--- /dev/null
+++ b/tests/request/test_too_many_connections.py
@@ -0,0 +1,90 @@
+"""Callers of an instance whose connections have reached the limit."""
+
+from contextlib import AsyncExitStack
+
+from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.demo.client import async_call
+from hornbeamdeck.demo.fleet import Fleet, FleetPlan
+from hornbeamdeck.scheduling.socket_limits import SocketLimits
+from tests.platform.fleet import PlatformFleet, make_request, on_platform
+from tests.support import booking_entry, on_fleet
+
+# So few that some callers may connect, and no more.
+TIGHT = SocketLimits(1)
+TIMEOUT_MS = 1000
+IDLE = 7
+BEGUN = 9
+
+
+async def _async_connect(
+    address: Address, opened: AsyncExitStack, count: int, sent: bytes = b''
+) -> None:
+    """Open connections.
+
+    :param sent: sent on each of them.
+    """
+    for _ in range(count):
+        connected = await async_connect(address, timeout_ms=TIMEOUT_MS)
+        sock = await opened.enter_async_context(connected.unwrap())
+        await sock.sendall(sent)
+
+
+@on_platform()
+async def test_gateway_ends_connections_near_the_limit(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against callers that lose a connection they rely on."""
+    fleet.gateways[0]._connections.limits = TIGHT
+    async with AsyncExitStack() as opened:
+        first = await fleet.async_call('/seats/x')
+        await _async_connect(fleet.address(0), opened, IDLE)
+        last = await fleet.async_call('/seats/x')
+    assert first.status == last.status == 200
+    assert 'connection' not in first.headers
+    assert last.headers['connection'] == 'close'
+
+
+@on_platform()
+async def test_gateway_refuses_requests_beyond_the_limit(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against callers that get no answer while all others are busy."""
+    fleet.gateways[0]._connections.limits = TIGHT
+    async with AsyncExitStack() as opened:
+        await _async_connect(fleet.address(0), opened, BEGUN, b'POST /seats')
+        refused = await fleet.async_call('/seats/pay/x')
+    assert refused.status == 503
+    assert float(refused.headers['retry-after']) > 0
+    assert not any(engine.executed for engine in fleet.booking_engines)
+
+
+@on_platform()
+async def test_kept_connection_says_that_it_ends(fleet: PlatformFleet) -> None:
+    """Guards against a limit that callers find out from a reset."""
+    fleet.gateways[0]._connections.limits = TIGHT
+    caller = await fleet.async_open()
+    async with AsyncExitStack() as opened:
+        await _async_connect(fleet.address(0), opened, IDLE)
+        request = make_request('/seats/pay/x')
+        answered = (await caller.async_fetch(request)).unwrap()
+    assert answered.status == 200
+    assert answered.headers['connection'] == 'close'
+    await caller.async_close()
+
+
+@on_fleet(FleetPlan(instances=1))
+async def test_plain_instance_refuses_requests_beyond_the_limit(
+    fleet: Fleet,
+) -> None:
+    """Guards against callers that take every descriptor of an instance."""
+    instance = fleet.instances[0]
+    instance.connections.limits = TIGHT
+    address = instance.own.address
+    async with AsyncExitStack() as opened:
+        await _async_connect(address, opened, BEGUN, b'POST /services')
+        refused = await async_call(booking_entry('a'), 1, address)
+    assert refused.status == 503
+    assert refused.outcome == 'not_run'
+    assert not fleet.booking_service.runs
+    answered = await async_call(booking_entry('b'), 2, address)
+    assert answered.is_complete
