Limit peers by the time of their handshake alone; give endpoints a tenth

All instances connect to a new owner at one moment, and open tunnels in numbers during a partition. A twentieth of the sockets for connections that have not proved who they are could have ended such handshakes, so that sound peers took each other for lost. Their handshake ends within a second anyway, and nobody outside the fleet may call that listener.

For the same reason the endpoints that callers ask for addresses may have a tenth of the sockets each: after a loss they ask at one moment, too.

--- a/hornbeamdeck/membership/peer_server.py
+++ b/hornbeamdeck/membership/peer_server.py
@@ -8,7 +8,6 @@
 from curio import socket
 from result import Err
 
-from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.listener import ServeConnection
 from hornbeamdeck.connection.peer import (
     PeerConnection,
@@ -48,7 +47,6 @@
     snapshots: Snapshots[_Configuration],
     on_other: OnOtherMessage | None = None,
     serve_tunnel: ServeTunnel | None = None,
-    connections: ConnectionLimit | None = None,
 ) -> ServeConnection:
     """Make the function that serves one peer's connection.
 
@@ -56,21 +54,14 @@
         peer, the message and a function that sends a response.
     :param serve_tunnel: uses a connection whose first message asks for a
         tunnel; `None`: there are no tunnels.
-    :param connections: the connections of the listener; ends those that have
-        not proved who they are.
     """
-    used_connections = connections or ConnectionLimit()
     serve_messages = _make_message_server(
         scheduler, follower, snapshots, on_other
     )
 
     async def _async_serve(sock: socket.socket) -> None:
         connection = PeerConnection(sock, identity)
-        used_connections.enter_idle(sock)
-        try:
-            authenticated = await connection.async_handshake(is_caller=False)
-        finally:
-            used_connections.leave_idle(sock)
+        authenticated = await connection.async_handshake(is_caller=False)
         if isinstance(authenticated, Err):
             _LOGGER.warning('peer refused', cause=authenticated.err_value.cause)
             return
--- a/hornbeamdeck/process/connections.py
+++ b/hornbeamdeck/process/connections.py
@@ -21,7 +21,9 @@
         """Start without connections."""
         self.limits = limits
         self.callers = ConnectionLimit(self._most_callers)
-        self.peers = ConnectionLimit(self._most_peers)
+        # Not limited: all instances may connect to a new owner at one moment,
+        # and those that don't prove who they are are closed within a second.
+        self.peers = ConnectionLimit()
 
     @classmethod
     def from_system(cls) -> Self:
@@ -52,7 +54,3 @@
 
     def _most_callers(self, callers: int) -> int:
         return self.limits.most_callers(callers, count_open_sockets())
-
-    def _most_peers(self, _peers: int) -> int:
-        # Those that have proved who they are stay, however many they are.
-        return self.limits.most_brief + self.peers.busy_count
--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -72,7 +72,6 @@
             components.scheduler,
             components.follower,
             components.snapshots,
-            connections=self.connections.peers,
         )
         peers = await async_setup_listener(
             components.settings.peer_address,
--- a/hornbeamdeck/scheduling/socket_limits.py
+++ b/hornbeamdeck/scheduling/socket_limits.py
@@ -14,8 +14,8 @@
 RESERVED_SHARE: Final = 0.1
 MIN_RESERVED: Final = 8
 # Connections to one endpoint of the process, which last for one short call
-# each, and of peers that have not proved who they are.
-BRIEF_SHARE: Final = 0.05
+# each.
+BRIEF_SHARE: Final = 0.1
 MIN_BRIEF: Final = 8
 # However many sockets the process itself uses.
 MIN_CALLERS: Final = 8
