--- a/hornbeamdeck/process/descriptors.py
+++ b/hornbeamdeck/process/descriptors.py
@@ -10,6 +10,8 @@
 # Of the operating system's limit: standard streams, the event loop, the log and
 # files that are open for a moment.
 OWN_FILES: Final = 32
+# Where the operating system states no limit; the default maximum of Linux.
+MAX_DESCRIPTORS: Final = 1_048_576
 
 
 def read_socket_limits(
@@ -21,6 +23,8 @@
     :param file_descriptors: how many of these sockets can't have.
     """
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = MAX_DESCRIPTORS
     most_sockets = allowed - OWN_FILES
     if max_descriptors is not None:
         stated = max_descriptors - file_descriptors
