Don't let newcomers end connections that callers use

What callers would see at the limit: a hundred that connected at one moment were all ended before their requests had come, at the directory and the ready endpoint none of them answered; and idle newcomers took the place of callers that use theirs.

Cause: the connection idle for longest made room, whether it had ever had a request or not, and the loop that accepts ran ahead of the tasks that read.

Connections without a request for 50 ms make room first; while there are younger ones, the next wait to be accepted. Then come those that have waited for their next request for a second. What is still without a request doesn't count as crowded, and endpoints tell callers to close near their limit.

--- a/hornbeamdeck/connection/connection_limit.py
+++ b/hornbeamdeck/connection/connection_limit.py
@@ -1,9 +1,10 @@
 """Limits the connections of one listener, by closing those that are idle.
 
 Three measures, in this order: when the limit is near, responses tell callers
-not to use their connection again. At the limit, each new connection ends the
-one that has been idle for longest. If none is idle, a few more are accepted,
-and their requests are refused.
+not to use their connection again. At the limit, each new connection ends one
+that is idle: one on which nothing was ever sent, or else the one that has been
+idle for longest. If none is idle, a few more are accepted, and their requests
+are refused.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.pending_input import has_pending_input
+from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('ConnectionLimit',)
 
@@ -20,13 +22,17 @@
 CROWDED_SHARE: Final = 0.95
 # Connections beyond the limit whose requests are refused.
 MAX_SURPLUS: Final = 8
-# One that is new has not had the time to send its request.
+# A caller that has connected sends its request within this time. Others wait to
+# be accepted meanwhile.
+NEW_MS: Final = 50
+POLL_MS: Final = 10
+# A caller that has sent a request may be about to send the next one.
 MIN_IDLE_MS: Final = 1000
 
 
 class _Idle(NamedTuple):
     since_ms: float
-    on_end: Callable[[], None] | None
+    on_end: Callable[[], None]
 
 
 class ConnectionLimit:
@@ -42,18 +48,23 @@
         # Connections closed for room since the start.
         self.closed_count = 0
         self._most = most
-        # Longest idle first.
-        self._idle: dict[socket.socket, _Idle] = {}
+        # Idle connections without a request so far, and the others; both with
+        # the longest idle first.
+        self._new: dict[socket.socket, _Idle] = {}
+        self._kept: dict[socket.socket, _Idle] = {}
 
     @property
     def busy_count(self) -> int:
         """Number of open connections that are not idle."""
-        return self.open_count - len(self._idle)
+        return self.open_count - len(self._new) - len(self._kept)
 
     @property
     def is_crowded(self) -> bool:
-        """Whether callers should not keep their connections."""
-        return self._exceeds(self.open_count, CROWDED_SHARE)
+        """Whether callers should not keep their connections.
+
+        Those on which nothing was sent make room first.
+        """
+        return self._exceeds(self.open_count - len(self._new), CROWDED_SHARE)
 
     @property
     def is_exhausted(self) -> bool:
@@ -61,19 +72,20 @@
         return self._exceeds(self.busy_count)
 
     def enter_idle(
-        self,
-        sock: socket.socket,
-        on_end: Callable[[], None] | None = None,
+        self, sock: socket.socket, on_end: Callable[[], None], *, is_new: bool
     ) -> None:
         """Record that a connection waits for the first bytes of a request.
 
         :param on_end: called if the connection is to end for others.
+        :param is_new: whether it has had no request yet.
         """
-        self._idle[sock] = _Idle(now_ms(), on_end)
+        idle = self._new if is_new else self._kept
+        idle[sock] = _Idle(now_ms(), on_end)
 
     def leave_idle(self, sock: socket.socket) -> None:
         """Record that a connection has received bytes, or is closed."""
-        self._idle.pop(sock, None)
+        self._new.pop(sock, None)
+        self._kept.pop(sock, None)
 
     async def async_add(self) -> bool:
         """Count a new connection, and make room for it.
@@ -81,34 +93,51 @@
         :returns: whether it may stay open; otherwise it is not counted.
         """
         self.open_count += 1
-        if not self._exceeds(self.open_count):
+        while self._exceeds(self.open_count):
+            # Connections that were accepted before are read from first.
+            await sleep(0)
+            if await self._async_end_first(self._new, NEW_MS):
+                return True
+            if not self._new:
+                return await self._async_make_room()
+            await sleep(POLL_MS / MILLIS_PER_SECOND)
+        return True
+
+    def remove(self) -> None:
+        """Count a connection that is closed."""
+        self.open_count -= 1
+
+    async def _async_make_room(self) -> bool:
+        """End a connection that has had a request, or allow one too many.
+
+        :returns: whether the new connection may stay open.
+        """
+        if await self._async_end_first(self._kept, MIN_IDLE_MS):
             return True
         if not self._exceeds(self.open_count - MAX_SURPLUS):
-            await self._async_end_idle(now_ms() - MIN_IDLE_MS)
             return True
-        if await self._async_end_idle(now_ms()):
+        if await self._async_end_first(self._kept, 0):
             return True
         self.open_count -= 1
         self.closed_count += 1
         return False
 
-    def remove(self) -> None:
-        """Count a connection that is closed."""
-        self.open_count -= 1
-
-    async def _async_end_idle(self, idle_since_ms: float) -> bool:
+    async def _async_end_first(
+        self, idle: dict[socket.socket, _Idle], min_idle_ms: float
+    ) -> bool:
         """End the connection that has been idle for longest.
 
-        :param idle_since_ms: only if it has been idle since then.
+        :param min_idle_ms: only if it has been idle for so long.
         :returns: whether there was one.
         """
-        for sock, idle in tuple(self._idle.items()):
-            if idle.since_ms > idle_since_ms:
+        idle_since_ms = now_ms() - min_idle_ms
+        for sock, each in tuple(idle.items()):
+            if each.since_ms > idle_since_ms:
                 return False
-            self._idle.pop(sock)
+            idle.pop(sock, None)
             if not has_pending_input(sock):
                 self.closed_count += 1
-                await _async_end(sock, idle)
+                await _async_end(sock, each)
                 return True
         return False
 
@@ -120,8 +149,7 @@
 
 async def _async_end(sock: socket.socket, idle: _Idle) -> None:
     """Let the task that reads from a connection find its end, and close it."""
-    if idle.on_end is not None:
-        idle.on_end()
+    idle.on_end()
     try:
         await sock.shutdown(socket.SHUT_RD)
     except OSError:
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -58,8 +58,11 @@
     connections: ConnectionLimit,
 ) -> None:
     on_begun = partial(connections.leave_idle, connection.sock)
+    is_new = True
     while True:
-        connections.enter_idle(connection.sock, connection.close_after_response)
+        connections.enter_idle(
+            connection.sock, connection.close_after_response, is_new=is_new
+        )
         request = await connection.async_read_request(on_begun)
         if isinstance(request, Err):
             await _async_handle_read_error(
@@ -70,6 +73,7 @@
         if not connection.is_reusable:
             return
         connection.start_next()
+        is_new = False
 
 
 async def _async_handle_read_error(
--- a/hornbeamdeck/process/gateway_endpoints.py
+++ b/hornbeamdeck/process/gateway_endpoints.py
@@ -32,6 +32,8 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
+        if connections.is_crowded:
+            caller.close_after_response()
         await caller.async_respond(endpoint(request))
 
     async def _async_serve(sock: socket.socket) -> None:
