Name what admits connections apart from the admission of requests

Read as a newcomer: GatewayAdmission is a request that may be queued; the protocol of the listener decides about connections. No change of behaviour.

--- a/hornbeamdeck/connection/listener.py
+++ b/hornbeamdeck/connection/listener.py
@@ -28,7 +28,7 @@
 AsyncClose: TypeAlias = Callable[[], Awaitable[None]]
 
 
-class Admission(Protocol):
+class ConnectionAdmission(Protocol):
     """Decides whether connections may stay open, and counts them."""
 
     async def async_add(self) -> bool:
@@ -89,7 +89,7 @@
 async def async_setup_listener(
     address: Address,
     serve_connection: ServeConnection,
-    connections: Admission | None = None,
+    connections: ConnectionAdmission | None = None,
 ) -> Listener:
     """Listen and serve each accepted connection in its own task.
 
@@ -98,7 +98,7 @@
     """
     sock = listen(address)
     accept_state = AcceptState()
-    used_connections: Admission = connections or ConnectionLimit()
+    used_connections: ConnectionAdmission = connections or ConnectionLimit()
     tasks: set[Task] = set()
 
     async def _async_serve(
@@ -144,7 +144,7 @@
 
 
 async def _async_accept_within(
-    connections: Admission, sock: socket.socket, state: AcceptState
+    connections: ConnectionAdmission, sock: socket.socket, state: AcceptState
 ) -> socket.socket:
     """Accept the next connection that may stay open."""
     while True:
