Log which engine began a stream, and what a take-up was joined to

Timeline and hypotheses of the incident need the incarnation and version that a stream was taken to run at, the age of the list that said so, and what the owner knew of the first attempt of a stream that is taken up again. A stream that was cut with its instance left no line at all. Two lines now: 'stream begun' at the instance, 'stream taken up' at the owner. No decision changes.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -9,7 +9,7 @@
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.address import Address, async_connect
 from hornbeamdeck.connection.chunk_decoder import BadChunk
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
@@ -54,6 +54,8 @@
         :param address: of the server; it is also sent as the Host header.
         :param limits: on the responses; `None`: the defaults.
         """
+        # When the connection was established.
+        self.opened_ms = now_ms()
         self._sock = sock
         self._address = address
         self._method = ''
--- a/hornbeamdeck/observability/logs.py
+++ b/hornbeamdeck/observability/logs.py
@@ -7,7 +7,10 @@
 
 import structlog
 
-__all__ = ('setup_logs',)
+__all__ = ('age_for_log', 'setup_logs')
+
+# Logged as the age of a freshness confirmation that was never received.
+MAX_LOGGED_AGE_MS: Final = 1_000_000
 
 _LEVELS: Final = logging.getLevelNamesMapping()
 
@@ -59,3 +62,8 @@
         ),
         cache_logger_on_first_use=True,
     )
+
+
+def age_for_log(age_ms: float) -> int:
+    """Return the age of a freshness confirmation as a log field."""
+    return int(min(age_ms, MAX_LOGGED_AGE_MS))
--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -205,6 +205,13 @@
             deliver=deliver,
             now=now_ms(),
         )
+        if isinstance(cell, EngineCell) and request.resumes is not None:
+            _LOGGER.info(
+                'stream taken up',
+                request_id=request.request_id,
+                cell=request.cell,
+                **cell.origins.describe(request, now_ms()),
+            )
         if refused is not None:
             await _async_refuse(refused)
         await self._has_waiting.set()
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -25,6 +25,7 @@
     ResponseVerdict,
     WithholdReason,
 )
+from hornbeamdeck.request.stream_log import log_stream_begun
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineAttempts',)
@@ -63,7 +64,6 @@
         # Attempts in which at least one byte was sent.
         self._sent_count = 0
         self._was_possibly_executing = False
-        self._version = ''
         self._stream_versions: list[str] = []
         self._engine_connection = EngineConnection(
             context.connection_pool,
@@ -88,7 +88,6 @@
             stream is left in `response`. Or why nothing was sent.
         """
         self.event_count = 0
-        self._version = grant.version or ''
         dialing_ms = now_ms()
         opened = await self._engine_connection.async_open(
             grant, self._admission.left_ms
@@ -271,7 +270,12 @@
             self._context.metrics.record_first_token(self.first_byte_ms)
         self._record_gap()
         if not self.event_count:
-            self._stream_versions.append(self._version)
+            self._stream_versions.append(self._engine_connection.version)
+            log_stream_begun(
+                self._engine_connection,
+                unsent[0].event_id,
+                self._context.freshness_guard.engines_age_ms(),
+            )
         self.event_count += len(unsent)
         encoded = b''.join(event.encoded for event in unsent)
         relayed = await self._caller.async_send_chunk(encoded)
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -46,10 +46,15 @@
         self._pool = pool
         self._dialer = dialer
         self._is_repeatable = is_repeatable
-        self._engine = ''
+        self.grant: Grant | None = None
         self._was_pooled = False
         self._max_idle_ms = 0.0
 
+    @property
+    def version(self) -> str:
+        """Version of the granted engine's software, by the list of engines."""
+        return (self.grant and self.grant.version) or ''
+
     async def async_open(
         self, grant: Grant, deadline_ms: int
     ) -> Result[ClientConnection, Unreached]:
@@ -57,7 +62,7 @@
 
         :param deadline_ms: time left until the response is due.
         """
-        self._engine = grant.upstream
+        self.grant = grant
         self.relay = ''
         pooled = None
         if self._is_repeatable and self._dialer.is_in_reach(grant.upstream):
@@ -99,6 +104,10 @@
         if self._was_pooled and end in _BROKEN:
             await self._pool.async_close_engine(self._engine)
 
+    @property
+    def _engine(self) -> str:
+        return self.grant.upstream if self.grant else ''
+
 
 def record_unreached(
     unreached: Unreached, metrics: GatewayMetrics
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -9,6 +9,7 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.observability.logs import age_for_log
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
     GatewayAdmission,
@@ -25,7 +26,6 @@
 )
 from hornbeamdeck.request.request_log import (
     admission_fields,
-    age_for_log,
     attempt_fields,
     freshness_fields,
 )
--- a/hornbeamdeck/request/request_log.py
+++ b/hornbeamdeck/request/request_log.py
@@ -1,21 +1,16 @@
 """Fields of the log lines about a request."""
 
-from typing import Final
-
+from hornbeamdeck.observability.logs import age_for_log
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 
 __all__ = (
     'admission_fields',
-    'age_for_log',
     'attempt_fields',
     'freshness_fields',
 )
 
-# Logged as the age of a freshness confirmation that was never received.
-MAX_LOGGED_AGE_MS: Final = 1_000_000
-
 
 def admission_fields(admission: GatewayAdmission) -> dict[str, object]:
     """Return what a request asks for."""
@@ -62,8 +57,3 @@
         'proof_age_ms': age_for_log(guard.configuration_age_ms()),
         'engines_age_ms': age_for_log(guard.engines_age_ms()),
     }
-
-
-def age_for_log(age_ms: float) -> int:
-    """Return the age of a freshness confirmation as a log field."""
-    return int(min(age_ms, MAX_LOGGED_AGE_MS))
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -142,6 +142,27 @@
         request.version = self._find(request, now)
         return request.version is not None
 
+    def describe(self, request: Enqueue, now: float) -> dict[str, object]:
+        """Return what the version of a request's stream is based on.
+
+        The keys are log fields.
+        """
+        origin = self._origins.get(request.resumes or '')
+        fields: dict[str, object] = {
+            'resumed_request': request.resumes,
+            'engine_version': request.version,
+            'versions': sorted(self.history.versions(now)),
+            'is_history_complete': self.history.is_complete(now),
+        }
+        if origin is not None:
+            fields.update(
+                origin_engine=origin.engine,
+                origin_version=origin.version,
+                origin_source=origin.source,
+                is_begun=origin.is_begun,
+            )
+        return fields
+
     def may_learn(self, now: float) -> bool:
         """Return whether the versions of the past may be known in a moment.
 
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -1,6 +1,7 @@
 """Streams that go on while engines of two versions serve side by side."""
 
 from curio import sleep
+from structlog.testing import capture_logs
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
@@ -289,3 +290,21 @@
     await fleet.async_until(lambda: _count_begun(restarted) == len(callers))
     assert restarted.components.is_owner
     await _async_check_resumed(callers, _others(fleet, owner))
+
+
+@on_platform(count=2)
+async def test_logs_tell_what_a_stream_was_joined_to(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a take-up whose first part no log line describes."""
+    await _async_run_two_versions(fleet)
+    caller = StreamCaller(fleet, 'told')
+    with capture_logs() as lines:
+        await caller.async_begin(0)
+        await _async_check_resumed([caller], [1])
+    begun = [each for each in lines if each['event'] == 'stream begun']
+    taken_up = [each for each in lines if each['event'] == 'stream taken up']
+    assert [each['first_event'] for each in begun] == ['1', '2']
+    assert {each['engine_version'] for each in begun} == caller.versions
+    assert [each['resumed_request'] for each in taken_up] == ['told']
+    assert taken_up[0]['origin_engine'] == begun[0]['engine']
