Know until when the store listed each incarnation of an engine

What callers saw: streams of two software versions in one answer, where an engine had started again under its name while the store was away.

Cause: the list of engines tells what is listed now, and not which incarnation the store was known to list when a connection was opened. Entries that are retained after an outage look like confirmed ones.

Change: EngineDirectory.listed_until_ms, as IncarnationBook takes it. It remembers 2000 incarnations that are no longer listed, and returns minus infinity for times before the end of an outage (2 s later, while entries may be retained) or of a restore (10 s later). The process has one book.

--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -1,6 +1,5 @@
 """Creates and connects the components of a gateway process."""
 
-import uuid
 from collections.abc import Callable
 from typing import Final, NamedTuple, Self, TypeAlias
 
@@ -19,11 +18,7 @@
     HEARTBEAT_RECEIVERS,
     Liveness,
 )
-from hornbeamdeck.membership.membership import (
-    STATE_LIVE,
-    InstanceStatus,
-    Membership,
-)
+from hornbeamdeck.membership.membership import Membership
 from hornbeamdeck.membership.peers import Peers
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
@@ -34,6 +29,7 @@
 from hornbeamdeck.ownership.spending import SpendingLog, SpendingReports
 from hornbeamdeck.ownership.team_limits import make_team_limits
 from hornbeamdeck.process.gateway_settings import GatewaySettings
+from hornbeamdeck.process.own_status import make_own_status
 from hornbeamdeck.process.platform_adapter import (
     ParseConfiguration,
     PlatformAdapter,
@@ -43,6 +39,7 @@
 from hornbeamdeck.rollout.status_writer import StatusWriter
 from hornbeamdeck.rollout.store_interface import RolloutStore
 from hornbeamdeck.scheduling.admission_control import ListInstances
+from hornbeamdeck.scheduling.incarnations import IncarnationBook
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.fleet_record import FleetRecord
@@ -79,6 +76,7 @@
     membership: Membership
     freshness: Freshness[int]
     directory: EngineDirectory
+    incarnations: IncarnationBook
     follower: Follower
     scheduler: Scheduler
     cells: EngineCells
@@ -107,12 +105,13 @@
         )
         store = adapter.open_store(store_calls)
         membership = Membership(
-            _own_status(settings),
+            make_own_status(settings),
             suspect_ms=SUSPICION_MS,
             common_cell=FLEET_CELL,
         )
         membership.mark_published()
         directory = EngineDirectory()
+        incarnations = IncarnationBook(directory.listed_until_ms)
         reports = SpendingReports(settings.bounds.quota_window_ms)
         scheduler = Scheduler()
         # These lists are filled below: the components that are created first
@@ -225,6 +224,7 @@
             membership=membership,
             freshness=freshness,
             directory=directory,
+            incarnations=incarnations,
             follower=follower,
             scheduler=scheduler,
             cells=cells,
@@ -263,18 +263,6 @@
     return membership.owner_of(FLEET_CELL) == membership.own_status.instance_id
 
 
-def _own_status(settings: GatewaySettings) -> InstanceStatus:
-    return InstanceStatus(
-        instance_id=settings.instance_id,
-        address=settings.address,
-        peer_address=settings.peer_address,
-        availability_zone=settings.availability_zone,
-        incarnation=uuid.uuid4().hex,
-        state=STATE_LIVE,
-        cores=settings.cores,
-    )
-
-
 def _make_configuration_read(
     store: StoreInterface,
     readers: list[StoreReader],
--- a/hornbeamdeck/store/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -10,6 +10,7 @@
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.store.freshness import Freshness
 from hornbeamdeck.store.list_version import NO_LIST, ListVersion
+from hornbeamdeck.store.listed_incarnations import ListedIncarnations
 from hornbeamdeck.wire import Beat, EngineEntry, EngineList
 
 __all__ = ('EngineDirectory',)
@@ -44,6 +45,7 @@
         self.restored_ms = -math.inf
         self._removed: dict[str, _Removed] = {}
         self._freshness: Freshness[ListVersion] = Freshness()
+        self._incarnations = ListedIncarnations()
 
     @property
     def is_read(self) -> bool:
@@ -110,6 +112,19 @@
             clock.
         """
         self._freshness.confirm(version, requested_ms)
+        self._incarnations.record_confirmed(self.confirmed_ms)
+
+    def listed_until_ms(
+        self, name: str, born_ms: int, since_ms: float
+    ) -> float:
+        """Return when the store was last known to list an incarnation.
+
+        :returns: minus infinity if it was never listed, or if the store was
+            away for a while since that time.
+        """
+        return self._incarnations.until_ms(
+            self.engines.get(name), name, born_ms, since_ms
+        )
 
     def update(self, version: ListVersion, engines: Iterable[Engine]) -> bool:
         """Replace the current list if the given one is newer.
@@ -120,7 +135,14 @@
             return False
         if self.is_read and version.revision.era > self.era:
             self.restored_ms = now_ms()
+            self._incarnations.record_restored(self.restored_ms)
         listed = {engine.name: engine for engine in engines}
+        self._incarnations.record_past(
+            each
+            for each in self.engines.values()
+            if each.name not in listed
+            or listed[each.name].born_ms != each.born_ms
+        )
         self._record_removed(
             [each for each in self.engines.values() if each.name not in listed],
             version.revision.era,
@@ -129,6 +151,7 @@
             self._removed.pop(name, None)
         self.version = version
         self.engines = listed
+        self._incarnations.record_confirmed(self.confirmed_ms)
         return True
 
     def is_newer_than(self, heartbeat: Beat) -> bool:
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -100,3 +100,60 @@
     directory.update(_version(2), [])
     assert not directory.gone_before(1)
     assert directory.gone_before(2) == {'engine-1': 1}
+
+
+def _listing(born_ms: int, name: str = 'engine-1') -> list[Engine]:
+    return [Engine(name, 'desk', '127.0.0.1:1', 'z1', 4, False, born_ms)]
+
+
+def _confirmed(*times_ms: float) -> EngineDirectory:
+    directory = EngineDirectory()
+    directory.update(_version(1), _listing(7))
+    for requested_ms in times_ms:
+        directory.confirm(_version(1), requested_ms)
+    return directory
+
+
+def test_incarnation_is_listed_until_the_last_confirmation() -> None:
+    """Guards against evidence for an incarnation that was never listed."""
+    directory = _confirmed(1000, 2500)
+    assert directory.listed_until_ms('engine-1', 7, 900) == 2500
+    assert directory.listed_until_ms('engine-1', 8, 900) == -math.inf
+    assert directory.listed_until_ms('engine-2', 7, 900) == -math.inf
+
+
+def test_past_incarnation_is_listed_until_it_was_replaced() -> None:
+    """Guards against forgetting the engine of a stream once it has ended."""
+    directory = _confirmed(1000, 2500)
+    directory.confirm(_version(2), 3000)
+    directory.update(_version(2), _listing(8))
+    directory.confirm(_version(2), 4000)
+    assert directory.listed_until_ms('engine-1', 7, 900) == 2500
+    assert directory.listed_until_ms('engine-1', 8, 900) == 4000
+    directory.update(_version(3), [])
+    assert directory.listed_until_ms('engine-1', 8, 900) == 4000
+
+
+def test_entries_that_may_be_retained_are_no_evidence() -> None:
+    """Guards against an entry that outlasts its engine after an outage."""
+    directory = _confirmed(1000, 2500, 6000, 7500, 9000)
+    assert directory.listed_until_ms('engine-1', 7, 2500) == -math.inf
+    assert directory.listed_until_ms('engine-1', 7, 7900) == -math.inf
+    assert directory.listed_until_ms('engine-1', 7, 8000) == 9000
+
+
+def test_entries_of_a_restored_store_are_no_evidence() -> None:
+    """Guards against an old entry that a restored store lists again."""
+    directory = _confirmed(1000, 2500)
+    directory.update(ListVersion(StoreRevision(2, 1)), _listing(7))
+    directory.confirm(directory.version, 3000)
+    assert directory.listed_until_ms('engine-1', 7, 2800) == -math.inf
+
+
+def test_past_incarnations_are_bounded() -> None:
+    """Guards against memory that grows with restarts of engines."""
+    directory = _confirmed(1000)
+    for number in range(2, 2500):
+        directory.update(_version(number), _listing(number + 7))
+    assert directory.listed_until_ms('engine-1', 7, 900) == -math.inf
+    assert directory.listed_until_ms('engine-1', 2000, 900) == 1000
