Let a first-token report tell that the incarnation is certain

Progress gets is_certain: the instance that relays knows that the engine runs the incarnation that was granted. It may be sent once more with it.

Measured: the new codec test fails on the old code (TypeError, unexpected argument), and passes with both codecs now.

--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1767,6 +1767,7 @@
      - cell
      - first_token_ms
      - relay
+     - is_certain
 
     """
 
@@ -1775,14 +1776,16 @@
         'cell',
         'first_token_ms',
         'relay',
+        'is_certain',
     )
 
 
-    def __init__(self, request_id=None, cell=None, first_token_ms=None, relay=None,):
+    def __init__(self, request_id=None, cell=None, first_token_ms=None, relay=None, is_certain=None,):
         self.request_id = request_id
         self.cell = cell
         self.first_token_ms = first_token_ms
         self.relay = relay
+        self.is_certain = is_certain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1813,6 +1816,11 @@
                     self.relay = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_certain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1839,6 +1847,10 @@
             oprot.writeFieldBegin('relay', TType.STRING, 4)
             oprot.writeString(self.relay.encode('utf-8') if sys.version_info[0] == 2 else self.relay)
             oprot.writeFieldEnd()
+        if self.is_certain is not None:
+            oprot.writeFieldBegin('is_certain', TType.BOOL, 5)
+            oprot.writeBool(self.is_certain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3988,6 +4000,7 @@
     (2, TType.STRING, 'cell', 'UTF8', None, ),  # 2
     (3, TType.I32, 'first_token_ms', None, None, ),  # 3
     (4, TType.STRING, 'relay', 'UTF8', None, ),  # 4
+    (5, TType.BOOL, 'is_certain', None, None, ),  # 5
 )
 all_structs.append(Release)
 Release.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -153,6 +153,7 @@
   2: required string cell
   3: required i32 first_token_ms
   4: optional string relay         // the instance that the request went through
+  5: optional bool is_certain      // that the upstream's incarnation is the granted one
 }
 
 struct Release {
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -2,11 +2,13 @@
 
 import struct
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from hornbeamdeck.wire import (
     Enqueue,
+    Progress,
     Release,
     RunEnd,
     decode_frame,
@@ -39,6 +41,19 @@
     assert envelope.configuration_version == version
 
 
+@pytest.mark.parametrize('is_certain', [True, False, None])
+def test_evidence_survives_encoding_and_decoding(
+    *, is_certain: bool | None
+) -> None:
+    """Guards against a field that only one of the two codecs knows."""
+    sent = Progress(
+        request_id='r1', cell='desk', first_token_ms=5, is_certain=is_certain
+    )
+    frame = encode_frame(sent)
+    envelope = decode_frame(frame[LENGTH_PREFIX.size :]).unwrap()
+    assert message_of(envelope) == sent
+
+
 @given(st.binary(max_size=200))
 def test_undecodable_bytes_are_an_error_value(garbage: bytes) -> None:
     """Guards against an exception for bytes that are no message, as a peer of
