Join a stream only where it is certain who made its parts

What callers saw: complete answers with events of two software versions, after an engine had started again under its name at another version while the store was away, or while the engine was cut off from the store.

Cause: the instance that relays took the version of a stream from the grant, which names that of the engine's entry, however old.

Change: at the first event of a stream that may be resumed, the instance asks the engine in the background for the start of its incarnation, unless it is certain already, and tells the owner (Progress.is_certain). Before a response goes on at another engine, its first part must be certain, or it breaks off (uncertain_version). A request with a last event id is sent only on a connection to an engine that is certain; otherwise the grant is returned (uncertain) and another engine tried. Requests without a last event id wait for nothing. An entry that changes its version without another start is no evidence for the time before.

Progress is now sent for each engine that makes events of a response. It was left out after an earlier engine had answered with an error or had made a part, so the owner took that stream for one that had not begun.

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -9,8 +9,10 @@
     'HttpResponse',
     'bearer_key',
     'has_framing',
+    'has_two_lengths',
     'header_pairs',
     'join_headers',
+    'listed_ids',
     'whole_number',
 )
 
@@ -55,6 +57,22 @@
     return authorization[len(BEARER_PREFIX) :].strip()
 
 
+def listed_ids(text: str) -> tuple[str, ...]:
+    """Return the ids in a list of `ID:VALUE`, in lower case and in order."""
+    entries = (each.strip() for each in text.split(','))
+    return tuple(each.partition(':')[0].lower() for each in entries if each)
+
+
+def has_two_lengths(headers: Headers) -> bool:
+    """Return whether a message has a length and chunks at once.
+
+    The two headers can disagree on where the body ends. What one server reads
+    as the rest of the body, another reads as a second request (request
+    smuggling).
+    """
+    return 'content-length' in headers and 'transfer-encoding' in headers
+
+
 def has_framing(head: HttpResponse) -> bool:
     """Return whether a response shows where its body ends.
 
--- a/hornbeamdeck/explain/outcomes.py
+++ b/hornbeamdeck/explain/outcomes.py
@@ -27,7 +27,9 @@
 DEADLINE_PASSED: Final = 'deadline_passed'
 CALLER_TOO_SLOW: Final = 'caller_too_slow'
 # Failure codes after which an engine may have run the request.
-_BROKEN_CODES: Final = frozenset(('engine_broken', DEADLINE_PASSED))
+_BROKEN_CODES: Final = frozenset(
+    ('engine_broken', 'uncertain_version', DEADLINE_PASSED)
+)
 # Numeric log fields on which a refusal was decided.
 _REFUSAL_FIELDS: Final = (
     'waiting',
--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -111,10 +111,14 @@
         request_id: str,
         first_token_ms: float,
         relay: str = '',
+        is_certain: bool = False,  # noqa: FBT001, FBT002
     ) -> None:
         """Report the first token of a run to the owner.
 
         :param relay: the instance that the request went through; empty: none.
+        :param is_certain: whether the upstream is certain to run the
+            incarnation that was granted. It may be reported once more when it
+            is.
         """
         running = self._running.get(request_id)
         if running is None:
@@ -126,6 +130,7 @@
             cell=run.cell,
             first_token_ms=int(first_token_ms),
             relay=relay or None,
+            is_certain=is_certain or None,
         )
         await self.link.async_send(running.owner, message)
 
--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -11,10 +11,13 @@
     HttpRequest,
     HttpResponse,
     bearer_key,
+    has_two_lengths,
+    listed_ids,
     whole_number,
 )
 from hornbeamdeck.const import ENCODING, MILLIS_PER_SECOND
 from hornbeamdeck.platform.wire_names import (
+    FIELD_BORN,
     GATEWAY_ONLY_HEADERS,
     HEADER_CLIENT_TIMEOUT_MS,
     HEADER_EXPECTED_ENGINE,
@@ -30,9 +33,12 @@
     HEADER_RESUMED_REQUEST,
     HEADER_TEAM,
     HEADER_TOKEN_COUNTS,
+    PATH_REPORT,
 )
 from hornbeamdeck.request.engine_statement import (
     StatementHeaders,
+    make_incarnation_reader,
+    make_incarnation_request_maker,
     make_statement_reader,
 )
 from hornbeamdeck.request.gateway_request import (
@@ -43,7 +49,10 @@
 )
 from hornbeamdeck.request.outcome import Failure, NotRun
 from hornbeamdeck.request.refusal import bad_request
-from hornbeamdeck.request.relay import without_hop_by_hop
+from hornbeamdeck.request.relay import (
+    without_connection_headers,
+    without_hop_by_hop,
+)
 
 __all__ = ('DIALECT',)
 
@@ -65,10 +74,7 @@
 def read_request(request: HttpRequest) -> Result[GatewayRequest, NotRun]:
     """Decode a request of a caller."""
     headers = request.headers
-    if 'content-length' in headers and 'transfer-encoding' in headers:
-        # The two headers can disagree on where the body ends. What one server
-        # reads as the rest of the body, another reads as a second request
-        # (request smuggling).
+    if has_two_lengths(headers):
         return Err(bad_request('a length and chunks at once', 'two_lengths'))
     request_id = headers.get(HEADER_REQUEST_ID, '')
     if not request_id or ',' in request_id:
@@ -90,9 +96,7 @@
             expected_tokens=whole_number(
                 headers.get(HEADER_EXPECTED_TOKENS, '')
             ),
-            prompt_part_ids=_prompt_part_ids(
-                headers.get(HEADER_PROMPT_PARTS, '')
-            ),
+            prompt_part_ids=listed_ids(headers.get(HEADER_PROMPT_PARTS, '')),
             last_event_id=headers.get(HEADER_LAST_EVENT_ID, ''),
             resumed_request_id=headers.get(HEADER_RESUMED_REQUEST, ''),
         ),
@@ -101,17 +105,12 @@
 
 def engine_headers(decoded: GatewayRequest, attempt: EngineAttempt) -> Headers:
     """Make the headers of a request for the engine that will run it."""
-    connection_header = decoded.http_request.headers.get('connection', '')
-    connection_only = {
-        each.strip().lower() for each in connection_header.split(',')
-    }
     headers = {
         name: text
-        for name, text in without_hop_by_hop(
+        for name, text in without_connection_headers(
             decoded.http_request.headers
         ).items()
-        if name not in connection_only
-        and name not in GATEWAY_ONLY_HEADERS
+        if name not in GATEWAY_ONLY_HEADERS
         and name not in {'authorization', 'expect', HEADER_LAST_EVENT_ID}
     }
     headers['host'] = decoded.http_request.headers.get('host', '')
@@ -182,11 +181,6 @@
     return failure.status
 
 
-def _prompt_part_ids(text: str) -> tuple[str, ...]:
-    entries = (each.strip() for each in text.split(','))
-    return tuple(each.partition(':')[0].lower() for each in entries if each)
-
-
 DIALECT: Final = Dialect(
     read_request=read_request,
     engine_headers=engine_headers,
@@ -206,6 +200,10 @@
             ),
         ),
     ),
+    incarnation_request=make_incarnation_request_maker(
+        PATH_REPORT, HEADER_EXPECTED_ENGINE
+    ),
+    read_incarnation=make_incarnation_reader(FIELD_BORN),
     caller_response=caller_response,
     failure_response=failure_response,
 )
--- a/hornbeamdeck/platform/wire_names.py
+++ b/hornbeamdeck/platform/wire_names.py
@@ -60,6 +60,8 @@
 # Objects that only the instances write and read.
 KIND_RECORDS: Final = 'records'
 PATH_OBJECTS: Final = '/v1/objects'
+# What an engine states of itself, with the start of its incarnation.
+PATH_REPORT: Final = '/v1/report'
 
 # States of an engine's entry. Entries with any other state are ignored.
 STATE_READY: Final = 'ready'
@@ -73,3 +75,4 @@
 
 FIELD_NAME: Final = 'name'
 FIELD_SERVICE: Final = 'service'
+FIELD_BORN: Final = 'born'
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -19,6 +19,10 @@
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.incarnation_check import (
+    IncarnationCheck,
+    make_incarnation_question,
+)
 from hornbeamdeck.engines.relayed_statements import (
     async_apply_relayed,
     make_statement_recorder,
@@ -99,6 +103,10 @@
             settings.availability_zone,
             self.components.heartbeats.liveness.serving_instances,
         )
+        self._incarnation_check = IncarnationCheck(
+            self.components.incarnations,
+            make_incarnation_question(self.dialer, adapter.dialect),
+        )
         self._send_guard = SendGuard(
             self.freshness_guard,
             self.components.directory,
@@ -283,6 +291,7 @@
                 lambda: len(components.membership.ranked_ids(FLEET_CELL)),
             ),
             engine_dialer=self.dialer,
+            incarnation_check=self._incarnation_check,
             acquire_grant=components.grants.async_acquire,
             report_first_token=components.grants.async_report_first_token,
             release_grant=components.grants.async_release,
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -25,7 +25,7 @@
     ResponseVerdict,
     WithholdReason,
 )
-from hornbeamdeck.request.stream_log import log_stream_begun
+from hornbeamdeck.request.stream_evidence import StreamEvidence
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineAttempts',)
@@ -64,7 +64,7 @@
         # Attempts in which at least one byte was sent.
         self._sent_count = 0
         self._was_possibly_executing = False
-        self._stream_versions: list[str] = []
+        self._evidence = StreamEvidence(context, admission)
         self._engine_connection = EngineConnection(
             context.connection_pool,
             context.engine_dialer,
@@ -96,12 +96,15 @@
         if isinstance(opened, Err):
             self.cause = opened.err_value.cause
             return record_unreached(opened.err_value, self._context.metrics)
+        connection = opened.ok_value
+        withheld = await self._evidence.async_withhold(
+            grant, connection, self.last_event_id
+        )
         # Connecting may have taken long enough for an engine to leave.
-        withheld = self._context.send_guard.check(grant)
+        withheld = withheld or self._context.send_guard.check(grant)
         if withheld is not None:
             return withheld
         sent_ms = now_ms()
-        connection = opened.ok_value
         sent = await self._async_send(connection, grant.upstream)
         if isinstance(sent, Err):
             return self._record_unsent(sent.err_value)
@@ -125,9 +128,9 @@
         return self._engine_connection.relay
 
     @property
-    def stream_versions(self) -> list[str]:
-        """Versions of the engines whose events were relayed, in order."""
-        return self._stream_versions
+    def evidence(self) -> StreamEvidence:
+        """Which engines have made the relayed events."""
+        return self._evidence
 
     async def async_close(self, end: RunEnd) -> None:
         """Release the connection; the engine cancels an unfinished run.
@@ -262,19 +265,11 @@
             )
         if not self.first_byte_ms:
             self._record_first_byte(sent_ms)
-            await self._context.report_first_token(
-                self._admission.request.request_id,
-                self.first_byte_ms,
-                self.relay,
-            )
             self._context.metrics.record_first_token(self.first_byte_ms)
         self._record_gap()
         if not self.event_count:
-            self._stream_versions.append(self._engine_connection.version)
-            log_stream_begun(
-                self._engine_connection,
-                unsent[0].event_id,
-                self._context.freshness_guard.engines_age_ms(),
+            await self._evidence.async_record_part(
+                self._engine_connection, unsent[0], now_ms() - sent_ms
             )
         self.event_count += len(unsent)
         encoded = b''.join(event.encoded for event in unsent)
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -50,11 +50,6 @@
         self._was_pooled = False
         self._max_idle_ms = 0.0
 
-    @property
-    def version(self) -> str:
-        """Version of the granted engine's software, by the list of engines."""
-        return (self.grant and self.grant.version) or ''
-
     async def async_open(
         self, grant: Grant, deadline_ms: int
     ) -> Result[ClientConnection, Unreached]:
--- a/hornbeamdeck/request/engine_statement.py
+++ b/hornbeamdeck/request/engine_statement.py
@@ -1,6 +1,7 @@
 """Reads what the responses of an engine state about the engine itself."""
 
 import importlib
+import json
 import re
 from http import HTTPStatus
 from types import MappingProxyType
@@ -9,22 +10,31 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import wall_ms
-from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.request.gateway_request import (
     EngineStatement,
+    MakeIncarnationRequest,
+    ReadIncarnation,
     ReadStatement,
     ResponseVerdict,
     ShownLimit,
     StatedLimit,
 )
 
-__all__ = ('StatementHeaders', 'make_statement_reader')
+__all__ = (
+    'StatementHeaders',
+    'make_incarnation_reader',
+    'make_incarnation_request_maker',
+    'make_statement_reader',
+)
 
 DECIMAL_NUMBER: Final = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?', re.ASCII)
 SECONDS: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+', re.ASCII)
 # An engine that asks for a longer rest gets a request after this time.
 MAX_REST_MS: Final = 3_600_000.0
+# Starts of incarnations are sent to peers as signed 64-bit integers.
+MAX_BORN_BITS: Final = 63
 _FLAGS: Final = MappingProxyType({'0': False, '1': True})
 RETRY_AFTER: Final = 'retry-after'
 DATE: Final = 'date'
@@ -99,6 +109,46 @@
     return _read_statement
 
 
+def make_incarnation_request_maker(
+    path: str, engine_header: str
+) -> MakeIncarnationRequest:
+    """Make the function that asks an engine for its incarnation.
+
+    :param engine_header: gets the engine's name, so that no other answers.
+    """
+
+    def _make_request(engine: str) -> HttpRequest:
+        return HttpRequest('GET', path, '', {engine_header: engine}, b'')
+
+    return _make_request
+
+
+def make_incarnation_reader(field: str) -> ReadIncarnation:
+    """Make the function that reads an engine's statement of its incarnation.
+
+    :param field: of the JSON body, with the start in Unix milliseconds.
+    """
+
+    def _read_born_ms(response: HttpResponse) -> int | None:
+        if response.status != HTTPStatus.OK:
+            return None
+        try:
+            stated = json.loads(response.body)
+        except (ValueError, RecursionError):
+            return None
+        born_ms = stated.get(field) if isinstance(stated, dict) else None
+        return _to_start(born_ms)
+
+    return _read_born_ms
+
+
+def _to_start(born_ms: object) -> int | None:
+    if not isinstance(born_ms, int) or isinstance(born_ms, bool):
+        return None
+    is_valid = born_ms >= 1 and born_ms.bit_length() <= MAX_BORN_BITS
+    return born_ms if is_valid else None
+
+
 def _read_limit(text: str | None) -> StatedLimit:
     if text is None:
         return Ok(None)
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -9,6 +9,7 @@
 from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.connection_pool import ConnectionPool
 from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.incarnation_check import IncarnationCheck
 from hornbeamdeck.engines.send_guard import SendGuard
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
@@ -39,8 +40,11 @@
     :param connection_pool: pool of idle connections to engines.
     :param engine_dialer: opens new connections to engines.
     :param acquire_grant: waits for a grant.
+    :param incarnation_check: finds out whether an engine runs the incarnation
+        that was granted.
     :param report_first_token: gets a request's id, its time to first token, ms,
-        and the instance that it was relayed by; empty: none.
+        the instance that it was relayed by, empty: none, and whether its engine
+        is certain to run the incarnation that was granted.
     :param release_grant: gets a request's id, how its run ended and its
         summary.
     :param record_statement: gets a grant, what the head of its response states
@@ -65,7 +69,8 @@
     connection_pool: ConnectionPool
     engine_dialer: EngineDialer
     acquire_grant: Acquire
-    report_first_token: Callable[[str, float, str], Awaitable[None]]
+    incarnation_check: IncarnationCheck
+    report_first_token: Callable[[str, float, str, bool], Awaitable[None]]
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
     check_engine: Callable[[Grant, str], Awaitable[None]]
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -15,6 +15,8 @@
     'EngineAttempt',
     'EngineStatement',
     'GatewayRequest',
+    'MakeIncarnationRequest',
+    'ReadIncarnation',
     'ResponseVerdict',
     'RunSummary',
     'ShownLimit',
@@ -124,6 +126,7 @@
     RESTARTED = 'the engine has restarted at another version'
     ROLLED_BACK = 'the version of the engine has been rolled back'
     NO_SOCKET = 'this instance can open no connection now'
+    UNCERTAIN = 'the version that the engine runs is not certain'
 
 
 ReadRequest: TypeAlias = Callable[[HttpRequest], Result[GatewayRequest, NotRun]]
@@ -163,6 +166,8 @@
 ReadStatement: TypeAlias = Callable[
     [HttpResponse, ResponseVerdict], EngineStatement
 ]
+MakeIncarnationRequest: TypeAlias = Callable[[str], HttpRequest]
+ReadIncarnation: TypeAlias = Callable[[HttpResponse], int | None]
 MakeCallerResponse: TypeAlias = Callable[[HttpResponse], HttpResponse]
 MakeFailureResponse: TypeAlias = Callable[[Failure, str], HttpResponse]
 
@@ -175,6 +180,10 @@
     :param classify_response: classifies an engine's response by its head.
     :param read_statement: reads what a response with a given verdict states
         about its engine.
+    :param incarnation_request: makes the request that asks an engine, by its
+        name, for a statement of its incarnation.
+    :param read_incarnation: reads the start of the incarnation from that
+        statement, Unix milliseconds; `None`: it is not stated.
     :param caller_response: converts an engine's response for the caller.
     :param failure_response: makes the response for a failure and a request id.
     """
@@ -183,5 +192,7 @@
     engine_headers: MakeEngineHeaders
     classify_response: ClassifyResponse
     read_statement: ReadStatement
+    incarnation_request: MakeIncarnationRequest
+    read_incarnation: ReadIncarnation
     caller_response: MakeCallerResponse
     failure_response: MakeFailureResponse
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -147,17 +147,11 @@
             granted = await self._async_grant()
             if isinstance(granted, Err):
                 return await self._async_handle_refusal(granted.err_value)
-            grant = granted.ok_value
-            reason = await self._context.send_guard.async_check(grant)
-            if reason is not None:
-                self._record_returned_grant(grant.upstream, reason)
-                await self._context.release_grant(
-                    grant.request_id, RunEnd.CANCELLED, RunSummary()
-                )
-                continue
-            end = await self._async_attempt(grant)
+            end = await self._async_use(granted.ok_value)
             if end is not None and not self._may_use_another_engine(end):
                 return await self._async_finish(end)
+            if not await self._engine_attempts.evidence.async_may_go_on():
+                return _uncertain_version()
 
     def timeout_failure(self) -> Failure:
         """Make the failure of a request whose time limit has passed."""
@@ -270,6 +264,17 @@
         excluded = (*self._attempts.excluded, engine)
         self._attempts = self._attempts._replace(excluded=excluded)
 
+    async def _async_use(self, grant: Grant) -> RunEnd | None:
+        """Use a grant, or return it; `None`: nothing was sent."""
+        reason = await self._context.send_guard.async_check(grant)
+        if reason is None:
+            return await self._async_attempt(grant)
+        self._record_returned_grant(grant.upstream, reason)
+        await self._context.release_grant(
+            grant.request_id, RunEnd.CANCELLED, RunSummary()
+        )
+        return None
+
     async def _async_attempt(self, grant: Grant) -> RunEnd | None:
         """Try a granted engine; `None`: nothing was sent to it."""
         self._engine = grant.upstream
@@ -385,3 +390,11 @@
             'engine_broken',
             'the engine broke after the request was sent to it',
         )
+
+
+def _uncertain_version() -> Unknown:
+    return Unknown(
+        HTTPStatus.BAD_GATEWAY,
+        'uncertain_version',
+        'which version began the stream is not certain',
+    )
--- a/hornbeamdeck/request/queue_request.py
+++ b/hornbeamdeck/request/queue_request.py
@@ -30,7 +30,7 @@
     :param zone: this instance's availability zone.
     """
     request = admission.request
-    version = next(iter(attempts.stream_versions), None)
+    version = next(iter(attempts.evidence.versions), None)
     return Enqueue(
         request_id=request.request_id,
         cell=admission.service,
--- a/hornbeamdeck/request/relay.py
+++ b/hornbeamdeck/request/relay.py
@@ -32,6 +32,7 @@
     'Relay',
     'async_relay',
     'deadline_passed_during_run',
+    'without_connection_headers',
     'without_hop_by_hop',
 )
 
@@ -228,6 +229,17 @@
     }
 
 
+def without_connection_headers(headers: Headers) -> Headers:
+    """Remove the same, and those that the Connection header names."""
+    named = headers.get('connection', '').split(',')
+    connection_only = {each.strip().lower() for each in named}
+    return {
+        name: text
+        for name, text in without_hop_by_hop(headers).items()
+        if name not in connection_only
+    }
+
+
 def _make_upstream_request(admission: Admission) -> HttpRequest:
     headers = {
         name: text
--- a/hornbeamdeck/request/request_log.py
+++ b/hornbeamdeck/request/request_log.py
@@ -41,7 +41,7 @@
         'begun_ms': int(attempts.arrival_to_first_byte_ms),
         'longest_gap_ms': int(attempts.longest_gap_ms),
         'last_event': attempts.last_event_id,
-        'stream_versions': attempts.stream_versions,
+        'stream_versions': attempts.evidence.versions,
         'relay': attempts.relay,
         'dialed_ms': int(attempts.dialed_ms),
         'may_have_run': attempts.is_possibly_executing,
--- a/hornbeamdeck/store/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -122,9 +122,7 @@
         :returns: minus infinity if it was never listed, or if the store was
             away for a while since that time.
         """
-        return self._incarnations.until_ms(
-            self.engines.get(name), name, born_ms, since_ms
-        )
+        return self._incarnations.until_ms(name, born_ms, since_ms)
 
     def update(self, version: ListVersion, engines: Iterable[Engine]) -> bool:
         """Replace the current list if the given one is newer.
@@ -137,12 +135,7 @@
             self.restored_ms = now_ms()
             self._incarnations.record_restored(self.restored_ms)
         listed = {engine.name: engine for engine in engines}
-        self._incarnations.record_past(
-            each
-            for each in self.engines.values()
-            if each.name not in listed
-            or listed[each.name].born_ms != each.born_ms
-        )
+        self._incarnations.record_replaced(listed, now_ms())
         self._record_removed(
             [each for each in self.engines.values() if each.name not in listed],
             version.revision.era,
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -121,6 +121,14 @@
             'broken',
             'engine_broken: failed',
         ),
+        (
+            [
+                _line('request: try ended', end='failed'),
+                _line(FAILED, code='uncertain_version'),
+            ],
+            'broken',
+            'uncertain_version: failed',
+        ),
         (
             [_line(FAILED, code='deadline_passed', engine='e1')],
             'broken',
--- a/tests/platform/crashing_engines.py
+++ b/tests/platform/crashing_engines.py
@@ -48,7 +48,8 @@
         await self._fleet.store.async_remove('servers', self.name)
         self.name = f'{SERVICE}-c{self._number}-{len(self.hits)}'
         await self.async_start()
-        entry = self.entry(SERVICE, born=len(self.hits) + 1)
+        self._born = len(self.hits) + 1
+        entry = self.entry(SERVICE)
         await self._fleet.store.async_put('servers', self.name, entry)
 
     async def _async_run(
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -27,6 +27,7 @@
 OBJECTS_PATH = '/v1/objects/'
 SEAL_HEADER = 'hornbeamdeck-response-seal'
 STATUS_SUFFIX = '/status'
+REPORT_PATH = '/v1/report'
 REQUEST_ID_HEADER = 'hornbeamdeck-request-id'
 FALL_S = 2.0
 RESTORE_S = 0.4
@@ -331,7 +332,43 @@
             self._fallen_until_s = now_s + FALL_S
 
 
-class EngineStandin(PacedReader):
+class ReportingEngine(PacedReader):
+    """States its incarnation to who asks.
+
+    `report` is how it answers: `born`, `nothing` (a report without a start),
+    `hang`, or one of `ENDLESS`. `reports` is how often it was asked.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.report = 'born'
+        self.reports = 0
+        self._version = ''
+        self._born = 1
+
+    def run_version(self, version: str, *, born: int = 1) -> None:
+        """Run this version of the software, and name it in all events.
+
+        :param born: start of the incarnation, as its report states it.
+        """
+        self._version = version
+        self._born = born
+
+    async def async_report(
+        self, request: HttpRequest, caller: ServerConnection
+    ) -> None:
+        """Answer who asks for the incarnation."""
+        assert REQUEST_ID_HEADER not in request.headers
+        self.reports += 1
+        if self.report == 'hang':
+            await sleep(3600)
+        if self.report in ENDLESS:
+            await async_send_raw(caller, self.report, {}, request)
+        stated = {'born': self._born} if self.report == 'born' else {}
+        await caller.async_respond(_json_response(200, stated))
+
+
+class EngineStandin(ReportingEngine):
     """An engine that runs requests addressed to it, with optional faults.
 
     `faults` has one entry for each of the next requests: `not_run`, `reset`,
@@ -349,7 +386,6 @@
         super().__init__()
         self.name = name
         self.events = events
-        self._version = ''
         self.faults: list[str] = []
         self.executed: list[HttpRequest] = []
         self.cancelled_runs = 0
@@ -397,10 +433,6 @@
         """Return the ids of requests and when they arrived."""
         return self._arrivals
 
-    def run_version(self, version: str) -> None:
-        """Run this version of the software, and name it in all events."""
-        self._version = version
-
     def state(self, headers: Mapping[str, str]) -> None:
         """Send these headers, and no other statements, from now on."""
         self._stated = dict(headers)
@@ -440,7 +472,7 @@
             'state': 'ready',
             'cold_remaining_ms': 0,
             'sequence': 1,
-            'born': 1,
+            'born': self._born,
             **changes,
         }
 
@@ -453,6 +485,9 @@
         if expected != self.name:
             await caller.async_respond(HttpResponse(421, {}, b''))
             return
+        if request.path == REPORT_PATH:
+            await self.async_report(request, caller)
+            return
         request_id = request.headers[REQUEST_ID_HEADER]
         self._arrivals.append((request_id, monotonic()))
         fault = self.faults.pop(0) if self.faults else ''
--- a/tests/platform/stream_caller.py
+++ b/tests/platform/stream_caller.py
@@ -111,8 +111,8 @@
 ) -> None:
     """Start engines again at these versions, and wait until all know."""
     for engine, version in versions.items():
-        engine.run_version(version)
-        entry = engine.entry('desk', born=2)
+        engine.run_version(version, born=2)
+        entry = engine.entry('desk')
         await fleet.store.async_put('servers', engine.name, entry)
     await fleet.async_until(
         lambda: all(
--- a/tests/request/test_engine_statement.py
+++ b/tests/request/test_engine_statement.py
@@ -10,6 +10,7 @@
 from hornbeamdeck.request.engine_statement import (
     MAX_REST_MS,
     StatementHeaders,
+    make_incarnation_reader,
     make_statement_reader,
 )
 from hornbeamdeck.request.gateway_request import (
@@ -116,3 +117,36 @@
     """Guards against statements that pass through the fleet unnoticed."""
     stated = _stated(x_news='1', x_limit='2')
     assert stated.unread_headers == ('x-news',)
+
+
+READ_BORN = make_incarnation_reader('start')
+NO_STARTS = (
+    b'',
+    b'{"start": 1',
+    b'[{"start": 1}]',
+    b'{"other": {"start": 1}}',
+    b'{"start": 0}',
+    b'{"start": -5}',
+    b'{"start": true}',
+    b'{"start": 1.0}',
+    b'{"start": "1"}',
+    b'{"start": null}',
+    b'{"start": 9223372036854775808}',
+    b'{"start": %b}' % (b'9' * 5000),
+    b'[' * 60_000,
+    b'{"start": 1, "more": %b}' % (b'[' * 60_000),
+    b'\xff\xfe{"start": 1}',
+)
+
+
+@pytest.mark.parametrize('body', NO_STARTS, ids=range(len(NO_STARTS)))
+def test_odd_report_states_no_incarnation(body: bytes) -> None:
+    """Guards against an exception, or a start that no engine has stated."""
+    assert READ_BORN(HttpResponse(200, {}, body)) is None
+
+
+def test_report_states_an_incarnation() -> None:
+    """Guards against a start that is not read, or read from an error."""
+    body = b'{"start": 9223372036854775807, "more": [1]}'
+    assert READ_BORN(HttpResponse(200, {}, body)) == 2**63 - 1
+    assert READ_BORN(HttpResponse(400, {}, body)) is None
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -150,6 +150,16 @@
     assert directory.listed_until_ms('engine-1', 7, 2800) == -math.inf
 
 
+def test_an_entry_without_a_start_is_evidence_of_one_version_only() -> None:
+    """Guards against a version that an unstated restart has replaced."""
+    directory = EngineDirectory()
+    for number, version in enumerate(('v1', 'v2'), 1):
+        listed = [each._replace(version=version) for each in _listing(0)]
+        directory.update(_version(number), listed)
+        directory.confirm(_version(number), 1000 * number)
+    assert directory.listed_until_ms('engine-1', 0, 900) == -math.inf
+
+
 def test_past_incarnations_are_bounded() -> None:
     """Guards against memory that grows with restarts of engines."""
     directory = _confirmed(1000)
