--- a/hornbeamdeck/scheduling/incarnations.py
+++ b/hornbeamdeck/scheduling/incarnations.py
@@ -36,7 +36,7 @@
         # When an incarnation was asked that has stated its start, by name and
         # start; the latest last.
         self._asked_ms: dict[tuple[str, int], float] = {}
-        self._stating: dict[str, None] = {}
+        self._has_statements = False
 
     def record_statement(
         self, engine: str, born_ms: int, asked_ms: float
@@ -48,12 +48,9 @@
         key = (engine, born_ms)
         known_ms = self._asked_ms.pop(key, asked_ms)
         self._asked_ms[key] = max(known_ms, asked_ms)
-        self._stating.pop(engine, None)
-        self._stating[engine] = None
+        self._has_statements = True
         while len(self._asked_ms) > MAX_STATEMENTS:
             self._asked_ms.pop(next(iter(self._asked_ms)))
-        while len(self._stating) > MAX_STATEMENTS:
-            self._stating.pop(next(iter(self._stating)))
 
     def is_certain(
         self, engine: str, born_ms: int, connected_ms: float
@@ -71,9 +68,8 @@
         if asked_ms is not None and asked_ms >= connected_ms:
             return True
         # The entry of an engine that is cut off from the store stays until it
-        # expires. Engines that state nothing are not expected to be cut off.
-        delay_ms = (
-            ENTRY_EXPIRY_MS if engine in self._stating else ENTRY_RENEWAL_MS
-        )
+        # expires. Where engines state nothing, none is expected to be cut off.
+        # This process may not have asked the engine that has started again.
+        delay_ms = ENTRY_EXPIRY_MS if self._has_statements else ENTRY_RENEWAL_MS
         listed_ms = self._listed_until_ms(engine, born_ms, connected_ms)
         return listed_ms >= connected_ms + delay_ms
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -65,3 +65,10 @@
         book.record_statement(ENGINE, born_ms, CONNECTED_MS)
     assert not book.is_certain(ENGINE, 0, CONNECTED_MS)
     assert book.is_certain(ENGINE, MAX_STATEMENTS, CONNECTED_MS)
+
+
+def test_stale_entry_of_an_engine_that_was_not_asked_is_no_evidence() -> None:
+    """Guards against an owner that has never relayed a stream of an engine."""
+    book = _book(CONNECTED_MS + ENTRY_RENEWAL_MS)
+    book.record_statement('desk-2', BORN_MS, CONNECTED_MS)
+    assert not book.is_certain(ENGINE, BORN_MS, CONNECTED_MS)
