--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -141,6 +141,9 @@
   5: required i32 left_ms          // for going on with it
   6: optional string version       // unset: not certain
   7: optional bool is_begun        // the upstream has made the first event
+  8: optional i64 born_ms          // start of the upstream's incarnation
+  9: optional i32 begun_age_ms     // since the first event
+  10: optional bool is_certain     // that the upstream ran this version
 }
 
 struct StreamOrigins {
@@ -153,6 +156,7 @@
   2: required string cell
   3: required i32 first_token_ms
   4: optional string relay         // the instance that the request went through
+  5: optional bool is_certain      // that the upstream's incarnation is the granted one
 }
 
 struct Release {
