Bind a stream only to a version that is certain

Callers that took up a stream after the loss of its instance got an answer of two versions: the owner took the version of the granted engine from its list, whose entry may describe an earlier incarnation of that engine.

An origin now holds the start of the granted incarnation and the time of the first event, and whether it is certain that this incarnation ran: as the relaying instance reports, or as the list shows. A caller that goes on with a stream waits while the list may still show it, and is refused as unknown after that. A changed entry leaves origins in doubt that are not certain by then, also at the same version. What is certain stays so, and is reported.

A request that waits for the version of its stream keeps its own deadline once it is known, and is refused for the unknown stream, not for the deadline.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -268,7 +268,7 @@
         is_first_start=True,
     )
     cell = EngineCell(
-        SharedState(quotas=quotas, teams={}),
+        SharedState(quotas=quotas, teams={}, is_certain=lambda *_asked: True),
         RetryBudget(RetryRules(0.2, 100, 10_000), lambda _now: 1.0),
     )
     engines = [
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -374,6 +374,7 @@
                 cell='desk',
                 first_token_ms=int(self.now - attempt.granted_ms),
                 relay=attempt.relay or None,
+                is_certain=True,
             )
             self._schedule(
                 self.now + ENGINE_TO_OWNER_MS,
@@ -625,6 +626,8 @@
         SharedState(
             quotas=quotas,
             teams={each.name: _to_gateway_team(each) for each in plan.teams},
+            # Engines state their incarnations; the list shows none in time.
+            is_certain=lambda *_asked: False,
             instances=lambda: instances,
         ),
         RetryBudget(RetryRules(0.2, 100, 10_000), lambda _now: 1.0),
--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -10,7 +10,7 @@
 from hornbeamdeck.ownership.scheduler import Scheduler
 from hornbeamdeck.process.gateway_settings import Bounds
 from hornbeamdeck.scheduling.admission_control import (
-    ListInstances,
+    FleetView,
     SharedState,
 )
 from hornbeamdeck.scheduling.engine_cell import EngineCell
@@ -24,7 +24,7 @@
 from hornbeamdeck.version.gateway import GatewayConfiguration
 from hornbeamdeck.wire import EngineObservation
 
-__all__ = ('EngineCells',)
+__all__ = ('EngineCells', 'FleetView')
 
 _LOGGER = structlog.get_logger(prefix='scheduler')
 
@@ -42,16 +42,12 @@
         directory: EngineDirectory,
         bounds: Bounds,
         quotas: TokenQuotas,
-        fleet_share: Callable[[], float],
-        instances: ListInstances,
+        view: FleetView,
         *,
         is_first_start: bool,
     ) -> None:
         """Start without cells; `apply_configuration` creates them.
 
-        :param fleet_share: returns the share of the fleet's instances whose
-            requests are granted here.
-        :param instances: returns the ids of all instances that serve callers.
         :param is_first_start: whether no process of the fleet ran before.
         """
         self.quotas = quotas
@@ -62,17 +58,18 @@
         self._shared = SharedState(
             quotas=quotas,
             teams={},
+            is_certain=view.is_certain,
             rate_rules=RateRules(
                 settle_ms,
-                fleet_share,
+                view.fleet_share,
                 is_new_owner=lambda: (
                     not self._recently_served_share.lowest(now_ms())
                 ),
             ),
-            instances=instances,
+            instances=view.instances,
         )
         self._is_first_start = is_first_start
-        self._fleet_share = fleet_share
+        self._fleet_share = view.fleet_share
         started_ms = now_ms()
         self._served_share = ServedShare(
             bounds.retry_window_ms, started_ms, is_first_start=is_first_start
--- a/hornbeamdeck/ownership/origin_reports.py
+++ b/hornbeamdeck/ownership/origin_reports.py
@@ -77,6 +77,8 @@
 
     async def async_report_changes(self) -> None:
         """Report what has changed since the last report."""
+        for settled in self._cells.values():
+            settled.origins.settle(now_ms())
         for peer_id in self._receiver_ids():
             for service, cell in self._cells.items():
                 await self._async_report(_Receiver(peer_id, service), cell)
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -22,7 +22,7 @@
 from hornbeamdeck.membership.peers import Peers
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
-from hornbeamdeck.ownership.engine_cells import EngineCells
+from hornbeamdeck.ownership.engine_cells import EngineCells, FleetView
 from hornbeamdeck.ownership.grants import Grants
 from hornbeamdeck.ownership.origin_reports import OriginReports
 from hornbeamdeck.ownership.scheduler import Scheduler
@@ -132,8 +132,11 @@
                 overlap_ms=lambda: liveness[0].recency_ms,
                 is_first_start=settings.is_first_start,
             ),
-            fleet_share=lambda: fleet_share[0](),
-            instances=lambda: serving[0](),
+            FleetView(
+                fleet_share=lambda: fleet_share[0](),
+                instances=lambda: serving[0](),
+                is_certain=incarnations.is_certain,
+            ),
             is_first_start=settings.is_first_start,
         )
         follower = _make_follower(
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.retry_schedule import RetrySchedule
+from hornbeamdeck.scheduling.stream_origins import IsCertain
 from hornbeamdeck.scheduling.token_quota import (
     SMALL_REQUEST_SHARE,
     TokenNeed,
@@ -22,7 +23,7 @@
 from hornbeamdeck.version.gateway import GatewayTeam
 from hornbeamdeck.wire import Enqueue, RefusalReason
 
-__all__ = ('AdmissionControl', 'ListInstances', 'SharedState')
+__all__ = ('AdmissionControl', 'FleetView', 'ListInstances', 'SharedState')
 
 ListInstances: TypeAlias = Callable[[], Collection[str]]
 
@@ -32,16 +33,32 @@
 UNKNOWN_STREAM_RETRY_MS: Final = 500
 
 
+class FleetView(NamedTuple):
+    """What this process sees of the other instances and of the engines.
+
+    :param fleet_share: returns the share of the fleet's instances whose
+        requests are granted here.
+    :param instances: returns the ids of all instances that serve callers.
+    :param is_certain: returns whether an engine ran an incarnation at a time.
+    """
+
+    fleet_share: Callable[[], float]
+    instances: ListInstances
+    is_certain: IsCertain
+
+
 class SharedState(NamedTuple):
     """State that the cells of one owner share.
 
     :param teams: the teams of the configuration in force, by name.
+    :param is_certain: returns whether an engine ran an incarnation at a time.
     :param rate_rules: how engines expect their request limits to be kept.
     :param instances: returns the ids of all instances that serve callers.
     """
 
     quotas: TokenQuotas
     teams: dict[str, GatewayTeam]
+    is_certain: IsCertain
     rate_rules: RateRules = RateRules()
     instances: ListInstances = tuple
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -67,8 +67,6 @@
 HELD_BY_MEMORY: Final = 'no memory for it where slots are free'
 HELD_BY_VERSION: Final = 'no slot of a version that it may use'
 HELD_BY_UNKNOWN_STREAM: Final = 'the version of its stream is not known yet'
-# How long a stream of unknown origin waits for the versions of the past.
-LEARN_VERSIONS_MS: Final = 400.0
 # Minimum time between two checks for expired requests. It is a little shorter
 # than the scheduler's check interval (25 ms), so that each of the scheduler's
 # checks runs this one.
@@ -82,7 +80,7 @@
         """Start without engines; `update_engines` adds them."""
         self._shared = shared
         self.retry_budget = retry_budget
-        self._engines = ServiceEngines(shared.rate_rules)
+        self._engines = ServiceEngines(shared.rate_rules, shared.is_certain)
         self.loads = self._engines.loads
         self.versions = self._engines.versions
         self.conditions = self._engines.conditions
@@ -153,10 +151,10 @@
             service_ms=0,
         )
         if not self.origins.bind(request, now):
-            if not self.origins.may_learn(now):
+            learnable_until_ms = self.origins.learnable_until_ms(request, now)
+            if learnable_until_ms <= now:
                 return self._refuse(queued, RefusalReason.UNKNOWN_STREAM, now)
-            end_ms = min(queued.deadline_ms, now + LEARN_VERSIONS_MS)
-            queued = queued._replace(deadline_ms=end_ms)
+            queued = queued._replace(learnable_until_ms=learnable_until_ms)
         usable = self._engines.usable(now, request.version)
         opened = self._engines.open_to(queued.instance, usable, now)
         fastest_ms = fastest_first_token_ms(
@@ -191,7 +189,10 @@
         forecast = self._engines.forecast(self._wait_queue, now)
         for queued in self._wait_queue.expired(now, forecast):
             self._admission.remove_waiting(queued.request)
-            yield self._refuse(queued, RefusalReason.DEADLINE, now)
+            reason = RefusalReason.DEADLINE
+            if queued.is_unbound:
+                reason = RefusalReason.UNKNOWN_STREAM
+            yield self._refuse(queued, reason, now)
 
     def place_waiting(self, now: float) -> Iterator[Granted]:
         """Place waiting requests until no engine has a free slot for any.
@@ -237,16 +238,22 @@
             load.add(run, sender)
 
     def progress(self, message: Progress, now: float) -> None:
-        """Record a run's first token."""
+        """Record a run's first token, or which incarnation made it.
+
+        The latter may be known a little later.
+        """
         load = self._engines.find_running(message.request_id)
+        self.origins.record_first_event(
+            message.request_id,
+            load.engine if load else None,
+            now,
+            is_certain=bool(message.is_certain),
+        )
         if load is not None:
             record_reach(
                 load, message.request_id, message.relay, RunEnd.ANSWERED, now
             )
             load.first_token(message.request_id, message.first_token_ms, now)
-            self.origins.record_first_event(
-                message.request_id, load.engine, now
-            )
             self._placements.record_engine_change(load.engine.name)
 
     def release(self, message: Release, now: float) -> list[Suspect]:
@@ -326,10 +333,12 @@
     ) -> Granted | None:
         """Place a request that is due in this scan, within its team's limit."""
         request = queued.request
-        is_unbound = request.resumes is not None and request.version is None
-        if is_unbound and not self.origins.bind(request, now):
-            self._hold_reasons[request.request_id] = HELD_BY_UNKNOWN_STREAM
-            return None
+        if queued.is_unbound:
+            if not self.origins.bind(request, now):
+                self._hold_reasons[request.request_id] = HELD_BY_UNKNOWN_STREAM
+                return None
+            # There may be no engine of its version.
+            self._has_fewer_engines = True
         hold_reason = self._hold_reasons.get(request.request_id)
         candidates = scan.candidates_for(
             request,
@@ -415,6 +424,8 @@
         }
         if hold_reason:
             log_fields['held_for'] = hold_reason
+        if reason == RefusalReason.UNKNOWN_STREAM:
+            log_fields.update(self.origins.describe(request, now))
         if reason == RefusalReason.TOO_MANY_TRIES:
             log_fields.update(self.retry_budget.counts(now)._asdict())
         return Refused(queued, refusal, log_fields)
--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -22,6 +22,8 @@
     :param deadline_ms: monotonic time of this process, in milliseconds.
     :param service_ms: estimated duration of the run, in milliseconds.
     :param standing: among the waiting requests of its rank.
+    :param learnable_until_ms: until when the version of the stream that it goes
+        on with may be learned; `None`: it was known on arrival.
     """
 
     request: Enqueue
@@ -30,12 +32,26 @@
     deadline_ms: float
     service_ms: float
     standing: Standing = Standing.WITHIN_SHARE
+    learnable_until_ms: float | None = None
 
     @property
     def instance(self) -> str:
         """The ingress instance that holds the request."""
         return instance_of(self.sender)
 
+    @property
+    def is_unbound(self) -> bool:
+        """Whether it goes on with a stream whose version is not known yet."""
+        request = self.request
+        return request.resumes is not None and request.version is None
+
+    @property
+    def expires_ms(self) -> float:
+        """Until when it may wait for a grant."""
+        if self.learnable_until_ms is None or not self.is_unbound:
+            return self.deadline_ms
+        return min(self.deadline_ms, self.learnable_until_ms)
+
     @property
     def cost_tokens(self) -> int:
         """Tokens that are charged to its team's share."""
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -6,104 +6,88 @@
 together, so each stream goes on at the version that began it, or not at all.
 
 The owner knows the version of each grant. It is the only one that every
-instance asks, and it passes on what it knows to its successors.
+instance asks, and it passes on what it knows to its successors. That version is
+of the engine's entry, which may describe an earlier incarnation. So a stream
+goes on only once it is certain which incarnation began it.
 """
 
-from collections.abc import Callable, Iterable, Iterator
-from typing import Final, NamedTuple, TypeAlias
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Final, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.version_history import (
-    HISTORY_MS,
-    VersionHistory,
-)
+from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
+from hornbeamdeck.scheduling.version_history import VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
-__all__ = ('OriginBook',)
+__all__ = ('IsCertain', 'OriginBook')
 
 # The oldest are dropped first.
 MAX_ORIGINS: Final = 20_000
-# Engines whose last version is remembered, also while they are not listed.
+# Engines whose last incarnation is remembered, also while they are not listed.
 MAX_ENGINES: Final = 2000
 # An instance that hears of a smaller share of the fleet may be cut off.
 MIN_FLEET_SHARE: Final = 0.5
-# Source of an origin that was granted here.
-OWN_GRANT: Final = ''
+SETTLE_INTERVAL_MS: Final = 500.0
+# How long a stream of unknown origin waits for the versions of the past.
+LEARN_VERSIONS_MS: Final = 400.0
 
+# Takes an engine's name, the start of an incarnation that was listed and a
+# later time. Returns whether the engine ran that incarnation then.
+IsCertain: TypeAlias = Callable[[str, int, float], bool]
 
-_Progress: TypeAlias = tuple[bool, int]
 
+def _hear_of_all() -> float:
+    return 1.0
 
-class _Origin(NamedTuple):
-    """How a stream began.
-
-    :param attempt: number of engines that were named to its request before.
-    :param is_begun: whether the engine has made the first event. Until then,
-        another engine may still begin the stream.
-    :param version: `None`: not certain.
-    :param source: the instance that reported it, or `OWN_GRANT`.
-    :param sequence: increases with each change of any origin.
-    """
-
-    team: str
-    engine: str
-    attempt: int
-    is_begun: bool
-    version: str | None
-    expires_ms: float
-    source: str
-    sequence: int
-
-    def is_superseded_by(self, reported: StreamOrigin) -> bool:
-        """Return whether a report changes what is known."""
-        progress = _progress_of(reported)
-        if self.progress != progress:
-            return self.progress < progress
-        return self.version is not None and self.version != reported.version
-
-    @property
-    def progress(self) -> _Progress:
-        """How far the stream has come; the furthest report counts."""
-        return (self.is_begun, self.attempt)
 
+def _is_same(engine: Engine, other: Engine) -> bool:
+    return (engine.born_ms, engine.version) == (other.born_ms, other.version)
 
-def _progress_of(reported: StreamOrigin) -> _Progress:
-    return (bool(reported.is_begun), int(reported.attempt))
 
+def _newest(
+    origins: dict[str, Origin], sequence: int
+) -> Iterator[tuple[str, Origin]]:
+    for request_id in reversed(origins):
+        origin = origins[request_id]
+        if origin.sequence <= sequence:
+            return
+        yield request_id, origin
 
-def _from_wire(reported: StreamOrigin, source: str, now: float) -> _Origin:
-    return _Origin(
-        team=reported.team,
-        engine=reported.upstream,
-        attempt=reported.attempt,
-        is_begun=bool(reported.is_begun),
-        version=reported.version,
-        expires_ms=now + min(reported.left_ms, HISTORY_MS),
-        source=source,
-        sequence=0,
-    )
 
-
-def _hear_of_all() -> float:
-    return 1.0
+def _is_oldest_due(origins: Mapping[str, Origin], now: float) -> bool:
+    oldest = next(iter(origins.values()), None)
+    if oldest is None:
+        return False
+    return len(origins) > MAX_ORIGINS or oldest.expires_ms < now
 
 
 class OriginBook:
     """Origins of the streams of one service that callers may go on with."""
 
-    def __init__(self, fleet_share: Callable[[], float] = _hear_of_all) -> None:
+    def __init__(
+        self,
+        is_certain: IsCertain,
+        fleet_share: Callable[[], float] = _hear_of_all,
+    ) -> None:
         """Start without streams.
 
+        :param is_certain: returns whether an engine ran an incarnation at a
+            time.
         :param fleet_share: returns the share of the fleet's instances that are
             heard of here.
         """
+        self._is_certain = is_certain
         self._fleet_share = fleet_share
         self.history = VersionHistory()
         # Of the last change.
         self.sequence = 0
-        self._origins: dict[str, _Origin] = {}
-        # By name, the one listed last in the end.
-        self._engine_versions: dict[str, str] = {}
+        self._origins: dict[str, Origin] = {}
+        # By name, as last listed, the one listed last in the end.
+        self._engines: dict[str, Engine] = {}
+        # Requests whose origins the list may show to be certain.
+        self._unsettled: dict[str, None] = {}
+        self._settled_ms = -math.inf
 
     def __len__(self) -> int:
         """Return the number of streams whose origin is known."""
@@ -112,23 +96,23 @@
     def update_engines(self, engines: Iterable[Engine], now: float) -> None:
         """Apply a new list of engines.
 
-        An engine that has started again at another version under the same name
-        may have run requests at that version before its entry was read.
+        An engine that has started again under the same name may have run
+        requests before its entry was read, and at yet another version.
         """
-        listed = {engine.name: engine.version for engine in engines}
-        self.history.update(listed.values(), now)
+        listed = {engine.name: engine for engine in engines}
+        self.history.update((each.version for each in listed.values()), now)
         changed = {
-            name
-            for name, version in listed.items()
-            if self._engine_versions.get(name, version) != version
+            name: engine
+            for name, engine in listed.items()
+            if not _is_same(self._engines.get(name, engine), engine)
         }
         if changed:
-            self._doubt(changed)
-        for name, version in listed.items():
-            self._engine_versions.pop(name, None)
-            self._engine_versions[name] = version
-        while len(self._engine_versions) > MAX_ENGINES:
-            self._engine_versions.pop(next(iter(self._engine_versions)))
+            self._settle_changed(changed, now)
+        for name, engine in listed.items():
+            self._engines.pop(name, None)
+            self._engines[name] = engine
+        while len(self._engines) > MAX_ENGINES:
+            self._engines.pop(next(iter(self._engines)))
 
     def bind(self, request: Enqueue, now: float) -> bool:
         """Set the version that a request may use, if it goes on with a stream.
@@ -137,7 +121,7 @@
         """
         if request.resumes is None:
             known = self._origins.get(request.request_id)
-            is_in_doubt = known is not None and known.version is None
+            is_in_doubt = known is not None and known.is_in_doubt
             return request.version is None or not is_in_doubt
         request.version = self._find(request, now)
         return request.version is not None
@@ -158,8 +142,10 @@
             fields.update(
                 origin_engine=origin.engine,
                 origin_version=origin.version,
+                origin_born_ms=origin.born_ms,
                 origin_source=origin.source,
                 is_begun=origin.is_begun,
+                is_certain=origin.is_certain,
             )
         return fields
 
@@ -171,60 +157,66 @@
         is_complete = self.history.is_complete(now)
         return not is_complete and len(self.history.versions(now)) <= 1
 
+    def learnable_until_ms(self, request: Enqueue, now: float) -> float:
+        """Return until when the version of a request's stream may be learned.
+
+        :returns: minus infinity if nothing can be learned any more.
+        """
+        if request.resumes is None:
+            return -math.inf
+        origin = self._origins.get(request.resumes)
+        if origin is not None and origin.can_be_resumed(request, now):
+            return origin.learnable_until_ms
+        return now + LEARN_VERSIONS_MS if self.may_learn(now) else -math.inf
+
     def record_grant(
         self, request: Enqueue, engine: Engine, now: float
     ) -> None:
         """Record the engine of a grant, unless its stream can't be resumed."""
-        if request.resumable_ms is None:
-            return
-        left_ms = min(float(request.resumable_ms), HISTORY_MS)
-        self._put(
-            request.request_id,
-            _Origin(
-                team=request.team,
-                engine=engine.name,
-                attempt=len(request.excluded or ()),
-                # Only a stream that has begun is bound to a version.
-                is_begun=request.version is not None,
-                version=engine.version,
-                expires_ms=now + left_ms,
-                source=OWN_GRANT,
-                sequence=0,
-            ),
-            now,
-        )
+        if request.resumable_ms is not None:
+            origin = Origin.from_grant(request, engine, now)
+            self._put(request.request_id, origin, now)
 
     def record_first_event(
-        self, request_id: str, engine: Engine, now: float
+        self,
+        request_id: str,
+        engine: Engine | None,
+        now: float,
+        *,
+        is_certain: bool = False,
     ) -> None:
         """Record that an engine has begun a stream.
 
         What another owner has reported of the request may be an earlier grant,
         which brought no event.
+
+        :param engine: `None`: the run has ended.
+        :param is_certain: whether the engine was seen to be the incarnation
+            that was granted. This may be reported after the first event.
         """
-        origin = self._origins.get(request_id)
-        if origin is None or origin.is_begun:
+        known = self._origins.get(request_id)
+        if known is None:
             return
-        if origin.engine != engine.name:
-            origin = origin._replace(engine=engine.name, version=engine.version)
-        origin = origin._replace(is_begun=True, source=OWN_GRANT)
-        self._put(request_id, origin, now)
+        origin = known
+        if engine is not None and not known.is_begun:
+            origin = known.begun_at(engine, now)
+            # It was seen to be what another owner granted.
+            is_certain = is_certain and known.engine == engine.name
+        if is_certain:
+            origin = origin.as_certain()
+        if origin != known:
+            self._put(request_id, origin._replace(source=OWN_GRANT), now)
 
     def merge(
         self, origins: Iterable[StreamOrigin], source: str, now: float
     ) -> None:
-        """Apply what another instance knows.
-
-        If two owners have granted the same attempt different versions, it is
-        not certain which one ran.
-        """
+        """Apply what another instance knows."""
         for reported in origins:
             known = self._origins.get(reported.request_id)
-            origin = _from_wire(reported, source, now)
-            if known is not None and known.progress == origin.progress:
-                # The reporter has to be told of the difference, too.
-                origin = origin._replace(version=None, source=OWN_GRANT)
-            if known is None or known.is_superseded_by(reported):
+            origin = Origin.from_wire(reported, source, now)
+            if known is not None:
+                origin = known.merged(origin)
+            if origin != known:
                 self._put(reported.request_id, origin, now)
 
     def changed_since(
@@ -236,19 +228,23 @@
         :param receiver: the instance; it knows what it has reported itself.
         """
         return [
-            StreamOrigin(
-                request_id=request_id,
-                team=origin.team,
-                upstream=origin.engine,
-                attempt=origin.attempt,
-                left_ms=int(origin.expires_ms - now),
-                version=origin.version,
-                is_begun=origin.is_begun,
-            )
-            for request_id, origin in self._newest(sequence)
+            origin.to_wire(request_id, now, is_certain=self._is_proven(origin))
+            for request_id, origin in _newest(self._origins, sequence)
             if origin.source != receiver and origin.expires_ms > now
         ]
 
+    def settle(self, now: float) -> None:
+        """Keep what the list shows now; it is no evidence after an outage."""
+        if now < self._settled_ms + SETTLE_INTERVAL_MS:
+            return
+        self._settled_ms = now
+        for request_id in tuple(self._unsettled):
+            origin = self._origins.get(request_id)
+            if origin is None or origin.is_settled(now):
+                self._unsettled.pop(request_id)
+            elif self._is_proven(origin):
+                self._put(request_id, origin.as_certain(), now)
+
     def forget_source(self, instance: str) -> None:
         """Take an instance for one that has lost what it reported."""
         for request_id, origin in self._origins.items():
@@ -257,15 +253,24 @@
 
     def _find(self, request: Enqueue, now: float) -> str | None:
         origin = self._origins.get(request.resumes)
-        if (
-            origin is None
-            or origin.expires_ms < now
-            or origin.team != request.team
-            or not origin.is_begun
-        ):
+        if origin is None or not origin.can_be_resumed(request, now):
             return self._only_version(now)
+        if not self._is_proven(origin):
+            return None
+        if not origin.is_certain:
+            self._put(request.resumes, origin.as_certain(), now)
         return origin.version
 
+    def _is_proven(self, origin: Origin) -> bool:
+        """Return whether an engine of the recorded version began a stream."""
+        if origin.is_certain:
+            return True
+        if origin.version is None or origin.born_ms is None:
+            return False
+        return origin.begun_ms is not None and self._is_certain(
+            origin.engine, origin.born_ms, origin.begun_ms
+        )
+
     def _only_version(self, now: float) -> str | None:
         """Return the only version that can have begun an unknown stream.
 
@@ -276,34 +281,36 @@
             return None
         return self.history.only_version(now)
 
-    def _newest(self, sequence: int) -> Iterator[tuple[str, _Origin]]:
-        for request_id in reversed(self._origins):
-            origin = self._origins[request_id]
-            if origin.sequence <= sequence:
-                return
-            yield request_id, origin
-
-    def _put(self, request_id: str, origin: _Origin, now: float) -> None:
+    def _put(self, request_id: str, origin: Origin, now: float) -> None:
         """Put an origin last, which keeps the order of the changes."""
         self.sequence += 1
         self._origins.pop(request_id, None)
         self._origins[request_id] = origin._replace(sequence=self.sequence)
-        while self._origins and self._is_oldest_due(now):
+        if origin.is_begun and not origin.is_certain:
+            self._unsettled[request_id] = None
+        while _is_oldest_due(self._origins, now):
             self._origins.pop(next(iter(self._origins)))
 
-    def _is_oldest_due(self, now: float) -> bool:
-        oldest = next(iter(self._origins.values()))
-        return len(self._origins) > MAX_ORIGINS or oldest.expires_ms < now
+    def _settle_changed(
+        self, changed: Mapping[str, Engine], now: float
+    ) -> None:
+        """Settle which streams an earlier incarnation is certain to have run.
+
+        The list will show nothing more of it.
 
-    def _doubt(self, engines: set[str]) -> None:
-        in_doubt = [
+        :param changed: the listed incarnations, by name.
+        """
+        unsettled = [
             (request_id, origin)
             for request_id, origin in self._origins.items()
-            if origin.engine in engines and origin.version is not None
+            if origin.is_unlike(changed.get(origin.engine))
         ]
-        for request_id, origin in in_doubt:
-            self.sequence += 1
-            self._origins.pop(request_id)
-            self._origins[request_id] = origin._replace(
-                version=None, sequence=self.sequence
-            )
+        for request_id, origin in unsettled:
+            listed = changed[origin.engine]
+            # An incarnation has one version.
+            is_ambiguous = origin.born_ms == listed.born_ms
+            if not is_ambiguous and self._is_proven(origin):
+                settled = origin.as_certain()
+            else:
+                settled = origin._replace(born_ms=None)
+            self._put(request_id, settled, now)
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -79,6 +79,8 @@
             end_ms = max(objective_ms, now) + pick_by_route_rank(
                 MAX_LATE_WAITS_MS, request
             )
+            if queued.learnable_until_ms is not None:
+                end_ms = max(end_ms, queued.learnable_until_ms)
             end_ms = min(queued.deadline_ms, end_ms)
             queued = queued._replace(deadline_ms=end_ms)
         entry = WaitEntry.from_queued(
@@ -131,7 +133,7 @@
         past_deadline = [
             entry
             for entry in self._entries.values()
-            if entry.queued.deadline_ms < now
+            if entry.queued.expires_ms < now
         ]
         forecast_expired = self._forecast_expired(now, forecast)
         return self._remove_all(
@@ -215,7 +217,7 @@
         forecast_expired = []
         ordered = in_order_of_start(self._entries.values(), now, beyond)
         for entry in ordered:
-            if entry.queued.deadline_ms < now or entry.queued.request.excluded:
+            if entry.queued.expires_ms < now or entry.queued.request.excluded:
                 continue
             if (
                 now + forecast.start_in_ms(requests_ahead)
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1527,6 +1527,9 @@
      - left_ms
      - version
      - is_begun
+     - born_ms
+     - begun_age_ms
+     - is_certain
 
     """
 
@@ -1538,10 +1541,13 @@
         'left_ms',
         'version',
         'is_begun',
+        'born_ms',
+        'begun_age_ms',
+        'is_certain',
     )
 
 
-    def __init__(self, request_id=None, team=None, upstream=None, attempt=None, left_ms=None, version=None, is_begun=None,):
+    def __init__(self, request_id=None, team=None, upstream=None, attempt=None, left_ms=None, version=None, is_begun=None, born_ms=None, begun_age_ms=None, is_certain=None,):
         self.request_id = request_id
         self.team = team
         self.upstream = upstream
@@ -1549,6 +1555,9 @@
         self.left_ms = left_ms
         self.version = version
         self.is_begun = is_begun
+        self.born_ms = born_ms
+        self.begun_age_ms = begun_age_ms
+        self.is_certain = is_certain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1594,6 +1603,21 @@
                     self.is_begun = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.begun_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.is_certain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1632,6 +1656,18 @@
             oprot.writeFieldBegin('is_begun', TType.BOOL, 7)
             oprot.writeBool(self.is_begun)
             oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 8)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.begun_age_ms is not None:
+            oprot.writeFieldBegin('begun_age_ms', TType.I32, 9)
+            oprot.writeI32(self.begun_age_ms)
+            oprot.writeFieldEnd()
+        if self.is_certain is not None:
+            oprot.writeFieldBegin('is_certain', TType.BOOL, 10)
+            oprot.writeBool(self.is_certain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3986,6 +4022,9 @@
     (5, TType.I32, 'left_ms', None, None, ),  # 5
     (6, TType.STRING, 'version', 'UTF8', None, ),  # 6
     (7, TType.BOOL, 'is_begun', None, None, ),  # 7
+    (8, TType.I64, 'born_ms', None, None, ),  # 8
+    (9, TType.I32, 'begun_age_ms', None, None, ),  # 9
+    (10, TType.BOOL, 'is_certain', None, None, ),  # 10
 )
 all_structs.append(StreamOrigins)
 StreamOrigins.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -141,6 +141,9 @@
   5: required i32 left_ms          // for going on with it
   6: optional string version       // unset: not certain
   7: optional bool is_begun        // the upstream has made the first event
+  8: optional i64 born_ms          // start of the upstream's incarnation
+  9: optional i32 begun_age_ms     // since the first event
+  10: optional bool is_certain     // that the upstream ran this version
 }
 
 struct StreamOrigins {
--- a/tests/scheduling/engine_cell_factories.py
+++ b/tests/scheduling/engine_cell_factories.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.scheduling.engine_load import EngineLoad, ServiceEstimates
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget, RetryRules
+from hornbeamdeck.scheduling.stream_origins import IsCertain
 from hornbeamdeck.scheduling.token_quota import (
     QuotaRules,
     QuotaView,
@@ -25,6 +26,11 @@
 PLAIN = EngineProperties(slots=0, tokens_per_event=0, memory_tokens=0)
 
 
+def always_certain(_engine: str, _born_ms: int, _at_ms: float) -> bool:
+    """Answer as where engines never start again under their names."""
+    return True
+
+
 async def async_discard(_message: Message) -> None:
     """Discard a message."""
 
@@ -116,11 +122,15 @@
     *engines: Engine,
     properties: EngineProperties = MODEL,
     instances: tuple[str, ...] = (),
+    is_certain: IsCertain = always_certain,
 ) -> EngineCell:
     """Create a cell with engines and without team limits."""
     made = EngineCell(
         SharedState(
-            quotas=make_quotas(), teams={}, instances=lambda: instances
+            quotas=make_quotas(),
+            teams={},
+            is_certain=is_certain,
+            instances=lambda: instances,
         ),
         RetryBudget(RetryRules(0.2, 20, 10_000), lambda _now: 1.0),
     )
--- a/tests/scheduling/test_engine_cell.py
+++ b/tests/scheduling/test_engine_cell.py
@@ -14,6 +14,7 @@
 from tests.scheduling.engine_cell_factories import (
     MODEL,
     PLAIN,
+    always_certain,
     engine,
     enqueue,
     granted,
@@ -560,6 +561,7 @@
         SharedState(
             quotas=limits,
             teams={'guides': make_team(rate=60_000, burst=60_000)},
+            is_certain=always_certain,
         ),
         RetryBudget(RetryRules(0.2, 20, 10_000), lambda _now: 1.0),
     )
--- a/tests/scheduling/test_origin_losses.py
+++ b/tests/scheduling/test_origin_losses.py
@@ -5,7 +5,11 @@
 import pytest
 
 from hornbeamdeck.scheduling.stream_origins import OriginBook
-from tests.scheduling.engine_cell_factories import engine, make_request
+from tests.scheduling.engine_cell_factories import (
+    always_certain,
+    engine,
+    make_request,
+)
 
 INSTANCES = 5
 SUCCESSORS = 2
@@ -78,7 +82,7 @@
                 book.forget_source(f'{lost}')
 
     def _make_book(self) -> OriginBook:
-        book = OriginBook()
+        book = OriginBook(always_certain)
         book.update_engines(
             [engine(version, version=version) for version in VERSIONS], self.now
         )
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -5,6 +5,8 @@
 from hornbeamdeck.scheduling.stream_origins import OriginBook
 from hornbeamdeck.wire import Progress, RefusalReason
 from tests.scheduling.engine_cell_factories import (
+    MODEL,
+    always_certain,
     engine,
     enqueue,
     granted,
@@ -100,7 +102,7 @@
 def test_stream_waits_while_the_versions_of_the_past_are_read() -> None:
     """Guards against refusing all streams right after the loss of all."""
     cell = _cell('v1')
-    cell.origins = OriginBook()
+    cell.origins = OriginBook(always_certain)
     cell.origins.update_engines([engine('of-v1', version='v1')], 0)
     assert enqueue(cell, make_request('again', resumes='unknown')) is None
     assert not granted(cell, 20)
@@ -111,6 +113,110 @@
 def test_stream_is_refused_when_the_versions_of_the_past_stay_unknown() -> None:
     """Guards against a caller who waits for a store that does not respond."""
     cell = _cell('v1')
-    cell.origins = OriginBook()
+    cell.origins = OriginBook(always_certain)
     enqueue(cell, make_request('again', resumes='unknown'))
     assert len(list(cell.refuse_expired(1000))) == 1
+
+
+def _begun_cell(evidence: list[str], slots: int = 9) -> EngineCell:
+    """Create a cell of two versions where v1 has begun the stream `first`.
+
+    :param evidence: names of the engines whose incarnations are certain.
+    """
+    engines = [
+        engine(f'of-{version}', slots=slots, version=version)
+        for version in ('v1', 'v2')
+    ]
+    cell = make_cell(
+        *engines, is_certain=lambda name, _born_ms, _at_ms: name in evidence
+    )
+    cell.origins.update_engines(engines, 0)
+    cell.origins.history.add_earlier((), 0)
+    enqueue(cell, make_request('first', resumable_ms=9000, excluded=['of-v2']))
+    assert granted(cell) == [('first', 'of-v1')]
+    _begin(cell, 'first')
+    return cell
+
+
+def _refusals(cell: EngineCell, now: float) -> list[RefusalReason]:
+    return [_reason(refused) for refused in cell.refuse_expired(now)]
+
+
+def test_stream_waits_until_its_incarnation_is_certain() -> None:
+    """Guards against going on at the version of a stale entry."""
+    evidence: list[str] = []
+    cell = _begun_cell(evidence)
+    assert enqueue(cell, make_request('again', resumes='first'), 100) is None
+    assert not granted(cell, 100)
+    assert not _refusals(cell, 1400)
+    assert not granted(cell, 1400)
+    evidence.append('of-v1')
+    assert granted(cell, 1425) == [('again', 'of-v1')]
+
+
+def test_stream_goes_on_once_its_instance_reports_the_incarnation() -> None:
+    """Guards against a report that comes after its first event."""
+    cell = _begun_cell([])
+    enqueue(cell, make_request('again', resumes='first'), 100)
+    assert not granted(cell, 100)
+    message = Progress(
+        request_id='first', cell='desk', first_token_ms=20, is_certain=True
+    )
+    cell.progress(message, 110)
+    assert granted(cell, 110) == [('again', 'of-v1')]
+
+
+def test_stream_is_refused_when_its_incarnation_stays_uncertain() -> None:
+    """Guards against callers who wait while the store is away."""
+    cell = _begun_cell([])
+    enqueue(cell, make_request('again', resumes='first'), 100)
+    assert not _refusals(cell, 2490)
+    assert _refusals(cell, 2530) == [RefusalReason.UNKNOWN_STREAM]
+    late = enqueue(cell, make_request('late', resumes='first'), 2600)
+    assert _reason(late) == RefusalReason.UNKNOWN_STREAM
+
+
+def test_uncertain_stream_does_not_outwait_its_caller() -> None:
+    """Guards against a refusal that comes after its caller has left."""
+    cell = _begun_cell([])
+    request = make_request('again', resumes='first', patience_ms=700)
+    enqueue(cell, request, 100)
+    assert not _refusals(cell, 790)
+    assert _refusals(cell, 830) == [RefusalReason.UNKNOWN_STREAM]
+
+
+def test_stream_waits_for_a_slot_once_its_incarnation_is_certain() -> None:
+    """Guards against a refusal for what was not known in the beginning."""
+    evidence: list[str] = []
+    cell = _begun_cell(evidence, slots=1)
+    cell.loads['of-v2'].slots = 9
+    request = make_request('again', resumes='first', objective_ms=3000)
+    assert enqueue(cell, request, 100) is None
+    evidence.append('of-v1')
+    assert not granted(cell, 1425)
+    assert not _refusals(cell, 2600)
+    cell.loads['of-v1'].slots = 2
+    assert granted(cell, 2650) == [('again', 'of-v1')]
+
+
+def test_stream_is_refused_at_once_if_no_engine_of_its_version_is_left() -> (
+    None
+):
+    """Guards against waiting for a version that has gone meanwhile."""
+    evidence: list[str] = []
+    cell = _begun_cell(evidence)
+    enqueue(cell, make_request('again', resumes='first'), 100)
+    left = [engine('of-v2', slots=9, version='v2')]
+    cell.update_engines(left, MODEL, {})
+    assert not _refusals(cell, 200)
+    evidence.append('of-v1')
+    assert not granted(cell, 225)
+    assert _refusals(cell, 250) == [RefusalReason.NO_UPSTREAM]
+
+
+def test_new_streams_begin_without_evidence() -> None:
+    """Guards against new streams that wait for evidence."""
+    cell = _begun_cell([])
+    cell.loads['of-v1'].slots = 0
+    enqueue(cell, make_request('new', resumable_ms=9000), 100)
+    assert granted(cell, 100) == [('new', 'of-v2')]
--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -1,19 +1,25 @@
 """Tests of what is known about the version that began a stream."""
 
+import math
+
 import pytest
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.stream_origins import OriginBook
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
 from hornbeamdeck.wire import Enqueue
-from tests.scheduling.engine_cell_factories import engine, make_request
+from tests.scheduling.engine_cell_factories import (
+    always_certain,
+    engine,
+    make_request,
+)
 
 OLD = engine('old', version='v1')
 NEW = engine('new', version='v2')
 
 
 def _book(*versions: str) -> OriginBook:
-    book = OriginBook()
+    book = OriginBook(always_certain)
     book.history.add_earlier((), 0)
     listed = [engine(f'of-{each}', version=each) for each in versions]
     book.update_engines(listed, 0)
@@ -89,7 +95,7 @@
 
 def test_instance_that_is_cut_off_does_not_guess() -> None:
     """Guards against a version that an instance without peers has missed."""
-    book = OriginBook(lambda: 0.4)
+    book = OriginBook(always_certain, lambda: 0.4)
     book.history.add_earlier((), 0)
     book.update_engines([OLD], 0)
     assert _version(book) is None
@@ -226,3 +232,202 @@
     assert history.only_version(2 * HISTORY_MS) is None
     assert history.versions(2 * HISTORY_MS) == {'v1', 'v2'}
     assert history.only_version(3 * HISTORY_MS + 1) == 'v2'
+
+
+RESTARTED = OLD._replace(born_ms=2, version='v2')
+SAME_VERSION = OLD._replace(born_ms=2)
+
+
+class _Evidence:
+    """What a process can tell of incarnations; nothing at first."""
+
+    def __init__(self) -> None:
+        self.until_ms = -math.inf
+        self.asked: list[tuple[str, int, float]] = []
+
+    def is_certain(self, name: str, born_ms: int, at_ms: float) -> bool:
+        self.asked.append((name, born_ms, at_ms))
+        return born_ms == 1 and at_ms <= self.until_ms
+
+
+def _uncertain_book(evidence: _Evidence) -> OriginBook:
+    """Create a book with two versions, whose entries may be stale."""
+    book = OriginBook(evidence.is_certain)
+    book.history.add_earlier((), 0)
+    book.update_engines([OLD, NEW], 0)
+    return book
+
+
+def _resumed() -> Enqueue:
+    return make_request('again', resumes='first')
+
+
+def test_stream_is_unknown_until_its_incarnation_is_certain() -> None:
+    """Guards against an entry that describes an earlier incarnation."""
+    evidence = _Evidence()
+    book = _uncertain_book(evidence)
+    _begin(book, 'first')
+    assert _version(book, 100) is None
+    assert evidence.asked[-1] == ('old', 1, 0)
+    evidence.until_ms = 0
+    assert _version(book, 200) == 'v1'
+
+
+def test_stream_that_was_certain_stays_certain() -> None:
+    """Guards against forgetting evidence that an outage makes void."""
+    evidence = _Evidence()
+    book = _uncertain_book(evidence)
+    _begin(book, 'first')
+    evidence.until_ms = 0
+    book.settle(600)
+    evidence.until_ms = -math.inf
+    assert _version(book, 700) == 'v1'
+
+
+@pytest.mark.parametrize('restarted', [RESTARTED, SAME_VERSION])
+def test_uncertain_stream_of_a_restarted_engine_stays_unknown(
+    restarted: Engine,
+) -> None:
+    """Guards against an engine that ran another version in between."""
+    evidence = _Evidence()
+    book = _uncertain_book(evidence)
+    _begin(book, 'first')
+    book.update_engines([restarted, NEW], 100)
+    evidence.until_ms = math.inf
+    assert _version(book, 200) is None
+    assert book.learnable_until_ms(_resumed(), 200) == -math.inf
+    assert not book.bind(make_request('first', version='v1'), 200)
+
+
+@pytest.mark.parametrize('restarted', [RESTARTED, SAME_VERSION])
+def test_certain_stream_of_a_restarted_engine_keeps_its_version(
+    restarted: Engine,
+) -> None:
+    """Guards against refusing streams that an engine had made for long."""
+    evidence = _Evidence()
+    book = _uncertain_book(evidence)
+    _begin(book, 'first')
+    _begin(book, 'later')
+    book.record_first_event('later', OLD, 10, is_certain=True)
+    evidence.until_ms = 0
+    book.update_engines([restarted, NEW], 100)
+    evidence.until_ms = -math.inf
+    assert _version(book, 200) == 'v1'
+    assert _version(book, 200, resumes='later') == 'v1'
+
+
+def test_stream_of_an_incarnation_that_is_listed_late_is_not_in_doubt() -> None:
+    """Guards against a report of another owner that has read a newer entry."""
+    evidence = _Evidence()
+    book, other = _uncertain_book(evidence), _uncertain_book(evidence)
+    _begin(other, 'first', RESTARTED)
+    book.merge(other.changed_since(0, 'a', 0), 'b', 0)
+    book.update_engines([RESTARTED, NEW], 100)
+    assert book.learnable_until_ms(_resumed(), 100) > 100
+
+
+@pytest.mark.parametrize('has_ended', [False, True])
+def test_certainty_may_be_reported_after_the_first_event(
+    has_ended: bool,
+) -> None:
+    """Guards against an answer of the engine that comes after a break."""
+    book = _uncertain_book(_Evidence())
+    _begin(book, 'first')
+    told = book.sequence
+    book.record_first_event(
+        'first', None if has_ended else OLD, 20, is_certain=True
+    )
+    assert _version(book, 100) == 'v1'
+    reported = book.changed_since(told, 'b', 100)
+    assert [each.is_certain for each in reported] == [True]
+
+
+def test_certainty_of_a_grant_by_another_owner_is_not_taken() -> None:
+    """Guards against another entry than the one that the grant named."""
+    book = _uncertain_book(_Evidence())
+    _grant(book, 'first')
+    book.record_first_event('first', NEW, 0, is_certain=True)
+    assert _version(book, 100) is None
+
+
+def test_repeated_first_event_changes_nothing() -> None:
+    """Guards against reports that are sent again and again."""
+    book = _uncertain_book(_Evidence())
+    _begin(book, 'first')
+    told = book.sequence
+    book.record_first_event('first', OLD, 50)
+    assert book.sequence == told
+    book.record_first_event('first', OLD, 50, is_certain=True)
+    told = book.sequence
+    book.record_first_event('first', OLD, 90, is_certain=True)
+    assert book.sequence == told
+
+
+def test_successor_learns_what_is_certain() -> None:
+    """Guards against certainty that is lost with the owner."""
+    evidence = _Evidence()
+    owner, successor = _uncertain_book(evidence), _uncertain_book(_Evidence())
+    _begin(owner, 'first')
+    successor.merge(owner.changed_since(0, 'b', 0), 'a', 0)
+    assert _version(successor, 100) is None
+    told = owner.sequence
+    evidence.until_ms = 0
+    owner.settle(1000)
+    successor.merge(owner.changed_since(told, 'b', 1000), 'a', 1000)
+    assert _version(successor, 1100) == 'v1'
+
+
+def test_successor_finds_evidence_itself() -> None:
+    """Guards against a first event that seems earlier after a report."""
+    evidence = _Evidence()
+    owner, successor = _uncertain_book(_Evidence()), _uncertain_book(evidence)
+    _begin(owner, 'first')
+    successor.merge(owner.changed_since(0, 'b', 300), 'a', 5300)
+    assert _version(successor, 5400) is None
+    assert evidence.asked[-1] == ('old', 1, 5000)
+    evidence.until_ms = 5000
+    assert _version(successor, 5500) == 'v1'
+
+
+def test_report_without_an_incarnation_is_not_certain() -> None:
+    """Guards against the origins of an instance without evidence."""
+    evidence = _Evidence()
+    evidence.until_ms = math.inf
+    book = _uncertain_book(evidence)
+    _begin(book, 'first')
+    reported = book.changed_since(0, 'b', 0)
+    for each in reported:
+        each.born_ms = None
+        each.begun_age_ms = None
+        each.is_certain = None
+    successor = _uncertain_book(evidence)
+    successor.merge(reported, 'a', 0)
+    assert _version(successor, 100) is None
+
+
+def test_owners_with_entries_of_two_incarnations_leave_a_stream_unknown() -> (
+    None
+):
+    """Guards against evidence for one of two engines that may have run."""
+    evidence = _Evidence()
+    owner, other = _uncertain_book(evidence), _uncertain_book(evidence)
+    _begin(owner, 'first')
+    _begin(other, 'first', SAME_VERSION)
+    evidence.until_ms = math.inf
+    owner.merge(other.changed_since(0, 'b', 0), 'a', 0)
+    assert _version(owner, 100) is None
+
+
+def test_stream_that_went_on_is_certain() -> None:
+    """Guards against asking twice for the version of one stream."""
+    book = _uncertain_book(_Evidence())
+    _grant(book, 'second', OLD, version='v1', resumes='first')
+    assert _version(book, 100, resumes='second') == 'v1'
+
+
+def test_evidence_by_the_list_is_awaited_for_a_while() -> None:
+    """Guards against callers who wait for what can't be learned any more."""
+    book = _uncertain_book(_Evidence())
+    assert book.learnable_until_ms(_resumed(), 0) == -math.inf
+    _begin(book, 'first')
+    assert book.learnable_until_ms(_resumed(), 500) == 2500
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -11,6 +11,8 @@
     Progress,
     Release,
     RunEnd,
+    StreamOrigin,
+    StreamOrigins,
     decode_frame,
     encode_frame,
     message_of,
@@ -54,6 +56,27 @@
     assert message_of(envelope) == sent
 
 
+@given(st.integers(min_value=0, max_value=2**63 - 1), st.booleans())
+def test_origins_survive_encoding_and_decoding(
+    born_ms: int,
+    is_certain: bool,  # noqa: FBT001
+) -> None:
+    origin = StreamOrigin(
+        request_id='r1',
+        team='guides',
+        upstream='e1',
+        attempt=0,
+        left_ms=9000,
+        born_ms=born_ms,
+        begun_age_ms=3,
+        is_certain=is_certain,
+    )
+    sent = StreamOrigins(cell='desk', origins=[origin])
+    frame = encode_frame(sent, configuration_version=1)
+    envelope = decode_frame(frame[LENGTH_PREFIX.size :]).unwrap()
+    assert message_of(envelope) == sent
+
+
 @given(st.binary(max_size=200))
 def test_undecodable_bytes_are_an_error_value(garbage: bytes) -> None:
     """Guards against an exception for bytes that are no message, as a peer of
