Let streams of unknown version take no place in the queue

Requests that wait for the version of their stream counted as ahead of new ones, which were refused as if the former took the next slots. And a version that became known while all slots were taken was learned too late: its request was refused as unknown. They count for nothing until they are bound, and are bound with each check for expired requests. Both tests failed before.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -184,6 +184,10 @@
         ):
             return
         self._last_expiry_check_ms = now
+        for learning in self._wait_queue.learning():
+            if self.origins.bind(learning.request, now):
+                # There may be no engine of its version.
+                self._has_fewer_engines = True
         if self._has_fewer_engines or self.crash_tracker.has_new_verdict:
             yield from self._refuse_hopeless(now)
         forecast = self._engines.forecast(self._wait_queue, now)
@@ -337,7 +341,6 @@
             if not self.origins.bind(request, now):
                 self._hold_reasons[request.request_id] = HELD_BY_UNKNOWN_STREAM
                 return None
-            # There may be no engine of its version.
             self._has_fewer_engines = True
         hold_reason = self._hold_reasons.get(request.request_id)
         candidates = scan.candidates_for(
--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -45,6 +45,11 @@
         request = self.request
         return request.resumes is not None and request.version is None
 
+    @property
+    def is_learning(self) -> bool:
+        """Whether it waits for that version, and so for no slot yet."""
+        return self.learnable_until_ms is not None and self.is_unbound
+
     @property
     def expires_ms(self) -> float:
         """Until when it may wait for a grant."""
--- a/hornbeamdeck/scheduling/wait_queue.py
+++ b/hornbeamdeck/scheduling/wait_queue.py
@@ -123,6 +123,14 @@
             )
         return (entry.queued for entry in ordered)
 
+    def learning(self) -> list[QueuedRequest]:
+        """List the requests that wait for the version of their stream."""
+        return [
+            entry.queued
+            for entry in self._entries.values()
+            if entry.queued.is_learning
+        ]
+
     def time_budget(self, request_id: str, now: float) -> TimeBudget:
         """Return how much time a waiting request has left."""
         entry = self._entries[request_id]
@@ -171,6 +179,7 @@
         requests_ahead = sum(
             entry.order(now, is_beyond=entry.team in beyond) <= own_key
             for entry in self._entries.values()
+            if not entry.queued.is_learning
         )
         max_wait_ms = self.max_wait_ms(request, fastest_ms)
         return forecast.start_in_ms(requests_ahead) <= max_wait_ms
@@ -215,7 +224,12 @@
         beyond = self.teams_beyond_share(now)
         requests_ahead = 0
         forecast_expired = []
-        ordered = in_order_of_start(self._entries.values(), now, beyond)
+        starting = [
+            entry
+            for entry in self._entries.values()
+            if not entry.queued.is_learning
+        ]
+        ordered = in_order_of_start(starting, now, beyond)
         for entry in ordered:
             if entry.queued.expires_ms < now or entry.queued.request.excluded:
                 continue
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -220,3 +220,29 @@
     cell.loads['of-v1'].slots = 0
     enqueue(cell, make_request('new', resumable_ms=9000), 100)
     assert granted(cell, 100) == [('new', 'of-v2')]
+
+
+def test_streams_that_wait_for_evidence_take_no_places_in_the_queue() -> None:
+    """Guards against refusing new streams for others that may not go on."""
+    cell = _begun_cell([], slots=1)
+    for number in range(50):
+        again = make_request(f'again-{number}', resumes='first')
+        assert enqueue(cell, again, 100) is None
+    assert enqueue(cell, make_request('new', resumable_ms=9000), 100) is None
+    assert not _refusals(cell, 100)
+    assert granted(cell, 100) == [('new', 'of-v2')]
+
+
+def test_version_is_learned_while_all_slots_are_taken() -> None:
+    """Guards against refusing a known stream for want of a slot."""
+    evidence: list[str] = []
+    cell = _begun_cell(evidence, slots=1)
+    enqueue(cell, make_request('other'), 50)
+    assert granted(cell, 50) == [('other', 'of-v2')]
+    request = make_request('again', resumes='first', objective_ms=3000)
+    assert enqueue(cell, request, 100) is None
+    evidence.append('of-v1')
+    assert not _refusals(cell, 2490)
+    assert not _refusals(cell, 2530)
+    cell.loads['of-v1'].slots = 2
+    assert granted(cell, 2550) == [('again', 'of-v1')]
