Take a record of versions for proof in its own era only

After the loss of all instances a stream that nobody knows goes on if the record in the store names a single version.

A process that starts after the era rose knows no earlier era to compare, and took its own first write for the whole past. The record now says in which era it was written and of which services its writer knew all versions; anything else names versions but proves nothing, and streams of unknown origin are refused until 120 s have been watched. Records of the earlier format prove nothing.

A new version was granted up to 200 ms before it was recorded. It now gets no new streams before that, while other versions serve, for 1 s at most.

The test of a second version's record reads the names in their new place.

--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -103,7 +103,14 @@
         :param version: the only one that a request may use; `None`: any.
         """
         usable = self.versions.usable(self.loads.values(), now)
-        return usable if version is None else of_version(usable, version)
+        if version is not None:
+            return of_version(usable, version)
+        unrecorded = self.origins.history.unrecorded(now)
+        if not unrecorded:
+            return usable
+        return [
+            load for load in usable if load.engine.version not in unrecorded
+        ] or usable
 
     def find_running(self, request_id: str) -> EngineLoad | None:
         """Find the engine that runs a request."""
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -154,8 +154,9 @@
 
         A process that has just started reads them from the store.
         """
-        is_complete = self.history.is_complete(now)
-        return not is_complete and len(self.history.versions(now)) <= 1
+        if self.history.is_read or self.history.is_complete(now):
+            return False
+        return len(self.history.versions(now)) <= 1
 
     def learnable_until_ms(self, request: Enqueue, now: float) -> float:
         """Return until when the version of a request's stream may be learned.
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -5,13 +5,16 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 __all__ = ('HISTORY_MS', 'VersionHistory')
 
 # Callers go on with streams for no longer than this.
 HISTORY_MS: Final = 120_000.0
+# How long a new version waits for its record while others serve. A store that
+# takes no writes must not keep engines from being used.
+MAX_HOLD_MS: Final = 1000.0
 
 
 class VersionHistory:
@@ -19,7 +22,12 @@
 
     def __init__(self) -> None:
         """Start without versions; what was listed before is not known."""
-        self._current: frozenset[str] = frozenset()
+        # Whether what the store holds of the past has been read.
+        self.is_read = False
+        # By version that is listed now.
+        self._listed_since_ms: dict[str, float] = {}
+        # What the store holds; `None`: nothing that a reader would rely on.
+        self._recorded: frozenset[str] | None = None
         # When versions that are not listed any more were listed last.
         self._gone_ms: dict[str, float] = {}
         self._known_since_ms = math.inf
@@ -27,28 +35,56 @@
     def update(self, listed: Iterable[str], now: float) -> None:
         """Record the versions that are listed now."""
         self._known_since_ms = min(self._known_since_ms, now)
-        self._gone_ms.update(dict.fromkeys(self._current, now))
-        self._current = frozenset(listed)
+        self._gone_ms.update(dict.fromkeys(self._listed_since_ms, now))
+        self._listed_since_ms = {
+            version: self._listed_since_ms.get(version, now)
+            for version in listed
+        }
         self._gone_ms = {
             version: gone_ms
             for version, gone_ms in self._gone_ms.items()
-            if version not in self._current and gone_ms >= now - HISTORY_MS
+            if version not in self._listed_since_ms
+            and gone_ms >= now - HISTORY_MS
         }
 
-    def add_earlier(self, versions: Iterable[str], now: float) -> None:
-        """Add all versions that were listed before the first update."""
-        self._known_since_ms = -math.inf
+    def add_earlier(
+        self, versions: Iterable[str], now: float, *, is_complete: bool = True
+    ) -> None:
+        """Add versions that were listed before the first update.
+
+        :param is_complete: whether they are all of them.
+        """
+        self.is_read = True
+        if is_complete:
+            self._known_since_ms = -math.inf
         for version in versions:
-            if version not in self._current:
+            if version not in self._listed_since_ms:
                 self._gone_ms.setdefault(version, now)
 
+    def apply_recorded(self, versions: Collection[str] | None) -> None:
+        """Set which versions a process without memory would take for all.
+
+        :param versions: `None`: it would take none for that.
+        """
+        self._recorded = None if versions is None else frozenset(versions)
+
+    def unrecorded(self, now: float) -> frozenset[str]:
+        """Return new versions whose streams would outlast all knowledge."""
+        if self._recorded is None:
+            return frozenset()
+        return frozenset(
+            version
+            for version, since_ms in self._listed_since_ms.items()
+            if version not in self._recorded and now < since_ms + MAX_HOLD_MS
+        )
+
     def is_complete(self, now: float) -> bool:
         """Return whether all versions of the last `HISTORY_MS` are known."""
         return self._known_since_ms <= now - HISTORY_MS
 
     def versions(self, now: float) -> frozenset[str]:
         """Return the known versions."""
-        return self._current.union(
+        return frozenset(self._listed_since_ms).union(
             version
             for version, gone_ms in self._gone_ms.items()
             if gone_ms >= now - HISTORY_MS
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -4,7 +4,7 @@
 the owner reads it: the first write returns what another owner wrote.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from itertools import count
 from typing import Any, Final, NamedTuple, Self, TypeAlias
 
@@ -30,6 +30,16 @@
 
 _Names: TypeAlias = dict[str, list[str]]
 _NAMES: Final = vol.Schema({str: [str]})
+_FIELD_ERA: Final = 'era'
+_FIELD_NAMES: Final = 'names'
+_FIELD_COMPLETE: Final = 'complete'
+_RECORD: Final = vol.Schema(
+    {
+        vol.Required(_FIELD_ERA): int,
+        vol.Required(_FIELD_NAMES): _NAMES,
+        vol.Required(_FIELD_COMPLETE): [str],
+    }
+)
 
 
 # What the store holds before this process has written to it.
@@ -42,22 +52,52 @@
     :param record_name: name of the record in the store.
     :param current: returns the names that a cell knows; `None`: nothing is to
         be recorded of its service yet.
-    :param add_earlier: tells a cell which names were recorded before.
+    :param is_complete: whether these are all names that matter.
+    :param add_earlier: tells a cell which names were recorded before, and
+        whether these are all.
+    :param apply_recorded: tells a cell which names a reader of the record takes
+        for all; `None`: none.
     """
 
     record_name: str
     current: Callable[[EngineCell, float], Collection[str] | None]
-    add_earlier: Callable[[EngineCell, Iterable[str], float], None]
+    is_complete: Callable[[EngineCell, float], bool]
+    add_earlier: Callable[[EngineCell, '_Recorded', float], None]
+    apply_recorded: Callable[[EngineCell, Collection[str] | None], None]
+
+
+class _Recorded(NamedTuple):
+    """What a record says of one service.
+
+    :param is_complete: whether its writer knew all names. A record that an
+        earlier era of the store holds may have been followed by a newer one.
+    """
+
+    names: Collection[str]
+    is_complete: bool
+
+
+_NOTHING_RECORDED: Final = _Recorded((), is_complete=False)
 
 
 def _current_versions(cell: EngineCell, now: float) -> Collection[str] | None:
     return cell.origins.history.versions(now) or None
 
 
-def _add_versions(
-    cell: EngineCell, versions: Iterable[str], now: float
+def _knows_all_versions(cell: EngineCell, now: float) -> bool:
+    return cell.origins.history.is_complete(now)
+
+
+def _add_versions(cell: EngineCell, recorded: _Recorded, now: float) -> None:
+    cell.origins.history.add_earlier(
+        recorded.names, now, is_complete=recorded.is_complete
+    )
+
+
+def _apply_recorded_versions(
+    cell: EngineCell, versions: Collection[str] | None
 ) -> None:
-    cell.origins.history.add_earlier(versions, now)
+    cell.origins.history.apply_recorded(versions)
 
 
 def _crashing_requests(cell: EngineCell, now: float) -> Collection[str]:
@@ -65,20 +105,29 @@
 
 
 def _add_crashing_requests(
-    cell: EngineCell, fingerprints: Iterable[str], now: float
+    cell: EngineCell, recorded: _Recorded, now: float
 ) -> None:
-    for fingerprint in fingerprints:
+    for fingerprint in recorded.names:
         cell.crash_tracker.add_confirmed(fingerprint, now)
 
 
 # Without them, a process that has lost its memory does not know whether a
 # stream may go on at the version that is listed now.
 ENGINE_VERSIONS: Final = RecordKind(
-    'engine-versions', _current_versions, _add_versions
+    'engine-versions',
+    _current_versions,
+    _knows_all_versions,
+    _add_versions,
+    _apply_recorded_versions,
 )
-# Without them, each would crash several engines again.
+# Without them, each would crash several engines again. That one is not recorded
+# proves nothing.
 CRASHING_REQUESTS: Final = RecordKind(
-    'crashing-requests', _crashing_requests, _add_crashing_requests
+    'crashing-requests',
+    _crashing_requests,
+    lambda _cell, _now: False,
+    _add_crashing_requests,
+    lambda _cell, _names: None,
 )
 
 
@@ -131,6 +180,7 @@
             await sleep(interval_ms / MILLIS_PER_SECOND)
             if not self._is_writer():
                 self._stored = _UNKNOWN
+                self._tell_what_is_recorded()
             elif not await self.async_sync():
                 await sleep(RETRY_MS / MILLIS_PER_SECOND)
 
@@ -144,8 +194,8 @@
             # A restored store may hold an older record, or none.
             self._stored = _UNKNOWN
         self._inform_cells()
-        current = self._current_names()
-        if not current or current == self._stored.fields:
+        current = self._current_fields()
+        if not current[_FIELD_NAMES] or current == self._stored.fields:
             return True
         due = self._stored._replace(fields=current)
         record_name = self._kind.record_name
@@ -165,32 +215,68 @@
 
     def _inform_cells(self) -> None:
         """Tell the cells what was recorded before this process owned them."""
+        self._tell_what_is_recorded()
         if self._stored.revision is None:
             return
         now = now_ms()
-        recorded = _parse(self._stored.fields)
+        recorded = _parse(self._stored)
         for service in self._cells.keys() - self._informed:
             self._informed.add(service)
             self._kind.add_earlier(
-                self._cells[service], recorded.get(service, ()), now
+                self._cells[service],
+                recorded.get(service, _NOTHING_RECORDED),
+                now,
             )
 
-    def _current_names(self) -> _Names:
+    def _tell_what_is_recorded(self) -> None:
+        recorded = _parse(self._stored)
+        for service, cell in self._cells.items():
+            of_service = recorded.get(service, _NOTHING_RECORDED)
+            names = of_service.names if of_service.is_complete else None
+            self._kind.apply_recorded(cell, names)
+
+    def _current_fields(self) -> dict[str, Any]:
         now = now_ms()
-        current = {
+        names = {
             service: self._kind.current(cell, now)
             for service, cell in self._cells.items()
         }
         return {
-            service: sorted(names)
-            for service, names in current.items()
-            if names is not None
+            _FIELD_ERA: self._era(),
+            _FIELD_NAMES: {
+                service: sorted(of_service)
+                for service, of_service in names.items()
+                if of_service is not None
+            },
+            _FIELD_COMPLETE: sorted(
+                service
+                for service, cell in self._cells.items()
+                if self._kind.is_complete(cell, now)
+            ),
         }
 
 
-def _parse(fields: Any) -> _Names:
+def _parse(stored: StoredRecord) -> dict[str, _Recorded]:
+    """Return what a record says, by service.
+
+    Only what was written in the era of the store that it was read in is
+    complete: what a restored store holds may have been followed by more.
+    """
+    if stored.revision is None:
+        return {}
+    fields = stored.fields
+    if not isinstance(fields, dict) or _FIELD_NAMES not in fields:
+        # The format of earlier releases.
+        fields = {_FIELD_ERA: -1, _FIELD_NAMES: fields, _FIELD_COMPLETE: []}
     try:
-        return dict(_NAMES(fields))
+        parsed = _RECORD(fields)
     except vol.Invalid as error:
         _LOGGER.warning('record ignored', cause=str(error))
         return {}
+    is_current = parsed[_FIELD_ERA] == stored.revision.era
+    return {
+        service: _Recorded(
+            names, is_current and service in parsed[_FIELD_COMPLETE]
+        )
+        for service, names in parsed[_FIELD_NAMES].items()
+    }
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -7,7 +7,8 @@
 from hornbeamdeck.membership.liveness import FLEET_CELL, HEARTBEAT_RECEIVERS
 from hornbeamdeck.process.gateway import Gateway
 from tests.platform.fleet import PlatformFleet, on_platform
-from tests.platform.stream_caller import StreamCaller, async_set_versions
+from tests.platform.lost_fleets import async_lose_all, async_run_versions
+from tests.platform.stream_caller import StreamCaller
 
 STREAMS = 8
 EVENTS = 6
@@ -15,18 +16,8 @@
 SETTLE_STEP_S = 0.1
 
 
-async def _async_run_versions(
-    fleet: PlatformFleet, first: str, second: str
-) -> None:
-    versions = dict(zip(fleet.model_engines, (first, second), strict=True))
-    for engine in versions:
-        engine.events = EVENTS
-        engine.event_gap_s = 0.05
-    await async_set_versions(fleet, versions)
-
-
 async def _async_run_two_versions(fleet: PlatformFleet) -> None:
-    await _async_run_versions(fleet, 'v1', 'v2')
+    await async_run_versions(fleet, 'v1', 'v2')
 
 
 async def _async_begin(
@@ -188,20 +179,6 @@
     await _async_check_resumed(callers, [1, 2, 0])
 
 
-async def _async_lose_all(fleet: PlatformFleet) -> None:
-    """Kill all gateways and start others that know nothing of them."""
-    lost = len(fleet.gateways)
-    for gateway in fleet.gateways:
-        await gateway.async_kill()
-    fleet.gateways.clear()
-    fleet.settings_changes = {'is_first_start': False}
-    for number in range(lost):
-        await fleet.async_add_gateway(number)
-    await fleet.async_until(
-        lambda: all(gateway.is_ready for gateway in fleet.gateways)
-    )
-
-
 async def _async_status_of_unknown(fleet: PlatformFleet) -> int:
     """Go on with a stream that nobody knows, once the owner has settled."""
     caller = StreamCaller(fleet, 'unknown')
@@ -221,7 +198,7 @@
 ) -> None:
     """Guards against a restarted fleet that refuses streams for minutes."""
     await fleet.async_until(lambda: 'records' in fleet.store.stored_objects)
-    await _async_lose_all(fleet)
+    await async_lose_all(fleet)
     assert await _async_status_of_unknown(fleet) == 200
 
 
@@ -231,8 +208,8 @@
 ) -> None:
     """Guards against streams of v1 that go on at v2 after the loss of all."""
     await fleet.async_until(lambda: 'records' in fleet.store.stored_objects)
-    await _async_lose_all(fleet)
-    await _async_run_versions(fleet, 'v2', 'v2')
+    await async_lose_all(fleet)
+    await async_run_versions(fleet, 'v2', 'v2')
     assert await _async_status_of_unknown(fleet) == 503
 
 
@@ -243,12 +220,12 @@
 
     def _is_recorded() -> bool:
         records = fleet.store.stored_objects.get('records', {})
-        recorded = [each['spec'] for each in records.values()]
+        recorded = [each['spec']['names'] for each in records.values()]
         return {'desk': ['v1', 'v2'], 'counter': ['v1']} in recorded
 
     await fleet.async_until(_is_recorded)
-    await _async_lose_all(fleet)
-    await _async_run_versions(fleet, 'v2', 'v2')
+    await async_lose_all(fleet)
+    await async_run_versions(fleet, 'v2', 'v2')
     assert await _async_status_of_unknown(fleet) == 503
 
 
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -118,6 +118,45 @@
     assert len(list(cell.refuse_expired(1000))) == 1
 
 
+def test_unrecorded_version_waits_while_another_serves() -> None:
+    """Guards against streams of a version that only lost processes knew."""
+    cell = _cell('v1', 'v2')
+    cell.origins.history.apply_recorded(['v1'])
+    for number in range(2):
+        enqueue(cell, make_request(f'{number}'))
+    assert granted(cell) == [('0', 'of-v1')]
+    cell.origins.history.apply_recorded(['v1', 'v2'])
+    assert granted(cell, 30) == [('1', 'of-v2')]
+
+
+def test_unrecorded_version_is_used_if_the_store_takes_no_writes() -> None:
+    """Guards against engines that stay unused for a whole outage."""
+    cell = _cell('v1', 'v2')
+    cell.origins.history.apply_recorded(['v1'])
+    for number in range(2):
+        enqueue(cell, make_request(f'{number}', objective_ms=9000))
+    assert len(granted(cell)) == 1
+    assert granted(cell, 1000) == [('1', 'of-v2')]
+
+
+def test_unrecorded_version_serves_if_it_is_the_only_one() -> None:
+    """Guards against a service that stops while its record is written."""
+    cell = _cell('v2')
+    cell.origins.history.apply_recorded(['v1'])
+    enqueue(cell, make_request('0'))
+    assert granted(cell) == [('0', 'of-v2')]
+
+
+def test_stream_is_refused_at_once_where_the_record_proves_nothing() -> None:
+    """Guards against callers who wait for what the store does not hold."""
+    cell = _cell('v1')
+    cell.origins = OriginBook(always_certain)
+    cell.origins.update_engines([engine('of-v1', version='v1')], 0)
+    cell.origins.history.add_earlier((), 0, is_complete=False)
+    refused = enqueue(cell, make_request('again', resumes='unknown'))
+    assert _reason(refused) == RefusalReason.UNKNOWN_STREAM
+
+
 def _begun_cell(evidence: list[str], slots: int = 9) -> EngineCell:
     """Create a cell of two versions where v1 has begun the stream `first`.
 
