Keep the origins of streams in the store while versions differ

After the loss of all instances every stream that callers took up again was refused while two versions served (503 unknown_stream), though engines of its version were there: the owner and its successors, which know the version of each stream, had died together.

While several versions can have begun streams the owner writes the origins of begun streams to a few objects (OriginBuckets, OriginStore): 100 ms are collected, one call at a time, at most ten a second, only what has changed. Who becomes the owner lists them once before it says that a stream is unknown; a stream waits for that for 900 ms at most instead of 400 ms. Nothing is written while one version serves. Metric hornbeamdeck_stored_origins and the lines 'origins read' and 'origins written'. A JSON body that nests too deeply counts as an outage.

While the store refuses records all are refused, and none is joined from an older copy.

Only origins that are certain are written, and are certain for whoever reads them. Without engines that state their incarnations that is 2 to 3 s after the first event.

--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -16,6 +16,7 @@
 __all__ = (
     'JsonCalls',
     'JsonContent',
+    'check_written',
     'parse_body',
     'parse_fields',
     'parse_stored',
@@ -122,13 +123,22 @@
         return parse_stored(response).map(lambda found: JsonContent(era, found))
 
 
+def check_written(
+    response: HttpResponse,
+) -> Result[HttpResponse, StoreUnavailable]:
+    """Return the response to a write; one without success is an outage."""
+    if response.status >= HTTPStatus.MULTIPLE_CHOICES:
+        return Err(StoreUnavailable(f'status {response.status}'))
+    return Ok(response)
+
+
 def parse_body(response: HttpResponse) -> Result[Any, StoreUnavailable]:
     """Parse a successful response; any other counts as an outage."""
     if response.status != HTTPStatus.OK:
         return Err(StoreUnavailable(f'status {response.status}'))
     try:
         return Ok(json.loads(response.body))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
 
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -165,6 +165,7 @@
         self.first_token_latencies = LatencyHistogram()
         self.edge_refusals: dict[str, int] = defaultdict(int)
         self.store_calls: dict[str, int] = defaultdict(int)
+        self.stored_origins: Counter[str] = Counter()
         self.peer_bytes: dict[str, int] = defaultdict(int)
         self.returned_grants: Counter[str] = Counter()
         self.failed_connects: Counter[str] = Counter()
@@ -217,6 +218,10 @@
         """Count a call to the store."""
         self.store_calls[role] += 1
 
+    def count_stored_origins(self, direction: str, count: int) -> None:
+        """Count origins of streams read from the store or written to it."""
+        self.stored_origins[direction] += count
+
     def count_peer_bytes(self, direction: str, count: int) -> None:
         """Count bytes exchanged with other instances."""
         self.peer_bytes[direction] += count
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -140,6 +140,12 @@
         'role',
         metrics.store_calls,
     )
+    yield _counter(
+        'hornbeamdeck_stored_origins',
+        'Origins of streams read from the store or written to it.',
+        'direction',
+        metrics.stored_origins,
+    )
     yield _counter(
         'hornbeamdeck_front_peer_bytes',
         'Bytes exchanged with other instances, by direction.',
--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -115,6 +115,7 @@
             cell = self._cells.get(service)
             if cell is None:
                 cell = EngineCell(self._shared, self._make_retry_budget())
+                cell.origins.awaits_stored = not self._is_first_start
                 if self._is_first_start:
                     cell.origins.history.add_earlier((), now)
                 self._cells[service] = cell
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -1,15 +1,13 @@
 """Client of the platform's store, with the scheduler's own types."""
 
 import json
-from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import quote
 
 import structlog
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.connection.json_calls import JsonContent
+from hornbeamdeck.connection.json_calls import JsonContent, check_written
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
@@ -118,10 +116,9 @@
     ) -> Result[tuple[InstanceStatus, ...], StoreUnavailable]:
         """Read the published statuses of all instances."""
         listed = await self._calls.async_list(KIND_INSTANCES)
-        if isinstance(listed, Err):
-            return listed
-        statuses = map(_to_status, listed.ok_value.entries)
-        return Ok(tuple(each for each in statuses if each is not None))
+        return listed.map(
+            lambda found: tuple(filter(None, map(_to_status, found.entries)))
+        )
 
     async def async_write_status(
         self,
@@ -144,10 +141,7 @@
         replaced = await self._calls.async_write(
             'PUT', own_path, body, role=KIND_INSTANCES
         )
-        if isinstance(replaced, Err):
-            return replaced
-        era = self._calls.era_of(replaced.ok_value)
-        return _check_written(replaced.ok_value).map(lambda _: era)
+        return replaced.and_then(check_written).map(self._calls.era_of)
 
     async def async_delete_status(
         self,
@@ -158,9 +152,7 @@
         deleted = await self._calls.async_write(
             'DELETE', path, None, role=KIND_INSTANCES
         )
-        if isinstance(deleted, Err):
-            return deleted
-        return _check_written(deleted.ok_value)
+        return deleted.and_then(check_written).map(lambda _: None)
 
     async def async_write_record(
         self, name: str, record: StoredRecord
@@ -181,6 +173,20 @@
         )
         return written.map(_to_record)
 
+    async def async_list_records(
+        self,
+    ) -> Result[dict[str, StoredRecord], StoreUnavailable]:
+        """Read all records."""
+        listed = await self._calls.async_list(KIND_RECORDS)
+        return listed.map(
+            lambda found: {
+                object_name(each): _to_record(
+                    JsonContent(found.revision.era, each)
+                )
+                for each in found.entries
+            }
+        )
+
 
 def open_store(calls: StoreCalls) -> StoreInterface:
     """Create the calls to a store."""
@@ -194,15 +200,10 @@
         write_status=store.async_write_status,
         delete_status=store.async_delete_status,
         write_record=store.async_write_record,
+        list_records=store.async_list_records,
     )
 
 
-def _check_written(response: HttpResponse) -> Result[None, StoreUnavailable]:
-    if response.status >= HTTPStatus.MULTIPLE_CHOICES:
-        return Err(StoreUnavailable(f'status {response.status}'))
-    return Ok(None)
-
-
 def _to_configuration(stored: Any, era: int) -> ConfigurationRead:
     if stored is None:
         return ConfigurationRead(StoreRevision(era, 0), 0, None)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -382,7 +382,7 @@
             ),
             components.heartbeats.async_run(),
             components.origin_reports.async_run(),
-            *(record.async_run() for record in components.fleet_records),
+            *components.fleet_memory.tasks(),
             components.scheduler.async_refuse_expired(),
             components.grants.owner_watch.async_run(),
             self._async_follow_ownership(),
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -42,7 +42,7 @@
 from hornbeamdeck.scheduling.incarnations import IncarnationBook
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.store.engine_directory import EngineDirectory
-from hornbeamdeck.store.fleet_record import FleetRecord
+from hornbeamdeck.store.fleet_memory import FleetMemory
 from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
 from hornbeamdeck.store.freshness import Freshness
 from hornbeamdeck.store.snapshots import Snapshots
@@ -83,7 +83,7 @@
     peers: Peers
     grants: Grants
     origin_reports: OriginReports
-    fleet_records: tuple[FleetRecord, ...]
+    fleet_memory: FleetMemory
     heartbeats: Heartbeats
     reader: StoreReader
     snapshots: Snapshots[GatewayConfiguration]
@@ -234,13 +234,14 @@
             peers=peers,
             grants=grants,
             origin_reports=origin_reports,
-            fleet_records=FleetRecord.of_every_kind(
+            fleet_memory=FleetMemory.from_store(
                 store,
                 cells.cells,
                 lambda: (
                     _is_owner(membership) and heartbeats.liveness.has_settled()
                 ),
                 lambda: store_calls.era.current,
+                metrics.count_stored_origins,
             ),
             heartbeats=heartbeats,
             reader=readers[0],
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -29,8 +29,8 @@
 # An instance that hears of a smaller share of the fleet may be cut off.
 MIN_FLEET_SHARE: Final = 0.5
 SETTLE_INTERVAL_MS: Final = 500.0
-# How long a stream of unknown origin waits for the versions of the past.
-LEARN_VERSIONS_MS: Final = 400.0
+# How long a stream of unknown origin waits for what the store holds of it.
+LEARN_VERSIONS_MS: Final = 900.0
 
 # Takes an engine's name, the start of an incarnation that was listed and a
 # later time. Returns whether the engine ran that incarnation then.
@@ -80,6 +80,8 @@
         self._is_certain = is_certain
         self._fleet_share = fleet_share
         self.history = VersionHistory()
+        # Whether the store may hold origins that were not read yet.
+        self.awaits_stored = False
         # Of the last change.
         self.sequence = 0
         self._origins: dict[str, Origin] = {}
@@ -150,10 +152,13 @@
         return fields
 
     def may_learn(self, now: float) -> bool:
-        """Return whether the versions of the past may be known in a moment.
+        """Return whether an unknown stream may be known in a moment.
 
-        A process that has just started reads them from the store.
+        A process that becomes the owner reads from the store which versions
+        served before, and which of them began which stream.
         """
+        if self.awaits_stored:
+            return True
         if self.history.is_read or self.history.is_complete(now):
             return False
         return len(self.history.versions(now)) <= 1
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -82,6 +82,14 @@
         """Return whether all versions of the last `HISTORY_MS` are known."""
         return self._known_since_ms <= now - HISTORY_MS
 
+    def is_ambiguous(self, now: float) -> bool:
+        """Return whether several versions can have begun streams."""
+        return (
+            self.is_read
+            and bool(self._listed_since_ms)
+            and self.only_version(now) is None
+        )
+
     def versions(self, now: float) -> frozenset[str]:
         """Return the known versions."""
         return frozenset(self._listed_since_ms).union(
--- /dev/null
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -0,0 +1,45 @@
+"""All that the store remembers for a fleet that loses all its processes."""
+
+from collections.abc import Callable, Coroutine, Iterator, Mapping
+from typing import Any, NamedTuple, Self
+
+from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.store.fleet_record import FleetRecord
+from hornbeamdeck.store.origin_store import OriginStore
+from hornbeamdeck.store.store_interface import StoreInterface
+
+__all__ = ('FleetMemory',)
+
+
+class FleetMemory(NamedTuple):
+    """What keeps the store current, and reads it when the ownership changes."""
+
+    records: tuple[FleetRecord, ...]
+    origins: OriginStore
+
+    @classmethod
+    def from_store(
+        cls,
+        store: StoreInterface,
+        cells: Mapping[str, EngineCell],
+        is_writer: Callable[[], bool],
+        era: Callable[[], int],
+        count_origins: Callable[[str, int], None],
+    ) -> Self:
+        """Create all parts; nothing is called yet.
+
+        :param cells: the cells of this process by service.
+        :param is_writer: whether this process owns the fleet's cells now.
+        :param era: returns the newest era of the store that is known here.
+        :param count_origins: counts origins that were `read` or `written`.
+        """
+        return cls(
+            FleetRecord.of_every_kind(store, cells, is_writer, era),
+            OriginStore(store, cells, is_writer, era, count_origins),
+        )
+
+    def tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
+        """Return what is to be run until the process ends."""
+        for record in self.records:
+            yield record.async_run()
+        yield self.origins.async_run()
--- a/hornbeamdeck/store/store_interface.py
+++ b/hornbeamdeck/store/store_interface.py
@@ -1,6 +1,6 @@
 """The interface to the store, in the product's own types."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple, TypeAlias
 
 from result import Result
@@ -102,6 +102,12 @@
 ]
 
 
+ListRecords: TypeAlias = Callable[
+    [],
+    Awaitable[Result[Mapping[str, StoredRecord], StoreUnavailable]],
+]
+
+
 class StoreInterface(NamedTuple):
     """The calls to the store, as functions.
 
@@ -113,6 +119,7 @@
     :param write_record: takes a record's name; creates it, or replaces it if
         the store still holds this revision. Returns what the store holds
         afterwards.
+    :param list_records: returns all records by name.
     """
 
     read_configuration: ReadConfiguration
@@ -123,3 +130,4 @@
     write_status: WriteStatus
     delete_status: DeleteStatus
     write_record: WriteRecord
+    list_records: ListRecords
--- a/tests/platform/lost_fleets.py
+++ b/tests/platform/lost_fleets.py
@@ -58,6 +58,17 @@
     return set(fields.get('names', fields).get('desk', ()))
 
 
+def stored_origins(fleet: PlatformFleet) -> set[str]:
+    """Return the requests whose streams the store knows."""
+    records = fleet.store.stored_objects.get('records', {})
+    return {
+        request_id
+        for name, stored in records.items()
+        if name.startswith('origins-')
+        for request_id in stored['spec']['services'].get('desk', ())
+    }
+
+
 async def async_begin_at_all(
     fleet: PlatformFleet, count: int
 ) -> list[StreamCaller]:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -99,6 +99,7 @@
         self.oldest_revision = 0
         self.calls = 0
         self.endless = ''
+        self._rejected_kind = ''
         self.listings: Counter[str] = Counter()
         self._changed = Event()
 
@@ -139,6 +140,10 @@
         await self._async_signal_change()
         return self.revision
 
+    def reject(self, kind: str) -> None:
+        """Answer calls for objects of a kind with status 503; empty: none."""
+        self._rejected_kind = kind
+
     async def async_remove(self, kind: str, name: str) -> None:
         """Remove an object as the store does when its lease expires."""
         self.revision += 1
@@ -200,6 +205,8 @@
 
     async def _async_dispatch(self, request: HttpRequest) -> HttpResponse:
         kind, _, name = request.path.removeprefix(OBJECTS_PATH).partition('/')
+        if kind == self._rejected_kind:
+            return HttpResponse(503, {}, b'')
         match request.method:
             case 'GET' if name:
                 found = self.stored_objects.get(kind, {}).get(name)
