Ask engines for their incarnation through another instance where needed

An instance that reaches no engine withheld every stream that its callers took up: it never asked the engine, and a tunnel that was opened a moment ago is not certain by the list. Before: both new tests get 503 no_upstream. The question now uses the same way as the request.

--- a/hornbeamdeck/engines/incarnation_check.py
+++ b/hornbeamdeck/engines/incarnation_check.py
@@ -175,14 +175,12 @@
     """Make the function that asks an engine on a connection of its own."""
 
     async def _async_ask(grant: Grant) -> int | None:
-        if not dialer.is_in_reach(grant.upstream):
-            return None
-        opened = await dialer.async_connect(
-            grant.upstream, grant.address, is_repeatable=True
+        opened = await dialer.async_open(
+            grant, is_repeatable=True, deadline_ms=QUESTION_TIMEOUT_MS
         )
         if isinstance(opened, Err):
             return None
-        connection = opened.ok_value
+        connection = opened.ok_value.connection
         connection.apply_limits(QUESTION_LIMITS)
         try:
             fetched = await connection.async_fetch(
--- a/tests/platform/test_uncertain_versions.py
+++ b/tests/platform/test_uncertain_versions.py
@@ -5,6 +5,7 @@
 
 from hornbeamdeck.clock import now_ms
 from tests.platform.fleet import PlatformFleet, on_platform
+from tests.platform.partitions import Cut, partition
 from tests.platform.standins import EngineStandin
 from tests.platform.stream_caller import StreamCaller
 
@@ -222,3 +223,22 @@
     callers = await _async_begin_at(fleet, engine)
     await _async_crash(engine)
     await _async_check_broken(callers[-1])
+
+
+@pytest.mark.parametrize('cut', [Cut.RESET, Cut.SILENT])
+def test_a_stream_goes_on_through_a_tunnel(cut: Cut) -> None:
+    """Guards against refusing streams at an instance that reaches no engine."""
+
+    @on_platform(count=2)
+    async def _async_play(fleet: PlatformFleet) -> None:
+        _prepare(fleet)
+        caller = StreamCaller(fleet, 'first')
+        await caller.async_begin(1)
+        await sleep(0.1)
+        with partition(fleet, {0}, cut):
+            for _ in range(2):
+                await fleet.async_call('/seats/x', 0)
+            assert await caller.async_resume(0) == 200
+        assert caller.words == WHOLE
+
+    _async_play()
