Don't take the end of an engine for that of an unframed response

An answer with neither a length nor chunks ends with its connection. When the process of an engine is killed between two events, the operating system closes its connections with FIN, and the caller got the events so far as a complete stream, or the part of a body as a whole one with status 200.

The end of the connection alone can't tell. After an unframed response the engine is now asked for its report, on a new connection and through a tunnel where it is not reached directly; any answer shows that an engine runs at the address, and another start of the incarnation that it is not the same. One that refuses, or resets two questions 100 ms apart, or does not answer within 1.5 s, is not known to have finished: a resumable stream goes on elsewhere, others break off, and a body is not passed on. Framed responses ask nothing.

Against the code before, with an engine that stops listening and closes its connection after two of three events: four of four streams were complete with two events, a body of two of three was answered 200, and so was a stream through a tunnel.

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -7,7 +7,10 @@
     'Headers',
     'HttpRequest',
     'HttpResponse',
+    'BODILESS_METHODS',
+    'BODILESS_STATUSES',
     'bearer_key',
+    'ends_with_connection',
     'has_framing',
     'header_pairs',
     'join_headers',
@@ -16,6 +19,9 @@
 
 Headers: TypeAlias = Mapping[str, str]
 
+# Their responses have no body, whatever the head says.
+BODILESS_METHODS: Final = frozenset(('HEAD', 'CONNECT'))
+BODILESS_STATUSES: Final = frozenset((204, 304))
 CHARSET: Final = 'latin-1'
 BEARER_PREFIX: Final = 'bearer '
 SET_COOKIE: Final = 'set-cookie'
@@ -63,6 +69,17 @@
     return not {'content-length', 'transfer-encoding'}.isdisjoint(head.headers)
 
 
+def ends_with_connection(method: str, head: HttpResponse) -> bool:
+    """Return whether a response has a body that only its connection ends.
+
+    :param method: of the request.
+    """
+    has_body = method not in BODILESS_METHODS and (
+        head.status not in BODILESS_STATUSES
+    )
+    return has_body and not has_framing(head)
+
+
 def whole_number(text: str) -> int:
     """Read a whole number of at most MAX_NUMBER; drop its decimal places.
 
--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.chunk_decoder import ChunkDecoder
 from hornbeamdeck.connection.event_progress import EventProgress
+from hornbeamdeck.connection.http import BODILESS_METHODS, BODILESS_STATUSES
 from hornbeamdeck.connection.response_limits import (
     LimitExceeded,
     ResponseLimit,
@@ -25,9 +26,6 @@
 LAST_CHUNK: Final = b'0\r\n\r\n'
 _HEAD_END: Final = re.compile(rb'\n\r?\n')
 MAX_SPLIT_BYTES: Final = 2
-# Their responses have no body, whatever the head says.
-_BODILESS_METHODS: Final = frozenset(('HEAD', 'CONNECT'))
-_BODILESS_STATUSES: Final = frozenset((204, 304))
 
 
 class SilenceError(Exception):
@@ -166,8 +164,8 @@
     def _start_body(self, method: str, head: h11.Response) -> None:
         fields = dict(head.headers)
         has_body = (
-            method not in _BODILESS_METHODS
-            and head.status_code not in _BODILESS_STATUSES
+            method not in BODILESS_METHODS
+            and head.status_code not in BODILESS_STATUSES
         )
         self._announced_bytes = (
             int(fields.get(b'content-length', 0)) if has_body else 0
--- a/hornbeamdeck/platform/__main__.py
+++ b/hornbeamdeck/platform/__main__.py
@@ -27,6 +27,8 @@
     open_store=open_store,
     open_rollout_store=open_rollout_store,
     dialect=DIALECT,
+    report_path='/v1/report',
+    born_field='born',
     parse_configuration=parse_configuration,
     handle_entries_request=handle_entries_request,
 )
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -19,6 +19,7 @@
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.engines.engine_dialer import EngineDialer
+from hornbeamdeck.engines.engine_liveness import make_liveness_check
 from hornbeamdeck.engines.relayed_statements import (
     async_apply_relayed,
     make_statement_recorder,
@@ -293,6 +294,11 @@
                 self.dialer.async_has_ended,
                 components.grants.link.async_send_to_current,
             ).async_start,
+            is_running=make_liveness_check(
+                self.dialer,
+                self._adapter.report_path,
+                self._adapter.born_field,
+            ),
             record_granted_tokens=_record_granted_tokens,
             metrics=components.metrics,
             spools=self.spools,
--- a/hornbeamdeck/process/platform_adapter.py
+++ b/hornbeamdeck/process/platform_adapter.py
@@ -31,6 +31,9 @@
     :param era_header: name of the header in which the store names its era.
     :param open_store: takes the calls that reach the store.
     :param open_rollout_store: takes the same.
+    :param report_path: where engines describe themselves.
+    :param born_field: name of the field in which they state the start of their
+        incarnation.
     :param parse_configuration: parses a configuration document; takes its text
         and version.
     :param handle_entries_request: responds to a caller that requests the
@@ -42,5 +45,7 @@
     open_store: Callable[[StoreCalls], StoreInterface]
     open_rollout_store: Callable[[StoreCalls], RolloutStore]
     dialect: Dialect
+    report_path: str
+    born_field: str
     parse_configuration: ParseConfiguration
     handle_entries_request: EntriesEndpoint
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -200,6 +200,8 @@
         body = await connection.async_read_body()
         if isinstance(body, Err):
             return self._record_broken(body.err_value)
+        if not await self._async_is_whole(head):
+            return RunEnd.FAILED
         self._record_first_byte(sent_ms)
         complete = head._replace(body=body.ok_value)
         if self._caller.has_response_started:
@@ -236,6 +238,8 @@
         if parser.has_partial_event or not (self.event_count or may_be_empty):
             self.cause = 'the stream ended within an event'
             return RunEnd.FAILED
+        if not await self._async_is_whole(head):
+            return RunEnd.FAILED
         await self._caller.async_end_response()
         return RunEnd.ANSWERED
 
@@ -283,6 +287,16 @@
         self._last_event_ms = now_ms()
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
 
+    async def _async_is_whole(self, head: HttpResponse) -> bool:
+        is_whole = await self._engine_connection.async_is_whole(
+            self._admission.request.http_request.method,
+            head,
+            self._context.is_running,
+        )
+        if not is_whole:
+            self.cause = 'the engine has ended with its response'
+        return is_whole
+
     def _record_unsent(self, broken: ConnectionBroken) -> RunEnd:
         """Record that the request was not sent, or only a part of it."""
         end = self._record_broken(broken)
@@ -319,7 +333,7 @@
         """
         unsent = []
         for event in events:
-            id_difference = self._id_difference(event)
+            id_difference = _id_difference(event, self.last_event_id)
             if id_difference > 1:
                 return None
             if id_difference == 1:
@@ -327,8 +341,9 @@
                 self.last_event_id = event.event_id or self.last_event_id
         return unsent
 
-    def _id_difference(self, event: Event) -> int:
-        """Return an event's id less the last one sent; 1 for the next event."""
-        if event.event_id.isdigit() and self.last_event_id.isdigit():
-            return int(event.event_id) - int(self.last_event_id)
-        return 1
+
+def _id_difference(event: Event, last_event_id: str) -> int:
+    """Return an event's id less the last one sent; 1 for the next event."""
+    if event.event_id.isdigit() and last_event_id.isdigit():
+        return int(event.event_id) - int(last_event_id)
+    return 1
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -1,5 +1,6 @@
 """The connection to an engine that one attempt of a request uses."""
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from result import Ok, Result
@@ -9,7 +10,7 @@
     ConnectionPool,
     keep_alive_ms,
 )
-from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.http import HttpResponse, ends_with_connection
 from hornbeamdeck.engines.engine_dialer import EngineDialer, Unreached
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_request import WithholdReason
@@ -83,6 +84,24 @@
         """Record how long the engine will keep the connection open."""
         self._max_idle_ms = keep_alive_ms(head.headers)
 
+    async def async_is_whole(
+        self,
+        method: str,
+        head: HttpResponse,
+        is_running: Callable[[Grant], Awaitable[bool]],
+    ) -> bool:
+        """Return whether a response that has ended is whole.
+
+        The connections of an engine that is killed end like a response without
+        framing.
+
+        :param method: of the request.
+        :param is_running: finds out whether an engine still runs.
+        """
+        if self.grant is None or not ends_with_connection(method, head):
+            return True
+        return await is_running(self.grant)
+
     async def async_close(self, end: RunEnd) -> None:
         """Return the connection to the pool, or close it.
 
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -49,6 +49,7 @@
     :param check_engine: finds out whether the engine of a grant has ended, in
         the background; gets the grant and the instance that its request was
         relayed by; empty: none.
+    :param is_running: finds out whether the engine of a grant still runs.
     :param record_granted_tokens: gets a team's name and the number of tokens
         granted to it.
     :param spools: hold what callers have not read yet.
@@ -69,6 +70,7 @@
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
     check_engine: Callable[[Grant, str], Awaitable[None]]
+    is_running: Callable[[Grant], Awaitable[bool]]
     record_granted_tokens: Callable[[str, int], None]
     metrics: GatewayMetrics
     spools: Spools
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -27,6 +27,7 @@
 OBJECTS_PATH = '/v1/objects/'
 SEAL_HEADER = 'hornbeamdeck-response-seal'
 STATUS_SUFFIX = '/status'
+REPORT_PATH = '/v1/report'
 REQUEST_ID_HEADER = 'hornbeamdeck-request-id'
 FALL_S = 2.0
 RESTORE_S = 0.4
@@ -360,6 +361,7 @@
         self._room = EngineRoom()
         self._stated: dict[str, str] = {}
         self._arrivals: list[tuple[str, float]] = []
+        self._born = 1
         self._sockets: list[socket.socket] = []
         self._listener: Listener
 
@@ -431,6 +433,7 @@
 
     def entry(self, service: str, **changes: Any) -> dict[str, Any]:
         """Make the entry that the engine registers in the store."""
+        self._born = changes.get('born', self._born)
         return {
             'service': service,
             'address': str(self.address),
@@ -440,7 +443,7 @@
             'state': 'ready',
             'cold_remaining_ms': 0,
             'sequence': 1,
-            'born': 1,
+            'born': self._born,
             **changes,
         }
 
@@ -449,6 +452,11 @@
         request: HttpRequest,
         caller: ServerConnection,
     ) -> None:
+        if request.path == REPORT_PATH:
+            await caller.async_respond(
+                _json_response(200, {'born': self._born})
+            )
+            return
         expected = request.headers.get('hornbeamdeck-expect-instance')
         if expected != self.name:
             await caller.async_respond(HttpResponse(421, {}, b''))
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -12,6 +12,7 @@
 )
 from tests.platform.partitions import Cut, partition
 from tests.platform.standins import (
+    REPORT_PATH,
     REQUEST_ID_HEADER,
     SEAL_HEADER,
     EngineStandin,
@@ -19,6 +20,7 @@
 
 EVENTS = 3
 WHOLE = '3'
+RESUMABLE = '/guide/x'
 
 
 class UnframedEngine(EngineStandin):
@@ -26,27 +28,42 @@
 
     `begun_end` tells for new streams after how many events they end, and how:
     `3` closes after three, `1.` within the second, `1!` resets after the first.
-    `resumed_end` is the same for streams that go on.
+    `2x` is an engine that is killed after two, and `2r` one that starts again
+    at once. `resumed_end` is the same for streams that go on. A response that
+    is no stream has a body of as many lines. `resets` is how many questions
+    whether the engine still runs are reset.
     """
 
     def __init__(
         self, name: str, begun_end: str, resumed_end: str = WHOLE
     ) -> None:
         super().__init__(name)
+        self.resets = 0
         self._begun_end = begun_end
         self._resumed_end = resumed_end
 
+    async def _async_handle(
+        self, request: HttpRequest, caller: ServerConnection
+    ) -> None:
+        if request.path == REPORT_PATH and self.resets:
+            self.resets -= 1
+            caller.reset_on_close()
+            return
+        await super()._async_handle(request, caller)
+
     async def _async_run(
         self, request: HttpRequest, caller: ServerConnection, fault: str
     ) -> None:
         first = int(request.headers.get('last-event-id', '0')) + 1
         end = self._begun_end if first == 1 else self._resumed_end
         events = [self._event(number) for number in range(first, EVENTS + 1)]
+        is_stream = 'hornbeamdeck-token-counts' in request.headers
+        kind = 'text/event-stream' if is_stream else 'text/plain'
         head = (
             f'HTTP/1.1 200 OK\r\n'
             f'{REQUEST_ID_HEADER}: {request.headers[REQUEST_ID_HEADER]}\r\n'
             f'{SEAL_HEADER}: seal\r\n'
-            f'content-type: text/event-stream\r\n\r\n'
+            f'content-type: {kind}\r\n\r\n'
         )
         sent = events[: int(end[0])]
         if end.endswith('.'):
@@ -55,17 +72,21 @@
         await sock.sendall(b''.join([head.encode(), *sent]))
         if end.endswith('!'):
             caller.reset_on_close()
+        if end.endswith('x'):
+            await self.async_stop()
+        if end.endswith('r'):
+            self._born += 1
 
 
 async def _async_call(
-    fleet: PlatformFleet, gateway: int = 0
+    fleet: PlatformFleet, gateway: int = 0, path: str = RESUMABLE
 ) -> tuple[list[bytes], bool]:
-    """Request a resumable stream.
+    """Request a stream.
 
     :returns: its events, and whether the response is complete.
     """
     connection = await fleet.async_open(gateway)
-    request = make_request('/guide/x', tokens=TOKEN_COUNTS)
+    request = make_request(path, tokens=TOKEN_COUNTS)
     (await connection.async_send(request)).unwrap()
     head = await connection.async_read_head()
     if head.map_or(0, _status_of) != 200:
@@ -112,6 +133,76 @@
     _run()
 
 
+@pytest.mark.parametrize('end', ['2x', '2r'])
+@pytest.mark.parametrize(
+    ('path', 'count'), [(RESUMABLE, EVENTS), ('/note/x', 2)]
+)
+def test_unframed_stream_of_a_killed_engine_is_not_complete(
+    end: str, path: str, count: int
+) -> None:
+    """Guards against a killed engine that looks like the end of its stream."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        engines = [UnframedEngine(f'desk-u{number}', end) for number in (1, 2)]
+        await fleet.async_replace_model_engines(engines)
+        events, is_complete = await _async_call(fleet, path=path)
+        assert [event.splitlines()[0] for event in events] == [
+            f'id: {number}'.encode() for number in range(1, count + 1)
+        ]
+        assert is_complete == (path == RESUMABLE)
+
+    _run()
+
+
+@pytest.mark.parametrize(('end', 'status'), [(WHOLE, 200), ('2x', 502)])
+def test_unframed_body_of_a_killed_engine_is_not_complete(
+    end: str, status: int
+) -> None:
+    """Guards against a body that ends where its engine was killed."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        engine = UnframedEngine('desk-u1', end)
+        await fleet.async_replace_model_engines([engine])
+        got = await fleet.async_call('/note/x')
+        assert got.status == status
+
+    _run()
+
+
+@on_platform()
+async def test_engines_are_asked_after_unframed_responses_only(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a question that costs a connection for each response."""
+    for engine, connections in (
+        (EngineStandin('desk-f1'), 1),
+        (UnframedEngine('desk-u1', WHOLE), 2),
+    ):
+        await fleet.async_replace_model_engines([engine])
+        assert (await _async_call(fleet))[1]
+        assert engine.connections == connections
+
+
+@pytest.mark.parametrize(('resets', 'is_whole'), [(1, True), (2, False)])
+def test_engine_that_resets_the_question_is_asked_once_more(
+    resets: int, *, is_whole: bool
+) -> None:
+    """Guards against taking an engine with many connections for ended."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        engine = UnframedEngine('desk-u1', WHOLE)
+        engine.resets = resets
+        await fleet.async_replace_model_engines([engine])
+        events, is_complete = await _async_call(fleet, path='/note/x')
+        assert len(events) == EVENTS
+        assert is_complete == is_whole
+
+    _run()
+
+
 @pytest.mark.parametrize('resumed_end', ['0', '0.', '0!'])
 def test_resumed_stream_without_an_event_is_not_complete(
     resumed_end: str,
@@ -133,7 +224,9 @@
     _run()
 
 
-@pytest.mark.parametrize(('end', 'is_whole'), [(WHOLE, True), ('1!', False)])
+@pytest.mark.parametrize(
+    ('end', 'is_whole'), [(WHOLE, True), ('1!', False), ('1x', False)]
+)
 def test_end_of_an_unframed_stream_is_kept_by_a_tunnel(
     end: str, *, is_whole: bool
 ) -> None:
