Relay each event of a stream once, in order, whatever an engine sends

The ids of events were compared with the last one sent only where both were numbers, and an event that came too early made the chunk fail as a whole. Callers could get:

- a stream without the events before a gap: they arrived in the same read, were counted as sent and not relayed, and the stream went on after them;
- the head and the events of a second response that follows in a body without length, once their numbers had passed those of the first;
- events without an id, or with one that is no number, in between;
- events twice where a stream without ids, with a byte order mark or with carriage returns alone went on elsewhere, and a line feed followed by a blank line of CRLF joined two events into one with the id of the first;
- nothing, with an exception, for an id like a superscript digit or one of thousands of digits, from an engine or in Last-Event-Id.

A position of the stream now selects the events. Within one attempt each number is one more than the last, an attempt may begin with events that the caller has, and a stream that had numbers has no event without one. Lines that are neither fields nor comments belong to no stream. What comes before the first wrong event is relayed; then the stream goes on elsewhere or breaks off. A stream whose last event has no usable id does not begin again.

--- a/hornbeamdeck/connection/event_progress.py
+++ b/hornbeamdeck/connection/event_progress.py
@@ -11,7 +11,7 @@
 __all__ = ('EventProgress',)
 
 # A blank line ends an event, in any of the three line endings.
-EVENT_ENDS: Final = (b'\r\n\r\n', b'\n\n', b'\r\r')
+EVENT_ENDS: Final = (b'\n\r\n', b'\n\n', b'\r\r')
 # Bytes of an event's end that the previous chunk may hold.
 MAX_SPLIT_BYTES: Final = 3
 
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -17,7 +17,6 @@
     EngineConnection,
     record_unreached,
 )
-from hornbeamdeck.request.event_parser import Event, EventParser
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import (
@@ -26,6 +25,7 @@
     WithholdReason,
 )
 from hornbeamdeck.request.stream_log import log_stream_begun
+from hornbeamdeck.request.stream_position import Selection, StreamPosition
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineAttempts',)
@@ -56,7 +56,7 @@
         # Events of the current attempt that were relayed.
         self.event_count = 0
         self.is_possibly_executing = False
-        self.last_event_id = admission.request.last_event_id
+        self.position = StreamPosition(admission.request.last_event_id)
         self._context = context
         self._admission = admission
         self._caller = caller
@@ -152,7 +152,7 @@
             engine=engine,
             team=admission.team_name,
             left_ms=admission.left_ms,
-            last_event_id=self.last_event_id,
+            last_event_id=self.position.last_event_id,
         )
         request = admission.request.http_request._replace(
             headers=self._context.dialect.engine_headers(
@@ -217,7 +217,7 @@
     async def _async_relay_stream(
         self, head: HttpResponse, sent_ms: float
     ) -> RunEnd:
-        parser = EventParser()
+        self.position.start_attempt()
         connection = self._engine_connection.connection
         end: RunEnd | None = None
         while connection is not None and end is None:
@@ -225,17 +225,17 @@
             if isinstance(chunk, Err):
                 return self._record_broken(chunk.err_value)
             if not chunk.ok_value:
-                return await self._async_end_stream(head, parser)
-            events = parser.add_chunk(chunk.ok_value)
-            end = await self._async_relay_events(head, events, sent_ms)
+                return await self._async_end_stream(head)
+            selection = self.position.add_chunk(chunk.ok_value)
+            end = await self._async_relay_events(head, selection, sent_ms)
         return end or RunEnd.CANCELLED
 
-    async def _async_end_stream(
-        self, head: HttpResponse, parser: EventParser
-    ) -> RunEnd:
+    async def _async_end_stream(self, head: HttpResponse) -> RunEnd:
         # Without framing, the end of an engine looks like that of a stream.
         may_be_empty = self._caller.has_response_started and has_framing(head)
-        if parser.has_partial_event or not (self.event_count or may_be_empty):
+        if self.position.has_partial_event or not (
+            self.event_count or may_be_empty
+        ):
             self.cause = 'the stream ended within an event'
             return RunEnd.FAILED
         if not await self._async_is_whole(head):
@@ -246,17 +246,26 @@
     async def _async_relay_events(
         self,
         head: HttpResponse,
-        events: list[Event],
+        selection: Selection,
         sent_ms: float,
     ) -> RunEnd | None:
         """Relay events, after the response head if it was not sent yet.
 
         :returns: how the attempt ends if it can't continue, else `None`.
         """
-        unsent = self._unsent_events(events)
-        if unsent is None:
-            self.cause = 'events are missing'
+        end = await self._async_relay_unsent(head, selection, sent_ms)
+        if end is None and not selection.is_in_order:
+            self.cause = 'events that do not follow each other'
             return RunEnd.FAILED
+        return end
+
+    async def _async_relay_unsent(
+        self,
+        head: HttpResponse,
+        selection: Selection,
+        sent_ms: float,
+    ) -> RunEnd | None:
+        unsent = selection.unsent
         if not unsent:
             return None
         if not self._caller.has_response_started:
@@ -325,25 +334,3 @@
             gap_ms = now - self._last_event_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_ms = now
-
-    def _unsent_events(self, events: list[Event]) -> list[Event] | None:
-        """Select the events that the caller has not received yet.
-
-        :returns: `None` if an event in between is missing.
-        """
-        unsent = []
-        for event in events:
-            id_difference = _id_difference(event, self.last_event_id)
-            if id_difference > 1:
-                return None
-            if id_difference == 1:
-                unsent.append(event)
-                self.last_event_id = event.event_id or self.last_event_id
-        return unsent
-
-
-def _id_difference(event: Event, last_event_id: str) -> int:
-    """Return an event's id less the last one sent; 1 for the next event."""
-    if event.event_id.isdigit() and last_event_id.isdigit():
-        return int(event.event_id) - int(last_event_id)
-    return 1
--- a/hornbeamdeck/request/request_log.py
+++ b/hornbeamdeck/request/request_log.py
@@ -40,7 +40,7 @@
         'first_ms': int(attempts.first_byte_ms),
         'begun_ms': int(attempts.arrival_to_first_byte_ms),
         'longest_gap_ms': int(attempts.longest_gap_ms),
-        'last_event': attempts.last_event_id,
+        'last_event': attempts.position.last_event_id,
         'stream_versions': attempts.stream_versions,
         'relay': attempts.relay,
         'dialed_ms': int(attempts.dialed_ms),
--- /dev/null
+++ b/tests/platform/test_stream_order.py
@@ -0,0 +1,193 @@
+"""Streams whose engines send something else than the next event."""
+
+from collections.abc import Sequence
+
+import pytest
+
+from hornbeamdeck.connection.http import HttpRequest
+from hornbeamdeck.connection.server import ServerConnection
+from tests.platform.fleet import (
+    TOKEN_COUNTS,
+    PlatformFleet,
+    make_request,
+    on_platform,
+)
+from tests.platform.standins import (
+    REQUEST_ID_HEADER,
+    SEAL_HEADER,
+    EngineStandin,
+)
+
+EVENTS = 5
+RESUMABLE = '/guide/x'
+RUNS_ONCE = '/note/x'
+MARK = b'\xef\xbb\xbf'
+
+
+def _event(number: int, line_end: bytes = b'\n', blank: bytes = b'\n') -> bytes:
+    lines = [b'id: %d' % number, b'data: word %d' % number]
+    return line_end.join([*lines, blank])
+
+
+FIRST = _event(1)
+TWO = FIRST + _event(2)
+FOREIGN = (
+    b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n',
+    *(_event(number).replace(b'word', b'other') for number in range(1, 9)),
+)
+# What engines send for new streams, in chunks. A stream that ends before its
+# last event breaks off there.
+BEGINNINGS: dict[str, Sequence[bytes]] = {
+    'gap': (FIRST, _event(2), _event(4), _event(5)),
+    'gap in one chunk': (TWO + _event(4) + _event(5),),
+    'second response': (TWO, *FOREIGN),
+    'second response in one chunk': (TWO + b''.join(FOREIGN),),
+    'second response without a head': (TWO, *FOREIGN[1:]),
+    'no id': (TWO, b'data: other\n\n', _event(3)),
+    'empty id': (TWO, b'id:\ndata: other\n\n', _event(3)),
+    'id that is no number': (TWO, b'id: x\ndata: other\n\n', _event(3)),
+    'negative id': (TWO, b'id: -3\ndata: other\n\n', _event(3)),
+    'digit that is no number': (TWO, b'id: \xb2\ndata: other\n\n'),
+    'long id': (TWO, b'id: %b\ndata: other\n\n' % (b'9' * 5000)),
+    'ids that go back': (TWO, _event(3), FIRST, _event(2), _event(3)),
+    'a chunk twice': (TWO, TWO, _event(3)),
+    'an event twice': (TWO, _event(2), _event(3)),
+    'noise': (TWO, bytes(range(128, 256)) + b'\n\n', _event(3)),
+    'noise before an event': (TWO, b'noise\n' + _event(3)),
+    'within the next event': (TWO, b'id: 3\ndata: wo'),
+    'within an id': (TWO + b'id: 3',),
+    'mixed line ends': (
+        _event(1, b'\n', b'\r\n') + _event(2, b'\n', b'\r\n') + _event(3),
+    ),
+    'carriage returns': (_event(1, b'\r', b'\r') + _event(2, b'\r', b'\r'),),
+    'line feeds': (_event(1, b'\r\n', b'\r\n') + _event(2, b'\r\n', b'\n'),),
+    'byte order mark': (MARK + FIRST,),
+}
+# What engines send for streams that go on, before the rest.
+CONTINUATIONS: dict[str, bytes] = {
+    'begins lower': FIRST,
+    'begins at once': b'',
+    'byte order mark': MARK,
+}
+
+
+class ScriptedEngine(EngineStandin):
+    """An engine that sends given chunks for new streams."""
+
+    def __init__(
+        self, name: str, beginning: Sequence[bytes], resumed: bytes = b''
+    ) -> None:
+        super().__init__(name)
+        self._beginning = beginning
+        self._resumed = resumed
+
+    async def _async_run(
+        self, request: HttpRequest, caller: ServerConnection, fault: str
+    ) -> None:
+        headers = {
+            REQUEST_ID_HEADER: request.headers[REQUEST_ID_HEADER],
+            SEAL_HEADER: 'seal',
+            'content-type': 'text/event-stream',
+        }
+        await caller.async_start_response(200, headers)
+        last = int(request.headers.get('last-event-id', '0'))
+        if not last:
+            for chunk in self._beginning:
+                await caller.async_send_chunk(chunk)
+            caller.reset_on_close()
+            return
+        if self._resumed == FIRST:
+            last = 0
+        elif self._resumed:
+            await caller.async_send_chunk(self._resumed)
+        for number in range(last + 1, EVENTS + 1):
+            await caller.async_send_chunk(_event(number))
+        await caller.async_end_response()
+
+
+async def _async_stream(
+    fleet: PlatformFleet, path: str, **headers: str
+) -> tuple[list[bytes], bool]:
+    """Request a stream.
+
+    :returns: its events with line feeds, and whether it is complete.
+    """
+    connection = await fleet.async_open()
+    request = make_request(path, tokens=TOKEN_COUNTS, **headers)
+    (await connection.async_send(request)).unwrap()
+    (await connection.async_read_head()).unwrap()
+    body = b''
+    chunk = (await connection.async_read_chunk()).ok()
+    while chunk:
+        body += chunk
+        chunk = (await connection.async_read_chunk()).ok()
+    lines = body.removeprefix(MARK).replace(b'\r\n', b'\n').splitlines()
+    events = b'\n'.join(lines).split(b'\n\n')
+    return [each.strip() for each in events if each], chunk is not None
+
+
+def _expected(count: int) -> list[bytes]:
+    return [_event(number).strip() for number in range(1, count + 1)]
+
+
+@pytest.mark.parametrize('beginning', BEGINNINGS)
+def test_stream_holds_each_event_once_whatever_an_engine_sends(
+    beginning: str,
+) -> None:
+    """Guards against events that are missing, repeated or of another stream."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        await fleet.async_replace_model_engines(
+            [
+                ScriptedEngine(f'desk-s{number}', BEGINNINGS[beginning])
+                for number in range(2)
+            ]
+        )
+        events, is_complete = await _async_stream(fleet, RESUMABLE)
+        assert events == _expected(EVENTS)
+        assert is_complete
+        events, is_complete = await _async_stream(fleet, RUNS_ONCE)
+        assert events == _expected(len(events))
+        assert not is_complete
+
+    _run()
+
+
+@pytest.mark.parametrize('continuation', CONTINUATIONS)
+def test_stream_that_goes_on_holds_each_event_once(continuation: str) -> None:
+    """Guards against what an engine repeats when a stream goes on at it."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        resumed = CONTINUATIONS[continuation]
+        await fleet.async_replace_model_engines(
+            [
+                ScriptedEngine(f'desk-s{number}', (TWO,), resumed)
+                for number in range(2)
+            ]
+        )
+        events, is_complete = await _async_stream(fleet, RESUMABLE)
+        assert events == _expected(EVENTS)
+        assert is_complete
+
+    _run()
+
+
+@pytest.mark.parametrize('path', [RESUMABLE, RUNS_ONCE])
+def test_stream_without_ids_does_not_begin_again(path: str) -> None:
+    """Guards against a new run of a stream whose caller has its beginning."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        beginning = (b'data: one\n\n', b'data: two\n\n')
+        engines = [
+            ScriptedEngine(f'desk-s{number}', beginning) for number in range(2)
+        ]
+        await fleet.async_replace_model_engines(engines)
+        events, is_complete = await _async_stream(fleet, path)
+        assert events == [b'data: one', b'data: two']
+        assert not is_complete
+        assert sum(len(engine.executed) for engine in engines) == 1
+
+    _run()
