End a stream that is taken up where its engine ends it

A caller that has all events of a stream and lost only its end takes it up; the engine answers with an empty, complete stream. Callers got 502 for that, after one run at each engine that the route allows. An empty stream with framing is now the rest of one whose caller has named its last event.

And a stream that went on at an engine that begins again and ends before the last event that the caller has was complete. It is now broken off.

Both cases failed with the code before: two runs and no response, and a complete stream of two events where the second engine had made one.

--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -232,14 +232,20 @@
 
     async def _async_end_stream(self, head: HttpResponse) -> RunEnd:
         # Without framing, the end of an engine looks like that of a stream.
-        may_be_empty = self._caller.has_response_started and has_framing(head)
+        may_be_empty = self.position.last_event_id and has_framing(head)
         if self.position.has_partial_event or not (
             self.event_count or may_be_empty
         ):
             self.cause = 'the stream ended within an event'
             return RunEnd.FAILED
+        if self.position.is_behind:
+            self.cause = 'the stream ended before the last event'
+            return RunEnd.FAILED
         if not await self._async_is_whole(head):
             return RunEnd.FAILED
+        await _async_start_response(
+            self._caller, self._context.dialect.caller_response(head)
+        )
         await self._caller.async_end_response()
         return RunEnd.ANSWERED
 
@@ -268,11 +274,9 @@
         unsent = selection.unsent
         if not unsent:
             return None
-        if not self._caller.has_response_started:
-            response = self._context.dialect.caller_response(head)
-            await self._caller.async_start_response(
-                response.status, response.headers
-            )
+        await _async_start_response(
+            self._caller, self._context.dialect.caller_response(head)
+        )
         if not self.first_byte_ms:
             self._record_first_byte(sent_ms)
             await self._context.report_first_token(
@@ -334,3 +338,10 @@
             gap_ms = now - self._last_event_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_ms = now
+
+
+async def _async_start_response(
+    caller: ServerConnection, head: HttpResponse
+) -> None:
+    if not caller.has_response_started:
+        await caller.async_start_response(head.status, head.headers)
--- a/hornbeamdeck/request/stream_position.py
+++ b/hornbeamdeck/request/stream_position.py
@@ -62,6 +62,14 @@
         """Whether the current attempt has ended within an event."""
         return self._parser.has_partial_event
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether the current attempt has ended before the last event."""
+        received = _number(self.last_event_id)
+        if self._previous is None or received is None:
+            return False
+        return self._previous < received
+
     def start_attempt(self) -> None:
         """Expect the stream of another engine, which may begin earlier."""
         self._parser = EventParser()
--- a/tests/platform/test_stream_order.py
+++ b/tests/platform/test_stream_order.py
@@ -1,6 +1,7 @@
 """Streams whose engines send something else than the next event."""
 
 from collections.abc import Sequence
+from http import HTTPStatus
 
 import pytest
 
@@ -77,7 +78,7 @@
     def __init__(
         self, name: str, beginning: Sequence[bytes], resumed: bytes = b''
     ) -> None:
-        super().__init__(name)
+        super().__init__(name, events=EVENTS)
         self._beginning = beginning
         self._resumed = resumed
 
@@ -100,7 +101,7 @@
             last = 0
         elif self._resumed:
             await caller.async_send_chunk(self._resumed)
-        for number in range(last + 1, EVENTS + 1):
+        for number in range(last + 1, self.events + 1):
             await caller.async_send_chunk(_event(number))
         await caller.async_end_response()
 
@@ -115,7 +116,9 @@
     connection = await fleet.async_open()
     request = make_request(path, tokens=TOKEN_COUNTS, **headers)
     (await connection.async_send(request)).unwrap()
-    (await connection.async_read_head()).unwrap()
+    head = (await connection.async_read_head()).unwrap()
+    if head.status != HTTPStatus.OK:
+        return [], False
     body = b''
     chunk = (await connection.async_read_chunk()).ok()
     while chunk:
@@ -174,6 +177,41 @@
     _run()
 
 
+@on_platform()
+async def test_whole_stream_that_is_taken_up_ends_at_once(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a failure where only the end of a stream was lost."""
+    for engine in fleet.model_engines:
+        engine.events = EVENTS
+    got = await _async_stream(fleet, RESUMABLE, last_event_id=str(EVENTS))
+    assert got == ([], True)
+    assert sum(len(engine.executed) for engine in fleet.model_engines) == 1
+
+
+@pytest.mark.parametrize(('last_event_id', 'count'), [('', 2), ('9', 0)])
+def test_stream_that_ends_before_the_last_event_is_not_complete(
+    last_event_id: str, count: int
+) -> None:
+    """Guards against an end that lies before what the caller has."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        engines = [
+            ScriptedEngine(f'desk-s{number}', (TWO,), FIRST)
+            for number in range(2)
+        ]
+        for engine in engines:
+            engine.events = 1
+        await fleet.async_replace_model_engines(engines)
+        headers = {'last_event_id': last_event_id} if last_event_id else {}
+        events, is_complete = await _async_stream(fleet, RESUMABLE, **headers)
+        assert events == _expected(count)
+        assert not is_complete
+
+    _run()
+
+
 @pytest.mark.parametrize('path', [RESUMABLE, RUNS_ONCE])
 def test_stream_without_ids_does_not_begin_again(path: str) -> None:
     """Guards against a new run of a stream whose caller has its beginning."""
