Send no second response after a stream that follows an error

An engine answered 500, the request went on at another one, and that one's stream was complete. The kept 500 was then sent as well: the exception broke the connection, by a reset, while the end of the stream was on its way, and the request was logged as one whose caller had left.

The response of an earlier engine is dropped when a stream begins. With the code before, the caller of the new test got a reset in place of its stream or of the next response.

--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -243,9 +243,7 @@
             return RunEnd.FAILED
         if not await self._async_is_whole(head):
             return RunEnd.FAILED
-        await _async_start_response(
-            self._caller, self._context.dialect.caller_response(head)
-        )
+        await self._async_begin(head)
         await self._caller.async_end_response()
         return RunEnd.ANSWERED
 
@@ -274,9 +272,7 @@
         unsent = selection.unsent
         if not unsent:
             return None
-        await _async_start_response(
-            self._caller, self._context.dialect.caller_response(head)
-        )
+        await self._async_begin(head)
         if not self.first_byte_ms:
             self._record_first_byte(sent_ms)
             await self._context.report_first_token(
@@ -285,7 +281,9 @@
                 self.relay,
             )
             self._context.metrics.record_first_token(self.first_byte_ms)
-        self._record_gap()
+        now = now_ms()
+        gap_ms = now - (self._last_event_ms or now)
+        self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         if not self.event_count:
             self._stream_versions.append(self._engine_connection.version)
             log_stream_begun(
@@ -300,6 +298,14 @@
         self._last_event_ms = now_ms()
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
 
+    async def _async_begin(self, head: HttpResponse) -> None:
+        if self._caller.has_response_started:
+            return
+        # That of an engine before this one is not the final response.
+        self.response = None
+        begun = self._context.dialect.caller_response(head)
+        await self._caller.async_start_response(begun.status, begun.headers)
+
     async def _async_is_whole(self, head: HttpResponse) -> bool:
         is_whole = await self._engine_connection.async_is_whole(
             self._admission.request.http_request.method,
@@ -331,17 +337,3 @@
         self.arrival_to_first_byte_ms = (
             self.arrival_to_first_byte_ms or now - self._admission.arrived_ms
         )
-
-    def _record_gap(self) -> None:
-        now = now_ms()
-        if self._last_event_ms:
-            gap_ms = now - self._last_event_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self._last_event_ms = now
-
-
-async def _async_start_response(
-    caller: ServerConnection, head: HttpResponse
-) -> None:
-    if not caller.has_response_started:
-        await caller.async_start_response(head.status, head.headers)
--- a/tests/platform/test_stream_order.py
+++ b/tests/platform/test_stream_order.py
@@ -229,3 +229,20 @@
         assert sum(len(engine.executed) for engine in engines) == 1
 
     _run()
+
+
+@on_platform()
+async def test_stream_that_goes_on_after_an_error_ends_its_request(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a second response after a complete stream."""
+    for engine in fleet.model_engines:
+        engine.faults = ['error']
+        other = next(each for each in fleet.model_engines if each is not engine)
+        other.faults = []
+        connection = await fleet.async_open()
+        for _ in range(4):
+            request = make_request(RESUMABLE, tokens=TOKEN_COUNTS)
+            got = await connection.async_fetch(request)
+            assert got.unwrap().status == HTTPStatus.OK
+    assert not any(engine.faults for engine in fleet.model_engines)
