Reset the stream of an HTTP/1.0 caller when its instance ends

The body of an HTTP/1.0 response ends with its connection. When the process was killed, or a planned stop cut its requests off, the operating system closed the connection with FIN, and the part that the caller had looked like a whole stream.

The connection lingers for no time from the head of such a response until all of it is delivered, so that its end without an end of the response is a reset. With the code before, an instance that ended after the first of three events closed the connection in the usual way.

--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -20,10 +20,16 @@
 )
 from hornbeamdeck.connection.reader import ReadLimits, RequestReader
 
-__all__ = ('Outlet', 'ServerConnection', 'async_reset_connection')
+__all__ = (
+    'Outlet',
+    'ServerConnection',
+    'async_reset_connection',
+    'confirm_delivered',
+)
 
 WRITE_TIMEOUT_MS: Final = 30_000
 LINGER_MS: Final = 2000
+OLD_VERSION: Final = b'1.0'
 
 
 class Outlet(Protocol):
@@ -137,7 +143,13 @@
         status: int,
         headers: Headers,
     ) -> Result[None, ConnectionBroken]:
-        """Write the head of a response whose body is sent in chunks."""
+        """Write the head of a response whose body is sent in chunks.
+
+        For an HTTP/1.0 caller the body ends with the connection. Until it is
+        delivered, the connection is reset if this process ends.
+        """
+        if self._protocol.their_http_version == OLD_VERSION:
+            _set_reset(self._sock, is_on=True)
         return await self._async_write(self._encode_head(status, headers))
 
     async def async_send_chunk(
@@ -150,10 +162,13 @@
 
     async def async_end_response(self) -> Result[None, ConnectionBroken]:
         """Write the end of a complete body."""
-        return await self._async_write(
+        written = await self._async_write(
             self._protocol.send(h11.EndOfMessage()) or b'',
             is_last=True,
         )
+        if self._outlet is None:
+            confirm_delivered(self)
+        return written
 
     def reset_on_close(self) -> None:
         """Reset the connection when it is closed, to mark the body as cut.
@@ -164,8 +179,7 @@
         still waits on it, and a closed socket's descriptor could be reused by
         another connection.
         """
-        reset = struct.pack('ii', 1, 0)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        _set_reset(self._sock, is_on=True)
         self._protocol.send_failed()
 
     async def async_linger(self) -> None:
@@ -205,6 +219,17 @@
         return Ok(None)
 
 
+def confirm_delivered(connection: ServerConnection) -> None:
+    """Let a connection be closed in the usual way if its response is whole."""
+    if connection.is_response_complete:
+        _set_reset(connection.sock, is_on=False)
+
+
+def _set_reset(sock: socket.socket, *, is_on: bool) -> None:
+    linger = struct.pack('ii', is_on, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def async_reset_connection(connection: ServerConnection) -> None:
     """Reset a connection and end the task that serves its request.
 
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -8,7 +8,10 @@
 from result import Err, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
-from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.connection.server import (
+    ServerConnection,
+    confirm_delivered,
+)
 from hornbeamdeck.observability.logs import age_for_log
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
@@ -99,6 +102,7 @@
                 run.log('caller left', code=delivery.left_code)
             raise
         if failure is None:
+            confirm_delivered(caller)
             run.log('request answered')
         else:
             await run.async_fail(failure)
--- a/tests/platform/test_stream_order.py
+++ b/tests/platform/test_stream_order.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import pytest
+from curio import sleep, socket, spawn
 
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.connection.server import ServerConnection
@@ -246,3 +247,67 @@
             got = await connection.async_fetch(request)
             assert got.unwrap().status == HTTPStatus.OK
     assert not any(engine.faults for engine in fleet.model_engines)
+
+
+async def _async_read_old_stream(
+    fleet: PlatformFleet, sock: socket.socket, path: str
+) -> tuple[bytes, bool]:
+    """Request a stream as a caller of HTTP/1.0.
+
+    :returns: what has come, and whether the connection was closed, not reset.
+    """
+    request = make_request(path, tokens=TOKEN_COUNTS)
+    fields = [f'{name}: {text}' for name, text in request.headers.items()]
+    lines = [f'POST {path} HTTP/1.0', *fields, 'content-length: 0', '', '']
+    address = fleet.address(0)
+    await sock.connect((address.host, address.port))
+    await sock.sendall('\r\n'.join(lines).encode())
+    received = b''
+    try:
+        while chunk := await sock.recv(65_536):
+            received += chunk
+    except ConnectionResetError:
+        return received, False
+    return received, True
+
+
+@pytest.mark.parametrize(
+    ('path', 'is_whole'), [(RESUMABLE, True), (RUNS_ONCE, False)]
+)
+def test_broken_stream_of_an_old_caller_is_reset(
+    path: str, *, is_whole: bool
+) -> None:
+    """Guards against a broken stream that ends like a whole one."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        await fleet.async_replace_model_engines(
+            [ScriptedEngine(f'desk-s{number}', (TWO,)) for number in range(2)]
+        )
+        async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            received, is_closed = await _async_read_old_stream(
+                fleet, sock, path
+            )
+        assert received.count(b'data: ') == (EVENTS if is_whole else 2)
+        assert is_closed == is_whole
+
+    _run()
+
+
+@on_platform()
+async def test_stream_of_an_old_caller_is_reset_when_its_instance_ends(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a killed instance that looks like the end of a stream."""
+    for engine in fleet.model_engines:
+        engine.event_gap_s = 0.5
+    async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        reading = await spawn(_async_read_old_stream, fleet, sock, RUNS_ONCE)
+        await fleet.async_until(
+            lambda: any(engine.executed for engine in fleet.model_engines)
+        )
+        await sleep(0.2)
+        await fleet.gateways[0].async_kill()
+        received, is_closed = await reading.join()
+    assert received.count(b'data: ') == 1
+    assert not is_closed
