Return a grant that is for an earlier attempt of its request

A request keeps its id over its attempts, and an instance took any grant with that id from the owner that it waits for. An owner that was cut off when the request moved on still holds the entry of an earlier attempt, which names neither the engines that were tried nor the version of the stream. If it becomes the owner again, its grant let a stream go on at the engine that broke it, or at another version.

Such a grant is returned like one for an engine that is no longer listed. With the code before, the engine that had broken the stream got it a second time in the new test.

The other new tests guard what held before: a deadline that passes between the last event and the end, a last event without an end, and lengths that are not those of the stream.

--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -123,6 +123,7 @@
     RESTING = 'the engine has asked this instance for rest'
     RESTARTED = 'the engine has restarted at another version'
     ROLLED_BACK = 'the version of the engine has been rolled back'
+    EARLIER_ATTEMPT = 'the grant is for an earlier attempt of the request'
     NO_SOCKET = 'this instance can open no connection now'
 
 
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -152,7 +152,7 @@
             if isinstance(granted, Err):
                 return await self._async_handle_refusal(granted.err_value)
             grant = granted.ok_value
-            reason = await self._context.send_guard.async_check(grant)
+            reason = await self._async_check(grant)
             if reason is not None:
                 self._record_returned_grant(grant.upstream, reason)
                 await self._context.release_grant(
@@ -244,6 +244,18 @@
             )
         return granted
 
+    async def _async_check(self, grant: Grant) -> WithholdReason | None:
+        """Return why a grant must not be used now, if so.
+
+        An owner that was cut off may still hold the queue entry of an earlier
+        attempt.
+        """
+        begun = self._engine_attempts.stream_versions
+        is_excluded = grant.upstream in self._attempts.excluded
+        if is_excluded or (begun and begun[0] != (grant.version or '')):
+            return WithholdReason.EARLIER_ATTEMPT
+        return await self._context.send_guard.async_check(grant)
+
     def _would_be_cut_off(self) -> bool:
         """Return whether a planned stop may cut off what would be sent now.
 
--- a/tests/platform/test_stream_order.py
+++ b/tests/platform/test_stream_order.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Sequence
 from http import HTTPStatus
+from unittest.mock import patch
 
 import pytest
 from curio import sleep, socket, spawn
 
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.wire import Enqueue, Grant, Message
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
@@ -58,6 +60,7 @@
     'noise before an event': (TWO, b'noise\n' + _event(3)),
     'within the next event': (TWO, b'id: 3\ndata: wo'),
     'within an id': (TWO + b'id: 3',),
+    'no end after the last event': [_event(each + 1) for each in range(EVENTS)],
     'mixed line ends': (
         _event(1, b'\n', b'\r\n') + _event(2, b'\n', b'\r\n') + _event(3),
     ),
@@ -311,3 +314,97 @@
         received, is_closed = await reading.join()
     assert received.count(b'data: ') == 1
     assert not is_closed
+
+
+@on_platform()
+async def test_deadline_between_the_last_event_and_the_end_breaks_a_stream(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a stream that its deadline makes look whole."""
+    for engine in fleet.model_engines:
+        engine.events = 1
+        engine.event_gap_s = 1.0
+    events, is_complete = await _async_stream(
+        fleet, RUNS_ONCE, hornbeamdeck_deadline_ms='300'
+    )
+    assert events == _expected(1)
+    assert not is_complete
+
+
+class LengthEngine(EngineStandin):
+    """An engine that announces a length and sends another."""
+
+    def __init__(self, name: str, extra_bytes: int) -> None:
+        super().__init__(name)
+        self._announced_extra = extra_bytes
+
+    async def _async_run(
+        self, request: HttpRequest, caller: ServerConnection, fault: str
+    ) -> None:
+        last = int(request.headers.get('last-event-id', '0'))
+        body = b''.join(_event(each) for each in range(last + 1, EVENTS + 1))
+        length = len(body)
+        if not last:
+            body = TWO
+            length = len(body) + self._announced_extra
+        fields = (
+            'HTTP/1.1 200 OK',
+            f'{REQUEST_ID_HEADER}: {request.headers[REQUEST_ID_HEADER]}',
+            f'{SEAL_HEADER}: seal',
+            'content-type: text/event-stream',
+            f'content-length: {length}\r\n\r\n',
+        )
+        await caller.sock.sendall('\r\n'.join(fields).encode() + body)
+
+
+@pytest.mark.parametrize('extra_bytes', [-3, -(len(TWO) - len(FIRST)) + 2, 9])
+def test_stream_of_another_length_than_announced_goes_on(
+    extra_bytes: int,
+) -> None:
+    """Guards against a length that ends a stream within an event."""
+
+    @on_platform()
+    async def _run(fleet: PlatformFleet) -> None:
+        await fleet.async_replace_model_engines(
+            [LengthEngine(f'desk-l{number}', extra_bytes) for number in (1, 2)]
+        )
+        events, is_complete = await _async_stream(fleet, RESUMABLE)
+        assert events == _expected(EVENTS)
+        assert is_complete
+
+    _run()
+
+
+@on_platform()
+async def test_grant_for_an_earlier_attempt_is_not_used(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a stream that goes on at the engine that broke it."""
+    engines = [ScriptedEngine(f'desk-s{number}', (TWO,)) for number in (1, 2)]
+    await fleet.async_replace_model_engines(engines)
+    grants = fleet.gateways[0].components.grants
+    async_send = grants.link.async_send
+    late: list[str] = []
+
+    async def _async_grant_again(owner: str, message: Message) -> None:
+        if isinstance(message, Enqueue) and message.excluded and not late:
+            late.extend(message.excluded)
+            engine = next(each for each in engines if each.name == late[0])
+            grant = Grant(
+                request_id=message.request_id,
+                cell=message.cell,
+                upstream=engine.name,
+                address=str(engine.address),
+                born_ms=1,
+                version='v1',
+            )
+            await grants.async_receive(owner, grant)
+            return
+        await async_send(owner, message)
+
+    with patch.object(grants.link, 'async_send', _async_grant_again):
+        events, is_complete = await _async_stream(fleet, RESUMABLE)
+    assert late
+    assert [len(engine.executed) for engine in engines] == [1, 1]
+    assert events == _expected(EVENTS)
+    assert is_complete
