--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -17,7 +17,6 @@
     EngineConnection,
     record_unreached,
 )
-from hornbeamdeck.request.event_parser import Event, EventParser
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import (
@@ -26,6 +25,7 @@
     WithholdReason,
 )
 from hornbeamdeck.request.stream_evidence import StreamEvidence
+from hornbeamdeck.request.stream_position import Selection, StreamPosition
 from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = ('EngineAttempts',)
@@ -56,7 +56,7 @@
         # Events of the current attempt that were relayed.
         self.event_count = 0
         self.is_possibly_executing = False
-        self.last_event_id = admission.request.last_event_id
+        self.position = StreamPosition(admission.request.last_event_id)
         self._context = context
         self._admission = admission
         self._caller = caller
@@ -98,7 +98,7 @@
             return record_unreached(opened.err_value, self._context.metrics)
         connection = opened.ok_value
         withheld = await self._evidence.async_withhold(
-            grant, connection, self.last_event_id
+            grant, connection, self.position.last_event_id
         )
         # Connecting may have taken long enough for an engine to leave.
         withheld = withheld or self._context.send_guard.check(grant)
@@ -155,7 +155,7 @@
             engine=engine,
             team=admission.team_name,
             left_ms=admission.left_ms,
-            last_event_id=self.last_event_id,
+            last_event_id=self.position.last_event_id,
         )
         request = admission.request.http_request._replace(
             headers=self._context.dialect.engine_headers(
@@ -203,6 +203,8 @@
         body = await connection.async_read_body()
         if isinstance(body, Err):
             return self._record_broken(body.err_value)
+        if not await self._async_is_whole(head):
+            return RunEnd.FAILED
         self._record_first_byte(sent_ms)
         complete = head._replace(body=body.ok_value)
         if self._caller.has_response_started:
@@ -218,7 +220,7 @@
     async def _async_relay_stream(
         self, head: HttpResponse, sent_ms: float
     ) -> RunEnd:
-        parser = EventParser()
+        self.position.start_attempt()
         connection = self._engine_connection.connection
         end: RunEnd | None = None
         while connection is not None and end is None:
@@ -226,47 +228,60 @@
             if isinstance(chunk, Err):
                 return self._record_broken(chunk.err_value)
             if not chunk.ok_value:
-                return await self._async_end_stream(head, parser)
-            events = parser.add_chunk(chunk.ok_value)
-            end = await self._async_relay_events(head, events, sent_ms)
+                return await self._async_end_stream(head)
+            selection = self.position.add_chunk(chunk.ok_value)
+            end = await self._async_relay_events(head, selection, sent_ms)
         return end or RunEnd.CANCELLED
 
-    async def _async_end_stream(
-        self, head: HttpResponse, parser: EventParser
-    ) -> RunEnd:
+    async def _async_end_stream(self, head: HttpResponse) -> RunEnd:
         # Without framing, the end of an engine looks like that of a stream.
-        may_be_empty = self._caller.has_response_started and has_framing(head)
-        if parser.has_partial_event or not (self.event_count or may_be_empty):
+        may_be_empty = self.position.last_event_id and has_framing(head)
+        if self.position.has_partial_event or not (
+            self.event_count or may_be_empty
+        ):
             self.cause = 'the stream ended within an event'
             return RunEnd.FAILED
+        if self.position.is_behind:
+            self.cause = 'the stream ended before the last event'
+            return RunEnd.FAILED
+        if not await self._async_is_whole(head):
+            return RunEnd.FAILED
+        await self._async_begin(head)
         await self._caller.async_end_response()
         return RunEnd.ANSWERED
 
     async def _async_relay_events(
         self,
         head: HttpResponse,
-        events: list[Event],
+        selection: Selection,
         sent_ms: float,
     ) -> RunEnd | None:
         """Relay events, after the response head if it was not sent yet.
 
         :returns: how the attempt ends if it can't continue, else `None`.
         """
-        unsent = self._unsent_events(events)
-        if unsent is None:
-            self.cause = 'events are missing'
+        end = await self._async_relay_unsent(head, selection, sent_ms)
+        if end is None and not selection.is_in_order:
+            self.cause = 'events that do not follow each other'
             return RunEnd.FAILED
+        return end
+
+    async def _async_relay_unsent(
+        self,
+        head: HttpResponse,
+        selection: Selection,
+        sent_ms: float,
+    ) -> RunEnd | None:
+        unsent = selection.unsent
         if not unsent:
             return None
-        if not self._caller.has_response_started:
-            response = self._context.dialect.caller_response(head)
-            await self._caller.async_start_response(
-                response.status, response.headers
-            )
+        await self._async_begin(head)
         if not self.first_byte_ms:
             self._record_first_byte(sent_ms)
             self._context.metrics.record_first_token(self.first_byte_ms)
-        self._record_gap()
+        now = now_ms()
+        gap_ms = now - (self._last_event_ms or now)
+        self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         if not self.event_count:
             await self._evidence.async_record_part(
                 self._engine_connection, unsent[0], now_ms() - sent_ms
@@ -278,6 +293,24 @@
         self._last_event_ms = now_ms()
         return RunEnd.CANCELLED if isinstance(relayed, Err) else None
 
+    async def _async_begin(self, head: HttpResponse) -> None:
+        if self._caller.has_response_started:
+            return
+        # That of an engine before this one is not the final response.
+        self.response = None
+        begun = self._context.dialect.caller_response(head)
+        await self._caller.async_start_response(begun.status, begun.headers)
+
+    async def _async_is_whole(self, head: HttpResponse) -> bool:
+        is_whole = await self._engine_connection.async_is_whole(
+            self._admission.request.http_request.method,
+            head,
+            self._context.is_running,
+        )
+        if not is_whole:
+            self.cause = 'the engine has ended with its response'
+        return is_whole
+
     def _record_unsent(self, broken: ConnectionBroken) -> RunEnd:
         """Record that the request was not sent, or only a part of it."""
         end = self._record_broken(broken)
@@ -299,31 +332,3 @@
         self.arrival_to_first_byte_ms = (
             self.arrival_to_first_byte_ms or now - self._admission.arrived_ms
         )
-
-    def _record_gap(self) -> None:
-        now = now_ms()
-        if self._last_event_ms:
-            gap_ms = now - self._last_event_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self._last_event_ms = now
-
-    def _unsent_events(self, events: list[Event]) -> list[Event] | None:
-        """Select the events that the caller has not received yet.
-
-        :returns: `None` if an event in between is missing.
-        """
-        unsent = []
-        for event in events:
-            id_difference = self._id_difference(event)
-            if id_difference > 1:
-                return None
-            if id_difference == 1:
-                unsent.append(event)
-                self.last_event_id = event.event_id or self.last_event_id
-        return unsent
-
-    def _id_difference(self, event: Event) -> int:
-        """Return an event's id less the last one sent; 1 for the next event."""
-        if event.event_id.isdigit() and self.last_event_id.isdigit():
-            return int(event.event_id) - int(self.last_event_id)
-        return 1
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -8,7 +8,10 @@
 from result import Err, Result
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
-from hornbeamdeck.connection.server import ServerConnection
+from hornbeamdeck.connection.server import (
+    ServerConnection,
+    confirm_delivered,
+)
 from hornbeamdeck.observability.logs import age_for_log
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
@@ -99,6 +102,7 @@
                 run.log('caller left', code=delivery.left_code)
             raise
         if failure is None:
+            confirm_delivered(caller)
             run.log('request answered')
         else:
             await run.async_fail(failure)
@@ -234,6 +238,18 @@
             )
         return granted
 
+    async def _async_check(self, grant: Grant) -> WithholdReason | None:
+        """Return why a grant must not be used now, if so.
+
+        An owner that was cut off may still hold the queue entry of an earlier
+        attempt.
+        """
+        begun = self._engine_attempts.evidence.versions
+        is_excluded = grant.upstream in self._attempts.excluded
+        if is_excluded or (begun and begun[0] != (grant.version or '')):
+            return WithholdReason.EARLIER_ATTEMPT
+        return await self._context.send_guard.async_check(grant)
+
     def _would_be_cut_off(self) -> bool:
         """Return whether a planned stop may cut off what would be sent now.
 
@@ -266,7 +282,7 @@
 
     async def _async_use(self, grant: Grant) -> RunEnd | None:
         """Use a grant, or return it; `None`: nothing was sent."""
-        reason = await self._context.send_guard.async_check(grant)
+        reason = await self._async_check(grant)
         if reason is None:
             return await self._async_attempt(grant)
         self._record_returned_grant(grant.upstream, reason)
@@ -360,7 +376,9 @@
             or self._attempts.possible_runs >= route.max_attempts
         ):
             return False
-        return not self._caller.has_response_started or route.is_resumable
+        return not self._caller.has_response_started or (
+            route.is_resumable and self._engine_attempts.position.is_resumable
+        )
 
     async def _async_handle_refusal(self, refusal: NotRun) -> Failure | None:
         if not self._attempts.possible_runs:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -403,6 +403,7 @@
         self._room = EngineRoom()
         self._stated: dict[str, str] = {}
         self._arrivals: list[tuple[str, float]] = []
+        self._born = 1
         self._sockets: list[socket.socket] = []
         self._listener: Listener
 
@@ -470,6 +471,7 @@
 
     def entry(self, service: str, **changes: Any) -> dict[str, Any]:
         """Make the entry that the engine registers in the store."""
+        self._born = changes.get('born', self._born)
         return {
             'service': service,
             'address': str(self.address),
