--- a/hornbeamdeck/engines/engine_liveness.py
+++ b/hornbeamdeck/engines/engine_liveness.py
@@ -9,11 +9,12 @@
 from http import HTTPStatus
 from typing import Final, TypeAlias
 
+import structlog
 from curio import sleep
 from curio.errors import TaskTimeout
 from result import Err
 
-from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.const import MILLIS_PER_SECOND
@@ -24,6 +25,8 @@
 
 __all__ = ('IsRunning', 'make_liveness_check')
 
+_LOGGER = structlog.get_logger(prefix='engines')
+
 # When to ask. An engine that has too many connections resets another one, and
 # one that ends may do so before it refuses connections.
 ASK_DELAYS_MS: Final = (0, 100)
@@ -57,7 +60,19 @@
                 return _is_same(grant, answer, stated_ms)
         return False
 
-    return _async_is_running
+    async def _async_check(grant: Grant) -> bool:
+        asked_ms = now_ms()
+        is_running = await _async_is_running(grant)
+        _LOGGER.info(
+            'engine asked after an unframed response',
+            engine=grant.upstream,
+            request_id=grant.request_id,
+            is_running=is_running,
+            took_ms=int(now_ms() - asked_ms),
+        )
+        return is_running
+
+    return _async_check
 
 
 async def _async_ask(
--- a/hornbeamdeck/request/event_parser.py
+++ b/hornbeamdeck/request/event_parser.py
@@ -9,6 +9,8 @@
 _EVENT_END: Final = re.compile(rb'\r?\n\r?\n|\r\r')
 # Bytes of an event's end that the previous chunk may hold.
 MAX_SPLIT_BYTES: Final = 3
+# Most events look like this; their lines need not be split.
+_PLAIN_EVENT: Final = re.compile(rb'id: ?([0-9]+)\ndata:[^\r\n]*\n\n')
 BYTE_ORDER_MARK: Final = b'\xef\xbb\xbf'
 ID_FIELD: Final = b'id'
 DATA_FIELD: Final = b'data'
@@ -68,6 +70,9 @@
 
 
 def _make_event(encoded: bytes) -> Event:
+    plain = _PLAIN_EVENT.fullmatch(encoded)
+    if plain is not None:
+        return Event(plain.group(1).decode(), encoded)
     lines = encoded.removeprefix(BYTE_ORDER_MARK).splitlines()
     fields = [line.partition(b':') for line in lines]
     ids = [text for name, _, text in fields if name == ID_FIELD]
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -373,12 +373,11 @@
         route = self._admission.route
         if (
             not route.is_repeatable
+            or not self._engine_attempts.position.is_resumable
             or self._attempts.possible_runs >= route.max_attempts
         ):
             return False
-        return not self._caller.has_response_started or (
-            route.is_resumable and self._engine_attempts.position.is_resumable
-        )
+        return not self._caller.has_response_started or route.is_resumable
 
     async def _async_handle_refusal(self, refusal: NotRun) -> Failure | None:
         if not self._attempts.possible_runs:
--- a/tests/platform/test_unframed_responses.py
+++ b/tests/platform/test_unframed_responses.py
@@ -1,6 +1,7 @@
 """Responses with neither a length nor chunks, which end with the connection."""
 
 import pytest
+from curio import sleep, spawn
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
@@ -70,6 +71,7 @@
             sent.append(events[len(sent)][:9])
         sock = caller._sock  # noqa: SLF001
         await sock.sendall(b''.join([head.encode(), *sent]))
+        await sleep(self.event_gap_s)
         if end.endswith('!'):
             caller.reset_on_close()
         if end.endswith('x'):
@@ -145,6 +147,9 @@
     @on_platform()
     async def _run(fleet: PlatformFleet) -> None:
         engines = [UnframedEngine(f'desk-u{number}', end) for number in (1, 2)]
+        for engine in engines:
+            # Time for its statement, without which no stream goes on.
+            engine.event_gap_s = 0.1
         await fleet.async_replace_model_engines(engines)
         events, is_complete = await _async_call(fleet, path=path)
         assert [event.splitlines()[0] for event in events] == [
@@ -181,7 +186,8 @@
         (UnframedEngine('desk-u1', WHOLE), 2),
     ):
         await fleet.async_replace_model_engines([engine])
-        assert (await _async_call(fleet))[1]
+        # Whoever may not go on elsewhere needs no other statement.
+        assert (await _async_call(fleet, path='/note/x'))[1]
         assert engine.connections == connections
 
 
@@ -203,6 +209,23 @@
     _run()
 
 
+@on_platform(count=2)
+async def test_engine_is_asked_through_another_instance(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against broken streams where only new connections are refused."""
+    engine = UnframedEngine('desk-u1', WHOLE)
+    engine.event_gap_s = 0.3
+    await fleet.async_replace_model_engines([engine])
+    calling = await spawn(_async_call, fleet)
+    await fleet.async_until(lambda: bool(engine.executed))
+    with partition(fleet, {0}, Cut.NEW_REFUSED):
+        events, is_complete = await calling.join()
+    assert len(events) == EVENTS
+    assert is_complete
+    assert fleet.gateways[0].dialer.tunnels_opened == 1
+
+
 @pytest.mark.parametrize('resumed_end', ['0', '0.', '0!'])
 def test_resumed_stream_without_an_event_is_not_complete(
     resumed_end: str,
