Bound what engines may send to all requests of a process together

Change: responses that are not complete yet count in the memory budget. Each has 64 KB without waiting; beyond a quarter of the limit only the first that grows is read, beyond all of it only the largest, and the largest that has brought nothing for 1.5 s is ended (limit exceeded: memory). None is read on while callers have used up the share of unread responses. The share comes from messages to peers, whose share was never asked for.

Two copies of complete responses are gone, too: one was kept until the caller had read its response, and one while the writing task of a spool began.

--- a/hornbeamdeck/connection/byte_account.py
+++ b/hornbeamdeck/connection/byte_account.py
@@ -1,8 +1,18 @@
 """Interface for counting the bytes that are held for a connection."""
 
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeAlias
 
-__all__ = ('ByteAccount', 'Unlimited')
+__all__ = (
+    'AsyncEnd',
+    'ByteAccount',
+    'OpenResponse',
+    'ResponseAccount',
+    'Unlimited',
+    'UnlimitedResponse',
+)
+
+AsyncEnd: TypeAlias = Callable[[], Awaitable[None]]
 
 
 class ByteAccount(Protocol):
@@ -30,3 +40,45 @@
 
     def drop(self, _dropped_bytes: int | None = None) -> None:
         """Count nothing."""
+
+
+class ResponseAccount(Protocol):
+    """Counts the bytes of one response that are held while it arrives."""
+
+    has_ended: bool
+
+    def hold(self, held_bytes: int) -> bool:
+        """Set how many bytes are held now; return whether it may grow."""
+
+    async def async_wait(self) -> bool:
+        """Wait until it may grow.
+
+        :returns: `False`: it was ended to make room.
+        """
+
+    def drop(self) -> None:
+        """Count its bytes as no longer held."""
+
+
+# Makes the account of a response, given what breaks its connection.
+OpenResponse: TypeAlias = Callable[[AsyncEnd], ResponseAccount]
+
+
+class UnlimitedResponse:
+    """A response of which as much may be held as its own limits allow."""
+
+    has_ended = False
+
+    def __init__(self, _async_end: AsyncEnd | None = None) -> None:
+        """Count nothing."""
+
+    def hold(self, _held_bytes: int) -> bool:
+        """Return that it may always grow."""
+        return True
+
+    async def async_wait(self) -> bool:
+        """Return that it may always grow."""
+        return True
+
+    def drop(self) -> None:
+        """Count nothing."""
--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Coroutine
+from contextlib import suppress
 from typing import Any, Self, TypeVar
 
 import h11
@@ -11,6 +12,10 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.connection.byte_account import (
+    OpenResponse,
+    UnlimitedResponse,
+)
 from hornbeamdeck.connection.chunk_decoder import BadChunk
 from hornbeamdeck.connection.errors import ConnectFailed, ConnectionBroken
 from hornbeamdeck.connection.http import (
@@ -112,6 +117,15 @@
         """Set the limits for the responses to further requests."""
         self._reader.limits = limits
 
+    def open_account(self, open_response: OpenResponse) -> None:
+        """Count what is held of the response to the next request."""
+        self._reader.account = open_response(self._async_shut_down)
+
+    def drop_account(self) -> None:
+        """Count nothing as held any more."""
+        self._reader.account.drop()
+        self._reader.account = UnlimitedResponse()
+
     def has_no_pending_input(self) -> bool:
         """Whether nothing arrived after the last response, not even a close."""
         return not has_pending_input(self._sock)
@@ -181,6 +195,10 @@
         """Close; the upstream cancels an unfinished run unless resumable."""
         await self._sock.close()
 
+    async def _async_shut_down(self) -> None:
+        with suppress(OSError):
+            await self._sock.shutdown(socket.SHUT_RDWR)
+
     def _encode_head(self, method: str, target: str, headers: Headers) -> bytes:
         event = h11.Request(
             method=method,
--- a/hornbeamdeck/connection/event_progress.py
+++ b/hornbeamdeck/connection/event_progress.py
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         """Start before the first event."""
-        self._unfinished_bytes = 0
+        self.unfinished_bytes = 0
         self._has_content = False
         self._tail = b''
 
@@ -33,12 +33,12 @@
         :raises LimitExceeded: if an event is too large.
         """
         window = self._tail + chunk
-        known = self._unfinished_bytes - len(self._tail)
+        known = self.unfinished_bytes - len(self._tail)
         first_end = _first_end(window)
         if known + first_end > limits.max_event_bytes:
             raise LimitExceeded(ResponseLimit.EVENT, limits.max_event_bytes)
         has_event = self._record_ends(chunk, window, _last_end(window))
-        if self._unfinished_bytes > limits.max_unfinished_bytes:
+        if self.unfinished_bytes > limits.max_unfinished_bytes:
             raise LimitExceeded(
                 ResponseLimit.UNFINISHED, limits.max_unfinished_bytes
             )
@@ -49,9 +49,9 @@
         has_event = bool(
             last_end and (self._has_content or window[:last_end].strip())
         )
-        self._unfinished_bytes += len(chunk)
+        self.unfinished_bytes += len(chunk)
         if has_event:
-            self._unfinished_bytes = len(rest)
+            self.unfinished_bytes = len(rest)
         self._has_content = bool(rest.strip()) or (
             self._has_content and not last_end
         )
--- a/hornbeamdeck/connection/response_limits.py
+++ b/hornbeamdeck/connection/response_limits.py
@@ -31,6 +31,7 @@
     UNFINISHED = 'unfinished_event'
     PROGRESS = 'progress'
     SENDING = 'sending'
+    MEMORY = 'memory'
 
 
 class ResponseLimits(NamedTuple):
--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -10,6 +10,10 @@
 from curio.errors import TaskTimeout
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
+from hornbeamdeck.connection.byte_account import (
+    ResponseAccount,
+    UnlimitedResponse,
+)
 from hornbeamdeck.connection.chunk_decoder import ChunkDecoder
 from hornbeamdeck.connection.event_progress import EventProgress
 from hornbeamdeck.connection.response_limits import (
@@ -77,6 +81,7 @@
     ) -> None:
         """Share the socket and the protocol state with the sending half."""
         self.limits = limits
+        self.account: ResponseAccount = UnlimitedResponse()
         self._sock = sock
         self._protocol = protocol
         # Received bytes that the protocol state has not got yet.
@@ -127,18 +132,18 @@
             self._record_progress()
             if self._decoder is not None:
                 self._decoder.reset_framing()
+        await _async_hold(self.account, self._progress.unfinished_bytes)
         return received
 
     async def async_read_body(self) -> bytes:
         """Read the rest of a body that is not a stream."""
-        parts = []
-        body_bytes = 0
+        body = bytearray()
         self._check_body_bytes(self._announced_bytes)
         while part := await self._async_read_content():
-            body_bytes += len(part)
-            self._check_body_bytes(body_bytes)
-            parts.append(part)
-        return b''.join(parts)
+            body += part
+            self._check_body_bytes(len(body))
+            await _async_hold(self.account, len(body))
+        return bytes(body)
 
     def _check_body_bytes(self, body_bytes: int) -> None:
         if body_bytes > self.limits.max_body_bytes:
@@ -232,6 +237,8 @@
             received = await self._sock.recv(READ_BYTES)
         else:
             received = await self._async_receive_within(left_ms)
+        if self.account.has_ended:
+            raise LimitExceeded(ResponseLimit.MEMORY, 0)
         self._waited_ms += now_ms() - started_ms
         self._received_bytes += len(received)
         return bytes(received)
@@ -264,3 +271,12 @@
     def _record_progress(self) -> None:
         self._waited_ms = 0
         self._received_bytes = 0
+
+
+async def _async_hold(account: ResponseAccount, held_bytes: int) -> None:
+    """Count what is held of a response, and wait until it may grow.
+
+    :raises LimitExceeded: if it was ended to make room.
+    """
+    if not account.hold(held_bytes) and not await account.async_wait():
+        raise LimitExceeded(ResponseLimit.MEMORY, 0)
--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -90,6 +90,10 @@
         """
         return int(await self._sock.send(unsent))
 
+    async def shutdown(self, how: int) -> None:
+        """Shut the tunnel down in one direction, or both."""
+        await self._sock.shutdown(how)
+
     async def close(self) -> None:
         """Close the tunnel, and with it the connection to the engine."""
         await self._sock.close()
--- a/hornbeamdeck/engines/engine_dialer.py
+++ b/hornbeamdeck/engines/engine_dialer.py
@@ -15,6 +15,10 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.byte_account import (
+    OpenResponse,
+    UnlimitedResponse,
+)
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.end_check import async_has_ended
 from hornbeamdeck.connection.errors import ConnectFailed
@@ -86,11 +90,14 @@
         identity: PeerIdentity,
         availability_zone: str,
         serving_instances: Callable[[], list[InstanceStatus]],
+        open_response: OpenResponse = UnlimitedResponse,
     ) -> None:
         """Start with all engines in reach.
 
         :param serving_instances: returns the instances that serve callers.
+        :param open_response: makes what counts the bytes of a response.
         """
+        self.open_response = open_response
         self.reach = EngineReach()
         self.tunnels_opened = 0
         self._identity = identity
--- a/hornbeamdeck/memory/budget.py
+++ b/hornbeamdeck/memory/budget.py
@@ -23,6 +23,7 @@
 
     REQUEST_BODIES = 'request_bodies'
     UNREAD_RESPONSES = 'unread_responses'
+    ENGINE_RESPONSES = 'engine_responses'
     TUNNELS = 'tunnels'
     PEER_MESSAGES = 'peer_messages'
 
@@ -33,8 +34,9 @@
     {
         Purpose.REQUEST_BODIES: 0.25,
         Purpose.UNREAD_RESPONSES: 0.5,
+        Purpose.ENGINE_RESPONSES: 0.0625,
         Purpose.TUNNELS: 0.125,
-        Purpose.PEER_MESSAGES: 0.125,
+        Purpose.PEER_MESSAGES: 0.0625,
     }
 )
 
--- a/hornbeamdeck/memory/spool.py
+++ b/hornbeamdeck/memory/spool.py
@@ -147,7 +147,11 @@
             unsent = memoryview(encoded)[sent:]
         if self.broken is None:
             await self._async_hold(unsent)
+            # A complete response is not kept for any longer than it is copied.
             if not is_last:
+                # An engine that is always ahead of the writing task would
+                # otherwise keep it from all others.
+                await sleep(0)
                 await self._async_wait_for_room()
         return _WRITTEN if self.broken is None else Err(self.broken)
 
@@ -211,9 +215,6 @@
         self._grown_ms = now_ms()
         if self._writer is None:
             self._writer = await spawn(self._async_write_held, daemon=True)
-        # An engine that is always ahead of this task would otherwise keep it
-        # from all others.
-        await sleep(0)
 
     async def _async_wait_for_room(self) -> None:
         if self.broken is not None or await self._room.async_make(self):
--- a/hornbeamdeck/memory/spools.py
+++ b/hornbeamdeck/memory/spools.py
@@ -9,6 +9,7 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.memory.budget import Account, MemoryBudget, Purpose
+from hornbeamdeck.memory.incoming_responses import IncomingResponses
 from hornbeamdeck.memory.spool import Spool, SpoolTerms
 
 __all__ = ('Spools',)
@@ -31,6 +32,8 @@
         """Start without responses."""
         self.disconnected_callers = 0
         self.budget = budget
+        # What is read from engines and not complete yet.
+        self.incoming = IncomingResponses(budget)
         self._resets: dict[Spool, AsyncReset] = {}
 
     @classmethod
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -98,6 +98,7 @@
             self.components.identity,
             settings.availability_zone,
             self.components.heartbeats.liveness.serving_instances,
+            self.spools.incoming.open,
         )
         self._send_guard = SendGuard(
             self.freshness_guard,
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -69,13 +69,13 @@
             pooled = await self._pool.async_acquire(grant.upstream)
         self._was_pooled = pooled is not None
         if pooled is not None:
-            self.connection = pooled
+            self._use(pooled)
             return Ok(pooled)
         opened = await self._dialer.async_open(
             grant, is_repeatable=self._is_repeatable, deadline_ms=deadline_ms
         )
         if isinstance(opened, Ok):
-            self.connection = opened.ok_value.connection
+            self._use(opened.ok_value.connection)
             self.relay = opened.ok_value.relay
         return opened.map(lambda link: link.connection)
 
@@ -95,6 +95,7 @@
         self.connection = None
         if connection is None:
             return
+        connection.drop_account()
         if end in _COMPLETE and not self.relay:
             await self._pool.async_release(
                 self._engine, connection, self._max_idle_ms
@@ -104,6 +105,10 @@
         if self._was_pooled and end in _BROKEN:
             await self._pool.async_close_engine(self._engine)
 
+    def _use(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        connection.open_account(self._dialer.open_response)
+
     @property
     def _engine(self) -> str:
         return self.grant.upstream if self.grant else ''
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -375,6 +375,8 @@
             return await self._async_handle_refusal(engines_unreachable())
         response = self._engine_attempts.response
         if end == RunEnd.ANSWERED or response is not None:
+            # What the caller has not read is held once, not twice.
+            self._engine_attempts.response = None
             if response is not None:
                 await self._caller.async_respond(response)
             return None
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -58,6 +58,13 @@
         _chunk(b'id: 1\ndata: word 1\n\n'),
         has_head=True,
     ),
+    # Little less than the largest body, or event, and then nothing.
+    'stalled_body': Endless(
+        b'', _chunk(b'z' * 4_000_000), has_head=True, gap_s=1
+    ),
+    'stalled_event': Endless(
+        b'', _chunk(b'data: %b' % (b'z' * 1_000_000)), has_head=True, gap_s=1
+    ),
     'blank_lines': Endless(_repeat(_chunk(b'\n\n')), has_head=True),
 }
 
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -1,4 +1,4 @@
-"""A gateway in a process of its own, which may open few descriptors."""
+"""A gateway in a process of its own, with limits of the operating system."""
 
 import json
 import os
@@ -24,6 +24,7 @@
 READY_POLL_S = 0.05
 READY_POLLS = 200
 CALL_TIMEOUT_MS = 1000
+KIB_PER_MIB = 1024
 READY = HttpRequest('GET', '/v1/ready', '', {'host': 'walks.example'}, b'')
 
 
@@ -45,6 +46,20 @@
     return isinstance(got, Ok) and got.ok_value.status == 200
 
 
+class GatewayProcess(NamedTuple):
+    """A gateway process, and what it uses."""
+
+    addresses: GatewayAddresses
+    pid: int
+    store: StoreStandin
+
+    def peak_mb(self) -> float:
+        """Return the most memory that the process has had resident."""
+        status = Path(f'/proc/{self.pid}/status').read_text()
+        fields = dict(line.split(':', 1) for line in status.splitlines())
+        return int(fields['VmHWM'].removesuffix('kB')) / KIB_PER_MIB
+
+
 @asynccontextmanager
 async def gateway_process(
     descriptors: int,
@@ -54,20 +69,33 @@
     :param descriptors: how many the operating system lets the process open.
     """
     store = StoreStandin()
-    store_address = await store.async_start()
     await store.async_put('config', 'main', document())
     for name in ('counter-1', 'counter-2'):
         engine = EngineStandin(name)
         await engine.async_start()
         await store.async_put('servers', name, engine.entry('counter'))
+    async with started_process(store, descriptors) as process:
+        yield process.addresses
+
+
+@asynccontextmanager
+async def started_process(
+    store: StoreStandin, descriptors: int, **changes: object
+) -> AsyncIterator[GatewayProcess]:
+    """Run a store and one gateway process until it is not needed.
+
+    :param changes: settings that replace the defaults.
+    """
+    store_address = await store.async_start()
     addresses = GatewayAddresses(*await _async_find_free_addresses(5))
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
-        path.write_text(json.dumps(_make_settings(addresses, store_address)))
+        settings = {**_make_settings(addresses, store_address), **changes}
+        path.write_text(json.dumps(settings))
         process = _start(path, descriptors)
         try:
             await _async_wait_ready(addresses)
-            yield addresses
+            yield GatewayProcess(addresses, process.pid, store)
         finally:
             process.kill()
             process.wait()
