Take no bodies at the addresses for short calls

Cause: the addresses for readiness, directory and metrics read bodies of up to 4 MB, each on some 60 connections at once, and nothing counted them. 60 callers that send a body and don't end it occupied 287 MB of a process with memory_mb 152 (VmHWM, a process of its own; 288 and 289 MB at the other two). Calls there have no body; one beyond 4 KB gets 413 now.

The new test fails on the code before at these three addresses, and passes now. Request bodies at the address of callers held: the memory budget counts them.

--- a/hornbeamdeck/process/gateway_endpoints.py
+++ b/hornbeamdeck/process/gateway_endpoints.py
@@ -1,7 +1,7 @@
 """Serves the HTTP endpoints of the gateway process itself."""
 
 from collections.abc import Callable
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from curio import socket
 
@@ -10,11 +10,15 @@
 from hornbeamdeck.connection.errors import BadRequest
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.listener import Listener, async_setup_listener
+from hornbeamdeck.connection.reader import ReadLimits
 from hornbeamdeck.connection.request_loop import async_serve_requests
 from hornbeamdeck.connection.server import ServerConnection
 
 __all__ = ('Endpoint', 'async_serve_endpoint')
 
+# Their calls have no body, and there may be a hundred at once.
+MAX_BODY_BYTES: Final = 4096
+
 Endpoint: TypeAlias = Callable[[HttpRequest], HttpResponse]
 
 
@@ -41,6 +45,7 @@
             sock,
             _async_respond,
             _bad_request_response,
+            ReadLimits(max_body_bytes=MAX_BODY_BYTES),
             connections=connections,
         )
 
--- a/tests/platform/test_endless_memory.py
+++ b/tests/platform/test_endless_memory.py
@@ -1,14 +1,21 @@
 """Memory of a gateway process whose engines send without end, many at once."""
 
+from contextlib import AsyncExitStack, suppress
+
 import pytest
 from curio import TaskGroup, run, sleep, spawn
 from result import Ok
 
+from hornbeamdeck.connection.address import Address, async_connect
 from hornbeamdeck.connection.client import async_fetch_on_new_connection
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.server import ServerConnection
 from tests.platform.fleet import TOKEN_COUNTS, make_request
-from tests.platform.gateway_process import GatewayProcess, started_process
+from tests.platform.gateway_process import (
+    GatewayProcess,
+    async_is_ready,
+    started_process,
+)
 from tests.platform.standins import (
     REQUEST_ID_HEADER,
     SEAL_HEADER,
@@ -26,6 +33,12 @@
 SOUND_CALLS = 10
 SOUND_GAP_S = 0.2
 LARGE_CALLS = 40
+# As many as an address for short calls serves at once.
+FLOOD = 60
+UNFINISHED_REQUEST = (
+    b'POST /seats/pay/x HTTP/1.1\r\nhost: walks.example\r\n'
+    b'transfer-encoding: chunked\r\n\r\n'
+)
 LARGE_BODY = bytes(range(251)) * 16_500
 
 
@@ -140,3 +153,34 @@
             assert process.peak_mb() < MEMORY_MB
 
     run(_async_scenario)
+
+
+async def _async_send_body(address: Address, opened: AsyncExitStack) -> None:
+    """Send a body without end, until the other side closes."""
+    connected = await async_connect(address, timeout_ms=CALL_MS)
+    sock = await opened.enter_async_context(connected.unwrap())
+    with suppress(OSError):
+        await sock.sendall(UNFINISHED_REQUEST)
+        await sock.sendall(b'%x\r\n%b\r\n' % (len(LARGE_BODY), LARGE_BODY))
+
+
+@pytest.mark.parametrize(
+    'flooded', ['callers', 'ready', 'directory', 'metrics']
+)
+def test_many_unfinished_bodies_stay_within_the_memory(flooded: str) -> None:
+    """Guards against callers that fill a process with bodies."""
+
+    async def _async_scenario() -> None:
+        store = await _async_make_store(EngineStandin, '')
+        async with (
+            started_process(store, DESCRIPTORS, memory_mb=MEMORY_MB) as process,
+            AsyncExitStack() as opened,
+        ):
+            address = getattr(process.addresses, flooded)
+            async with TaskGroup() as callers:
+                for _ in range(FLOOD):
+                    await callers.spawn(_async_send_body, address, opened)
+            assert await async_is_ready(process.addresses)
+            assert process.peak_mb() < MEMORY_MB
+
+    run(_async_scenario)
