Leave out entries that can't be used, and read the others

What callers saw: an entry in the list of engines whose zone nests 1,200 lists stopped all instances from following the list; requests went on to an engine that was draining.

Cause: RecursionError of json.loads was not caught and ended the task. Values beyond what they are stored or sent in did the same elsewhere: slots of 100,000,000 made the owner hold a tuple of that length; halves of surrogate pairs, born beyond 64 bits and slots beyond 32 bits ended the connection to a peer as they were encoded; a port above 65,535 ended the connect; a number of 5,000 digits or bytes that are no text made a whole page unreadable; an object without a name or revision ended the following of engines and of orders.

Change: what can't be parsed as a whole is parsed once more with values left out that nest too deeply, and numbers that are too long replaced by infinity. Entries are checked for types, bounds and plain texts; zone, slots and sequence are required, as the protocol names them, and version and cold_remaining_ms are checked where they are. An entry that can't be used is left out, logged once for each revision, and counted in hornbeamdeck_unusable_entries_total. Statuses of instances, from the store and from peers, are checked alike.

`parse_engine` returns why an entry names no engine, so its tests ask for an error where they asked for None.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -19,6 +19,8 @@
 
 
 MAX_CACHED_ADDRESSES: Final = 4096
+MAX_PORT: Final = 65_535
+MAX_PORT_DIGITS: Final = 5
 # The operating system would take 4 MB that the other side does not read. A
 # request would seem to have been sent, and the memory counts as this process's.
 MAX_UNSENT_BYTES: Final = 65_536
@@ -55,6 +57,10 @@
     host, _, port = text.rpartition(':')
     host = host.strip('[]')
     ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit()) or len(port) > MAX_PORT_DIGITS:
+        raise ValueError('not a port')
+    if int(port) > MAX_PORT:
+        raise ValueError('port out of range')
     return host, int(port)
 
 
--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -2,20 +2,23 @@
 
 import json
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.json_text import is_whole, parse_json
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_responses import StoreUnavailable
-from hornbeamdeck.connection.store_revision import StoreRevision
+from hornbeamdeck.connection.store_revision import NUMBER_BITS, StoreRevision
 from hornbeamdeck.const import ENCODING
 
 __all__ = (
     'JsonCalls',
     'JsonContent',
+    'is_revision',
     'parse_body',
     'parse_fields',
     'parse_stored',
@@ -23,6 +26,22 @@
 
 # The store responds within milliseconds, or a few hundred when it is slow.
 CALL_TIMEOUT_MS: Final = 900
+MAX_REVISION: Final = (1 << NUMBER_BITS) - 1
+
+
+def is_revision(found: Any) -> bool:
+    """Return whether a value is a revision of a store."""
+    return is_whole(found, MAX_REVISION)
+
+
+def _is_list(found: Any) -> bool:
+    return isinstance(found, list)
+
+
+# What the fields of responses are, where they are required.
+_CHECKS: Final = MappingProxyType(
+    {'entries': _is_list, 'events': _is_list, 'at': is_revision}
+)
 
 
 class JsonContent(NamedTuple):
@@ -41,6 +60,7 @@
 
     def __init__(self, calls: StoreCalls) -> None:
         """Use these calls."""
+        self.unusable = calls.unusable
         self._calls = calls
         self._era = calls.era
 
@@ -127,26 +147,30 @@
     if response.status != HTTPStatus.OK:
         return Err(StoreUnavailable(f'status {response.status}'))
     try:
-        return Ok(json.loads(response.body))
+        return Ok(parse_json(response.body))
     except ValueError as error:
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
 
 def parse_fields(
-    fetched: Result[HttpResponse, StoreUnavailable], *names: str
+    fetched: Result[HttpResponse, StoreUnavailable], *required: str
 ) -> Result[dict[str, Any], StoreUnavailable]:
     """Parse a response whose body has these fields.
 
     Any other counts as an outage. An exception would end the tasks that follow
     the store.
     """
+    names = set(required)
     parsed = fetched.and_then(parse_body)
     if isinstance(parsed, Err):
         return parsed
     body = parsed.ok_value
-    if isinstance(body, dict) and body.keys() >= set(names):
+    if not isinstance(body, dict) or not body.keys() >= names:
+        return Err(StoreUnavailable('malformed response: fields are missing'))
+    checked = names & _CHECKS.keys()
+    if all(_CHECKS[name](body[name]) for name in checked):
         return Ok(body)
-    return Err(StoreUnavailable('malformed response: fields are missing'))
+    return Err(StoreUnavailable('malformed response: fields of other types'))
 
 
 def parse_stored(response: HttpResponse) -> Result[Any, StoreUnavailable]:
--- a/hornbeamdeck/connection/store_calls.py
+++ b/hornbeamdeck/connection/store_calls.py
@@ -18,6 +18,7 @@
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
 from hornbeamdeck.connection.store_era import StoreEra
 from hornbeamdeck.connection.store_responses import StoreUnavailable
+from hornbeamdeck.connection.unusable_entries import UnusableEntries
 
 __all__ = ('DEFAULT_TIMEOUT_MS', 'StoreCalls')
 
@@ -34,14 +35,18 @@
         era: StoreEra,
         *,
         count: Callable[[str], None] | None = None,
+        count_unusable: Callable[[str], None] | None = None,
     ) -> None:
         """Set the address; no connection is opened yet.
 
         :param era: updated with each response.
         :param count: called with the role of each call, to count it.
+        :param count_unusable: called with the kind of each entry that can't be
+            used, to count it.
         """
         self.era = era
         self._address = address
+        self.unusable = UnusableEntries(count_unusable)
         self._count = count
         self._idle: list[ClientConnection] = []
 
--- a/hornbeamdeck/connection/store_responses.py
+++ b/hornbeamdeck/connection/store_responses.py
@@ -1,6 +1,5 @@
 """Types of the store's responses, and their parsers."""
 
-import json
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple, TypeAlias, TypeVar
@@ -8,6 +7,7 @@
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.http import HttpResponse
+from hornbeamdeck.connection.json_text import parse_json
 from hornbeamdeck.connection.store_revision import StoreRevision
 
 __all__ = (
@@ -92,7 +92,7 @@
     if response.ok_value.status != HTTPStatus.OK:
         return Err(StoreUnavailable(f'status {response.ok_value.status}'))
     try:
-        return Ok(parse(json.loads(response.ok_value.body)))
+        return Ok(parse(parse_json(response.ok_value.body)))
     except (ValueError, LookupError, TypeError) as error:
         return Err(StoreUnavailable(f'malformed response: {error!r}'))
 
--- a/hornbeamdeck/connection/store_revision.py
+++ b/hornbeamdeck/connection/store_revision.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple, Self
 
-__all__ = ('StoreRevision',)
+__all__ = ('NUMBER_BITS', 'StoreRevision')
 
 # Bits for the number where one integer carries both parts.
 NUMBER_BITS: Final = 40
--- a/hornbeamdeck/membership/membership.py
+++ b/hornbeamdeck/membership/membership.py
@@ -11,10 +11,11 @@
 import math
 from collections.abc import Iterable
 from functools import lru_cache
-from typing import Final, NamedTuple, Self
+from typing import Any, Final, NamedTuple, Self
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.json_text import is_plain_text, parse_json
 from hornbeamdeck.connection.store_client import ListedInstance, StoredObject
 from hornbeamdeck.membership.rendezvous import owner_of, ranking
 from hornbeamdeck.membership.suspected_instances import (
@@ -33,6 +34,7 @@
 # After any status change, all status objects are serialized again for each
 # peer.
 STATUS_CACHE_SIZE: Final = 2048
+MAX_CORES: Final = 65_536
 
 
 class InstanceStatus(NamedTuple):
@@ -67,17 +69,31 @@
 # and sends them again after a reconnect.
 @lru_cache(maxsize=STATUS_CACHE_SIZE)
 def _decode(text: str) -> InstanceStatus:
-    raw = json.loads(text)
+    raw = parse_json(text)
     try:
-        return InstanceStatus(
+        status = InstanceStatus(
             **{
                 **raw,
                 'address': Address.from_text(raw['address']),
                 'peer_address': Address.from_text(raw['peer_address']),
             },
         )
-    except (TypeError, KeyError) as error:
+    except (TypeError, LookupError, AttributeError) as error:
         raise ValueError('not a status object') from error
+    texts = (
+        status.instance_id,
+        status.availability_zone,
+        status.incarnation,
+        status.state,
+    )
+    if not all(map(is_plain_text, texts)) or not _is_amount(status.cores):
+        raise ValueError('not a status object')
+    return status
+
+
+def _is_amount(found: Any) -> bool:
+    is_number = isinstance(found, int | float) and not isinstance(found, bool)
+    return is_number and 0 <= found <= MAX_CORES
 
 
 @lru_cache(maxsize=STATUS_CACHE_SIZE)
--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -169,6 +169,7 @@
         self.returned_grants: Counter[str] = Counter()
         self.failed_connects: Counter[str] = Counter()
         self.exceeded_limits: Counter[str] = Counter()
+        self.unusable_entries: Counter[str] = Counter()
         self.in_flight = 0
         self.configuration_version = 0
         self.store_era = 0
@@ -233,6 +234,10 @@
         """Count an attempt that a limit on its engine has ended."""
         self.exceeded_limits[limit] += 1
 
+    def count_unusable_entry(self, kind: str) -> None:
+        """Count an entry of the store that can't be used."""
+        self.unusable_entries[kind] += 1
+
     def count_dropped_log_line(self) -> None:
         """Count a log line dropped because the buffer was full."""
         self.log_lines_dropped += 1
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -232,6 +232,12 @@
         'limit',
         metrics.exceeded_limits,
     )
+    yield _counter(
+        'hornbeamdeck_unusable_entries',
+        'Entries of the store that were left out, once for each revision.',
+        'kind',
+        metrics.unusable_entries,
+    )
     reach = metrics.engine_reach
     yield GaugeMetricFamily(
         'hornbeamdeck_engines_out_of_reach',
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -1,15 +1,23 @@
 """Parses the platform's configuration document and engine entries."""
 
-import json
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Final
 
-import structlog
 import voluptuous as vol
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.json_text import (
+    CONTENT_ERRORS,
+    is_plain_text,
+    parse_json,
+)
+from hornbeamdeck.connection.json_validators import (
+    MAX_INT64,
+    plain_text,
+    whole_up_to,
+)
 from hornbeamdeck.platform.wire_names import (
     FIELD_NAME,
     FIELD_SERVICE,
@@ -17,6 +25,7 @@
     STATE_READY,
 )
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.scheduling.engine_load import MAX_SLOTS
 from hornbeamdeck.version.gateway import (
     CallerLimits,
     EngineProperties,
@@ -31,10 +40,7 @@
 
 __all__ = ('configuration_version', 'parse_configuration', 'parse_engine')
 
-_LOGGER = structlog.get_logger(prefix='documents')
-
-_PARSE_ERRORS: Final = (ValueError, TypeError, LookupError, RecursionError)
-
+_PARSE_ERRORS: Final = (vol.Invalid, *CONTENT_ERRORS)
 _COUNT: Final = vol.All(vol.Coerce(int), vol.Range(min=0))
 _AMOUNT: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
 _NAME: Final = vol.All(str, vol.Length(min=1))
@@ -112,14 +118,17 @@
 )
 _ENTRY: Final = vol.Schema(
     {
-        vol.Required(FIELD_SERVICE): _NAME,
-        vol.Required('address'): _NAME,
-        vol.Optional('zone', default=''): str,
-        vol.Optional('slots', default=0): vol.All(int, vol.Range(min=0)),
+        vol.Required(FIELD_SERVICE): vol.All(plain_text, vol.Length(min=1)),
+        vol.Required('address'): plain_text,
+        vol.Required('zone'): plain_text,
+        vol.Required('slots'): whole_up_to(MAX_SLOTS),
         vol.Required('state'): vol.In((STATE_READY, STATE_DRAINING)),
         # When the engine's incarnation started, in Unix milliseconds.
-        vol.Optional('born', default=0): int,
-        vol.Optional('version', default=''): vol.Any(None, str),
+        vol.Optional('born', default=0): whole_up_to(MAX_INT64),
+        vol.Optional('version', default=''): vol.Any(None, plain_text),
+        vol.Optional('cold_remaining_ms', default=0): vol.Any(int, float),
+        # Counts the orders that the engine has accepted.
+        vol.Required('sequence'): whole_up_to(MAX_INT64),
     },
     extra=vol.REMOVE_EXTRA,
 )
@@ -152,21 +161,20 @@
         return Err((repr(error),))
 
 
-def parse_engine(name: str, spec: Any) -> Engine | None:
+def parse_engine(name: str, spec: Any) -> Result[Engine, str]:
     """Parse an engine's entry.
 
     Other programs may write entries too. Each entry is checked on its own, so
     that an invalid one doesn't make the fleet lose the other engines.
 
-    :returns: the engine, or `None` if the entry is invalid.
+    :returns: the engine, or why the entry names none.
     """
     try:
         entry = _ENTRY(spec)
         address = Address.from_text(entry['address'])
-    except (vol.Invalid, ValueError) as error:
-        _LOGGER.info('entry ignored', engine=name, cause=str(error))
-        return None
-    return Engine(
+    except _PARSE_ERRORS as error:
+        return Err(str(error) or repr(error))
+    engine = Engine(
         name=name,
         service=entry[FIELD_SERVICE],
         address=str(address),
@@ -176,10 +184,11 @@
         born_ms=entry['born'],
         version=entry['version'] or '',
     )
+    return Ok(engine) if is_plain_text(name) else Err('not a plain name')
 
 
 def _to_configuration(text: str, version: int) -> GatewayConfiguration:
-    raw = _DOCUMENT(json.loads(text))
+    raw = _DOCUMENT(parse_json(text))
     teams = [
         (_to_team(team), team['api_keys'])
         for team in map(_TEAM, raw['tenants'] or ())
@@ -241,7 +250,7 @@
         return EngineProperties(slots=0, tokens_per_event=0, memory_tokens=0)
     checked = _ENGINE_PROPERTIES(raw)
     return EngineProperties(
-        slots=checked['slots'],
+        slots=min(checked['slots'], MAX_SLOTS),
         tokens_per_event=max(checked['stride'], 1),
         memory_tokens=checked['kv_tokens'],
     )
--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -5,13 +5,21 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.json_calls import JsonCalls, parse_fields
+from hornbeamdeck.connection.json_calls import (
+    JsonCalls,
+    parse_fields,
+)
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
+from hornbeamdeck.store.stored_objects import (
+    object_name,
+    usable_events,
+    usable_objects,
+)
 
-__all__ = ('ObjectCalls', 'ObjectList', 'object_name')
+__all__ = ('ObjectCalls', 'ObjectList')
 
 # How long a watch may take beyond the wait time that it requests. A watch that
 # hangs delays the revocation of keys, so it times out sooner than a read.
@@ -62,14 +70,15 @@
             if isinstance(read, Err):
                 return read
             page = read.ok_value
+            usable = usable_objects(kind, page['entries'], self.unusable)
             left_bytes -= max(len(fetched.unwrap().body), MIN_PAGE_BYTES)
             revisions.append(
                 StoreRevision(self.era_of(fetched.unwrap()), page['at'])
             )
             if revisions[-1].era != revisions[0].era:
                 return Err(StoreUnavailable('restored between two pages'))
-            entries += page['entries']
-            if not page['has_more'] or not page['entries']:
+            entries += usable
+            if not page['has_more'] or not usable:
                 return Ok(ObjectList(revisions[0], entries))
             query = {'after': object_name(entries[-1])}
         return Err(StoreUnavailable('limit exceeded: list'))
@@ -100,9 +109,8 @@
             or self.era_of(fetched.ok_value) != since.era
         ):
             return Err(WatchGap())
-        return parse_fields(fetched, 'events', 'at')
-
-
-def object_name(stored: Any) -> str:
-    """Return the name of an object."""
-    return str(stored['metadata']['name'])
+        read = parse_fields(fetched, 'events', 'at')
+        if isinstance(read, Err):
+            return read
+        events = usable_events(kind, read.ok_value['events'], self.unusable)
+        return Ok({**read.ok_value, 'events': events})
--- a/hornbeamdeck/platform/rollout_documents.py
+++ b/hornbeamdeck/platform/rollout_documents.py
@@ -6,6 +6,7 @@
 import structlog
 import voluptuous as vol
 
+from hornbeamdeck.connection.json_validators import finite, plain_text
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.platform.wire_names import (
@@ -29,7 +30,7 @@
 # whole fleet how much of the requested time is left.
 _FIELD_STARTED: Final = 'started_unix_ms'
 
-_NAME: Final = vol.All(str, vol.Length(min=1))
+_NAME: Final = vol.All(plain_text, vol.Length(min=1))
 _ORDER: Final = vol.Schema(
     {
         vol.Required(FIELD_SERVICE): _NAME,
@@ -37,6 +38,7 @@
         vol.Required('duration_s'): vol.All(
             vol.Any(int, float),
             vol.Range(min=0, max=MAX_DURATION_S, min_included=False),
+            finite,
         ),
     },
     extra=vol.REMOVE_EXTRA,
--- a/hornbeamdeck/platform/rollout_store.py
+++ b/hornbeamdeck/platform/rollout_store.py
@@ -7,7 +7,7 @@
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
+from hornbeamdeck.platform.object_calls import ObjectCalls
 from hornbeamdeck.platform.rollout_documents import (
     parse_rollout,
     rollout_status,
@@ -19,6 +19,7 @@
     RolloutStore,
     StoredRollout,
 )
+from hornbeamdeck.store.stored_objects import object_name
 
 __all__ = ('open_rollout_store',)
 
--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -2,14 +2,12 @@
 
 import json
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Any
 from urllib.parse import quote
 
-import structlog
 from result import Err, Ok, Result
 
 from hornbeamdeck.connection.http import HttpResponse
-from hornbeamdeck.connection.json_calls import JsonContent
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
@@ -18,7 +16,7 @@
     configuration_version,
     parse_engine,
 )
-from hornbeamdeck.platform.object_calls import ObjectCalls, object_name
+from hornbeamdeck.platform.object_calls import ObjectCalls
 from hornbeamdeck.platform.wire_names import (
     KIND_CONFIGURATION,
     KIND_ENGINES,
@@ -34,13 +32,17 @@
     StoredRecord,
     StoreInterface,
 )
+from hornbeamdeck.store.stored_documents import (
+    FIELD_SPEC,
+    to_configuration,
+    to_record,
+    to_status,
+    to_statuses,
+)
+from hornbeamdeck.store.stored_objects import object_name
 
 __all__ = ('open_store',)
 
-_FIELD_SPEC: Final = 'spec'
-
-_LOGGER = structlog.get_logger(prefix='store')
-
 
 class _Store:
     """Calls to the store.
@@ -58,7 +60,11 @@
         """Read the current configuration."""
         path = f'{PATH_OBJECTS}/{KIND_CONFIGURATION}/{NAME_CONFIGURATION}'
         read = await self._calls.async_read(path, {}, role='configuration')
-        return read.map(lambda each: _to_configuration(each.found, each.era))
+        return read.and_then(
+            lambda each: to_configuration(
+                each.found, each.era, configuration_version
+            )
+        )
 
     async def async_watch_configuration(
         self,
@@ -83,7 +89,7 @@
         ]
         if not found:
             return Ok(ConfigurationRead(since, 0, None))
-        return Ok(_to_configuration(found[-1], since.era))
+        return to_configuration(found[-1], since.era, configuration_version)
 
     async def async_list_engines(
         self,
@@ -92,7 +98,7 @@
         listed = await self._calls.async_list(KIND_ENGINES)
         if isinstance(listed, Err):
             return listed
-        changes = tuple(map(_to_change, listed.ok_value.entries))
+        changes = tuple(map(self._to_change, listed.ok_value.entries))
         return Ok(EnginesRead(listed.ok_value.revision, changes))
 
     async def async_watch_engines(
@@ -107,7 +113,7 @@
         changes = [
             EngineChange(object_name(event['object']), None)
             if event['removed']
-            else _to_change(event['object'])
+            else self._to_change(event['object'])
             for event in watched.ok_value['events']
         ]
         revision = StoreRevision(since.era, watched.ok_value['at'])
@@ -120,8 +126,7 @@
         listed = await self._calls.async_list(KIND_INSTANCES)
         if isinstance(listed, Err):
             return listed
-        statuses = map(_to_status, listed.ok_value.entries)
-        return Ok(tuple(each for each in statuses if each is not None))
+        return Ok(to_statuses(listed.ok_value.entries, self._calls.unusable))
 
     async def async_write_status(
         self,
@@ -130,7 +135,7 @@
         """Write the own status and replace that of an earlier incarnation."""
         body = {
             'metadata': {'name': status.instance_id},
-            _FIELD_SPEC: json.loads(status.to_text()),
+            FIELD_SPEC: json.loads(status.to_text()),
         }
         path = f'{PATH_OBJECTS}/{KIND_INSTANCES}'
         created = await self._calls.async_write_on_condition(
@@ -138,7 +143,7 @@
         )
         if isinstance(created, Err):
             return created
-        if _to_status(created.ok_value.found) == status:
+        if to_status(created.ok_value.found).ok() == status:
             return Ok(created.ok_value.era)
         own_path = f'{path}/{quote(status.instance_id)}'
         replaced = await self._calls.async_write(
@@ -175,11 +180,21 @@
         written = await self._calls.async_write_on_condition(
             method,
             path,
-            {'metadata': metadata, _FIELD_SPEC: record.fields},
+            {'metadata': metadata, FIELD_SPEC: record.fields},
             revision=record.revision,
             role=KIND_RECORDS,
         )
-        return written.map(_to_record)
+        return written.and_then(to_record)
+
+    def _to_change(self, stored: Any) -> EngineChange:
+        name = object_name(stored)
+        spec = stored.get(FIELD_SPEC)
+        if isinstance(spec, dict) and 'born' not in spec and 'born' in stored:
+            spec = {**spec, 'born': stored['born']}
+        parsed = parse_engine(name, spec)
+        if isinstance(parsed, Err):
+            self._calls.unusable.record(KIND_ENGINES, stored, parsed.err_value)
+        return EngineChange(name, parsed.ok())
 
 
 def open_store(calls: StoreCalls) -> StoreInterface:
@@ -201,37 +216,3 @@
     if response.status >= HTTPStatus.MULTIPLE_CHOICES:
         return Err(StoreUnavailable(f'status {response.status}'))
     return Ok(None)
-
-
-def _to_configuration(stored: Any, era: int) -> ConfigurationRead:
-    if stored is None:
-        return ConfigurationRead(StoreRevision(era, 0), 0, None)
-    spec = stored[_FIELD_SPEC]
-    revision = StoreRevision(era, stored['metadata']['revision'])
-    return ConfigurationRead(
-        revision, configuration_version(spec), json.dumps(spec)
-    )
-
-
-def _to_record(written: JsonContent) -> StoredRecord:
-    stored = written.found
-    if stored is None:
-        return StoredRecord(None, None)
-    revision = StoreRevision(written.era, stored['metadata']['revision'])
-    return StoredRecord(revision, stored[_FIELD_SPEC])
-
-
-def _to_status(stored: Any) -> InstanceStatus | None:
-    try:
-        return InstanceStatus.from_text(json.dumps(stored[_FIELD_SPEC]))
-    except (ValueError, LookupError, TypeError) as error:
-        _LOGGER.info('entry ignored', instance=stored, cause=repr(error))
-        return None
-
-
-def _to_change(stored: Any) -> EngineChange:
-    name = object_name(stored)
-    spec = stored.get(_FIELD_SPEC)
-    if isinstance(spec, dict) and 'born' not in spec and 'born' in stored:
-        spec = {**spec, 'born': stored['born']}
-    return EngineChange(name, parse_engine(name, spec))
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -104,6 +104,7 @@
             settings.platform_address,
             StoreEra(adapter.era_header),
             count=metrics.count_store_call,
+            count_unusable=metrics.count_unusable_entry,
         )
         store = adapter.open_store(store_calls)
         membership = Membership(
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -32,6 +32,8 @@
 # Time from a request's first byte to its first token, without prefilling its
 # prompt.
 FIRST_TOKEN_OVERHEAD_MS: Final = 12.0
+# More than any engine has. Something is held for each slot.
+MAX_SLOTS: Final = 10_000
 
 # Ends of a run that show whether the network path to its engine is sound.
 _REACHED: Final = frozenset(
@@ -86,7 +88,8 @@
         self.is_leaving = engine.is_draining or self.condition.is_leaving
         self.properties = properties
         # Number of requests that the engine processes concurrently.
-        self.slots = engine.slots or properties.slots or 1
+        stated = engine.slots or properties.slots or 1
+        self.slots = min(max(stated, 1), MAX_SLOTS)
 
     @property
     def rate(self) -> EngineRate:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -86,8 +86,7 @@
 
 
 def test_entry_is_parsed_to_engine() -> None:
-    engine = parse_engine('e1', ENTRY)
-    assert engine is not None
+    engine = parse_engine('e1', ENTRY).unwrap()
     assert str(engine.address) == '10.0.0.1:80'
     assert engine.born_ms == 12
     assert not engine.is_draining
@@ -110,7 +109,25 @@
         {**ENTRY, 'slots': -1},
         {**ENTRY, 'service': 5},
         {**ENTRY, 'born': 'x'},
+        {**ENTRY, 'born': 1 << 63},
+        {**ENTRY, 'born': -1},
+        {**ENTRY, 'born': True},
+        {**ENTRY, 'slots': 100_000_000},
+        {**ENTRY, 'slots': True},
+        {**ENTRY, 'slots': 1.5},
+        {**ENTRY, 'zone': '\ud800'},
+        {**ENTRY, 'zone': 'z' * 10_000},
+        {**ENTRY, 'zone': []},
+        {**ENTRY, 'service': 'desk\udc80'},
+        {**ENTRY, 'version': '\udfff'},
+        {**ENTRY, 'address': '10.0.0.1:65536'},
+        {**ENTRY, 'address': '10.0.0.1:-1'},
+        {**ENTRY, 'sequence': None},
+        {**ENTRY, 'sequence': '3'},
+        {name: ENTRY[name] for name in ENTRY if name != 'sequence'},
+        {name: ENTRY[name] for name in ENTRY if name != 'zone'},
+        {name: ENTRY[name] for name in ENTRY if name != 'slots'},
     ],
 )
 def test_invalid_entry_is_ignored(spec: Any) -> None:
-    assert parse_engine('e1', spec) is None
+    assert parse_engine('e1', spec).is_err()
