Start long-lived tasks again after an exception

Cause: an exception that nobody expected ended the task that follows the list of engines, the configuration, heartbeats or another one for as long as the process lives, and only curio's log told of it.

Change: all long-lived tasks of a gateway process, and the one that reloads its settings, are supervised in one way: an exception is logged with its trace, counted in hornbeamdeck_failed_tasks_total, and the task is started again with backoff.

--- a/hornbeamdeck/observability/gateway_metrics.py
+++ b/hornbeamdeck/observability/gateway_metrics.py
@@ -170,6 +170,7 @@
         self.failed_connects: Counter[str] = Counter()
         self.exceeded_limits: Counter[str] = Counter()
         self.unusable_entries: Counter[str] = Counter()
+        self.failed_tasks: Counter[str] = Counter()
         self.in_flight = 0
         self.configuration_version = 0
         self.store_era = 0
@@ -238,6 +239,10 @@
         """Count an entry of the store that can't be used."""
         self.unusable_entries[kind] += 1
 
+    def count_failed_task(self, name: str) -> None:
+        """Count a long-lived task that an exception has ended."""
+        self.failed_tasks[name] += 1
+
     def count_dropped_log_line(self) -> None:
         """Count a log line dropped because the buffer was full."""
         self.log_lines_dropped += 1
--- a/hornbeamdeck/observability/gateway_metrics_export.py
+++ b/hornbeamdeck/observability/gateway_metrics_export.py
@@ -238,6 +238,12 @@
         'kind',
         metrics.unusable_entries,
     )
+    yield _counter(
+        'hornbeamdeck_failed_tasks',
+        'Long-lived tasks that an exception has ended; they are started again.',
+        'task',
+        metrics.failed_tasks,
+    )
     reach = metrics.engine_reach
     yield GaugeMetricFamily(
         'hornbeamdeck_engines_out_of_reach',
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -1,9 +1,10 @@
 """One running gateway process: startup, endpoints and graceful shutdown."""
 
-from collections.abc import Coroutine, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 import structlog
 from curio import Task, sleep, socket, spawn
@@ -37,6 +38,7 @@
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
+from hornbeamdeck.process.supervision import Work, async_supervise
 from hornbeamdeck.request.engine_end_check import EngineEndCheck
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
@@ -213,7 +215,7 @@
         _LOGGER.info('planned stop begins', in_flight=self.in_flight)
         await components.heartbeats.async_send_heartbeats()
         await components.grants.async_move_to_current_owners()
-        await self._async_spawn(self._registration.async_deregister())
+        await self._async_spawn(self._registration.async_deregister)
         accept_until_ms = (
             requested_ms + ENTRIES_CACHE_TTLS * bounds.entries_ttl_ms
         )
@@ -372,35 +374,40 @@
 
     async def _async_start_tasks(self) -> None:
         components = self.components
-        for work in (
-            components.reader.async_follow_configuration(),
-            components.reader.async_follow_engines(),
-            components.follower.async_fetch_hinted(
+        tasks: list[Work] = [
+            components.reader.async_follow_configuration,
+            components.reader.async_follow_engines,
+            partial(
+                components.follower.async_fetch_hinted,
                 components.snapshots.async_fetch_from_peer,
             ),
-            components.snapshots.async_fetch_from_seeds(
-                self.settings.seed_peers
+            partial(
+                components.snapshots.async_fetch_from_seeds,
+                self.settings.seed_peers,
             ),
-            components.heartbeats.async_run(),
-            components.origin_reports.async_run(),
-            *(record.async_run() for record in components.fleet_records),
-            components.scheduler.async_refuse_expired(),
-            components.grants.owner_watch.async_run(),
-            self._async_follow_ownership(),
-            self._registration.async_keep_registered(),
-            self._registration.async_discover(),
-        ):
-            await self._async_spawn(work)
+            components.heartbeats.async_run,
+            components.origin_reports.async_run,
+            *(record.async_run for record in components.fleet_records),
+            components.scheduler.async_refuse_expired,
+            components.grants.owner_watch.async_run,
+            self._async_follow_ownership,
+            self._registration.async_keep_registered,
+            self._registration.async_discover,
+        ]
         if components.rollouts is not None:
-            await self._async_spawn(components.rollouts.async_follow_orders())
-            await self._async_spawn(
-                components.rollouts.async_confirm_versions()
+            tasks += (
+                components.rollouts.async_follow_orders,
+                components.rollouts.async_confirm_versions,
+                components.rollouts.async_decide,
+                components.rollouts.async_write_status,
             )
-            await self._async_spawn(components.rollouts.async_decide())
-            await self._async_spawn(components.rollouts.async_write_status())
+        for work in tasks:
+            await self._async_spawn(work)
 
-    async def _async_spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(await spawn(work, daemon=True))
+    async def _async_spawn(self, work: Work) -> None:
+        count = self.components.metrics.count_failed_task
+        task = await spawn(async_supervise, work, count, daemon=True)
+        self._tasks.append(task)
 
     async def _async_follow_ownership(self) -> None:
         """Move requests when the owner changes; never returns."""
--- a/hornbeamdeck/process/serve_gateway.py
+++ b/hornbeamdeck/process/serve_gateway.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+from functools import partial
 from typing import Final
 
 import structlog
@@ -16,6 +17,7 @@
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
 from hornbeamdeck.process.settings import SettingsError, load_settings_file
 from hornbeamdeck.process.signals import stop_event
+from hornbeamdeck.process.supervision import async_supervise
 
 __all__ = ('async_serve_gateway', 'load_gateway_settings')
 
@@ -54,7 +56,12 @@
     )
     await spawn(buffer.async_run, daemon=True)
     await gateway.async_start()
-    await spawn(_async_reload, path, gateway, reload_requested, daemon=True)
+    await spawn(
+        async_supervise,
+        partial(_async_reload, path, gateway, reload_requested),
+        gateway.components.metrics.count_failed_task,
+        daemon=True,
+    )
     await stop_requested.wait()
     cut_off = await gateway.async_stop()
     buffer.write_out()
