--- a/tests/platform/test_calm_stops.py
+++ b/tests/platform/test_calm_stops.py
@@ -25,7 +25,10 @@
 ADDRESS_TTL_MS = 2000
 # Calls take this long, and streams three times as long.
 CALL_S = 0.12
+# At each instance.
 CALLERS = 6
+# Less than a stop takes.
+STOP_GAP_S = 0.5
 PAUSE_S = 0.05
 # How long a request may be underway that crosses the end of its connection.
 CROSSING_MS = 150
@@ -116,19 +119,24 @@
 
 
 async def _async_stop_under_calls(
-    fleet: PlatformFleet, gateway: int
+    fleet: PlatformFleet, stopping: list[int]
 ) -> list[_End]:
-    """Stop an instance while callers use it until it is gone."""
-    stopping = fleet.gateways[gateway]
-    bounds = stopping.settings.bounds._replace(entries_ttl_ms=ADDRESS_TTL_MS)
-    stopping.reload(stopping.settings._replace(bounds=bounds))
-    callers = [_Caller(fleet, gateway, number) for number in range(CALLERS)]
+    """Stop instances in turn while callers use them until they are gone."""
+    callers = [
+        _Caller(fleet, gateway, number)
+        for number, gateway in enumerate(stopping * CALLERS)
+    ]
     async with TaskGroup() as running:
         for caller in callers:
             await running.spawn(caller.async_run)
-        await sleep(0.5)
-        stop = await spawn(stopping.async_stop)
-    await stop.join()
+        for number in stopping:
+            gateway = fleet.gateways[number]
+            bounds = gateway.settings.bounds._replace(
+                entries_ttl_ms=ADDRESS_TTL_MS
+            )
+            gateway.reload(gateway.settings._replace(bounds=bounds))
+            await sleep(STOP_GAP_S)
+            await running.spawn(gateway.async_stop)
     return [end for caller in callers for end in caller.ends]
 
 
@@ -143,7 +151,7 @@
             engine.event_gap_s = CALL_S
         ranked = fleet.ranked_gateways()
         ends = await _async_stop_under_calls(
-            fleet, ranked[0 if is_owner else 2]
+            fleet, [ranked[0 if is_owner else 2]]
         )
         executed = _executed(fleet)
         assert not _broken_promises(ends, executed)
@@ -154,6 +162,21 @@
     _run()
 
 
+@on_platform(5)
+async def test_instances_that_stop_in_turn_cut_off_no_call(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against calls that are lost while owners follow one another."""
+    await async_allow_time(fleet, 500)
+    for engine in fleet.model_engines + fleet.booking_engines:
+        engine.event_gap_s = CALL_S / 3
+    ends = await _async_stop_under_calls(fleet, fleet.ranked_gateways()[:4])
+    executed = _executed(fleet)
+    assert not _broken_promises(ends, executed)
+    assert {end.status for end in ends} <= {0, 200, 503}
+    assert max(executed.values()) == 1
+
+
 async def _async_stop_with_queue(
     fleet: PlatformFleet, path: str, call_s: float
 ) -> Counter[int]:
