--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -1,7 +1,7 @@
 """All that the store remembers for a fleet that loses all its processes."""
 
 from collections.abc import Callable, Coroutine, Iterator, Mapping
-from typing import Any, NamedTuple, Self
+from typing import Any, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.fleet_record import FleetRecord
@@ -10,6 +10,8 @@
 
 __all__ = ('FleetMemory',)
 
+_AsyncWork: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
+
 
 class FleetMemory(NamedTuple):
     """What keeps the store current, and reads it when the ownership changes."""
@@ -38,8 +40,8 @@
             OriginStore(store, cells, is_writer, era, count_origins),
         )
 
-    def tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
+    def tasks(self) -> Iterator[_AsyncWork]:
         """Return what is to be run until the process ends."""
         for record in self.records:
-            yield record.async_run()
-        yield self.origins.async_run()
+            yield record.async_run
+        yield self.origins.async_run
