Test that certainty of another owner's grant is never taken

An owner that knows an earlier grant only takes the entry of its own list for the engine that began the stream. What the instance has seen the engine state is of the entry that was granted, which may be another incarnation.

--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -350,6 +350,15 @@
     assert _version(book, 100) is None
 
 
+def test_certainty_of_such_a_grant_is_not_taken_later_either() -> None:
+    """Guards against the same in a report after the first event."""
+    book = _uncertain_book(_Evidence())
+    _grant(book, 'first')
+    book.record_first_event('first', NEW, 0)
+    book.record_first_event('first', NEW, 3, is_certain=True)
+    assert _version(book, 100) is None
+
+
 def test_repeated_first_event_changes_nothing() -> None:
     """Guards against reports that are sent again and again."""
     book = _uncertain_book(_Evidence())
