Test the first list of a process that starts after an outage

The list counts only from 2 s after an outage, or 10 s after a restore. A process that starts during either has no earlier confirmation to measure the outage by, and takes its first list for evidence of the time before it.

The test fails: an engine that was listed at the first read is certain to have run the listed incarnation 5 s earlier.

--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -4,6 +4,7 @@
 
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine import Engine
+from hornbeamdeck.scheduling.incarnations import IncarnationBook
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.list_version import ListVersion
 from hornbeamdeck.wire import (
@@ -142,6 +143,13 @@
     assert directory.listed_until_ms('engine-1', 7, 8000) == 9000
 
 
+def test_first_list_of_a_process_may_follow_an_outage() -> None:
+    """Guards against entries that nothing has renewed while it started."""
+    book = IncarnationBook(_confirmed(10_000).listed_until_ms)
+    book.record_statement('engine-2', 1, 10_000)
+    assert not book.is_certain('engine-1', 7, 5000)
+
+
 def test_entries_of_a_restored_store_are_no_evidence() -> None:
     """Guards against an old entry that a restored store lists again."""
     directory = _confirmed(1000, 2500)
