Test a process that starts while an entry is stale

A successor that has just started has asked no engine. It takes an entry for evidence after 1.5 s, where the others wait for 4 s, settles the origins that the owner reported to it, and reports them to the owner as certain.

The test fails: a stream that began at v2, behind a stale entry, goes on at v1 in its caller's next attempt. Without the restart of the successor it is refused.

--- a/tests/platform/test_unlisted_versions.py
+++ b/tests/platform/test_unlisted_versions.py
@@ -12,6 +12,8 @@
 from tests.platform.standins import EngineStandin
 
 STREAMS = 6
+# Less than the time in which an entry expires that nothing renews.
+STALE_S = 1.9
 
 
 async def _async_restart_behind_its_entry(
@@ -48,3 +50,21 @@
     for number, caller in enumerate(callers):
         await caller.async_resume(number % len(fleet.gateways))
     assert all(len(caller.versions) == 1 for caller in callers)
+
+
+@on_platform(count=3)
+async def test_a_new_process_makes_no_stream_of_a_stale_entry_certain(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against evidence of a process that has asked no engine yet."""
+    await _async_restart_behind_its_entry(fleet)
+    callers = await async_begin_at_all(fleet, STREAMS)
+    owner, started_again, *_ = fleet.ranked_gateways()
+    await fleet.gateways[started_again].async_kill()
+    fleet.settings_changes = {'is_first_start': False}
+    await fleet.async_add_gateway(started_again)
+    fleet.gateways[started_again] = fleet.gateways.pop()
+    await sleep(STALE_S)
+    caller = next(each for each in callers if each.versions == {'v2'})
+    await caller.async_resume(owner)
+    assert caller.versions == {'v2'}
