Wait for the statement before an engine behind a tunnel ends

Without it the engine had ended before any instance could have asked it, so the test of a response that goes on could not pass whatever was asked.

--- a/tests/platform/test_certain_versions_of_partitioned_instances.py
+++ b/tests/platform/test_certain_versions_of_partitioned_instances.py
@@ -66,6 +66,8 @@
     with partition(fleet, {0}, Cut.RESET):
         caller = StreamCaller(fleet, 'first')
         await caller.async_begin(0)
+        # Time for the engine's statement.
+        await sleep(0.1)
         first = next(each for each in fleet.model_engines if each.executed)
         await first.async_stop()
         await first.async_close_connections()
