Let a new version serve at once while the others leave

Requests waited for up to a second, or for the write of the record, where all engines of the recorded versions leave: those were kept for new requests, although they get none, and the engines of the new version stayed idle.

The test held the request with a free engine before, and grants it at once now.

--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -109,7 +109,9 @@
         if not unrecorded:
             return usable
         return [
-            load for load in usable if load.engine.version not in unrecorded
+            load
+            for load in usable
+            if load.engine.version not in unrecorded and not load.is_leaving
         ] or usable
 
     def find_running(self, request_id: str) -> EngineLoad | None:
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -147,6 +147,16 @@
     assert granted(cell) == [('0', 'of-v2')]
 
 
+def test_unrecorded_version_serves_while_the_others_leave() -> None:
+    """Guards against refusals when the last engine of a version leaves."""
+    cell = _cell('v1', 'v2')
+    leaving = engine('of-v1', slots=1, version='v1', is_draining=True)
+    cell.update_engines([leaving, cell.loads['of-v2'].engine], MODEL, {})
+    cell.origins.history.apply_recorded(['v1'])
+    assert enqueue(cell, make_request('0')) is None
+    assert granted(cell) == [('0', 'of-v2')]
+
+
 def test_stream_is_refused_at_once_where_the_record_proves_nothing() -> None:
     """Guards against callers who wait for what the store does not hold."""
     cell = _cell('v1')
