Test a statement that comes after its run has ended

The answer of an engine is dropped at the instance when the run has been released in the meantime, though the owner would take it. With answers after 100 ms the origin of a stream whose caller leaves at once stays uncertain.

--- a/tests/platform/test_owners_that_ask.py
+++ b/tests/platform/test_owners_that_ask.py
@@ -1,10 +1,16 @@
-"""Streams whose instance has died before their engine was asked."""
+"""Streams that are left before their engine has stated its start."""
+
+from typing import Any
+from unittest.mock import patch
 
 from curio import sleep
 
 from tests.platform.fleet import PlatformFleet, on_platform
+from tests.platform.standins import EngineStandin
 from tests.platform.stream_caller import StreamCaller
 
+ANSWER_S = 0.1
+
 
 @on_platform(count=3)
 async def test_an_owner_asks_where_the_instance_died_first(
@@ -28,3 +34,30 @@
     for engine in fleet.model_engines:
         engine.report = 'born'
     assert await caller.async_resume(owner) == 200
+
+
+@on_platform(count=2)
+async def test_a_statement_counts_after_its_caller_has_left(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against answers that are lost because the run has ended."""
+    for engine in fleet.model_engines:
+        engine.events = 6
+        engine.event_gap_s = 0.05
+        engine.run_version('v1')
+    owner, other = fleet.ranked_gateways()
+    early = StreamCaller(fleet, 'early')
+    await early.async_begin(owner)
+    assert await early.async_read_all()
+    answer = EngineStandin.async_report
+
+    async def _async_report_late(*called: Any) -> None:
+        await sleep(ANSWER_S)
+        await answer(*called)
+
+    with patch.object(EngineStandin, 'async_report', _async_report_late):
+        caller = StreamCaller(fleet, 'first')
+        await caller.async_begin(other)
+        await caller.async_leave()
+        await sleep(2 * ANSWER_S)
+        assert await caller.async_resume(owner) == 200
