--- a/tests/platform/test_streams_after_a_loss.py
+++ b/tests/platform/test_streams_after_a_loss.py
@@ -212,3 +212,15 @@
     assert not stored_origins(fleet)
     names = fleet.store.stored_objects['records'].keys()
     assert names == {'engine-versions', 'crashing-requests'}
+
+
+@on_platform(1)
+async def test_a_record_without_content_ends_no_reading(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against an object of another writer that ends a task for good."""
+    records = fleet.store.stored_objects.setdefault('records', {})
+    records['unknown'] = {'metadata': {'name': 'unknown', 'revision': 9}}
+    await async_start_again(fleet, await async_kill_all(fleet))
+    origins = fleet.owner.components.cells.cells['desk'].origins
+    await fleet.async_until(lambda: not origins.awaits_stored)
