Take no certainty of a grant that another owner has made

An owner that knows an earlier grant only uses its own list's entry for the engine that begins the stream. The report of what the engine has stated some milliseconds after the first event made that entry's version certain, though the grant may have named another incarnation. It is certain by the list only now, as for a report that comes with the first event.

The test found v2 certain before, and passes.

--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -41,6 +41,8 @@
     :param begun_ms: a time after the first event; `None`: not known.
     :param is_certain: whether an engine of that version ran the stream. The
         entry may have described an earlier incarnation.
+    :param is_granted_elsewhere: whether another owner has named the engine, by
+        an entry that is not known here.
     :param sequence: increases with each change of any origin.
     """
 
@@ -54,6 +56,7 @@
     source: str = OWN_GRANT
     begun_ms: float | None = None
     is_certain: bool = False
+    is_granted_elsewhere: bool = False
     sequence: int = 0
 
     @classmethod
@@ -159,7 +162,10 @@
         if self.engine == engine.name:
             return begun
         return begun._replace(
-            engine=engine.name, version=engine.version, born_ms=engine.born_ms
+            engine=engine.name,
+            version=engine.version,
+            born_ms=engine.born_ms,
+            is_granted_elsewhere=True,
         )
 
     def as_certain(self) -> Self:
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -206,9 +206,8 @@
         origin = known
         if engine is not None and not known.is_begun:
             origin = known.begun_at(engine, now)
-            # It was seen to be what another owner granted.
-            is_certain = is_certain and known.engine == engine.name
-        if is_certain:
+        # It may have been seen to be what another owner granted.
+        if is_certain and not origin.is_granted_elsewhere:
             origin = origin.as_certain()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
