Let who has tried the recorded versions use a new one at once

A request that excludes the engines of the recorded versions waited up to a second while an engine of a new version was idle: the hold looked at the service, not at the request.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -356,12 +356,15 @@
             )
             return None
         opened = self._engines.open_to(queued.instance, candidates, now)
-        if candidates and not opened:
-            self._hold_reasons[request.request_id] = HELD_BY_REST
         roomy = self._engines.with_room(opened, request)
-        if opened and not roomy:
-            self._hold_reasons[request.request_id] = HELD_BY_MEMORY
-        return self._place(queued, roomy, now) if roomy else None
+        recorded = self._engines.of_recorded_versions(roomy, request, now)
+        if recorded:
+            return self._place(queued, recorded, now)
+        if candidates:
+            self._hold_reasons[request.request_id] = _reason_to_hold(
+                is_open=bool(opened), has_room=bool(roomy)
+            )
+        return None
 
     def _place(
         self,
@@ -434,6 +437,17 @@
         return Refused(queued, refusal, log_fields)
 
 
+def _reason_to_hold(*, is_open: bool, has_room: bool) -> str:
+    """Return why no engine with a free slot gets a request now.
+
+    :param is_open: whether one of them does not rest.
+    :param has_room: whether the memory of one that does not rest has room.
+    """
+    if not is_open:
+        return HELD_BY_REST
+    return HELD_BY_VERSION if has_room else HELD_BY_MEMORY
+
+
 def _reason_to_give_up(
     engines: ServiceEngines,
     crash_tracker: EngineCrashTracker,
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -103,16 +103,30 @@
         :param version: the only one that a request may use; `None`: any.
         """
         usable = self.versions.usable(self.loads.values(), now)
-        if version is not None:
-            return of_version(usable, version)
+        return usable if version is None else of_version(usable, version)
+
+    def of_recorded_versions(
+        self, free: list[EngineLoad], request: Enqueue, now: float
+    ) -> list[EngineLoad]:
+        """Leave out engines of versions that the store does not hold yet.
+
+        A request may use them if no other engine is left for it.
+        """
         unrecorded = self.origins.history.unrecorded(now)
         if not unrecorded:
-            return usable
+            return free
+        excluded = request.excluded or ()
+        has_recorded = any(
+            load.engine.version not in unrecorded
+            and load.engine.name not in excluded
+            and not load.is_leaving
+            for load in self.usable(now)
+        )
         return [
             load
-            for load in usable
-            if load.engine.version not in unrecorded and not load.is_leaving
-        ] or usable
+            for load in free
+            if not has_recorded or load.engine.version not in unrecorded
+        ]
 
     def find_running(self, request_id: str) -> EngineLoad | None:
         """Find the engine that runs a request."""
