Don't retain an engine that was gone when its entry goes again

A restored store lists an engine again that had left; it is hidden. When the platform removes the entry within two seconds, it was taken for one that expired in the outage, retained as the copy had it, ready, and got work (DRAIN).

The test found it usable before.

--- a/hornbeamdeck/store/store_engine_list.py
+++ b/hornbeamdeck/store/store_engine_list.py
@@ -98,12 +98,12 @@
         """Apply the changes that a watch returned."""
         for change in changes:
             previous = self._entries.pop(change.name, None)
-            self._gone_since_ms.pop(change.name, None)
+            was_gone = self._gone_since_ms.pop(change.name, None) is not None
             if change.engine is not None:
                 self._entries[change.name] = _with_notice(
                     change.engine, previous
                 )
-            elif previous is not None:
+            elif previous is not None and not was_gone:
                 self._retain(previous, now)
 
     def usable_engines(self, now: float) -> dict[str, Engine]:
--- a/tests/store/test_store_engine_list.py
+++ b/tests/store/test_store_engine_list.py
@@ -141,3 +141,21 @@
     )
     assert _usable(engine_list, 11_900) == {'e1', 'e2'}
     assert _usable(engine_list, 12_100) == {'e2'}
+
+
+def test_engine_that_was_gone_is_not_retained_when_it_is_removed_again() -> (
+    None
+):
+    """Guards against work for an engine that is gone after a restore."""
+    engine_list = StoreEngineList()
+    engine_list.apply_list(
+        BOTH,
+        {},
+        gone={'e1': engine('e1').born_ms},
+        restored_ms=1000,
+        confirmation_age_ms=0,
+        now=1000,
+    )
+    assert _usable(engine_list, 1000) == {'e2'}
+    engine_list.apply_changes([EngineChange('e1', None)], 1500)
+    assert _usable(engine_list, 1500) == {'e2'}
