Remember an incarnation that is gone after its engine has restarted

An engine left and started again under its name, which made the process forget that the earlier incarnation was gone. A store that was restored a second time from the same copy listed that one as ready, and it got work.

The test found it forgotten before. The model of restored stores still fails in some runs where the store is restored twice, from two copies: one incarnation is remembered for each name, and the second removal replaces the first.

--- a/hornbeamdeck/store/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -143,8 +143,11 @@
             [each for each in self.engines.values() if each.name not in listed],
             version.revision.era,
         )
-        for name in listed:
-            self._removed.pop(name, None)
+        for name, engine in listed.items():
+            removed = self._removed.get(name)
+            # A store that is restored twice may list an earlier incarnation.
+            if removed is not None and removed.born_ms >= engine.born_ms:
+                self._removed.pop(name)
         self.version = version
         self.engines = listed
         self._incarnations.record_confirmed(self.confirmed_ms)
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -126,6 +126,16 @@
     assert directory.gone_before(2) == {'engine-1': 1}
 
 
+def test_removed_incarnation_is_known_after_its_engine_has_restarted() -> None:
+    """Guards against work for it when the store is restored again."""
+    directory = EngineDirectory()
+    first = _engine(is_draining=False)
+    directory.update(_version(1), [first])
+    directory.update(_version(2), [])
+    directory.update(_version(3), [first._replace(born_ms=first.born_ms + 1)])
+    assert directory.gone_before(2) == {'engine-1': first.born_ms}
+
+
 def _listing(born_ms: int, name: str = 'engine-1') -> list[Engine]:
     return [Engine(name, 'desk', '127.0.0.1:1', 'z1', 4, False, born_ms)]
 
