Ask the engine of a waiting request's stream

Callers who went on with a stream whose instance had died before the engine stated its start were refused with unknown_stream after 2.5 s, although the engine could still be asked: only relaying instances asked.

The owner now asks the engine in the background when a request waits for the version of its stream, if the incarnation that was granted is still listed, and places the request once the engine confirms it. OriginBook decides which engine to ask, Scheduler asks through the process's IncarnationCheck, which shares its IncarnationBook with the owner's cells.

--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -1,10 +1,10 @@
 """The cells that this process owns, and the handling of messages to them."""
 
-from collections.abc import Iterable
-from typing import Final, TypeAlias
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Final, TypeAlias
 
 import structlog
-from curio import Event, sleep
+from curio import Event, sleep, spawn
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
@@ -16,6 +16,7 @@
 )
 from hornbeamdeck.scheduling.engine_crash_tracker import POISON_CRASHES
 from hornbeamdeck.scheduling.queued_request import Deliver, instance_of
+from hornbeamdeck.scheduling.stream_origins import OriginQuestion
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
     EngineObservation,
@@ -33,13 +34,18 @@
     Withdraw,
 )
 
-__all__ = ('Scheduler',)
+__all__ = ('CheckIncarnation', 'Scheduler')
 
 _LOGGER = structlog.get_logger(prefix='scheduler')
 
 EXPIRY_CHECK_INTERVAL_MS: Final = 25
 
 AnyCell: TypeAlias = Cell | EngineCell
+# Takes a grant and a time. Returns whether its engine is certain to have run
+# the granted incarnation then, after asking the engine if that is needed.
+CheckIncarnation: TypeAlias = Callable[
+    [Grant, float], Coroutine[Any, Any, bool]
+]
 
 
 class Scheduler:
@@ -62,6 +68,11 @@
         # Set when streams were granted or have begun. Whoever waits for it
         # clears it.
         self.has_new_origins = Event()
+        self._async_check_incarnation: CheckIncarnation | None = None
+
+    def set_incarnation_check(self, check: CheckIncarnation) -> None:
+        """Set how engines are asked for the start of their incarnation."""
+        self._async_check_incarnation = check
 
     def close(self) -> None:
         """Grant nothing more, since this process ends.
@@ -214,8 +225,26 @@
             )
         if refused is not None:
             await _async_refuse(refused)
+        elif isinstance(cell, EngineCell):
+            await self._async_start_question(cell, request)
         await self._has_waiting.set()
 
+    async def _async_start_question(
+        self, cell: EngineCell, request: Enqueue
+    ) -> None:
+        """Ask the engine of a waiting request's stream in the background."""
+        question = cell.origins.question(request, now_ms())
+        check = self._async_check_incarnation
+        if question is None or check is None:
+            return
+        grant = _to_grant(request, question)
+
+        async def _async_check() -> None:
+            if await check(grant, question.begun_ms):
+                await self._async_grant(cell)
+
+        await spawn(_async_check, daemon=True)
+
     async def _async_grant(self, cell: AnyCell) -> None:
         if self._is_closed:
             return
@@ -265,6 +294,19 @@
         await deliver(refusal)
 
 
+def _to_grant(request: Enqueue, question: OriginQuestion) -> Grant:
+    """Return the grant by which a stream's engine was named."""
+    engine = question.engine
+    return Grant(
+        request_id=request.resumes,
+        cell=request.cell,
+        upstream=engine.name,
+        address=engine.address,
+        version=engine.version,
+        born_ms=engine.born_ms,
+    )
+
+
 def _log_retry(cell: EngineCell, request: Enqueue, now: float) -> None:
     _LOGGER.info(
         'retry granted',
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -111,6 +111,9 @@
             self.components.incarnations,
             make_incarnation_question(self.dialer, adapter.dialect),
         )
+        self.components.scheduler.set_incarnation_check(
+            self._incarnation_check.async_is_certain
+        )
         self._send_guard = SendGuard(
             self.freshness_guard,
             self.components.directory,
--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -156,6 +156,12 @@
             return False
         return (self.born_ms, self.version) != (listed.born_ms, listed.version)
 
+    def can_be_confirmed_by(self, listed: Engine) -> bool:
+        """Return whether an engine can state that it has run the stream."""
+        return not (
+            self.is_certain or self.is_in_doubt or self.is_unlike(listed)
+        )
+
     def begun_at(self, engine: Engine, now: float) -> Self:
         """Return the origin once an engine has made the first event."""
         begun = self._replace(is_begun=True, begun_ms=now)
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -13,14 +13,14 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Final, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
 from hornbeamdeck.scheduling.version_history import VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
-__all__ = ('IsCertain', 'OriginBook')
+__all__ = ('IsCertain', 'OriginBook', 'OriginQuestion')
 
 # The oldest are dropped first.
 MAX_ORIGINS: Final = 20_000
@@ -37,6 +37,17 @@
 IsCertain: TypeAlias = Callable[[str, int, float], bool]
 
 
+class OriginQuestion(NamedTuple):
+    """What an engine can tell of a stream's origin.
+
+    :param engine: the incarnation that was granted.
+    :param begun_ms: the time at which it has to have run.
+    """
+
+    engine: Engine
+    begun_ms: float
+
+
 def _hear_of_all() -> float:
     return 1.0
 
@@ -87,6 +98,7 @@
         self._origins: dict[str, Origin] = {}
         # By name, as last listed, the one listed last in the end.
         self._engines: dict[str, Engine] = {}
+        self._listed: Mapping[str, Engine] = {}
         # Requests whose origins the list may show to be certain.
         self._unsettled: dict[str, None] = {}
         self._settled_ms = -math.inf
@@ -110,6 +122,7 @@
         }
         if changed:
             self._settle_changed(changed, now)
+        self._listed = listed
         for name, engine in listed.items():
             self._engines.pop(name, None)
             self._engines[name] = engine
@@ -175,6 +188,18 @@
             return origin.learnable_until_ms
         return now + LEARN_VERSIONS_MS if self.may_learn(now) else -math.inf
 
+    def question(self, request: Enqueue, now: float) -> OriginQuestion | None:
+        """Return which engine can make a request's stream certain, if any."""
+        origin = self._origins.get(request.resumes or '')
+        if origin is None or not origin.can_be_resumed(request, now):
+            return None
+        listed = self._listed.get(origin.engine)
+        if listed is None or origin.begun_ms is None:
+            return None
+        if not origin.can_be_confirmed_by(listed) or self._is_proven(origin):
+            return None
+        return OriginQuestion(listed, origin.begun_ms)
+
     def record_grant(
         self, request: Enqueue, engine: Engine, now: float
     ) -> None:
@@ -259,7 +284,10 @@
     def _find(self, request: Enqueue, now: float) -> str | None:
         origin = self._origins.get(request.resumes)
         if origin is None or not origin.can_be_resumed(request, now):
-            return self._only_version(now)
+            # An instance that is cut off from the others may have missed a
+            # version that has begun streams at theirs.
+            is_cut_off = self._fleet_share() < MIN_FLEET_SHARE
+            return None if is_cut_off else self.history.only_version(now)
         if not self._is_proven(origin):
             return None
         if not origin.is_certain:
@@ -276,16 +304,6 @@
             origin.engine, origin.born_ms, origin.begun_ms
         )
 
-    def _only_version(self, now: float) -> str | None:
-        """Return the only version that can have begun an unknown stream.
-
-        An instance that is cut off from the others may have missed a version
-        that has begun streams at theirs.
-        """
-        if self._fleet_share() < MIN_FLEET_SHARE:
-            return None
-        return self.history.only_version(now)
-
     def _put(self, request_id: str, origin: Origin, now: float) -> None:
         """Put an origin last, which keeps the order of the changes."""
         self.sequence += 1
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -303,3 +303,17 @@
     assert not _refusals(cell, 2530)
     cell.loads['of-v1'].slots = 2
     assert granted(cell, 2550) == [('again', 'of-v1')]
+
+
+def test_a_listed_engine_can_be_asked_about_its_stream() -> None:
+    """Guards against questions to an incarnation that did not run a stream."""
+    cell = _begun_cell([])
+    request = make_request('again', resumes='first')
+    question = cell.origins.question(request, 100)
+    assert question is not None
+    assert question.engine == cell.loads['of-v1'].engine
+    assert question.begun_ms == 0
+    again = cell.loads['of-v1'].engine._replace(born_ms=99)
+    for listed in ([], [again]):
+        cell.origins.update_engines(listed, 200)
+        assert cell.origins.question(request, 200) is None
