Take no entry for evidence before it would have expired

Callers got a stream of v2 continued at v1: an owner that had asked no engine took an entry for evidence after 1.5 s, where the entry of an engine that is cut off from the store lives for 4 s. A process that has just started had asked none.

An entry now has to be listed for 4 s after the first event in every process. The list thus shows the incarnation 5 s after the first event. A caller waits for that only if it comes within 2.5 s; otherwise 700 ms for the engine's answer, if its incarnation is still listed, and not at all if it is not.

The tests of waiting use the new times: they also check the bounds on both sides, and that a stream whose engine is gone is refused at once.

--- a/hornbeamdeck/scheduling/incarnations.py
+++ b/hornbeamdeck/scheduling/incarnations.py
@@ -16,8 +16,6 @@
 
 # An entry that its engine does not renew expires within this time.
 ENTRY_EXPIRY_MS: Final = 4000.0
-# An engine that can reach the store renews its entry within this time.
-ENTRY_RENEWAL_MS: Final = 1500.0
 # Statements of this many incarnations are kept, the latest ones.
 MAX_STATEMENTS: Final = 2000
 
@@ -36,7 +34,6 @@
         # When an incarnation was asked that has stated its start, by name and
         # start; the latest last.
         self._asked_ms: dict[tuple[str, int], float] = {}
-        self._has_statements = False
 
     def record_statement(
         self, engine: str, born_ms: int, asked_ms: float
@@ -48,7 +45,6 @@
         key = (engine, born_ms)
         known_ms = self._asked_ms.pop(key, asked_ms)
         self._asked_ms[key] = max(known_ms, asked_ms)
-        self._has_statements = True
         while len(self._asked_ms) > MAX_STATEMENTS:
             self._asked_ms.pop(next(iter(self._asked_ms)))
 
@@ -68,8 +64,6 @@
         if asked_ms is not None and asked_ms >= connected_ms:
             return True
         # The entry of an engine that is cut off from the store stays until it
-        # expires. Where engines state nothing, none is expected to be cut off.
-        # This process may not have asked the engine that has started again.
-        delay_ms = ENTRY_EXPIRY_MS if self._has_statements else ENTRY_RENEWAL_MS
+        # expires.
         listed_ms = self._listed_until_ms(engine, born_ms, connected_ms)
-        return listed_ms >= connected_ms + delay_ms
+        return listed_ms >= connected_ms + ENTRY_EXPIRY_MS
--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -4,10 +4,7 @@
 from typing import Final, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.incarnations import (
-    ENTRY_EXPIRY_MS,
-    ENTRY_RENEWAL_MS,
-)
+from hornbeamdeck.scheduling.incarnations import ENTRY_EXPIRY_MS
 from hornbeamdeck.scheduling.version_history import HISTORY_MS
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
@@ -20,7 +17,12 @@
 MAX_CONFIRMATION_AGE_MS: Final = 1000.0
 # The list shows within this time after the first event which incarnation ran,
 # while the store is there.
-LEARN_INCARNATION_MS: Final = ENTRY_RENEWAL_MS + MAX_CONFIRMATION_AGE_MS
+LISTED_EVIDENCE_MS: Final = ENTRY_EXPIRY_MS + MAX_CONFIRMATION_AGE_MS
+# An engine states within this time which incarnation it runs, also if another
+# question to it has to end first.
+STATEMENT_MS: Final = 700.0
+# A request waits no longer than this for evidence of its stream.
+LEARN_INCARNATION_MS: Final = 2500.0
 # Evidence of the list that is not there after this time is not expected.
 SETTLE_MS: Final = 2 * ENTRY_EXPIRY_MS
 
@@ -129,12 +131,24 @@
         has_evidence = self.is_certain or self.born_ms is not None
         return self.version is None or not has_evidence
 
-    @property
-    def learnable_until_ms(self) -> float:
-        """Until when the list may show which incarnation ran the stream."""
+    def learnable_until_ms(self, listed: Engine | None, now: float) -> float:
+        """Return until when a request may wait for evidence of the stream.
+
+        While its engine is listed, this process can ask it, and the list may
+        show that it goes on to be listed. The instance that relays the stream
+        asks at the first event.
+
+        :param listed: the engine as it is listed now; `None`: it is not.
+        :returns: minus infinity if no evidence is expected.
+        """
         if self.is_in_doubt or self.begun_ms is None:
             return -math.inf
-        return self.begun_ms + LEARN_INCARNATION_MS
+        if listed is None or not self.can_be_confirmed_by(listed):
+            return self.begun_ms + STATEMENT_MS
+        listed_ms = self.begun_ms + LISTED_EVIDENCE_MS
+        if listed_ms > now + LEARN_INCARNATION_MS:
+            return now + STATEMENT_MS
+        return max(listed_ms, now + STATEMENT_MS)
 
     def can_be_resumed(self, request: Enqueue, now: float) -> bool:
         """Return whether it is what a request goes on with."""
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -185,7 +185,8 @@
             return -math.inf
         origin = self._origins.get(request.resumes)
         if origin is not None and origin.can_be_resumed(request, now):
-            return origin.learnable_until_ms
+            listed = self._listed.get(origin.engine)
+            return origin.learnable_until_ms(listed, now)
         return now + LEARN_VERSIONS_MS if self.may_learn(now) else -math.inf
 
     def question(self, request: Enqueue, now: float) -> OriginQuestion | None:
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -2,9 +2,10 @@
 
 import math
 
+import pytest
+
 from hornbeamdeck.scheduling.incarnations import (
     ENTRY_EXPIRY_MS,
-    ENTRY_RENEWAL_MS,
     MAX_STATEMENTS,
     IncarnationBook,
 )
@@ -43,18 +44,20 @@
 
 def test_an_entry_that_goes_on_to_be_listed_is_evidence() -> None:
     """Guards against refusing streams of engines that state nothing."""
-    listed_ms = CONNECTED_MS + ENTRY_RENEWAL_MS
+    listed_ms = CONNECTED_MS + ENTRY_EXPIRY_MS
     assert _book(listed_ms).is_certain(ENGINE, BORN_MS, CONNECTED_MS)
 
 
-def test_the_entry_of_a_stating_engine_must_outlast_its_expiry() -> None:
+@pytest.mark.parametrize('has_statements', [False, True])
+def test_an_entry_must_outlast_its_expiry(*, has_statements: bool) -> None:
     """Guards against an engine that restarts while cut off from the store."""
     for listed_for_ms, is_certain in (
-        (ENTRY_RENEWAL_MS, False),
+        (ENTRY_EXPIRY_MS - 1, False),
         (ENTRY_EXPIRY_MS, True),
     ):
         book = _book(CONNECTED_MS + listed_for_ms)
-        book.record_statement(ENGINE, BORN_MS, CONNECTED_MS - 1)
+        if has_statements:
+            book.record_statement(ENGINE, BORN_MS, CONNECTED_MS - 1)
         assert book.is_certain(ENGINE, BORN_MS, CONNECTED_MS) is is_certain
 
 
@@ -69,6 +72,6 @@
 
 def test_stale_entry_of_an_engine_that_was_not_asked_is_no_evidence() -> None:
     """Guards against an owner that has never relayed a stream of an engine."""
-    book = _book(CONNECTED_MS + ENTRY_RENEWAL_MS)
+    book = _book(CONNECTED_MS + ENTRY_EXPIRY_MS - 1)
     book.record_statement('desk-2', BORN_MS, CONNECTED_MS)
     assert not book.is_certain(ENGINE, BORN_MS, CONNECTED_MS)
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -1,5 +1,7 @@
 """Tests of a cell where streams go on while two versions serve."""
 
+import pytest
+
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import OriginBook
@@ -203,12 +205,12 @@
     """Guards against going on at the version of a stale entry."""
     evidence: list[str] = []
     cell = _begun_cell(evidence)
-    assert enqueue(cell, make_request('again', resumes='first'), 100) is None
-    assert not granted(cell, 100)
-    assert not _refusals(cell, 1400)
-    assert not granted(cell, 1400)
+    assert enqueue(cell, make_request('again', resumes='first'), 2600) is None
+    assert not granted(cell, 2600)
+    assert not _refusals(cell, 3900)
+    assert not granted(cell, 3900)
     evidence.append('of-v1')
-    assert granted(cell, 1425) == [('again', 'of-v1')]
+    assert granted(cell, 3925) == [('again', 'of-v1')]
 
 
 def test_stream_goes_on_once_its_instance_reports_the_incarnation() -> None:
@@ -226,20 +228,38 @@
 def test_stream_is_refused_when_its_incarnation_stays_uncertain() -> None:
     """Guards against callers who wait while the store is away."""
     cell = _begun_cell([])
-    enqueue(cell, make_request('again', resumes='first'), 100)
-    assert not _refusals(cell, 2490)
-    assert _refusals(cell, 2530) == [RefusalReason.UNKNOWN_STREAM]
-    late = enqueue(cell, make_request('late', resumes='first'), 2600)
-    assert _reason(late) == RefusalReason.UNKNOWN_STREAM
+    enqueue(cell, make_request('again', resumes='first'), 2600)
+    assert not _refusals(cell, 4990)
+    assert _refusals(cell, 5030) == [RefusalReason.UNKNOWN_STREAM]
+
+
+@pytest.mark.parametrize('enqueued_ms', [100, 6000])
+def test_stream_waits_for_its_engine_alone_if_the_list_shows_nothing(
+    enqueued_ms: int,
+) -> None:
+    """Guards against waiting for evidence that can't come."""
+    cell = _begun_cell([])
+    enqueue(cell, make_request('again', resumes='first'), enqueued_ms)
+    assert not _refusals(cell, enqueued_ms + 690)
+    refused = _refusals(cell, enqueued_ms + 730)
+    assert refused == [RefusalReason.UNKNOWN_STREAM]
+
+
+def test_uncertain_stream_whose_engine_is_gone_is_refused_at_once() -> None:
+    """Guards against waiting for an engine that can't be asked."""
+    cell = _begun_cell([])
+    cell.origins.update_engines([], 200)
+    refused = enqueue(cell, make_request('again', resumes='first'), 2600)
+    assert _reason(refused) == RefusalReason.UNKNOWN_STREAM
 
 
 def test_uncertain_stream_does_not_outwait_its_caller() -> None:
     """Guards against a refusal that comes after its caller has left."""
     cell = _begun_cell([])
     request = make_request('again', resumes='first', patience_ms=700)
-    enqueue(cell, request, 100)
-    assert not _refusals(cell, 790)
-    assert _refusals(cell, 830) == [RefusalReason.UNKNOWN_STREAM]
+    enqueue(cell, request, 2600)
+    assert not _refusals(cell, 3290)
+    assert _refusals(cell, 3330) == [RefusalReason.UNKNOWN_STREAM]
 
 
 def test_stream_waits_for_a_slot_once_its_incarnation_is_certain() -> None:
@@ -248,12 +268,12 @@
     cell = _begun_cell(evidence, slots=1)
     cell.loads['of-v2'].slots = 9
     request = make_request('again', resumes='first', objective_ms=3000)
-    assert enqueue(cell, request, 100) is None
+    assert enqueue(cell, request, 2600) is None
     evidence.append('of-v1')
-    assert not granted(cell, 1425)
-    assert not _refusals(cell, 2600)
+    assert not granted(cell, 3925)
+    assert not _refusals(cell, 5100)
     cell.loads['of-v1'].slots = 2
-    assert granted(cell, 2650) == [('again', 'of-v1')]
+    assert granted(cell, 5150) == [('again', 'of-v1')]
 
 
 def test_stream_is_refused_at_once_if_no_engine_of_its_version_is_left() -> (
--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -439,4 +439,14 @@
     book = _uncertain_book(_Evidence())
     assert book.learnable_until_ms(_resumed(), 0) == -math.inf
     _begin(book, 'first')
-    assert book.learnable_until_ms(_resumed(), 500) == 2500
+    for asked_ms, until_ms in (
+        (500, 1200),
+        (2499, 3199),
+        (2500, 5000),
+        (4900, 5600),
+        (6000, 6700),
+    ):
+        assert book.learnable_until_ms(_resumed(), asked_ms) == until_ms
+    # Only the instance that relays it may still have asked.
+    book.update_engines([NEW], 500)
+    assert book.learnable_until_ms(_resumed(), 500) == 700
