Report what an engine has stated after its run has ended

Callers who left before the engine stated its start could not go on with the stream: Grants dropped the answer, as the run was no longer among those that run. It is sent to the current owner of the cell now, as Progress, which names the cell.

The new test reads what the owner knows before any caller returns: it failed without this change (not certain) and passes.

--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -107,32 +107,30 @@
         return Ok(decision)
 
     async def async_report_first_token(
-        self,
-        request_id: str,
-        first_token_ms: float,
-        relay: str = '',
-        is_certain: bool = False,  # noqa: FBT001, FBT002
+        self, request_id: str, first_token_ms: float
     ) -> None:
-        """Report the first token of a run to the owner.
-
-        :param relay: the instance that the request went through; empty: none.
-        :param is_certain: whether the upstream is certain to run the
-            incarnation that was granted. It may be reported once more when it
-            is.
-        """
+        """Report the first token of a run to the owner."""
         running = self._running.get(request_id)
         if running is None:
             return
-        run = running.run
-        run.is_prefilling = False
         message = Progress(
             request_id=request_id,
-            cell=run.cell,
+            cell=running.run.cell,
             first_token_ms=int(first_token_ms),
-            relay=relay or None,
-            is_certain=is_certain or None,
         )
-        await self.link.async_send(running.owner, message)
+        await self.async_report_progress(message)
+
+    async def async_report_progress(self, progress: Progress) -> None:
+        """Report the first token of a run, or what is known of its engine.
+
+        The latter may be known only once the run has ended.
+        """
+        running = self._running.get(progress.request_id)
+        if running is not None:
+            running.run.is_prefilling = False
+            await self.link.async_send(running.owner, progress)
+        elif progress.is_certain is not None:
+            await self.link.async_send_to_current(progress)
 
     async def async_release(
         self,
@@ -232,19 +230,15 @@
             # The caller has disconnected, or the request has moved to another
             # owner. The slot is returned, since this owner would otherwise
             # count a run that never starts.
-            await self._async_decline(sender, grant)
+            running = self._running.get(grant.request_id)
+            if running is None or running.owner != sender:
+                await self.link.async_send(sender, _to_cancelled(grant))
             return
         self._waiting.pop(grant.request_id)
         run = _to_register(waiting.request, grant.upstream)
         self._running[grant.request_id] = _Running(run, sender)
         await waiting.decisions.put(grant)
 
-    async def _async_decline(self, sender: str, grant: Grant) -> None:
-        running = self._running.get(grant.request_id)
-        if running is not None and running.owner == sender:
-            return
-        await self.link.async_send(sender, _to_cancelled(grant))
-
     async def _async_refused(self, sender: str, refusal: Refuse) -> None:
         waiting = self._waiting.get(refusal.request_id)
         if waiting is None or waiting.owner != sender:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -300,7 +300,7 @@
             engine_dialer=self.dialer,
             incarnation_check=self._incarnation_check,
             acquire_grant=components.grants.async_acquire,
-            report_first_token=components.grants.async_report_first_token,
+            report_progress=components.grants.async_report_progress,
             release_grant=components.grants.async_release,
             record_statement=make_statement_recorder(
                 components.grants.engine_statements, components.peers
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -22,7 +22,7 @@
 from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.store.freshness_guard import FreshnessGuard
 from hornbeamdeck.version.gateway import GatewayConfiguration
-from hornbeamdeck.wire import Enqueue, Grant, RunEnd
+from hornbeamdeck.wire import Enqueue, Grant, Progress, RunEnd
 
 __all__ = ('GatewayContext',)
 
@@ -42,9 +42,9 @@
     :param acquire_grant: waits for a grant.
     :param incarnation_check: finds out whether an engine runs the incarnation
         that was granted.
-    :param report_first_token: gets a request's id, its time to first token, ms,
-        the instance that it was relayed by, empty: none, and whether its engine
-        is certain to run the incarnation that was granted.
+    :param report_progress: reports a run's first token to the owner, once more
+        when it is known whether its engine runs the incarnation that was
+        granted.
     :param release_grant: gets a request's id, how its run ended and its
         summary.
     :param record_statement: gets a grant, what the head of its response states
@@ -71,7 +71,7 @@
     engine_dialer: EngineDialer
     acquire_grant: Acquire
     incarnation_check: IncarnationCheck
-    report_first_token: Callable[[str, float, str, bool], Awaitable[None]]
+    report_progress: Callable[[Progress], Awaitable[None]]
     release_grant: Callable[[str, RunEnd, RunSummary], Awaitable[None]]
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
     check_engine: Callable[[Grant, str], Awaitable[None]]
--- a/hornbeamdeck/request/stream_evidence.py
+++ b/hornbeamdeck/request/stream_evidence.py
@@ -14,7 +14,7 @@
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_request import WithholdReason
 from hornbeamdeck.request.stream_log import log_stream_begun
-from hornbeamdeck.wire import Grant
+from hornbeamdeck.wire import Grant, Progress
 
 __all__ = ('StreamEvidence',)
 
@@ -66,9 +66,14 @@
         relay = engine_connection.relay
 
         async def _async_report(*, is_certain: bool = True) -> None:
-            await self._context.report_first_token(
-                grant.request_id, first_token_ms, relay, is_certain
+            progress = Progress(
+                request_id=grant.request_id,
+                cell=grant.cell,
+                first_token_ms=int(first_token_ms),
+                relay=relay or None,
+                is_certain=is_certain or None,
             )
+            await self._context.report_progress(progress)
 
         check = self._context.incarnation_check
         is_certain = part.is_to_granted_address and check.is_certain(
--- a/tests/platform/test_owners_that_ask.py
+++ b/tests/platform/test_owners_that_ask.py
@@ -5,6 +5,7 @@
 
 from curio import sleep
 
+from hornbeamdeck.clock import now_ms
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import EngineStandin
 from tests.platform.stream_caller import StreamCaller
@@ -61,3 +62,32 @@
         await caller.async_leave()
         await sleep(2 * ANSWER_S)
         assert await caller.async_resume(owner) == 200
+
+
+@on_platform(count=2)
+async def test_a_late_statement_reaches_the_owner(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against losing what an engine that ends later has stated."""
+    for engine in fleet.model_engines:
+        engine.events = 6
+        engine.event_gap_s = 0.05
+        engine.run_version('v1')
+    owner, other = fleet.ranked_gateways()
+    early = StreamCaller(fleet, 'early')
+    await early.async_begin(owner)
+    assert await early.async_read_all()
+    answer = EngineStandin.async_report
+
+    async def _async_report_late(*called: Any) -> None:
+        await sleep(ANSWER_S)
+        await answer(*called)
+
+    with patch.object(EngineStandin, 'async_report', _async_report_late):
+        caller = StreamCaller(fleet, 'first')
+        await caller.async_begin(other)
+        await caller.async_leave()
+        await sleep(2 * ANSWER_S)
+    book = fleet.gateways[owner].components.cells.cells['desk'].origins
+    origins = book.changed_since(0, 'reader', now_ms())
+    assert {each.request_id: each.is_certain for each in origins}['first']
