Take no versions for all once an engine states another start

Callers of a fleet that had lost all its processes got streams of v2 continued at v1: an engine had run v2 behind the stale entry of its predecessor, which was never listed, so the record named v1 as the only version.

An instance that learns from the engine that it runs another incarnation than the granted one now reports Progress with is_certain false. The owner's own questions count alike.

The callback of a question gets the verdict, so the test that it isn't called for another incarnation now checks that it is called once with false. The model of restarting engines reports false only where the engine was asked.

--- a/hornbeamdeck/engines/incarnation_check.py
+++ b/hornbeamdeck/engines/incarnation_check.py
@@ -21,7 +21,12 @@
 from hornbeamdeck.scheduling.incarnations import IncarnationBook
 from hornbeamdeck.wire import Grant
 
-__all__ = ('Ask', 'IncarnationCheck', 'make_incarnation_question')
+__all__ = (
+    'Ask',
+    'IncarnationCheck',
+    'OnVerdict',
+    'make_incarnation_question',
+)
 
 _LOGGER = structlog.get_logger(prefix='engines')
 
@@ -43,6 +48,8 @@
 # Takes a grant for the engine. Returns the start that it states; 0: it states
 # none; `None`: it was not reached.
 Ask: TypeAlias = Callable[[Grant], Coroutine[Any, Any, int | None]]
+# Takes whether the engine is certain to run the granted incarnation.
+OnVerdict: TypeAlias = Callable[[bool], Awaitable[None]]
 _EngineKey: TypeAlias = tuple[str, str | None]
 
 
@@ -79,35 +86,50 @@
             await self._async_ask_within(grant, connected_ms)
         return self.is_certain(grant, connected_ms)
 
+    def verdict(self, grant: Grant, connected_ms: float) -> bool | None:
+        """Return whether a connection led to the granted incarnation.
+
+        :returns: `False` if the engine has stated another start since, `None`
+            if it is not known.
+        """
+        if self.is_certain(grant, connected_ms):
+            return True
+        is_refuted = grant.born_ms and self._book.is_refuted(
+            grant.upstream, grant.born_ms, connected_ms
+        )
+        return False if is_refuted else None
+
+    async def async_verdict(
+        self, grant: Grant, connected_ms: float
+    ) -> bool | None:
+        """Return the same, after asking the engine if that is needed."""
+        await self.async_is_certain(grant, connected_ms)
+        return self.verdict(grant, connected_ms)
+
     async def async_start(
-        self,
-        grant: Grant,
-        connected_ms: float,
-        on_certain: Callable[[], Awaitable[None]],
+        self, grant: Grant, connected_ms: float, on_verdict: OnVerdict
     ) -> None:
         """Ask the engine in the background, unless it states nothing.
 
-        :param on_certain: called if its answer confirms the grant.
+        :param on_verdict: called if its answer confirms or refutes the grant.
         """
         if grant.born_ms and not self._is_silent(grant):
             await spawn(
-                self._async_check, grant, connected_ms, on_certain, daemon=True
+                self._async_check, grant, connected_ms, on_verdict, daemon=True
             )
 
     def _is_silent(self, grant: Grant) -> bool:
         return now_ms() < self._silent_until_ms.get(grant.upstream, 0)
 
     async def _async_check(
-        self,
-        grant: Grant,
-        connected_ms: float,
-        on_certain: Callable[[], Awaitable[None]],
+        self, grant: Grant, connected_ms: float, on_verdict: OnVerdict
     ) -> None:
         await self._async_wait_for_earlier(grant, connected_ms)
         if not self._is_silent(grant):
             await self._async_ask(grant, connected_ms)
-        if self.is_certain(grant, connected_ms):
-            await on_certain()
+        verdict = self.verdict(grant, connected_ms)
+        if verdict is not None:
+            await on_verdict(verdict)
 
     async def _async_ask_within(
         self, grant: Grant, connected_ms: float
--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -41,10 +41,11 @@
 EXPIRY_CHECK_INTERVAL_MS: Final = 25
 
 AnyCell: TypeAlias = Cell | EngineCell
-# Takes a grant and a time. Returns whether its engine is certain to have run
-# the granted incarnation then, after asking the engine if that is needed.
+# Takes a grant and a time. Returns whether its engine ran the granted
+# incarnation then, after asking the engine if that is needed; `None`: this is
+# not known.
 CheckIncarnation: TypeAlias = Callable[
-    [Grant, float], Coroutine[Any, Any, bool]
+    [Grant, float], Coroutine[Any, Any, bool | None]
 ]
 
 
@@ -240,8 +241,13 @@
         grant = _to_grant(request, question)
 
         async def _async_check() -> None:
-            if await check(grant, question.begun_ms):
-                await self._async_grant(cell)
+            cell.origins.record_first_event(
+                grant.request_id,
+                None,
+                now_ms(),
+                is_certain=await check(grant, question.begun_ms),
+            )
+            await self._async_grant(cell)
 
         await spawn(_async_check, daemon=True)
 
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -112,7 +112,7 @@
             make_incarnation_question(self.dialer, adapter.dialect),
         )
         self.components.scheduler.set_incarnation_check(
-            self._incarnation_check.async_is_certain
+            self._incarnation_check.async_verdict
         )
         self._send_guard = SendGuard(
             self.freshness_guard,
--- a/hornbeamdeck/request/stream_evidence.py
+++ b/hornbeamdeck/request/stream_evidence.py
@@ -4,10 +4,10 @@
 that of the engine's entry, which may describe an earlier incarnation.
 """
 
-from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from hornbeamdeck.connection.client import ClientConnection
+from hornbeamdeck.engines.incarnation_check import OnVerdict
 from hornbeamdeck.request.engine_connection import EngineConnection
 from hornbeamdeck.request.event_parser import Event
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
@@ -55,7 +55,7 @@
         """Record and report the first event that an engine has made.
 
         If it isn't certain which incarnation made it, the engine is asked in
-        the background, and what it confirms is reported again.
+        the background, and what it states is reported again.
         """
         grant = engine_connection.grant
         connection = engine_connection.connection
@@ -65,29 +65,29 @@
         self._parts.append(part)
         relay = engine_connection.relay
 
-        async def _async_report(*, is_certain: bool = True) -> None:
+        async def _async_report(is_certain: bool | None) -> None:  # noqa: FBT001
             progress = Progress(
                 request_id=grant.request_id,
                 cell=grant.cell,
                 first_token_ms=int(first_token_ms),
                 relay=relay or None,
-                is_certain=is_certain or None,
+                is_certain=is_certain,
             )
             await self._context.report_progress(progress)
 
         check = self._context.incarnation_check
-        is_certain = part.is_to_granted_address and check.is_certain(
-            grant, part.connected_ms
-        )
-        await _async_report(is_certain=is_certain)
-        if not is_certain:
+        is_certain = None
+        if part.is_to_granted_address:
+            is_certain = check.verdict(grant, part.connected_ms)
+        await _async_report(is_certain)
+        if is_certain is None:
             await self._async_start_check(part, _async_report)
         log_stream_begun(
             grant,
             part.connected_ms,
             first.event_id,
             engines_age_ms=self._context.freshness_guard.engines_age_ms(),
-            is_certain=is_certain,
+            is_certain=bool(is_certain),
         )
 
     async def async_may_go_on(self) -> bool:
@@ -112,9 +112,7 @@
             return None
         return WithholdReason.UNCERTAIN
 
-    async def _async_start_check(
-        self, part: _Part, report: Callable[[], Awaitable[None]]
-    ) -> None:
+    async def _async_start_check(self, part: _Part, report: OnVerdict) -> None:
         if self._admission.route.is_resumable and part.is_to_granted_address:
             await self._context.incarnation_check.async_start(
                 part.grant, part.connected_ms, report
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -251,7 +251,7 @@
             message.request_id,
             load.engine if load else None,
             now,
-            is_certain=bool(message.is_certain),
+            is_certain=message.is_certain,
         )
         if load is not None:
             record_reach(
--- a/hornbeamdeck/scheduling/incarnations.py
+++ b/hornbeamdeck/scheduling/incarnations.py
@@ -9,6 +9,7 @@
 engine, or would have expired.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -34,6 +35,8 @@
         # When an incarnation was asked that has stated its start, by name and
         # start; the latest last.
         self._asked_ms: dict[tuple[str, int], float] = {}
+        # The start that an engine has stated last, and when it was asked.
+        self._latest: dict[str, tuple[float, int]] = {}
 
     def record_statement(
         self, engine: str, born_ms: int, asked_ms: float
@@ -47,6 +50,24 @@
         self._asked_ms[key] = max(known_ms, asked_ms)
         while len(self._asked_ms) > MAX_STATEMENTS:
             self._asked_ms.pop(next(iter(self._asked_ms)))
+        latest = (asked_ms, born_ms)
+        self._latest[engine] = max(latest, self._latest.pop(engine, latest))
+        while len(self._latest) > MAX_STATEMENTS:
+            self._latest.pop(next(iter(self._latest)))
+
+    def is_refuted(
+        self, engine: str, born_ms: int, connected_ms: float
+    ) -> bool:
+        """Return whether an engine has stated another start since a time.
+
+        It may have run an incarnation then that was never listed.
+
+        :param born_ms: start of the incarnation that was listed before.
+        """
+        asked_ms, stated_ms = self._latest.get(engine, (-math.inf, born_ms))
+        if stated_ms == born_ms or asked_ms < connected_ms:
+            return False
+        return not self.is_certain(engine, born_ms, connected_ms)
 
     def is_certain(
         self, engine: str, born_ms: int, connected_ms: float
--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -36,7 +36,7 @@
     :param is_begun: whether the engine has made the first event. Until then,
         another engine may still begin the stream.
     :param version: of the entry that the grant was based on; `None`: owners
-        differ.
+        differ, or the engine has stated that it runs another incarnation.
     :param born_ms: start of the incarnation in that entry; `None`: the list
         can't show any more whether it ran the stream.
     :param source: the instance that reported it, or `OWN_GRANT`.
@@ -194,6 +194,12 @@
             return self
         return self._replace(is_certain=True, source=OWN_GRANT)
 
+    def as_refuted(self) -> Self:
+        """Return the origin once its engine has stated another start."""
+        if self.is_certain or not self.is_begun:
+            return self
+        return self._replace(version=None, source=OWN_GRANT)
+
     def merged(self, reported: Self) -> Self:
         """Return what is known after a report.
 
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -56,6 +56,13 @@
     return (engine.born_ms, engine.version) == (other.born_ms, other.version)
 
 
+def _is_news_of_unlisted(reported: Origin, known: Origin | None) -> bool:
+    """Return whether a version that was never listed may have run a stream."""
+    if not reported.is_begun or reported.version is not None:
+        return False
+    return known is None or known.version is not None
+
+
 def _newest(
     origins: dict[str, Origin], sequence: int
 ) -> Iterator[tuple[str, Origin]]:
@@ -215,7 +222,7 @@
         engine: Engine | None,
         now: float,
         *,
-        is_certain: bool = False,
+        is_certain: bool | None = None,
     ) -> None:
         """Record that an engine has begun a stream.
 
@@ -225,7 +232,11 @@
         :param engine: `None`: the run has ended.
         :param is_certain: whether the engine was seen to be the incarnation
             that was granted. This may be reported after the first event.
+            `False`: it has stated another start, and may run a version that
+            was never listed.
         """
+        if is_certain is False:
+            self.history.record_unlisted(now)
         known = self._origins.get(request_id)
         if known is None:
             return
@@ -233,8 +244,8 @@
         if engine is not None and not known.is_begun:
             origin = known.begun_at(engine, now)
         # It may have been seen to be what another owner granted.
-        if is_certain and not origin.is_granted_elsewhere:
-            origin = origin.as_certain()
+        if is_certain is not None and not origin.is_granted_elsewhere:
+            origin = origin.as_certain() if is_certain else origin.as_refuted()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
 
@@ -245,6 +256,8 @@
         for reported in origins:
             known = self._origins.get(reported.request_id)
             origin = Origin.from_wire(reported, source, now)
+            if _is_news_of_unlisted(origin, known):
+                self.history.record_unlisted(now)
             if known is not None:
                 origin = known.merged(origin)
             if origin != known:
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -31,6 +31,8 @@
         # When versions that are not listed any more were listed last.
         self._gone_ms: dict[str, float] = {}
         self._known_since_ms = math.inf
+        # When a version that is not known may have begun a stream.
+        self._unlisted_ms = -math.inf
 
     def update(self, listed: Iterable[str], now: float) -> None:
         """Record the versions that are listed now."""
@@ -61,6 +63,10 @@
             if version not in self._listed_since_ms:
                 self._gone_ms.setdefault(version, now)
 
+    def record_unlisted(self, now: float) -> None:
+        """Record that a version that was never listed may begin streams."""
+        self._unlisted_ms = now
+
     def apply_recorded(self, versions: Collection[str] | None) -> None:
         """Set which versions a process without memory would take for all.
 
@@ -80,7 +86,8 @@
 
     def is_complete(self, now: float) -> bool:
         """Return whether all versions of the last `HISTORY_MS` are known."""
-        return self._known_since_ms <= now - HISTORY_MS
+        known_since_ms = max(self._known_since_ms, self._unlisted_ms)
+        return known_since_ms <= now - HISTORY_MS
 
     def is_ambiguous(self, now: float) -> bool:
         """Return whether several versions can have begun streams."""
--- a/tests/engines/test_incarnation_check.py
+++ b/tests/engines/test_incarnation_check.py
@@ -54,10 +54,10 @@
 
 async def _async_start(check: IncarnationCheck) -> mock.AsyncMock:
     """Ask in the background, and wait for the end."""
-    on_certain = mock.AsyncMock()
-    await check.async_start(GRANT, now_ms(), on_certain)
+    on_verdict = mock.AsyncMock()
+    await check.async_start(GRANT, now_ms(), on_verdict)
     await curio.sleep(TAKES_S)
-    return on_certain
+    return on_verdict
 
 
 def _run(play: Play) -> None:
@@ -86,7 +86,8 @@
     async def _async_play() -> None:
         check = _check(engine)
         assert not await check.async_is_certain(GRANT, now_ms())
-        assert not (await _async_start(check)).await_count
+        on_verdict = await _async_start(check)
+        on_verdict.assert_awaited_once_with(False)  # noqa: FBT003
 
     _run(_async_play)
 
@@ -163,8 +164,8 @@
     """Guards against an owner that never hears of the evidence."""
 
     async def _async_play() -> None:
-        on_certain = await _async_start(_check(_Engine(BORN_MS)))
-        assert on_certain.await_count == 1
+        on_verdict = await _async_start(_check(_Engine(BORN_MS)))
+        on_verdict.assert_awaited_once_with(True)  # noqa: FBT003
 
     _run(_async_play)
 
--- a/tests/scheduling/test_incarnations.py
+++ b/tests/scheduling/test_incarnations.py
@@ -75,3 +75,23 @@
     book = _book(CONNECTED_MS + ENTRY_EXPIRY_MS - 1)
     book.record_statement('desk-2', BORN_MS, CONNECTED_MS)
     assert not book.is_certain(ENGINE, BORN_MS, CONNECTED_MS)
+
+
+def test_another_start_refutes_what_ran_before_the_question() -> None:
+    """Guards against taking the versions that were listed for all."""
+    book = _book(-math.inf)
+    assert not book.is_refuted(ENGINE, BORN_MS, CONNECTED_MS)
+    book.record_statement(ENGINE, BORN_MS + 1, CONNECTED_MS)
+    assert book.is_refuted(ENGINE, BORN_MS, CONNECTED_MS - 1)
+    assert not book.is_refuted(ENGINE, BORN_MS, CONNECTED_MS + 1)
+    assert not book.is_refuted(ENGINE, BORN_MS + 1, CONNECTED_MS - 1)
+    assert not book.is_refuted('desk-2', BORN_MS, CONNECTED_MS - 1)
+
+
+def test_a_restart_after_a_statement_refutes_nothing_before_it() -> None:
+    """Guards against doubt about streams whose engine was asked in time."""
+    book = _book(-math.inf)
+    book.record_statement(ENGINE, BORN_MS, CONNECTED_MS)
+    book.record_statement(ENGINE, BORN_MS + 1, CONNECTED_MS + 10)
+    assert not book.is_refuted(ENGINE, BORN_MS, CONNECTED_MS)
+    assert book.is_refuted(ENGINE, BORN_MS, CONNECTED_MS + 5)
--- a/tests/scheduling/test_origin_losses.py
+++ b/tests/scheduling/test_origin_losses.py
@@ -165,7 +165,7 @@
             request_id,
             listed,
             self.now,
-            is_certain=is_stated and running.born_ms == listed.born_ms,
+            is_certain=running.born_ms == listed.born_ms if is_stated else None,
         )
         self.streams[request_id] = running.version
 
--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -450,3 +450,47 @@
     # Only the instance that relays it may still have asked.
     book.update_engines([NEW], 500)
     assert book.learnable_until_ms(_resumed(), 500) == 700
+
+
+def _single_version_book() -> OriginBook:
+    book = OriginBook(_Evidence().is_certain)
+    book.history.add_earlier((), 0)
+    book.update_engines([OLD], 0)
+    return book
+
+
+def test_another_start_shows_that_not_all_versions_are_known() -> None:
+    """Guards against a guess where a version was never listed."""
+    book = _single_version_book()
+    assert _version(book, resumes='unknown') == 'v1'
+    _begin(book, 'first')
+    book.record_first_event('first', None, 10, is_certain=False)
+    # What the store holds does not name it either.
+    book.history.add_earlier(['v1'], 20)
+    for request_id in ('first', 'unknown'):
+        assert _version(book, 30, resumes=request_id) is None
+    assert not book.history.is_complete(9 + HISTORY_MS)
+    assert _version(book, 10 + HISTORY_MS, resumes='unknown') == 'v1'
+
+
+def test_successor_learns_that_not_all_versions_are_known() -> None:
+    """Guards against a guess by an owner whose predecessor knew better."""
+    book, successor = _single_version_book(), _single_version_book()
+    _begin(book, 'first')
+    successor.merge(book.changed_since(0, 'b', 5), 'a', 5)
+    assert successor.history.is_complete(5)
+    book.record_first_event('first', None, 10, is_certain=False)
+    for _ in range(2):
+        successor.merge(book.changed_since(0, 'b', 20), 'a', 20)
+    assert not successor.history.is_complete(20)
+    assert _version(successor, 20, resumes='first') is None
+    assert _version(successor, 20 + HISTORY_MS, resumes='unknown') == 'v1'
+
+
+def test_another_start_takes_back_no_evidence() -> None:
+    """Guards against doubt about a stream that is certain already."""
+    book = _single_version_book()
+    _begin(book, 'first')
+    book.record_first_event('first', OLD, 5, is_certain=True)
+    book.record_first_event('first', OLD, 10, is_certain=False)
+    assert _version(book, 20, resumes='first') == 'v1'
