--- a/hornbeamdeck/scheduling/incarnations.py
+++ b/hornbeamdeck/scheduling/incarnations.py
@@ -9,6 +9,7 @@
 engine, or would have expired.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -16,8 +17,6 @@
 
 # An entry that its engine does not renew expires within this time.
 ENTRY_EXPIRY_MS: Final = 4000.0
-# An engine that can reach the store renews its entry within this time.
-ENTRY_RENEWAL_MS: Final = 1500.0
 # Statements of this many incarnations are kept, the latest ones.
 MAX_STATEMENTS: Final = 2000
 
@@ -36,7 +35,8 @@
         # When an incarnation was asked that has stated its start, by name and
         # start; the latest last.
         self._asked_ms: dict[tuple[str, int], float] = {}
-        self._has_statements = False
+        # The start that an engine has stated last, and when it was asked.
+        self._latest: dict[str, tuple[float, int]] = {}
 
     def record_statement(
         self, engine: str, born_ms: int, asked_ms: float
@@ -48,9 +48,26 @@
         key = (engine, born_ms)
         known_ms = self._asked_ms.pop(key, asked_ms)
         self._asked_ms[key] = max(known_ms, asked_ms)
-        self._has_statements = True
         while len(self._asked_ms) > MAX_STATEMENTS:
             self._asked_ms.pop(next(iter(self._asked_ms)))
+        latest = (asked_ms, born_ms)
+        self._latest[engine] = max(latest, self._latest.pop(engine, latest))
+        while len(self._latest) > MAX_STATEMENTS:
+            self._latest.pop(next(iter(self._latest)))
+
+    def is_refuted(
+        self, engine: str, born_ms: int, connected_ms: float
+    ) -> bool:
+        """Return whether an engine has stated another start since a time.
+
+        It may have run an incarnation then that was never listed.
+
+        :param born_ms: start of the incarnation that was listed before.
+        """
+        asked_ms, stated_ms = self._latest.get(engine, (-math.inf, born_ms))
+        if stated_ms == born_ms or asked_ms < connected_ms:
+            return False
+        return not self.is_certain(engine, born_ms, connected_ms)
 
     def is_certain(
         self, engine: str, born_ms: int, connected_ms: float
@@ -68,8 +85,6 @@
         if asked_ms is not None and asked_ms >= connected_ms:
             return True
         # The entry of an engine that is cut off from the store stays until it
-        # expires. Where engines state nothing, none is expected to be cut off.
-        # This process may not have asked the engine that has started again.
-        delay_ms = ENTRY_EXPIRY_MS if self._has_statements else ENTRY_RENEWAL_MS
+        # expires.
         listed_ms = self._listed_until_ms(engine, born_ms, connected_ms)
-        return listed_ms >= connected_ms + delay_ms
+        return listed_ms >= connected_ms + ENTRY_EXPIRY_MS
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -13,14 +13,14 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Final, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
 from hornbeamdeck.scheduling.version_history import VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
-__all__ = ('IsCertain', 'OriginBook')
+__all__ = ('IsCertain', 'OriginBook', 'OriginQuestion')
 
 # The oldest are dropped first.
 MAX_ORIGINS: Final = 20_000
@@ -37,6 +37,17 @@
 IsCertain: TypeAlias = Callable[[str, int, float], bool]
 
 
+class OriginQuestion(NamedTuple):
+    """What an engine can tell of a stream's origin.
+
+    :param engine: the incarnation that was granted.
+    :param begun_ms: the time at which it has to have run.
+    """
+
+    engine: Engine
+    begun_ms: float
+
+
 def _hear_of_all() -> float:
     return 1.0
 
@@ -45,6 +56,13 @@
     return (engine.born_ms, engine.version) == (other.born_ms, other.version)
 
 
+def _is_news_of_unlisted(reported: Origin, known: Origin | None) -> bool:
+    """Return whether a version that was never listed may have run a stream."""
+    if not reported.is_begun or reported.version is not None:
+        return False
+    return known is None or known.version is not None
+
+
 def _newest(
     origins: dict[str, Origin], sequence: int
 ) -> Iterator[tuple[str, Origin]]:
@@ -87,6 +105,7 @@
         self._origins: dict[str, Origin] = {}
         # By name, as last listed, the one listed last in the end.
         self._engines: dict[str, Engine] = {}
+        self._listed: Mapping[str, Engine] = {}
         # Requests whose origins the list may show to be certain.
         self._unsettled: dict[str, None] = {}
         self._settled_ms = -math.inf
@@ -110,6 +129,7 @@
         }
         if changed:
             self._settle_changed(changed, now)
+        self._listed = listed
         for name, engine in listed.items():
             self._engines.pop(name, None)
             self._engines[name] = engine
@@ -172,9 +192,22 @@
             return -math.inf
         origin = self._origins.get(request.resumes)
         if origin is not None and origin.can_be_resumed(request, now):
-            return origin.learnable_until_ms
+            listed = self._listed.get(origin.engine)
+            return origin.learnable_until_ms(listed, now)
         return now + LEARN_VERSIONS_MS if self.may_learn(now) else -math.inf
 
+    def question(self, request: Enqueue, now: float) -> OriginQuestion | None:
+        """Return which engine can make a request's stream certain, if any."""
+        origin = self._origins.get(request.resumes or '')
+        if origin is None or not origin.can_be_resumed(request, now):
+            return None
+        listed = self._listed.get(origin.engine)
+        if listed is None or origin.begun_ms is None:
+            return None
+        if not origin.can_be_confirmed_by(listed) or self._is_proven(origin):
+            return None
+        return OriginQuestion(listed, origin.begun_ms)
+
     def record_grant(
         self, request: Enqueue, engine: Engine, now: float
     ) -> None:
@@ -189,7 +222,7 @@
         engine: Engine | None,
         now: float,
         *,
-        is_certain: bool = False,
+        is_certain: bool | None = None,
     ) -> None:
         """Record that an engine has begun a stream.
 
@@ -199,7 +232,11 @@
         :param engine: `None`: the run has ended.
         :param is_certain: whether the engine was seen to be the incarnation
             that was granted. This may be reported after the first event.
+            `False`: it has stated another start, and may run a version that
+            was never listed.
         """
+        if is_certain is False:
+            self.history.record_unlisted(now)
         known = self._origins.get(request_id)
         if known is None:
             return
@@ -207,8 +244,8 @@
         if engine is not None and not known.is_begun:
             origin = known.begun_at(engine, now)
         # It may have been seen to be what another owner granted.
-        if is_certain and not origin.is_granted_elsewhere:
-            origin = origin.as_certain()
+        if is_certain is not None and not origin.is_granted_elsewhere:
+            origin = origin.as_certain() if is_certain else origin.as_refuted()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
 
@@ -219,6 +256,8 @@
         for reported in origins:
             known = self._origins.get(reported.request_id)
             origin = Origin.from_wire(reported, source, now)
+            if _is_news_of_unlisted(origin, known):
+                self.history.record_unlisted(now)
             if known is not None:
                 origin = known.merged(origin)
             if origin != known:
@@ -259,7 +298,10 @@
     def _find(self, request: Enqueue, now: float) -> str | None:
         origin = self._origins.get(request.resumes)
         if origin is None or not origin.can_be_resumed(request, now):
-            return self._only_version(now)
+            # An instance that is cut off from the others may have missed a
+            # version that has begun streams at theirs.
+            is_cut_off = self._fleet_share() < MIN_FLEET_SHARE
+            return None if is_cut_off else self.history.only_version(now)
         if not self._is_proven(origin):
             return None
         if not origin.is_certain:
@@ -276,16 +318,6 @@
             origin.engine, origin.born_ms, origin.begun_ms
         )
 
-    def _only_version(self, now: float) -> str | None:
-        """Return the only version that can have begun an unknown stream.
-
-        An instance that is cut off from the others may have missed a version
-        that has begun streams at theirs.
-        """
-        if self._fleet_share() < MIN_FLEET_SHARE:
-            return None
-        return self.history.only_version(now)
-
     def _put(self, request_id: str, origin: Origin, now: float) -> None:
         """Put an origin last, which keeps the order of the changes."""
         self.sequence += 1
