Keep an engine's notice of leaving apart from the list of engines

Seen by a caller: after the store had come back from an older copy, an instance listed an engine as ready again that it had known to be leaving, and could send it requests. The model of a restored store found it.

Cause: an instance kept a notice only in the list that held it. Two ways lost it:

- An engine that the copy lacks is retained as ready.
The instance gets its notice from a peer.
The next watch reports the entry's removal, of which the instance's own entries know nothing, and the retained engine is listed again as ready.
- A peer that has not seen the notice reads the copy and sends the list of the new era, which replaces the one with the notice.

DRAIN binds an instance that has acknowledged an engine's leaving also while the store is in disruption, and docs/design/014 says that an incarnation that leaves never comes back. So the model is right.

Entries without `born` have no such memory: a restarted engine can't be told apart.

The directory's test of removed engines took an incarnation that had left for ready when it was listed again, against the design; it now demands that it stays leaving, and that the next incarnation is ready.

--- a/hornbeamdeck/store/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -9,6 +9,7 @@
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.leave_notices import LeaveNotices
 from hornbeamdeck.store.list_version import NO_LIST, ListVersion
 from hornbeamdeck.store.listed_incarnations import ListedIncarnations
 from hornbeamdeck.wire import Beat, EngineEntry, EngineList
@@ -43,6 +44,7 @@
         self.engines: Mapping[str, Engine] = {}
         # When the first list of the current era was received here.
         self.restored_ms = -math.inf
+        self.notices = LeaveNotices()
         self._removed: dict[str, _Removed] = {}
         self._freshness: Freshness[ListVersion] = Freshness()
         self._incarnations = ListedIncarnations()
@@ -134,7 +136,8 @@
         if self.is_read and version.revision.era > self.era:
             self.restored_ms = now_ms()
             self._incarnations.record_restored(self.restored_ms)
-        listed = {engine.name: engine for engine in engines}
+        listed = self.notices.apply(engines)
+        self.notices.record(listed.values())
         self._incarnations.record_replaced(listed, now_ms())
         self._record_removed(
             [each for each in self.engines.values() if each.name not in listed],
--- a/hornbeamdeck/store/store_reader.py
+++ b/hornbeamdeck/store/store_reader.py
@@ -250,7 +250,9 @@
             self._has_engines_read_failed = False
         else:
             self._engine_list.apply_changes(read.changes, now)
-        engines = self._engine_list.usable_engines(now)
+        engines = directory.notices.apply(
+            self._engine_list.usable_engines(now).values()
+        )
         version = directory.version_for_revision(read.revision)
         # The others go on with a list of the era before until they get one of
         # this era, even if it names the same engines.
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -66,9 +66,32 @@
     directory.update(_version(3), [])
     assert directory.is_draining_or_removed('engine-1')
     directory.update(_version(4), [_engine(is_draining=False)])
+    assert directory.is_draining_or_removed('engine-1')
+    restarted = _engine(is_draining=False)._replace(born_ms=2)
+    directory.update(_version(5), [restarted])
     assert not directory.is_draining_or_removed('engine-1')
 
 
+def test_peer_that_lacks_a_notice_makes_no_leaving_engine_ready() -> None:
+    """Guards against requests to an engine whose leaving is known here."""
+    directory = EngineDirectory()
+    directory.update(_version(1), [_engine(is_draining=True)])
+    peer = EngineDirectory()
+    peer.update(ListVersion(StoreRevision(2, 1)), [_engine(is_draining=False)])
+    assert directory.update_from_wire(peer.to_wire({}))
+    assert directory.engines['engine-1'].is_draining
+
+
+def test_engine_without_a_start_is_ready_after_it_left() -> None:
+    """Guards against a restarted engine that stays unused for ever."""
+    directory = EngineDirectory()
+    ready = _engine(is_draining=False)._replace(born_ms=0)
+    directory.update(_version(1), [ready._replace(is_draining=True)])
+    directory.update(_version(2), [])
+    directory.update(_version(3), [ready])
+    assert not directory.engines['engine-1'].is_draining
+
+
 def test_list_of_a_later_era_replaces_one_with_a_higher_number() -> None:
     """Guards against a peer of the old era that outvotes the new one."""
     before = EngineDirectory()
--- a/tests/store/test_restored_store_model.py
+++ b/tests/store/test_restored_store_model.py
@@ -330,3 +330,30 @@
 TestRestoredStore.settings = settings(
     max_examples=150, stateful_step_count=40, deadline=None
 )
+
+
+def test_retained_engine_that_left_is_not_listed_ready_again() -> None:
+    """Guards against a notice received from a peer that is lost on a read."""
+    state = RestoredStore()
+    state.go_on_with_engine(is_announced=False, lagging=None)
+    state.store.restore(state.copies[0])
+    state.read(lagging=None)
+    state.go_on_with_engine(is_announced=True, lagging=1)
+    state.gossip(receiver=1, sender=0)
+    state.engine_that_left_is_never_ready_again()
+    state.go_on_with_engine(is_announced=False, lagging=None)
+    state.engine_that_left_is_never_ready_again()
+    state.teardown()
+
+
+def test_notice_is_kept_when_a_peer_sends_the_list_of_a_copy() -> None:
+    """Guards against a peer of the next era that makes the engine ready."""
+    state = RestoredStore()
+    state.go_on_with_engine(is_announced=False, lagging=None)
+    state.go_on_with_engine(is_announced=True, lagging=1)
+    state.engine_that_left_is_never_ready_again()
+    state.store.restore(state.copies[-1])
+    state.read(lagging=0)
+    state.gossip(receiver=0, sender=1)
+    state.engine_that_left_is_never_ready_again()
+    state.teardown()
