--- a/tests/platform/stream_caller.py
+++ b/tests/platform/stream_caller.py
@@ -1,5 +1,6 @@
 """A caller that takes up streams again, and fleets of several versions."""
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.request.event_parser import EventParser
 from tests.platform.fleet import (
@@ -122,3 +123,6 @@
             for engine, version in versions.items()
         )
     )
+    # New versions get streams once they are recorded.
+    history = fleet.owner.components.cells.cells['desk'].origins.history
+    await fleet.async_until(lambda: not history.unrecorded(now_ms()))
