--- a/tests/platform/test_uncertain_versions.py
+++ b/tests/platform/test_uncertain_versions.py
@@ -13,6 +13,8 @@
 EVENTS = 6
 # Longer than an entry lasts that its engine does not renew.
 LISTED_S = 5.5
+# The first list of a process is no evidence for so long.
+FIRST_LIST_S = 2.2
 # Longer than engines take to renew an entry; callers' keys are accepted still.
 AWAY_S = 2.8
 SILENT_REPORTS = ('nothing', 'hang', 'endless_bytes', 'endless_head')
@@ -188,6 +190,7 @@
     for each in fleet.model_engines:
         each.report = 'nothing'
         each.keep_alive_s = 60
+    await sleep(FIRST_LIST_S)
     await _async_open_connections(fleet)
     await sleep(LISTED_S)
     callers = await _async_begin_at(fleet, engine)
