Let streams go on at a version before it is recorded

A stream that is bound to a version was held like one that begins, for up to a second after the version was first listed, though its version is certain. The new test was granted nothing before.

--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -110,10 +110,11 @@
     ) -> list[EngineLoad]:
         """Leave out engines of versions that the store does not hold yet.
 
-        A request may use them if no other engine is left for it.
+        A request may use them if no other engine is left for it. One that is
+        bound to a version begins no stream.
         """
         unrecorded = self.origins.history.unrecorded(now)
-        if not unrecorded:
+        if not unrecorded or request.version is not None:
             return free
         excluded = request.excluded or ()
         has_recorded = any(
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -167,6 +167,14 @@
     assert granted(cell) == [('0', 'of-v2')]
 
 
+def test_stream_goes_on_at_its_version_before_that_is_recorded() -> None:
+    """Guards against streams that wait for a record which they don't need."""
+    cell = _cell('v1', 'v2')
+    cell.origins.history.apply_recorded(['v1'])
+    assert enqueue(cell, make_request('0', version='v2')) is None
+    assert granted(cell) == [('0', 'of-v2')]
+
+
 def test_stream_is_refused_at_once_where_the_record_proves_nothing() -> None:
     """Guards against callers who wait for what the store does not hold."""
     cell = _cell('v1')
