Log how old the owner's list was when a stream was taken up

Cause: the line of a take-up names the versions that its owner took for all, but not how old its list of engines was, nor of how much of the fleet it heard. An owner that was out of step could not be told from one that guessed on a fresh list, which is what the hypotheses of the incident differ in.

Change: 'stream taken up' and its refusal have engines_age_ms and fleet_share. The book of streams gets the time of the list's last confirmation; no decision uses it yet.

--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -67,6 +67,7 @@
                 ),
             ),
             instances=view.instances,
+            engines_confirmed_ms=view.engines_confirmed_ms,
         )
         self._is_first_start = is_first_start
         self._fleet_share = view.fleet_share
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -137,6 +137,7 @@
                 fleet_share=lambda: fleet_share[0](),
                 instances=lambda: serving[0](),
                 is_certain=incarnations.is_certain,
+                engines_confirmed_ms=lambda: directory.confirmed_ms,
             ),
             is_first_start=settings.is_first_start,
         )
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -13,7 +13,11 @@
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.retry_budget import RetryBudget
 from hornbeamdeck.scheduling.retry_schedule import RetrySchedule
-from hornbeamdeck.scheduling.stream_origins import IsCertain
+from hornbeamdeck.scheduling.stream_origins import (
+    IsCertain,
+    OriginBook,
+    always_confirmed,
+)
 from hornbeamdeck.scheduling.token_quota import (
     SMALL_REQUEST_SHARE,
     TokenNeed,
@@ -40,11 +44,14 @@
         requests are granted here.
     :param instances: returns the ids of all instances that serve callers.
     :param is_certain: returns whether an engine ran an incarnation at a time.
+    :param engines_confirmed_ms: returns when the store was last asked for the
+        list of engines that is held here.
     """
 
     fleet_share: Callable[[], float]
     instances: ListInstances
     is_certain: IsCertain
+    engines_confirmed_ms: Callable[[], float]
 
 
 class SharedState(NamedTuple):
@@ -54,6 +61,7 @@
     :param is_certain: returns whether an engine ran an incarnation at a time.
     :param rate_rules: how engines expect their request limits to be kept.
     :param instances: returns the ids of all instances that serve callers.
+    :param engines_confirmed_ms: as in `FleetView`.
     """
 
     quotas: TokenQuotas
@@ -61,6 +69,15 @@
     is_certain: IsCertain
     rate_rules: RateRules = RateRules()
     instances: ListInstances = tuple
+    engines_confirmed_ms: Callable[[], float] = always_confirmed
+
+    def make_origins(self) -> OriginBook:
+        """Create the book for the streams of one service."""
+        return OriginBook(
+            self.is_certain,
+            self.rate_rules.fleet_share,
+            self.engines_confirmed_ms,
+        )
 
 
 class AdmissionControl:
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -80,7 +80,7 @@
         """Start without engines; `update_engines` adds them."""
         self._shared = shared
         self.retry_budget = retry_budget
-        self._engines = ServiceEngines(shared.rate_rules, shared.is_certain)
+        self._engines = ServiceEngines(shared.rate_rules, shared.make_origins())
         self.loads = self._engines.loads
         self.versions = self._engines.versions
         self.conditions = self._engines.conditions
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -19,7 +19,7 @@
     fastest_first_token_ms,
     forecast_slots,
 )
-from hornbeamdeck.scheduling.stream_origins import IsCertain, OriginBook
+from hornbeamdeck.scheduling.stream_origins import OriginBook
 from hornbeamdeck.scheduling.version_routing import VersionRouting, of_version
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
@@ -31,17 +31,16 @@
 class ServiceEngines:
     """Loads and conditions of all engines, and which versions may be used."""
 
-    def __init__(self, rate_rules: RateRules, is_certain: IsCertain) -> None:
+    def __init__(self, rate_rules: RateRules, origins: OriginBook) -> None:
         """Start without engines; `update` adds them.
 
-        :param is_certain: returns whether an engine ran an incarnation at a
-            time.
+        :param origins: the service's, without streams yet.
         """
         self.loads: dict[str, EngineLoad] = {}
         self.versions = VersionRouting()
         self.moved_runs = MovedRuns()
         self.conditions = EngineConditions(rate_rules)
-        self.origins = OriginBook(is_certain, rate_rules.fleet_share)
+        self.origins = origins
         self._estimates = ServiceEstimates.initial()
         # Until when any engine rests for any instance.
         self._rest_until_ms = -math.inf
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -17,10 +17,10 @@
 
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
-from hornbeamdeck.scheduling.version_history import VersionHistory
+from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
-__all__ = ('IsCertain', 'OriginBook', 'OriginQuestion')
+__all__ = ('IsCertain', 'OriginBook', 'OriginQuestion', 'always_confirmed')
 
 # The oldest are dropped first.
 MAX_ORIGINS: Final = 20_000
@@ -52,6 +52,15 @@
     return 1.0
 
 
+def always_confirmed() -> float:
+    """Return a time for a list of engines that never changes."""
+    return math.inf
+
+
+def _age_for_log(age_ms: float) -> int:
+    return int(max(min(age_ms, HISTORY_MS), 0))
+
+
 def _is_same(engine: Engine, other: Engine) -> bool:
     return (engine.born_ms, engine.version) == (other.born_ms, other.version)
 
@@ -87,6 +96,7 @@
         self,
         is_certain: IsCertain,
         fleet_share: Callable[[], float] = _hear_of_all,
+        engines_confirmed_ms: Callable[[], float] = always_confirmed,
     ) -> None:
         """Start without streams.
 
@@ -94,9 +104,12 @@
             time.
         :param fleet_share: returns the share of the fleet's instances that are
             heard of here.
+        :param engines_confirmed_ms: returns when the store was last asked for
+            the list of engines that is held here.
         """
         self._is_certain = is_certain
         self._fleet_share = fleet_share
+        self._engines_confirmed_ms = engines_confirmed_ms
         self.history = VersionHistory()
         # Whether the store may hold origins that were not read yet.
         self.awaits_stored = False
@@ -159,6 +172,8 @@
             'engine_version': request.version,
             'versions': sorted(self.history.versions(now)),
             'is_history_complete': self.history.is_complete(now),
+            'engines_age_ms': _age_for_log(now - self._engines_confirmed_ms()),
+            'fleet_share': round(self._fleet_share(), 2),
         }
         if origin is not None:
             fields.update(
--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -103,6 +103,20 @@
     assert _version(book) == 'v1'
 
 
+@pytest.mark.parametrize(
+    ('confirmed_ms', 'age_ms'),
+    [(500, 1500), (-math.inf, HISTORY_MS), (math.inf, 0)],
+)
+def test_logs_tell_how_old_the_list_of_a_decision_was(
+    confirmed_ms: float, age_ms: int
+) -> None:
+    """Guards against a take-up whose owner can't be seen to be out of step."""
+    book = OriginBook(always_certain, lambda: 0.75, lambda: confirmed_ms)
+    fields = book.describe(make_request('second', resumes='first'), 2000)
+    assert fields['engines_age_ms'] == age_ms
+    assert fields['fleet_share'] == 0.75
+
+
 def test_stream_of_another_team_is_unknown() -> None:
     """Guards against learning anything of another team's stream."""
     book = _book('v1', 'v2')
