--- a/tests/platform/partitions.py
+++ b/tests/platform/partitions.py
@@ -1,4 +1,4 @@
-"""Partitions between gateways of a test fleet, or from all engines."""
+"""Partitions between gateways of a test fleet, or from engines or store."""
 
 import enum
 from collections.abc import Awaitable, Callable, Iterator
@@ -25,23 +25,27 @@
 
 
 class Partition:
-    """Gateways that can't reach the engines while all else reaches them.
+    """Gateways that can't reach some addresses while all else reaches them.
 
     All gateways of a fleet run in one process, so the gateway that uses a
     socket is found by the task that does.
     """
 
     def __init__(
-        self, fleet: PlatformFleet, gateways: set[int], cut: Cut
+        self,
+        fleet: PlatformFleet,
+        gateways: set[int],
+        cut: Cut,
+        ports: set[int],
     ) -> None:
-        """Cut these gateways off, by their index in the fleet."""
+        """Cut these gateways off, by their index in the fleet.
+
+        :param ports: which they can't reach.
+        """
         self._fleet = fleet
         self._gateways = gateways
         self._cut = cut
-        self._engines = {
-            engine.address.port
-            for engine in fleet.model_engines + fleet.booking_engines
-        }
+        self._ports = ports
 
     async def async_connect(
         self, sock: Socket, address: Any, original: _Connect
@@ -69,7 +73,7 @@
     async def _async_is_cut(self, address: Any) -> bool:
         # Each use of a socket shows which gateway a task belongs to.
         gateway = await self._fleet.async_gateway_of_task(await current_task())
-        return gateway in self._gateways and address[1] in self._engines
+        return gateway in self._gateways and address[1] in self._ports
 
 
 def _peer(sock: Socket) -> Any:
@@ -81,10 +85,18 @@
 
 @contextmanager
 def partition(
-    fleet: PlatformFleet, gateways: set[int], cut: Cut
+    fleet: PlatformFleet,
+    gateways: set[int],
+    cut: Cut,
+    ports: set[int] | None = None,
 ) -> Iterator[Partition]:
-    """Cut gateways off from all engines until the end of the context."""
-    with _patched(Partition(fleet, gateways, cut)) as made:
+    """Cut gateways off until the end of the context.
+
+    :param ports: which they can't reach; `None`: those of all engines.
+    """
+    engines = fleet.model_engines + fleet.booking_engines
+    cut_ports = ports or {engine.address.port for engine in engines}
+    with _patched(Partition(fleet, gateways, cut, cut_ports)) as made:
         yield made
 
 
