Let an unknown stream go on only if the store was asked since

What callers saw: streams that had begun at engines of a new version broke, were taken up at an instance that was out of step, and went on at the old version, in an answer that looks complete.

Cause: a stream whose origin an owner does not know went on if its own list of engines had named a single version lately. Nothing asked how old that list was. The only check, that the owner hears of half of the fleet, is no evidence: instances that are cut off together hear of each other, heartbeats that waited in a socket count as new, and one of two is half of the fleet.

Change: such a stream waits until the store was asked after its request arrived: for the record of versions, which a version is in before its streams begin, also if it is gone again, and for the list of engines.

Why this works: what the store returns to a question asked after the caller came shows all that was recorded or listed before the stream broke, whatever this instance has missed, and for whatever reason.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -8,6 +8,7 @@
 
 import heapq
 import json as json_codec
+import math
 import statistics
 from collections import defaultdict
 from collections.abc import Callable
@@ -647,6 +648,7 @@
     ]
     properties = EngineProperties(plan.slots, TOKENS_PER_EVENT, 660_000)
     cell.origins.history.add_earlier((), now)
+    cell.origins.history.confirm_recorded(math.inf)
     cell.origins.update_engines(engines, now)
     cell.update_engines(engines, properties, slowness)
     return cell
--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -16,7 +16,10 @@
 )
 from hornbeamdeck.scheduling.engine_crash_tracker import POISON_CRASHES
 from hornbeamdeck.scheduling.queued_request import Deliver, instance_of
-from hornbeamdeck.scheduling.stream_origins import OriginQuestion
+from hornbeamdeck.scheduling.stream_origins import (
+    OriginQuestion,
+    VersionQuestion,
+)
 from hornbeamdeck.version.configuration import Configuration
 from hornbeamdeck.wire import (
     EngineObservation,
@@ -34,7 +37,7 @@
     Withdraw,
 )
 
-__all__ = ('CheckIncarnation', 'Scheduler')
+__all__ = ('CheckIncarnation', 'RequestConfirmation', 'Scheduler')
 
 _LOGGER = structlog.get_logger(prefix='scheduler')
 
@@ -47,6 +50,7 @@
 CheckIncarnation: TypeAlias = Callable[
     [Grant, float], Coroutine[Any, Any, bool | None]
 ]
+RequestConfirmation: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Scheduler:
@@ -70,11 +74,16 @@
         # clears it.
         self.has_new_origins = Event()
         self._async_check_incarnation: CheckIncarnation | None = None
+        self._async_request_confirmation: RequestConfirmation | None = None
 
     def set_incarnation_check(self, check: CheckIncarnation) -> None:
         """Set how engines are asked for the start of their incarnation."""
         self._async_check_incarnation = check
 
+    def set_confirmation(self, request: RequestConfirmation) -> None:
+        """Set how to have the store asked which versions served."""
+        self._async_request_confirmation = request
+
     def close(self) -> None:
         """Grant nothing more, since this process ends.
 
@@ -233,8 +242,15 @@
     async def _async_start_question(
         self, cell: EngineCell, request: Enqueue
     ) -> None:
-        """Ask the engine of a waiting request's stream in the background."""
+        """Ask for the origin of a waiting request's stream in the background.
+
+        Its engine is asked, or the store if nobody knows the engine.
+        """
         question = cell.origins.question(request, now_ms())
+        if isinstance(question, VersionQuestion):
+            if self._async_request_confirmation is not None:
+                await self._async_request_confirmation()
+            return
         check = self._async_check_incarnation
         if question is None or check is None:
             return
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -114,6 +114,11 @@
         self.components.scheduler.set_incarnation_check(
             self._incarnation_check.async_verdict
         )
+        confirmation = self.components.fleet_memory.confirmation
+        confirmation.set_callback(
+            self.components.scheduler.async_evaluate_cells
+        )
+        self.components.scheduler.set_confirmation(confirmation.async_request)
         self._send_guard = SendGuard(
             self.freshness_guard,
             self.components.directory,
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -244,6 +244,7 @@
                 ),
                 lambda: store_calls.era.current,
                 metrics.count_stored_origins,
+                readers[0].async_read_engines,
             ),
             heartbeats=heartbeats,
             reader=readers[0],
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -87,6 +87,7 @@
         self.origins = self._engines.origins
         self.crash_tracker = EngineCrashTracker()
         self._wait_queue = WaitQueue()
+        self.learning = self._wait_queue.learning
         self.standings = TeamStandings(shared.teams, self._wait_queue)
         self._hold_reasons: dict[str, str] = {}
         self._last_expiry_check_ms = float('-inf')
@@ -149,8 +150,9 @@
             deliver=deliver,
             deadline_ms=now + (request.patience_ms or request.deadline_ms),
             service_ms=0,
+            enqueued_ms=now,
         )
-        if not self.origins.bind(request, now):
+        if not self.origins.bind(request, now, asked_ms=now):
             learnable_until_ms = self.origins.learnable_until_ms(request, now)
             if learnable_until_ms <= now:
                 return self._refuse(queued, RefusalReason.UNKNOWN_STREAM, now)
@@ -185,7 +187,7 @@
             return
         self._last_expiry_check_ms = now
         for learning in self._wait_queue.learning():
-            if self.origins.bind(learning.request, now):
+            if _bind(self, learning, now):
                 # There may be no engine of its version.
                 self._has_fewer_engines = True
         if self._has_fewer_engines or self.crash_tracker.has_new_verdict:
@@ -338,7 +340,7 @@
         """Place a request that is due in this scan, within its team's limit."""
         request = queued.request
         if queued.is_unbound:
-            if not self.origins.bind(request, now):
+            if not _bind(self, queued, now):
                 self._hold_reasons[request.request_id] = HELD_BY_UNKNOWN_STREAM
                 return None
             self._has_fewer_engines = True
@@ -437,6 +439,10 @@
         return Refused(queued, refusal, log_fields)
 
 
+def _bind(cell: EngineCell, queued: QueuedRequest, now: float) -> bool:
+    return cell.origins.bind(queued.request, now, asked_ms=queued.enqueued_ms)
+
+
 def _reason_to_hold(*, is_open: bool, has_room: bool) -> str:
     """Return why no engine with a free slot gets a request now.
 
--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -1,5 +1,6 @@
 """A request that waits for a grant at the owner of its cell."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, TypeAlias
 
@@ -22,6 +23,8 @@
     :param deadline_ms: monotonic time of this process, in milliseconds.
     :param service_ms: estimated duration of the run, in milliseconds.
     :param standing: among the waiting requests of its rank.
+    :param enqueued_ms: when it arrived here; infinity: it goes on with no
+        stream.
     :param learnable_until_ms: until when the version of the stream that it goes
         on with may be learned; `None`: it was known on arrival.
     """
@@ -33,6 +36,7 @@
     service_ms: float
     standing: Standing = Standing.WITHIN_SHARE
     learnable_until_ms: float | None = None
+    enqueued_ms: float = math.inf
 
     @property
     def instance(self) -> str:
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -20,7 +20,13 @@
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
-__all__ = ('IsCertain', 'OriginBook', 'OriginQuestion', 'always_confirmed')
+__all__ = (
+    'IsCertain',
+    'OriginBook',
+    'OriginQuestion',
+    'VersionQuestion',
+    'always_confirmed',
+)
 
 # The oldest are dropped first.
 MAX_ORIGINS: Final = 20_000
@@ -48,6 +54,16 @@
     begun_ms: float
 
 
+class VersionQuestion(NamedTuple):
+    """What the store can tell of a stream that nobody knows.
+
+    :param version: the only one that can have begun it, unless the store names
+        another one; `None`: it is not known which ones served before.
+    """
+
+    version: str | None
+
+
 def _hear_of_all() -> float:
     return 1.0
 
@@ -61,6 +77,13 @@
     return int(max(min(age_ms, HISTORY_MS), 0))
 
 
+def _only_version(
+    history: VersionHistory, fleet_share: float, now: float
+) -> str | None:
+    """Return the only known version that may have begun unknown streams."""
+    return history.only_version(now) if fleet_share >= MIN_FLEET_SHARE else None
+
+
 def _is_same(engine: Engine, other: Engine) -> bool:
     return (engine.born_ms, engine.version) == (other.born_ms, other.version)
 
@@ -149,16 +172,18 @@
         while len(self._engines) > MAX_ENGINES:
             self._engines.pop(next(iter(self._engines)))
 
-    def bind(self, request: Enqueue, now: float) -> bool:
+    def bind(self, request: Enqueue, now: float, *, asked_ms: float) -> bool:
         """Set the version that a request may use, if it goes on with a stream.
 
+        :param asked_ms: when the request arrived, and so a time after its
+            stream began.
         :returns: whether that version is known.
         """
         if request.resumes is None:
             known = self._origins.get(request.request_id)
             is_in_doubt = known is not None and known.is_in_doubt
             return request.version is None or not is_in_doubt
-        request.version = self._find(request, now)
+        request.version = self._find(request, now, asked_ms)
         return request.version is not None
 
     def describe(self, request: Enqueue, now: float) -> dict[str, object]:
@@ -209,13 +234,21 @@
         if origin is not None and origin.can_be_resumed(request, now):
             listed = self._listed.get(origin.engine)
             return origin.learnable_until_ms(listed, now)
-        return now + LEARN_VERSIONS_MS if self.may_learn(now) else -math.inf
-
-    def question(self, request: Enqueue, now: float) -> OriginQuestion | None:
-        """Return which engine can make a request's stream certain, if any."""
-        origin = self._origins.get(request.resumes or '')
-        if origin is None or not origin.can_be_resumed(request, now):
+        question = self.question(request, now)
+        return now + LEARN_VERSIONS_MS if question else -math.inf
+
+    def question(
+        self, request: Enqueue, now: float
+    ) -> OriginQuestion | VersionQuestion | None:
+        """Return who can make a waiting request's stream certain, if any."""
+        if request.resumes is None or request.version is not None:
             return None
+        origin = self._origins.get(request.resumes)
+        if origin is None or not origin.can_be_resumed(request, now):
+            guessed = _only_version(self.history, self._fleet_share(), now)
+            if guessed is None and not self.may_learn(now):
+                return None
+            return VersionQuestion(guessed)
         listed = self._listed.get(origin.engine)
         if listed is None or origin.begun_ms is None:
             return None
@@ -310,13 +343,18 @@
             if origin.source == instance:
                 self._origins[request_id] = origin._replace(source=OWN_GRANT)
 
-    def _find(self, request: Enqueue, now: float) -> str | None:
+    def _find(
+        self, request: Enqueue, now: float, asked_ms: float
+    ) -> str | None:
         origin = self._origins.get(request.resumes)
         if origin is None or not origin.can_be_resumed(request, now):
-            # An instance that is cut off from the others may have missed a
-            # version that has begun streams at theirs.
-            is_cut_off = self._fleet_share() < MIN_FLEET_SHARE
-            return None if is_cut_off else self.history.only_version(now)
+            # An instance that stood still or was cut off may have missed a
+            # version that has begun streams at others.
+            is_confirmed = self.history.is_confirmed_since(
+                asked_ms, self._engines_confirmed_ms()
+            )
+            guessed = _only_version(self.history, self._fleet_share(), now)
+            return guessed if is_confirmed else None
         if not self._is_proven(origin):
             return None
         if not origin.is_certain:
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -24,6 +24,8 @@
         """Start without versions; what was listed before is not known."""
         # Whether what the store holds of the past has been read.
         self.is_read = False
+        # When the store was last asked for the record of all versions.
+        self._recorded_ms = -math.inf
         # By version that is listed now.
         self._listed_since_ms: dict[str, float] = {}
         # What the store holds; `None`: nothing that a reader would rely on.
@@ -60,8 +62,30 @@
         if is_complete:
             self._known_since_ms = -math.inf
         for version in versions:
+            gone_ms = self._gone_ms.get(version, -math.inf)
             if version not in self._listed_since_ms:
-                self._gone_ms.setdefault(version, now)
+                is_past = gone_ms < now - HISTORY_MS
+                self._gone_ms[version] = now if is_past else gone_ms
+
+    def confirm_recorded(self, asked_ms: float) -> None:
+        """Record that the store holds no other version than those known here.
+
+        :param asked_ms: when the store was asked.
+        """
+        self._recorded_ms = max(self._recorded_ms, asked_ms)
+
+    def is_confirmed_since(
+        self, since_ms: float, engines_confirmed_ms: float
+    ) -> bool:
+        """Return whether no version that is not known here served by a time.
+
+        A version is listed, and recorded before it begins streams. An instance
+        that is out of step may have missed both.
+
+        :param engines_confirmed_ms: when the store was last asked for the list
+            of engines that is held here.
+        """
+        return min(self._recorded_ms, engines_confirmed_ms) >= since_ms
 
     def record_unlisted(self, now: float) -> None:
         """Record that a version that was never listed may begin streams."""
--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -1,12 +1,19 @@
 """All that the store remembers for a fleet that loses all its processes."""
 
-from collections.abc import Callable, Coroutine, Iterator, Mapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterator,
+    Mapping,
+)
 from typing import Any, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.fleet_record import FleetRecord
 from hornbeamdeck.store.origin_store import OriginStore
 from hornbeamdeck.store.store_interface import StoreInterface
+from hornbeamdeck.store.version_confirmation import VersionConfirmation
 
 __all__ = ('FleetMemory',)
 
@@ -18,6 +25,7 @@
 
     records: tuple[FleetRecord, ...]
     origins: OriginStore
+    confirmation: VersionConfirmation
 
     @classmethod
     def from_store(
@@ -27,6 +35,7 @@
         is_writer: Callable[[], bool],
         era: Callable[[], int],
         count_origins: Callable[[str, int], None],
+        read_engines: Callable[[], Awaitable[bool]],
     ) -> Self:
         """Create all parts; nothing is called yet.
 
@@ -34,10 +43,14 @@
         :param is_writer: whether this process owns the fleet's cells now.
         :param era: returns the newest era of the store that is known here.
         :param count_origins: counts origins that were `read` or `written`.
+        :param read_engines: reads the list of engines and returns whether the
+            store has responded.
         """
+        records = FleetRecord.of_every_kind(store, cells, is_writer, era)
         return cls(
-            FleetRecord.of_every_kind(store, cells, is_writer, era),
+            records,
             OriginStore(store, cells, is_writer, era, count_origins),
+            VersionConfirmation(store, read_engines, cells, records),
         )
 
     def tasks(self) -> Iterator[_AsyncWork]:
@@ -45,3 +58,4 @@
         for record in self.records:
             yield record.async_run
         yield self.origins.async_run
+        yield self.confirmation.async_run
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -4,7 +4,7 @@
 the owner reads it: the first write returns what another owner wrote.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from itertools import count
 from typing import Any, Final, NamedTuple, Self, TypeAlias
 
@@ -57,6 +57,8 @@
         whether these are all.
     :param apply_recorded: tells a cell which names a reader of the record takes
         for all; `None`: none.
+    :param confirm: tells a cell when the store was asked for a record that has
+        all names, and told which.
     """
 
     record_name: str
@@ -64,6 +66,7 @@
     is_complete: Callable[[EngineCell, float], bool]
     add_earlier: Callable[[EngineCell, '_Recorded', float], None]
     apply_recorded: Callable[[EngineCell, Collection[str] | None], None]
+    confirm: Callable[[EngineCell, float], None]
 
 
 class _Recorded(NamedTuple):
@@ -100,6 +103,10 @@
     cell.origins.history.apply_recorded(versions)
 
 
+def _confirm_versions(cell: EngineCell, asked_ms: float) -> None:
+    cell.origins.history.confirm_recorded(asked_ms)
+
+
 def _crashing_requests(cell: EngineCell, now: float) -> Collection[str]:
     return cell.crash_tracker.confirmed(now)
 
@@ -119,6 +126,7 @@
     _knows_all_versions,
     _add_versions,
     _apply_recorded_versions,
+    _confirm_versions,
 )
 # Without them, each would crash several engines again. That one is not recorded
 # proves nothing.
@@ -128,6 +136,7 @@
     lambda _cell, _now: False,
     _add_crashing_requests,
     lambda _cell, _names: None,
+    lambda _cell, _asked_ms: None,
 )
 
 
@@ -213,15 +222,38 @@
         )
         return True
 
+    def apply_listed(
+        self, listed: Mapping[str, StoredRecord], asked_ms: float
+    ) -> None:
+        """Tell the cells what the store holds, whoever has written it.
+
+        :param listed: all records by name.
+        :param asked_ms: when the store was asked for them.
+        """
+        stored = listed.get(self._kind.record_name, _UNKNOWN)
+        known = self._stored.revision
+        if stored.revision != known:
+            self._inform(stored, self._cells.keys())
+        if stored.revision and known and stored.revision > known:
+            self._stored = stored
+        recorded = _parse(stored)
+        for service, cell in self._cells.items():
+            if recorded.get(service, _NOTHING_RECORDED).is_complete:
+                self._kind.confirm(cell, asked_ms)
+
     def _inform_cells(self) -> None:
         """Tell the cells what was recorded before this process owned them."""
         self._tell_what_is_recorded()
         if self._stored.revision is None:
             return
+        uninformed = self._cells.keys() - self._informed
+        self._informed |= uninformed
+        self._inform(self._stored, uninformed)
+
+    def _inform(self, stored: StoredRecord, services: Iterable[str]) -> None:
         now = now_ms()
-        recorded = _parse(self._stored)
-        for service in self._cells.keys() - self._informed:
-            self._informed.add(service)
+        recorded = _parse(stored)
+        for service in services:
             self._kind.add_earlier(
                 self._cells[service],
                 recorded.get(service, _NOTHING_RECORDED),
--- a/tests/platform/test_out_of_step_instances.py
+++ b/tests/platform/test_out_of_step_instances.py
@@ -1,12 +1,18 @@
 """Streams that are taken up at instances that are out of step."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import NamedTuple
 
 from hornbeamdeck.membership.liveness import FLEET_CELL
-from tests.platform.fleet import PlatformFleet, on_platform
+from tests.platform.fleet import PlatformFleet, Scenario, on_platform
 from tests.platform.lost_fleets import async_list_version, recorded_versions
-from tests.platform.partitions import Cut, partition, peer_partition
+from tests.platform.partitions import (
+    Cut,
+    PeerPartition,
+    partition,
+    peer_partition,
+)
 from tests.platform.standins import EngineStandin
 from tests.platform.stream_caller import StreamCaller
 
@@ -14,16 +20,57 @@
 EVENTS = 12
 
 
-@contextmanager
-def _out_of_step(fleet: PlatformFleet, apart: set[int]) -> Iterator[None]:
-    """Cut gateways off from the store and from all other gateways."""
-    ports = {fleet.store_address.port}
-    with (
-        partition(fleet, apart, Cut.SILENT, ports),
-        peer_partition(fleet) as peers,
-    ):
-        peers.cut_off = apart
-        yield
+class _Cut(NamedTuple):
+    """A cut between gateways, and from the store.
+
+    :param peers: the cut between gateways.
+    :param apart: the gateways that are cut off from the store.
+    """
+
+    peers: PeerPartition
+    apart: set[int]
+
+    async def async_begin(self, fleet: PlatformFleet, count: int) -> set[int]:
+        """Cut the last ranked gateways off, and wait until each side knows.
+
+        :returns: the gateways of the other side.
+        """
+        ranked = fleet.ranked_gateways()
+        self.apart.update(ranked[-count:])
+        self.peers.cut_off = set(self.apart)
+        others = set(ranked[:-count])
+        for side in (others, self.apart):
+            await fleet.async_until(partial(_has_owner_among, fleet, side))
+        return others
+
+    def end_cut_from_store(self) -> None:
+        self.apart.clear()
+
+
+_CutScenario = Callable[[PlatformFleet, _Cut], Awaitable[None]]
+
+
+def _with_cut(count: int) -> Callable[[_CutScenario], Scenario]:
+    """Run a scenario with a fleet whose gateways can be cut off.
+
+    They start under the partition, which has to see how they connect.
+    """
+
+    def _decorate(scenario: _CutScenario) -> Scenario:
+        async def _async_run(fleet: PlatformFleet) -> None:
+            ports = {fleet.store_address.port}
+            apart: set[int] = set()
+            with (
+                partition(fleet, apart, Cut.SILENT, ports),
+                peer_partition(fleet) as peers,
+            ):
+                await fleet.async_add_gateways(count)
+                await scenario(fleet, _Cut(peers, apart))
+
+        _async_run.__doc__ = scenario.__doc__
+        return _async_run
+
+    return _decorate
 
 
 def _has_owner_among(fleet: PlatformFleet, gateways: set[int]) -> bool:
@@ -59,39 +106,88 @@
     return begun
 
 
+async def _async_check_refused(
+    callers: list[StreamCaller], gateways: set[int]
+) -> None:
+    for caller in callers:
+        for gateway in gateways:
+            status = await caller.async_resume(gateway)
+            assert caller.versions == {'v2'}, caller.request_id
+            assert status == 503
+            assert caller.retry_after_s > 0
+
+
 async def _async_check_not_joined(
-    fleet: PlatformFleet, apart: set[int]
+    fleet: PlatformFleet, cut: _Cut, count: int
 ) -> None:
-    others = set(range(len(fleet.gateways))) - apart
-    with _out_of_step(fleet, apart):
-        await fleet.async_until(lambda: _has_owner_among(fleet, others))
-        await fleet.async_until(lambda: _has_owner_among(fleet, apart))
-        callers = await _async_begin_at_new_version(fleet, others)
-        for caller in callers:
-            for gateway in apart:
-                await caller.async_resume(gateway)
-                assert caller.versions == {'v2'}, caller.request_id
-
-
-@on_platform(5)
+    others = await cut.async_begin(fleet, count)
+    callers = await _async_begin_at_new_version(fleet, others)
+    await _async_check_refused(callers, cut.apart)
+
+
+@on_platform(0)
+@_with_cut(5)
 async def test_majority_out_of_step_joins_no_stream_of_a_missed_version(
-    fleet: PlatformFleet,
+    fleet: PlatformFleet, cut: _Cut
 ) -> None:
     """Guards against streams of v2 that go on at v1, the only one it knows."""
-    await _async_check_not_joined(fleet, set(fleet.ranked_gateways()[:3]))
+    await _async_check_not_joined(fleet, cut, 3)
 
 
-@on_platform(4)
+@on_platform(0)
+@_with_cut(4)
 async def test_half_out_of_step_joins_no_stream_of_a_missed_version(
-    fleet: PlatformFleet,
+    fleet: PlatformFleet, cut: _Cut
 ) -> None:
     """Guards against the same where each half hears of half of the fleet."""
-    await _async_check_not_joined(fleet, set(fleet.ranked_gateways()[2:]))
+    await _async_check_not_joined(fleet, cut, 2)
 
 
-@on_platform(2)
+@on_platform(0)
+@_with_cut(2)
 async def test_one_of_two_out_of_step_joins_no_stream_of_a_missed_version(
-    fleet: PlatformFleet,
+    fleet: PlatformFleet, cut: _Cut
 ) -> None:
     """Guards against the same where an instance is half of the fleet."""
-    await _async_check_not_joined(fleet, set(fleet.ranked_gateways()[:1]))
+    await _async_check_not_joined(fleet, cut, 1)
+
+
+@on_platform(0)
+@_with_cut(5)
+async def test_stream_is_not_joined_right_after_the_store_is_back(
+    fleet: PlatformFleet, cut: _Cut
+) -> None:
+    """Guards against a decision by the list of before the cut."""
+    others = await cut.async_begin(fleet, 3)
+    apart = set(cut.apart)
+    callers = await _async_begin_at_new_version(fleet, others)
+    cut.end_cut_from_store()
+    await _async_check_refused(callers, apart)
+
+
+@on_platform(0)
+@_with_cut(5)
+async def test_version_that_has_come_and_gone_is_not_missed(
+    fleet: PlatformFleet, cut: _Cut
+) -> None:
+    """Guards against streams of a version that left before the cut ended."""
+    others = await cut.async_begin(fleet, 3)
+    apart = set(cut.apart)
+    callers = await _async_begin_at_new_version(fleet, others)
+    await fleet.store.async_remove('servers', 'desk-3')
+    cut.end_cut_from_store()
+    await _async_check_refused(callers, apart)
+
+
+@on_platform(0)
+@_with_cut(5)
+async def test_unknown_stream_goes_on_where_the_store_shows_one_version(
+    fleet: PlatformFleet, cut: _Cut
+) -> None:
+    """Guards against refusing streams at instances that reach the store."""
+    await cut.async_begin(fleet, 3)
+    apart = set(cut.apart)
+    cut.end_cut_from_store()
+    for gateway in apart:
+        caller = StreamCaller(fleet, f'unknown-{gateway}')
+        assert await caller.async_request(gateway, last_event_id='2') == 200
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -180,7 +180,7 @@
     bound.run()
     assert bound.resumed_streams.mixed == 0
     assert not bound.resumed_streams.is_refusing_too_many()
-    monkeypatch.setattr(OriginBook, 'bind', lambda *_asked: True)
+    monkeypatch.setattr(OriginBook, 'bind', lambda *_asked, **_times: True)
     unbound = Replay(plan, SEED)
     unbound.run()
     assert unbound.resumed_streams.mixed > 0
--- a/tests/scheduling/test_origin_losses.py
+++ b/tests/scheduling/test_origin_losses.py
@@ -44,7 +44,7 @@
         known = 0
         for request_id, version in self.streams.items():
             request = make_request('again', resumes=request_id)
-            if self.books[0].bind(request, self.now):
+            if self.books[0].bind(request, self.now, asked_ms=self.now):
                 assert request.version == version
                 known += 1
         return known
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -4,7 +4,7 @@
 
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.engine_cell import EngineCell
-from hornbeamdeck.scheduling.stream_origins import OriginBook
+from hornbeamdeck.scheduling.stream_origins import OriginBook, OriginQuestion
 from hornbeamdeck.wire import Progress, RefusalReason
 from tests.scheduling.engine_cell_factories import (
     MODEL,
@@ -109,6 +109,7 @@
     assert enqueue(cell, make_request('again', resumes='unknown')) is None
     assert not granted(cell, 20)
     cell.origins.history.add_earlier(['v1'], 40)
+    cell.origins.history.confirm_recorded(30)
     assert granted(cell, 40) == [('again', 'of-v1')]
 
 
@@ -338,7 +339,7 @@
     cell = _begun_cell([])
     request = make_request('again', resumes='first')
     question = cell.origins.question(request, 100)
-    assert question is not None
+    assert isinstance(question, OriginQuestion)
     assert question.engine == cell.loads['of-v1'].engine
     assert question.begun_ms == 0
     again = cell.loads['of-v1'].engine._replace(born_ms=99)
--- a/tests/scheduling/test_stream_origins.py
+++ b/tests/scheduling/test_stream_origins.py
@@ -21,6 +21,7 @@
 def _book(*versions: str) -> OriginBook:
     book = OriginBook(always_certain)
     book.history.add_earlier((), 0)
+    book.history.confirm_recorded(math.inf)
     listed = [engine(f'of-{each}', version=each) for each in versions]
     book.update_engines(listed, 0)
     return book
@@ -42,7 +43,7 @@
 
 def _version(book: OriginBook, now: float = 0, **changes: object) -> str | None:
     request: Enqueue = make_request('again', **{'resumes': 'first', **changes})
-    is_bound = book.bind(request, now)
+    is_bound = book.bind(request, now, asked_ms=now)
     assert is_bound == (request.version is not None)
     return str(request.version) if is_bound else None
 
@@ -93,10 +94,29 @@
     assert _version(_book('v1', 'v2'), resumes=named) is None
 
 
+@pytest.mark.parametrize(
+    ('recorded_ms', 'listed_ms', 'version'),
+    [(99, 100, None), (100, 99, None), (100, 100, 'v1')],
+)
+def test_unknown_stream_goes_on_only_if_the_store_was_asked_since(
+    recorded_ms: float, listed_ms: float, version: str | None
+) -> None:
+    """Guards against a guess by what the store held before a stream began."""
+    book = OriginBook(always_certain, lambda: 1.0, lambda: listed_ms)
+    book.history.add_earlier((), 0)
+    book.update_engines([OLD], 0)
+    book.history.confirm_recorded(recorded_ms)
+    request = make_request('again', resumes='first')
+    assert book.learnable_until_ms(request, 100) > 100
+    book.bind(request, 120, asked_ms=100)
+    assert request.version == version
+
+
 def test_instance_that_is_cut_off_does_not_guess() -> None:
     """Guards against a version that an instance without peers has missed."""
     book = OriginBook(always_certain, lambda: 0.4)
     book.history.add_earlier((), 0)
+    book.history.confirm_recorded(math.inf)
     book.update_engines([OLD], 0)
     assert _version(book) is None
     _begin(book, 'first')
@@ -171,7 +191,7 @@
     book.update_engines([OLD._replace(version='v2')], 20)
     assert _version(book, 30) is None
     within_response = make_request('first', version='v1')
-    assert not book.bind(within_response, 30)
+    assert not book.bind(within_response, 30, asked_ms=30)
 
 
 def test_report_reaches_another_book_once() -> None:
@@ -310,7 +330,8 @@
     evidence.until_ms = math.inf
     assert _version(book, 200) is None
     assert book.learnable_until_ms(_resumed(), 200) == -math.inf
-    assert not book.bind(make_request('first', version='v1'), 200)
+    bound = make_request('first', version='v1')
+    assert not book.bind(bound, 200, asked_ms=200)
 
 
 @pytest.mark.parametrize('restarted', [RESTARTED, SAME_VERSION])
@@ -469,6 +490,7 @@
 def _single_version_book() -> OriginBook:
     book = OriginBook(_Evidence().is_certain)
     book.history.add_earlier((), 0)
+    book.history.confirm_recorded(math.inf)
     book.update_engines([OLD], 0)
     return book
 
--- a/tests/store/test_origin_store.py
+++ b/tests/store/test_origin_store.py
@@ -113,7 +113,7 @@
 
 def _bound_version(cell: EngineCell, request_id: str) -> str | None:
     request = make_request('again', resumes=request_id)
-    cell.origins.bind(request, now_ms())
+    cell.origins.bind(request, now_ms(), asked_ms=now_ms())
     return None if request.version is None else str(request.version)
 
 
