Ask for the record of versions and the list of engines at once

What callers saw: at a store that takes half a second for each answer, every stream that nobody knows was refused, since the two questions one after the other took longer than such a stream waits (900 ms).

Change: both are asked at the same time. Each still counts from before it was sent.

Measured: test_stream_goes_on_where_the_store_is_slow (500 ms an answer) failed before, UNKNOWN_STREAM; now v1.

--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -1,12 +1,6 @@
 """All that the store remembers for a fleet that loses all its processes."""
 
-from collections.abc import (
-    Awaitable,
-    Callable,
-    Coroutine,
-    Iterator,
-    Mapping,
-)
+from collections.abc import Callable, Coroutine, Iterator, Mapping
 from typing import Any, NamedTuple, Self, TypeAlias
 
 from hornbeamdeck.scheduling.engine_cell import EngineCell
@@ -35,7 +29,7 @@
         is_writer: Callable[[], bool],
         era: Callable[[], int],
         count_origins: Callable[[str, int], None],
-        read_engines: Callable[[], Awaitable[bool]],
+        read_engines: Callable[[], Coroutine[Any, Any, bool]],
     ) -> Self:
         """Create all parts; nothing is called yet.
 
--- a/hornbeamdeck/store/version_confirmation.py
+++ b/hornbeamdeck/store/version_confirmation.py
@@ -7,11 +7,17 @@
 question.
 """
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping
-from typing import Final
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterable,
+    Mapping,
+)
+from typing import Any, Final
 
 import structlog
-from curio import Event, sleep
+from curio import Event, sleep, spawn
 from result import Err
 
 from hornbeamdeck.clock import now_ms
@@ -38,7 +44,7 @@
     def __init__(
         self,
         store: StoreInterface,
-        read_engines: Callable[[], Awaitable[bool]],
+        read_engines: Callable[[], Coroutine[Any, Any, bool]],
         cells: Mapping[str, EngineCell],
         records: Iterable[FleetRecord],
     ) -> None:
@@ -82,8 +88,9 @@
         :returns: whether the store has responded.
         """
         asked_ms = now_ms()
+        engines = await spawn(self._read_engines, daemon=True)
         listed = await self._store.list_records()
-        if isinstance(listed, Err) or not await self._read_engines():
+        if not await engines.join() or isinstance(listed, Err):
             return False
         for record in self._records:
             record.apply_listed(listed.ok_value, asked_ms)
--- a/tests/store/test_version_confirmation.py
+++ b/tests/store/test_version_confirmation.py
@@ -36,9 +36,10 @@
         self.complete = ['desk']
         self.record_era = ERA
         self.is_away = False
+        self.answer_s = 0.0
         self.calls = 0
         self.may_answer = Event()
-        self.listed_ms = -1.0
+        self._listed_ms = -1.0
         self.cell = _make_cell(self._listed_at)
         cells = {'desk': self.cell}
         unused: dict[str, Any] = dict.fromkeys(StoreInterface._fields)
@@ -57,7 +58,7 @@
         await spawn(self.confirmation.async_run, daemon=True)
 
     def _listed_at(self) -> float:
-        return self.listed_ms
+        return self._listed_ms
 
     async def _async_list_records(
         self,
@@ -69,13 +70,16 @@
             'complete': list(self.complete),
         }
         await self.may_answer.wait()
+        await sleep(self.answer_s)
         if self.is_away:
             return Err(StoreUnavailable('away'))
         revision = StoreRevision(ERA, 10 + len(self.versions))
         return Ok({'engine-versions': StoredRecord(revision, fields)})
 
     async def _async_read_engines(self) -> bool:
-        self.listed_ms = now_ms()
+        requested_ms = now_ms()
+        await sleep(self.answer_s)
+        self._listed_ms = requested_ms
         return not self.is_away
 
 
@@ -125,6 +129,12 @@
     assert (outcome, store.calls) == ('v1', 1)
 
 
+def test_stream_goes_on_where_the_store_is_slow() -> None:
+    """Guards against two calls that take longer than a stream waits."""
+    outcome, _store = _run(lambda store: setattr(store, 'answer_s', 0.5))
+    assert outcome == 'v1'
+
+
 @pytest.mark.parametrize(
     'prepare',
     [
