Take a stream's version from the grant that began it

What callers would see: a stream of v2 that goes on at v1, after its instance has moved to another owner and back.

Cause: the owner took the version of a stream from its own grant where the engine's name was the same. An owner that stood still has granted an engine as v1; the engine starts again under its id as v2, another owner grants it to the same request, and the run moves back before its first event. What the instance then reports as certain was certain of the other grant.

The origin is that of the grant that it names. Without the fields, as from an earlier release, all is as before.

--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -248,13 +248,7 @@
 
         The latter may be known a little later.
         """
-        load = self._engines.find_running(message.request_id)
-        self.origins.record_first_event(
-            message.request_id,
-            load.engine if load else None,
-            now,
-            is_certain=message.is_certain,
-        )
+        load = self._engines.record_progress(message, now)
         if load is not None:
             record_reach(
                 load, message.request_id, message.relay, RunEnd.ANSWERED, now
--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -6,9 +6,9 @@
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.incarnations import ENTRY_EXPIRY_MS
 from hornbeamdeck.scheduling.version_history import HISTORY_MS
-from hornbeamdeck.wire import Enqueue, StreamOrigin
+from hornbeamdeck.wire import Enqueue, Progress, StreamOrigin
 
-__all__ = ('OWN_GRANT', 'Origin')
+__all__ = ('OWN_GRANT', 'GrantedIncarnation', 'Origin')
 
 # Source of an origin that was granted here.
 OWN_GRANT: Final = ''
@@ -29,6 +29,20 @@
 _Progress: TypeAlias = tuple[bool, int]
 
 
+class GrantedIncarnation(NamedTuple):
+    """What an instance was told of the engine that it was granted."""
+
+    version: str
+    born_ms: int
+
+    @classmethod
+    def from_progress(cls, message: Progress) -> Self | None:
+        """Read it from a report; `None`: the report does not say."""
+        if message.version is None or message.born_ms is None:
+            return None
+        return cls(message.version, message.born_ms)
+
+
 class Origin(NamedTuple):
     """How a stream began.
 
@@ -176,18 +190,35 @@
             self.is_certain or self.is_in_doubt or self.is_unlike(listed)
         )
 
-    def begun_at(self, engine: Engine, now: float) -> Self:
-        """Return the origin once an engine has made the first event."""
+    def begun_at(
+        self, engine: Engine, granted: GrantedIncarnation | None, now: float
+    ) -> Self:
+        """Return the origin once an engine has made the first event.
+
+        :param engine: as it is listed here.
+        :param granted: as it was granted, if that is known.
+        """
         begun = self._replace(is_begun=True, begun_ms=now)
-        if self.engine == engine.name:
+        if self.engine == engine.name and self.is_of_grant(granted):
             return begun
+        listed = GrantedIncarnation(engine.version, engine.born_ms)
         return begun._replace(
             engine=engine.name,
-            version=engine.version,
-            born_ms=engine.born_ms,
-            is_granted_elsewhere=True,
+            **(granted or listed)._asdict(),
+            is_granted_elsewhere=granted is None,
         )
 
+    def is_of_grant(self, granted: GrantedIncarnation | None) -> bool:
+        """Return whether it describes what an instance was granted.
+
+        :param granted: as the instance reports it; `None`: it does not.
+        """
+        if granted is None:
+            return not self.is_granted_elsewhere
+        # Without a start, the list can't show any more what ran.
+        is_same_start = self.born_ms in {None, granted.born_ms}
+        return self.version == granted.version and is_same_start
+
     def as_certain(self) -> Self:
         """Return the origin once it is known which incarnation ran."""
         if self.version is None or not self.is_begun:
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -12,6 +12,7 @@
 from hornbeamdeck.scheduling.engine_memory import could_hold, has_room
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.moved_runs import MovedRuns
+from hornbeamdeck.scheduling.origin import GrantedIncarnation
 from hornbeamdeck.scheduling.queued_request import QueuedRequest
 from hornbeamdeck.scheduling.request_rate import RateRules
 from hornbeamdeck.scheduling.service_load import (
@@ -23,7 +24,7 @@
 from hornbeamdeck.scheduling.version_routing import VersionRouting, of_version
 from hornbeamdeck.scheduling.wait_queue import WaitQueue
 from hornbeamdeck.version.gateway import EngineProperties
-from hornbeamdeck.wire import EngineObservation, Enqueue
+from hornbeamdeck.wire import EngineObservation, Enqueue, Progress
 
 __all__ = ('ServiceEngines',)
 
@@ -135,6 +136,23 @@
                 return load
         return None
 
+    def record_progress(
+        self, message: Progress, now: float
+    ) -> EngineLoad | None:
+        """Record what an instance reports of a run's stream.
+
+        :returns: the engine that runs it; `None`: the run has ended.
+        """
+        load = self.find_running(message.request_id)
+        self.origins.record_first_event(
+            message.request_id,
+            load.engine if load else None,
+            now,
+            is_certain=message.is_certain,
+            granted=GrantedIncarnation.from_progress(message),
+        )
+        return load
+
     def open_to(
         self, instance: str, loads: Collection[EngineLoad], now: float
     ) -> Collection[EngineLoad]:
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -16,7 +16,11 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
+from hornbeamdeck.scheduling.origin import (
+    OWN_GRANT,
+    GrantedIncarnation,
+    Origin,
+)
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
 from hornbeamdeck.wire import Enqueue, StreamOrigin
 
@@ -271,17 +275,19 @@
         now: float,
         *,
         is_certain: bool | None = None,
+        granted: GrantedIncarnation | None = None,
     ) -> None:
         """Record that an engine has begun a stream.
 
-        What another owner has reported of the request may be an earlier grant,
-        which brought no event.
+        What is known of the request may be an earlier grant, of this owner or
+        of another one, which brought no event.
 
         :param engine: `None`: the run has ended.
         :param is_certain: whether the engine was seen to be the incarnation
             that was granted. This may be reported after the first event.
             `False`: it has stated another start, and may run a version that
             was never listed.
+        :param granted: the incarnation that was granted; `None`: not reported.
         """
         if is_certain is False:
             self.history.record_unlisted(now)
@@ -290,9 +296,9 @@
             return
         origin = known
         if engine is not None and not known.is_begun:
-            origin = known.begun_at(engine, now)
+            origin = known.begun_at(engine, granted, now)
         # It may have been seen to be what another owner granted.
-        if is_certain is not None and not origin.is_granted_elsewhere:
+        if is_certain is not None and origin.is_of_grant(granted):
             origin = origin.as_certain() if is_certain else origin.as_refuted()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -157,6 +157,8 @@
   3: required i32 first_token_ms
   4: optional string relay         // the instance that the request went through
   5: optional bool is_certain      // that the upstream's incarnation is the granted one
+  6: optional string version       // as it was granted
+  7: optional i64 born_ms          // the same
 }
 
 struct Release {
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -5,7 +5,13 @@
 from hornbeamdeck.scheduling.cell import Refused
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import OriginBook, OriginQuestion
-from hornbeamdeck.wire import Progress, RefusalReason
+from hornbeamdeck.wire import (
+    Progress,
+    RefusalReason,
+    Register,
+    Release,
+    RunEnd,
+)
 from tests.scheduling.engine_cell_factories import (
     MODEL,
     always_certain,
@@ -346,3 +352,49 @@
     for listed in ([], [again]):
         cell.origins.update_engines(listed, 200)
         assert cell.origins.question(request, 200) is None
+
+
+def _move_run_here(cell: EngineCell, request_id: str, upstream: str) -> None:
+    """Register a run that another owner has granted."""
+    run = Register(
+        request_id=request_id,
+        cell='desk',
+        upstream=upstream,
+        prompt_tokens=10,
+        output_tokens=10,
+        is_prefilling=True,
+        fingerprint='',
+    )
+    cell.register(run, 's')
+
+
+@pytest.mark.parametrize('is_certain', [None, True])
+def test_stream_is_not_bound_by_an_earlier_grant_of_an_engine_that_restarted(
+    is_certain: bool | None,
+) -> None:
+    """Guards against v1 where another owner granted the engine as v2."""
+    cell = _cell('v1')
+    enqueue(cell, make_request('first', resumable_ms=9000))
+    assert granted(cell) == [('first', 'of-v1')]
+    # The instance has moved to another owner meanwhile.
+    release = Release(
+        request_id='first',
+        cell='desk',
+        end=RunEnd.CANCELLED,
+        total_ms=0,
+        is_moved=True,
+    )
+    cell.release(release, 10)
+    _move_run_here(cell, 'first', 'of-v1')
+    begun = Progress(
+        request_id='first',
+        cell='desk',
+        first_token_ms=20,
+        is_certain=is_certain,
+        version='v2',
+        born_ms=2,
+    )
+    cell.progress(begun, 100)
+    request = make_request('again', resumes='first')
+    cell.origins.bind(request, 200, asked_ms=200)
+    assert request.version == 'v2'
