Give an owner that stood still no tokens for that time

What callers saw: none reported. Teams could spend beyond their limit after the owner had stood still, which the limit's rule counts for all instances.

Cause: an owner that stands still for some seconds is replaced, and its successor grants. Once it runs again, its own view names it as the owner all along, so nothing reset its buckets: they were refilled for the time in which the successor had granted the same tokens.

Change: buckets are removed if the process has not been seen to run for a second, the silence after which others replace it, before any of them is used. It starts as any new owner does. Retry budgets did so already (ServedShare).

Evidence: test_owner_that_stood_still_keeps_the_limit[3000] failed on the code before: 137,500 tokens in a window where 125,000 are allowed; [1500] and [5000] passed there, too. All 10 tests of the file pass, and 29 with those of stale and partitioned instances and layers.

--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -97,6 +97,7 @@
         now = now_ms()
         self._served_share.record(share, now)
         self._recently_served_share.record(share, now)
+        self.quotas.record_running(now)
 
     def set_callback(self, on_engines_applied: Callable[[], None]) -> None:
         """Set what is called when the cells have a new list of engines."""
--- a/hornbeamdeck/scheduling/served_share.py
+++ b/hornbeamdeck/scheduling/served_share.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import Final, NamedTuple
 
-__all__ = ('ServedShare',)
+__all__ = ('MAX_RECORD_GAP_MS', 'ServedShare')
 
 # An owner that is silent for this long is replaced by the others. A process
 # that has not run for this long may have been.
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -7,14 +7,17 @@
 
 Owners change while teams spend. A new owner starts each bucket almost empty,
 which is safe whatever its predecessor granted. When all instances have reported
-to it what they spent, it adds what the limit has left.
+to it what they spent, it adds what the limit has left. An owner that has not
+run for a while is a new owner: the others may have replaced it.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.owner_share import OwnerShare
+from hornbeamdeck.scheduling.served_share import MAX_RECORD_GAP_MS
 from hornbeamdeck.version.gateway import GatewayTeam
 
 __all__ = (
@@ -180,9 +183,16 @@
             rules.overage,
             is_first_start=is_first_start,
         )
+        # When this process was last seen to run; infinity: not yet.
+        self._ran_ms = math.inf
         self._buckets: dict[str, _Bucket] = {}
         self._waiting: dict[str, dict[int, int]] = {}
 
+    def record_running(self, now: float) -> None:
+        """Record that this process runs; called often."""
+        self._reset_after_gap(now)
+        self._ran_ms = now
+
     def may_wait(self, team: GatewayTeam, need: TokenNeed, now: float) -> bool:
         """Return whether a request may wait for its tokens.
 
@@ -234,7 +244,7 @@
         return True
 
     def reset(self) -> None:
-        """Remove all buckets, since another instance is the owner now."""
+        """Remove all buckets, since another instance is the owner or was."""
         self._buckets.clear()
         self._is_first_start = False
         self._share.reset()
@@ -257,7 +267,13 @@
         share = self._share.share
         return f'{int(bucket.level)} tokens left, share {share:.2f}'
 
+    def _reset_after_gap(self, now: float) -> None:
+        if now - self._ran_ms > MAX_RECORD_GAP_MS:
+            self._ran_ms = now
+            self.reset()
+
     def _refilled_bucket(self, team: GatewayTeam, now: float) -> _Bucket:
+        self._reset_after_gap(now)
         self._share.start(now)
         bucket = self._buckets.get(team.name)
         if bucket is None:
--- a/tests/scheduling/test_quotas_of_owners.py
+++ b/tests/scheduling/test_quotas_of_owners.py
@@ -87,6 +87,7 @@
         self.processes = [self._make(number) for number in range(INSTANCES)]
         self.sides: tuple[frozenset[int], ...] = (ALL,)
         self.owners = [0]
+        self.frozen: frozenset[int] = frozenset()
         self.granted: deque[tuple[float, int]] = deque()
         self._asked = 0.0
 
@@ -125,6 +126,19 @@
         self.processes[killed] = self._make(killed)
         self.owners = [successor]
 
+    def freeze_owner(self, for_ms: float, successor: int) -> None:
+        """Let the owner stand still, and go on once it runs again."""
+        owner = self.owners[0]
+        self.frozen = frozenset((owner,))
+        self.owners = [-1]
+        self.run(SILENCE_MS)
+        self.owners = [successor]
+        self.run(for_ms - SILENCE_MS)
+        self.frozen = frozenset()
+        self.owners = [owner]
+        # It reads the heartbeats that waited in its sockets.
+        self._send_heartbeats()
+
     def largest_window(self) -> int:
         """Return the most tokens that were granted in any window."""
         largest = 0
@@ -143,11 +157,13 @@
 
     def _send_heartbeats(self) -> None:
         for process in self.processes:
-            if process.number not in self.owners:
+            if process.number not in {*self.owners, *self.frozen}:
                 process.quotas.reset()
+            if process.number not in self.frozen:
+                process.quotas.record_running(self.now)
         for side in self.sides:
-            for sender in side:
-                for receiver in side:
+            for sender in side - self.frozen:
+                for receiver in side - self.frozen:
                     self.processes[sender].report_to(
                         self.processes[receiver], self.now
                     )
@@ -224,6 +240,17 @@
     assert fleet.largest_window() <= ALLOWED
 
 
+@pytest.mark.parametrize('freeze_ms', [1500, 3000, 5000])
+def test_owner_that_stood_still_keeps_the_limit(freeze_ms: int) -> None:
+    """Guards against tokens for a time in which another owner granted."""
+    fleet = _Fleet()
+    fleet.run(9000, demand=0.1)
+    fleet.run(3000)
+    fleet.freeze_owner(freeze_ms, 1)
+    fleet.run(9000)
+    assert fleet.largest_window() <= ALLOWED
+
+
 def test_most_of_the_limit_is_usable_where_nobody_is_cut() -> None:
     """Guards against a limit that is kept by granting only a part of it."""
     fleet = _Fleet()
