Name the granted incarnation in what is reported of a run

What callers saw: possible at an instance that was out of step, not reported by itself: a stream that had begun at an engine of v2 counts as certain to be of v1 at the owner, and goes on there.

Cause: the report of a first event, and the later one that the engine's incarnation is certain, named only the request. The owner took both for its own grant of it, or for what another owner had reported. An owner that stands still may have granted an engine right before; the request moves on, and the next owner grants the same engine, which has restarted at v2. The run moves back, and the evidence for that incarnation makes the first grant certain. The reports of an origin did not tell either that its version was of a stale entry, so a successor took the evidence for it, too.

Change: the instance that relays names engine, version and start of the grant that it used. The owner records the stream as begun by that grant, and takes evidence only for an origin of that version. Reports of instances that do not name it yet count as before.

--- a/hornbeamdeck/request/stream_evidence.py
+++ b/hornbeamdeck/request/stream_evidence.py
@@ -72,6 +72,9 @@
                 first_token_ms=int(first_token_ms),
                 relay=relay or None,
                 is_certain=is_certain,
+                upstream=grant.upstream,
+                version=grant.version,
+                born_ms=grant.born_ms,
             )
             await self._context.report_progress(progress)
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -254,6 +254,7 @@
             load.engine if load else None,
             now,
             is_certain=message.is_certain,
+            message=message,
         )
         if load is not None:
             record_reach(
--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -6,9 +6,9 @@
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.scheduling.incarnations import ENTRY_EXPIRY_MS
 from hornbeamdeck.scheduling.version_history import HISTORY_MS
-from hornbeamdeck.wire import Enqueue, StreamOrigin
+from hornbeamdeck.wire import Enqueue, Progress, StreamOrigin
 
-__all__ = ('OWN_GRANT', 'Origin')
+__all__ = ('OWN_GRANT', 'GrantedIncarnation', 'Origin')
 
 # Source of an origin that was granted here.
 OWN_GRANT: Final = ''
@@ -29,6 +29,21 @@
 _Progress: TypeAlias = tuple[bool, int]
 
 
+class GrantedIncarnation(NamedTuple):
+    """The engine of a grant, as the owner that granted it knew it."""
+
+    engine: str
+    version: str | None
+    born_ms: int | None
+
+    @classmethod
+    def from_progress(cls, message: Progress) -> Self | None:
+        """Read from a message; `None`: its sender names no engine."""
+        if message.upstream is None:
+            return None
+        return cls(message.upstream, message.version, message.born_ms)
+
+
 class Origin(NamedTuple):
     """How a stream began.
 
@@ -176,6 +191,16 @@
             self.is_certain or self.is_in_doubt or self.is_unlike(listed)
         )
 
+    def begun_by_grant(self, granted: GrantedIncarnation, now: float) -> Self:
+        """Return the origin once the engine of a grant made the first event.
+
+        Another owner may have granted another incarnation than this one.
+        """
+        begun = self._replace(is_begun=True, begun_ms=now)
+        if self.engine == granted.engine and self.is_in_doubt:
+            return begun
+        return begun._replace(**granted._asdict())
+
     def begun_at(self, engine: Engine, now: float) -> Self:
         """Return the origin once an engine has made the first event."""
         begun = self._replace(is_begun=True, begun_ms=now)
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -16,9 +16,13 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.scheduling.engine import Engine
-from hornbeamdeck.scheduling.origin import OWN_GRANT, Origin
+from hornbeamdeck.scheduling.origin import (
+    OWN_GRANT,
+    GrantedIncarnation,
+    Origin,
+)
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
-from hornbeamdeck.wire import Enqueue, StreamOrigin
+from hornbeamdeck.wire import Enqueue, Progress, StreamOrigin
 
 __all__ = (
     'IsCertain',
@@ -95,6 +99,22 @@
     return known is None or known.version is not None
 
 
+def _is_evidence(
+    is_certain: bool | None,  # noqa: FBT001
+    incarnation: GrantedIncarnation | None,
+    origin: Origin,
+) -> bool:
+    """Return whether what was seen of a grant's engine is about an origin.
+
+    It may have been seen to be what another owner granted.
+    """
+    if is_certain is None or origin.is_granted_elsewhere:
+        return False
+    if incarnation is None or not is_certain:
+        return True
+    return origin.version == incarnation.version
+
+
 def _newest(
     origins: dict[str, Origin], sequence: int
 ) -> Iterator[tuple[str, Origin]]:
@@ -271,6 +291,7 @@
         now: float,
         *,
         is_certain: bool | None = None,
+        message: Progress | None = None,
     ) -> None:
         """Record that an engine has begun a stream.
 
@@ -282,17 +303,22 @@
             that was granted. This may be reported after the first event.
             `False`: it has stated another start, and may run a version that
             was never listed.
+        :param message: may name the grant, possibly that of another owner.
         """
         if is_certain is False:
             self.history.record_unlisted(now)
         known = self._origins.get(request_id)
         if known is None:
             return
+        incarnation = message and GrantedIncarnation.from_progress(message)
         origin = known
         if engine is not None and not known.is_begun:
-            origin = known.begun_at(engine, now)
-        # It may have been seen to be what another owner granted.
-        if is_certain is not None and not origin.is_granted_elsewhere:
+            origin = (
+                known.begun_by_grant(incarnation, now)
+                if incarnation
+                else known.begun_at(engine, now)
+            )
+        if _is_evidence(is_certain, incarnation, origin):
             origin = origin.as_certain() if is_certain else origin.as_refuted()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1804,6 +1804,9 @@
      - first_token_ms
      - relay
      - is_certain
+     - upstream
+     - version
+     - born_ms
 
     """
 
@@ -1813,15 +1816,21 @@
         'first_token_ms',
         'relay',
         'is_certain',
+        'upstream',
+        'version',
+        'born_ms',
     )
 
 
-    def __init__(self, request_id=None, cell=None, first_token_ms=None, relay=None, is_certain=None,):
+    def __init__(self, request_id=None, cell=None, first_token_ms=None, relay=None, is_certain=None, upstream=None, version=None, born_ms=None,):
         self.request_id = request_id
         self.cell = cell
         self.first_token_ms = first_token_ms
         self.relay = relay
         self.is_certain = is_certain
+        self.upstream = upstream
+        self.version = version
+        self.born_ms = born_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1857,6 +1866,21 @@
                     self.is_certain = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1887,6 +1911,18 @@
             oprot.writeFieldBegin('is_certain', TType.BOOL, 5)
             oprot.writeBool(self.is_certain)
             oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 6)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 7)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 8)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4040,6 +4076,9 @@
     (3, TType.I32, 'first_token_ms', None, None, ),  # 3
     (4, TType.STRING, 'relay', 'UTF8', None, ),  # 4
     (5, TType.BOOL, 'is_certain', None, None, ),  # 5
+    (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'version', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'born_ms', None, None, ),  # 8
 )
 all_structs.append(Release)
 Release.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -157,6 +157,9 @@
   3: required i32 first_token_ms
   4: optional string relay         // the instance that the request went through
   5: optional bool is_certain      // that the upstream's incarnation is the granted one
+  6: optional string upstream      // this and the next two: as in its grant
+  7: optional string version
+  8: optional i64 born_ms
 }
 
 struct Release {
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -49,7 +49,13 @@
 ) -> None:
     """Guards against a field that only one of the two codecs knows."""
     sent = Progress(
-        request_id='r1', cell='desk', first_token_ms=5, is_certain=is_certain
+        request_id='r1',
+        cell='desk',
+        first_token_ms=5,
+        is_certain=is_certain,
+        upstream='e1',
+        version='v1',
+        born_ms=2**40,
     )
     frame = encode_frame(sent)
     envelope = decode_frame(frame[LENGTH_PREFIX.size :]).unwrap()
