--- a/hornbeamdeck/scheduling/origin.py
+++ b/hornbeamdeck/scheduling/origin.py
@@ -30,17 +30,18 @@
 
 
 class GrantedIncarnation(NamedTuple):
-    """What an instance was told of the engine that it was granted."""
+    """The engine of a grant, as the owner that granted it knew it."""
 
-    version: str
-    born_ms: int
+    engine: str
+    version: str | None
+    born_ms: int | None
 
     @classmethod
     def from_progress(cls, message: Progress) -> Self | None:
-        """Read it from a report; `None`: the report does not say."""
-        if message.version is None or message.born_ms is None:
+        """Read from a message; `None`: its sender names no engine."""
+        if message.upstream is None:
             return None
-        return cls(message.version, message.born_ms)
+        return cls(message.upstream, message.version, message.born_ms)
 
 
 class Origin(NamedTuple):
@@ -190,35 +191,28 @@
             self.is_certain or self.is_in_doubt or self.is_unlike(listed)
         )
 
-    def begun_at(
-        self, engine: Engine, granted: GrantedIncarnation | None, now: float
-    ) -> Self:
-        """Return the origin once an engine has made the first event.
+    def begun_by_grant(self, granted: GrantedIncarnation, now: float) -> Self:
+        """Return the origin once the engine of a grant made the first event.
 
-        :param engine: as it is listed here.
-        :param granted: as it was granted, if that is known.
+        Another owner may have granted another incarnation than this one.
         """
         begun = self._replace(is_begun=True, begun_ms=now)
-        if self.engine == engine.name and self.is_of_grant(granted):
+        if self.engine == granted.engine and self.is_in_doubt:
+            return begun
+        return begun._replace(**granted._asdict())
+
+    def begun_at(self, engine: Engine, now: float) -> Self:
+        """Return the origin once an engine has made the first event."""
+        begun = self._replace(is_begun=True, begun_ms=now)
+        if self.engine == engine.name:
             return begun
-        listed = GrantedIncarnation(engine.version, engine.born_ms)
         return begun._replace(
             engine=engine.name,
-            **(granted or listed)._asdict(),
-            is_granted_elsewhere=granted is None,
+            version=engine.version,
+            born_ms=engine.born_ms,
+            is_granted_elsewhere=True,
         )
 
-    def is_of_grant(self, granted: GrantedIncarnation | None) -> bool:
-        """Return whether it describes what an instance was granted.
-
-        :param granted: as the instance reports it; `None`: it does not.
-        """
-        if granted is None:
-            return not self.is_granted_elsewhere
-        # Without a start, the list can't show any more what ran.
-        is_same_start = self.born_ms in {None, granted.born_ms}
-        return self.version == granted.version and is_same_start
-
     def as_certain(self) -> Self:
         """Return the origin once it is known which incarnation ran."""
         if self.version is None or not self.is_begun:
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -22,7 +22,7 @@
     Origin,
 )
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
-from hornbeamdeck.wire import Enqueue, StreamOrigin
+from hornbeamdeck.wire import Enqueue, Progress, StreamOrigin
 
 __all__ = (
     'IsCertain',
@@ -99,6 +99,22 @@
     return known is None or known.version is not None
 
 
+def _is_evidence(
+    is_certain: bool | None,  # noqa: FBT001
+    incarnation: GrantedIncarnation | None,
+    origin: Origin,
+) -> bool:
+    """Return whether what was seen of a grant's engine is about an origin.
+
+    It may have been seen to be what another owner granted.
+    """
+    if is_certain is None or origin.is_granted_elsewhere:
+        return False
+    if incarnation is None or not is_certain:
+        return True
+    return origin.version == incarnation.version
+
+
 def _newest(
     origins: dict[str, Origin], sequence: int
 ) -> Iterator[tuple[str, Origin]]:
@@ -275,30 +291,34 @@
         now: float,
         *,
         is_certain: bool | None = None,
-        granted: GrantedIncarnation | None = None,
+        message: Progress | None = None,
     ) -> None:
         """Record that an engine has begun a stream.
 
-        What is known of the request may be an earlier grant, of this owner or
-        of another one, which brought no event.
+        What another owner has reported of the request may be an earlier grant,
+        which brought no event.
 
         :param engine: `None`: the run has ended.
         :param is_certain: whether the engine was seen to be the incarnation
             that was granted. This may be reported after the first event.
             `False`: it has stated another start, and may run a version that
             was never listed.
-        :param granted: the incarnation that was granted; `None`: not reported.
+        :param message: may name the grant, possibly that of another owner.
         """
         if is_certain is False:
             self.history.record_unlisted(now)
         known = self._origins.get(request_id)
         if known is None:
             return
+        incarnation = message and GrantedIncarnation.from_progress(message)
         origin = known
         if engine is not None and not known.is_begun:
-            origin = known.begun_at(engine, granted, now)
-        # It may have been seen to be what another owner granted.
-        if is_certain is not None and origin.is_of_grant(granted):
+            origin = (
+                known.begun_by_grant(incarnation, now)
+                if incarnation
+                else known.begun_at(engine, now)
+            )
+        if _is_evidence(is_certain, incarnation, origin):
             origin = origin.as_certain() if is_certain else origin.as_refuted()
         if origin != known:
             self._put(request_id, origin._replace(source=OWN_GRANT), now)
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -391,6 +391,7 @@
         cell='desk',
         first_token_ms=20,
         is_certain=is_certain,
+        upstream='of-v1',
         version='v2',
         born_ms=2,
     )
