Take a status beyond 599 for no response

Cause: h11 reads any three digits from 200 to 999 as a final status. An engine's 600 or 999 was classified as run, and callers got it as the answer; where the request may be repeated, the second engine's 600 was passed on. RFC 9110, section 15: outside 100 to 599 a status is invalid.

Change: the response reader raises a protocol error for it, for all that read responses: engines, the store, questions for incarnations. An engine that sends one counts as failed: another engine is tried where that is allowed, and the caller gets 502 otherwise. A store's 600 was an outage before, but its era was recorded first; now it isn't read.

--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -29,6 +29,8 @@
 # With this, h11 ends a body whose chunks were decoded before.
 LAST_CHUNK: Final = b'0\r\n\r\n'
 _HEAD_END: Final = re.compile(rb'\n\r?\n')
+# Beyond it, a status is invalid (RFC 9110, 15); h11 allows three digits.
+MAX_STATUS: Final = 599
 MAX_SPLIT_BYTES: Final = 2
 
 
@@ -110,6 +112,7 @@
         :raises LimitExceeded: if there are too many, or a head is too large or
             takes too long.
         :raises SilenceError: if nothing arrives.
+        :raises h11.RemoteProtocolError: if it is no valid head, or cut.
         """
         heads = _HeadCounts(self.limits)
         while True:
@@ -117,6 +120,7 @@
             self._protocol.receive_data(encoded)
             event = self._protocol.next_event()
             if isinstance(event, h11.Response):
+                _check_status(event.status_code)
                 self._start_body(method, event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -271,6 +275,11 @@
         self._received_bytes = 0
 
 
+def _check_status(status: int) -> None:
+    if status > MAX_STATUS:
+        raise h11.RemoteProtocolError(f'invalid status {status}')
+
+
 async def _async_hold(account: ResponseAccount, held_bytes: int) -> None:
     """Count what is held of a response, and wait until it may grow.
 
