Keep a reset that only the sending half of a tunnel notices

Cause: a relay copies both directions of a tunnel in two tasks that share the engine's socket. The operating system reports a reset once. If the task that sends the request gets it, the other one reads what has arrived of the response, then no bytes, as after a close, and passes the end of the stream on before it is cancelled. The ingress takes the part of an unframed response for a whole one; the engine still runs, so asking it shows nothing.

Change: the engine's end of a tunnel remembers that a write has failed; a read without bytes after that is a reset, and the tunnel ends without the end of the stream. It works because the error is kept where both tasks see it, whichever of them got it.

The test resets a TCP connection on which a part of a response has arrived; it failed before, 3 times of 3.

--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -9,10 +9,8 @@
 
 import math
 import struct
-from collections.abc import Awaitable, Callable
-from functools import partial
 from types import MappingProxyType
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple
 
 from curio import TaskGroup, socket
 from curio.errors import TaskTimeout
@@ -28,8 +26,6 @@
 
 __all__ = ('Relay', 'TunnelSocket', 'async_open_tunnel', 'async_splice')
 
-_Send: TypeAlias = Callable[[bytes], Awaitable[Result[None, ConnectionBroken]]]
-
 READ_BYTES: Final = 65_536
 # A relay holds up to this many bytes for each direction of a tunnel, so that
 # the largest number of tunnels stays below 10 MB however slowly they are read.
@@ -182,27 +178,61 @@
         request, at most `SPLICE_BYTES`; then both sides are closed.
     """
     held = account or Unlimited()
-    to_engine = partial(async_send_within, engine, limit_ms=sending_limit_ms)
+    engine_end = _EngineEnd(engine, sending_limit_ms)
     try:
         async with TaskGroup(wait=any) as copying:
             await copying.spawn(
-                _async_copy_to_engine, ingress, to_engine, received, held
+                _async_copy_to_engine, ingress, engine_end, received, held
+            )
+            await copying.spawn(
+                _async_copy_to_ingress, engine_end, ingress, held
             )
-            await copying.spawn(_async_copy_to_ingress, engine, ingress, held)
     finally:
         held.drop()
 
 
+class _EngineEnd:
+    """The engine's end of a tunnel, which both directions use.
+
+    The operating system reports a reset once, to the direction that uses the
+    socket first. To the other, the connection then looks closed.
+    """
+
+    def __init__(self, sock: socket.socket, sending_limit_ms: float) -> None:
+        """Use the socket of a connection to the engine."""
+        self._sock = sock
+        self._sending_limit_ms = sending_limit_ms
+        self._has_broken = False
+
+    async def async_send(self, sent: bytes) -> Result[None, ConnectionBroken]:
+        """Send a part of the request."""
+        written = await async_send_within(
+            self._sock, sent, self._sending_limit_ms
+        )
+        self._has_broken = isinstance(written, Err)
+        return written
+
+    async def async_receive(self) -> bytes:
+        """Receive a part of the response; none once the engine has closed.
+
+        :raises OSError: if the connection has broken.
+        """
+        received = await self._sock.recv(SPLICE_BYTES)
+        if not received and self._has_broken:
+            raise ConnectionResetError('broken while the request was sent')
+        return bytes(received)
+
+
 async def _async_copy_to_engine(
     ingress: socket.socket,
-    async_send: _Send,
+    engine: _EngineEnd,
     received: bytes,
     held: ByteAccount,
 ) -> None:
     try:
         while True:
             held.hold(len(received))
-            sent = await async_send(received)
+            sent = await engine.async_send(received)
             if isinstance(sent, Err):
                 return
             held.drop(len(received))
@@ -214,11 +244,11 @@
 
 
 async def _async_copy_to_ingress(
-    engine: socket.socket, ingress: socket.socket, held: ByteAccount
+    engine: _EngineEnd, ingress: socket.socket, held: ByteAccount
 ) -> None:
     try:
         while True:
-            received = await engine.recv(SPLICE_BYTES)
+            received = await engine.async_receive()
             if not received:
                 await ingress.sendall(END_OF_STREAM)
                 return
--- a/tests/connection/test_tunnel.py
+++ b/tests/connection/test_tunnel.py
@@ -14,6 +14,7 @@
 )
 from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.memory.budget import MemoryBudget, Purpose
+from tests.platform.raw_engines import reset_when_closed
 
 LARGE = bytes(range(256)) * 8192
 
@@ -100,6 +101,35 @@
         await TunnelSocket(ingress).recv(9)
 
 
+async def _async_connect_tcp() -> tuple[socket.socket, socket.socket]:
+    listener = socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(1)
+    engine = socket.socket()
+    async with listener:
+        await engine.connect(listener.getsockname())
+        accepted, _ = await listener.accept()
+    return engine, accepted
+
+
+@_on_curio
+async def test_engine_that_resets_during_an_upload_ends_no_response() -> None:
+    """Guards against a reset that only the sending of the request notices.
+
+    The system reports it once. After that, the part of a response that has
+    arrived is followed by what looks like the end of the connection.
+    """
+    ingress, relay_in = socket.socketpair()
+    relay_out, engine = await _async_connect_tcp()
+    await engine.sendall(b'abc')
+    reset_when_closed(engine)
+    await engine.close()
+    async with relay_in, relay_out:
+        await async_splice(relay_in, relay_out, LARGE)
+    with pytest.raises(ConnectionResetError):
+        await _async_read_all(TunnelSocket(ingress))
+
+
 @_on_curio
 async def test_bytes_of_an_unread_tunnel_are_counted() -> None:
     """Guards against tunnels that hold memory without a limit."""
--- a/tests/platform/raw_engines.py
+++ b/tests/platform/raw_engines.py
@@ -34,14 +34,15 @@
 
     :param encoded: the line `FIELDS` stands for the fields that a response
         must have to be valid.
-    :param is_early: whether it comes before the body of the request is read.
-    :param wait_s: time between the last byte and the end.
+    :param unread_bytes: how much of the request is read only when this has been
+        sent, or not at all if the connection is reset.
+    :param read_bytes: how much of that is read before a reset.
     """
 
     encoded: bytes
     end: End = End.CLOSED
-    is_early: bool = False
-    wait_s: float = 0.0
+    unread_bytes: int = 0
+    read_bytes: int = 0
 
 
 class RawEngine(EngineStandin):
@@ -79,10 +80,9 @@
             self.requests += 1
             reply = self.replies[min(self.requests, len(self.replies)) - 1]
             left = int(fields.get('content-length', '0')) - len(body)
-            if not reply.is_early:
-                await _async_skip(sock, left)
+            await _async_skip(sock, left - reply.unread_bytes)
             await sock.sendall(_complete(reply.encoded, fields))
-            await sleep(reply.wait_s)
+            await _async_skip(sock, reply.read_bytes)
             if reply.end is not End.KEPT:
                 await self._async_end(sock, reply.end)
                 return
@@ -121,4 +121,7 @@
 
 async def _async_skip(sock: socket.socket, left: int) -> None:
     while left > 0:
-        left -= len(await sock.recv(READ_BYTES))
+        received = await sock.recv(min(READ_BYTES, left))
+        if not received:
+            return
+        left -= len(received)
