Apply the limits in force when a caller's request begins

Cause: the limits of the configuration were read once, at the accept of a connection. A caller that keeps its connection for hours was held to limits that had been replaced, one accepted before the first configuration to the defaults, and an idle connection was closed after the old idle limit although its caller might take it for open.

Change: the reader asks for the limits when the first bytes of a request have arrived, and while the connection is idle: when the limit that it knew has passed, and every 15 s, so that a shorter one takes effect, too. h11 takes its limit on incomplete heads when it is created, so the reader checks that itself, with the same measure.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -1,15 +1,16 @@
 """Reads complete requests from a connection, limited in size and time."""
 
+import math
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeAlias
 
 import h11
 from curio import socket
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.byte_account import ByteAccount, Unlimited
 from hornbeamdeck.connection.errors import (
     BadRequest,
@@ -20,10 +21,13 @@
 from hornbeamdeck.connection.http import HttpRequest, join_headers
 from hornbeamdeck.const import MEBIBYTE
 
-__all__ = ('ReadLimits', 'RequestReader')
+__all__ = ('GetLimits', 'ReadLimits', 'RequestReader')
 
 READ_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 32_768
+# The limits of an idle connection are read again after so long. They may have
+# become shorter.
+MAX_IDLE_WAIT_MS: Final = 15_000
 # Bodies are dropped within seconds; another instance may have room at once.
 NO_ROOM_RETRY_MS: Final = 500
 
@@ -42,6 +46,10 @@
     max_header_bytes: int = MAX_HEADER_BYTES
 
 
+# Returns the limits in force now.
+GetLimits: TypeAlias = Callable[[], ReadLimits]
+
+
 class RequestReader:
     """The receiving half of a server connection."""
 
@@ -49,17 +57,20 @@
         self,
         sock: socket.socket,
         protocol: h11.Connection,
-        limits: ReadLimits,
+        limits: GetLimits,
         bodies: ByteAccount | None = None,
     ) -> None:
         """Share the socket and the protocol state with the sending half.
 
+        :param limits: called when a request begins, for the limits that apply
+            to it, and while the connection is idle.
         :param bodies: counts the bytes of the body that is held.
         """
         self._bodies = bodies or Unlimited()
         self._sock = sock
         self._protocol = protocol
-        self._limits = limits
+        self._current_limits = limits
+        self._limits = limits()
 
     async def async_read(
         self, on_begun: Callable[[], None] | None = None
@@ -73,15 +84,10 @@
         :param on_begun: called when its first bytes have arrived.
         """
         self._bodies.drop()
-        try:
-            first_byte = await async_with_timeout(
-                self._limits.idle_ms,
-                self._async_wait_first_byte(),
-            )
-        except TaskTimeout:
-            return Err(CallerClosed())
+        first_byte = await self._async_wait_begun()
         if isinstance(first_byte, Err):
             return first_byte
+        self._limits = self._current_limits()
         if on_begun is not None:
             on_begun()
         try:
@@ -124,6 +130,21 @@
         while received:
             received = await self._sock.recv(READ_BYTES)
 
+    async def _async_wait_begun(self) -> Result[None, ReadError]:
+        since_ms = now_ms()
+        left_ms = self._current_limits().idle_ms
+        while True:
+            try:
+                return await async_with_timeout(
+                    min(left_ms, MAX_IDLE_WAIT_MS),
+                    self._async_wait_first_byte(),
+                )
+            except TaskTimeout:
+                idle_ms = now_ms() - since_ms
+            left_ms = math.ceil(self._current_limits().idle_ms - idle_ms)
+            if left_ms <= 0:
+                return Err(CallerClosed())
+
     async def _async_wait_first_byte(self) -> Result[None, ReadError]:
         if self._protocol.trailing_data[0]:
             return Ok(None)
@@ -191,6 +212,15 @@
                 return Err(BadRequest(error.error_status_hint, str(error)))
             if isinstance(event, h11.Event):
                 return Ok(event)
+            # The rest is the beginning of a head, a size line or trailers.
+            unparsed_bytes = len(self._protocol.trailing_data[0])
+            if unparsed_bytes > self._limits.max_header_bytes:
+                return Err(
+                    BadRequest(
+                        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                        'the head is too large',
+                    ),
+                )
             received = await self._async_receive()
             if isinstance(received, Err):
                 return received
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -11,7 +11,7 @@
 from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.errors import BadRequest, ReadError
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
-from hornbeamdeck.connection.reader import ReadLimits
+from hornbeamdeck.connection.reader import GetLimits, ReadLimits
 from hornbeamdeck.connection.server import ServerConnection
 
 __all__ = ('RequestHandler', 'ErrorResponseBuilder', 'async_serve_requests')
@@ -26,7 +26,7 @@
     sock: socket.socket,
     handle_request: RequestHandler,
     to_error_response: ErrorResponseBuilder,
-    limits: ReadLimits | None = None,
+    limits: GetLimits = ReadLimits,
     bodies: ByteAccount | None = None,
     connections: ConnectionLimit | None = None,
 ) -> None:
@@ -35,7 +35,8 @@
     :param handle_request: writes the complete response to a request.
     :param to_error_response: builds the response to a request that can't be
         read.
-    :param limits: size and time limits for the caller's requests.
+    :param limits: size and time limits for the caller's requests, called when
+        one begins.
     :param bodies: counts the bytes that are held of them.
     :param connections: the connections of the listener; ends idle ones.
     """
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -1,6 +1,7 @@
 """The server side of an HTTP connection."""
 
 import struct
+import sys
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -18,7 +19,11 @@
     HttpResponse,
     header_pairs,
 )
-from hornbeamdeck.connection.reader import ReadLimits, RequestReader
+from hornbeamdeck.connection.reader import (
+    GetLimits,
+    ReadLimits,
+    RequestReader,
+)
 
 __all__ = (
     'Outlet',
@@ -50,24 +55,23 @@
     def __init__(
         self,
         sock: socket.socket,
-        limits: ReadLimits | None = None,
+        limits: GetLimits = ReadLimits,
         bodies: ByteAccount | None = None,
     ) -> None:
         """Use a connected socket.
 
-        :param limits: on the caller's requests; `None`: the defaults.
+        :param limits: on the caller's requests, called when one begins.
         :param bodies: counts the bytes of requests; `None`: nothing does.
         """
-        read_limits = limits or ReadLimits()
         self._sock = sock
         self._outlet: Outlet | None = None
         self._is_closing = False
         self._is_head_request = False
+        # The reader limits what is incomplete, as the limits may change.
         self._protocol = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=read_limits.max_header_bytes,
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
-        self._reader = RequestReader(sock, self._protocol, read_limits, bodies)
+        self._reader = RequestReader(sock, self._protocol, limits, bodies)
 
     @property
     def sock(self) -> socket.socket:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -369,7 +369,7 @@
                 sock,
                 respond,
                 _refuse,
-                _limits(),
+                _limits,
                 bodies,
                 self._connections.callers,
             )
--- a/hornbeamdeck/process/gateway_endpoints.py
+++ b/hornbeamdeck/process/gateway_endpoints.py
@@ -45,7 +45,7 @@
             sock,
             _async_respond,
             _bad_request_response,
-            ReadLimits(max_body_bytes=MAX_BODY_BYTES),
+            lambda: ReadLimits(max_body_bytes=MAX_BODY_BYTES),
             connections=connections,
         )
 
--- a/tests/connection/test_slow_callers.py
+++ b/tests/connection/test_slow_callers.py
@@ -15,7 +15,7 @@
     server_sock, caller_sock = socket.socketpair()
     async with server_sock, caller_sock:
         await caller_sock.sendall(sent)
-        connection = ServerConnection(server_sock, LIMITS)
+        connection = ServerConnection(server_sock, lambda: LIMITS)
         return (await connection.async_read_request()).unwrap_err()
 
 
@@ -40,7 +40,7 @@
     server_sock, caller_sock = socket.socketpair()
     async with server_sock, caller_sock:
         reading = await spawn(
-            ServerConnection(server_sock, LIMITS).async_read_request,
+            ServerConnection(server_sock, lambda: LIMITS).async_read_request,
         )
         await caller_sock.sendall(HEAD)
         await caller_sock.sendall(b'abcde')
