Keep the question mark of an empty query on its way to the engine

Cause: a target was split at its question mark and put together again only if the query was not empty, so `/open/x?` reached the engine as `/open/x`, which may name another resource there (RFC 3986, 6.2.3).

Change: a request knows that its query was there and empty, and makes its target from that. The path that routes and endpoints see is as before.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -148,11 +148,8 @@
             **request.headers,
             'content-length': str(len(request.body)),
         }
-        target = request.path
-        if request.query:
-            target = f'{target}?{request.query}'
         try:
-            encoded = self._encode_head(request.method, target, headers)
+            encoded = self._encode_head(request.method, request.target, headers)
             encoded += self._protocol.send(h11.Data(data=request.body)) or b''
             encoded += self._protocol.send(h11.EndOfMessage()) or b''
         except h11.LocalProtocolError as error:
--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -38,6 +38,8 @@
     """A request with its complete body.
 
     :param headers: by lower-case name.
+    :param has_empty_query: whether the target ends with the question mark of a
+        query that is empty.
     """
 
     method: str
@@ -45,6 +47,14 @@
     query: str
     headers: Headers
     body: bytes
+    has_empty_query: bool = False
+
+    @property
+    def target(self) -> str:
+        """The path with the query, as the caller has sent it."""
+        if self.query or self.has_empty_query:
+            return f'{self.path}?{self.query}'
+        return self.path
 
 
 class HttpResponse(NamedTuple):
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -249,11 +249,12 @@
 
 
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, _, query = head.target.decode('ascii').partition('?')
+    path, mark, query = head.target.decode('ascii').partition('?')
     return HttpRequest(
         method=head.method.decode('ascii'),
         path=path,
         query=query,
         headers=join_headers(head.headers),
         body=body,
+        has_empty_query=bool(mark) and not query,
     )
