Pass on repeated fields of which the last is empty

Cause: fields of one name were joined by a comma and a space, so that a last one without a value left a space at the end, which h11 does not send. A request with such fields was refused at each engine in turn (503, `not_dispatched`); a response with them closed its caller's connection, although the engine had run the request.

Change: the joined text has no space at its ends; the empty part stays as a comma (RFC 9110, 5.6.1).

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -124,15 +124,13 @@
 
     Set-Cookie is the only field that can't be joined by a comma. It is joined
     by a line feed, which no field may contain, and split again when written.
+    If the last of the others is empty, the text ends with a comma.
     """
     fields: dict[str, list[str]] = {}
     for raw_name, raw_text in pairs:
         texts = fields.setdefault(raw_name.decode('ascii'), [])
         texts.append(raw_text.decode(CHARSET))
-    return {
-        name: _field_separator(name).join(texts)
-        for name, texts in fields.items()
-    }
+    return {name: _join_texts(name, texts) for name, texts in fields.items()}
 
 
 def header_pairs(headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -144,8 +142,11 @@
     ]
 
 
-def _field_separator(name: str) -> str:
-    return COOKIE_SEPARATOR if name == SET_COOKIE else FIELD_SEPARATOR
+def _join_texts(name: str, texts: list[str]) -> str:
+    if name == SET_COOKIE:
+        return COOKIE_SEPARATOR.join(texts)
+    # No field may end with a space.
+    return FIELD_SEPARATOR.join(texts).strip(' ')
 
 
 def _split_cookies(name: str, text: str) -> list[str]:
--- a/tests/connection/test_http.py
+++ b/tests/connection/test_http.py
@@ -1,5 +1,8 @@
 """Repeated header fields, and responses without a body."""
 
+import h11
+import pytest
+
 from hornbeamdeck.connection.http import (
     HttpRequest,
     header_pairs,
@@ -22,6 +25,20 @@
     assert joined == {'accept': 'a, b'}
 
 
+@pytest.mark.parametrize(
+    'texts', [(b'a', b''), (b'', b'a'), (b'', b''), (b'a', b'', b'b')]
+)
+def test_joined_fields_can_be_sent(texts: tuple[bytes, ...]) -> None:
+    """Guards against fields that can be read and not be written.
+
+    A request with them was refused at each engine. A response with them ended
+    its caller's connection after the request had run.
+    """
+    pairs = header_pairs(join_headers([(b'accept', text) for text in texts]))
+    joined = h11.Response(status_code=200, headers=pairs).headers[0][1]
+    assert [each.strip() for each in joined.split(b',')] == list(texts)
+
+
 def test_non_ascii_field_is_preserved() -> None:
     """Guards against encoding header fields as ASCII. A file name with an
     accent would raise an error after the call ran, and the caller would get
