Serve targets in absolute form

Cause: the whole target was taken for a path, so `POST http://host/path` found no route and got 404. Servers must accept that form, and the host in it replaces that of the header (RFC 9112, 3.2.2).

Change: the reader splits such a target into host and path. The engine gets the path and the host by which the route was found, so it can't take the other one.

Measured: two new tests failed before (404 for five targets in that form; and the header's host decided), and pass now. Targets that are no path (`*`, without a slash, with another scheme) reach no engine, before and after.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -1,6 +1,7 @@
 """Reads complete requests from a connection, limited in size and time."""
 
 import math
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple, TypeAlias
@@ -28,6 +29,10 @@
 # The limits of an idle connection are read again after so long. They may have
 # become shorter.
 MAX_IDLE_WAIT_MS: Final = 15_000
+# A target with its host, which callers send to proxies and may send to servers.
+_ABSOLUTE_TARGET: Final = re.compile(
+    '(?i:https?)://(?P<authority>[^/?#]+)(?P<rest>.*)'
+)
 # Bodies are dropped within seconds; another instance may have room at once.
 NO_ROOM_RETRY_MS: Final = 500
 
@@ -249,12 +254,21 @@
 
 
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
-    path, mark, query = head.target.decode('ascii').partition('?')
+    headers = join_headers(head.headers)
+    target = head.target.decode('ascii')
+    absolute = _ABSOLUTE_TARGET.fullmatch(target)
+    if absolute is not None:
+        # Its host replaces the one of the header (RFC 9112, 3.2.2).
+        headers = {**headers, 'host': absolute['authority']}
+        target = absolute['rest']
+        if not target.startswith('/'):
+            target = f'/{target}'
+    path, mark, query = target.partition('?')
     return HttpRequest(
         method=head.method.decode('ascii'),
         path=path,
         query=query,
-        headers=join_headers(head.headers),
+        headers=headers,
         body=body,
         has_empty_query=bool(mark) and not query,
     )
--- a/tests/platform/test_request_targets.py
+++ b/tests/platform/test_request_targets.py
@@ -167,3 +167,65 @@
         assert set(lines) == {_request_line(target)}
 
     _async_scenario()
+
+
+# Further forms of a target, and the request line that an engine gets of it.
+FORMS = (
+    ('http://walks.example/open/x', '/open/x'),
+    ('http://walks.example/open/x?', '/open/x?'),
+    ('http://walks.example/open/x?a=/', '/open/x?a=/'),
+    ('HTTP://Walks.Example:80/open//x', '/open//x'),
+    ('http://walks.example/open/http://x/y', '/open/http://x/y'),
+)
+
+
+@on_platform()
+async def test_absolute_target_is_served_as_its_path(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against 404 for a form that servers must accept."""
+    engines = await _async_record(fleet)
+    for target, _ in FORMS:
+        sent = _make_head(target, 'Content-Length: 0')
+        assert _status(await _async_exchange(fleet, sent)) == 200
+    expected = [_request_line(target) for _, target in FORMS]
+    assert sorted(_lines(engines)) == sorted(expected)
+
+
+@on_platform()
+async def test_host_of_an_absolute_target_counts(fleet: PlatformFleet) -> None:
+    """Guards against an engine that takes the other of two hosts."""
+    engines = await _async_record(fleet)
+    sent = _make_head('http://other.example/open/x', 'Content-Length: 0')
+    assert _status(await _async_exchange(fleet, sent)) == 404
+    sent = _make_head('http://walks.example/open/x', 'Content-Length: 0')
+    sent = sent.replace(b'Host: walks', b'Host: other')
+    assert _status(await _async_exchange(fleet, sent)) == 200
+    received = [bytes(engine.received) for engine in engines]
+    assert b'other.example' not in b''.join(received)
+
+
+@pytest.mark.parametrize(
+    ('method', 'target'),
+    [
+        ('OPTIONS', '*'),
+        ('POST', '*'),
+        ('POST', 'open/x'),
+        ('POST', '?/open/x'),
+        ('POST', 'x:/open/x'),
+    ],
+)
+def test_target_without_a_path_reaches_no_engine(
+    method: str, target: str
+) -> None:
+    """Guards against a route that is found in what is no path."""
+
+    @on_platform()
+    async def _async_scenario(fleet: PlatformFleet) -> None:
+        engines = await _async_record(fleet)
+        sent = _make_head(target, 'Content-Length: 0', method=method)
+        response = await _async_exchange(fleet, sent)
+        assert _status(response) in {400, 404, 405, 501}
+        assert not _lines(engines)
+
+    _async_scenario()
