Keep what is known of an instance by its id, whatever it is named

An object of kind instances whose status states the id x/y, sound in all else, ended the service of every instance that listed it: the status was kept under y, the time of its first sight under y too, and asked for under x/y.

The id is now what follows the prefix of the key, and a status of another id than its key's is left out.

--- a/hornbeamdeck/membership/membership.py
+++ b/hornbeamdeck/membership/membership.py
@@ -17,6 +17,7 @@
 from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.json_text import is_plain_text, parse_json
 from hornbeamdeck.connection.store_client import ListedInstance, StoredObject
+from hornbeamdeck.const import PREFIX_INSTANCE
 from hornbeamdeck.membership.rendezvous import owner_of, ranking
 from hornbeamdeck.membership.suspected_instances import (
     FIRST_SUSPICION_MS,
@@ -155,7 +156,7 @@
         self.change_count += 1
         self._owners.clear()
         self._ranked.clear()
-        instance_id = change.key.rpartition('/')[2]
+        instance_id = change.key.removeprefix(PREFIX_INSTANCE)
         if change.body is None:
             self._statuses.pop(instance_id, None)
             self._first_seen_ms.pop(instance_id, None)
@@ -164,6 +165,9 @@
             status = InstanceStatus.from_text(change.body)
         except ValueError:
             return
+        if status.instance_id != instance_id:
+            # Another writer's: what is known of an instance is kept by its id.
+            return
         if self._statuses.get(instance_id) != status:
             self._first_seen_ms[instance_id] = now_ms()
             self.suspected.remove(instance_id)
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -221,3 +221,20 @@
         clock.return_value = 60_000.0
         members.suspect('unknown')
         assert all(members.owner_of(cell) == 'a' for cell in CELLS)
+
+
+def test_status_under_another_id_leaves_the_owners_known() -> None:
+    """Guards against one stored status that ends all tasks of all instances."""
+    members = Membership(status('a'))
+    members.mark_published()
+    members.apply_status(stored('b'))
+    odd = status('c')
+    for key, instance_id in (('x/d', 'x/d'), ('d', 'e'), ('x/d', 'd')):
+        text = odd._replace(instance_id=instance_id).to_text()
+        members.apply_status(StoredObject(f'instances/{key}', 1, text))
+    live = {each.instance_id for each in members.live()}
+    assert live == {'a', 'b', 'x/d'}
+    assert members.owner_of('desk') in live
+    assert len(members.stopping()) == 1
+    members.apply_status(StoredObject('instances/x/d', 2, None))
+    assert {each.instance_id for each in members.known_peers()} == {'b'}
