Wait between two reads of a configuration that can't be applied

A document in config/main that can't be applied (here: without services) was read again as soon as it had been read, by each instance that doesn't own the cells: its age stays too high, so that another read is due at once. The read for requests began anew with each request, too.

A read counts as successful only if the document is in force afterwards; otherwise the usual pauses follow (300 ms and more, 1 s for requests). The document is logged and counted once by each instance, with at most 20 errors. Requests are refused as before (503, configuration_unproved) once the last confirmation is older than the bound: the document that can't be read may have revoked their keys. A later sound document comes into force.

--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -317,6 +317,7 @@
             parse=parse,
             fetch=_async_fetch,
             on_applied=_async_applied,
+            count_invalid=lambda: metrics.count_unusable_entry('config'),
         ),
     )
 
--- a/hornbeamdeck/store/follower.py
+++ b/hornbeamdeck/store/follower.py
@@ -33,6 +33,8 @@
 WATCH_INTERVAL_S: Final = 0.05
 HINT_INTERVAL_S: Final = 0.1
 CONFIGURATION_ROLE: Final = 'configuration'
+MAX_LOGGED_ERRORS: Final = 20
+MAX_LOGGED_CHARS: Final = 200
 
 OnChange: TypeAlias = Callable[[StoredObject], Awaitable[None]]
 FetchFromPeer: TypeAlias = Callable[[str], Awaitable[None]]
@@ -118,12 +120,14 @@
     :param parse: takes a document's text and its version.
     :param fetch: reads the document from the store.
     :param on_applied: called with each configuration that comes into force.
+    :param count_invalid: called for each document that can't be applied.
     """
 
     empty: _Configuration
     parse: Callable[[str, int], _Parsed[_Configuration]]
     fetch: Callable[[], Awaitable[_Fetched]]
     on_applied: Callable[[_Configuration], Awaitable[None]]
+    count_invalid: Callable[[], None] | None = None
 
 
 class ConfigurationFollower(Generic[_Configuration]):
@@ -141,11 +145,15 @@
         # earlier documents, which are not applied, under newer versions.
         self._newest_version = 0
         self._applied = AppliedDocuments()
+        # The last one that could not be applied, which is read again and again.
+        self._invalid: StoredObject | None = None
 
     async def async_note(self, change: StoredObject) -> None:
         """Apply a document if it is newer and valid."""
         if change.key != KEY_CONFIGURATION or change.body is None:
             return
+        if change == self._invalid:
+            return
         if change.version <= self._newest_version:
             # From a stale list or watch response, or from a lagging peer.
             self._log_ignored(change.version)
@@ -157,11 +165,7 @@
             return
         parsed = self._kind.parse(change.body, change.version)
         if isinstance(parsed, Err):
-            _LOGGER.error(
-                'invalid document ignored',
-                version=change.version,
-                errors=[str(each) for each in parsed.err_value],
-            )
+            self._record_invalid(change, parsed.err_value)
             return
         self._applied.record(change)
         self._newest_version = change.version
@@ -197,6 +201,21 @@
             await sleep(HINT_INTERVAL_S)
             self._hinted.clear()
 
+    def _record_invalid(
+        self, change: StoredObject, errors: tuple[object, ...]
+    ) -> None:
+        self._invalid = change
+        if self._kind.count_invalid is not None:
+            self._kind.count_invalid()
+        _LOGGER.error(
+            'invalid document ignored',
+            version=change.version,
+            errors=[
+                ascii(str(each))[:MAX_LOGGED_CHARS]
+                for each in errors[:MAX_LOGGED_ERRORS]
+            ],
+        )
+
     def _log_ignored(self, version: int) -> None:
         held = self.configuration.version
         if version not in {held, self._ignored_version}:
--- a/hornbeamdeck/store/store_reader.py
+++ b/hornbeamdeck/store/store_reader.py
@@ -116,10 +116,11 @@
                 self._configuration_read if is_watching else None
             )
             if not is_watching:
-                # A store that lost its history ends every watch immediately,
-                # and a store without a document responds to every read
-                # immediately. Without this wait, each instance would call the
-                # store hundreds of times per second in both cases.
+                # A store that lost its history ends every watch immediately, a
+                # store without a document responds to every read immediately,
+                # and what it holds may be no configuration. Without this wait,
+                # each instance would call the store hundreds of times per
+                # second in these cases.
                 await sleep(self._retry_ms() / MILLIS_PER_SECOND)
 
     async def async_follow_engines(self) -> None:
@@ -141,7 +142,8 @@
     async def async_read_configuration(self) -> bool:
         """Read the configuration document once.
 
-        :returns: whether the store returned a document.
+        :returns: whether the store returned a document that could be applied,
+            now or earlier.
         """
         requested_ms = now_ms()
         response = await self._dependencies.store.read_configuration()
@@ -149,8 +151,11 @@
             self._record_failure('configuration', response.err_value)
             return False
         self._record_success('configuration')
-        await self._async_apply_configuration(response.ok_value, requested_ms)
-        return response.ok_value.document is not None
+        read = response.ok_value
+        await self._async_apply_configuration(read, requested_ms)
+        return read.document is not None and (
+            read.version <= self._dependencies.configuration_version()
+        )
 
     async def async_read_engines(self) -> bool:
         """Read the list of engines once.
