Take an era that is no number for none

A header Store-Era of 5,000 digits raised ValueError in whatever had called the store: the followers of configuration and engines, records, registration. An era of 19 digits and more was kept, and could not be sent to peers, which are told it as 64 bits.

Such a header now names no era, so that the response counts as an outage where the store has named one before. Two of the six cases of the test failed before.

--- a/hornbeamdeck/connection/store_era.py
+++ b/hornbeamdeck/connection/store_era.py
@@ -4,6 +4,8 @@
 gives out revisions again. Its era rises by one each time.
 """
 
+from typing import Final
+
 import structlog
 
 from hornbeamdeck.connection.http import HttpResponse
@@ -12,6 +14,9 @@
 
 _LOGGER = structlog.get_logger(prefix='store')
 
+# Eras are sent to peers as signed 64-bit integers.
+MAX_DIGITS: Final = 18
+
 
 class StoreEra:
     """The newest era that a response has named."""
@@ -25,9 +30,10 @@
         self._header = header
 
     def of(self, response: HttpResponse) -> int:
-        """Return the era of a response; 0 if it names none."""
+        """Return the era of a response; 0 if it names none that is usable."""
         text = response.headers.get(self._header, '')
-        return int(text) if text.isascii() and text.isdigit() else 0
+        is_era = text.isascii() and text.isdigit()
+        return int(text) if is_era and len(text) <= MAX_DIGITS else 0
 
     def record(self, response: HttpResponse) -> int:
         """Record the era of a response.
--- a/tests/connection/test_store_revision.py
+++ b/tests/connection/test_store_revision.py
@@ -65,3 +65,12 @@
     for text in ('4', '5', '4'):
         era.record(HttpResponse(200, {HEADER: text}, b''))
     assert era.current == 5
+
+
+@pytest.mark.parametrize('text', ['9' * 5000, '9' * 19, '²', '-1', 'x', ''])
+def test_an_era_that_is_no_number_is_none(text: str) -> None:
+    """Guards against one header that ends what follows the store."""
+    response = HttpResponse(200, {HEADER: text}, b'')
+    era = StoreEra(HEADER)
+    assert era.record(response) == 0
+    assert era.current == 0
