Read the keep-alive time of engines as a number with a bound

Keep-Alive: timeout=9…9 (400 or 5,000 digits) or timeout=² raised OverflowError or ValueError after the engine had run the request: the caller of a complete response saw its connection end, in each call to that engine. The number is now read as all other headers are, up to 10 million; what is no number is none.

Four cases of the tests of the pool failed before.

--- a/hornbeamdeck/connection/connection_pool.py
+++ b/hornbeamdeck/connection/connection_pool.py
@@ -6,7 +6,7 @@
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
-from hornbeamdeck.connection.http import Headers
+from hornbeamdeck.connection.http import Headers, whole_number
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('ConnectionPool', 'keep_alive_ms')
@@ -108,6 +108,6 @@
     """
     for field in headers.get(KEEP_ALIVE, '').split(','):
         _, found, seconds = field.strip().partition(TIMEOUT_PREFIX)
-        if found and seconds.isdigit():
-            return int(seconds) * MILLIS_PER_SECOND * KEEP_ALIVE_SHARE
+        if found:
+            return whole_number(seconds) * MILLIS_PER_SECOND * KEEP_ALIVE_SHARE
     return 0
--- a/tests/connection/test_connection_pool.py
+++ b/tests/connection/test_connection_pool.py
@@ -3,11 +3,13 @@
 from typing import cast
 
 import curio
+import pytest
 
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.connection_pool import (
     MAX_IDLE_AT_ENGINE,
     ConnectionPool,
+    keep_alive_ms,
 )
 
 IDLE_MS = 10_000
@@ -105,3 +107,29 @@
     empty = ConnectionPool(lambda: MAX_IDLE_AT_ENGINE + 1)
     _release(empty, _FakeConnection())
     assert not len(empty)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected_s'),
+    [
+        ('timeout=5', 4),
+        ('max=9, timeout=5', 4),
+        ('timeout=²', 0),
+        ('timeout=-5', 0),
+        ('timeout=nan', 0),
+        ('timeout=', 0),
+        ('', 0),
+    ],
+)
+def test_keep_alive_time_is_a_share_of_what_is_announced(
+    text: str, expected_s: int
+) -> None:
+    """Guards against callers that lose a response whose head is odd."""
+    assert keep_alive_ms({'keep-alive': text}) == expected_s * 1000
+
+
+@pytest.mark.parametrize('digits', [19, 400, 5000])
+def test_keep_alive_time_has_a_bound(digits: int) -> None:
+    """Guards against numbers that Python doesn't convert."""
+    announced = {'keep-alive': f'timeout={"9" * digits}'}
+    assert 0 < keep_alive_ms(announced) < 10**12
