Bound the values of a configuration by what peers can be told

A number in config/main beyond 32 bits (an objective or a gap of 2**40; a priority beyond 16 bits) was applied, and OverflowError ended the connection to the owner with each request of the route; a version beyond 64 bits ended every heartbeat. Half a surrogate pair in the name of a route did the same. rate_per_s of 1e999 (ValueError) and the name of a team that is no Latin-1 (UnicodeEncodeError) ended the callers' connections without an answer; a team's name of two lines made each engine look unreachable, to all teams. 1e999 elsewhere made the whole document invalid.

Numbers beyond the largest that can be sent now count as the largest, also 1e999. Versions beyond 64 bits, booleans as versions, names that aren't UTF-8 and team names that can't be printed make a document invalid, as other damage does. Teams' names go to engines in UTF-8.

--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple, TypeAlias
 
+from hornbeamdeck.const import ENCODING
+
 __all__ = (
     'Headers',
     'HttpRequest',
@@ -16,6 +18,7 @@
     'header_pairs',
     'join_headers',
     'listed_ids',
+    'utf8_field',
     'whole_number',
 )
 
@@ -98,6 +101,11 @@
     return has_body and not has_framing(head)
 
 
+def utf8_field(text: str) -> str:
+    """Return a text in the form that sends it in UTF-8 in a header."""
+    return text.strip().encode(ENCODING).decode(CHARSET)
+
+
 def whole_number(text: str) -> int:
     """Read a whole number of at most MAX_NUMBER; drop its decimal places.
 
--- a/hornbeamdeck/connection/json_validators.py
+++ b/hornbeamdeck/connection/json_validators.py
@@ -7,10 +7,26 @@
 import voluptuous as vol
 
 from hornbeamdeck.connection.json_text import is_plain_text, is_whole
+from hornbeamdeck.const import ENCODING
 
-__all__ = ('MAX_INT64', 'finite', 'plain_text', 'whole_up_to')
+__all__ = (
+    'MAX_INT64',
+    'amount',
+    'count',
+    'encodable_text',
+    'finite',
+    'name_text',
+    'plain_name',
+    'plain_text',
+    'small_count',
+    'whole_up_to',
+)
 
+MAX_INT16: Final = 0x7FFF
+MAX_INT32: Final = 0x7FFFFFFF
 MAX_INT64: Final = 0x7FFFFFFFFFFFFFFF
+# Larger amounts lose whole units in floating point.
+MAX_AMOUNT: Final = 1e15
 
 
 def whole_up_to(largest: int) -> Callable[[Any], int]:
@@ -24,6 +40,39 @@
     return _check
 
 
+def amount(found: Any) -> float:
+    """Read an amount from 0 on; one beyond the largest counts as that."""
+    stated = found if isinstance(found, int) else float(found)
+    if not stated >= 0:
+        raise vol.Invalid('expected an amount from 0 on')
+    return min(stated, MAX_AMOUNT)
+
+
+def count(found: Any) -> int:
+    """Read a count that is sent to peers as 32 bits."""
+    return int(min(amount(found), MAX_INT32))
+
+
+def small_count(found: Any) -> int:
+    """Read a count that is sent to peers as 16 bits, or multiplied before."""
+    return int(min(amount(found), MAX_INT16))
+
+
+def encodable_text(found: Any) -> str:
+    """Check a text that is sent to peers."""
+    if not isinstance(found, str):
+        raise vol.Invalid('expected a text')
+    found.encode(ENCODING)
+    return found
+
+
+def name_text(found: Any) -> str:
+    """Check a name that is sent to peers."""
+    if not found:
+        raise vol.Invalid('expected a name')
+    return encodable_text(found)
+
+
 def plain_text(found: Any) -> str:
     """Check a short text that may be passed on and logged."""
     if not is_plain_text(found):
@@ -31,6 +80,13 @@
     return str(found)
 
 
+def plain_name(found: Any) -> str:
+    """Check a short name that may be passed on and logged."""
+    if not found:
+        raise vol.Invalid('expected a name')
+    return plain_text(found)
+
+
 def finite(found: float) -> float:
     """Check a number."""
     if not math.isfinite(found):
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -15,7 +15,13 @@
 )
 from hornbeamdeck.connection.json_validators import (
     MAX_INT64,
+    amount,
+    count,
+    encodable_text,
+    name_text,
+    plain_name,
     plain_text,
+    small_count,
     whole_up_to,
 )
 from hornbeamdeck.platform.wire_names import (
@@ -41,33 +47,30 @@
 __all__ = ('configuration_version', 'parse_configuration', 'parse_engine')
 
 _PARSE_ERRORS: Final = (vol.Invalid, *CONTENT_ERRORS)
-_COUNT: Final = vol.All(vol.Coerce(int), vol.Range(min=0))
-_AMOUNT: Final = vol.All(vol.Coerce(float), vol.Range(min=0))
-_NAME: Final = vol.All(str, vol.Length(min=1))
-_VERSION: Final = vol.All(int, vol.Range(min=1))
+_VERSION: Final = vol.All(whole_up_to(MAX_INT64), vol.Range(min=1))
 _FIELD_VERSION: Final = 'version'
 
 _ROUTE: Final = vol.Schema(
     {
-        vol.Required(FIELD_NAME): str,
-        vol.Required('host'): _NAME,
-        vol.Required('path_prefix'): _NAME,
+        vol.Required(FIELD_NAME): encodable_text,
+        vol.Required('host'): name_text,
+        vol.Required('path_prefix'): name_text,
         vol.Required('kind'): vol.In([kind.value for kind in RouteKind]),
-        vol.Required('timeout_ms'): _COUNT,
-        vol.Optional('target_latency_ms', default=1000): _COUNT,
-        vol.Optional('target_gap_ms', default=0): vol.Any(None, _COUNT),
-        vol.Optional('priority', default=0): vol.Any(None, _COUNT),
-        vol.Optional('max_attempts', default=1): vol.Any(None, _COUNT),
+        vol.Required('timeout_ms'): count,
+        vol.Optional('target_latency_ms', default=1000): count,
+        vol.Optional('target_gap_ms', default=0): vol.Any(None, count),
+        vol.Optional('priority', default=0): vol.Any(None, small_count),
+        vol.Optional('max_attempts', default=1): vol.Any(None, count),
         vol.Optional('public_access', default=False): bool,
         vol.Optional('stream_resume', default=False): bool,
-        vol.Optional(FIELD_SERVICE): vol.Any(None, str),
+        vol.Optional(FIELD_SERVICE): vol.Any(None, encodable_text),
         vol.Optional('traffic_split'): vol.Any(
             None,
             [
                 vol.Schema(
                     {
-                        vol.Required(FIELD_SERVICE): _NAME,
-                        vol.Required('weight'): _AMOUNT,
+                        vol.Required(FIELD_SERVICE): name_text,
+                        vol.Required('weight'): amount,
                     },
                     extra=vol.REMOVE_EXTRA,
                 ),
@@ -78,32 +81,32 @@
 )
 _TEAM: Final = vol.Schema(
     {
-        vol.Required(FIELD_NAME): _NAME,
+        vol.Required(FIELD_NAME): plain_name,
         vol.Optional('api_keys', default=list): [str],
-        vol.Optional('priority'): vol.Any(None, _COUNT),
-        vol.Optional('rate_per_s', default=0): vol.Any(None, _AMOUNT),
-        vol.Optional('burst', default=0): vol.Any(None, _AMOUNT),
-        vol.Optional('plain_tokens', default=1): vol.Any(None, _COUNT),
+        vol.Optional('priority'): vol.Any(None, small_count),
+        vol.Optional('rate_per_s', default=0): vol.Any(None, amount),
+        vol.Optional('burst', default=0): vol.Any(None, amount),
+        vol.Optional('plain_tokens', default=1): vol.Any(None, count),
     },
     extra=vol.REMOVE_EXTRA,
 )
 _ENGINE_PROPERTIES: Final = vol.Schema(
     {
-        vol.Optional('slots', default=0): _COUNT,
-        vol.Optional('stride', default=1): _COUNT,
-        vol.Optional('kv_tokens', default=0): _COUNT,
+        vol.Optional('slots', default=0): count,
+        vol.Optional('stride', default=1): small_count,
+        vol.Optional('kv_tokens', default=0): count,
     },
     extra=vol.REMOVE_EXTRA,
 )
 _SERVICE: Final = vol.Schema(
     {
-        vol.Required(FIELD_NAME): _NAME,
+        vol.Required(FIELD_NAME): name_text,
         vol.Optional('engine'): vol.Any(None, dict),
     },
     extra=vol.REMOVE_EXTRA,
 )
 _LIMITS: Final = vol.Schema(
-    {vol.Optional(name): _COUNT for name in CallerLimits._fields},
+    {vol.Optional(name): count for name in CallerLimits._fields},
     extra=vol.REMOVE_EXTRA,
 )
 _DOCUMENT: Final = vol.Schema(
@@ -118,7 +121,7 @@
 )
 _ENTRY: Final = vol.Schema(
     {
-        vol.Required(FIELD_SERVICE): vol.All(plain_text, vol.Length(min=1)),
+        vol.Required(FIELD_SERVICE): plain_name,
         vol.Required('address'): plain_text,
         vol.Required('zone'): plain_text,
         vol.Required('slots'): whole_up_to(MAX_SLOTS),
--- a/hornbeamdeck/platform/rollout_documents.py
+++ b/hornbeamdeck/platform/rollout_documents.py
@@ -6,7 +6,7 @@
 import structlog
 import voluptuous as vol
 
-from hornbeamdeck.connection.json_validators import finite, plain_text
+from hornbeamdeck.connection.json_validators import finite, plain_name
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.platform.wire_names import (
@@ -30,11 +30,10 @@
 # whole fleet how much of the requested time is left.
 _FIELD_STARTED: Final = 'started_unix_ms'
 
-_NAME: Final = vol.All(plain_text, vol.Length(min=1))
 _ORDER: Final = vol.Schema(
     {
-        vol.Required(FIELD_SERVICE): _NAME,
-        vol.Required(_FIELD_TARGET): _NAME,
+        vol.Required(FIELD_SERVICE): plain_name,
+        vol.Required(_FIELD_TARGET): plain_name,
         vol.Required('duration_s'): vol.All(
             vol.Any(int, float),
             vol.Range(min=0, max=MAX_DURATION_S, min_included=False),
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -9,7 +9,11 @@
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.errors import ConnectionBroken
-from hornbeamdeck.connection.http import HttpResponse, has_framing
+from hornbeamdeck.connection.http import (
+    HttpResponse,
+    has_framing,
+    utf8_field,
+)
 from hornbeamdeck.connection.response_limits import ResponseLimits
 from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.const import ENCODING
@@ -153,7 +157,7 @@
         )
         attempt = EngineAttempt(
             engine=engine,
-            team=admission.team_name,
+            team=utf8_field(admission.team_name),
             left_ms=admission.left_ms,
             last_event_id=self.position.last_event_id,
         )
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -1,6 +1,9 @@
 """Objects of the store, other than engines, that others have written."""
 
 import json
+import math
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 from curio import sleep
 from structlog.testing import capture_logs
@@ -8,6 +11,8 @@
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import document
 
+LOSSES = {'connection to peer lost', 'connection failed', 'task failed'}
+
 
 @on_platform(2)
 async def test_status_of_an_id_with_a_slash_ends_no_instance(
@@ -53,12 +58,7 @@
         await fleet.store.async_put_unchanged(
             'config', 'main', document(version=6)
         )
-        await fleet.async_until(
-            lambda: all(
-                gateway.components.follower.configuration.version == 6
-                for gateway in fleet.gateways
-            )
-        )
+        await _async_applied(fleet, 6)
     ignored = [
         line for line in lines if line['event'] == 'invalid document ignored'
     ]
@@ -66,3 +66,127 @@
     for number, gateway in enumerate(fleet.gateways):
         assert (await fleet.async_call('/seats/x', number)).status == 200
         assert gateway.components.metrics.unusable_entries['config'] <= 1
+
+
+def _change_routes(**changes: Any) -> dict[str, Any]:
+    found = document()
+    return {
+        **found,
+        'routes': [{**each, **changes} for each in found['routes']],
+    }
+
+
+def _change_team(**changes: Any) -> dict[str, Any]:
+    found = document()
+    return {**found, 'tenants': [{**found['tenants'][0], **changes}]}
+
+
+def _change_engine(**changes: Any) -> dict[str, Any]:
+    engine = {'slots': 4, 'stride': 6, 'kv_tokens': 600_000, **changes}
+    services = [{'name': 'desk', 'engine': engine}, {'name': 'counter'}]
+    return document(services=services)
+
+
+USABLE_CONFIGURATIONS = {
+    **{
+        f'{name} of {number:.3g}': _change_routes(**{name: number})
+        for name in (
+            'timeout_ms',
+            'target_latency_ms',
+            'target_gap_ms',
+            'priority',
+            'max_attempts',
+        )
+        for number in (1 << 40, 10**30, math.inf)
+    },
+    **{
+        f'{name} of {number:.3g}': _change_team(**{name: number})
+        for name in ('rate_per_s', 'burst', 'plain_tokens', 'priority')
+        for number in (1 << 40, 10**30, math.inf)
+        if name != 'plain_tokens'
+    },
+    **{
+        f'{name} of {number:.3g}': _change_engine(**{name: number})
+        for name in ('slots', 'stride', 'kv_tokens')
+        for number in (1 << 40, 10**30, math.inf)
+    },
+    'team of another script': _change_team(name='équipe 日本'),
+    'endless weights': _change_routes(
+        traffic_split=[{'service': 'counter', 'weight': math.inf}],
+        kind='idempotent',
+    ),
+}
+
+
+async def _async_applied(fleet: PlatformFleet, version: int) -> None:
+    """Wait until a version is in force everywhere."""
+    await fleet.async_until(
+        lambda: all(
+            each.components.follower.configuration.version == version
+            for each in fleet.gateways
+        )
+    )
+
+
+def _losses(lines: Sequence[Mapping[str, Any]]) -> list[Mapping[str, Any]]:
+    return [line for line in lines if line['event'] in LOSSES]
+
+
+@on_platform(2)
+async def test_configuration_with_odd_values_serves_all(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against values that no peer can be told, which end connections
+    between instances again and again, and against callers without an answer.
+    """
+    for name, odd in USABLE_CONFIGURATIONS.items():
+        with capture_logs() as lines:
+            await fleet.store.async_put('config', 'main', odd)
+            await _async_applied(fleet, fleet.store.configuration_version)
+            for number in (0, 1):
+                for path in ('/seats/x', '/guide/x', '/open/x'):
+                    answer = await fleet.async_call(path, number)
+                    assert answer.status == 200, (name, path)
+            await sleep(0.1)
+        lost = _losses(lines)
+        assert not lost, name
+
+
+UNUSABLE_CONFIGURATIONS = {
+    'version beyond 64 bits': document(version=1 << 64),
+    'version that is a boolean': document(version=True),
+    'route of half a character': {
+        **_change_routes(name='\ud800'),
+        'version': 1001,
+    },
+    'service of half a character': {
+        **_change_routes(service='\ud800'),
+        'version': 1001,
+    },
+    'team of two lines': {**_change_team(name='a\nb'), 'version': 1001},
+}
+
+
+@on_platform(2)
+async def test_configuration_that_no_peer_can_be_told_is_not_applied(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against names and versions that end connections between instances
+    again and again.
+    """
+    version = 100
+    for name, odd in UNUSABLE_CONFIGURATIONS.items():
+        with capture_logs() as lines:
+            await fleet.store.async_put_unchanged('config', 'main', odd)
+            await sleep(0.7)
+            for number, gateway in enumerate(fleet.gateways):
+                applied = gateway.components.follower.configuration.version
+                assert applied < 1000, name
+                answer = await fleet.async_call('/seats/x', number)
+                assert answer.status in {200, 503}, name
+        lost = _losses(lines)
+        assert not lost, name
+        version += 2
+        sound = document(version=version)
+        await fleet.store.async_put_unchanged('config', 'main', sound)
+        await _async_applied(fleet, version)
