Leave out a message to a peer that can't be encoded

A value that thrift can't write (an integer beyond its field, half a surrogate pair) ended the writing task of the connection, and with it everything that ingress and owner do for each other; whatever sent the message sent it again on the next connection. A request that it was about is refused at its deadline.

--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, Self, TypeAlias
 
+import structlog
 from curio import Queue, socket, spawn
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
@@ -33,16 +34,19 @@
     decode_frame,
     encode_frame,
 )
-from hornbeamdeck.wire.codec import LENGTH_PREFIX
+from hornbeamdeck.wire.codec import CODEC_ERRORS, LENGTH_PREFIX
 
 __all__ = ('PeerConnection', 'PeerIdentity', 'PeerError')
 
+_LOGGER = structlog.get_logger(prefix='peers')
+
 HANDSHAKE_TIMEOUT_MS: Final = 1000
 NONCE_BYTES: Final = 16
 READ_BYTES: Final = 65536
 # A peer that does not take messages for longer is lost. Without a limit, the
 # queue would grow for as long as the peer sends but does not read.
 WRITE_TIMEOUT_MS: Final = 5000
+MAX_LOGGED_CHARS: Final = 200
 
 PeerError: TypeAlias = ConnectFailed | ConnectionBroken
 
@@ -184,9 +188,9 @@
 
     async def _async_write_all(self) -> None:
         while True:
-            frames = self._encode(await self._outbox.get())
+            frames = self._encode_if_possible(await self._outbox.get())
             while not self._outbox.empty():
-                frames += self._encode(await self._outbox.get())
+                frames += self._encode_if_possible(await self._outbox.get())
             await self._async_write_frames(frames)
             self._identity.count_bytes('sent', len(frames))
 
@@ -206,6 +210,23 @@
         except OSError:
             return
 
+    def _encode_if_possible(self, message: Message) -> bytes:
+        """Encode a message; leave it out if a value in it can't be sent.
+
+        It would end the connection, and with it the requests and messages of
+        all others, as often as it is sent again.
+        """
+        try:
+            return self._encode(message)
+        except CODEC_ERRORS as error:
+            _LOGGER.error(
+                'message not sent',
+                peer=self.peer_id,
+                message=type(message).__name__,
+                cause=ascii(error)[:MAX_LOGGED_CHARS],
+            )
+            return b''
+
     def _encode(self, message: Message) -> bytes:
         return encode_frame(
             message,
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -36,6 +36,7 @@
 )
 
 __all__ = (
+    'CODEC_ERRORS',
     'MAX_FRAME_BYTES',
     'MAX_HANDSHAKE_BYTES',
     'MalformedFrame',
@@ -51,7 +52,8 @@
 MAX_HANDSHAKE_BYTES: Final = 4096
 # An authenticated peer may send a complete configuration document.
 MAX_FRAME_BYTES: Final = 2_097_152
-_DECODE_ERRORS: Final = (
+# What the generated code raises for values and bytes that have no other form.
+CODEC_ERRORS: Final = (
     TException,
     EOFError,
     ValueError,
@@ -134,6 +136,7 @@
 
     :param configuration_version: in force at the sender.
     :param clock_us: stamp of the sender's hybrid clock, microseconds.
+    :raises Exception: one of `CODEC_ERRORS`, if a value can't be sent.
     """
     envelope = Envelope(
         configuration_version=configuration_version,
@@ -163,7 +166,7 @@
         envelope.read(protocol)
         envelope.validate()
         message_of(envelope).validate()
-    except _DECODE_ERRORS as error:
+    except CODEC_ERRORS as error:
         return Err(MalformedFrame(repr(error)))
     return Ok(envelope)
 
