Leave out engines that no request can be addressed to

An entry, sound in all else, whose name is no Latin-1 was used: its name goes into a header of each request, and UnicodeEncodeError ended the callers' connections without an answer (a trial: each of 8 calls to a service with only that engine). A name that is empty or begins with a space, and port 0, were used, too, and made the engine look unreachable.

An engine's name now has to be printable ASCII without spaces around it, and its port at least 1; IPv6 stays.

--- a/hornbeamdeck/connection/json_text.py
+++ b/hornbeamdeck/connection/json_text.py
@@ -4,7 +4,13 @@
 import re
 from typing import Any, Final
 
-__all__ = ('CONTENT_ERRORS', 'is_plain_text', 'is_whole', 'parse_json')
+__all__ = (
+    'CONTENT_ERRORS',
+    'is_field_text',
+    'is_plain_text',
+    'is_whole',
+    'parse_json',
+)
 
 # What reading values of other types than expected may raise.
 CONTENT_ERRORS: Final = (
@@ -47,6 +53,16 @@
     )
 
 
+def is_field_text(found: Any) -> bool:
+    """Return whether a value is a text that a header may hold as it is."""
+    return (
+        is_plain_text(found)
+        and found.isascii()
+        and bool(found)
+        and found == found.strip()
+    )
+
+
 def is_whole(found: Any, largest: int) -> bool:
     """Return whether a value is a whole number from 0 on, and no boolean."""
     if isinstance(found, bool) or not isinstance(found, int):
--- a/hornbeamdeck/connection/json_validators.py
+++ b/hornbeamdeck/connection/json_validators.py
@@ -6,6 +6,7 @@
 
 import voluptuous as vol
 
+from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.json_text import is_plain_text, is_whole
 from hornbeamdeck.const import ENCODING
 
@@ -18,6 +19,7 @@
     'name_text',
     'plain_name',
     'plain_text',
+    'remote_address',
     'small_count',
     'whole_up_to',
 )
@@ -87,6 +89,14 @@
     return plain_text(found)
 
 
+def remote_address(found: Any) -> str:
+    """Check an address that connections may be opened to."""
+    address = Address.from_text(plain_text(found))
+    if not address.port:
+        raise vol.Invalid('expected a port from 1 on')
+    return str(address)
+
+
 def finite(found: float) -> float:
     """Check a number."""
     if not math.isfinite(found):
--- a/hornbeamdeck/platform/documents.py
+++ b/hornbeamdeck/platform/documents.py
@@ -7,10 +7,9 @@
 import voluptuous as vol
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.address import Address
 from hornbeamdeck.connection.json_text import (
     CONTENT_ERRORS,
-    is_plain_text,
+    is_field_text,
     parse_json,
 )
 from hornbeamdeck.connection.json_validators import (
@@ -21,6 +20,7 @@
     name_text,
     plain_name,
     plain_text,
+    remote_address,
     small_count,
     whole_up_to,
 )
@@ -122,7 +122,7 @@
 _ENTRY: Final = vol.Schema(
     {
         vol.Required(FIELD_SERVICE): plain_name,
-        vol.Required('address'): plain_text,
+        vol.Required('address'): remote_address,
         vol.Required('zone'): plain_text,
         vol.Required('slots'): whole_up_to(MAX_SLOTS),
         vol.Required('state'): vol.In((STATE_READY, STATE_DRAINING)),
@@ -174,20 +174,19 @@
     """
     try:
         entry = _ENTRY(spec)
-        address = Address.from_text(entry['address'])
     except _PARSE_ERRORS as error:
         return Err(str(error) or repr(error))
     engine = Engine(
         name=name,
         service=entry[FIELD_SERVICE],
-        address=str(address),
+        address=entry['address'],
         availability_zone=entry['zone'],
         slots=entry['slots'],
         is_draining=entry['state'] == STATE_DRAINING,
         born_ms=entry['born'],
         version=entry['version'] or '',
     )
-    return Ok(engine) if is_plain_text(name) else Err('not a plain name')
+    return Ok(engine) if is_field_text(name) else Err('not a plain name')
 
 
 def _to_configuration(text: str, version: int) -> GatewayConfiguration:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -131,3 +131,40 @@
 )
 def test_invalid_entry_is_ignored(spec: Any) -> None:
     assert parse_engine('e1', spec).is_err()
+
+
+@pytest.mark.parametrize(
+    ('name', 'changes'),
+    [
+        ('日本', {}),
+        ('é', {}),
+        (' e', {}),
+        ('', {}),
+        ('e\n', {}),
+        ('e' * 300, {}),
+        ('e', {'address': '10.0.0.1:0'}),
+        ('e', {'address': '10.0.0.1:65536'}),
+        ('e', {'address': '10.0.0.1:-1'}),
+        ('e', {'address': '10.0.0.1:99999999999'}),
+        ('e', {'address': '10.0.0.1'}),
+        ('e', {'address': ''}),
+        ('e', {'address': ':80'}),
+        ('e', {'address': '[::1]'}),
+        ('e', {'address': 80}),
+        ('e', {'address': '10.0.0.1:80' + ' ' * 300}),
+    ],
+)
+def test_entry_that_can_not_be_addressed_names_no_engine(
+    name: str, changes: dict[str, Any]
+) -> None:
+    """Guards against callers without an answer: an engine's name is sent in a
+    header, and no engine serves at port 0.
+    """
+    assert parse_engine('e', ENTRY).is_ok()
+    assert parse_engine(name, {**ENTRY, **changes}).is_err()
+
+
+def test_entry_of_an_ipv6_address_names_an_engine() -> None:
+    """Guards against a check of addresses that knows one family only."""
+    parsed = parse_engine('e', {**ENTRY, 'address': '[::1]:80'})
+    assert parsed.unwrap().address == '[::1]:80'
