--- a/hornbeamdeck/scheduling/queued_request.py
+++ b/hornbeamdeck/scheduling/queued_request.py
@@ -23,8 +23,7 @@
     :param deadline_ms: monotonic time of this process, in milliseconds.
     :param service_ms: estimated duration of the run, in milliseconds.
     :param standing: among the waiting requests of its rank.
-    :param enqueued_ms: when it arrived here; infinity: it goes on with no
-        stream.
+    :param enqueued_ms: when it arrived here; infinity: its cell has no streams.
     :param learnable_until_ms: until when the version of the stream that it goes
         on with may be learned; `None`: it was known on arrival.
     """
