Choose ports of test processes below those of connections

A test of descriptors failed once beside other suites: its process found the port that had been chosen for it in use (EADDRINUSE in its log), since ports chosen by the operating system are given to any connection until the process listens. They are taken from 20,000 to 31,999 now, which no connection gets. The 9 tests of test_descriptors.py that run pass, twice in a row, at load 12.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -2,12 +2,13 @@
 
 import json
 import os
+import random
 import resource
 import subprocess
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -25,6 +26,8 @@
 READY_POLLS = 200
 CALL_TIMEOUT_MS = 1000
 KIB_PER_MIB = 1024
+# Below the ports that operating systems choose for connections.
+PROCESS_PORTS = range(20_000, 32_000)
 READY = HttpRequest('GET', '/v1/ready', '', {'host': 'walks.example'}, b'')
 
 
@@ -102,11 +105,14 @@
 
 
 async def _async_find_free_addresses(count: int) -> Sequence[Address]:
-    sockets = [listen(Address('127.0.0.1', 0)) for _ in range(count)]
-    addresses = [Address(*each.getsockname()) for each in sockets]
-    for each in sockets:
-        await each.close()
-    return addresses
+    """Find ports that no connection is given before the process listens."""
+    free: list[Address] = []
+    while len(free) < count:
+        port = random.choice(PROCESS_PORTS)
+        with suppress(OSError):
+            await listen(Address('127.0.0.1', port)).close()
+            free.append(Address('127.0.0.1', port))
+    return free
 
 
 def _make_settings(
