Ask listed engines before a stream that nobody knows goes on

What callers saw: a stream of v2 went on at v1 at an instance that was cut off from the others but not from the store, although it had asked the store.

Cause: an engine that starts again under its id at v2 serves before its entry says so. Streams that others begin there are of a version that is neither in the list of engines nor in the record of versions, which the confirmation took for all. Who relays or owns such a stream finds out; an instance that they do not reach does not.

Change: the confirmation asks the listed engines of the service for their start as well, at the same time, after the list was read. An engine that does not answer keeps nobody from going on.

What remains: an engine that has run behind its entry and is gone, or that the instance does not reach, stays unseen.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -118,6 +118,9 @@
         confirmation.set_callback(
             self.components.scheduler.async_evaluate_cells
         )
+        confirmation.set_incarnation_check(
+            self._incarnation_check.async_verdict
+        )
         self.components.scheduler.set_confirmation(confirmation.async_request)
         self._send_guard = SendGuard(
             self.freshness_guard,
--- a/tests/platform/test_out_of_step_instances.py
+++ b/tests/platform/test_out_of_step_instances.py
@@ -6,7 +6,11 @@
 
 from hornbeamdeck.membership.liveness import FLEET_CELL
 from tests.platform.fleet import PlatformFleet, Scenario, on_platform
-from tests.platform.lost_fleets import async_list_version, recorded_versions
+from tests.platform.lost_fleets import (
+    async_list_version,
+    async_run_versions,
+    recorded_versions,
+)
 from tests.platform.partitions import (
     Cut,
     PeerPartition,
@@ -98,6 +102,13 @@
         engine.event_gap_s = 0.05
     await async_list_version(fleet, later, 'v2')
     await fleet.async_until(lambda: 'v2' in recorded_versions(fleet))
+    return await _async_begin_at(fleet, gateways)
+
+
+async def _async_begin_at(
+    fleet: PlatformFleet, gateways: set[int]
+) -> list[StreamCaller]:
+    """Begin streams; return the callers of those at v2."""
     callers = [StreamCaller(fleet, f'first-{each}') for each in range(STREAMS)]
     for number, caller in enumerate(callers):
         await caller.async_begin(sorted(gateways)[number % len(gateways)])
@@ -191,3 +202,20 @@
     for gateway in apart:
         caller = StreamCaller(fleet, f'unknown-{gateway}')
         assert await caller.async_request(gateway, last_event_id='2') == 200
+
+
+@on_platform(0)
+@_with_cut(5)
+async def test_version_behind_a_stale_entry_is_not_missed(
+    fleet: PlatformFleet, cut: _Cut
+) -> None:
+    """Guards against streams of an engine whose entry is that of before."""
+    await async_run_versions(fleet, 'v1', 'v1')
+    others = await cut.async_begin(fleet, 3)
+    apart = set(cut.apart)
+    cut.end_cut_from_store()
+    restarted = fleet.model_engines[0]
+    restarted.run_version('v2', born=3)
+    await restarted.async_close_connections()
+    callers = await _async_begin_at(fleet, others)
+    await _async_check_refused(callers, apart)
--- a/tests/store/test_version_confirmation.py
+++ b/tests/store/test_version_confirmation.py
@@ -15,7 +15,7 @@
 from hornbeamdeck.store.fleet_record import FleetRecord
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 from hornbeamdeck.store.version_confirmation import VersionConfirmation
-from hornbeamdeck.wire import RefusalReason
+from hornbeamdeck.wire import Grant, RefusalReason
 from tests.scheduling.engine_cell_factories import (
     always_certain,
     engine,
@@ -36,9 +36,11 @@
         self.complete = ['desk']
         self.record_era = ERA
         self.is_away = False
+        # Whether the listed engine states that it runs what is listed.
+        self.verdict: bool | None = True
         self.calls = 0
         self.may_answer = Event()
-        self.listed_ms = -1.0
+        self._listed_ms = -1.0
         self.cell = _make_cell(self._listed_at)
         cells = {'desk': self.cell}
         unused: dict[str, Any] = dict.fromkeys(StoreInterface._fields)
@@ -52,12 +54,14 @@
             FleetRecord.of_every_kind(store, cells, bool, lambda: ERA),
         )
 
+        self.confirmation.set_incarnation_check(self._async_verdict)
+
     async def async_start(self) -> None:
         await self.may_answer.set()
         await spawn(self.confirmation.async_run, daemon=True)
 
     def _listed_at(self) -> float:
-        return self.listed_ms
+        return self._listed_ms
 
     async def _async_list_records(
         self,
@@ -74,8 +78,13 @@
         revision = StoreRevision(ERA, 10 + len(self.versions))
         return Ok({'engine-versions': StoredRecord(revision, fields)})
 
+    async def _async_verdict(
+        self, _grant: Grant, _asked_ms: float
+    ) -> bool | None:
+        return self.verdict
+
     async def _async_read_engines(self) -> bool:
-        self.listed_ms = now_ms()
+        self._listed_ms = now_ms()
         return not self.is_away
 
 
@@ -105,6 +114,10 @@
             return RefusalReason(expired[0].refusal.reason).name
 
 
+def _leave_engine_silent(store: _Store) -> None:
+    store.verdict = None
+
+
 def _run(
     prepare: Callable[[_Store], None],
 ) -> tuple[str, _Store]:
@@ -125,6 +138,12 @@
     assert (outcome, store.calls) == ('v1', 1)
 
 
+def test_engine_that_has_ended_does_not_keep_streams_from_going_on() -> None:
+    """Guards against waiting for the statement of an engine that is gone."""
+    outcome, store = _run(_leave_engine_silent)
+    assert (outcome, store.calls) == ('v1', 1)
+
+
 @pytest.mark.parametrize(
     'prepare',
     [
@@ -132,8 +151,15 @@
         lambda store: store.complete.clear(),
         lambda store: setattr(store, 'record_era', ERA - 1),
         lambda store: setattr(store, 'is_away', True),
+        lambda store: setattr(store, 'verdict', False),
+    ],
+    ids=[
+        'missed version',
+        'incomplete record',
+        'restored record',
+        'outage',
+        'stale entry',
     ],
-    ids=['missed version', 'incomplete record', 'restored record', 'outage'],
 )
 def test_stream_is_refused_without_proof(
     prepare: Callable[[_Store], None],
