Record at once that a version may serve that was never listed

What callers saw: a stream of v2 went on at v1 at an instance that was cut off from the others but not from the store, although it had asked the store.

Cause: an engine starts again under its id at v2 and serves before its entry says so; v2 is in neither list nor record. Its owner hears from the engine's own statement that another start ran, and no longer calls its record complete, up to 200 ms later. And an owner that is out of step wrote its own claim over that: an incomplete record looked like one whose writer has just started.

Change: the record is written as soon as an engine is known to have stated another start, and names the services where a version may be missing.

An engine that ended before any instance asked it still leaves no trace.

--- a/hornbeamdeck/ownership/scheduler.py
+++ b/hornbeamdeck/ownership/scheduler.py
@@ -37,7 +37,7 @@
     Withdraw,
 )
 
-__all__ = ('CheckIncarnation', 'RequestConfirmation', 'Scheduler')
+__all__ = ('AsyncRequest', 'CheckIncarnation', 'Scheduler')
 
 _LOGGER = structlog.get_logger(prefix='scheduler')
 
@@ -50,7 +50,7 @@
 CheckIncarnation: TypeAlias = Callable[
     [Grant, float], Coroutine[Any, Any, bool | None]
 ]
-RequestConfirmation: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
+AsyncRequest: TypeAlias = Callable[[], Coroutine[Any, Any, None]]
 
 
 class Scheduler:
@@ -74,15 +74,23 @@
         # clears it.
         self.has_new_origins = Event()
         self._async_check_incarnation: CheckIncarnation | None = None
-        self._async_request_confirmation: RequestConfirmation | None = None
+        self._async_request_confirmation: AsyncRequest | None = None
+        self._async_request_records: AsyncRequest | None = None
 
     def set_incarnation_check(self, check: CheckIncarnation) -> None:
         """Set how engines are asked for the start of their incarnation."""
         self._async_check_incarnation = check
 
-    def set_confirmation(self, request: RequestConfirmation) -> None:
-        """Set how to have the store asked which versions served."""
-        self._async_request_confirmation = request
+    def set_version_requests(
+        self, *, confirm: AsyncRequest, record: AsyncRequest
+    ) -> None:
+        """Set how versions are confirmed and recorded.
+
+        :param confirm: has the store asked which versions served.
+        :param record: has the store told what has changed.
+        """
+        self._async_request_confirmation = confirm
+        self._async_request_records = record
 
     def close(self) -> None:
         """Grant nothing more, since this process ends.
@@ -151,6 +159,7 @@
             case Progress():
                 cell.progress(message, now_ms())
                 await self.has_new_origins.set()
+                await self._async_record_unlisted(message.is_certain)
             case Release() | UpstreamEnd():
                 for suspect in _record_end(cell, message):
                     await self._async_report_suspect(suspect, deliver)
@@ -257,16 +266,26 @@
         grant = _to_grant(request, question)
 
         async def _async_check() -> None:
+            is_certain = await check(grant, question.begun_ms)
             cell.origins.record_first_event(
-                grant.request_id,
-                None,
-                now_ms(),
-                is_certain=await check(grant, question.begun_ms),
+                grant.request_id, None, now_ms(), is_certain=is_certain
             )
+            await self._async_record_unlisted(is_certain)
             await self._async_grant(cell)
 
         await spawn(_async_check, daemon=True)
 
+    async def _async_record_unlisted(
+        self,
+        is_certain: bool | None,  # noqa: FBT001
+    ) -> None:
+        """Record at once that a version may serve that was never listed.
+
+        Until then, what the store holds tells others that it names all.
+        """
+        if is_certain is False and self._async_request_records is not None:
+            await self._async_request_records()
+
     async def _async_grant(self, cell: AnyCell) -> None:
         if self._is_closed:
             return
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -114,11 +114,14 @@
         self.components.scheduler.set_incarnation_check(
             self._incarnation_check.async_verdict
         )
-        confirmation = self.components.fleet_memory.confirmation
-        confirmation.set_callback(
+        memory = self.components.fleet_memory
+        memory.confirmation.set_callback(
             self.components.scheduler.async_evaluate_cells
         )
-        self.components.scheduler.set_confirmation(confirmation.async_request)
+        self.components.scheduler.set_version_requests(
+            confirm=memory.confirmation.async_request,
+            record=memory.async_request_records,
+        )
         self._send_guard = SendGuard(
             self.freshness_guard,
             self.components.directory,
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -91,6 +91,10 @@
         """Record that a version that was never listed may begin streams."""
         self._unlisted_ms = now
 
+    def has_unlisted(self, now: float) -> bool:
+        """Return whether such a version may have begun streams lately."""
+        return self._unlisted_ms > now - HISTORY_MS
+
     def apply_recorded(self, versions: Collection[str] | None) -> None:
         """Set which versions a process without memory would take for all.
 
--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -47,6 +47,11 @@
             VersionConfirmation(store, read_engines, cells, records),
         )
 
+    async def async_request_records(self) -> None:
+        """Have the records written now that are outdated."""
+        for record in self.records:
+            await record.async_request()
+
     def tasks(self) -> Iterator[_AsyncWork]:
         """Return what is to be run until the process ends."""
         for record in self.records:
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -5,15 +5,17 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Mapping
+from contextlib import suppress
 from itertools import count
 from typing import Any, Final, NamedTuple, Self, TypeAlias
 
 import structlog
 import voluptuous as vol
-from curio import sleep
+from curio import Event, sleep
+from curio.errors import TaskTimeout
 from result import Err
 
-from hornbeamdeck.clock import now_ms
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
@@ -33,11 +35,13 @@
 _FIELD_ERA: Final = 'era'
 _FIELD_NAMES: Final = 'names'
 _FIELD_COMPLETE: Final = 'complete'
+_FIELD_DOUBTED: Final = 'doubted'
 _RECORD: Final = vol.Schema(
     {
         vol.Required(_FIELD_ERA): int,
         vol.Required(_FIELD_NAMES): _NAMES,
         vol.Required(_FIELD_COMPLETE): [str],
+        vol.Optional(_FIELD_DOUBTED, default=list): [str],
     }
 )
 
@@ -53,6 +57,7 @@
     :param current: returns the names that a cell knows; `None`: nothing is to
         be recorded of its service yet.
     :param is_complete: whether these are all names that matter.
+    :param is_doubted: whether there may be a name that no owner knows.
     :param add_earlier: tells a cell which names were recorded before, and
         whether these are all.
     :param apply_recorded: tells a cell which names a reader of the record takes
@@ -64,6 +69,7 @@
     record_name: str
     current: Callable[[EngineCell, float], Collection[str] | None]
     is_complete: Callable[[EngineCell, float], bool]
+    is_doubted: Callable[[EngineCell, float], bool]
     add_earlier: Callable[[EngineCell, '_Recorded', float], None]
     apply_recorded: Callable[[EngineCell, Collection[str] | None], None]
     confirm: Callable[[EngineCell, float], None]
@@ -74,10 +80,13 @@
 
     :param is_complete: whether its writer knew all names. A record that an
         earlier era of the store holds may have been followed by a newer one.
+    :param is_doubted: whether its writer knew that there may be others, which
+        no owner knows.
     """
 
     names: Collection[str]
     is_complete: bool
+    is_doubted: bool = False
 
 
 _NOTHING_RECORDED: Final = _Recorded((), is_complete=False)
@@ -91,10 +100,15 @@
     return cell.origins.history.is_complete(now)
 
 
+def _may_miss_a_version(cell: EngineCell, now: float) -> bool:
+    return cell.origins.history.has_unlisted(now)
+
+
 def _add_versions(cell: EngineCell, recorded: _Recorded, now: float) -> None:
-    cell.origins.history.add_earlier(
-        recorded.names, now, is_complete=recorded.is_complete
-    )
+    history = cell.origins.history
+    history.add_earlier(recorded.names, now, is_complete=recorded.is_complete)
+    if recorded.is_doubted:
+        history.record_unlisted(now)
 
 
 def _apply_recorded_versions(
@@ -124,6 +138,7 @@
     'engine-versions',
     _current_versions,
     _knows_all_versions,
+    _may_miss_a_version,
     _add_versions,
     _apply_recorded_versions,
     _confirm_versions,
@@ -134,6 +149,7 @@
     'crashing-requests',
     _crashing_requests,
     lambda _cell, _now: False,
+    lambda _cell, _now: False,
     _add_crashing_requests,
     lambda _cell, _names: None,
     lambda _cell, _asked_ms: None,
@@ -165,6 +181,7 @@
         self._stored = _UNKNOWN
         # Services whose cells know what was recorded.
         self._informed: set[str] = set()
+        self._is_wanted = Event()
 
     @classmethod
     def of_every_kind(
@@ -186,13 +203,19 @@
             interval_ms = CHECK_INTERVAL_MS
             if checks < START_CHECKS and self._stored is _UNKNOWN:
                 interval_ms = START_CHECK_INTERVAL_MS
-            await sleep(interval_ms / MILLIS_PER_SECOND)
+            with suppress(TaskTimeout):
+                await async_with_timeout(interval_ms, self._is_wanted.wait())
+            self._is_wanted.clear()
             if not self._is_writer():
                 self._stored = _UNKNOWN
                 self._tell_what_is_recorded()
             elif not await self.async_sync():
                 await sleep(RETRY_MS / MILLIS_PER_SECOND)
 
+    async def async_request(self) -> None:
+        """Have the record written now if it is outdated."""
+        await self._is_wanted.set()
+
     async def async_sync(self) -> bool:
         """Write the record if it is outdated, or if it is not known.
 
@@ -280,13 +303,19 @@
                 for service, of_service in names.items()
                 if of_service is not None
             },
-            _FIELD_COMPLETE: sorted(
-                service
-                for service, cell in self._cells.items()
-                if self._kind.is_complete(cell, now)
-            ),
+            _FIELD_COMPLETE: self._services(self._kind.is_complete, now),
+            _FIELD_DOUBTED: self._services(self._kind.is_doubted, now),
         }
 
+    def _services(
+        self, is_listed: Callable[[EngineCell, float], bool], now: float
+    ) -> list[str]:
+        return sorted(
+            service
+            for service, cell in self._cells.items()
+            if is_listed(cell, now)
+        )
+
 
 def _parse(stored: StoredRecord) -> dict[str, _Recorded]:
     """Return what a record says, by service.
@@ -308,7 +337,9 @@
     is_current = parsed[_FIELD_ERA] == stored.revision.era
     return {
         service: _Recorded(
-            names, is_current and service in parsed[_FIELD_COMPLETE]
+            names,
+            is_current and service in parsed[_FIELD_COMPLETE],
+            service in parsed[_FIELD_DOUBTED],
         )
         for service, names in parsed[_FIELD_NAMES].items()
     }
