Take no part of a list for all of it, and no odd event for a removal

A page whose entries can't be used (names of more than 256 characters or of several lines; one entry of 1 MB fills a page) ended the list of engines as if it were complete, so that the engines on the pages after it counted as gone. A list now goes on after the last name of a page, usable or not; one that announces more and does not go on counts as an outage, after at most one call more than before.

An event whose `removed` was no boolean ("false", [0], NaN) removed a sound engine if it was true in Python. Only true, false and nothing (and 1 and 0) are taken; otherwise the watch counts as an outage, and the list is read, which shows what is stored.

--- a/hornbeamdeck/connection/json_calls.py
+++ b/hornbeamdeck/connection/json_calls.py
@@ -35,13 +35,26 @@
     return is_whole(found, MAX_REVISION)
 
 
+# Unhashable values must be comparable, too.
+_REMOVALS: Final = (None, False, True)
+
+
 def _is_list(found: Any) -> bool:
     return isinstance(found, list)
 
 
+def _is_list_of_events(found: Any) -> bool:
+    """Return whether it is clear of each object whether it was removed."""
+    return _is_list(found) and all(
+        event.get('removed') in _REMOVALS
+        for event in found
+        if isinstance(event, dict)
+    )
+
+
 # What the fields of responses are, where they are required.
 _CHECKS: Final = MappingProxyType(
-    {'entries': _is_list, 'events': _is_list, 'at': is_revision}
+    {'entries': _is_list, 'events': _is_list_of_events, 'at': is_revision}
 )
 
 
--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -5,16 +5,13 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.connection.json_calls import (
-    JsonCalls,
-    parse_fields,
-)
+from hornbeamdeck.connection.json_calls import JsonCalls, parse_fields
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
 from hornbeamdeck.store.stored_objects import (
-    object_name,
+    last_name,
     usable_events,
     usable_objects,
 )
@@ -70,17 +67,19 @@
             if isinstance(read, Err):
                 return read
             page = read.ok_value
-            usable = usable_objects(kind, page['entries'], self.unusable)
             left_bytes -= max(len(fetched.unwrap().body), MIN_PAGE_BYTES)
             revisions.append(
                 StoreRevision(self.era_of(fetched.unwrap()), page['at'])
             )
             if revisions[-1].era != revisions[0].era:
                 return Err(StoreUnavailable('restored between two pages'))
-            entries += usable
-            if not page['has_more'] or not usable:
+            entries += usable_objects(kind, page['entries'], self.unusable)
+            if not page['has_more']:
                 return Ok(ObjectList(revisions[0], entries))
-            query = {'after': object_name(entries[-1])}
+            following = {'after': last_name(page['entries'])}
+            if following == query:
+                break
+            query = following
         return Err(StoreUnavailable('limit exceeded: list'))
 
     async def async_watch(
--- a/hornbeamdeck/store/stored_objects.py
+++ b/hornbeamdeck/store/stored_objects.py
@@ -5,8 +5,10 @@
 from hornbeamdeck.connection.json_calls import is_revision
 from hornbeamdeck.connection.json_text import is_plain_text
 from hornbeamdeck.connection.unusable_entries import UnusableEntries
+from hornbeamdeck.const import ENCODING
 
 __all__ = (
+    'last_name',
     'object_name',
     'object_revision',
     'usable_events',
@@ -16,6 +18,20 @@
 _CAUSE = 'no name or revision'
 
 
+def last_name(listed: list[Any]) -> str:
+    """Return the name from which a list goes on after a page.
+
+    Entries that can't be used count, too: they may fill a page.
+
+    :returns: empty if no entry has a name that can be sent.
+    """
+    for stored in reversed(listed):
+        name = _metadata_of(stored).get('name')
+        if isinstance(name, str) and _is_encodable(name):
+            return name
+    return ''
+
+
 def object_name(stored: Any) -> str:
     """Return the name of an object."""
     return str(stored['metadata']['name'])
@@ -61,9 +77,21 @@
     return usable
 
 
-def _has_name(stored: Any) -> bool:
+def _metadata_of(stored: Any) -> dict[Any, Any]:
     metadata = stored.get('metadata') if isinstance(stored, dict) else None
-    return isinstance(metadata, dict) and is_plain_text(metadata.get('name'))
+    return metadata if isinstance(metadata, dict) else {}
+
+
+def _is_encodable(name: str) -> bool:
+    try:
+        name.encode(ENCODING)
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _has_name(stored: Any) -> bool:
+    return is_plain_text(_metadata_of(stored).get('name'))
 
 
 def _has_revision(stored: Any) -> bool:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -7,6 +7,7 @@
 from copy import deepcopy
 from time import monotonic
 from typing import Any, NamedTuple
+from urllib.parse import unquote_plus
 
 from curio import Event, sleep, socket, timeout_after
 from curio.errors import TaskTimeout
@@ -31,6 +32,7 @@
 REQUEST_ID_HEADER = 'hornbeamdeck-request-id'
 FALL_S = 2.0
 RESTORE_S = 0.4
+PAGE_ENTRIES = 500
 
 RequestHandler = Callable[[HttpRequest, ServerConnection], Awaitable[None]]
 
@@ -215,16 +217,18 @@
             case 'GET' if 'watch' in request.query:
                 return await self._async_watch(kind, _query_parameters(request))
             case 'GET':
-                return self._list(kind)
+                return self._list(kind, _query_parameters(request))
             case _:
                 return await self._async_write(request, kind, name)
 
-    def _list(self, kind: str) -> HttpResponse:
+    def _list(self, kind: str, query: Mapping[str, str]) -> HttpResponse:
         self.listings[kind] += 1
-        entries = list(self.stored_objects.get(kind, {}).values())
+        after = unquote_plus(query.get('after', ''))
+        named = sorted(self.stored_objects.get(kind, {}).items())
+        entries = [each for name, each in named if not after or name > after]
         page = {
-            'entries': entries,
-            'has_more': self.endless == 'pages',
+            'entries': entries[:PAGE_ENTRIES],
+            'has_more': self.endless == 'pages' or len(entries) > PAGE_ENTRIES,
             'at': self.revision,
         }
         return _json_response(200, page)
