Use a peer's list of engines without the entries that can't be used

One entry with an address that can't be read made an instance refuse the whole list of a peer, and each later one that still had the entry: without the store it followed no list at all. Names and texts were not checked. Instances check what they read from the store, so that this needs a peer of another release.

Entries are now checked one by one, as those of the store; an odd one is left out and logged. The twelve cases of the test failed before.

--- a/hornbeamdeck/membership/heartbeats.py
+++ b/hornbeamdeck/membership/heartbeats.py
@@ -313,12 +313,7 @@
 
     def _apply_engines(self, message: EngineList) -> None:
         dependencies = self._dependencies
-        try:
-            is_updated = dependencies.directory.update_from_wire(message)
-        except ValueError:
-            _LOGGER.warning('peer sent an invalid engine entry')
-            return
-        if is_updated:
+        if dependencies.directory.update_from_wire(message):
             dependencies.record_slowness(
                 {entry.name: entry.slowness for entry in message.engines},
             )
--- a/hornbeamdeck/store/engine_directory.py
+++ b/hornbeamdeck/store/engine_directory.py
@@ -4,8 +4,11 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
+import structlog
+
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.address import Address
+from hornbeamdeck.connection.json_text import is_field_text, is_plain_text
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine import Engine
 from hornbeamdeck.store.freshness import Freshness
@@ -16,11 +19,15 @@
 
 __all__ = ('EngineDirectory',)
 
+_LOGGER = structlog.get_logger(prefix='store')
+
 # Slowness of an engine for which no value has been learned.
 UNIT_SLOWNESS: Final = 1.0
 # Names of removed engines are stored because grants for them may still be in
 # transit.
 MAX_REMOVED_ENGINES: Final = 1024
+MAX_LOGGED: Final = 200
+NO_ADDRESS: Final = Address('', 0)
 
 
 class _Removed(NamedTuple):
@@ -164,10 +171,11 @@
     def update_from_wire(self, message: EngineList) -> bool:
         """Replace the current list if that of a peer is newer.
 
+        An entry that can't be used is left out, as in a list of the store.
+
         :returns: whether it was newer.
-        :raises ValueError: if the address of an engine is invalid.
         """
-        engines = [_engine_from_wire(entry) for entry in message.engines]
+        engines = filter(None, map(_engine_from_wire, message.engines))
         version = ListVersion.from_wire(message.era, message.version)
         return self.update(version, engines)
 
@@ -216,11 +224,22 @@
     )
 
 
-def _engine_from_wire(entry: EngineEntry) -> Engine:
+def _engine_from_wire(entry: EngineEntry) -> Engine | None:
+    texts = (entry.cell, entry.zone, entry.version or '')
+    try:
+        address = Address.from_text(entry.address)
+    except ValueError:
+        address = NO_ADDRESS
+    is_usable = is_field_text(entry.name) and all(map(is_plain_text, texts))
+    if not is_usable or not address.port:
+        _LOGGER.warning(
+            'engine of a peer ignored', engine=ascii(entry.name)[:MAX_LOGGED]
+        )
+        return None
     return Engine(
         name=entry.name,
         service=entry.cell,
-        address=str(Address.from_text(entry.address)),
+        address=str(address),
         availability_zone=entry.zone,
         slots=entry.slots,
         is_draining=entry.is_leaving,
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -1,6 +1,9 @@
 """Tests of which list of engines is used and of its confirmation time."""
 
 import math
+from typing import Any
+
+import pytest
 
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine import Engine
@@ -213,3 +216,39 @@
         directory.update(_version(number), _listing(number + 7))
     assert directory.listed_until_ms('engine-1', 7, 900) == -math.inf
     assert directory.listed_until_ms('engine-1', 2000, 900) == 1000
+
+
+_ODD_FIELDS: list[dict[str, Any]] = [
+    {'address': ''},
+    {'address': '127.0.0.1'},
+    {'address': '127.0.0.1:0'},
+    {'address': '127.0.0.1:65536'},
+    {'address': '127.0.0.1:99999999999'},
+    {'name': ''},
+    {'name': '日本'},
+    {'name': 'e\n'},
+    {'name': 'e' * 100_000},
+    {'cell': 'a\0'},
+    {'zone': 'z' * 100_000},
+    {'version': '\ud800'},
+]
+
+
+@pytest.mark.parametrize('odd', _ODD_FIELDS)
+def test_odd_entry_of_a_peer_leaves_the_others(odd: dict[str, Any]) -> None:
+    """Guards against an instance that follows no list while a peer sends one
+    odd entry with each.
+    """
+    peer = EngineDirectory()
+    sound = _engine(is_draining=False)
+    other = sound._replace(name='engine-2')
+    peer.update(_version(100), [sound, other])
+    message = peer.to_wire({})
+    for name, text in odd.items():
+        setattr(message.engines[1], name, text)
+    directory = EngineDirectory()
+    assert directory.update_from_wire(message)
+    assert directory.engines == {'engine-1': sound}
+    peer.update(_version(101), [sound._replace(is_draining=True)])
+    assert directory.update_from_wire(peer.to_wire({}))
+    assert directory.engines['engine-1'].is_draining
