Accept connections after an error in admitting one

The accept loop survived an OSError of accept, but not an exception of what admits the connection: the loop ended, callers waited in the backlog for good, and readiness, which asks for failed accepts only, went on saying ready (its address has a loop of its own).

Such an error now costs one connection, is logged, and counts as a failed accept, so that readiness tells of a listener that admits none.

--- a/hornbeamdeck/connection/listener.py
+++ b/hornbeamdeck/connection/listener.py
@@ -149,11 +149,29 @@
     """Accept the next connection that may stay open."""
     while True:
         client = await _async_accept_next(sock, state)
-        if await connections.async_add():
+        if await _async_admit(connections, state):
             return client
         await client.close()
 
 
+async def _async_admit(
+    connections: ConnectionAdmission, state: AcceptState
+) -> bool:
+    """Return whether a connection may stay open.
+
+    An unexpected error costs one connection. Without this, it would end the
+    accepting of all later ones, while the process calls itself ready.
+    """
+    try:
+        return await connections.async_add()
+    except Exception:
+        connections.remove()
+        state.record_failure()
+        _LOGGER.exception('connection could not be admitted')
+        await sleep(ACCEPT_RETRY_MS / MILLIS_PER_SECOND)
+        return False
+
+
 async def _async_accept_next(
     sock: socket.socket, state: AcceptState
 ) -> socket.socket:
--- a/tests/connection/test_listener.py
+++ b/tests/connection/test_listener.py
@@ -80,3 +80,38 @@
         await listener.async_unload()
 
     run(_async_scenario)
+
+
+class _FailingAdmission:
+    """Counts connections, and fails for the first of them."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.open_count = 0
+
+    async def async_add(self) -> bool:
+        self.open_count += 1
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError
+        return True
+
+    def remove(self) -> None:
+        self.open_count -= 1
+
+
+def test_connections_are_accepted_after_one_could_not_be_admitted() -> None:
+    """Guards against an instance that is ready but takes no connection."""
+
+    async def _async_scenario() -> None:
+        admission = _FailingAdmission(2)
+        listener = await async_setup_listener(
+            ANY_LOCAL_PORT, _async_serve, admission
+        )
+        replies = [await _async_ask(listener) for _ in range(3)]
+        assert replies == [b'', b'', REPLY]
+        await sleep(0.05)
+        assert not admission.open_count
+        await listener.async_unload()
+
+    run(_async_scenario)
