Open a link to a peer again after an unexpected error

An exception in handling a peer's message ended the task of the link without the steps that follow a lost connection: messages were put into its queue and never sent, until the peer counted as silent a second later. The error is now logged, and the link counts as lost at once, so that requests move and the next message connects again.

--- a/hornbeamdeck/membership/peers.py
+++ b/hornbeamdeck/membership/peers.py
@@ -85,7 +85,12 @@
             await task.cancel()
 
     async def _async_run_link(self, peer_id: str, outbox: Queue) -> None:
-        cause = await self._async_connect_and_run(peer_id, outbox)
+        try:
+            cause = await self._async_connect_and_run(peer_id, outbox)
+        except Exception as error:
+            # Whatever a message caused: a link that has ended takes no more.
+            _LOGGER.exception('connection to peer failed', peer=peer_id)
+            cause = repr(error)
         _LOGGER.info('connection to peer lost', peer=peer_id, cause=cause)
         await self._async_report_lost(peer_id)
 
