Call an instance that can't follow the store not ready

Readiness asked whether a configuration and a list had ever been read. An instance whose follower of the list or the configuration, or whose heartbeats, failed again and again stayed ready (the status with a slash showed it: 0 calls answered, all ready).

The log buffer is supervised, too.

--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -43,7 +43,11 @@
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
 from hornbeamdeck.process.gateway_settings import GatewaySettings
 from hornbeamdeck.process.platform_adapter import PlatformAdapter
-from hornbeamdeck.process.supervision import Work, async_supervise
+from hornbeamdeck.process.supervision import (
+    TaskFailures,
+    Work,
+    async_supervise,
+)
 from hornbeamdeck.request.engine_end_check import EngineEndCheck
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
@@ -135,6 +139,7 @@
             rank=self.components.heartbeats.liveness.rank,
         )
         self.listeners: list[Listener] = []
+        self._following_failures = TaskFailures()
         self._tasks: list[Task] = []
         self._connections = ProcessConnections.from_settings(settings)
 
@@ -142,11 +147,14 @@
     def is_ready(self) -> bool:
         """Whether callers may be directed to this process."""
         components = self.components
+        is_working = not self._following_failures.is_lasting and all(
+            each.accept_state.is_accepting for each in self.listeners
+        )
         return (
             not self.shutdown.is_requested
             and components.follower.configuration.version > 0
             and components.directory.is_read
-            and all(each.accept_state.is_accepting for each in self.listeners)
+            and is_working
         )
 
     async def async_start(self) -> None:
@@ -388,9 +396,13 @@
 
     async def _async_start_tasks(self) -> None:
         components = self.components
-        tasks: list[Work] = [
+        for following in (
             components.reader.async_follow_configuration,
             components.reader.async_follow_engines,
+            components.heartbeats.async_run,
+        ):
+            await self._async_spawn(following, self._following_failures)
+        tasks: list[Work] = [
             partial(
                 components.follower.async_fetch_hinted,
                 components.snapshots.async_fetch_from_peer,
@@ -399,7 +411,6 @@
                 components.snapshots.async_fetch_from_seeds,
                 self.settings.seed_peers,
             ),
-            components.heartbeats.async_run,
             components.origin_reports.async_run,
             *components.fleet_memory.tasks(),
             components.scheduler.async_refuse_expired,
@@ -418,9 +429,17 @@
         for work in tasks:
             await self._async_spawn(work)
 
-    async def _async_spawn(self, work: Work) -> None:
+    async def _async_spawn(
+        self, work: Work, failures: TaskFailures | None = None
+    ) -> None:
         count = self.components.metrics.count_failed_task
-        task = await spawn(async_supervise, work, count, daemon=True)
+
+        def _record(name: str) -> None:
+            count(name)
+            if failures is not None:
+                failures.record(name)
+
+        task = await spawn(async_supervise, work, _record, daemon=True)
         self._tasks.append(task)
 
     async def _async_follow_ownership(self) -> None:
--- a/hornbeamdeck/process/serve_gateway.py
+++ b/hornbeamdeck/process/serve_gateway.py
@@ -54,14 +54,11 @@
         instance_id=settings.instance_id,
         stream=buffer,
     )
-    await spawn(buffer.async_run, daemon=True)
+    count = gateway.components.metrics.count_failed_task
+    await spawn(async_supervise, buffer.async_run, count, daemon=True)
     await gateway.async_start()
-    await spawn(
-        async_supervise,
-        partial(_async_reload, path, gateway, reload_requested),
-        gateway.components.metrics.count_failed_task,
-        daemon=True,
-    )
+    reload = partial(_async_reload, path, gateway, reload_requested)
+    await spawn(async_supervise, reload, count, daemon=True)
     await stop_requested.wait()
     cut_off = await gateway.async_stop()
     buffer.write_out()
