Refuse messages whose listed parts lack required fields

A frame was checked for the required fields of its message, not for those of what the message lists: an origin without `attempt` or `left_ms` raised TypeError in the owner, an engine without an address AttributeError in whoever followed the list.

Such a frame is malformed now, and only the connection to its sender ends. The seven cases of the tests failed before.

--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -3,7 +3,7 @@
 import struct
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Final, NamedTuple, TypeAlias
+from typing import Any, Final, NamedTuple, TypeAlias
 
 from result import Err, Ok, Result
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
@@ -165,7 +165,7 @@
     try:
         envelope.read(protocol)
         envelope.validate()
-        message_of(envelope).validate()
+        _validate(message_of(envelope))
     except CODEC_ERRORS as error:
         return Err(MalformedFrame(repr(error)))
     return Ok(envelope)
@@ -181,3 +181,17 @@
         if message is not None:
             return message
     raise ValueError('envelope without a message')
+
+
+def _validate(message: Any) -> None:
+    """Check that a message, and all that it lists, has the required fields."""
+    message.validate()
+    for field in message.__slots__:
+        listed = getattr(message, field)
+        if isinstance(listed, list):
+            for each in filter(_is_struct, listed):
+                _validate(each)
+
+
+def _is_struct(found: Any) -> bool:
+    return hasattr(found, 'validate')
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,12 +1,15 @@
 """Frames between instances."""
 
 import struct
+from copy import deepcopy
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from hornbeamdeck.wire import (
+    EngineEntry,
+    EngineList,
     Enqueue,
     Progress,
     Release,
@@ -108,3 +111,36 @@
 
 def test_length_field_is_four_bytes() -> None:
     assert LENGTH_PREFIX.size == struct.calcsize('>I')
+
+
+_ORIGIN = StreamOrigin(
+    request_id='r1', team='t', upstream='e1', attempt=0, left_ms=1
+)
+_ENTRY = EngineEntry(
+    name='e1',
+    cell='desk',
+    address='127.0.0.1:1',
+    zone='z1',
+    slots=4,
+    is_leaving=False,
+    born_ms=1,
+    slowness=1.0,
+)
+
+
+@pytest.mark.parametrize('field', ['upstream', 'attempt', 'left_ms'])
+def test_origin_without_a_required_field_is_malformed(field: str) -> None:
+    """Guards against an owner that fails on what a peer lists."""
+    origin = deepcopy(_ORIGIN)
+    setattr(origin, field, None)
+    frame = encode_frame(StreamOrigins(cell='desk', origins=[origin]))
+    assert decode_frame(frame[LENGTH_PREFIX.size :]).is_err()
+
+
+@pytest.mark.parametrize('field', ['name', 'address', 'zone', 'slots'])
+def test_engine_without_a_required_field_is_malformed(field: str) -> None:
+    """Guards against an instance that fails on what a peer lists."""
+    entry = deepcopy(_ENTRY)
+    setattr(entry, field, None)
+    frame = encode_frame(EngineList(version=1, engines=[_ENTRY, entry]))
+    assert decode_frame(frame[LENGTH_PREFIX.size :]).is_err()
