Refuse CONNECT before it reaches an engine

Cause: CONNECT with a path for a target found a route and was sent to an engine. Its response can't have a body and turns the connection into a tunnel, so the engine's answer could not be passed on: 502 after the request had reached it.

Change: the reader refuses the method with 501.

Measured: test_target_without_a_path_reaches_no_engine failed for CONNECT with a path and with an absolute target (502, the engine had the request); both get 501 now. A request that asks for another protocol (Upgrade), with a second one behind it, is served as any other, before and after.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -26,6 +26,7 @@
 
 READ_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 32_768
+METHOD_CONNECT: Final = b'CONNECT'
 # The limits of an idle connection are read again after so long. They may have
 # become shorter.
 MAX_IDLE_WAIT_MS: Final = 15_000
@@ -184,6 +185,13 @@
         request = head.ok_value
         if not isinstance(request, h11.Request):
             return Err(CallerClosed())
+        if request.method == METHOD_CONNECT:
+            return Err(
+                BadRequest(
+                    HTTPStatus.NOT_IMPLEMENTED,
+                    'tunnels of callers are not supported',
+                ),
+            )
         stated_bytes = _stated_length(request)
         is_allowed = stated_bytes <= self._limits.max_body_bytes
         if is_allowed and not self._bodies.has_room(stated_bytes):
--- a/tests/platform/test_request_framing.py
+++ b/tests/platform/test_request_framing.py
@@ -66,6 +66,10 @@
     'zeros before a length': ('Content-Length: 0002', '{}'),
     'length twice': ('Content-Length: 2\r\nContent-Length: 2', '{}'),
     'list of one length': ('Content-Length: 2, 2', '{}'),
+    'another protocol': (
+        'Connection: upgrade\r\nUpgrade: x\r\nContent-Length: 2',
+        '{}',
+    ),
 }
 
 
