Wait for an own connect if no other instance has a way to an engine

Cause: an instance that has failed to connect to two engines, and to none that it reached since, takes its path to all engines for lost. Two engines that end at once put all instances into that state. A request to a sound engine then went to the other instances, which had no way either and answered at once; it was refused (`engines_unreachable`) although the instance's own connect, started beside, was about to succeed.

Change: if no other instance can connect, the request waits up to 100 ms for a connect that is under way, within the limit for dialing, and connects directly once the path is known to be there.

Measured: test_two_ended_engines_fail_nothing_if_all_seem_partitioned, three instances, six engines of which two have ended, connects of 20 ms, four rounds of six requests for each of four kinds of route. Now 4 of 4 pass, in two runs, and no run is cut off. The tests of tunnels, partitions and dialing pass (48 with test_layers.py, twice).

--- a/hornbeamdeck/engines/engine_dialer.py
+++ b/hornbeamdeck/engines/engine_dialer.py
@@ -10,7 +10,7 @@
 from typing import Final, NamedTuple
 
 import structlog
-from curio import spawn
+from curio import sleep, spawn
 from result import Err, Ok, Result
 
 from hornbeamdeck.clock import now_ms
@@ -47,6 +47,9 @@
 # sent.
 DIAL_TIMEOUT_MS: Final = 600
 MAX_RELAYS: Final = 4
+# How long a request waits for a direct connect if no other instance has a way.
+PROBE_WAIT_MS: Final = 100
+PROBE_POLL_S: Final = 0.005
 # Covers the connection to a relay and its check of an engine.
 CHECK_TIMEOUT_MS: Final = 700
 # An engine that this many other instances can't reach is likely to be down.
@@ -105,6 +108,8 @@
         self._serving_instances = serving_instances
         self._relays = RelayChoice(random.random)
         self._was_partitioned = False
+        # Engines that are being connected to, to find out about the path.
+        self._probed: set[str] = set()
 
     def is_in_reach(self, engine: str) -> bool:
         """Return whether an engine may be connected to directly."""
@@ -159,6 +164,19 @@
         tunnel = await self._async_open_tunnel(
             request, relays, started_ms + DIAL_TIMEOUT_MS
         )
+        if (
+            isinstance(tunnel, Err)
+            and path is not EnginePath.DIRECT
+            and await self._async_is_back(
+                grant.upstream, started_ms + DIAL_TIMEOUT_MS
+            )
+        ):
+            opened = await self.async_connect(
+                grant.upstream, grant.address, is_repeatable=is_repeatable
+            )
+            if isinstance(opened, Ok):
+                return Ok(EngineLink(opened.ok_value))
+            failed = opened.err_value
         return tunnel.map_err(
             lambda answers: Unreached(
                 _describe(failed, answers),
@@ -204,13 +222,30 @@
 
     async def async_start_probe(self, engine: str, address: str) -> None:
         """Find out in the background whether an engine is in reach again."""
+        self._probed.add(engine)
         await spawn(self._async_probe, engine, address, daemon=True)
 
     async def _async_probe(self, engine: str, address: str) -> None:
-        opened = await self.async_connect(engine, address, is_repeatable=True)
+        try:
+            opened = await self.async_connect(
+                engine, address, is_repeatable=True
+            )
+        finally:
+            self._probed.discard(engine)
         if isinstance(opened, Ok):
             await opened.ok_value.async_close()
 
+    async def _async_is_back(self, engine: str, until_ms: float) -> bool:
+        """Return whether an engine that seemed out of reach is not.
+
+        Engines that end at once look like a lost path to all instances, until
+        one of them has connected to an engine again.
+        """
+        until_ms = min(now_ms() + PROBE_WAIT_MS, until_ms)
+        while engine in self._probed and now_ms() < until_ms:
+            await sleep(PROBE_POLL_S)
+        return self.is_in_reach(engine)
+
     async def _async_open_tunnel(
         self, request: OpenTunnel, relays: list[Relay], until_ms: float
     ) -> Result[EngineLink, list[TunnelResult]]:
--- a/tests/platform/test_partitioned_instances.py
+++ b/tests/platform/test_partitioned_instances.py
@@ -2,9 +2,17 @@
 
 from functools import partial
 
+import pytest
 from curio import TaskGroup, sleep
+from result import Result
 
-from hornbeamdeck.connection.client import async_fetch_on_new_connection
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.client import (
+    ClientConnection,
+    async_fetch_on_new_connection,
+)
+from hornbeamdeck.connection.errors import ConnectFailed
+from hornbeamdeck.engines.engine_dialer import EngineDialer
 from tests.platform.fleet import (
     TOKEN_COUNTS,
     PlatformFleet,
@@ -17,6 +25,9 @@
 # Requests to each gateway while the partition lasts.
 REQUESTS = 40
 CLIENT_TIMEOUT_MS = 3500
+BURST = 6
+ROUNDS = 4
+CONNECT_S = 0.02
 AT_ONCE = 4
 PATHS = ('/seats/x', '/seats/pay/x', '/guide/x', '/note/x')
 # First attempts served at a partitioned instance for each that is served at
@@ -122,3 +133,68 @@
                     await ended.async_close_connections()
             await sleep(0.02)
     assert [each.status for each in callers.results] == [200] * REQUESTS
+
+
+def _let_all_seem_partitioned(
+    fleet: PlatformFleet, ended: list[EngineStandin]
+) -> None:
+    """Let each gateway fail to connect to ended engines, as callers may."""
+    for gateway in fleet.gateways:
+        for engine in ended:
+            gateway.dialer.record(engine.name, is_reached=False)
+        assert gateway.dialer.reach.is_partitioned(now_ms())
+
+
+_async_connect = EngineDialer.async_connect
+
+
+async def _async_connect_late(
+    dialer: EngineDialer, engine: str, address: str, *, is_repeatable: bool
+) -> Result[ClientConnection, ConnectFailed]:
+    await sleep(CONNECT_S)
+    return await _async_connect(
+        dialer, engine, address, is_repeatable=is_repeatable
+    )
+
+
+@pytest.mark.parametrize('path', PATHS)
+def test_two_ended_engines_fail_nothing_if_all_seem_partitioned(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against instances that wait for each other to reach engines.
+
+    Two engines that end at once look like a lost path to each instance, until
+    one of its connects succeeds. That takes longer than the others' answers.
+    """
+    monkeypatch.setattr(EngineDialer, 'async_connect', _async_connect_late)
+
+    @on_platform(3)
+    async def _async_scenario(fleet: PlatformFleet) -> None:
+        engines = [EngineStandin(f'desk-{number}') for number in range(3, 9)]
+        await fleet.async_replace_model_engines(engines)
+        running = [*engines[2:], *fleet.booking_engines]
+        for engine in running:
+            engine.event_gap_s = 0.05
+        for ended in engines[:2]:
+            await ended.async_stop()
+            await ended.async_close_connections()
+        tokens = TOKEN_COUNTS if path in {'/guide/x', '/note/x'} else ''
+        statuses = []
+        for start in range(0, ROUNDS * BURST, BURST):
+            _let_all_seem_partitioned(fleet, engines[:2])
+            async with TaskGroup() as callers:
+                for number in range(start, start + BURST):
+                    await callers.spawn(
+                        partial(
+                            fleet.async_call,
+                            path,
+                            number % 3,
+                            tokens=tokens,
+                            hornbeamdeck_request_id=f'r{number}',
+                        )
+                    )
+            statuses += [each.status for each in callers.results]
+        assert statuses == [200] * ROUNDS * BURST
+        assert not any(engine.cancelled_runs for engine in running)
+
+    _async_scenario()
