Try a burst of a crashing part before its verdict

A new fleet test sends eight requests with the part at one moment to eight engines, more than five of which end; then the load of the other tests follows. The method of the callers that it uses is public now.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -46,7 +46,7 @@
         async with TaskGroup() as callers:
             await callers.spawn(self._async_send_sound)
             for number in range(marked):
-                await callers.spawn(self._async_call, MARKED_PART, number)
+                await callers.spawn(self.async_call, MARKED_PART, number)
                 await sleep(MARKED_INTERVAL_S)
             self._has_ended = True
 
@@ -55,6 +55,17 @@
         last_half = self.statuses[len(self.statuses) // 2 :]
         return last_half.count(200) / len(last_half)
 
+    async def async_call(self, part: str, number: int) -> int:
+        """Send a request with a part; return the status of its response."""
+        own_part = f'{part}own{len(self.statuses)}x{number}'
+        shared = (
+            f'{SHARED_PART}:60,{part}:40,' if part else f'{SHARED_PART}:60,'
+        )
+        return await self._crashing.async_call(
+            own_part.encode(),
+            hornbeamdeck_prompt_prefix=f'{shared}{own_part}:10',
+        )
+
     async def _async_send_sound(self) -> None:
         number = 0
         async with TaskGroup() as calls:
@@ -64,19 +75,9 @@
                 await sleep(SOUND_INTERVAL_S)
 
     async def _async_call_sound(self, number: int) -> None:
-        status = await self._async_call('', number)
+        status = await self.async_call('', number)
         self.statuses.append(status)
 
-    async def _async_call(self, part: str, number: int) -> int:
-        own_part = f'{part}own{len(self.statuses)}x{number}'
-        shared = (
-            f'{SHARED_PART}:60,{part}:40,' if part else f'{SHARED_PART}:60,'
-        )
-        return await self._crashing.async_call(
-            own_part.encode(),
-            hornbeamdeck_prompt_prefix=f'{shared}{own_part}:10',
-        )
-
 
 @on_platform(count=3)
 async def test_a_crashing_part_is_stopped_and_what_it_shares_is_served(
@@ -91,6 +92,28 @@
     assert callers.served_share_at_end() >= MIN_SERVED_SHARE
 
 
+@on_platform(count=3)
+async def test_a_burst_of_a_crashing_part_is_stopped_and_others_are_served(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against engines that end again after a burst has ended many.
+
+    The requests of the burst begin before anything is known of their part.
+    """
+    crashing = CrashingFleet(fleet, _has_marked_part)
+    await crashing.async_start(ENGINES)
+    callers = _Callers(crashing)
+    async with TaskGroup() as burst:
+        for number in range(ENGINES):
+            await burst.spawn(callers.async_call, MARKED_PART, 100 + number)
+    in_burst = len(crashing.hits)
+    assert in_burst > MAX_CRASHES
+    await sleep(DOWN_S)
+    await callers.async_run()
+    assert len(crashing.hits) <= in_burst + MAX_LATER
+    assert callers.served_share_at_end() >= MIN_SERVED_SHARE
+
+
 @on_platform(count=3)
 async def test_a_crashing_part_is_known_after_the_loss_of_all_instances(
     fleet: PlatformFleet,
