Add a replay of a burst of crashing parts

test_parts_that_crash_engines_are_refused_after_a_burst holds the users' limit (three requests later than 3 s after the third end) against the replay `crashing_parts` with twenty times the rate of both parts in its first 0.5 s.

--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -4,7 +4,7 @@
 
 from bench.replay import Replay, summarize
 from bench.replay_account import AccountedReplay
-from bench.replay_load import LoadPlan
+from bench.replay_load import Burst, LoadPlan
 from hornbeamdeck.scheduling import engine_choice
 from hornbeamdeck.scheduling.engine_conditions import EngineConditions
 from hornbeamdeck.scheduling.engine_crash_tracker import EngineCrashTracker
@@ -212,6 +212,8 @@
 # many may reach engines after five have ended.
 MAX_LATER_ENDS = 3
 MAX_ENDS = 5 + MAX_LATER_ENDS
+# Ends within this time after the third one are not limited.
+STABILITY_MS = 3000
 # Another one: sound requests must begin at half their usual rate at least.
 MIN_BEGUN_SHARE = 0.5
 
@@ -227,6 +229,26 @@
     assert ends.begun > MIN_BEGUN_SHARE * ends.sound
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_parts_that_crash_engines_are_refused_after_a_burst(seed: int) -> None:
+    """Guards against engines that end together again once they are back.
+
+    All end within a moment, before anything is known of the parts.
+    """
+    plan = LoadPlan.from_name('crashing_parts')
+    bursts = tuple(
+        Burst(at_s=0, for_s=0.5, times=20, kind=each.kind)
+        for each in plan.crashing
+    )
+    replay = Replay(plan._replace(bursts=bursts), seed)
+    replay.run()
+    ends = replay.engine_ends
+    for ends_ms in ends.ends_ms.values():
+        known_ms = ends_ms[2] + STABILITY_MS
+        assert sum(each > known_ms for each in ends_ms) <= MAX_LATER_ENDS
+    assert ends.begun > MIN_BEGUN_SHARE * ends.sound
+
+
 def test_engines_end_in_turn_unless_parts_are_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
