Notice a reset that follows the close of an unframed response

Cause: an engine closes its connection before all of the request has arrived; its system resets the connection when the rest does. Reads after the close report the end of the connection, never the reset (Linux: the close comes first), and where the request fits into the buffers of the connection no write fails. The engine still runs, so asking it shows nothing: callers got the part as a whole response.

Change: when an unframed response has ended and its engine runs, the connection is asked for an error (SO_ERROR), for up to 200 ms while sent bytes are not acknowledged. A relay asks before it passes the end of the stream on. It works because a system that closes a connection with unread bytes resets it at once, and one that has none answers what still arrives with a reset, within the round trip that the question for the engine takes, too. The spool's check of unsent bytes moves to where both use it.

Framed responses are not asked.

The four cases on the platform and the test of a relay failed before.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -100,6 +100,11 @@
         """The address of the server."""
         return self._address
 
+    @property
+    def sock(self) -> socket.socket:
+        """The connected socket, or the tunnel to the server."""
+        return self._sock
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request can be sent on this connection.
--- a/hornbeamdeck/connection/tunnel.py
+++ b/hornbeamdeck/connection/tunnel.py
@@ -22,6 +22,7 @@
 from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.connection.peer import PeerConnection, PeerIdentity
 from hornbeamdeck.connection.sending import async_send_within
+from hornbeamdeck.connection.unsent_output import async_is_reset
 from hornbeamdeck.wire import OpenTunnel, TunnelAnswer, TunnelResult, message_of
 
 __all__ = ('Relay', 'TunnelSocket', 'async_open_tunnel', 'async_splice')
@@ -90,6 +91,14 @@
         """Shut the tunnel down in one direction, or both."""
         await self._sock.shutdown(how)
 
+    def fileno(self) -> int:
+        """Return the descriptor of the connection to the relay."""
+        return int(self._sock.fileno())
+
+    def getsockopt(self, level: int, option: int) -> int:
+        """Return an option of the connection to the relay."""
+        return int(self._sock.getsockopt(level, option))
+
     async def close(self) -> None:
         """Close the tunnel, and with it the connection to the engine."""
         await self._sock.close()
@@ -218,8 +227,10 @@
         :raises OSError: if the connection has broken.
         """
         received = await self._sock.recv(SPLICE_BYTES)
-        if not received and self._has_broken:
-            raise ConnectionResetError('broken while the request was sent')
+        if not received:
+            is_reset = await async_is_reset(self._sock)
+            if is_reset or self._has_broken:
+                raise ConnectionResetError('reset while the request was sent')
         return bytes(received)
 
 
--- a/hornbeamdeck/memory/spool.py
+++ b/hornbeamdeck/memory/spool.py
@@ -1,10 +1,7 @@
 """Holds what a caller has not read yet of its response."""
 
 import os
-from array import array
 from collections import deque
-from fcntl import ioctl
-from termios import TIOCOUTQ
 from typing import Final, NamedTuple, Protocol, Self, TypeAlias
 
 from curio import Event, Task, sleep, socket, spawn
@@ -13,6 +10,7 @@
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.errors import ConnectionBroken
+from hornbeamdeck.connection.unsent_output import has_unsent
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('Room', 'Spool', 'SpoolTerms')
@@ -178,9 +176,7 @@
         read its response as it came.
         """
         while (
-            self._taken_bytes
-            and now_ms() < until_ms
-            and _has_unsent(self._sock)
+            self._taken_bytes and now_ms() < until_ms and has_unsent(self._sock)
         ):
             await sleep(SOCKET_CHECK_MS / MILLIS_PER_SECOND)
 
@@ -269,13 +265,3 @@
     def _drop(self) -> None:
         self._chunks.clear()
         self._count_taken(self.held_bytes)
-
-
-def _has_unsent(sock: socket.socket) -> bool:
-    """Return whether bytes were written that the other side does not have."""
-    unsent = array('i', [0])
-    try:
-        ioctl(sock.fileno(), TIOCOUTQ, unsent)
-    except OSError:
-        return False
-    return bool(unsent[0])
--- a/hornbeamdeck/request/engine_connection.py
+++ b/hornbeamdeck/request/engine_connection.py
@@ -11,6 +11,7 @@
     keep_alive_ms,
 )
 from hornbeamdeck.connection.http import HttpResponse, ends_with_connection
+from hornbeamdeck.connection.unsent_output import async_is_reset
 from hornbeamdeck.engines.engine_dialer import EngineDialer, Unreached
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
 from hornbeamdeck.request.gateway_request import WithholdReason
@@ -88,14 +89,18 @@
         """Return whether a response that has ended is whole.
 
         The connections of an engine that is killed end like a response without
-        framing.
+        framing. So does one that is closed before all of the request has
+        arrived, and reset when it does.
 
         :param method: of the request.
         :param is_running: finds out whether an engine still runs.
         """
         if self.grant is None or not ends_with_connection(method, head):
             return True
-        return await is_running(self.grant)
+        connection = self.connection
+        if connection is None or not await is_running(self.grant):
+            return False
+        return not await async_is_reset(connection.sock)
 
     async def async_close(self, end: RunEnd) -> None:
         """Return the connection to the pool, or close it.
--- a/tests/connection/test_tunnel.py
+++ b/tests/connection/test_tunnel.py
@@ -130,6 +130,21 @@
         await _async_read_all(TunnelSocket(ingress))
 
 
+@_on_curio
+async def test_engine_that_resets_after_its_close_ends_no_response() -> None:
+    """Guards against a reset that the close before it hides from reads."""
+    ingress, relay_in = socket.socketpair()
+    relay_out, engine = await _async_connect_tcp()
+    await engine.sendall(b'abc')
+    await engine.shutdown(socket.SHUT_WR)
+    reset_when_closed(engine)
+    await engine.close()
+    async with relay_in, relay_out:
+        await async_splice(relay_in, relay_out, b'')
+    with pytest.raises(ConnectionResetError):
+        await _async_read_all(TunnelSocket(ingress))
+
+
 @_on_curio
 async def test_bytes_of_an_unread_tunnel_are_counted() -> None:
     """Guards against tunnels that hold memory without a limit."""
--- a/tests/platform/raw_engines.py
+++ b/tests/platform/raw_engines.py
@@ -23,11 +23,13 @@
 class End(enum.Enum):
     """How an engine ends its connection.
 
-    One that closes it reads the rest of the request first.
+    `CLOSED`: it reads the rest of the request before. `CLOSED_EARLY`: what
+    arrives after that resets the connection.
     """
 
     KEPT = enum.auto()
     CLOSED = enum.auto()
+    CLOSED_EARLY = enum.auto()
     RESET = enum.auto()
 
 
@@ -100,10 +102,11 @@
 
 
 async def _async_end(sock: socket.socket, end: End) -> None:
-    if end is End.RESET:
+    if end is not End.RESET:
+        await sock.shutdown(socket.SHUT_WR)
+    if end is not End.CLOSED:
         reset_when_closed(sock)
         return
-    await sock.shutdown(socket.SHUT_WR)
     while await sock.recv(READ_BYTES):
         await sleep(0)
 
--- a/tests/platform/test_early_responses.py
+++ b/tests/platform/test_early_responses.py
@@ -78,6 +78,7 @@
     kind: str,
     version: str = '1.1',
     pause_s: float = 0.0,
+    body: bytes = UPLOAD,
 ) -> Received:
     """Send a request with a long body on a connection of its own.
 
@@ -87,14 +88,14 @@
     request = make_request(path, tokens=tokens)
     fields = {
         **request.headers,
-        'content-length': str(len(UPLOAD)),
+        'content-length': str(len(body)),
         'connection': 'close',
     }
     lines = [f'{name}: {text}\r\n' for name, text in fields.items()]
     head = ''.join([f'POST {path} HTTP/{version}\r\n', *lines, '\r\n'])
     async with socket.socket() as sock:
         await sock.connect(fleet.address(0))
-        await sock.sendall(head.encode() + UPLOAD)
+        await sock.sendall(head.encode() + body)
         await sleep(pause_s)
         return await _async_receive(sock)
 
@@ -150,6 +151,34 @@
     _run()
 
 
+@pytest.mark.parametrize('kind', [TEXT, STREAM])
+@pytest.mark.parametrize('via', ['direct', 'tunnel'])
+def test_connection_closed_before_the_request_is_read_ends_no_response(
+    via: str, kind: str
+) -> None:
+    """Guards against a reset that follows the end of an unframed response."""
+
+    @on_platform(count=2)
+    async def _run(fleet: PlatformFleet) -> None:
+        engines = await _async_serve_raw(fleet)
+        cut_off = {0} if via == 'tunnel' else set()
+        # It fits into the buffers of connections, so that no write fails.
+        body = UPLOAD[:READ_BYTES]
+        with partition(fleet, cut_off, Cut.RESET):
+            for end, unread_bytes in (
+                (End.CLOSED_EARLY, len(body) // 2),
+                # A relay does not pass on what is read after the response.
+                (End.CLOSED, 0 if cut_off else len(body) // 2),
+            ):
+                for engine in engines:
+                    engine.replies = [Reply(_part(kind, ''), end, unread_bytes)]
+                got = await _async_call(fleet, ONCE, kind, body=body)
+                is_whole = got.status == 200 and got.is_complete
+                assert is_whole == (end is End.CLOSED)
+
+    _run()
+
+
 @pytest.mark.parametrize('end', [End.CLOSED, End.RESET])
 @pytest.mark.parametrize('via', ['direct', 'tunnel'])
 def test_cut_head_is_no_response(via: str, end: End) -> None:
