--- a/tests/platform/test_leaving_engines.py
+++ b/tests/platform/test_leaving_engines.py
@@ -4,6 +4,7 @@
 from curio import sleep
 from result import UnwrapError
 
+from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.wire import EngineObservation
 from tests.platform.fleet import (
     TOKEN_COUNTS,
@@ -17,6 +18,8 @@
 CALLS = 12
 
 
+# How long the engine has run when it states that it leaves.
+RUNNING_MS = 10_000
 LEAVING = {'server-leaving': '1'}
 
 
@@ -184,3 +187,36 @@
         await fleet.async_call('/guide/y', tokens=TOKEN_COUNTS)
     assert cut.executed
     assert len(leaving.arrivals_s) == 1
+
+
+@on_platform()
+async def test_an_engine_that_started_again_unseen_and_leaves_gets_nothing(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a statement that ends with the entry of an earlier start.
+
+    The engine has started again and stated that it leaves while the store was
+    away; its entry is written when the store is back.
+    """
+    engine = fleet.booking_engines[0]
+    born_ms = wall_ms() - RUNNING_MS
+    fleet.store.is_silent = True
+    engine.state(LEAVING)
+    for number in range(CALLS):
+        await _async_call(fleet, number)
+    assert engine.executed
+    await sleep(DRAIN_S)
+    before = len(engine.arrivals_s)
+    fleet.store.is_silent = False
+    entry = engine.entry('counter', born=born_ms)
+    await fleet.store.async_put('servers', engine.name, entry)
+    directory = fleet.gateways[0].components.directory
+    await fleet.async_until(
+        lambda: any(
+            listed.born_ms == born_ms
+            for listed in directory.of_service('counter')
+        )
+    )
+    for number in range(CALLS):
+        await _async_call(fleet, CALLS + number)
+    assert len(engine.arrivals_s) == before
