Let a process that starts alone record its versions at once

What callers saw: 503 for a stream of unknown origin that could go on, within the first second of a process that has no peers.

Cause: a stream of unknown origin goes on only if the store's record of versions is complete. Records are written by an owner that has had time to learn of its peers, a second for one that has none. Until then no question to the store could be answered.

Change: at a first start of the whole fleet the record is written without that wait. It is created only if there is none, and what another process has written is merged, as before.

--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -239,8 +239,13 @@
             fleet_memory=FleetMemory.from_store(
                 store,
                 cells.cells,
+                # Streams that nobody knows can't go on before the first record.
                 lambda: (
-                    _is_owner(membership) and heartbeats.liveness.has_settled()
+                    _is_owner(membership)
+                    and (
+                        settings.is_first_start
+                        or heartbeats.liveness.has_settled()
+                    )
                 ),
                 lambda: store_calls.era.current,
                 metrics.count_stored_origins,
