--- a/hornbeamdeck/connection/http.py
+++ b/hornbeamdeck/connection/http.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple, TypeAlias
 
+from hornbeamdeck.const import ENCODING
+
 __all__ = (
     'Headers',
     'HttpRequest',
@@ -16,6 +18,7 @@
     'header_pairs',
     'join_headers',
     'listed_ids',
+    'utf8_field',
     'whole_number',
 )
 
@@ -38,6 +41,8 @@
     """A request with its complete body.
 
     :param headers: by lower-case name.
+    :param has_empty_query: whether the target ends with the question mark of a
+        query that is empty.
     """
 
     method: str
@@ -45,6 +50,14 @@
     query: str
     headers: Headers
     body: bytes
+    has_empty_query: bool = False
+
+    @property
+    def target(self) -> str:
+        """The path with the query, as the caller has sent it."""
+        if self.query or self.has_empty_query:
+            return f'{self.path}?{self.query}'
+        return self.path
 
 
 class HttpResponse(NamedTuple):
@@ -98,6 +111,11 @@
     return has_body and not has_framing(head)
 
 
+def utf8_field(text: str) -> str:
+    """Return a text in the form that sends it in UTF-8 in a header."""
+    return text.strip().encode(ENCODING).decode(CHARSET)
+
+
 def whole_number(text: str) -> int:
     """Read a whole number of at most MAX_NUMBER; drop its decimal places.
 
@@ -114,15 +132,13 @@
 
     Set-Cookie is the only field that can't be joined by a comma. It is joined
     by a line feed, which no field may contain, and split again when written.
+    If the last of the others is empty, the text ends with a comma.
     """
     fields: dict[str, list[str]] = {}
     for raw_name, raw_text in pairs:
         texts = fields.setdefault(raw_name.decode('ascii'), [])
         texts.append(raw_text.decode(CHARSET))
-    return {
-        name: _field_separator(name).join(texts)
-        for name, texts in fields.items()
-    }
+    return {name: _join_texts(name, texts) for name, texts in fields.items()}
 
 
 def header_pairs(headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -134,8 +150,11 @@
     ]
 
 
-def _field_separator(name: str) -> str:
-    return COOKIE_SEPARATOR if name == SET_COOKIE else FIELD_SEPARATOR
+def _join_texts(name: str, texts: list[str]) -> str:
+    if name == SET_COOKIE:
+        return COOKIE_SEPARATOR.join(texts)
+    # No field may end with a space.
+    return FIELD_SEPARATOR.join(texts).strip(' ')
 
 
 def _split_cookies(name: str, text: str) -> list[str]:
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -114,14 +114,14 @@
         self.components.scheduler.set_incarnation_check(
             self._incarnation_check.async_verdict
         )
-        confirmation = self.components.fleet_memory.confirmation
-        confirmation.set_callback(
+        memory = self.components.fleet_memory
+        memory.confirmation.set_callback(
             self.components.scheduler.async_evaluate_cells
         )
-        confirmation.set_incarnation_check(
-            self._incarnation_check.async_verdict
+        self.components.scheduler.set_version_requests(
+            confirm=memory.confirmation.async_request,
+            record=memory.async_request_records,
         )
-        self.components.scheduler.set_confirmation(confirmation.async_request)
         self._send_guard = SendGuard(
             self.freshness_guard,
             self.components.directory,
@@ -361,6 +361,7 @@
             limits = self.components.follower.configuration.limits
             return ReadLimits(
                 idle_ms=limits.idle_timeout_ms,
+                header_ms=limits.header_timeout_ms,
                 request_ms=REQUEST_READ_TIMEOUT_MS,
                 max_body_bytes=limits.max_body_bytes,
                 max_header_bytes=limits.max_header_bytes,
@@ -372,7 +373,7 @@
                 sock,
                 respond,
                 _refuse,
-                _limits(),
+                _limits,
                 bodies,
                 self._connections.callers,
             )
