--- a/hornbeamdeck/request/engine_statement.py
+++ b/hornbeamdeck/request/engine_statement.py
@@ -1,7 +1,6 @@
 """Reads what the responses of an engine state about the engine itself."""
 
 import importlib
-import json
 import re
 from http import HTTPStatus
 from types import MappingProxyType
@@ -11,6 +10,7 @@
 
 from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.connection.http import HttpRequest, HttpResponse
+from hornbeamdeck.connection.json_text import parse_json
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.request.gateway_request import (
     EngineStatement,
@@ -133,8 +133,8 @@
         if response.status != HTTPStatus.OK:
             return None
         try:
-            stated = json.loads(response.body)
-        except (ValueError, RecursionError):
+            stated = parse_json(response.body)
+        except ValueError:
             return None
         born_ms = stated.get(field) if isinstance(stated, dict) else None
         return _to_start(born_ms)
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.json_validators import encodable_text
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
@@ -29,7 +30,7 @@
 RETRY_MS: Final = 500
 
 _Names: TypeAlias = dict[str, list[str]]
-_NAMES: Final = vol.Schema({str: [str]})
+_NAMES: Final = vol.Schema({encodable_text: [encodable_text]})
 _FIELD_ERA: Final = 'era'
 _FIELD_NAMES: Final = 'names'
 _FIELD_COMPLETE: Final = 'complete'
@@ -37,7 +38,7 @@
     {
         vol.Required(_FIELD_ERA): int,
         vol.Required(_FIELD_NAMES): _NAMES,
-        vol.Required(_FIELD_COMPLETE): [str],
+        vol.Required(_FIELD_COMPLETE): [encodable_text],
     }
 )
 
