Try odd entries of every kind in every list beside 600 sound ones

116 entries of other writers (17 texts in 7 fields, and a spec that is no object) in the first list of a process, in changes that come again and again, and in the list after a restore, with 600 sound entries beside them: none is used, all sound ones are, a sound change comes into force, and each is logged at most once a revision by each instance.

The property-based tests take the number of their examples from ODD_EXAMPLES, too, 300 unless set (one had 200).

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Content of the store that other programs have written, or damaged."""
 
 import json
+import os
 from typing import Any
 from unittest.mock import patch
 
@@ -34,6 +35,7 @@
 from tests.platform.fleet import PlatformFleet, on_platform
 from tests.platform.standins import StoreStandin
 
+EXAMPLES = int(os.environ.get('ODD_EXAMPLES', '300'))
 STATUS_FIELDS = InstanceStatus._fields
 PLACEHOLDER = 'of another writer'
 DEEP = '[' * 1200 + ']' * 1200
@@ -107,6 +109,96 @@
     assert (await fleet.async_call('/seats/x')).status == 200
 
 
+# JSON that takes the place of each field of an entry in turn.
+ODD_TEXTS = {
+    'deep': DEEP,
+    'deeper': '[' * 100_000 + ']' * 100_000,
+    'long': '9' * 5000,
+    'huge': '1e999',
+    'negative': '-1e999',
+    'no number': 'NaN',
+    'infinite': '-Infinity',
+    'fraction': '1.5',
+    'flag': 'true',
+    'surrogate': r'"\ud800"',
+    'zero': r'"a\u0000"',
+    'beyond': str(1 << 64),
+    'slots': str(10**30),
+    'empty': '""',
+    'port': '"10.0.0.1:99999999999"',
+    'twice': '1, "slots": "x"',
+    'list': '[{}]',
+}
+FIELDS = ('service', 'address', 'zone', 'slots', 'state', 'born', 'sequence')
+# Any text is a name of a service or a zone, and a zone may have none.
+SOUND = {('service', 'port'), ('zone', 'port'), ('zone', 'empty')}
+
+
+@on_platform(0)
+async def test_odd_entries_leave_hundreds_of_sound_ones(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against odd entries in the first list of a process, in one after a
+    restore, and among changes that come again and again.
+    """
+    store = fleet.store
+    sound = {
+        f'sound-{number}': fleet.booking_engines[0].entry('other')
+        for number in range(600)
+    }
+    for name, spec in sound.items():
+        await store.async_put('servers', name, spec)
+    specs = {
+        f'odd-{field}-{name}': {
+            **sound['sound-0'],
+            field: f'{PLACEHOLDER} {name}',
+        }
+        for field in FIELDS
+        for name in ODD_TEXTS
+        if (field, name) not in SOUND
+    }
+    copied = store.copy()
+
+    async def _async_change() -> None:
+        for name, spec in specs.items():
+            await store.async_put('servers', name, spec)
+        await store.async_put('servers', 'no-object', PLACEHOLDER)
+
+    def _are_followed(state: bool) -> bool:  # noqa: FBT001
+        directories = [each.components.directory for each in fleet.gateways]
+        return all(
+            sound.keys() <= each.engines.keys()
+            and each.engines['sound-7'].is_draining == state
+            for each in directories
+        )
+
+    with _insert(store, ODD_TEXTS), capture_logs() as lines:
+        await _async_change()
+        await fleet.async_add_gateways(2)
+        assert _are_followed(state=False)
+        await _async_change()
+        leaving = {**sound['sound-7'], 'state': 'draining', 'born': 5}
+        await store.async_put('servers', 'sound-7', leaving)
+        await fleet.async_until(lambda: _are_followed(state=True))
+        await store.async_restore(copied)
+        await _async_change()
+        again = {**sound['sound-7'], 'born': 9}
+        await store.async_put('servers', 'sound-7', again)
+        await fleet.async_until(lambda: _are_followed(state=False))
+    found = {
+        name
+        for each in fleet.gateways
+        for name in each.components.directory.engines
+        if name.startswith(('odd', 'no'))
+    }
+    assert not found
+    ignored = [line for line in lines if line['event'] == 'entry ignored']
+    assert len(ignored) <= 2 * 3 * (len(specs) + 1)
+    for each in fleet.gateways:
+        assert not each.components.metrics.failed_tasks
+    assert (await fleet.async_call('/seats/x')).status == 200
+
+
 _ANY = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda each: (
@@ -196,7 +288,7 @@
 
 
 @seed(7)
-@settings(max_examples=300, deadline=None, database=None)
+@settings(max_examples=EXAMPLES, deadline=None, database=None)
 @given(_PAGE | _OBJECT | _ANY)
 def test_any_json_of_the_store_is_read_or_an_outage(found: Any) -> None:
     """Guards against exceptions in the tasks that follow the store."""
@@ -204,7 +296,7 @@
 
 
 @seed(7)
-@settings(max_examples=200, deadline=None, database=None)
+@settings(max_examples=EXAMPLES, deadline=None, database=None)
 @given(st.binary())
 def test_any_bytes_of_the_store_are_an_outage(body: bytes) -> None:
     """Guards against exceptions in the tasks that follow the store."""
@@ -212,7 +304,7 @@
 
 
 @seed(7)
-@settings(max_examples=300, deadline=None, database=None)
+@settings(max_examples=EXAMPLES, deadline=None, database=None)
 @given(_ANY | st.fixed_dictionaries(dict.fromkeys(STATUS_FIELDS, _ANY)))
 def test_any_status_of_a_peer_is_read_or_a_value_error(found: Any) -> None:
     """Guards against connections to peers that a status ends."""
