Read lists that hold entries of a megabyte

An object of more than 64 KB, other than the instances' own records, is left out, logged and counted; a page with entries left out counts a hundredth of the limit, as an empty one does, so that a list still has at most 100 pages. The reading of pages is now a part of its own, store/list_pages.py.

--- a/hornbeamdeck/platform/object_calls.py
+++ b/hornbeamdeck/platform/object_calls.py
@@ -8,24 +8,15 @@
 from hornbeamdeck.connection.json_calls import JsonCalls, parse_fields
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
-from hornbeamdeck.const import MEBIBYTE
 from hornbeamdeck.platform.wire_names import PATH_OBJECTS
-from hornbeamdeck.store.stored_objects import (
-    last_name,
-    usable_events,
-    usable_objects,
-)
+from hornbeamdeck.store.list_pages import ListPages
+from hornbeamdeck.store.stored_objects import usable_events
 
 __all__ = ('ObjectCalls', 'ObjectList')
 
 # How long a watch may take beyond the wait time that it requests. A watch that
 # hangs delays the revocation of keys, so it times out sooner than a read.
 WATCH_GRACE_MS: Final = 400
-# Upper limit of one list. A longer list counts as an outage: what is missing in
-# a list counts as gone. A page has about 500 entries of a few hundred bytes.
-MAX_LIST_BYTES: Final = 8 * MEBIBYTE
-# What a page counts at least, so that a list has at most 100 pages.
-MIN_PAGE_BYTES: Final = MAX_LIST_BYTES // 100
 
 
 class ObjectList(NamedTuple):
@@ -55,32 +46,20 @@
         first page, so a watch from there also returns every change that was
         made between two pages.
         """
-        entries: list[Any] = []
-        query: dict[str, str] = {}
-        revisions: list[StoreRevision] = []
-        left_bytes = MAX_LIST_BYTES
-        while left_bytes > 0:
+        pages = ListPages(kind, self.unusable)
+        while not pages.has_ended:
             fetched = await self.async_get(
-                f'{PATH_OBJECTS}/{kind}', query, role=kind
+                f'{PATH_OBJECTS}/{kind}', pages.query, role=kind
             )
             read = parse_fields(fetched, 'entries', 'at', 'has_more')
             if isinstance(read, Err):
                 return read
-            page = read.ok_value
-            left_bytes -= max(len(fetched.unwrap().body), MIN_PAGE_BYTES)
-            revisions.append(
-                StoreRevision(self.era_of(fetched.unwrap()), page['at'])
-            )
-            if revisions[-1].era != revisions[0].era:
-                return Err(StoreUnavailable('restored between two pages'))
-            entries += usable_objects(kind, page['entries'], self.unusable)
-            if not page['has_more']:
-                return Ok(ObjectList(revisions[0], entries))
-            following = {'after': last_name(page['entries'])}
-            if following == query:
-                break
-            query = following
-        return Err(StoreUnavailable('limit exceeded: list'))
+            response = fetched.unwrap()
+            revision = StoreRevision(self.era_of(response), read.ok_value['at'])
+            added = pages.add(read.ok_value, revision, len(response.body))
+            if isinstance(added, Err):
+                return added
+        return Ok(ObjectList(pages.revision, pages.entries))
 
     async def async_watch(
         self,
--- a/hornbeamdeck/store/stored_objects.py
+++ b/hornbeamdeck/store/stored_objects.py
@@ -1,6 +1,7 @@
 """Objects of a store as they were read, whoever has written them."""
 
-from typing import Any
+import json
+from typing import Any, Final
 
 from hornbeamdeck.connection.json_calls import is_revision
 from hornbeamdeck.connection.json_text import is_plain_text
@@ -16,6 +17,10 @@
 )
 
 _CAUSE = 'no name or revision'
+# A few objects of 1 MB would otherwise take all that a list may have.
+MAX_OBJECT_CHARS: Final = 65_536
+# What instances write for each other may be longer.
+_LONG_KINDS: Final = frozenset(('records',))
 
 
 def last_name(listed: list[Any]) -> str:
@@ -49,15 +54,27 @@
 
 
 def usable_objects(
-    kind: str, listed: list[Any], unusable: UnusableEntries
+    kind: str,
+    listed: list[Any],
+    unusable: UnusableEntries,
+    page_bytes: int = 0,
 ) -> list[Any]:
-    """Leave out what is no object, and report it."""
+    """Leave out what is no object or too long for one, and report it.
+
+    :param page_bytes: length of the page that lists them.
+    """
     usable = []
+    may_be_long = page_bytes > MAX_OBJECT_CHARS and kind not in _LONG_KINDS
     for stored in listed:
-        if _has_name(stored) and _has_revision(stored):
-            usable.append(stored)
+        cause = ''
+        if may_be_long and len(json.dumps(stored)) > MAX_OBJECT_CHARS:
+            cause = 'too long'
+        if not _has_name(stored) or not _has_revision(stored):
+            cause = _CAUSE
+        if cause:
+            unusable.record(kind, stored, cause)
         else:
-            unusable.record(kind, stored, _CAUSE)
+            usable.append(stored)
     return usable
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -199,6 +199,25 @@
     assert (await fleet.async_call('/seats/x')).status == 200
 
 
+@on_platform(0)
+async def test_entries_of_a_megabyte_leave_the_list_readable(
+    fleet: PlatformFleet,
+) -> None:
+    """Guards against a process that can't start, since a few entries of another
+    writer are longer than all that a list may have.
+    """
+    valid = fleet.booking_engines[0].entry('counter')
+    for number in range(12):
+        spec = {**valid, 'zone': 'z' * 1_000_000}
+        await fleet.store.async_put('servers', f'a-large-{number}', spec)
+    with patch('tests.platform.standins.PAGE_ENTRIES', 1):
+        await fleet.async_add_gateways(1)
+    components = fleet.gateways[0].components
+    assert len(components.directory.engines) == 4
+    assert components.metrics.unusable_entries['servers'] == 12
+    assert (await fleet.async_call('/seats/x')).status == 200
+
+
 _ANY = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda each: (
