--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -16,6 +16,7 @@
 from result import Err
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
+from hornbeamdeck.connection.json_validators import encodable_text
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
@@ -31,7 +32,7 @@
 RETRY_MS: Final = 500
 
 _Names: TypeAlias = dict[str, list[str]]
-_NAMES: Final = vol.Schema({str: [str]})
+_NAMES: Final = vol.Schema({encodable_text: [encodable_text]})
 _FIELD_ERA: Final = 'era'
 _FIELD_NAMES: Final = 'names'
 _FIELD_COMPLETE: Final = 'complete'
@@ -40,8 +41,8 @@
     {
         vol.Required(_FIELD_ERA): int,
         vol.Required(_FIELD_NAMES): _NAMES,
-        vol.Required(_FIELD_COMPLETE): [str],
-        vol.Optional(_FIELD_DOUBTED, default=list): [str],
+        vol.Required(_FIELD_COMPLETE): [encodable_text],
+        vol.Optional(_FIELD_DOUBTED, default=list): [encodable_text],
     }
 )
 
