Let tests start gateways again and use parts of the fleet alone

A gateway of a test fleet can be started again under its ID; the task that starts it is known before its first connections are made, so that partitions see them. What starts a gateway process, what routes sockets through a partition and what a stream's caller connects to can be used from other modules. No test changes.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -137,13 +137,19 @@
             **self.settings_changes,
         )
         gateway = Gateway(settings, PLATFORM_ADAPTER)
-        # Started by a task of its own, which shows what belongs to the gateway.
-        start = await spawn(gateway.async_start)
-        await start.join()
-        self._gateways_by_task[start.id] = len(self.gateways)
+        await self._async_start_gateway(gateway, len(self.gateways))
         self.gateways.append(gateway)
         return gateway
 
+    async def async_start_again(self, number: int) -> None:
+        """Start a gateway that was killed, under the same instance ID."""
+        settings = make_gateway_settings(
+            self.store_address, number, is_first_start=False
+        )
+        gateway = Gateway(settings, PLATFORM_ADAPTER)
+        await self._async_start_gateway(gateway, number)
+        self.gateways[number] = gateway
+
     async def async_gateway_of_task(self, task: Task) -> int | None:
         """Return the index of the gateway that a task belongs to, if any."""
         assert self.kernel is not None
@@ -241,6 +247,13 @@
         )
         return opened.unwrap()
 
+    async def _async_start_gateway(self, gateway: Gateway, index: int) -> None:
+        """Start by a task of its own, which shows what belongs to it."""
+        start = await spawn(gateway.async_start)
+        # Its first connections are made before it has ended.
+        self._gateways_by_task[start.id] = index
+        await start.join()
+
 
 def make_request(
     path: str,
--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
+from typing import IO, NamedTuple
 
 from curio import sleep
 from result import Ok
@@ -90,11 +90,14 @@
     addresses = GatewayAddresses(*await _async_find_free_addresses(5))
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'settings.json'
-        settings = {**_make_settings(addresses, store_address), **changes}
+        settings = {
+            **make_process_settings(addresses, store_address),
+            **changes,
+        }
         path.write_text(json.dumps(settings))
-        process = _start(path, descriptors)
+        process = start_process(path, descriptors)
         try:
-            await _async_wait_ready(addresses)
+            await async_wait_ready(addresses)
             yield GatewayProcess(addresses, process.pid, store)
         finally:
             process.kill()
@@ -109,9 +112,10 @@
     return addresses
 
 
-def _make_settings(
+def make_process_settings(
     addresses: GatewayAddresses, store: Address
 ) -> dict[str, object]:
+    """Make the settings of a gateway process as a file holds them."""
     return {
         'instance_id': 'front-0',
         'availability_zone': 'z1',
@@ -129,7 +133,14 @@
     }
 
 
-def _start(settings: Path, descriptors: int) -> subprocess.Popen[bytes]:
+def start_process(
+    settings: Path, descriptors: int, log: IO[bytes] | None = None
+) -> subprocess.Popen[bytes]:
+    """Start a gateway process.
+
+    :param log: a file that its log is written to; `None`: it is not kept.
+    """
+
     def _limit() -> None:
         limits = (descriptors, descriptors)
         resource.setrlimit(resource.RLIMIT_NOFILE, limits)
@@ -137,12 +148,13 @@
     return subprocess.Popen(  # noqa: S603
         [sys.executable, '-m', 'hornbeamdeck.platform'],
         env={**os.environ, SETTINGS_VARIABLE: str(settings)},
-        stdout=subprocess.DEVNULL,
+        stdout=log or subprocess.DEVNULL,
         preexec_fn=_limit,
     )
 
 
-async def _async_wait_ready(addresses: GatewayAddresses) -> None:
+async def async_wait_ready(addresses: GatewayAddresses) -> None:
+    """Wait until a gateway process may get callers."""
     for _ in range(READY_POLLS):
         if await async_is_ready(addresses):
             return
--- a/tests/platform/partitions.py
+++ b/tests/platform/partitions.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 from unittest.mock import patch
 
 from curio import current_task, sleep
@@ -62,7 +62,7 @@
     ) -> bytes:
         """Receive, unless the gateway of this task is cut off."""
         received = await original(sock, limit)
-        while received and await self._async_is_cut(_peer(sock)):
+        while received and await self._async_is_cut(peer_address(sock)):
             if self._cut is Cut.NEW_REFUSED:
                 break
             if self._cut is Cut.RESET:
@@ -76,7 +76,8 @@
         return gateway in self._gateways and address[1] in self._ports
 
 
-def _peer(sock: Socket) -> Any:
+def peer_address(sock: Socket) -> Any:
+    """Return the address of the other end."""
     try:
         return sock._socket.getpeername()  # noqa: SLF001
     except OSError:
@@ -96,7 +97,7 @@
     """
     engines = fleet.model_engines + fleet.booking_engines
     cut_ports = ports or {engine.address.port for engine in engines}
-    with _patched(Partition(fleet, gateways, cut, cut_ports)) as made:
+    with patched_sockets(Partition(fleet, gateways, cut, cut_ports)) as made:
         yield made
 
 
@@ -131,7 +132,7 @@
         """Receive, unless the sender belongs to the other side."""
         received = await original(sock, limit)
         gateway = await self._async_own_gateway()
-        port = _peer(sock)[1]
+        port = peer_address(sock)[1]
         sender = self._peer_ports().get(port, self._origins.get(port))
         while received and self._is_cut(gateway, sender):
             await sleep(HANG_STEP_S)
@@ -155,15 +156,27 @@
 @contextmanager
 def peer_partition(fleet: PlatformFleet) -> Iterator[PeerPartition]:
     """Let a test cut gateways off from each other, by `cut_off`."""
-    with _patched(PeerPartition(fleet)) as made:
+    with patched_sockets(PeerPartition(fleet)) as made:
         yield made
 
 
-_AnyPartition = TypeVar('_AnyPartition', Partition, PeerPartition)
+class _SocketUse(Protocol):
+    async def async_connect(
+        self, sock: Socket, address: Any, original: _Connect
+    ) -> None:
+        """Connect as far as the partition allows."""
+
+    async def async_receive(
+        self, sock: Socket, limit: int, original: _Receive
+    ) -> bytes:
+        """Receive as far as the partition allows."""
+
+
+_AnyPartition = TypeVar('_AnyPartition', bound=_SocketUse)
 
 
 @contextmanager
-def _patched(made: _AnyPartition) -> Iterator[_AnyPartition]:
+def patched_sockets(made: _AnyPartition) -> Iterator[_AnyPartition]:
     """Route all connects and reads through a partition."""
     original_connect = Socket.connect
     original_receive = Socket.recv
--- a/tests/platform/stream_caller.py
+++ b/tests/platform/stream_caller.py
@@ -1,5 +1,7 @@
 """A caller that takes up streams again, and fleets of several versions."""
 
+from typing import Protocol
+
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.request.event_parser import EventParser
@@ -14,10 +16,17 @@
 RESUMABLE_PATH = '/guide/x'
 
 
+class Entrance(Protocol):
+    """What callers connect to."""
+
+    async def async_open(self, gateway: int = 0) -> ClientConnection:
+        """Open a client connection to a gateway."""
+
+
 class StreamCaller:
     """Reads one stream, in several attempts if its connection breaks."""
 
-    def __init__(self, fleet: PlatformFleet, request_id: str) -> None:
+    def __init__(self, fleet: Entrance, request_id: str) -> None:
         """Start without a connection.
 
         :param request_id: the id of the first attempt.
