--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -87,28 +87,34 @@
     return document(services=services)
 
 
+LARGE_NUMBERS = (1 << 40, 10**30, math.inf)
+ROUTE_NUMBERS = (
+    'timeout_ms',
+    'target_latency_ms',
+    'target_gap_ms',
+    'priority',
+    'max_attempts',
+)
+TEAM_NUMBERS = ('rate_per_s', 'burst', 'priority')
+ENGINE_NUMBERS = ('slots', 'stride', 'kv_tokens')
 USABLE_CONFIGURATIONS = {
     **{
-        f'{name} of {number:.3g}': _change_routes(**{name: number})
-        for name in (
-            'timeout_ms',
-            'target_latency_ms',
-            'target_gap_ms',
-            'priority',
-            'max_attempts',
+        f'routes of {number:.3g}': _change_routes(
+            **dict.fromkeys(ROUTE_NUMBERS, number)
         )
-        for number in (1 << 40, 10**30, math.inf)
+        for number in LARGE_NUMBERS
     },
     **{
-        f'{name} of {number:.3g}': _change_team(**{name: number})
-        for name in ('rate_per_s', 'burst', 'plain_tokens', 'priority')
-        for number in (1 << 40, 10**30, math.inf)
-        if name != 'plain_tokens'
+        f'team of {number:.3g}': _change_team(
+            **dict.fromkeys(TEAM_NUMBERS, number)
+        )
+        for number in LARGE_NUMBERS
     },
     **{
-        f'{name} of {number:.3g}': _change_engine(**{name: number})
-        for name in ('slots', 'stride', 'kv_tokens')
-        for number in (1 << 40, 10**30, math.inf)
+        f'engine of {number:.3g}': _change_engine(
+            **dict.fromkeys(ENGINE_NUMBERS, number)
+        )
+        for number in LARGE_NUMBERS
     },
     'team of another script': _change_team(name='équipe 日本'),
     'endless weights': _change_routes(
