Read one record, not all, to confirm which versions served

Cause: the question listed all records, and with them up to 40 objects of stored origins, which stay after a roll-out has ended: up to 4.8 MB in each question (computed: 20,000 origins of 240 characters), at most ten times a second, in the moments after a loss.

Change: the store's interface can read one record. No other decision changes.

--- a/hornbeamdeck/platform/store.py
+++ b/hornbeamdeck/platform/store.py
@@ -178,6 +178,14 @@
         )
         return written.and_then(to_record)
 
+    async def async_read_record(
+        self, name: str
+    ) -> Result[StoredRecord, StoreUnavailable]:
+        """Read one record."""
+        path = f'{PATH_OBJECTS}/{KIND_RECORDS}/{quote(name)}'
+        read = await self._calls.async_read(path, {}, role=KIND_RECORDS)
+        return read.and_then(to_record)
+
     async def async_list_records(
         self,
     ) -> Result[dict[str, StoredRecord], StoreUnavailable]:
@@ -212,5 +220,6 @@
         write_status=store.async_write_status,
         delete_status=store.async_delete_status,
         write_record=store.async_write_record,
+        read_record=store.async_read_record,
         list_records=store.async_list_records,
     )
--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -41,10 +41,11 @@
             store has responded.
         """
         records = FleetRecord.of_every_kind(store, cells, is_writer, era)
+        versions, _ = records
         return cls(
             records,
             OriginStore(store, cells, is_writer, era, count_origins),
-            VersionConfirmation(store, read_engines, cells, records),
+            VersionConfirmation(versions, read_engines, cells),
         )
 
     async def async_request_records(self) -> None:
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -246,15 +246,23 @@
         )
         return True
 
-    def apply_listed(
-        self, listed: Mapping[str, StoredRecord], asked_ms: float
-    ) -> None:
-        """Tell the cells what the store holds, whoever has written it.
+    async def async_confirm(self) -> bool:
+        """Read the record, whoever has written it, and tell the cells.
+
+        :returns: whether the store has responded.
+        """
+        asked_ms = now_ms()
+        read = await self._store.read_record(self._kind.record_name)
+        if isinstance(read, Err):
+            return False
+        self.apply_read(read.ok_value, asked_ms)
+        return True
+
+    def apply_read(self, stored: StoredRecord, asked_ms: float) -> None:
+        """Tell the cells what the store holds.
 
-        :param listed: all records by name.
-        :param asked_ms: when the store was asked for them.
+        :param asked_ms: when the store was asked for it.
         """
-        stored = listed.get(self._kind.record_name, _UNKNOWN)
         known = self._stored.revision
         if stored.revision != known:
             self._inform(stored, self._cells.keys())
--- a/hornbeamdeck/store/store_interface.py
+++ b/hornbeamdeck/store/store_interface.py
@@ -102,6 +102,12 @@
 ]
 
 
+ReadRecord: TypeAlias = Callable[
+    [str],
+    Awaitable[Result[StoredRecord, StoreUnavailable]],
+]
+
+
 ListRecords: TypeAlias = Callable[
     [],
     Awaitable[Result[Mapping[str, StoredRecord], StoreUnavailable]],
@@ -119,6 +125,7 @@
     :param write_record: takes a record's name; creates it, or replaces it if
         the store still holds this revision. Returns what the store holds
         afterwards.
+    :param read_record: takes a record's name.
     :param list_records: returns all records by name.
     """
 
@@ -130,4 +137,5 @@
     write_status: WriteStatus
     delete_status: DeleteStatus
     write_record: WriteRecord
+    read_record: ReadRecord
     list_records: ListRecords
--- a/hornbeamdeck/store/version_confirmation.py
+++ b/hornbeamdeck/store/version_confirmation.py
@@ -7,18 +7,11 @@
 question.
 """
 
-from collections.abc import (
-    Awaitable,
-    Callable,
-    Coroutine,
-    Iterable,
-    Mapping,
-)
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any, Final
 
 import structlog
 from curio import Event, sleep, spawn
-from result import Err
 
 from hornbeamdeck.clock import now_ms
 from hornbeamdeck.const import MILLIS_PER_SECOND
@@ -26,7 +19,6 @@
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import VersionQuestion
 from hornbeamdeck.store.fleet_record import FleetRecord
-from hornbeamdeck.store.store_interface import StoreInterface
 
 __all__ = ('VersionConfirmation',)
 
@@ -43,21 +35,20 @@
 
     def __init__(
         self,
-        store: StoreInterface,
+        versions: FleetRecord,
         read_engines: Callable[[], Coroutine[Any, Any, bool]],
         cells: Mapping[str, EngineCell],
-        records: Iterable[FleetRecord],
     ) -> None:
         """Start without questions.
 
+        :param versions: the record of versions.
         :param read_engines: reads the list of engines and returns whether the
             store has responded.
         :param cells: the cells of this process by service.
         """
-        self._store = store
+        self._versions = versions
         self._read_engines = read_engines
         self._cells = cells
-        self._records = tuple(records)
         self._is_wanted = Event()
         self._on_confirmed: Callable[[], Awaitable[None]] | None = None
 
@@ -89,11 +80,9 @@
         """
         asked_ms = now_ms()
         engines = await spawn(self._read_engines, daemon=True)
-        listed = await self._store.list_records()
-        if not await engines.join() or isinstance(listed, Err):
+        is_read = await self._versions.async_confirm()
+        if not await engines.join() or not is_read:
             return False
-        for record in self._records:
-            record.apply_listed(listed.ok_value, asked_ms)
         _LOGGER.info(
             'versions confirmed',
             took_ms=age_for_log(now_ms() - asked_ms),
--- a/tests/store/test_records_of_out_of_step_owners.py
+++ b/tests/store/test_records_of_out_of_step_owners.py
@@ -21,8 +21,6 @@
     make_request,
 )
 
-RECORD = 'engine-versions'
-
 
 class _Store:
     """A store of one record, which may come back from an older copy."""
@@ -85,7 +83,7 @@
     def version_of_unknown_stream(self) -> str | None:
         asked_ms = now_ms()
         self.confirmed_ms = math.inf
-        self.record.apply_listed({RECORD: self.store.record}, asked_ms)
+        self.record.apply_read(self.store.record, asked_ms)
         request = make_request('again', resumes='first')
         self.cell.origins.bind(request, now_ms(), asked_ms=asked_ms)
         return None if request.version is None else str(request.version)
--- a/tests/store/test_restored_store_model.py
+++ b/tests/store/test_restored_store_model.py
@@ -167,6 +167,7 @@
             write_status=_UNUSED,
             delete_status=_UNUSED,
             write_record=_UNUSED,
+            read_record=_UNUSED,
             list_records=_UNUSED,
         )
         self.reader = StoreReader(
--- a/tests/store/test_version_confirmation.py
+++ b/tests/store/test_version_confirmation.py
@@ -12,7 +12,7 @@
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import OriginBook
-from hornbeamdeck.store.fleet_record import FleetRecord
+from hornbeamdeck.store.fleet_record import ENGINE_VERSIONS, FleetRecord
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 from hornbeamdeck.store.version_confirmation import VersionConfirmation
 from hornbeamdeck.wire import RefusalReason
@@ -44,13 +44,12 @@
         cells = {'desk': self.cell}
         unused: dict[str, Any] = dict.fromkeys(StoreInterface._fields)
         store = StoreInterface(
-            **{**unused, 'list_records': self._async_list_records}
+            **{**unused, 'read_record': self._async_read_record}
         )
         self.confirmation = VersionConfirmation(
-            store,
+            FleetRecord(ENGINE_VERSIONS, store, cells, bool, lambda: ERA),
             self._async_read_engines,
             cells,
-            FleetRecord.of_every_kind(store, cells, bool, lambda: ERA),
         )
 
     async def async_start(self) -> None:
@@ -60,9 +59,9 @@
     def _listed_at(self) -> float:
         return self._listed_ms
 
-    async def _async_list_records(
-        self,
-    ) -> Result[dict[str, StoredRecord], StoreUnavailable]:
+    async def _async_read_record(
+        self, _name: str
+    ) -> Result[StoredRecord, StoreUnavailable]:
         self.calls += 1
         fields = {
             'era': self.record_era,
@@ -74,7 +73,7 @@
         if self.is_away:
             return Err(StoreUnavailable('away'))
         revision = StoreRevision(ERA, 10 + len(self.versions))
-        return Ok({'engine-versions': StoredRecord(revision, fields)})
+        return Ok(StoredRecord(revision, fields))
 
     async def _async_read_engines(self) -> bool:
         requested_ms = now_ms()
