--- a/tests/connection/test_http.py
+++ b/tests/connection/test_http.py
@@ -29,11 +29,7 @@
     'texts', [(b'a', b''), (b'', b'a'), (b'', b''), (b'a', b'', b'b')]
 )
 def test_joined_fields_can_be_sent(texts: tuple[bytes, ...]) -> None:
-    """Guards against fields that can be read and not be written.
-
-    A request with them was refused at each engine. A response with them ended
-    its caller's connection after the request had run.
-    """
+    """Guards against fields that can be read and not be written."""
     pairs = header_pairs(join_headers([(b'accept', text) for text in texts]))
     joined = h11.Response(status_code=200, headers=pairs).headers[0][1]
     assert [each.strip() for each in joined.split(b',')] == list(texts)
--- a/tests/connection/test_tunnel.py
+++ b/tests/connection/test_tunnel.py
@@ -114,11 +114,7 @@
 
 @_on_curio
 async def test_engine_that_resets_during_an_upload_ends_no_response() -> None:
-    """Guards against a reset that only the sending of the request notices.
-
-    The system reports it once. After that, the part of a response that has
-    arrived is followed by what looks like the end of the connection.
-    """
+    """Guards against a reset that only the sending of the request notices."""
     ingress, relay_in = socket.socketpair()
     relay_out, engine = await _async_connect_tcp()
     await engine.sendall(b'abc')
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -9,9 +9,7 @@
 async def test_link_whose_message_fails_is_opened_again(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against messages that wait at a link that has ended until the peer
-    counts as silent.
-    """
+    """Guards against messages that wait at a link that has ended."""
     first, second = fleet.gateways
     peers = first.components.peers
     peer_id = second.settings.instance_id
--- a/tests/platform/test_arbitrary_content.py
+++ b/tests/platform/test_arbitrary_content.py
@@ -436,9 +436,7 @@
 def test_no_value_is_too_deep_for_those_who_log_or_store_it(
     depth: int, frames: int, kind: str
 ) -> None:
-    """Guards against a value that a shallow stack reads, and that a deeper one
-    can neither write nor log.
-    """
+    """Guards against a value that can be read, but not written or logged."""
     text = '[' * depth + ']' * depth
     if kind == '{':
         text = '{"a":' * depth + '1' + '}' * depth
--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -147,10 +147,7 @@
 async def test_idle_connection_gets_a_longer_idle_limit(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against closing what its caller may take for open.
-
-    A request that crosses the close is lost or must be sent again.
-    """
+    """Guards against closing what its caller may take for open."""
     await _async_limit(fleet, idle_timeout_ms=500)
     connection = await fleet.async_open()
     assert await _async_call(connection) == 200
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -96,10 +96,7 @@
 async def test_a_burst_of_a_crashing_part_is_stopped_and_others_are_served(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against engines that end again after a burst has ended many.
-
-    The requests of the burst begin before anything is known of their part.
-    """
+    """Guards against engines that end again after a burst has ended many."""
     crashing = CrashingFleet(fleet, _has_marked_part)
     await crashing.async_start(ENGINES)
     callers = _Callers(crashing)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -157,9 +157,7 @@
 def test_entry_that_can_not_be_addressed_names_no_engine(
     name: str, changes: dict[str, Any]
 ) -> None:
-    """Guards against callers without an answer: an engine's name is sent in a
-    header, and no engine serves at port 0.
-    """
+    """Guards against requests for engines that can't be addressed."""
     assert parse_engine('e', ENTRY).is_ok()
     assert parse_engine(name, {**ENTRY, **changes}).is_err()
 
--- a/tests/platform/test_early_responses.py
+++ b/tests/platform/test_early_responses.py
@@ -121,10 +121,7 @@
 def test_reset_response_never_looks_complete(
     unread_bytes: int, via: str, version: str
 ) -> None:
-    """Guards against a part of a body that passes for the whole.
-
-    Engines reset the connection when the request has been sent, or while it is.
-    """
+    """Guards against a part of a body that passes for the whole."""
 
     @on_platform(count=2)
     async def _run(fleet: PlatformFleet) -> None:
--- a/tests/platform/test_leaving_engines.py
+++ b/tests/platform/test_leaving_engines.py
@@ -193,11 +193,7 @@
 async def test_an_engine_that_started_again_unseen_and_leaves_gets_nothing(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against a statement that ends with the entry of an earlier start.
-
-    The engine has started again and stated that it leaves while the store was
-    away; its entry is written when the store is back.
-    """
+    """Guards against a notice that ends with the entry of an earlier start."""
     engine = fleet.booking_engines[0]
     born_ms = wall_ms() - RUNNING_MS
     fleet.store.is_silent = True
--- a/tests/platform/test_object_calls.py
+++ b/tests/platform/test_object_calls.py
@@ -41,9 +41,7 @@
 def test_a_list_goes_on_after_a_page_without_usable_entries(
     odd: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against engines that count as gone since another writer's entries
-    fill the page before theirs.
-    """
+    """Guards against a page of odd entries that ends the list."""
     monkeypatch.setattr('tests.platform.standins.PAGE_ENTRIES', 1)
 
     @curio_test
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -42,9 +42,7 @@
 async def test_unusable_configuration_is_read_at_intervals(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against instances that read what they can't use without a pause,
-    which takes all the calls that the store allows.
-    """
+    """Guards against reads without a pause of what can't be used."""
     odd = {'version': 5, 'routes': [{'name': 'r'}] * 100}
     with capture_logs() as lines:
         await fleet.store.async_put_unchanged('config', 'main', odd)
@@ -142,9 +140,7 @@
 async def test_configuration_with_odd_values_serves_all(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against values that no peer can be told, which end connections
-    between instances again and again, and against callers without an answer.
-    """
+    """Guards against numbers that end connections to peers and callers."""
     for name, odd in USABLE_CONFIGURATIONS.items():
         with capture_logs() as lines:
             await fleet.store.async_put('config', 'main', odd)
@@ -177,9 +173,7 @@
 async def test_configuration_that_no_peer_can_be_told_is_not_applied(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against names and versions that end connections between instances
-    again and again.
-    """
+    """Guards against names that end connections between instances."""
     version = 100
     for name, odd in UNUSABLE_CONFIGURATIONS.items():
         with capture_logs() as lines:
--- a/tests/platform/test_partitioned_instances.py
+++ b/tests/platform/test_partitioned_instances.py
@@ -161,11 +161,7 @@
 def test_two_ended_engines_fail_nothing_if_all_seem_partitioned(
     path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against instances that wait for each other to reach engines.
-
-    Two engines that end at once look like a lost path to each instance, until
-    one of its connects succeeds. That takes longer than the others' answers.
-    """
+    """Guards against instances that wait for each other to reach engines."""
     monkeypatch.setattr(EngineDialer, 'async_connect', _async_connect_late)
 
     @on_platform(3)
--- a/tests/platform/test_request_framing.py
+++ b/tests/platform/test_request_framing.py
@@ -75,10 +75,7 @@
 
 @pytest.mark.parametrize('name', SOUND)
 def test_body_reaches_the_engine_however_it_is_framed(name: str) -> None:
-    """Guards against bodies that are cut or get bytes that are none of them.
-
-    Fields of trailers must not count as fields of the head.
-    """
+    """Guards against bodies that are cut or get bytes that are none of them."""
 
     @on_platform()
     async def _async_scenario(fleet: PlatformFleet) -> None:
--- a/tests/platform/test_request_targets.py
+++ b/tests/platform/test_request_targets.py
@@ -221,11 +221,7 @@
 def test_target_without_a_path_reaches_no_engine(
     method: str, target: str
 ) -> None:
-    """Guards against a route that is found in what is no path.
-
-    The response to CONNECT would be taken for the start of a tunnel, and what
-    follows it for its content.
-    """
+    """Guards against a route that is found in what is no path."""
 
     @on_platform()
     async def _async_scenario(fleet: PlatformFleet) -> None:
--- a/tests/process/test_supervision.py
+++ b/tests/process/test_supervision.py
@@ -62,9 +62,7 @@
 async def test_instance_that_follows_no_list_is_not_ready(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against an instance that calls itself ready although it does not
-    follow the list of engines, and against one that never does so again.
-    """
+    """Guards against callers at an instance that follows no list of engines."""
     first, second = fleet.gateways
     reader = first.components.reader
     with (
--- a/tests/scheduling/test_load_replay.py
+++ b/tests/scheduling/test_load_replay.py
@@ -231,10 +231,7 @@
 
 @pytest.mark.parametrize('seed', range(4))
 def test_parts_that_crash_engines_are_refused_after_a_burst(seed: int) -> None:
-    """Guards against engines that end together again once they are back.
-
-    All end within a moment, before anything is known of the parts.
-    """
+    """Guards against engines that end together again once they are back."""
     plan = LoadPlan.from_name('crashing_parts')
     bursts = tuple(
         Burst(at_s=0, for_s=0.5, times=20, kind=each.kind)
--- a/tests/store/test_engine_directory.py
+++ b/tests/store/test_engine_directory.py
@@ -236,9 +236,7 @@
 
 @pytest.mark.parametrize('odd', _ODD_FIELDS)
 def test_odd_entry_of_a_peer_leaves_the_others(odd: dict[str, Any]) -> None:
-    """Guards against an instance that follows no list while a peer sends one
-    odd entry with each.
-    """
+    """Guards against a peer's list that one odd entry makes unusable."""
     peer = EngineDirectory()
     sound = _engine(is_draining=False)
     other = sound._replace(name='engine-2')
