--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -138,7 +138,7 @@
 async def test_odd_entries_leave_hundreds_of_sound_ones(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against odd entries in any list that keep sound ones from being used."""
+    """Guards against odd entries that keep sound ones from being used."""
     store = fleet.store
     sound = {
         f'sound-{number}': fleet.booking_engines[0].entry('other')
@@ -201,7 +201,7 @@
 async def test_entries_of_a_megabyte_leave_the_list_readable(
     fleet: PlatformFleet,
 ) -> None:
-    """Guards against a process that a few very long entries keep from starting."""
+    """Guards against a process that long entries keep from starting."""
     valid = fleet.booking_engines[0].entry('counter')
     for number in range(12):
         spec = {**valid, 'zone': 'z' * 1_000_000}
