--- a/tests/scheduling/test_origins_of_moved_runs.py
+++ b/tests/scheduling/test_origins_of_moved_runs.py
@@ -58,6 +58,22 @@
     cell.register(run, 's')
 
 
+def _report_origin(cell: EngineCell, version: str, *, born_ms: int) -> None:
+    """Report the origin of the stream, as another owner knows it."""
+    reported = StreamOrigin(
+        request_id='first',
+        team='guides',
+        upstream='restarted',
+        attempt=0,
+        left_ms=9000,
+        version=version,
+        is_begun=True,
+        born_ms=born_ms,
+        begun_age_ms=5,
+    )
+    cell.origins.merge([reported], 'owner', 10)
+
+
 def test_own_unused_grant_is_not_taken_for_that_of_another_owner() -> None:
     """Guards against a stream of v2 that is certain to be of v1."""
     cell = _out_of_step_cell()
@@ -78,18 +94,7 @@
 def test_evidence_of_another_incarnation_proves_no_reported_origin() -> None:
     """Guards against a stale entry that an owner has reported."""
     cell = _out_of_step_cell()
-    reported = StreamOrigin(
-        request_id='first',
-        team='guides',
-        upstream='restarted',
-        attempt=0,
-        left_ms=9000,
-        version='v1',
-        is_begun=True,
-        born_ms=1,
-        begun_age_ms=5,
-    )
-    cell.origins.merge([reported], 'owner', 10)
+    _report_origin(cell, 'v1', born_ms=1)
     cell.progress(_progress(is_certain=True), 20)
     assert _bound_version(cell) is None
 
@@ -97,17 +102,6 @@
 def test_evidence_of_the_reported_incarnation_proves_its_origin() -> None:
     """Guards against streams that are unknown at each successor."""
     cell = _out_of_step_cell()
-    reported = StreamOrigin(
-        request_id='first',
-        team='guides',
-        upstream='restarted',
-        attempt=0,
-        left_ms=9000,
-        version='v2',
-        is_begun=True,
-        born_ms=2,
-        begun_age_ms=5,
-    )
-    cell.origins.merge([reported], 'owner', 10)
+    _report_origin(cell, 'v2', born_ms=2)
     cell.progress(_progress(is_certain=True), 20)
     assert _bound_version(cell) == 'v2'
