--- a/review/4/case.py
+++ b/review/4/case.py
@@ -51,9 +51,9 @@
 )
 ADDED_LATER: Final = frozenset((BOOKING.route, SEATS.route))
 # `platform_down`: 4.5 s, `give_up`: a share of 0.3 within half the objective.
-OUTAGES: Final = 8
+OUTAGES: Final = 11
 OUTAGE_S: Final = 4.5
-GAP_S: Final = 3.0
+GAP_S: Final = 2.0
 LEAVING_SHARE: Final = 0.3
 # After the last outage: stability_ms, and the time that is judged.
 STABILITY_S: Final = 3.0
