--- a/review/second/engines.py
+++ b/review/second/engines.py
@@ -22,12 +22,14 @@
 
     :param work_s: time of a call, or between two events of a stream.
     :param events: of each stream; 0: the service has calls, no streams.
+    :param version: of its software, which all events name.
     """
 
     service: str
     slots: int
     work_s: float
     events: int = 0
+    version: str = 'v1'
 
 
 class Run(NamedTuple):
@@ -56,12 +58,18 @@
         port = server.sockets[0].getsockname()[1]
         self._heartbeats = asyncio.create_task(self._async_beat(port))
 
+    def leave(self) -> None:
+        """Let the entry be removed without a notice, and go on serving."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        self._store.remove('servers', self.name)
+
     async def _async_beat(self, port: int) -> None:
         entry = {
             'service': self._terms.service,
             'address': f'{LOOPBACK}:{port}',
             'zone': 'zone-a',
-            'version': 'v1',
+            'version': self._terms.version,
             'slots': self._terms.slots,
             'state': 'ready',
             'cold_remaining_ms': 0,
@@ -107,13 +115,17 @@
             'keep-alive': 'timeout=20',
         }
         if self._terms.events:
-            await self._async_stream(answer, writer)
+            received = int(headers.get('last-event-id') or 0)
+            await self._async_stream(answer, received, writer)
             return
         await asyncio.sleep(self._terms.work_s)
         writer.write(encode(RUN_OK, answer, request_id.encode()))
 
     async def _async_stream(
-        self, answer: dict[str, str], writer: asyncio.StreamWriter
+        self,
+        answer: dict[str, str],
+        received: int,
+        writer: asyncio.StreamWriter,
     ) -> None:
         fields = {
             **answer,
@@ -122,9 +134,10 @@
         }
         lines = [RUN_OK, *(f'{name}: {fields[name]}' for name in fields)]
         writer.write('\r\n'.join([*lines, '', '']).encode())
-        for number in range(1, self._terms.events + 1):
+        for number in range(received + 1, self._terms.events + 1):
             await asyncio.sleep(self._terms.work_s)
-            writer.write(_chunk(f'id: {number}\ndata: {number}\n\n'))
+            event = f'id: {number}\ndata: {self._terms.version}\n\n'
+            writer.write(_chunk(event))
             await writer.drain()
         writer.write(_chunk(''))
 
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import shutil
-import signal
 import socket
 import subprocess  # noqa: S404
 import tempfile
@@ -50,6 +49,16 @@
         """Where clients connect."""
         return _port_of(self.settings['address'])
 
+    @property
+    def store_port(self) -> int:
+        """Where it finds the store."""
+        return _port_of(self.settings['platform_address'])
+
+    def kill(self) -> None:
+        """Kill the process."""
+        self.process.kill()
+        self.process.wait()
+
     async def async_is_ready(self) -> bool:
         """Return whether it says that it is ready."""
         answer = await async_call(
@@ -80,11 +89,15 @@
 class Fleet:
     """All gateways of a deployment, in one zone."""
 
-    def __init__(self, store_port: int) -> None:
-        """Prepare a temporary folder."""
+    def __init__(self, *store_ports: int) -> None:
+        """Prepare a temporary folder.
+
+        :param store_ports: where each of the gateways finds the store; the
+            last one is for all that follow.
+        """
         self.gateways: list[Gateway] = []
         self._folder = pathlib.Path(tempfile.mkdtemp())
-        self._store_port = store_port
+        self._store_ports = store_ports
 
     async def async_start(self, count: int) -> bool:
         """Start gateways; return whether all of them are ready in time."""
@@ -114,8 +127,7 @@
     def stop(self) -> None:
         """End all processes and remove the folder."""
         for gateway in self.gateways:
-            gateway.process.send_signal(signal.SIGKILL)
-            gateway.process.wait()
+            gateway.kill()
         shutil.rmtree(self._folder, ignore_errors=True)
 
     def restart(self, gateway: Gateway) -> Gateway:
@@ -147,11 +159,12 @@
     def _settings_of(self, name: str) -> dict[str, Any]:
         addresses = {field: f'{LOOPBACK}:{_free_port()}' for field in PORTS}
         first = self.gateways[0].settings if self.gateways else addresses
+        number = min(len(self.gateways), len(self._store_ports) - 1)
         return {
             'instance_id': name,
             'availability_zone': 'zone-a',
             **addresses,
-            'platform_address': f'{LOOPBACK}:{self._store_port}',
+            'platform_address': f'{LOOPBACK}:{self._store_ports[number]}',
             'seed_peers': [first['peer_address']],
             'fleet_secret': 'replace-this-with-a-secret-of-the-fleet',
             'is_first_start': True,
--- a/review/second/store.py
+++ b/review/second/store.py
@@ -1,7 +1,8 @@
 """A stand-in for the platform's store, as PROTOCOL.md describes it.
 
 It keeps objects, serves lists and watches, and checks conditions. While it is
-silent, it accepts connections and answers nothing.
+silent, it accepts connections and answers nothing. It may turn some machines
+away and serve the others: each has a port of its own then.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
+UNAVAILABLE = 503
 METADATA = 'metadata'
 REVISION = 'revision'
 SPEC = 'spec'
@@ -36,6 +38,8 @@
         """Start empty."""
         self.port = 0
         self.is_silent = False
+        # Ports whose callers are turned away.
+        self.turned_away: set[int] = set()
         self._revision = FIRST_REVISION
         self._kinds: dict[str, dict[str, Any]] = {}
         self._removed: list[tuple[int, str, Any]] = []
@@ -43,8 +47,12 @@
 
     async def async_start(self) -> None:
         """Listen on a free port."""
+        self.port = await self.async_listen()
+
+    async def async_listen(self) -> int:
+        """Listen on one more free port, and return it."""
         server = await asyncio.start_server(self._async_serve, LOOPBACK, 0)
-        self.port = server.sockets[0].getsockname()[1]
+        return int(server.sockets[0].getsockname()[1])
 
     def put(self, kind: str, name: str, spec: Any) -> Any:
         """Write an object; a write that changes nothing is no change."""
@@ -92,8 +100,9 @@
     ) -> None:
         while True:
             request = await async_read(reader)
-            status, body = OK, None
-            if not self.is_silent:
+            status, body = UNAVAILABLE, None
+            port = writer.get_extra_info('sockname')[1]
+            if not self.is_silent and port not in self.turned_away:
                 status, body = await self._async_answer(request)
                 await asyncio.sleep(ANSWER_S)
             if self.is_silent:
