--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,7 +10,7 @@
 from typing import Final, NamedTuple
 
 from second.engines import Engine, EngineTerms
-from second.fleet import Fleet, Gateway
+from second.fleet import Fleet, Gateway, kill_at_once
 from second.operator import configuration, route, tenant
 from second.record import Record
 from second.store import Store
@@ -100,8 +100,7 @@
         return
     parts.record.note('all gateways are killed; the store serves all again')
     killed = list(parts.fleet.gateways)
-    for gateway in killed:
-        gateway.kill()
+    kill_at_once(killed)
     parts.store.turned_away.clear()
     await asyncio.sleep(DOWN_S)
     for gateway in killed:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""An owner of the teams' limits forgets what its predecessor overdrew.
+"""An owner that stood still vouches for what it has missed.
 
 Exit status: 1: the rule was broken; 0: it held; 2: the case could not run.
 """
@@ -10,12 +10,12 @@
 import sys
 from typing import Final, NamedTuple
 
-from second.clients import Clients, Wish
 from second.engines import Engine, EngineTerms
-from second.fleet import Fleet, Gateway
+from second.fleet import Fleet, Gateway, kill_at_once
 from second.operator import configuration, route, tenant
 from second.record import Record
-from second.store import Store
+from second.store import Copy, Store
+from second.streams import StreamClient
 
 BROKEN: Final = 1
 HELD: Final = 0
@@ -23,76 +23,36 @@
 HAS_TROUBLE: Final = os.environ.get('TROUBLE') != '0'
 
 GATEWAYS: Final = 3
-ENGINES: Final = 4
-EVENTS: Final = 3
-EVENT_GAP_S: Final = 0.02
-# The team's limit, and the largest request of the users' sheet: 54,600 tokens
-# of prompt and 640 events of 6 tokens.
-RATE_PER_S: Final = 1000
-BURST: Final = 1000
-COUNTS: Final = '54600,3840'
-# What the team asks for is many times its limit.
-REQUESTS_PER_S: Final = 20
-DEADLINE_MS: Final = 15000
-# A window of the limit passes before the first stop, and two after it.
-BEFORE_S: Final = 9.0
-STOPS: Final = 2
-GAP_S: Final = 3.3
-AFTER_S: Final = 16.0
-# The rule's bounds.
-WINDOW_S: Final = 8.0
-OVERAGE: Final = 0.1
-SLACK: Final = 140000
+OLD_ENGINES: Final = 2
+STREAMS: Final = 15
+BETWEEN_S: Final = 0.1
+EVENTS: Final = 60
+EVENT_GAP_S: Final = 0.1
+DEADLINE_MS: Final = 12000
+OBJECTIVE_MS: Final = 500
+QUOTA: Final = 159315
 VERSION: Final = 3
 MODEL: Final = (('slots', 9), ('kv_tokens', 639999), ('stride', 6))
-POLL_S: Final = 0.1
+SETTLE_S: Final = 4.0
+# `node_freeze`: one machine, 5 s at most; another one is owner after a second.
+JOINS_S: Final = 1.5
+BEGIN_S: Final = 0.7
+LEAVES_S: Final = 0.2
+KILL_S: Final = 0.5
+# `herd_kill`: the others at once, for 1 s.
+DOWN_S: Final = 1.0
+# The rule: more than two streams.
+MOST_STREAMS: Final = 2
 
 
-class Spent(NamedTuple):
-    """A request that an engine has run."""
+class Parts(NamedTuple):
+    """All that a run consists of."""
 
-    sent_s: float
-    arrived_s: float
-    tokens: int
-
-
-class Restarts:
-    """Stops the owner and starts it again, one machine after another."""
-
-    def __init__(self, fleet: Fleet, record: Record) -> None:
-        """Start with all machines running."""
-        self.stopping: list[Gateway] = []
-        self._fleet = fleet
-        self._record = record
-        self._tasks: list[asyncio.Task[None]] = []
-
-    def usable(self) -> list[Gateway]:
-        """Return the machines that the directory names."""
-        return [
-            each for each in self._fleet.gateways if each not in self.stopping
-        ]
-
-    async def async_play(self) -> None:
-        """Stop two owners in turn."""
-        for _ in range(STOPS):
-            owner = self._fleet.owner()
-            if owner is not None and HAS_TROUBLE:
-                self._record.note(f'SIGTERM to {owner.name}, which is owner')
-                self.stopping.append(owner)
-                owner.process.send_signal(signal.SIGTERM)
-                restart = asyncio.create_task(self._async_restart(owner))
-                self._tasks.append(restart)
-            await asyncio.sleep(GAP_S)
-
-    async def _async_restart(self, stopped: Gateway) -> None:
-        while stopped.process.poll() is None:
-            await asyncio.sleep(POLL_S)
-        self._record.note(f'{stopped.name} has ended and is started again')
-        started = self._fleet.restart(stopped)
-        self.stopping.append(started)
-        while not await started.async_is_ready():
-            await asyncio.sleep(POLL_S)
-        self.stopping.remove(started)
+    store: Store
+    fleet: Fleet
+    record: Record
+    clients: list[StreamClient]
+    stopped: list[Gateway]
 
 
 def _write_configuration(store: Store) -> None:
@@ -104,71 +64,107 @@
                 'streaming',
                 'desk',
                 timeout_ms=DEADLINE_MS,
-                target_latency_ms=1000,
+                target_latency_ms=OBJECTIVE_MS,
+                stream_resume=True,
             )
         ],
         [{'name': 'desk', 'engine': dict(MODEL)}],
-        [tenant(RATE_PER_S, BURST)],
+        [tenant(QUOTA, QUOTA)],
     )
     store.put('config', 'main', document)
 
 
-def _spent(clients: Clients, engines: list[Engine]) -> list[Spent]:
-    sent_s = {each.request_id: each.at_s for each in clients.sent}
-    runs = [run for engine in engines for run in engine.runs]
-    return [
-        Spent(sent_s[run.request_id], run.at_s, run.tokens)
-        for run in sorted(runs)
-    ]
+async def _async_start_engine(name: str, version: str, store: Store) -> Engine:
+    terms = EngineTerms(
+        'desk', slots=9, work_s=EVENT_GAP_S, events=EVENTS, version=version
+    )
+    engine = Engine(name, terms, store)
+    await engine.async_start()
+    return engine
+
+
+async def _async_begin_streams(parts: Parts) -> list['asyncio.Task[None]']:
+    tasks = []
 
+    def _gateways() -> list[Gateway]:
+        return [
+            each for each in parts.fleet.gateways if each not in parts.stopped
+        ]
 
-def _most_in_window(spent: list[Spent]) -> int:
-    """Return the most tokens that were sent and arrived in one window."""
-    return max(
-        sum(
-            each.tokens
-            for each in spent
-            if first.sent_s <= each.sent_s
-            and each.arrived_s < first.sent_s + WINDOW_S
+    for _ in range(STREAMS):
+        client = StreamClient(_gateways)
+        parts.clients.append(client)
+        tasks.append(asyncio.create_task(client.async_run()))
+        await asyncio.sleep(BETWEEN_S)
+    return tasks
+
+
+async def _async_drill(parts: Parts, frozen: Gateway, copied: Copy) -> None:
+    others = [each for each in parts.fleet.gateways if each != frozen]
+    kill_at_once(others)
+    parts.record.note('the others are killed; a drill of the store begins')
+    await parts.store.async_restore(copied)
+    frozen.process.send_signal(signal.SIGCONT)
+    parts.record.note('the store is back from its copy; the owner goes on')
+    await asyncio.sleep(DOWN_S)
+    for gateway in others:
+        parts.fleet.restart(gateway)
+    parts.record.note('the others are started again')
+
+
+async def _async_join(parts: Parts) -> Engine:
+    await asyncio.sleep(JOINS_S)
+    parts.record.note('an engine of v2 joins those of v1')
+    return await _async_start_engine('i-newer', 'v2', parts.store)
+
+
+async def _async_play(parts: Parts) -> None:
+    owner = parts.fleet.owner() or parts.fleet.gateways[0]
+    copied = parts.store.copy()
+    parts.record.note('the store is copied')
+    if HAS_TROUBLE:
+        parts.record.note(f'{owner.name}, the owner, stands still')
+        parts.stopped.append(owner)
+        owner.process.send_signal(signal.SIGSTOP)
+    newer = await _async_join(parts)
+    await asyncio.sleep(BEGIN_S)
+    tasks = await _async_begin_streams(parts)
+    await asyncio.sleep(LEAVES_S)
+    newer.leave()
+    parts.record.note('its entry is removed; it serves on for a while')
+    await asyncio.sleep(KILL_S)
+    if HAS_TROUBLE:
+        parts.stopped.clear()
+        await _async_drill(parts, owner, copied)
+    await asyncio.wait(tasks)
+
+
+def _judge(parts: Parts) -> int:
+    for number, client in enumerate(parts.clients, 1):
+        parts.record.note(
+            f'stream {number}: {len(client.events)} events of '
+            f'{client.versions}, complete: {client.is_complete}; '
+            f'tries: {client.tries}'
         )
-        for first in spent
+    newer = [each for each in parts.clients if 'v2' in each.versions]
+    joined = [each for each in newer if 'v1' in each.versions]
+    parts.record.note(
+        f'{len(newer)} streams have events of v2, {len(joined)} of these '
+        f'hold events of v1, too; {MOST_STREAMS} may'
     )
+    if len(newer) <= MOST_STREAMS:
+        return COULD_NOT_RUN
+    return BROKEN if len(joined) > MOST_STREAMS else HELD
 
 
-def _judge(clients: Clients, engines: list[Engine], record: Record) -> int:
-    for each in clients.sent:
-        record.note(
-            f'{each.request_id} to {each.gateway}: {each.status}', each.at_s
-        )
-    spent = _spent(clients, engines)
-    if not spent:
+async def _async_run(parts: Parts) -> int:
+    if not await parts.fleet.async_start(GATEWAYS):
+        parts.record.note('the gateways are not ready')
         return COULD_NOT_RUN
-    for run in spent:
-        record.note(f'an engine runs {run.tokens} tokens', run.arrived_s)
-    most = _most_in_window(spent)
-    limit = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
-    record.note(f'most tokens in {WINDOW_S} s: {most}, limit {limit:.0f}')
-    return BROKEN if most > limit else HELD
-
-
-async def _async_run(
-    fleet: Fleet, engines: list[Engine], record: Record
-) -> int:
-    if not await fleet.async_start(GATEWAYS):
-        record.note('the gateways are not ready')
-        return COULD_NOT_RUN
-    record.note(f'{GATEWAYS} gateways ready; trouble: {HAS_TROUBLE}')
-    restarts = Restarts(fleet, record)
-    clients = Clients(restarts.usable)
-    await asyncio.sleep(BEFORE_S)
-    clients.start(
-        Wish('POST', 'field', REQUESTS_PER_S, DEADLINE_MS, counts=COUNTS)
-    )
-    await asyncio.sleep(1)
-    await restarts.async_play()
-    await asyncio.sleep(AFTER_S)
-    await clients.async_end()
-    return _judge(clients, engines, record)
+    parts.record.note(f'{GATEWAYS} gateways ready; trouble: {HAS_TROUBLE}')
+    await asyncio.sleep(SETTLE_S)
+    await _async_play(parts)
+    return _judge(parts)
 
 
 async def _async_main() -> int:
@@ -176,13 +172,11 @@
     store = Store()
     await store.async_start()
     _write_configuration(store)
-    terms = EngineTerms('desk', slots=9, work_s=EVENT_GAP_S, events=EVENTS)
-    engines = [Engine(f'i-{each}', terms, store) for each in range(ENGINES)]
-    for engine in engines:
-        await engine.async_start()
+    for number in range(OLD_ENGINES):
+        await _async_start_engine(f'i-older-{number}', 'v1', store)
     fleet = Fleet(store.port)
     try:
-        status = await _async_run(fleet, engines, record)
+        status = await _async_run(Parts(store, fleet, record, [], []))
     finally:
         fleet.stop()
     record.note(f'exit status {status}')
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # its standard library only.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q second 4 5 6
+python3 -m compileall -q second 4 5 6 7
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -4,16 +4,18 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import socket
 import subprocess  # noqa: S404
 import tempfile
 import tomllib
+from contextlib import suppress
 from typing import Any, Final, NamedTuple
 
 from second.messages import LOOPBACK, async_call
 
-__all__ = ('Fleet', 'Gateway')
+__all__ = ('Fleet', 'Gateway', 'kill_at_once')
 
 REPOSITORY: Final = pathlib.Path(__file__).resolve().parents[2]
 BOUNDS: Final = (
@@ -30,6 +32,7 @@
     ('quota_overage', 0.1),
     ('entries_ttl_ms', 2000),
 )
+PORT_RANGE: Final = (20000, 30000)
 READY_OK: Final = 200
 READY_POLL_S: Final = 0.1
 READY_POLLS: Final = 150
@@ -54,11 +57,6 @@
         """Where it finds the store."""
         return _port_of(self.settings['platform_address'])
 
-    def kill(self) -> None:
-        """Kill the process."""
-        self.process.kill()
-        self.process.wait()
-
     async def async_is_ready(self) -> bool:
         """Return whether it says that it is ready."""
         answer = await async_call(
@@ -126,8 +124,7 @@
 
     def stop(self) -> None:
         """End all processes and remove the folder."""
-        for gateway in self.gateways:
-            gateway.kill()
+        kill_at_once(self.gateways)
         shutil.rmtree(self._folder, ignore_errors=True)
 
     def restart(self, gateway: Gateway) -> Gateway:
@@ -177,15 +174,26 @@
         }
 
 
+def kill_at_once(gateways: list[Gateway]) -> None:
+    """Kill processes at the same moment."""
+    for gateway in gateways:
+        gateway.process.kill()
+    for killed in gateways:
+        killed.process.wait()
+
+
 def _command() -> list[str]:
     deploy = tomllib.loads((REPOSITORY / 'deploy/system.toml').read_text())
     return str(deploy['roles']['front']['run']).split(' ')
 
 
 def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that the system gives no connection by itself."""
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return port
 
 
 def _port_of(address: str) -> int:
--- a/review/second/store.py
+++ b/review/second/store.py
@@ -8,21 +8,24 @@
 import asyncio
 import json
 from contextlib import suppress
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, unquote
 
 from second.messages import LOOPBACK, Message, async_read, encode
 
-__all__ = ('Store',)
+__all__ = ('Copy', 'Store')
 
 PREFIX = '/v1/objects/'
 FIRST_REVISION = 100
 MILLIS = 1000
 # Time of an answer, as in the sheets of the users' deployments.
 ANSWER_S = 0.004
+# How long it is away before it comes back from a copy.
+AWAY_S = 0.4
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
+GONE = 410
 UNAVAILABLE = 503
 METADATA = 'metadata'
 REVISION = 'revision'
@@ -31,6 +34,14 @@
 _Answer = tuple[int, Any]
 
 
+class Copy(NamedTuple):
+    """What a store held when it was copied."""
+
+    kinds: dict[str, dict[str, Any]]
+    removed: list[tuple[int, str, Any]]
+    revision: int
+
+
 class Store:
     """Objects by kind and name, with a revision that rises with each change."""
 
@@ -40,6 +51,7 @@
         self.is_silent = False
         # Ports whose callers are turned away.
         self.turned_away: set[int] = set()
+        self._era = 1
         self._revision = FIRST_REVISION
         self._kinds: dict[str, dict[str, Any]] = {}
         self._removed: list[tuple[int, str, Any]] = []
@@ -80,6 +92,24 @@
         self._removed.append((self._revision, kind, removed))
         self._signal()
 
+    def copy(self) -> Copy:
+        """Copy what it holds now."""
+        kinds = {kind: dict(named) for kind, named in self._kinds.items()}
+        return Copy(kinds, list(self._removed), self._revision)
+
+    async def async_restore(self, copied: Copy) -> None:
+        """Be away for a moment, and come back from an older copy."""
+        self.is_silent = True
+        self._signal()
+        await asyncio.sleep(AWAY_S)
+        self._kinds = {
+            kind: dict(named) for kind, named in copied.kinds.items()
+        }
+        self._removed = list(copied.removed)
+        self._revision = copied.revision
+        self._era += 1
+        self.is_silent = False
+
     def _signal(self) -> None:
         changed = self._changed
         self._changed = asyncio.Event()
@@ -110,7 +140,10 @@
                 # further.
                 await reader.read()
                 return
-            headers = {'content-type': 'application/json', 'store-era': '1'}
+            headers = {
+                'content-type': 'application/json',
+                'store-era': str(self._era),
+            }
             start = f'HTTP/1.1 {status} Answer'
             writer.write(encode(start, headers, json.dumps(body).encode()))
             await writer.drain()
@@ -124,22 +157,26 @@
             found = self._kinds.get(kind, {}).get(name)
             return (OK, found) if found else (NOT_FOUND, {})
         if method == 'GET':
-            return OK, await self._async_list(kind, fields)
+            return await self._async_list(kind, fields)
         if method == 'DELETE':
             return self._delete(kind, name)
         return self._write(method, kind, name, json.loads(request.body))
 
-    async def _async_list(self, kind: str, fields: dict[str, str]) -> Any:
+    async def _async_list(self, kind: str, fields: dict[str, str]) -> _Answer:
         if 'watch' not in fields:
             named = self._kinds.get(kind, {})
             entries = [named[name] for name in sorted(named)]
-            return {'entries': entries, 'has_more': False, 'at': self._revision}
+            listed = {'entries': entries, 'has_more': False}
+            return OK, {**listed, 'at': self._revision}
         since = int(fields['watch'])
+        if since > self._revision:
+            return GONE, {}
         with suppress(asyncio.TimeoutError):
             async with asyncio.timeout(int(fields['wait_ms']) / MILLIS):
                 while not self._events(kind, since):
                     await self._changed.wait()
-        return {'events': self._events(kind, since), 'at': self._revision}
+        events = self._events(kind, since)
+        return OK, {'events': events, 'at': self._revision}
 
     def _events(self, kind: str, since: int) -> list[Any]:
         changed = [
