--- a/review/second/clients.py
+++ b/review/second/clients.py
@@ -9,7 +9,7 @@
 
 from second.fleet import Gateway
 from second.messages import async_call
-from second.operator import HOST, KEY
+from second.operator import HOST, KEY, prompt
 
 __all__ = ('Clients', 'Sent', 'Wish')
 
@@ -101,8 +101,7 @@
             'authorization': f'Bearer {KEY}',
         }
         if wish.counts:
-            headers['hornbeamdeck-model'] = 'm'
-            headers['hornbeamdeck-token-counts'] = wish.counts
+            headers |= prompt(request_id, wish.counts)
         patience_s = PATIENCE_S
         if has_left:
             patience_s = random.uniform(0, wish.leave_ms) / MILLIS
--- a/review/second/engines.py
+++ b/review/second/engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from second.messages import LOOPBACK, Message, async_read, encode
@@ -14,6 +15,16 @@
 MILLIS = 1000
 RUN_OK = 'HTTP/1.1 200 OK'
 MISDIRECTED = 'HTTP/1.1 421 Misdirected Request'
+REPORT = MappingProxyType(
+    {
+        'stage': 'both',
+        'models': ({'name': 'm', 'version': 1, 'adapters': ()},),
+        'busy': False,
+        'sequence': 0,
+        'waiting': 0,
+        'running': 0,
+    }
+)
 REQUEST_ID = 'hornbeamdeck-request-id'
 
 
@@ -104,7 +115,7 @@
             writer.write(encode(MISDIRECTED, own))
             return
         if REQUEST_ID not in headers:
-            report = json.dumps({'born': self._born}).encode()
+            report = json.dumps({**REPORT, 'born': self._born}).encode()
             writer.write(encode(RUN_OK, own, report))
             return
         request_id = headers[REQUEST_ID]
--- a/review/second/operator.py
+++ b/review/second/operator.py
@@ -1,10 +1,21 @@
 """Configurations as the platform's operator writes them."""
 
+from types import MappingProxyType
 from typing import Any, Final
 
-__all__ = ('HOST', 'KEY', 'configuration', 'route', 'tenant')
+__all__ = ('HOST', 'KEY', 'configuration', 'prompt', 'route', 'tenant')
 
+SERVICE: Final = MappingProxyType(
+    {
+        'health_path': '/health',
+        'max_connections': 628,
+        'protocol': 'h1',
+        'tls': False,
+    }
+)
 HOST: Final = 'desk.example'
+# Each prompt begins with a part that all have.
+SHARED_TOKENS: Final = 60
 KEY: Final = 'i9n73hh2b9wu3fexd9dn'
 
 
@@ -18,7 +29,7 @@
     return {
         'version': version,
         'routes': routes,
-        'services': services,
+        'services': [{**SERVICE, **each} for each in services],
         'limits': {
             'max_header_bytes': 16384,
             'max_body_bytes': 4194304,
@@ -41,6 +52,7 @@
         'max_attempts': 2,
         'public_access': False,
         'stream_resume': False,
+        'session_affinity': kind == 'streaming',
         'target_gap_ms': 500,
         **fields,
     }
@@ -57,3 +69,18 @@
         'rate_per_s': rate_per_s,
         'burst': burst,
     }
+
+
+def prompt(request_id: str, counts: str) -> dict[str, str]:
+    """Make the headers of a model request.
+
+    :param counts: tokens of the prompt and most tokens of the answer.
+    """
+    own = int(counts.partition(',')[0]) - SHARED_TOKENS
+    return {
+        'hornbeamdeck-model': 'm',
+        'hornbeamdeck-token-counts': counts,
+        'hornbeamdeck-prompt-prefix': (
+            f'5c1e07a2:{SHARED_TOKENS},{request_id}:{own}'
+        ),
+    }
--- a/review/second/streams.py
+++ b/review/second/streams.py
@@ -9,7 +9,7 @@
 
 from second.fleet import Gateway
 from second.messages import BLANK_LINE, LOOPBACK, encode
-from second.operator import HOST, KEY
+from second.operator import HOST, KEY, prompt
 
 __all__ = ('Event', 'StreamClient')
 
@@ -109,8 +109,7 @@
             'host': HOST,
             'hornbeamdeck-request-id': request_id,
             'hornbeamdeck-deadline-ms': str(max(left_ms, 1)),
-            'hornbeamdeck-model': 'm',
-            'hornbeamdeck-token-counts': '628,360',
+            **prompt(request_id, '628,360'),
             'authorization': f'Bearer {KEY}',
         }
         if self.events:
