Tests: crowds of callers that send without end and read nothing

Cause: in the users' trial a process ran out of memory: requests sent ahead, their responses unread, without the usual headers, at the path that says ready and at paths without a route. No test had callers that pipeline. Change: tests with the system's own process on loopback addresses, beside 4 to 600 callers. They check that it lives, its resident memory with what the system holds of its connections, its descriptors, and one ordinary request afterwards. Limits are lowered in the tests' settings (memory_mb 96 or 128). Also: many connections with a little each, unfinished heads and bodies, tiny chunks, strangers at the peer address, long request ids with an unread log, and crowds that take every connection.

--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -62,6 +62,10 @@
         fields = dict(line.split(':', 1) for line in status.splitlines())
         return int(fields['VmHWM'].removesuffix('kB')) / KIB_PER_MIB
 
+    def count_descriptors(self) -> int:
+        """Return how many descriptors the process has open."""
+        return len(os.listdir(f'/proc/{self.pid}/fd'))
+
 
 @asynccontextmanager
 async def gateway_process(
@@ -83,10 +87,14 @@
 
 @asynccontextmanager
 async def started_process(
-    store: StoreStandin, descriptors: int, **changes: object
+    store: StoreStandin,
+    descriptors: int,
+    log: IO[bytes] | None = None,
+    **changes: object,
 ) -> AsyncIterator[GatewayProcess]:
     """Run a store and one gateway process until it is not needed.
 
+    :param log: a file that its log is written to; `None`: it is not kept.
     :param changes: settings that replace the defaults.
     """
     store_address = await store.async_start()
@@ -98,7 +106,7 @@
             **changes,
         }
         path.write_text(json.dumps(settings))
-        process = start_process(path, descriptors)
+        process = start_process(path, descriptors, log)
         try:
             await async_wait_ready(addresses)
             yield GatewayProcess(addresses, process.pid, store)
--- /dev/null
+++ b/tests/platform/test_crowds.py
@@ -0,0 +1,217 @@
+"""A gateway process beside callers that don't behave."""
+
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from curio import run
+from result import Ok
+
+from hornbeamdeck.connection.client import async_fetch_on_new_connection
+from tests.platform.crowds import Crowd, async_beside_crowd
+from tests.platform.fleet import make_request
+from tests.platform.gateway_process import (
+    GatewayProcess,
+    async_is_ready,
+    started_process,
+)
+from tests.platform.standins import EngineStandin, StoreStandin, document
+
+DESCRIPTORS = 1024
+# As the settings of a deployment state it.
+MEMORY_MB = 96
+# As many as an address for short calls serves at once.
+CALLERS = 100
+# More than half of the connections that the process may have open, and as much
+# memory for each as where an instance has 1,370 connections and 222 MB.
+MANY_CALLERS = 600
+MANY_MEMORY_MB = 128
+CALL_MS = 20_000
+# Longer than a test, so that no head ends by itself.
+HEADER_MS = 30_000
+# Pieces sent little by little, not as fast as the process reads.
+PIECE_BYTES = 4096
+PAUSE_S = 0.001
+# Enough to fill a log that nobody reads.
+LONG_ID_CALLERS = 8
+# Fewer descriptors than a crowd has connections.
+FEW_DESCRIPTORS = 220
+CROWDED_CALLERS = 320
+
+_HOST = b' HTTP/1.1\r\nhost: walks.example\r\n'
+_ID = b'hornbeamdeck-request-id: ahead\r\n'
+REQUESTS = {
+    'without_headers': ('callers', b'GET /seats/x' + _HOST + b'\r\n'),
+    'without_key': ('callers', b'GET /seats/x' + _HOST + _ID + b'\r\n'),
+    'without_route': ('callers', b'GET /none/x' + _HOST + _ID + b'\r\n'),
+    'ready_path': ('callers', b'GET /v1/ready' + _HOST + _ID + b'\r\n'),
+    'with_route': ('callers', b'GET /open/x' + _HOST + _ID + b'\r\n'),
+    'ready': ('ready', b'GET /v1/ready' + _HOST + b'\r\n'),
+    'directory': ('directory', b'GET /v1/resolve?name=walks' + _HOST + b'\r\n'),
+    'metrics': ('metrics', b'GET /metrics' + _HOST + b'\r\n'),
+}
+CHUNKED_HEAD = (
+    b'POST /seats/x'
+    + _HOST
+    + _ID
+    + b'authorization: Bearer key-of-guides\r\n'
+    + b'transfer-encoding: chunked\r\n\r\n'
+)
+UNFINISHED_HEAD = b'GET /seats/x' + _HOST + b'x-long: ' + b'x' * 16_000
+# The length of the largest frame before a peer is authenticated.
+UNFINISHED_FRAME = b'\x00\x00\x10\x00' + b'x' * 4095
+LONG_ID = (
+    b'GET /none/x'
+    + _HOST
+    + b'hornbeamdeck-request-id: '
+    + b'x' * 16_000
+    + b'\r\n\r\n'
+)
+
+
+@asynccontextmanager
+async def _async_started(
+    memory_mb: int,
+    unread_log: int | None = None,
+    descriptors: int = DESCRIPTORS,
+) -> AsyncIterator[GatewayProcess]:
+    """Start a process that gives callers the usual limits.
+
+    :param unread_log: the end of a pipe that its log is written to.
+    """
+    store = StoreStandin()
+    stored = document()
+    stored['limits'] = {'header_timeout_ms': HEADER_MS}
+    await store.async_put('config', 'main', stored)
+    for name in ('counter-1', 'counter-2'):
+        engine = EngineStandin(name)
+        await engine.async_start()
+        await store.async_put('servers', name, engine.entry('counter'))
+    log = None if unread_log is None else os.fdopen(unread_log, 'wb')
+    async with started_process(
+        store, descriptors, log, memory_mb=memory_mb
+    ) as process:
+        yield process
+
+
+async def _async_expect_answer(process: GatewayProcess) -> None:
+    """Make one ordinary request."""
+    assert await async_is_ready(process.addresses)
+    got = await async_fetch_on_new_connection(
+        process.addresses.callers,
+        make_request('/seats/pay/x', hornbeamdeck_deadline_ms=str(CALL_MS)),
+        timeout_ms=CALL_MS,
+    )
+    assert isinstance(got, Ok)
+    assert got.ok_value.status == 200
+
+
+async def _async_bear(
+    listener: str, crowd: Crowd, memory_mb: int, unread_log: int | None = None
+) -> None:
+    """Check that a process lives, stays within its limits and answers."""
+    async with _async_started(memory_mb, unread_log) as process:
+        address = getattr(process.addresses, listener)
+        async with async_beside_crowd(process, address, crowd) as usage:
+            assert usage.memory_mb < memory_mb
+            assert usage.descriptors < DESCRIPTORS
+            await _async_expect_answer(process)
+        await _async_expect_answer(process)
+
+
+@pytest.mark.parametrize('kind', REQUESTS)
+def test_requests_sent_ahead_at_once_stay_within_the_memory(kind: str) -> None:
+    """Guards against a process that keeps all requests sent ahead."""
+    listener, sent = REQUESTS[kind]
+    crowd = Crowd(CALLERS, repeats=sent)
+    run(_async_bear, listener, crowd, MEMORY_MB)
+
+
+@pytest.mark.parametrize('kind', REQUESTS)
+def test_requests_sent_ahead_steadily_stay_within_the_memory(kind: str) -> None:
+    """Guards against what is kept for longer than a request takes."""
+    listener, sent = REQUESTS[kind]
+    crowd = Crowd(CALLERS, b'', sent, PIECE_BYTES, PAUSE_S)
+    run(_async_bear, listener, crowd, MEMORY_MB)
+
+
+@pytest.mark.parametrize('kind', ['without_route', 'with_route'])
+def test_many_callers_that_send_ahead_stay_within_the_memory(
+    kind: str,
+) -> None:
+    """Guards against many connections that each hold a little unread."""
+    listener, sent = REQUESTS[kind]
+    crowd = Crowd(MANY_CALLERS, repeats=sent)
+    run(_async_bear, listener, crowd, MANY_MEMORY_MB)
+
+
+def test_many_unfinished_heads_stay_within_the_memory() -> None:
+    """Guards against many connections that each hold a part of a head."""
+    crowd = Crowd(MANY_CALLERS, begins=UNFINISHED_HEAD)
+    run(_async_bear, 'callers', crowd, MANY_MEMORY_MB)
+
+
+@pytest.mark.parametrize('listener', ['ready', 'directory', 'metrics'])
+def test_unfinished_heads_leave_other_endpoints_served(listener: str) -> None:
+    """Guards against endpoints whose connections hold a part of a head."""
+    crowd = Crowd(CALLERS, begins=UNFINISHED_HEAD)
+    run(_async_bear, listener, crowd, MEMORY_MB)
+
+
+def test_small_chunks_leave_other_callers_served() -> None:
+    """Guards against a body in tiny chunks that occupies the process."""
+    crowd = Crowd(4, begins=CHUNKED_HEAD, repeats=b'1\r\nx\r\n', until_s=6)
+    run(_async_bear, 'callers', crowd, MEMORY_MB)
+
+
+@pytest.mark.parametrize(
+    ('begins', 'repeats'),
+    [(UNFINISHED_FRAME, b''), (b'', b'\x00\x00\x0f\xff' + b'x' * 4095)],
+    ids=['unfinished_frame', 'endless_frames'],
+)
+def test_strangers_at_the_peer_address_stay_within_the_memory(
+    begins: bytes, repeats: bytes
+) -> None:
+    """Guards against strangers that fill a process before a handshake."""
+    crowd = Crowd(MANY_CALLERS, begins, repeats)
+    run(_async_bear, 'peers', crowd, MANY_MEMORY_MB)
+
+
+def test_long_request_ids_in_an_unread_log_stay_within_the_memory() -> None:
+    """Guards against log lines that grow with what a caller sends."""
+    read_end, write_end = os.pipe()
+    crowd = Crowd(LONG_ID_CALLERS, repeats=LONG_ID)
+    try:
+        run(_async_bear, 'callers', crowd, MEMORY_MB, write_end)
+    finally:
+        os.close(read_end)
+
+
+@pytest.mark.parametrize(
+    ('begins', 'repeats'),
+    [
+        (UNFINISHED_HEAD, b''),
+        (CHUNKED_HEAD, b''),
+        (b'', REQUESTS['with_route'][1]),
+    ],
+    ids=['unfinished_heads', 'unfinished_bodies', 'unread_responses'],
+)
+def test_crowd_that_takes_all_connections_leaves_one_for_others(
+    begins: bytes, repeats: bytes
+) -> None:
+    """Guards against callers that keep connections and finish nothing."""
+
+    async def _async_scenario() -> None:
+        crowd = Crowd(CROWDED_CALLERS, begins, repeats)
+        async with (
+            _async_started(MANY_MEMORY_MB, None, FEW_DESCRIPTORS) as process,
+            async_beside_crowd(
+                process, process.addresses.callers, crowd
+            ) as usage,
+        ):
+            assert usage.memory_mb < MANY_MEMORY_MB
+            assert usage.descriptors < FEW_DESCRIPTORS
+            await _async_expect_answer(process)
+
+    run(_async_scenario)
