Leave requests that are sent ahead with their caller

Clients sent many requests ahead and read none of the responses: without the usual headers, at the path that says ready and at paths without a route. Cause: while a request was answered, its watcher read on to notice that the caller leaves, up to max_body_bytes (4 MB) for each request. A request takes some 100 bytes from the buffer, so each one answered let up to 4 MB more in: what was buffered grew for as long as a caller sent. The count of request bodies did not show it, since it was set to zero at each new request, and the endpoints of the process counted nothing. The path does not matter. Change: 16 KB of requests ahead are buffered for a connection, whatever is answered. The rest stays unread, so that the caller has to wait. A caller that leaves behind unread requests is found by a poll for the end of its connection, every 100 ms. What begins a request is read in parts of 16 KB, not 64 KB, until the head states a longer body. Why it works: what a connection holds no longer depends on how many requests were answered on it.

--- a/hornbeamdeck/connection/pending_input.py
+++ b/hornbeamdeck/connection/pending_input.py
@@ -1,14 +1,31 @@
-"""Tells whether bytes have arrived on a socket that nobody reads now."""
+"""Tells what has arrived on a socket that nobody reads now."""
 
 import select
+from typing import Final
 
-from curio import socket
+from curio import sleep, socket
 
-__all__ = ('has_pending_input',)
+from hornbeamdeck.const import MILLIS_PER_SECOND
+
+__all__ = ('async_wait_closed', 'has_pending_input')
+
+# Interval at which a connection with unread input is checked for its end.
+CLOSE_POLL_MS: Final = 100
+_CLOSED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def has_pending_input(sock: socket.socket) -> bool:
     """Return whether there are bytes to read, or the other side has closed."""
+    return _poll(sock, select.POLLIN)
+
+
+async def async_wait_closed(sock: socket.socket) -> None:
+    """Return when the other side has closed, also behind unread bytes."""
+    while not _poll(sock, _CLOSED):
+        await sleep(CLOSE_POLL_MS / MILLIS_PER_SECOND)
+
+
+def _poll(sock: socket.socket, events: int) -> bool:
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
+    poll.register(sock.fileno(), events)
     return bool(poll.poll(0))
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -20,11 +20,15 @@
     ReadError,
 )
 from hornbeamdeck.connection.http import HttpRequest, join_headers
+from hornbeamdeck.connection.pending_input import async_wait_closed
 from hornbeamdeck.const import MEBIBYTE
 
 __all__ = ('GetLimits', 'ReadLimits', 'RequestReader')
 
 READ_BYTES: Final = 65_536
+# What is buffered of requests that a caller sends ahead. The rest stays in the
+# operating system, whose buffer then fills up, so that the caller has to wait.
+MAX_AHEAD_BYTES: Final = 16_384
 MAX_HEADER_BYTES: Final = 32_768
 METHOD_CONNECT: Final = b'CONNECT'
 # The limits of an idle connection are read again after so long. They may have
@@ -80,6 +84,8 @@
         self._protocol = protocol
         self._current_limits = limits
         self._limits = limits()
+        # Of the body, as far as the head states its length.
+        self._body_left = 0
 
     async def async_read(
         self, on_begun: Callable[[], None] | None = None
@@ -110,23 +116,20 @@
     async def async_wait_disconnected(self) -> None:
         """Return when the caller has disconnected.
 
-        Bytes of the next request that arrive meanwhile are buffered, up to the
-        largest body size and as long as there is room. A caller that pipelines
-        more than that is treated as disconnected.
+        Up to `MAX_AHEAD_BYTES` of the requests that follow are buffered,
+        including those that were received with the current one.
         """
-        buffered_bytes = 0
-        while buffered_bytes <= self._limits.max_body_bytes:
+        room_bytes = MAX_AHEAD_BYTES - self._buffered_bytes
+        while room_bytes > 0:
             try:
-                received = await self._sock.recv(READ_BYTES)
+                received = await self._sock.recv(room_bytes)
             except OSError:
                 return
             if not received:
                 return
-            buffered_bytes += len(received)
-            if not self._bodies.has_room(len(received)):
-                return
-            self._bodies.hold(len(received))
+            room_bytes -= len(received)
             self._protocol.receive_data(received)
+        await async_wait_closed(self._sock)
 
     async def async_discard_input(self) -> None:
         """Discard received bytes until the caller closes."""
@@ -134,6 +137,16 @@
         while received:
             received = await self._sock.recv(READ_BYTES)
 
+    @property
+    def _wanted_bytes(self) -> int:
+        """How many bytes to receive, so that few belong to later requests."""
+        return min(max(self._body_left, MAX_AHEAD_BYTES), READ_BYTES)
+
+    @property
+    def _buffered_bytes(self) -> int:
+        """Number of bytes that are received and not parsed."""
+        return len(self._protocol.trailing_data[0])
+
     async def _async_wait_begun(self) -> Result[None, ReadError]:
         since_ms = now_ms()
         left_ms = self._current_limits().idle_ms
@@ -150,14 +163,14 @@
                 return Err(CallerClosed())
 
     async def _async_wait_first_byte(self) -> Result[None, ReadError]:
-        if self._protocol.trailing_data[0]:
+        if self._buffered_bytes:
             return Ok(None)
         return await self._async_receive()
 
     async def _async_receive(self) -> Result[None, ReadError]:
         try:
             await self._async_send_continue()
-            received = await self._sock.recv(READ_BYTES)
+            received = await self._sock.recv(self._wanted_bytes)
         except OSError as error:
             return Err(ConnectionBroken(repr(error)))
         if not received and self._protocol.their_state is h11.IDLE:
@@ -196,7 +209,9 @@
         is_allowed = stated_bytes <= self._limits.max_body_bytes
         if is_allowed and not self._bodies.has_room(stated_bytes):
             return Err(_no_room())
+        self._body_left = stated_bytes
         body = await self._async_read_body()
+        self._body_left = 0
         return body.map(lambda read: _to_request(request, read))
 
     async def _async_read_body(self) -> Result[bytes, ReadError]:
@@ -208,6 +223,7 @@
             if not isinstance(event.ok_value, h11.Data):
                 return Ok(bytes(body))
             received = event.ok_value.data
+            self._body_left -= len(received)
             if not self._bodies.has_room(len(received)):
                 return Err(_no_room())
             self._bodies.hold(len(received))
@@ -229,8 +245,7 @@
             if isinstance(event, h11.Event):
                 return Ok(event)
             # The rest is the beginning of a head, a size line or trailers.
-            unparsed_bytes = len(self._protocol.trailing_data[0])
-            if unparsed_bytes > self._limits.max_header_bytes:
+            if self._buffered_bytes > self._limits.max_header_bytes:
                 return Err(
                     BadRequest(
                         HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
