Let other tasks run while a body arrives in tiny chunks

What callers saw: one client that sent a body in chunks of a byte occupied a process for up to 35 s; all other calls there, readiness too, had no answer. Cause: a chunk takes some 25 us in h11. Reading switches to other tasks only when there is nothing to read, and a client that sends faster than the process decodes always has more. The time limit of the request could not pass either, since it is delivered at such a switch. Change: the reader lets others run after 64 chunks, and after each part that it discards behind an error response. Why it works: no caller has more than 64 chunks, 2 ms, before others run.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -7,7 +7,7 @@
 from typing import Final, NamedTuple, TypeAlias
 
 import h11
-from curio import socket
+from curio import sleep, socket
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
@@ -30,6 +30,9 @@
 # operating system, whose buffer then fills up, so that the caller has to wait.
 MAX_AHEAD_BYTES: Final = 16_384
 MAX_HEADER_BYTES: Final = 32_768
+# A chunk of a body takes some 25 µs, however short it is. Other tasks run after
+# so many, also if the caller always has more to read.
+CHUNKS_PER_TURN: Final = 64
 METHOD_CONNECT: Final = b'CONNECT'
 # The limits of an idle connection are read again after so long. They may have
 # become shorter.
@@ -135,6 +138,8 @@
         """Discard received bytes until the caller closes."""
         received = await self._sock.recv(READ_BYTES)
         while received:
+            # A fast caller always has more to read.
+            await sleep(0)
             received = await self._sock.recv(READ_BYTES)
 
     @property
@@ -216,7 +221,11 @@
 
     async def _async_read_body(self) -> Result[bytes, ReadError]:
         body = bytearray()
+        chunks = 0
         while True:
+            chunks += 1
+            if not chunks % CHUNKS_PER_TURN:
+                await sleep(0)
             event = await self._async_next_event()
             if isinstance(event, Err):
                 return event
