Don't use a connection again after a response that was not taken

What callers saw: none did so far. A client that sends requests ahead and reads late would get the next response in the middle of the one before. Cause: h11 counts a response as sent as soon as it is encoded. When its caller took no more of it within 30 s, the connection still looked reusable; a request that was sent ahead was then answered behind the part that had been written. Change: a failed write marks the connection, which is closed after it. Evidence: test_no_response_follows_one_that_was_not_taken failed before (two requests begun, one allowed) and passes. Why it works: nothing is written after a part of a response.

--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -66,6 +66,8 @@
         self._sock = sock
         self._outlet: Outlet | None = None
         self._is_closing = False
+        # Whether a part of a response was not written.
+        self._is_broken = False
         self._is_head_request = False
         # The reader limits what is incomplete, as the limits may change.
         self._protocol = h11.Connection(
@@ -84,6 +86,7 @@
         return (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
+            and not self._is_broken
         )
 
     @property
@@ -219,6 +222,7 @@
                 WRITE_TIMEOUT_MS, self._sock.sendall(encoded)
             )
         except (OSError, TaskTimeout) as error:
+            self._is_broken = True
             return Err(ConnectionBroken(repr(error)))
         return Ok(None)
 
