Bound what the operating system holds of an accepted connection

What callers saw: a process on a machine with little memory may be ended though its own memory is small. Cause: the operating system takes what callers send before it is read, and responses before they are taken: 128 KB each way at first and megabytes later on. With many connections this is more than the process itself uses, and it counts toward the memory of the machine. Change: connections of others get buffers of 32 KB in each direction. Linux doubles the number for what it keeps beside the bytes. Why it works: the number of connections is limited, and now also what the operating system holds of each.

--- a/hornbeamdeck/connection/address.py
+++ b/hornbeamdeck/connection/address.py
@@ -24,6 +24,9 @@
 # The operating system would take 4 MB that the other side does not read. A
 # request would seem to have been sent, and the memory counts as this process's.
 MAX_UNSENT_BYTES: Final = 65_536
+# The same for an accepted connection, in each direction. There may be more than
+# a thousand of them.
+MAX_QUEUED_BYTES: Final = 32_768
 # Pause before another try to open a socket when the process may open no more.
 SOCKET_RETRY_MS: Final = 20
 _LOCAL_ERRORS: Final = frozenset(
@@ -130,6 +133,11 @@
     """
     sock = _new_socket(address)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit both.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_QUEUED_BYTES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_QUEUED_BYTES
+    )
     sock.bind(tuple(address))
     sock.listen(backlog)
     return sock
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -136,7 +136,9 @@
     run(_async_bear, listener, crowd, MEMORY_MB)
 
 
-@pytest.mark.parametrize('kind', ['without_route', 'with_route'])
+@pytest.mark.parametrize(
+    'kind', ['without_headers', 'without_route', 'with_route']
+)
 def test_many_callers_that_send_ahead_stay_within_the_memory(
     kind: str,
 ) -> None:
