Refuse a request whose id another one has at this instance

What callers saw: beside 600 callers that gave all their requests one id, the process had all of its 1,024 descriptors open, and an ordinary call got no answer. Cause: an instance and the owner keep what waits and runs by request id. All requests with one id share one entry: the first grant let all of them through, each to an engine and on a connection of its own, and the place was counted once. Those whose entry had been replaced waited until their deadline. Change: while a request with an id is in progress at an instance, further ones with that id are refused there: 503 id_in_use, not run, with Retry-After. Each attempt of a client has an id of its own, so no other client meets it. Why it works: an entry belongs to one request again. What is left: the same id at several instances at once, one request for each instance.

--- a/hornbeamdeck/request/gateway_handler.py
+++ b/hornbeamdeck/request/gateway_handler.py
@@ -16,6 +16,7 @@
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.outcome import NotRun
 from hornbeamdeck.request.refusal import (
+    id_in_use,
     instance_stops,
     too_many_connections,
 )
@@ -41,6 +42,23 @@
 
     :param run: runs a request that was admitted.
     """
+    running_ids: set[str] = set()
+
+    async def _async_run(
+        admission: GatewayAdmission, caller: ServerConnection
+    ) -> None:
+        # Owners and engines tell requests apart by their ids only.
+        request_id = admission.request.request_id
+        if request_id in running_ids:
+            await _async_refuse(
+                context, request_id, id_in_use(request_id), caller
+            )
+            return
+        running_ids.add(request_id)
+        try:
+            await run(admission, caller)
+        finally:
+            running_ids.discard(request_id)
 
     async def _async_answer(
         request: HttpRequest,
@@ -50,7 +68,7 @@
         if context.shutdown.is_requested or connections.is_crowded:
             caller.close_after_response()
         with context.track_in_flight():
-            await _async_admit(context, run, request, caller)
+            await _async_admit(context, _async_run, request, caller)
 
     return _async_answer
 
--- a/hornbeamdeck/request/refusal.py
+++ b/hornbeamdeck/request/refusal.py
@@ -14,6 +14,7 @@
     'deadline_passed',
     'engines_unreachable',
     'forbidden',
+    'id_in_use',
     'instance_stops',
     'refusal_from_owner',
     'platform_down',
@@ -125,6 +126,16 @@
     )
 
 
+def id_in_use(fingerprint: str) -> NotRun:
+    """Make the refusal for a request whose id another one has here now."""
+    return NotRun(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'id_in_use',
+        'another request with this id is in progress',
+        spread_retry_ms(fingerprint),
+    )
+
+
 def platform_down(fingerprint: str) -> NotRun:
     """Make the refusal for a call whose claim could not be created."""
     return NotRun(
