Let connections that wait for their caller make room for others

What callers saw: ordinary requests were refused or reset while a crowd kept all connections of an instance, each with a part of a request or a response that it did not read, for as long as the crowd came back. Cause: at the limit only connections between two requests could be ended. One in the middle of a request, for up to 15 s, or of a response, for up to 30 s, counted as busy, however little its caller did. Change: such a connection is ended for another one, the one that has waited for its caller for longest, a second at least; if there is nothing else, 50 ms. A part of a request is refused with 503 too_many_connections, which has not run. Requests that an instance works on stay; while there is room, nothing ends sooner than before. In test_connection_limit the test of unfinished requests failed before (503); the one of a slow request while there is room passes before and after. Why it works: a place at the limit belongs to requests that can go on.

--- a/hornbeamdeck/connection/connection_limit.py
+++ b/hornbeamdeck/connection/connection_limit.py
@@ -1,13 +1,14 @@
 """Limits the connections of one listener, by closing those that are idle.
 
-Three measures, in this order: when the limit is near, responses tell callers
-not to use their connection again. At the limit, each new connection ends one
-that is idle: one on which nothing was ever sent, or else the one that has been
-idle for longest. If none is idle, a few more are accepted, and their requests
-are refused.
+When the limit is near, responses tell callers not to use their connection
+again. At the limit, each new connection ends another one: one on which nothing
+was ever sent, or else the one that has been idle for longest, or has waited for
+longest for the rest of a request or until its caller takes a response. If there
+is none, a few more are accepted, and their requests are refused.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final, NamedTuple
 
 from curio import sleep, socket
@@ -35,6 +36,11 @@
     on_end: Callable[[], None]
 
 
+class _Waiting(NamedTuple):
+    since_ms: Callable[[], float]
+    on_end: Callable[[], None]
+
+
 class ConnectionLimit:
     """The open connections of one listener, and how many may be open."""
 
@@ -52,11 +58,15 @@
         # the longest idle first.
         self._new: dict[socket.socket, _Idle] = {}
         self._kept: dict[socket.socket, _Idle] = {}
+        # Connections that wait for their caller in the middle of a request or
+        # of its response.
+        self._waiting: dict[socket.socket, _Waiting] = {}
 
     @property
     def busy_count(self) -> int:
-        """Number of open connections that are not idle."""
-        return self.open_count - len(self._new) - len(self._kept)
+        """Number of open connections that do not wait for their caller."""
+        idle_count = len(self._new) + len(self._kept)
+        return self.open_count - idle_count - len(self._waiting)
 
     @property
     def is_crowded(self) -> bool:
@@ -83,10 +93,46 @@
         idle[sock] = _Idle(now_ms(), on_end)
 
     def leave_idle(self, sock: socket.socket) -> None:
-        """Record that a connection has received bytes, or is closed."""
+        """Record that a connection has received bytes."""
         self._new.pop(sock, None)
         self._kept.pop(sock, None)
 
+    def enter_waiting(
+        self,
+        sock: socket.socket,
+        on_end: Callable[[], None],
+        since_ms: Callable[[], float],
+    ) -> None:
+        """Record that a connection waits for its caller to send or to read.
+
+        :param on_end: called if the connection is to end for others.
+        :param since_ms: returns when the caller last did so.
+        """
+        self._waiting[sock] = _Waiting(since_ms, on_end)
+
+    def leave_waiting(self, sock: socket.socket) -> None:
+        """Record that a connection does not wait for its caller."""
+        self._waiting.pop(sock, None)
+
+    @contextmanager
+    def waiting(
+        self,
+        sock: socket.socket,
+        on_end: Callable[[], None],
+        since_ms: Callable[[], float],
+    ) -> Iterator[None]:
+        """Record for a while that a connection waits, as `enter_waiting`."""
+        self.enter_waiting(sock, on_end, since_ms)
+        try:
+            yield
+        finally:
+            self.leave_waiting(sock)
+
+    def forget(self, sock: socket.socket) -> None:
+        """Record that a connection is about to be closed."""
+        self.leave_idle(sock)
+        self.leave_waiting(sock)
+
     async def async_add(self) -> bool:
         """Count a new connection, and make room for it.
 
@@ -112,16 +158,42 @@
 
         :returns: whether the new connection may stay open.
         """
-        if await self._async_end_first(self._kept, MIN_IDLE_MS):
+        if await self._async_end_any(MIN_IDLE_MS, MIN_IDLE_MS):
             return True
         if not self._exceeds(self.open_count - MAX_SURPLUS):
             return True
-        if await self._async_end_first(self._kept, 0):
+        if await self._async_end_any(0, NEW_MS):
             return True
         self.open_count -= 1
         self.closed_count += 1
         return False
 
+    async def _async_end_any(
+        self, min_idle_ms: float, min_waiting_ms: float
+    ) -> bool:
+        """End a connection that is idle, or else one that waits."""
+        return await self._async_end_first(
+            self._kept, min_idle_ms
+        ) or await self._async_end_waiting(min_waiting_ms)
+
+    async def _async_end_waiting(self, min_waiting_ms: float) -> bool:
+        """End the connection that has waited for its caller for longest.
+
+        :param min_waiting_ms: only if it has waited for so long.
+        :returns: whether there was one.
+        """
+        if not self._waiting:
+            return False
+        sock, waiting = min(
+            self._waiting.items(), key=lambda each: each[1].since_ms()
+        )
+        if waiting.since_ms() > now_ms() - min_waiting_ms:
+            return False
+        self.leave_waiting(sock)
+        self.closed_count += 1
+        await _async_end(sock, waiting.on_end)
+        return True
+
     async def _async_end_first(
         self, idle: dict[socket.socket, _Idle], min_idle_ms: float
     ) -> bool:
@@ -137,7 +209,7 @@
             idle.pop(sock, None)
             if not has_pending_input(sock):
                 self.closed_count += 1
-                await _async_end(sock, each)
+                await _async_end(sock, each.on_end)
                 return True
         return False
 
@@ -147,9 +219,9 @@
         return count > share * self._most(self.open_count)
 
 
-async def _async_end(sock: socket.socket, idle: _Idle) -> None:
+async def _async_end(sock: socket.socket, on_end: Callable[[], None]) -> None:
     """Let the task that reads from a connection find its end, and close it."""
-    idle.on_end()
+    on_end()
     try:
         await sock.shutdown(socket.SHUT_RD)
     except OSError:
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -23,7 +23,7 @@
 from hornbeamdeck.connection.pending_input import async_wait_closed
 from hornbeamdeck.const import MEBIBYTE
 
-__all__ = ('GetLimits', 'ReadLimits', 'RequestReader')
+__all__ = ('GetLimits', 'OnBegun', 'ReadLimits', 'RequestReader')
 
 READ_BYTES: Final = 65_536
 # What is buffered of requests that a caller sends ahead. The rest stays in the
@@ -64,6 +64,8 @@
 
 # Returns the limits in force now.
 GetLimits: TypeAlias = Callable[[], ReadLimits]
+# Called when a request begins, with what refuses it while it is incomplete.
+OnBegun: TypeAlias = Callable[[Callable[[], None]], None]
 
 
 class RequestReader:
@@ -87,11 +89,12 @@
         self._protocol = protocol
         self._current_limits = limits
         self._limits = limits()
+        self._is_refused = False
         # Of the body, as far as the head states its length.
         self._body_left = 0
 
     async def async_read(
-        self, on_begun: Callable[[], None] | None = None
+        self, on_begun: OnBegun | None = None
     ) -> Result[HttpRequest, ReadError]:
         """Read one complete request.
 
@@ -107,7 +110,7 @@
             return first_byte
         self._limits = self._current_limits()
         if on_begun is not None:
-            on_begun()
+            on_begun(self._refuse)
         try:
             return await async_with_timeout(
                 self._limits.request_ms,
@@ -152,6 +155,9 @@
         """Number of bytes that are received and not parsed."""
         return len(self._protocol.trailing_data[0])
 
+    def _refuse(self) -> None:
+        self._is_refused = True
+
     async def _async_wait_begun(self) -> Result[None, ReadError]:
         since_ms = now_ms()
         left_ms = self._current_limits().idle_ms
@@ -178,6 +184,8 @@
             received = await self._sock.recv(self._wanted_bytes)
         except OSError as error:
             return Err(ConnectionBroken(repr(error)))
+        if not received and self._is_refused:
+            return Err(_no_connection())
         if not received and self._protocol.their_state is h11.IDLE:
             return Err(CallerClosed())
         self._protocol.receive_data(received)
@@ -285,6 +293,15 @@
     )
 
 
+def _no_connection() -> BadRequest:
+    return BadRequest(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'this instance has no more connections for callers',
+        'too_many_connections',
+        NO_ROOM_RETRY_MS,
+    )
+
+
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = join_headers(head.headers)
     target = head.target.decode('ascii')
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -7,6 +7,7 @@
 from curio import Task, current_task, socket, spawn
 from result import Err
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.byte_account import ByteAccount
 from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.errors import BadRequest, ReadError
@@ -40,14 +41,14 @@
     :param bodies: counts the bytes that are held of them.
     :param connections: the connections of the listener; ends idle ones.
     """
-    connection = ServerConnection(sock, limits, bodies)
     used_connections = connections or ConnectionLimit()
+    connection = ServerConnection(sock, limits, bodies, used_connections)
     try:
         await _async_serve(
             connection, handle_request, to_error_response, used_connections
         )
     finally:
-        used_connections.leave_idle(sock)
+        used_connections.forget(sock)
         if bodies is not None:
             bodies.drop()
 
@@ -58,13 +59,14 @@
     to_error_response: ErrorResponseBuilder,
     connections: ConnectionLimit,
 ) -> None:
-    on_begun = partial(connections.leave_idle, connection.sock)
+    on_begun = partial(_enter_reading, connection.sock, connections)
     is_new = True
     while True:
         connections.enter_idle(
             connection.sock, connection.close_after_response, is_new=is_new
         )
         request = await connection.async_read_request(on_begun)
+        connections.leave_waiting(connection.sock)
         if isinstance(request, Err):
             await _async_handle_read_error(
                 connection, request.err_value, to_error_response
@@ -77,6 +79,16 @@
         is_new = False
 
 
+def _enter_reading(
+    sock: socket.socket,
+    connections: ConnectionLimit,
+    refuse: Callable[[], None],
+) -> None:
+    begun_ms = now_ms()
+    connections.leave_idle(sock)
+    connections.enter_waiting(sock, refuse, lambda: begun_ms)
+
+
 async def _async_handle_read_error(
     connection: ServerConnection,
     error: ReadError,
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -2,7 +2,6 @@
 
 import struct
 import sys
-from collections.abc import Callable
 from typing import Final, Protocol
 
 import h11
@@ -10,8 +9,9 @@
 from curio.errors import TaskTimeout
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_with_timeout
+from hornbeamdeck.clock import async_with_timeout, now_ms
 from hornbeamdeck.connection.byte_account import ByteAccount
+from hornbeamdeck.connection.connection_limit import ConnectionLimit
 from hornbeamdeck.connection.errors import ConnectionBroken, ReadError
 from hornbeamdeck.connection.http import (
     Headers,
@@ -21,6 +21,7 @@
 )
 from hornbeamdeck.connection.reader import (
     GetLimits,
+    OnBegun,
     ReadLimits,
     RequestReader,
 )
@@ -57,12 +58,16 @@
         sock: socket.socket,
         limits: GetLimits = ReadLimits,
         bodies: ByteAccount | None = None,
+        connections: ConnectionLimit | None = None,
     ) -> None:
         """Use a connected socket.
 
         :param limits: on the caller's requests, called when one begins.
         :param bodies: counts the bytes of requests; `None`: nothing does.
+        :param connections: of the listener; told while this one waits until
+            its caller reads.
         """
+        self.connections = connections or ConnectionLimit()
         self._sock = sock
         self._outlet: Outlet | None = None
         self._is_closing = False
@@ -116,7 +121,7 @@
         self._protocol.start_next_cycle()
 
     async def async_read_request(
-        self, on_begun: Callable[[], None] | None = None
+        self, on_begun: OnBegun | None = None
     ) -> Result[HttpRequest, ReadError]:
         """Read one complete request.
 
@@ -217,10 +222,14 @@
     ) -> Result[None, ConnectionBroken]:
         if self._outlet is not None:
             return await self._outlet.async_write(encoded, is_last=is_last)
+        begun_ms = now_ms()
         try:
-            await async_with_timeout(
-                WRITE_TIMEOUT_MS, self._sock.sendall(encoded)
-            )
+            with self.connections.waiting(
+                self._sock, self.reset_on_close, lambda: begun_ms
+            ):
+                await async_with_timeout(
+                    WRITE_TIMEOUT_MS, self._sock.sendall(encoded)
+                )
         except (OSError, TaskTimeout) as error:
             self._is_broken = True
             return Err(ConnectionBroken(repr(error)))
--- a/hornbeamdeck/memory/spool.py
+++ b/hornbeamdeck/memory/spool.py
@@ -88,13 +88,14 @@
         # How long the engine was not read since there was no room.
         self.held_back_ms = 0.0
         self.is_complete = False
+        # When the caller has last read of what is held.
+        self.progressed_ms = 0.0
         self._sock = sock
         self._room = room
         self._chunks: deque[bytearray] = deque()
         self._progress = Event()
         self._writer: Task | None = None
         self._held_since_ms = 0.0
-        self._progressed_ms = 0.0
         self._grown_ms = 0.0
         self._is_waiting = False
         self._taken_bytes = 0
@@ -113,7 +114,7 @@
 
     def stalled_ms(self, now: float) -> float:
         """Return for how long the caller has read nothing of what is held."""
-        return now - self._progressed_ms if self.held_bytes else 0
+        return now - self.progressed_ms if self.held_bytes else 0
 
     def is_growing(self, now: float) -> bool:
         """Return whether more is about to be held than is held now."""
@@ -161,7 +162,7 @@
         :param stall_ms: how long it may then read nothing.
         """
         while self.held_bytes and self.broken is None:
-            end_ms = max(until_ms, self._progressed_ms + stall_ms)
+            end_ms = max(until_ms, self.progressed_ms + stall_ms)
             if now_ms() >= end_ms:
                 self.break_off('the caller does not read its response')
                 break
@@ -201,7 +202,7 @@
     async def _async_hold(self, unsent: bytes | memoryview) -> None:
         if not self.held_bytes:
             self._held_since_ms = now_ms()
-            self._progressed_ms = self._held_since_ms
+            self.progressed_ms = self._held_since_ms
             self._taken_bytes = 0
         if not self._chunks or len(self._chunks[-1]) > CHUNK_BYTES:
             self._chunks.append(bytearray())
@@ -251,7 +252,7 @@
         while unsent:
             sent = await self._sock.send(unsent)
             unsent = unsent[sent:]
-            self._progressed_ms = now_ms()
+            self.progressed_ms = now_ms()
             self._taken_bytes += sent
             self._count_taken(sent)
             await self._progress.set()
--- a/hornbeamdeck/request/response_delivery.py
+++ b/hornbeamdeck/request/response_delivery.py
@@ -1,5 +1,6 @@
 """Delivers a response to its caller after its run has ended."""
 
+from contextlib import AbstractContextManager
 from http import HTTPStatus
 from typing import Final, Self
 
@@ -101,18 +102,27 @@
 
         :returns: the failure if the caller does not read it.
         """
-        flushed = await self._spool.async_flush(
-            self._deadline_ms, MAX_UNREAD_MS
-        )
+        with self._wait_until_taken():
+            flushed = await self._spool.async_flush(
+                self._deadline_ms, MAX_UNREAD_MS
+            )
         return self.failure() if isinstance(flushed, Err) else None
 
     async def async_break_off(self) -> None:
         """Wait until the caller has read what there is of a response."""
         stall_ms = self._spool.terms.stall_ms
-        flushed = await self._spool.async_flush(self._deadline_ms, stall_ms)
-        if isinstance(flushed, Ok):
-            until_ms = max(self._deadline_ms, now_ms() + stall_ms)
-            await self._spool.async_flush_socket(until_ms)
+        with self._wait_until_taken():
+            flushed = await self._spool.async_flush(self._deadline_ms, stall_ms)
+            if isinstance(flushed, Ok):
+                until_ms = max(self._deadline_ms, now_ms() + stall_ms)
+                await self._spool.async_flush_socket(until_ms)
+
+    def _wait_until_taken(self) -> AbstractContextManager[None]:
+        """Let the connection end for others while its caller reads nothing."""
+        caller, spool = self._caller, self._spool
+        return caller.connections.waiting(
+            caller.sock, caller.reset_on_close, lambda: spool.progressed_ms
+        )
 
 
 def open_delivery(
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -167,3 +167,33 @@
     await sleep(0.1)
     assert connections.open_count == 0
     assert connections.busy_count == 0
+
+
+@_on_limited_listener
+async def test_unfinished_requests_make_room_for_others(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against callers that keep a place with a part of a request."""
+    flood = await _async_flood(address, opened, MOST)
+    for each in flood:
+        await each.sendall(ENCODED[:-1])
+    await sleep(LONG_IDLE_S)
+    assert (await async_fetch(address, REQUEST)).status == 200
+    refused = await async_with_timeout(TIMEOUT_MS, flood[0].recv(READ_BYTES))
+    assert refused.startswith(b'HTTP/1.1 503')
+    assert connections.open_count <= MOST + 1
+
+
+@_on_limited_listener
+async def test_requests_that_arrive_slowly_are_read_while_there_is_room(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against a slow caller that is refused without a need."""
+    slow = (await _async_flood(address, opened, 1))[0]
+    await slow.sendall(ENCODED[:-1])
+    await sleep(LONG_IDLE_S)
+    assert (await async_fetch(address, REQUEST)).status == 200
+    await slow.sendall(ENCODED[-1:])
+    answered = await async_with_timeout(TIMEOUT_MS, slow.recv(READ_BYTES))
+    assert answered.startswith(b'HTTP/1.1 200')
+    assert not connections.closed_count
