Bound the bytes of buffered log lines, not their number only

What callers saw: none did so far; with a stalled log collector a process grew by what callers had sent. Cause: the buffer holds 2,000 lines, and a line on a refused request holds its id, which may be as long as a head: 16 KB by default, 29 MB for a full buffer. Change: 2 MB of lines are buffered; a tenth of it is kept for lines that are not on single requests. What does not fit is dropped and counted, as before. Why it works: neither the number nor the length of lines sets the size.

--- a/hornbeamdeck/observability/log_buffer.py
+++ b/hornbeamdeck/observability/log_buffer.py
@@ -7,13 +7,16 @@
 
 from curio import sleep
 
-from hornbeamdeck.const import ENCODING, MILLIS_PER_SECOND
+from hornbeamdeck.const import ENCODING, MEBIBYTE, MILLIS_PER_SECOND
 
 __all__ = ('LogBuffer',)
 
 MAX_LINES: Final = 2000
-# Part of `MAX_LINES` that lines on single requests don't use.
+# Lines on single requests hold what callers have sent.
+MAX_BYTES: Final = 2 * MEBIBYTE
+# Parts of both that lines on single requests don't use.
 RESERVED_LINES: Final = 200
+RESERVED_BYTES: Final = MAX_BYTES // 10
 REQUEST_MARK: Final = '"request_id"'
 CHUNK_BYTES: Final = 16_384
 FLUSH_MS: Final = 100
@@ -25,7 +28,7 @@
 
     If the log collector stops reading, the pipe fills up, and a blocking write
     would stop the whole process while it serves requests. Lines beyond
-    `MAX_LINES` are dropped and counted instead.
+    `MAX_LINES` or `MAX_BYTES` are dropped and counted instead.
 
     An overloaded owner refuses more requests a second than a collector reads.
     Its lines on the load and on what it believes explain these refusals, so
@@ -40,6 +43,7 @@
         self._on_dropped = on_dropped
         self._incomplete = ''
         self._unwritten = b''
+        self._buffered_bytes = 0
         self._state_lines: deque[bytes] = deque()
         self._request_lines: deque[bytes] = deque()
         os.set_blocking(STDOUT, False)
@@ -51,12 +55,12 @@
             return len(text)
         line = self._incomplete
         self._incomplete = ''
-        buffered = len(self._state_lines) + len(self._request_lines)
-        lines, limit = self._state_lines, MAX_LINES
-        if REQUEST_MARK in line:
-            lines, limit = self._request_lines, MAX_LINES - RESERVED_LINES
-        if buffered < limit:
-            lines.append(line.encode(ENCODING, 'replace'))
+        encoded = line.encode(ENCODING, 'replace')
+        is_on_request = REQUEST_MARK in line
+        if self._has_room(len(encoded), is_on_request=is_on_request):
+            lines = self._request_lines if is_on_request else self._state_lines
+            lines.append(encoded)
+            self._buffered_bytes += len(encoded)
         else:
             self._on_dropped()
         return len(text)
@@ -79,12 +83,21 @@
             await sleep(FLUSH_MS / MILLIS_PER_SECOND)
             self.write_out()
 
+    def _has_room(self, line_bytes: int, *, is_on_request: bool) -> bool:
+        count = len(self._state_lines) + len(self._request_lines)
+        wanted_bytes = self._buffered_bytes + line_bytes
+        if is_on_request:
+            count += RESERVED_LINES
+            wanted_bytes += RESERVED_BYTES
+        return count < MAX_LINES and wanted_bytes <= MAX_BYTES
+
     def _next_chunk(self) -> bytes:
         """Take the next lines, few enough not to delay later state lines."""
         chunk = b''
         for lines in (self._state_lines, self._request_lines):
             while lines and len(chunk) < CHUNK_BYTES:
                 chunk += lines.popleft()
+        self._buffered_bytes -= len(chunk)
         return chunk
 
 
