Keep messages of libraries off standard error

What callers saw: none did so far. A process whose standard error is a pipe that nobody reads would stop, and all its requests with it. Cause: curio logs with the standard library, which nobody had set up, so that Python wrote its messages to standard error and waited until they were taken. Under load it warns of each operation that ends after its time limit: beside a crowd of 600 callers these were hundreds of lines a second. Change: errors that curio logs become lines of the structured log, which never waits; its warnings are left out. Evidence: test_logs failed before (both messages on standard error) and passes. The stop itself was not played.

--- a/hornbeamdeck/observability/logs.py
+++ b/hornbeamdeck/observability/logs.py
@@ -9,10 +9,12 @@
 
 __all__ = ('age_for_log', 'setup_logs')
 
+MAX_LIBRARY_CHARS: Final = 500
 # Logged as the age of a freshness confirmation that was never received.
 MAX_LOGGED_AGE_MS: Final = 1_000_000
 
 _LEVELS: Final = logging.getLevelNamesMapping()
+_LOGGER = structlog.get_logger(prefix='library')
 
 
 class LineStream(Protocol):
@@ -25,6 +27,23 @@
         """Flush buffered text."""
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log to the structured log.
+
+    Without a handler, Python writes it to standard error. A process whose
+    standard error is not read would stop there.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one message."""
+        _LOGGER.error(
+            'message of a library',
+            library=record.name,
+            text=record.getMessage()[:MAX_LIBRARY_CHARS],
+            exc_info=record.exc_info,
+        )
+
+
 def _add_prefix(
     _logger: object,
     _method: str,
@@ -44,6 +63,11 @@
 
     :param stream: the output stream; standard error by default.
     """
+    # Under load, curio warns of each operation that ends after its time limit.
+    library = logging.getLogger('curio')
+    library.setLevel(logging.ERROR)
+    library.handlers = [_LibraryHandler()]
+    library.propagate = False
     structlog.contextvars.bind_contextvars(instance_id=instance_id)
     structlog.configure(
         processors=[
