Return an error when a peer ends in the middle of a handshake

What callers saw: none did so far; a request that looked for a tunnel at that moment would have ended without a response. At the listener, each stranger that reset its connection left a traceback in the log. Change: the error is returned like any other broken connection. Evidence: test_peer_that_ends_in_its_handshake_is_an_error raised BrokenPipeError before, for both sides, and passes.

--- a/hornbeamdeck/connection/peer.py
+++ b/hornbeamdeck/connection/peer.py
@@ -126,6 +126,8 @@
             )
         except TaskTimeout:
             return Err(ConnectionBroken('handshake exceeded its time limit'))
+        except OSError as error:
+            return Err(ConnectionBroken(repr(error)))
 
     async def async_send(self, message: Message) -> None:
         """Queue a message without waiting for the peer."""
--- a/tests/connection/test_peer.py
+++ b/tests/connection/test_peer.py
@@ -3,6 +3,7 @@
 import pytest
 from curio import run, socket, spawn
 
+from hornbeamdeck.connection.errors import ConnectionBroken
 from hornbeamdeck.connection.peer import PeerConnection, PeerIdentity
 from hornbeamdeck.hybrid_clock import HybridClock
 from hornbeamdeck.memory.budget import MemoryBudget, Purpose
@@ -69,3 +70,20 @@
         await writer.cancel()
 
     run(_async_scenario)
+
+
+@pytest.mark.parametrize('is_caller', [True, False])
+def test_peer_that_ends_in_its_handshake_is_an_error(
+    *, is_caller: bool
+) -> None:
+    """Guards against a request that ends with the handshake of a tunnel."""
+
+    async def _async_scenario() -> None:
+        sock, peer_sock = socket.socketpair()
+        async with sock:
+            await peer_sock.close()
+            connection = PeerConnection(sock, _identity(MemoryBudget(1)))
+            ended = await connection.async_handshake(is_caller=is_caller)
+            assert isinstance(ended.unwrap_err(), ConnectionBroken)
+
+    run(_async_scenario)
