Log refused strangers at the peer address once a second

What callers saw: none did so far. A stranger at the address for other instances left a warning for each connection, with a part of what it had sent. These lines count as lines on the state of the process and take the place of others. Cause: each refused handshake was logged with its whole cause. Change: one line a second, with the number refused since the last one and the first 200 characters of the cause. Evidence: the new test failed before (40 lines for 40 strangers) and passes (1). Why it works: neither the number nor the bytes of strangers set the volume.

--- a/hornbeamdeck/membership/peer_server.py
+++ b/hornbeamdeck/membership/peer_server.py
@@ -1,13 +1,15 @@
 """Serves incoming connections of peers."""
 
 import itertools
+import math
 from collections.abc import Awaitable, Callable
-from typing import TypeAlias, TypeVar
+from typing import Final, TypeAlias, TypeVar
 
 import structlog
 from curio import socket
 from result import Err
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.handshake_limit import HandshakeLimit
 from hornbeamdeck.connection.listener import ServeConnection
 from hornbeamdeck.connection.peer import (
@@ -36,11 +38,39 @@
 
 _LOGGER = structlog.get_logger(prefix='peers')
 
+LOG_INTERVAL_MS: Final = 1000
+MAX_LOGGED_CHARS: Final = 200
+
 _Configuration = TypeVar('_Configuration', bound=VersionedDocument)
 OnOtherMessage: TypeAlias = Callable[[str, Message, Deliver], Awaitable[None]]
 ServeTunnel: TypeAlias = Callable[[PeerConnection, OpenTunnel], Awaitable[None]]
 
 
+class _RefusalLog:
+    """Logs connections that are refused, one line for many of them."""
+
+    def __init__(self) -> None:
+        self._refused = 0
+        self._logged_ms = -math.inf
+
+    def record(self, cause: str) -> None:
+        """Record a connection that is refused.
+
+        :param cause: may hold what a stranger has sent.
+        """
+        self._refused += 1
+        now = now_ms()
+        if now - self._logged_ms < LOG_INTERVAL_MS:
+            return
+        _LOGGER.warning(
+            'peer refused',
+            cause=cause[:MAX_LOGGED_CHARS],
+            refused=self._refused,
+        )
+        self._refused = 0
+        self._logged_ms = now
+
+
 def make_peer_server(
     identity: PeerIdentity,
     scheduler: Scheduler,
@@ -59,6 +89,7 @@
     :param handshakes: told of each handshake that has ended.
     """
     used_handshakes = handshakes or HandshakeLimit()
+    refusals = _RefusalLog()
     serve_messages = _make_message_server(
         scheduler, follower, snapshots, on_other
     )
@@ -70,7 +101,7 @@
         finally:
             used_handshakes.end_handshake()
         if isinstance(authenticated, Err):
-            _LOGGER.warning('peer refused', cause=authenticated.err_value.cause)
+            refusals.record(authenticated.err_value.cause)
             return
         first = await connection.async_receive()
         if isinstance(first, Err):
