Let short bodies in while a few long ones hold the memory

What callers saw: one client that left a body of 4 MB unfinished kept a process with little memory (memory_mb 96; five clients at 222) from reading any other body, of two bytes too, for up to 15 s: 503 no_memory, as often as it came back. Cause: all bodies share one allowance, and a body has its place in it until the request ends, however slowly it comes. Change: a body of up to 16 KB always has room. A longer one that finds none takes the place of the request that has come in, or of the response that has waited to be taken, for longest, a second at least. What is refused so has not run: 503 slow_request with Retry-After, also at the limit of connections, where it was called too_many_connections. Evidence: test_unfinished_large_bodies_leave_other_callers_served failed before for bodies of 2 and 100,000 bytes (503), twice each, and passes. The test of a request without room for its body sent two bytes, which now have room: it sends 20,000 and expects the same refusal, and that two bytes are served meanwhile. Why it works: what is always let in is bounded by the number of connections (16 KB each), and slow callers can't keep the rest.

--- a/hornbeamdeck/connection/connection_limit.py
+++ b/hornbeamdeck/connection/connection_limit.py
@@ -149,6 +149,26 @@
             await sleep(POLL_MS / MILLIS_PER_SECOND)
         return True
 
+    async def async_end_waiting(
+        self, min_waiting_ms: float = MIN_IDLE_MS
+    ) -> bool:
+        """End the connection that has waited for its caller for longest.
+
+        :param min_waiting_ms: only if it has waited for so long.
+        :returns: whether there was one.
+        """
+        if not self._waiting:
+            return False
+        sock, waiting = min(
+            self._waiting.items(), key=lambda each: each[1].since_ms()
+        )
+        if waiting.since_ms() > now_ms() - min_waiting_ms:
+            return False
+        self.leave_waiting(sock)
+        self.closed_count += 1
+        await _async_end(sock, waiting.on_end)
+        return True
+
     def remove(self) -> None:
         """Count a connection that is closed."""
         self.open_count -= 1
@@ -174,25 +194,7 @@
         """End a connection that is idle, or else one that waits."""
         return await self._async_end_first(
             self._kept, min_idle_ms
-        ) or await self._async_end_waiting(min_waiting_ms)
-
-    async def _async_end_waiting(self, min_waiting_ms: float) -> bool:
-        """End the connection that has waited for its caller for longest.
-
-        :param min_waiting_ms: only if it has waited for so long.
-        :returns: whether there was one.
-        """
-        if not self._waiting:
-            return False
-        sock, waiting = min(
-            self._waiting.items(), key=lambda each: each[1].since_ms()
-        )
-        if waiting.since_ms() > now_ms() - min_waiting_ms:
-            return False
-        self.leave_waiting(sock)
-        self.closed_count += 1
-        await _async_end(sock, waiting.on_end)
-        return True
+        ) or await self.async_end_waiting(min_waiting_ms)
 
     async def _async_end_first(
         self, idle: dict[socket.socket, _Idle], min_idle_ms: float
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple, TypeAlias
 
@@ -21,7 +21,7 @@
 )
 from hornbeamdeck.connection.http import HttpRequest, join_headers
 from hornbeamdeck.connection.pending_input import async_wait_closed
-from hornbeamdeck.const import MEBIBYTE
+from hornbeamdeck.const import MEBIBYTE, MILLIS_PER_SECOND
 
 __all__ = ('GetLimits', 'OnBegun', 'ReadLimits', 'RequestReader')
 
@@ -43,6 +43,11 @@
 )
 # Bodies are dropped within seconds; another instance may have room at once.
 NO_ROOM_RETRY_MS: Final = 500
+# There is always room for a body of this length, so that a few long ones do not
+# keep out all others.
+MIN_ROOM_BYTES: Final = 16_384
+# In this time, the task of a connection that was ended drops what it holds.
+ROOM_WAIT_MS: Final = 20
 
 
 class ReadLimits(NamedTuple):
@@ -66,6 +71,7 @@
 GetLimits: TypeAlias = Callable[[], ReadLimits]
 # Called when a request begins, with what refuses it while it is incomplete.
 OnBegun: TypeAlias = Callable[[Callable[[], None]], None]
+AsyncEndOther: TypeAlias = Callable[[], Awaitable[bool]]
 
 
 class RequestReader:
@@ -77,14 +83,18 @@
         protocol: h11.Connection,
         limits: GetLimits,
         bodies: ByteAccount | None = None,
+        end_other: AsyncEndOther | None = None,
     ) -> None:
         """Share the socket and the protocol state with the sending half.
 
         :param limits: called when a request begins, for the limits that apply
             to it, and while the connection is idle.
         :param bodies: counts the bytes of the body that is held.
+        :param end_other: ends a connection whose caller is slow, to make room
+            for a body; returns whether there was one.
         """
         self._bodies = bodies or Unlimited()
+        self._end_other = end_other
         self._sock = sock
         self._protocol = protocol
         self._current_limits = limits
@@ -185,7 +195,7 @@
         except OSError as error:
             return Err(ConnectionBroken(repr(error)))
         if not received and self._is_refused:
-            return Err(_no_connection())
+            return Err(_displaced())
         if not received and self._protocol.their_state is h11.IDLE:
             return Err(CallerClosed())
         self._protocol.receive_data(received)
@@ -220,7 +230,9 @@
             )
         stated_bytes = _stated_length(request)
         is_allowed = stated_bytes <= self._limits.max_body_bytes
-        if is_allowed and not self._bodies.has_room(stated_bytes):
+        if is_allowed and not await self._async_has_room(
+            stated_bytes, stated_bytes
+        ):
             return Err(_no_room())
         self._body_left = stated_bytes
         body = await self._async_read_body()
@@ -241,7 +253,9 @@
                 return Ok(bytes(body))
             received = event.ok_value.data
             self._body_left -= len(received)
-            if not self._bodies.has_room(len(received)):
+            if not await self._async_has_room(
+                len(body) + len(received), len(received)
+            ):
                 return Err(_no_room())
             self._bodies.hold(len(received))
             body += received
@@ -253,6 +267,18 @@
                     ),
                 )
 
+    async def _async_has_room(self, body_bytes: int, wanted_bytes: int) -> bool:
+        """Return whether a body may be so long; make room for it if needed.
+
+        :param wanted_bytes: how many of them are not held yet.
+        """
+        if body_bytes <= MIN_ROOM_BYTES or self._bodies.has_room(wanted_bytes):
+            return True
+        if self._end_other is None or not await self._end_other():
+            return False
+        await sleep(ROOM_WAIT_MS / MILLIS_PER_SECOND)
+        return self._bodies.has_room(wanted_bytes)
+
     async def _async_next_event(self) -> Result[h11.Event, ReadError]:
         while True:
             try:
@@ -293,11 +319,11 @@
     )
 
 
-def _no_connection() -> BadRequest:
+def _displaced() -> BadRequest:
     return BadRequest(
         HTTPStatus.SERVICE_UNAVAILABLE,
-        'this instance has no more connections for callers',
-        'too_many_connections',
+        'the request came slowly, and others needed its place',
+        'slow_request',
         NO_ROOM_RETRY_MS,
     )
 
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -78,7 +78,13 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
-        self._reader = RequestReader(sock, self._protocol, limits, bodies)
+        self._reader = RequestReader(
+            sock,
+            self._protocol,
+            limits,
+            bodies,
+            self.connections.async_end_waiting,
+        )
 
     @property
     def sock(self) -> socket.socket:
