Bound the bodies that a plain instance holds

What callers saw: none did so far; callers of `hornbeamdeck serve` could make it hold 4 MB on each connection, gigabytes together. Cause: request bodies were counted in a gateway only, and what the reader refuses for want of room lost its code and its Retry-After there. Change: the plain instance counts bodies, 32 MB together; its refusals have the code and the time of the reader. Evidence: test_instance_without_room_for_a_body_refuses_it passes; before, there was nothing to count with. What it holds of responses is still not counted. Why it works: the reader asks for room before it reads on, as in a gateway.

--- a/hornbeamdeck/process/instance.py
+++ b/hornbeamdeck/process/instance.py
@@ -163,6 +163,7 @@
                 sock,
                 respond,
                 refuse_unreadable,
+                bodies=self.components.open_body_account(),
                 connections=self.connections.callers,
             )
 
--- a/hornbeamdeck/process/instance_components.py
+++ b/hornbeamdeck/process/instance_components.py
@@ -15,6 +15,7 @@
 )
 from hornbeamdeck.membership.membership_sync import MembershipSync
 from hornbeamdeck.membership.peers import Peers
+from hornbeamdeck.memory.budget import Account, MemoryBudget, Purpose
 from hornbeamdeck.observability.metrics import Metrics
 from hornbeamdeck.ownership.baseline_policies import (
     LoadReports,
@@ -60,6 +61,7 @@
     identity: PeerIdentity
     snapshots: Snapshots[Configuration]
     policy: Policy
+    memory: MemoryBudget
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Self:
@@ -104,8 +106,13 @@
                 _make_policy(settings.policy, grants, follower, reports),
                 metrics,
             ),
+            memory=MemoryBudget.from_settings(None),
         )
 
+    def open_body_account(self) -> Account:
+        """Make what counts the request bodies of one connection."""
+        return self.memory.open_account(Purpose.REQUEST_BODIES)
+
 
 def _own_status(settings: Settings) -> InstanceStatus:
     return InstanceStatus(
--- a/hornbeamdeck/request/router.py
+++ b/hornbeamdeck/request/router.py
@@ -24,7 +24,6 @@
 from hornbeamdeck.request.endpoints import RouterContext, answer_own_endpoint
 from hornbeamdeck.request.outcome import NotRun, to_response
 from hornbeamdeck.request.refusal import (
-    bad_request,
     instance_stops,
     too_many_connections,
 )
@@ -100,5 +99,5 @@
 
 def refuse_unreadable(bad: BadRequest) -> HttpResponse:
     """Make the response to a request that can't be parsed."""
-    refusal = bad_request(bad.detail, 'unreadable')._replace(status=bad.status)
+    refusal = NotRun(bad.status, bad.code, bad.detail, bad.retry_after_ms)
     return to_response(refusal, make_request_id())
