Let refused connections that stay open make room for others

What callers saw: a crowd whose requests can't be read kept all connections of a listener for two seconds each, and others were reset meanwhile. Cause: after the refusal of a request that can't be read, the connection stays open for up to 2 s, so that its caller gets the refusal. It counted as busy. Change: it counts as waiting for its caller, and makes room like the others. Evidence: test_refused_callers_that_stay_make_room_for_others failed before (ConnectionResetError) and passes. Why it works: nothing is answered on such a connection any more.

--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -96,7 +96,11 @@
 ) -> None:
     if isinstance(error, BadRequest):
         await connection.async_respond(to_error_response(error))
-        await connection.async_linger()
+        begun_ms = now_ms()
+        with connection.connections.waiting(
+            connection.sock, connection.close_after_response, lambda: begun_ms
+        ):
+            await connection.async_linger()
 
 
 async def _async_handle(
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -17,6 +17,8 @@
 ANY_LOCAL_PORT = Address('127.0.0.1', 0)
 MOST = 20
 FLOOD = 60
+# What a listener accepts beyond its limit.
+SURPLUS = 8
 TIMEOUT_MS = 2000
 LONG_IDLE_S = 1.1
 READ_BYTES = 4096
@@ -197,3 +199,15 @@
     answered = await async_with_timeout(TIMEOUT_MS, slow.recv(READ_BYTES))
     assert answered.startswith(b'HTTP/1.1 200')
     assert not connections.closed_count
+
+
+@_on_limited_listener
+async def test_refused_callers_that_stay_make_room_for_others(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against a crowd whose bad requests keep all connections."""
+    for each in await _async_flood(address, opened, MOST + SURPLUS):
+        await each.sendall(b'BAD\r\n\r\n')
+        assert await async_with_timeout(TIMEOUT_MS, each.recv(READ_BYTES))
+    assert (await async_fetch(address, REQUEST)).status == 200
+    assert connections.closed_count
