--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -1,5 +1,6 @@
 """Callers that send without end and read nothing, in a thread of their own."""
 
+import itertools
 import selectors
 import socket
 from collections.abc import AsyncIterator
@@ -30,6 +31,8 @@
     :param repeats: what each then sends again and again; empty: nothing.
     :param piece_bytes: most that one sends at a time.
     :param pause_s: between two times.
+    :param id_mark: replaced by another text in each repetition; empty: nothing
+        is.
     :param until_s: how long they send and connect again.
     """
 
@@ -39,6 +42,17 @@
     piece_bytes: int = BLOCK_BYTES
     pause_s: float = 0
     until_s: float = 3
+    id_mark: bytes = b''
+
+    def block(self, caller: int) -> bytes:
+        """Return what a caller sends again and again, some 64 KB of it."""
+        count = BLOCK_BYTES // max(len(self.repeats), 1) + 1
+        if not self.id_mark:
+            return self.repeats * count
+        return b''.join(
+            self.repeats.replace(self.id_mark, b'%d-%d' % (caller, number))
+            for number in range(count)
+        )
 
 
 class Usage(NamedTuple):
@@ -55,11 +69,9 @@
 class _Caller:
     """One connection of a crowd."""
 
-    def __init__(self, crowd: Crowd, address: Address) -> None:
+    def __init__(self, crowd: Crowd, address: Address, number: int) -> None:
         self._pending = memoryview(crowd.begins)
-        self._block = crowd.repeats * (
-            BLOCK_BYTES // max(len(crowd.repeats), 1) + 1
-        )
+        self._block = crowd.block(number)
         self._piece_bytes = crowd.piece_bytes
         self.sock = socket.socket()
         self.sock.setsockopt(
@@ -88,6 +100,7 @@
         self._address = address
         self._selector = selectors.DefaultSelector()
         self._open: set[socket.socket] = set()
+        self._numbers = itertools.count()
 
     def run(self) -> None:
         """Send until the time is over, then keep the connections open."""
@@ -104,7 +117,7 @@
         self._selector.close()
 
     def _connect(self) -> None:
-        caller = _Caller(self._crowd, self._address)
+        caller = _Caller(self._crowd, self._address, next(self._numbers))
         self._open.add(caller.sock)
         self._selector.register(caller.sock, selectors.EVENT_WRITE, caller)
 
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -149,6 +149,13 @@
     run(_async_bear, listener, crowd, MEMORY_MB)
 
 
+def test_served_requests_sent_ahead_stay_within_the_memory() -> None:
+    """Guards against responses of engines that pile up unread."""
+    listener, sent = REQUESTS['with_route']
+    crowd = Crowd(CALLERS, repeats=sent, id_mark=b'ahead')
+    run(_async_bear, listener, crowd, MEMORY_MB)
+
+
 @pytest.mark.parametrize(
     'kind', ['without_headers', 'without_route', 'with_route']
 )
