Don't keep received bytes while a task waits for the next ones

What callers saw: memory near the limit beside a crowd. Cause: the tasks that watch for a caller's end, and those that discard what follows a refusal, kept the part they had received last, 16 and 64 KB, in a variable while they waited. Change: the parts are received in a call of their own or not named at all. Why it works: a waiting task holds nothing beside the buffer.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -135,25 +135,20 @@
         Up to `MAX_AHEAD_BYTES` of the requests that follow are buffered,
         including those that were received with the current one.
         """
-        room_bytes = MAX_AHEAD_BYTES - self._buffered_bytes
-        while room_bytes > 0:
+        while self._buffered_bytes < MAX_AHEAD_BYTES:
             try:
-                received = await self._sock.recv(room_bytes)
+                is_open = await self._async_receive_ahead()
             except OSError:
                 return
-            if not received:
+            if not is_open:
                 return
-            room_bytes -= len(received)
-            self._protocol.receive_data(received)
         await async_wait_closed(self._sock)
 
     async def async_discard_input(self) -> None:
         """Discard received bytes until the caller closes."""
-        received = await self._sock.recv(READ_BYTES)
-        while received:
+        while await self._sock.recv(READ_BYTES):
             # A fast caller always has more to read.
             await sleep(0)
-            received = await self._sock.recv(READ_BYTES)
 
     @property
     def _wanted_bytes(self) -> int:
@@ -168,6 +163,13 @@
     def _refuse(self) -> None:
         self._is_refused = True
 
+    async def _async_receive_ahead(self) -> bool:
+        """Buffer a part of the next requests; return whether there was one."""
+        received = await self._sock.recv(MAX_AHEAD_BYTES - self._buffered_bytes)
+        if received:
+            self._protocol.receive_data(received)
+        return bool(received)
+
     async def _async_wait_begun(self) -> Result[None, ReadError]:
         since_ms = now_ms()
         left_ms = self._current_limits().idle_ms
