Count heads of requests that are longer than 16 KB

What callers saw: none did so far. Where the configuration allows long heads, callers could make a process hold one on each connection. Cause: what is received of a head was limited for one caller, not for all together; only bodies were counted. Change: what a head has beyond 16 KB counts as a part of the body, with the same rules for room. The refusals of the reader have a module of their own. Why it works: what is held for all callers together has one limit.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -21,6 +21,11 @@
 )
 from hornbeamdeck.connection.http import HttpRequest, join_headers
 from hornbeamdeck.connection.pending_input import async_wait_closed
+from hornbeamdeck.connection.read_refusals import (
+    no_room,
+    request_too_slow,
+    slow_request,
+)
 from hornbeamdeck.const import MEBIBYTE, MILLIS_PER_SECOND
 
 __all__ = ('GetLimits', 'OnBegun', 'ReadLimits', 'RequestReader')
@@ -41,10 +46,8 @@
 _ABSOLUTE_TARGET: Final = re.compile(
     '(?i:https?)://(?P<authority>[^/?#]+)(?P<rest>.*)'
 )
-# Bodies are dropped within seconds; another instance may have room at once.
-NO_ROOM_RETRY_MS: Final = 500
-# There is always room for a body of this length, so that a few long ones do not
-# keep out all others.
+# There is always room for a head or a body of this length, so that a few long
+# ones do not keep out all others.
 MIN_ROOM_BYTES: Final = 16_384
 # In this time, the task of a connection that was ended drops what it holds.
 ROOM_WAIT_MS: Final = 20
@@ -102,6 +105,8 @@
         self._is_refused = False
         # Of the body, as far as the head states its length.
         self._body_left = 0
+        # Of the head, counted as bytes of the body.
+        self._counted_head = 0
 
     async def async_read(
         self, on_begun: OnBegun | None = None
@@ -115,6 +120,7 @@
         :param on_begun: called when its first bytes have arrived.
         """
         self._bodies.drop()
+        self._counted_head = 0
         first_byte = await self._async_wait_begun()
         if isinstance(first_byte, Err):
             return first_byte
@@ -127,7 +133,7 @@
                 self._async_read_rest(),
             )
         except TaskTimeout:
-            return Err(_too_slow())
+            return Err(request_too_slow())
 
     async def async_wait_disconnected(self) -> None:
         """Return when the caller has disconnected.
@@ -197,7 +203,7 @@
         except OSError as error:
             return Err(ConnectionBroken(repr(error)))
         if not received and self._is_refused:
-            return Err(_displaced())
+            return Err(slow_request())
         if not received and self._protocol.their_state is h11.IDLE:
             return Err(CallerClosed())
         self._protocol.receive_data(received)
@@ -217,7 +223,7 @@
                 self._limits.header_ms, self._async_next_event()
             )
         except TaskTimeout:
-            return Err(_too_slow())
+            return Err(request_too_slow())
         if isinstance(head, Err):
             return head
         request = head.ok_value
@@ -235,7 +241,7 @@
         if is_allowed and not await self._async_has_room(
             stated_bytes, stated_bytes
         ):
-            return Err(_no_room())
+            return Err(no_room())
         self._body_left = stated_bytes
         body = await self._async_read_body()
         self._body_left = 0
@@ -258,7 +264,7 @@
             if not await self._async_has_room(
                 len(body) + len(received), len(received)
             ):
-                return Err(_no_room())
+                return Err(no_room())
             self._bodies.hold(len(received))
             body += received
             if len(body) > self._limits.max_body_bytes:
@@ -281,6 +287,17 @@
         await sleep(ROOM_WAIT_MS / MILLIS_PER_SECOND)
         return self._bodies.has_room(wanted_bytes)
 
+    async def _async_count_head(self) -> bool:
+        """Count what is long of a head; return whether there is room for it."""
+        uncounted = self._buffered_bytes - MIN_ROOM_BYTES - self._counted_head
+        if uncounted <= 0:
+            return True
+        if not await self._async_has_room(self._buffered_bytes, uncounted):
+            return False
+        self._bodies.hold(uncounted)
+        self._counted_head += uncounted
+        return True
+
     async def _async_next_event(self) -> Result[h11.Event, ReadError]:
         while True:
             try:
@@ -297,6 +314,8 @@
                         'the head is too large',
                     ),
                 )
+            if not await self._async_count_head():
+                return Err(no_room())
             received = await self._async_receive()
             if isinstance(received, Err):
                 return received
@@ -308,28 +327,6 @@
     return int(stated)
 
 
-def _too_slow() -> BadRequest:
-    return BadRequest(HTTPStatus.REQUEST_TIMEOUT, 'the request came too slowly')
-
-
-def _no_room() -> BadRequest:
-    return BadRequest(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'this instance has no memory for the body now',
-        'no_memory',
-        NO_ROOM_RETRY_MS,
-    )
-
-
-def _displaced() -> BadRequest:
-    return BadRequest(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'the request came slowly, and others needed its place',
-        'slow_request',
-        NO_ROOM_RETRY_MS,
-    )
-
-
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = join_headers(head.headers)
     target = head.target.decode('ascii')
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -34,6 +34,8 @@
 PIECE_BYTES = 4096
 PAUSE_S = 0.001
 LONG_BODY_CALLERS = 8
+# Where a configuration allows it.
+LONG_HEAD_BYTES = 200_000
 # Enough to fill a log that nobody reads.
 LONG_ID_CALLERS = 8
 # Fewer descriptors than a crowd has connections.
@@ -83,14 +85,16 @@
     memory_mb: int,
     unread_log: int | None = None,
     descriptors: int = DESCRIPTORS,
+    **limits: int,
 ) -> AsyncIterator[GatewayProcess]:
     """Start a process that gives callers the usual limits.
 
     :param unread_log: the end of a pipe that its log is written to.
+    :param limits: of the configuration, that replace the defaults.
     """
     store = StoreStandin()
     stored = document()
-    stored['limits'] = {'header_timeout_ms': HEADER_MS}
+    stored['limits'] = {'header_timeout_ms': HEADER_MS, **limits}
     await store.async_put('config', 'main', stored)
     for name in ('counter-1', 'counter-2'):
         engine = EngineStandin(name)
@@ -174,6 +178,22 @@
     run(_async_bear, 'callers', crowd, MANY_MEMORY_MB)
 
 
+def test_many_long_heads_stay_within_the_memory() -> None:
+    """Guards against heads that are held but not counted."""
+    crowd = Crowd(MANY_CALLERS, begins=UNFINISHED_HEAD + b'x' * LONG_HEAD_BYTES)
+
+    async def _async_scenario() -> None:
+        async with _async_started(
+            MANY_MEMORY_MB, max_header_bytes=LONG_HEAD_BYTES * 2
+        ) as process:
+            address = process.addresses.callers
+            async with async_beside_crowd(process, address, crowd) as usage:
+                assert usage.memory_mb < MANY_MEMORY_MB
+                await _async_expect_answer(process)
+
+    run(_async_scenario)
+
+
 @pytest.mark.parametrize('listener', ['ready', 'directory', 'metrics'])
 def test_unfinished_heads_leave_other_endpoints_served(listener: str) -> None:
     """Guards against endpoints whose connections hold a part of a head."""
