Don't let new connections wait for room that never comes

Cause: a new connection waited as long as any other one waited for its caller. With many callers that are all being served, there always is one for a moment, and none that makes room; all who connect then would have waited. Change: the wait ends after 100 ms, and is left out for a second after it was in vain. Evidence: test_new_callers_do_not_wait_behind_those_that_are_served ran into its time limit before and passes. Why it works: the listener stands still for a tenth of the time at most.

--- a/hornbeamdeck/connection/connection_limit.py
+++ b/hornbeamdeck/connection/connection_limit.py
@@ -27,6 +27,8 @@
 # be accepted meanwhile.
 NEW_MS: Final = 50
 POLL_MS: Final = 10
+# How long no new connection waits after one has waited in vain.
+FUTILE_MS: Final = 1000
 # A caller that has sent a request may be about to send the next one.
 MIN_IDLE_MS: Final = 1000
 
@@ -61,6 +63,7 @@
         # Connections that wait for their caller in the middle of a request or
         # of its response.
         self._waiting: dict[socket.socket, _Waiting] = {}
+        self._futile_to_ms = 0.0
 
     @property
     def busy_count(self) -> int:
@@ -180,12 +183,27 @@
         """
         if await self._async_end_any(MIN_IDLE_MS, MIN_IDLE_MS):
             return True
+        if await self._async_wait_for_room():
+            return True
+        self.open_count -= 1
+        self.closed_count += 1
+        return False
+
+    async def _async_wait_for_room(self) -> bool:
+        """Wait until a connection that waits for its caller may be ended.
+
+        Not again for a while after it was in vain: the callers are quick then,
+        and others would wait to be accepted for nothing.
+        """
+        until_ms = now_ms() + 2 * NEW_MS
         while self._exceeds(self.open_count - MAX_SURPLUS):
             if await self._async_end_any(0, NEW_MS):
                 return True
-            if not self._waiting:
-                self.open_count -= 1
-                self.closed_count += 1
+            now = now_ms()
+            if not self._waiting or now < self._futile_to_ms:
+                return False
+            if now > until_ms:
+                self._futile_to_ms = now + FUTILE_MS
                 return False
             await sleep(POLL_MS / MILLIS_PER_SECOND)
         return True
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -1,5 +1,6 @@
 """Listeners whose callers keep more connections than they may."""
 
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
@@ -22,6 +23,7 @@
 TIMEOUT_MS = 2000
 LONG_IDLE_S = 1.1
 READ_BYTES = 4096
+SLOW = b'GET /?5 HTTP/1.1\r\nhost: x\r\n\r\n'
 ENCODED = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 REQUEST = HttpRequest('GET', '/', '', {}, b'')
 
@@ -212,3 +214,18 @@
         assert await async_with_timeout(TIMEOUT_MS, refused.recv(READ_BYTES))
     assert (await async_fetch(address, REQUEST)).status == 200
     assert connections.closed_count
+
+
+@_on_limited_listener
+async def test_new_callers_do_not_wait_behind_those_that_are_served(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against a listener that waits for room that never comes."""
+    for _ in range(MOST + SURPLUS):
+        await (await _async_flood(address, opened, 1))[0].sendall(SLOW)
+    reading = connections.waiting(opened, lambda: None, lambda: math.inf)
+    with reading:
+        for _ in range(SURPLUS):
+            refused = (await _async_flood(address, opened, 1))[0]
+            assert await _async_is_closed(refused)
+    assert connections.closed_count >= SURPLUS
