--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -137,16 +137,20 @@
 
 @asynccontextmanager
 async def async_beside_crowd(
-    process: GatewayProcess, address: Address, crowd: Crowd
+    process: GatewayProcess, *crowds: tuple[Address, Crowd]
 ) -> AsyncIterator[Usage]:
-    """Let a crowd send until its time is over; it stays connected then."""
-    thread = _CrowdThread(crowd, address)
-    thread.start()
+    """Let crowds send until their time is over; they stay connected then."""
+    threads = [_CrowdThread(crowd, address) for address, crowd in crowds]
+    for thread in threads:
+        thread.start()
     try:
-        yield await _async_watch(process, crowd.until_s)
+        yield await _async_watch(
+            process, max(crowd.until_s for _, crowd in crowds)
+        )
     finally:
-        thread.leave.set()
-        while thread.is_alive():
+        for each in threads:
+            each.leave.set()
+        while any(each.is_alive() for each in threads):
             await sleep(SAMPLE_S)
 
 
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -1,24 +1,25 @@
 """A gateway process beside callers that don't behave."""
 
 import os
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import pytest
 from curio import run
-from result import Ok
 
-from hornbeamdeck.connection.client import async_fetch_on_new_connection
-from tests.platform.crowds import Crowd, async_beside_crowd
-from tests.platform.fleet import make_request
-from tests.platform.gateway_process import (
-    GatewayProcess,
-    async_is_ready,
-    started_process,
+from tests.platform.crowd_kinds import (
+    CHUNKED_HEAD,
+    LONG_ID,
+    REQUESTS,
+    UNFINISHED_BODY,
+    UNFINISHED_FRAME,
+    UNFINISHED_HEAD,
+)
+from tests.platform.crowd_process import (
+    DESCRIPTORS,
+    async_expect_answer,
+    async_started,
 )
-from tests.platform.standins import EngineStandin, StoreStandin, document
+from tests.platform.crowds import Crowd, async_beside_crowd
 
-DESCRIPTORS = 1024
 # As the settings of a deployment state it.
 MEMORY_MB = 96
 # As many as an address for short calls serves at once.
@@ -27,9 +28,6 @@
 # memory for each as where an instance has 1,370 connections and 222 MB.
 MANY_CALLERS = 600
 MANY_MEMORY_MB = 128
-CALL_MS = 20_000
-# Longer than a test, so that no head ends by itself.
-HEADER_MS = 30_000
 # Pieces sent little by little, not as fast as the process reads.
 PIECE_BYTES = 4096
 PAUSE_S = 0.001
@@ -42,99 +40,18 @@
 FEW_DESCRIPTORS = 220
 CROWDED_CALLERS = 320
 
-_HOST = b' HTTP/1.1\r\nhost: walks.example\r\n'
-_ID = b'hornbeamdeck-request-id: ahead\r\n'
-REQUESTS = {
-    'without_headers': ('callers', b'GET /seats/x' + _HOST + b'\r\n'),
-    'without_key': ('callers', b'GET /seats/x' + _HOST + _ID + b'\r\n'),
-    'without_route': ('callers', b'GET /none/x' + _HOST + _ID + b'\r\n'),
-    'ready_path': ('callers', b'GET /v1/ready' + _HOST + _ID + b'\r\n'),
-    'with_route': ('callers', b'GET /open/x' + _HOST + _ID + b'\r\n'),
-    'ready': ('ready', b'GET /v1/ready' + _HOST + b'\r\n'),
-    'directory': ('directory', b'GET /v1/resolve?name=walks' + _HOST + b'\r\n'),
-    'metrics': ('metrics', b'GET /metrics' + _HOST + b'\r\n'),
-}
-CHUNKED_HEAD = (
-    b'POST /seats/x'
-    + _HOST
-    + _ID
-    + b'authorization: Bearer key-of-guides\r\n'
-    + b'transfer-encoding: chunked\r\n\r\n'
-)
-UNFINISHED_BODY = (
-    b'POST /seats/x'
-    + _HOST
-    + _ID
-    + b'content-length: 4194304\r\n\r\n'
-    + bytes(4_194_303)
-)
-UNFINISHED_HEAD = b'GET /seats/x' + _HOST + b'x-long: ' + b'x' * 16_000
-# The length of the largest frame before a peer is authenticated.
-UNFINISHED_FRAME = b'\x00\x00\x10\x00' + b'x' * 4095
-LONG_ID = (
-    b'GET /none/x'
-    + _HOST
-    + b'hornbeamdeck-request-id: '
-    + b'x' * 16_000
-    + b'\r\n\r\n'
-)
-
-
-@asynccontextmanager
-async def _async_started(
-    memory_mb: int,
-    unread_log: int | None = None,
-    descriptors: int = DESCRIPTORS,
-    **limits: int,
-) -> AsyncIterator[GatewayProcess]:
-    """Start a process that gives callers the usual limits.
-
-    :param unread_log: the end of a pipe that its log is written to.
-    :param limits: of the configuration, that replace the defaults.
-    """
-    store = StoreStandin()
-    stored = document()
-    stored['limits'] = {'header_timeout_ms': HEADER_MS, **limits}
-    await store.async_put('config', 'main', stored)
-    for name in ('counter-1', 'counter-2'):
-        engine = EngineStandin(name)
-        await engine.async_start()
-        await store.async_put('servers', name, engine.entry('counter'))
-    log = None if unread_log is None else os.fdopen(unread_log, 'wb')
-    async with started_process(
-        store, descriptors, log, memory_mb=memory_mb
-    ) as process:
-        yield process
-
-
-async def _async_expect_answer(
-    process: GatewayProcess, body: bytes = b'{}'
-) -> None:
-    """Make one ordinary request."""
-    assert await async_is_ready(process.addresses)
-    request = make_request(
-        '/seats/pay/x', hornbeamdeck_deadline_ms=str(CALL_MS)
-    )
-    got = await async_fetch_on_new_connection(
-        process.addresses.callers,
-        request._replace(body=body),
-        timeout_ms=CALL_MS,
-    )
-    assert isinstance(got, Ok)
-    assert got.ok_value.status == 200
-
 
 async def _async_bear(
     listener: str, crowd: Crowd, memory_mb: int, unread_log: int | None = None
 ) -> None:
     """Check that a process lives, stays within its limits and answers."""
-    async with _async_started(memory_mb, unread_log) as process:
+    async with async_started(memory_mb, unread_log) as process:
         address = getattr(process.addresses, listener)
-        async with async_beside_crowd(process, address, crowd) as usage:
+        async with async_beside_crowd(process, (address, crowd)) as usage:
             assert usage.memory_mb < memory_mb
             assert usage.descriptors < DESCRIPTORS
-            await _async_expect_answer(process)
-        await _async_expect_answer(process)
+            await async_expect_answer(process)
+        await async_expect_answer(process)
 
 
 @pytest.mark.parametrize('kind', REQUESTS)
@@ -183,13 +100,13 @@
     crowd = Crowd(MANY_CALLERS, begins=UNFINISHED_HEAD + b'x' * LONG_HEAD_BYTES)
 
     async def _async_scenario() -> None:
-        async with _async_started(
+        async with async_started(
             MANY_MEMORY_MB, max_header_bytes=LONG_HEAD_BYTES * 2
         ) as process:
             address = process.addresses.callers
-            async with async_beside_crowd(process, address, crowd) as usage:
+            async with async_beside_crowd(process, (address, crowd)) as usage:
                 assert usage.memory_mb < MANY_MEMORY_MB
-                await _async_expect_answer(process)
+                await async_expect_answer(process)
 
     run(_async_scenario)
 
@@ -210,13 +127,13 @@
     async def _async_scenario() -> None:
         crowd = Crowd(LONG_BODY_CALLERS, begins=UNFINISHED_BODY)
         async with (
-            _async_started(MEMORY_MB) as process,
+            async_started(MEMORY_MB) as process,
             async_beside_crowd(
-                process, process.addresses.callers, crowd
+                process, (process.addresses.callers, crowd)
             ) as usage,
         ):
             assert usage.memory_mb < MEMORY_MB
-            await _async_expect_answer(process, bytes(body_bytes))
+            await async_expect_answer(process, bytes(body_bytes))
 
     run(_async_scenario)
 
@@ -267,13 +184,13 @@
     async def _async_scenario() -> None:
         crowd = Crowd(CROWDED_CALLERS, begins, repeats)
         async with (
-            _async_started(MANY_MEMORY_MB, None, FEW_DESCRIPTORS) as process,
+            async_started(MANY_MEMORY_MB, None, FEW_DESCRIPTORS) as process,
             async_beside_crowd(
-                process, process.addresses.callers, crowd
+                process, (process.addresses.callers, crowd)
             ) as usage,
         ):
             assert usage.memory_mb < MANY_MEMORY_MB
             assert usage.descriptors < FEW_DESCRIPTORS
-            await _async_expect_answer(process)
+            await async_expect_answer(process)
 
     run(_async_scenario)
