Tests: give the request beside a stream an id of its own

Cause: in test_graceful_shutdown_completes_requests the stream and the request that is sent beside it had one id. A request whose id is in progress is refused since, and each request of a client has its own. Change: the second request has another id; the checks are the same.

--- a/tests/platform/test_fleet_faults.py
+++ b/tests/platform/test_fleet_faults.py
@@ -68,7 +68,9 @@
     stopping = await spawn(fleet.gateways[0].async_stop())
     await sleep(0.1)
     assert not fleet.gateways[0].is_ready
-    new_request = await fleet.async_call('/seats/x', 0)
+    new_request = await fleet.async_call(
+        '/seats/x', 0, hornbeamdeck_request_id='new'
+    )
     assert new_request.status == 200
     assert new_request.headers['connection'] == 'close'
     got = await stream.join()
