Tests: keep all connections busy with requests in progress

Cause: two tests of the limit of connections kept all of them busy with parts of requests, and expected that another caller is refused. Since a part of a request makes room, so that caller is served. Change: eight requests in progress keep the connections busy; besides what was checked before, they have to be answered, and the refusal has to be that of the limit. In test_tunnels each request has its own id.

--- a/tests/platform/test_tunnels.py
+++ b/tests/platform/test_tunnels.py
@@ -208,8 +208,10 @@
             relay = _find_relay(fleet)
             stop = await spawn(relay.async_stop)
             await sleep(0.05)
-            for _ in range(3):
-                got = await fleet.async_call('/seats/pay/x', 0)
+            for number in range(3):
+                got = await fleet.async_call(
+                    '/seats/pay/x', 0, hornbeamdeck_request_id=f'new-{number}'
+                )
                 assert got.status == 200
             assert relay.tunnels.open_tunnels == 1
         assert call.result.body.count(b'id: ') == 5
--- a/tests/request/test_too_many_connections.py
+++ b/tests/request/test_too_many_connections.py
@@ -2,8 +2,11 @@
 
 from contextlib import AsyncExitStack
 
+from curio import TaskGroup, sleep
+
 from hornbeamdeck.clock import async_with_timeout
 from hornbeamdeck.connection.address import Address, async_connect
+from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.demo.client import async_call
 from hornbeamdeck.demo.fleet import Fleet, FleetPlan
 from hornbeamdeck.scheduling.socket_limits import SocketLimits
@@ -18,7 +21,9 @@
     b'GET /open/x HTTP/1.1\r\nhost: walks.example\r\n'
     b'hornbeamdeck-request-id: lookup\r\n\r\n'
 )
-BEGUN = 9
+MOST_CALLERS = 8
+SLOW_S = 0.5
+POLL_S = 0.02
 
 
 async def _async_connect(
@@ -36,6 +41,13 @@
             assert await async_with_timeout(TIMEOUT_MS, sock.recv(1))
 
 
+async def _async_look_up(fleet: PlatformFleet, request_id: str) -> int:
+    response = await fleet.async_call(
+        '/open/x', hornbeamdeck_request_id=request_id
+    )
+    return response.status
+
+
 @on_platform()
 async def test_gateway_ends_connections_near_the_limit(
     fleet: PlatformFleet,
@@ -56,13 +68,25 @@
     fleet: PlatformFleet,
 ) -> None:
     """Guards against callers that get no answer while all others are busy."""
-    fleet.gateways[0]._connections.limits = TIGHT
-    async with AsyncExitStack() as opened:
-        await _async_connect(fleet.address(0), opened, BEGUN, b'POST /seats')
+    gateway = fleet.gateways[0]
+    gateway._connections.limits = TIGHT
+    for engine in fleet.booking_engines:
+        engine.event_gap_s = SLOW_S
+    async with TaskGroup() as calls:
+        for number in range(MOST_CALLERS):
+            await calls.spawn(_async_look_up, fleet, f'busy-{number}')
+        await fleet.async_until(lambda: gateway.in_flight == MOST_CALLERS)
         refused = await fleet.async_call('/seats/pay/x')
     assert refused.status == 503
+    assert b'too_many_connections' in refused.body
     assert float(refused.headers['retry-after']) > 0
-    assert not any(engine.executed for engine in fleet.booking_engines)
+    assert calls.results == [200] * MOST_CALLERS
+    executed = [
+        each.path
+        for engine in fleet.booking_engines
+        for each in engine.executed
+    ]
+    assert '/seats/pay/x' not in executed
 
 
 @on_platform()
@@ -87,11 +111,17 @@
     instance = fleet.instances[0]
     instance.connections.limits = TIGHT
     address = instance.own.address
-    async with AsyncExitStack() as opened:
-        await _async_connect(address, opened, BEGUN, b'POST /services')
+    fleet.booking_service._service_ms = SLOW_S * MILLIS_PER_SECOND
+    async with TaskGroup() as calls:
+        for number in range(MOST_CALLERS):
+            busy = booking_entry(f'busy-{number}')
+            await calls.spawn(async_call, busy, number + 3, address)
+        while instance.in_flight < MOST_CALLERS:
+            await sleep(POLL_S)
         refused = await async_call(booking_entry('a'), 1, address)
     assert refused.status == 503
     assert refused.outcome == 'not_run'
-    assert not fleet.booking_service.runs
+    assert all(each.is_complete for each in calls.results)
+    assert 'a' not in fleet.booking_service.runs
     answered = await async_call(booking_entry('b'), 2, address)
     assert answered.is_complete
