Move the length of request ids out of the adapter

How long an id is kept is no matter of the users' wire either. Change: a module in request/; the adapter calls it. Nothing else changes.

--- a/hornbeamdeck/platform/dialect.py
+++ b/hornbeamdeck/platform/dialect.py
@@ -1,7 +1,6 @@
 """Decodes requests of callers and responses of engines on the platform."""
 
 import json
-from hashlib import sha256
 from http import HTTPStatus
 from typing import Final
 
@@ -54,15 +53,13 @@
     without_connection_headers,
     without_hop_by_hop,
 )
+from hornbeamdeck.request.request_id import bounded_id, is_digest
 
 __all__ = ('DIALECT',)
 
 # The client timeout of requests that state none.
 DEFAULT_CLIENT_TIMEOUT_MS: Final = 30_000
 MAX_CLIENT_TIMEOUT_MS: Final = 3_600_000
-MAX_ID_CHARS: Final = 256
-# Of the ids that stand for longer ones, and are not sent.
-DIGEST_PREFIX: Final = 'sha256:'
 # Without HEADER_NOT_RUN these statuses don't show whether the engine ran the
 # request.
 _INCONCLUSIVE_STATUSES: Final = frozenset(
@@ -87,7 +84,7 @@
     prompt, _, output = headers.get(HEADER_TOKEN_COUNTS, '').partition(',')
     return Ok(
         GatewayRequest(
-            request_id=_bounded_id(request_id),
+            request_id=bounded_id(request_id),
             host=headers.get('host', '').partition(':')[0].lower(),
             http_request=request,
             bearer_key=bearer_key(headers),
@@ -103,21 +100,11 @@
             ),
             prompt_part_ids=listed_ids(headers.get(HEADER_PROMPT_PARTS, '')),
             last_event_id=headers.get(HEADER_LAST_EVENT_ID, ''),
-            resumed_request_id=_bounded_id(resumed_id),
+            resumed_request_id=bounded_id(resumed_id),
         ),
     )
 
 
-def _bounded_id(request_id: str) -> str:
-    """Return an id as it is kept in tables and log lines.
-
-    Callers choose their ids; a head is the only limit on how long one is.
-    """
-    if len(request_id) <= MAX_ID_CHARS:
-        return request_id
-    return DIGEST_PREFIX + sha256(request_id.encode(ENCODING)).hexdigest()
-
-
 def engine_headers(decoded: GatewayRequest, attempt: EngineAttempt) -> Headers:
     """Make the headers of a request for the engine that will run it."""
     headers = {
@@ -148,7 +135,7 @@
     if HEADER_NOT_RUN in headers:
         return ResponseVerdict.REJECTED
     echoed = headers.get(HEADER_REQUEST_ID)
-    if echoed is not None and _bounded_id(echoed) != decoded.request_id:
+    if echoed is not None and bounded_id(echoed) != decoded.request_id:
         # A late response to another request on this connection.
         return ResponseVerdict.INVALID_RESPONSE
     if (
@@ -175,7 +162,7 @@
         'outcome': failure.outcome,
     }
     headers = {'content-type': 'application/json'}
-    if request_id and not request_id.startswith(DIGEST_PREFIX):
+    if request_id and not is_digest(request_id):
         headers[HEADER_REQUEST_ID] = request_id
     if failure.retry_after_ms is not None:
         seconds = failure.retry_after_ms / MILLIS_PER_SECOND
