Give back the slot of a grant that was never used

Cause: between its grant and its first attempt a request waits up to 300 ms for the list of engines, if that could lack a change. A caller that left then, or a deadline that passed, ended the request there. Only the attempt itself released the grant when it was interrupted. The ingress kept the run, and registered it with each later owner, which counted it on its engine without end.

A run now releases its grant whenever it ends. What an attempt has released already is not released again. The other steps between grant and response (dialing, tunnels, evidence of incarnations, refusals after the grant, moves to another owner) were read: they release, or do not wait. So were those of a plain instance (placement.py, relay.py).

--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -147,15 +147,12 @@
         :returns: the failure that the caller is still to get; `None` if its
             response is complete. The caller may not have read all of it yet.
         """
-        while True:
-            granted = await self._async_grant()
-            if isinstance(granted, Err):
-                return await self._async_handle_refusal(granted.err_value)
-            end = await self._async_use(granted.ok_value)
-            if end is not None and not self._may_use_another_engine(end):
-                return await self._async_finish(end)
-            if not await self._engine_attempts.evidence.async_may_go_on():
-                return _uncertain_version()
+        try:
+            return await self._async_run_attempts()
+        finally:
+            # A grant that was not used yet would hold its slot for as long as
+            # this process runs. One that was released before stays released.
+            await self._async_release_unused()
 
     def timeout_failure(self) -> Failure:
         """Make the failure of a request whose time limit has passed."""
@@ -203,6 +200,17 @@
             **freshness_fields(context),
         )
 
+    async def _async_run_attempts(self) -> Failure | None:
+        while True:
+            granted = await self._async_grant()
+            if isinstance(granted, Err):
+                return await self._async_handle_refusal(granted.err_value)
+            end = await self._async_use(granted.ok_value)
+            if end is not None and not self._may_use_another_engine(end):
+                return await self._async_finish(end)
+            if not await self._engine_attempts.evidence.async_may_go_on():
+                return _uncertain_version()
+
     async def _async_grant(self) -> Result[Grant, NotRun]:
         admission = self._admission
         requested_ms = now_ms()
@@ -227,10 +235,7 @@
         if self._would_be_cut_off():
             allowed = Err(instance_stops())
         if isinstance(allowed, Err):
-            request_id = admission.request.request_id
-            await self._context.release_grant(
-                request_id, RunEnd.CANCELLED, RunSummary()
-            )
+            await self._async_release_unused()
             return allowed
         if not self._attempts.excluded and admission.team is not None:
             self._context.record_granted_tokens(
@@ -286,10 +291,13 @@
         if reason is None:
             return await self._async_attempt(grant)
         self._record_returned_grant(grant.upstream, reason)
+        await self._async_release_unused()
+        return None
+
+    async def _async_release_unused(self) -> None:
         await self._context.release_grant(
-            grant.request_id, RunEnd.CANCELLED, RunSummary()
+            self._admission.request.request_id, RunEnd.CANCELLED, RunSummary()
         )
-        return None
 
     async def _async_attempt(self, grant: Grant) -> RunEnd | None:
         """Try a granted engine; `None`: nothing was sent to it."""
