Don't count tokens of requests that were never sent

A team's limit counted requests that no engine got: their callers left, or their deadline passed, between the grant and the first byte.

Cause: the owner charges a team when it grants, and the ingress records the tokens for the next owner. Neither was taken back with a grant that was not used. A second grant of the same request was not charged, to make up for it.

Change: tokens follow the grant until a byte has been sent. A grant after it is charged like a first one.

--- a/hornbeamdeck/ownership/grants.py
+++ b/hornbeamdeck/ownership/grants.py
@@ -96,7 +96,7 @@
                 await self.async_release(
                     request.request_id,
                     RunEnd.CANCELLED,
-                    RunSummary(),
+                    RunSummary(is_unsent=not request.dispatches),
                 )
         if decision is None:
             return Err(deadline_passed(request.fingerprint))
@@ -151,6 +151,7 @@
             output_tokens=summary.output_tokens,
             first_byte_ms=int(summary.first_byte_ms),
             relay=summary.relay or None,
+            is_unsent=summary.is_unsent or None,
         )
         await self.link.async_send(running.owner, message)
 
@@ -232,7 +233,9 @@
             # count a run that never starts.
             running = self._running.get(grant.request_id)
             if running is None or running.owner != sender:
-                await self.link.async_send(sender, _to_cancelled(grant))
+                unused = _to_cancelled(grant)
+                unused.is_unsent = True
+                await self.link.async_send(sender, unused)
             return
         self._waiting.pop(grant.request_id)
         run = _to_register(waiting.request, grant.upstream)
--- a/hornbeamdeck/ownership/spending.py
+++ b/hornbeamdeck/ownership/spending.py
@@ -1,18 +1,21 @@
 """Tokens that teams have spent recently, as recorded by ingress instances."""
 
 import math
-from collections import deque
-from collections.abc import Iterable
-from typing import Final, NamedTuple
+from collections.abc import Callable, Iterable
+from itertools import count
+from typing import Final, NamedTuple, TypeAlias
 
 from hornbeamdeck.wire import Spending
 
-__all__ = ('SLICES_PER_WINDOW', 'SpendingLog')
+__all__ = ('SLICES_PER_WINDOW', 'ReturnTokens', 'SpendingLog')
 
 # A new owner derives from the slices when a team spent its tokens. It counts
 # the tokens of a slice as spent at its end, so its error is one slice's refill.
 SLICES_PER_WINDOW: Final = 8
 
+# Takes back tokens that were recorded, if they still count.
+ReturnTokens: TypeAlias = Callable[[], object]
+
 
 class _Spent(NamedTuple):
     at_ms: float
@@ -30,22 +33,32 @@
     def __init__(self, window_ms: float) -> None:
         """Record spending within a window in milliseconds."""
         self._window_ms = window_ms
-        self._log: deque[_Spent] = deque()
+        # In the order of time.
+        self._log: dict[int, _Spent] = {}
+        self._keys = count()
+
+    def add(self, team: str, tokens: int, now: float) -> ReturnTokens:
+        """Record the tokens that a granted request counts.
 
-    def add(self, team: str, tokens: int, now: float) -> None:
-        """Record the tokens that a granted request counts."""
-        if not tokens:
-            return
-        self._log.append(_Spent(now, team, tokens))
+        :returns: takes them back, for a request that was never sent.
+        """
+        key = next(self._keys)
+        if tokens:
+            self._log[key] = _Spent(now, team, tokens)
+        return lambda: self._log.pop(key, None)
 
     def report(self, now: float) -> list[Spending]:
         """Return each team's spending in the slices of the window."""
-        while self._log and self._log[0].at_ms <= now - self._window_ms:
-            self._log.popleft()
+        since_ms = now - self._window_ms
+        self._log = {
+            key: spent
+            for key, spent in self._log.items()
+            if spent.at_ms > since_ms
+        }
         slice_ms = self._window_ms / SLICES_PER_WINDOW
         by_team: dict[str, list[int]] = {}
         # The latest comes last, so the first of a team is its oldest slice.
-        for spent in self._log:
+        for spent in self._log.values():
             age = int((now - spent.at_ms) / slice_ms)
             slices = by_team.setdefault(spent.team, [0 for _ in range(age + 1)])
             slices[age] += spent.tokens
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -38,6 +38,7 @@
 from hornbeamdeck.membership.peer_server import make_peer_server
 from hornbeamdeck.memory.budget import Purpose
 from hornbeamdeck.observability.metrics_endpoint import make_metrics_endpoint
+from hornbeamdeck.ownership.spending import ReturnTokens
 from hornbeamdeck.process.connections import ProcessConnections
 from hornbeamdeck.process.gateway_components import GatewayComponents
 from hornbeamdeck.process.gateway_endpoints import async_serve_endpoint
@@ -302,8 +303,8 @@
     def _make_context(self) -> GatewayContext:
         components = self.components
 
-        def _record_granted_tokens(team: str, tokens: int) -> None:
-            components.spending.add(team, tokens, now_ms())
+        def _record_granted_tokens(team: str, tokens: int) -> ReturnTokens:
+            return components.spending.add(team, tokens, now_ms())
 
         return GatewayContext(
             dialect=self._adapter.dialect,
--- a/hornbeamdeck/request/gateway_context.py
+++ b/hornbeamdeck/request/gateway_context.py
@@ -13,6 +13,7 @@
 from hornbeamdeck.engines.send_guard import SendGuard
 from hornbeamdeck.memory.spools import Spools
 from hornbeamdeck.observability.gateway_metrics import GatewayMetrics
+from hornbeamdeck.ownership.spending import ReturnTokens
 from hornbeamdeck.request.gateway_request import (
     Dialect,
     EngineStatement,
@@ -55,7 +56,7 @@
         relayed by; empty: none.
     :param is_running: finds out whether the engine of a grant still runs.
     :param record_granted_tokens: gets a team's name and the number of tokens
-        granted to it.
+        granted to it; returns what takes them back.
     :param spools: hold what callers have not read yet.
     :param zone: this instance's availability zone.
     :param shutdown: the graceful shutdown of this process, if it has begun.
@@ -76,7 +77,7 @@
     record_statement: Callable[[Grant, EngineStatement, str], Awaitable[None]]
     check_engine: Callable[[Grant, str], Awaitable[None]]
     is_running: Callable[[Grant], Awaitable[bool]]
-    record_granted_tokens: Callable[[str, int], None]
+    record_granted_tokens: Callable[[str, int], ReturnTokens]
     metrics: GatewayMetrics
     spools: Spools
     zone: str
--- a/hornbeamdeck/request/gateway_request.py
+++ b/hornbeamdeck/request/gateway_request.py
@@ -99,6 +99,7 @@
     :param longest_gap_ms: longest gap between two events of the response.
     :param output_tokens: tokens of a complete response; 0: not known.
     :param relay: the instance that the request went through; empty: none.
+    :param is_unsent: whether no byte of the request has reached any engine.
     """
 
     total_ms: float = 0
@@ -106,6 +107,7 @@
     longest_gap_ms: float = 0
     output_tokens: int = 0
     relay: str = ''
+    is_unsent: bool = False
 
 
 class ResponseVerdict(enum.Enum):
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -54,6 +54,8 @@
 )
 # Ends before any byte of the request was sent.
 _NOT_SENT: Final = frozenset((RunEnd.NOT_DISPATCHED, RunEnd.UNREACHABLE))
+# Ends after which it is possible that none of its bytes was sent.
+_POSSIBLY_UNSENT: Final = _NOT_SENT | {RunEnd.CANCELLED}
 # Ends after which a request that may run twice is sent to another engine.
 _RETRYABLE: Final = frozenset((RunEnd.FAILED, RunEnd.SILENT, RunEnd.ERRORED))
 # A request is refused after this many engines that neither this instance nor
@@ -140,6 +142,7 @@
         self._engine = ''
         self._version = ''
         self._waited_ms = 0.0
+        self._return_tokens = context.record_granted_tokens('', 0)
 
     async def async_run(self) -> Failure | None:
         """Send the request to engines until one answers or none is allowed.
@@ -152,7 +155,7 @@
         finally:
             # A grant that was not used yet would hold its slot for as long as
             # this process runs. One that was released before stays released.
-            await self._async_release_unused()
+            await self._async_release()
 
     def timeout_failure(self) -> Failure:
         """Make the failure of a request whose time limit has passed."""
@@ -235,10 +238,10 @@
         if self._would_be_cut_off():
             allowed = Err(instance_stops())
         if isinstance(allowed, Err):
-            await self._async_release_unused()
+            await self._async_release()
             return allowed
-        if not self._attempts.excluded and admission.team is not None:
-            self._context.record_granted_tokens(
+        if not self._attempts.engines_reached and admission.team is not None:
+            self._return_tokens = self._context.record_granted_tokens(
                 admission.team_name, admission.quota_tokens
             )
         return granted
@@ -291,12 +294,25 @@
         if reason is None:
             return await self._async_attempt(grant)
         self._record_returned_grant(grant.upstream, reason)
-        await self._async_release_unused()
+        await self._async_release()
         return None
 
-    async def _async_release_unused(self) -> None:
+    async def _async_release(
+        self,
+        end: RunEnd = RunEnd.CANCELLED,
+        summary: RunSummary | None = None,
+    ) -> None:
+        """Release the grant, with its tokens if no engine got the request."""
+        is_unsent = end in _POSSIBLY_UNSENT and not (
+            self._attempts.engines_reached
+            or self._engine_attempts.is_possibly_executing
+        )
+        if is_unsent:
+            self._return_tokens()
         await self._context.release_grant(
-            self._admission.request.request_id, RunEnd.CANCELLED, RunSummary()
+            self._admission.request.request_id,
+            end,
+            (summary or RunSummary())._replace(is_unsent=is_unsent),
         )
 
     async def _async_attempt(self, grant: Grant) -> RunEnd | None:
@@ -314,8 +330,7 @@
                 end = self._delivery.attribute(outcome)
         finally:
             await self._engine_attempts.async_close(end)
-            await self._context.release_grant(
-                self._admission.request.request_id,
+            await self._async_release(
                 end,
                 RunSummary(
                     total_ms=now_ms() - granted_ms,
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection
 from typing import Final, NamedTuple, TypeAlias
 
+from hornbeamdeck.scheduling.engine_run import EngineRun
 from hornbeamdeck.scheduling.forecast import Forecast
 from hornbeamdeck.scheduling.request_rank import route_rank_of
 from hornbeamdeck.scheduling.request_rate import RateRules
@@ -165,14 +166,27 @@
         blocked.setdefault(team.name, tokens)
         return False
 
-    def start(self, request: Enqueue, now: float) -> None:
-        """Charge a request that starts to its team's limit or as a retry."""
+    def start(self, request: Enqueue, now: float) -> int:
+        """Charge a request that starts to its team's limit or as a retry.
+
+        :returns: the tokens that were counted.
+        """
         if request.request_id in self._waiting_retries:
             self._retry_budget.spend(now)
-        team = self._team_to_charge(request)
-        if team is not None:
-            self._shared.quotas.spend(team, int(request.quota_tokens), now)
         self.remove_waiting(request)
+        team = self._team_to_charge(request)
+        if team is None:
+            return 0
+        tokens = int(request.quota_tokens)
+        return tokens if self._shared.quotas.spend(team, tokens, now) else 0
+
+    def give_back(self, run: EngineRun, now: float) -> None:
+        """Take back what a run that was never sent counts."""
+        team = self._shared.teams.get(run.team)
+        if team is not None and run.quota_tokens:
+            self._shared.quotas.give_back(
+                team, run.quota_tokens, run.started_ms, now
+            )
 
     def remove_waiting(self, request: Enqueue) -> None:
         """Stop counting a request among those that wait.
@@ -232,8 +246,8 @@
         return None
 
     def _team_to_charge(self, request: Enqueue) -> GatewayTeam | None:
-        """Return the team to charge; a retry is not charged again."""
-        if request.excluded or not request.quota_tokens:
+        """Return the team to charge; what was sent is not charged again."""
+        if request.dispatches or not request.quota_tokens:
             return None
         return self._shared.teams.get(request.team)
 
--- a/hornbeamdeck/scheduling/engine_cell.py
+++ b/hornbeamdeck/scheduling/engine_cell.py
@@ -281,6 +281,8 @@
         if run is None:
             return []
         self.standings.correct_end(run, now)
+        if message.is_unsent:
+            self._admission.give_back(run, now)
         self._placements.record_engine_change(load.engine.name)
         self.versions.record_run_end(load, run, message, now)
         if end == RunEnd.ANSWERED:
@@ -387,10 +389,10 @@
             self._hold_reasons[request_id] = choice.hold_reason
             return None
         self._wait_queue.start(request_id, now)
-        self._admission.start(queued.request, now)
+        quota_tokens = self._admission.start(queued.request, now)
         self.versions.record_grant(load)
         self.origins.record_grant(queued.request, load.engine, now)
-        start_granted(load, queued, now)
+        start_granted(load, queued, now, quota_tokens)
         self.standings.charge_start(load, queued.request, now)
         return Granted(
             queued,
--- a/hornbeamdeck/scheduling/engine_load.py
+++ b/hornbeamdeck/scheduling/engine_load.py
@@ -151,6 +151,7 @@
         *,
         stream_value: float = 0.0,
         route: str = '',
+        quota_tokens: int = 0,
     ) -> None:
         """Account for a run that was granted or registered again."""
         self.runs.pop(run.request_id, None)
@@ -166,6 +167,7 @@
             output_tokens=run.output_tokens,
             route=route,
             part_ids=tuple(run.shared_parts or ()),
+            quota_tokens=quota_tokens,
         )
 
     def start(self, request_id: str, now: float) -> None:
@@ -293,8 +295,13 @@
     return rejections.starts_left(load.slots, len(load.runs), unanswered, now)
 
 
-def start_granted(load: EngineLoad, queued: QueuedRequest, now: float) -> None:
-    """Account for a request that is granted an engine now."""
+def start_granted(
+    load: EngineLoad, queued: QueuedRequest, now: float, quota_tokens: int = 0
+) -> None:
+    """Account for a request that is granted an engine now.
+
+    :param quota_tokens: counted against its team's limit.
+    """
     request = queued.request
     run = Register(
         request_id=request.request_id,
@@ -314,6 +321,7 @@
         request.gap_ms or 0,
         stream_value=value_of(request),
         route=request.route or '',
+        quota_tokens=quota_tokens,
     )
     load.start(request.request_id, now)
 
--- a/hornbeamdeck/scheduling/engine_run.py
+++ b/hornbeamdeck/scheduling/engine_run.py
@@ -20,6 +20,7 @@
     :param route: name of its request's route.
     :param team: that is charged for it; empty: none.
     :param cost_ms: slot time that its team was charged when it started.
+    :param quota_tokens: counted against its team's limit when it started.
     :param part_ids: the parts of its prompt that others may have, too.
     :param stream_value: value of its stream, compared with other requests.
     :param first_token_at_ms: when its first token was reported; 0: not yet.
@@ -46,6 +47,7 @@
     part_ids: tuple[str, ...] = ()
     team: str = ''
     cost_ms: float = 0.0
+    quota_tokens: int = 0
 
     @property
     def is_streaming(self) -> bool:
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -243,6 +243,20 @@
             self._buckets[team.name].spend(tokens)
         return True
 
+    def give_back(
+        self, team: GatewayTeam, tokens: int, spent_ms: float, now: float
+    ) -> None:
+        """Take back a charge for a request that was never sent.
+
+        :param spent_ms: when it was charged, maybe before this bucket began.
+        """
+        bucket = self._refilled_bucket(team, now)
+        if spent_ms < bucket.started_ms:
+            return
+        room = max(self._capacity(team) - bucket.level, 0)
+        bucket.level += min(tokens, room)
+        bucket.granted_tokens -= tokens
+
     def reset(self) -> None:
         """Remove all buckets, since another instance is the owner or was."""
         self._buckets.clear()
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -1966,6 +1966,7 @@
      - first_byte_ms
      - relay
      - is_moved
+     - is_unsent
 
     """
 
@@ -1979,10 +1980,11 @@
         'first_byte_ms',
         'relay',
         'is_moved',
+        'is_unsent',
     )
 
 
-    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None, first_byte_ms=None, relay=None, is_moved=None,):
+    def __init__(self, request_id=None, cell=None, end=None, total_ms=None, output_tokens=None, longest_gap_ms=None, first_byte_ms=None, relay=None, is_moved=None, is_unsent=None,):
         self.request_id = request_id
         self.cell = cell
         self.end = end
@@ -1992,6 +1994,7 @@
         self.first_byte_ms = first_byte_ms
         self.relay = relay
         self.is_moved = is_moved
+        self.is_unsent = is_unsent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2047,6 +2050,11 @@
                     self.is_moved = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.is_unsent = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2093,6 +2101,10 @@
             oprot.writeFieldBegin('is_moved', TType.BOOL, 9)
             oprot.writeBool(self.is_moved)
             oprot.writeFieldEnd()
+        if self.is_unsent is not None:
+            oprot.writeFieldBegin('is_unsent', TType.BOOL, 10)
+            oprot.writeBool(self.is_unsent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4092,6 +4104,7 @@
     (7, TType.I32, 'first_byte_ms', None, None, ),  # 7
     (8, TType.STRING, 'relay', 'UTF8', None, ),  # 8
     (9, TType.BOOL, 'is_moved', None, None, ),  # 9
+    (10, TType.BOOL, 'is_unsent', None, None, ),  # 10
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -172,6 +172,7 @@
   7: optional i32 first_byte_ms    // since the request was sent
   8: optional string relay         // the instance that the request went through
   9: optional bool is_moved        // it goes on, and another owner accounts for it
+  10: optional bool is_unsent      // no byte of the request has reached an upstream
 }
 
 struct Heartbeat {
--- a/tests/platform/test_released_grants.py
+++ b/tests/platform/test_released_grants.py
@@ -2,6 +2,7 @@
 
 from curio import sleep
 
+from hornbeamdeck.clock import now_ms
 from hornbeamdeck.connection.client import ClientConnection
 from hornbeamdeck.connection.http import HttpRequest
 from hornbeamdeck.memory.budget import Purpose
@@ -37,6 +38,15 @@
     assert not any(each.tunnels.open_tunnels for each in fleet.gateways)
 
 
+def _counted_tokens(fleet: PlatformFleet) -> int:
+    """Return the tokens that any team has spent, as the ingresses report."""
+    reports = (
+        gateway.components.spending.report(now_ms())
+        for gateway in fleet.gateways
+    )
+    return sum(sum(spent.by_age) for report in reports for spent in report)
+
+
 def _let_requests_wait_for_engines(fleet: PlatformFleet) -> None:
     """Have the list of engines read for each request, without an answer."""
     fleet.store.is_silent = True
@@ -65,6 +75,7 @@
         connection = await _async_send(fleet, make_request('/seats/x'), gateway)
         await connection.async_close()
         await _async_expect_idle(fleet)
+    assert not _counted_tokens(fleet)
 
 
 @on_platform()
@@ -77,6 +88,7 @@
     connection = await _async_send(fleet, request)
     assert (await connection.async_read_head()).unwrap().status == 503
     await _async_expect_idle(fleet)
+    assert not _counted_tokens(fleet)
 
 
 @on_platform(2)
