Build the follower of roll-outs in its own package

Cause: gateway_components.py is about to pass the number of imported names that the style allows. Change: Rollouts.from_bounds creates the book and the writer of statuses, which only it uses; who helps an owner without the store has a function of its own. Behaviour stays as it is.

--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -5,7 +5,6 @@
 
 from result import Err, Ok, Result
 
-from hornbeamdeck.clock import wall_ms
 from hornbeamdeck.connection.peer import PeerIdentity
 from hornbeamdeck.connection.store_calls import StoreCalls
 from hornbeamdeck.connection.store_client import StoredObject, StoreUnavailable
@@ -34,9 +33,7 @@
     ParseConfiguration,
     PlatformAdapter,
 )
-from hornbeamdeck.rollout.book import RolloutBook
-from hornbeamdeck.rollout.rollouts import RolloutDependencies, Rollouts
-from hornbeamdeck.rollout.status_writer import StatusWriter
+from hornbeamdeck.rollout.rollouts import Rollouts
 from hornbeamdeck.rollout.store_interface import RolloutStore
 from hornbeamdeck.scheduling.admission_control import ListInstances
 from hornbeamdeck.scheduling.incarnations import IncarnationBook
@@ -344,27 +341,23 @@
         liveness = heartbeats.liveness
         if _owns_cells():
             return liveness.has_settled()
-        return (
-            heartbeats.has_owner_lost_store
-            and liveness.rank() < HEARTBEAT_RECEIVERS
-        )
+        return _has_to_help_owner(heartbeats)
 
-    book = RolloutBook(bounds, wall_ms)
-    made = Rollouts(
-        RolloutDependencies(
-            store=store,
-            book=book,
-            cells=cells.cells,
-            is_owner=_owns_cells,
-            is_reader=_is_reader,
-            status_writer=StatusWriter(store, book, _owns_cells, wall_ms),
-            metrics=metrics,
-        ),
+    made = Rollouts.from_bounds(
+        store, bounds, cells.cells, metrics, _owns_cells, _is_reader
     )
     cells.set_callback(made.apply)
     return made
 
 
+def _has_to_help_owner(heartbeats: Heartbeats) -> bool:
+    """Return whether this process uses the store for the owner."""
+    return (
+        heartbeats.has_owner_lost_store
+        and heartbeats.liveness.rank() < HEARTBEAT_RECEIVERS
+    )
+
+
 def _make_identity(
     settings: GatewaySettings,
     metrics: GatewayMetrics,
--- a/hornbeamdeck/rollout/rollouts.py
+++ b/hornbeamdeck/rollout/rollouts.py
@@ -6,13 +6,13 @@
 """
 
 from collections.abc import Callable, Mapping
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Self
 
 import structlog
 from curio import sleep
 from result import Err, Result
 
-from hornbeamdeck.clock import now_ms
+from hornbeamdeck.clock import now_ms, wall_ms
 from hornbeamdeck.connection.store_client import StoreUnavailable, WatchGap
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.const import MILLIS_PER_SECOND
@@ -29,6 +29,7 @@
 from hornbeamdeck.rollout.unknown_versions import UnknownVersions
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.rollout import (
+    RolloutBounds,
     RolloutPhase,
     RolloutStep,
     ServiceRollout,
@@ -82,6 +83,33 @@
         self._unknown_versions: dict[str, UnknownVersions] = {}
         self._logged_ms = 0.0
 
+    @classmethod
+    def from_bounds(
+        cls,
+        store: RolloutStore,
+        bounds: RolloutBounds,
+        cells: Mapping[str, EngineCell],
+        metrics: GatewayMetrics,
+        is_owner: Callable[[], bool],
+        is_reader: Callable[[], bool],
+    ) -> Self:
+        """Create the follower with a book of its own.
+
+        The parameters are those of `RolloutDependencies`.
+        """
+        book = RolloutBook(bounds, wall_ms)
+        return cls(
+            RolloutDependencies(
+                store=store,
+                book=book,
+                cells=cells,
+                is_owner=is_owner,
+                is_reader=is_reader,
+                status_writer=StatusWriter(store, book, is_owner, wall_ms),
+                metrics=metrics,
+            )
+        )
+
     async def async_write_status(self) -> None:
         """Write each status that is due; never returns."""
         await self._dependencies.status_writer.async_run(
