Record a version before it begins streams that can be resumed

Cause: a new version waited one second for its record and then served without. The record in the store went on to say that v1 is all, and a process without memory takes that for proof. Only the owner writes the record; where the store turned it away, nobody did, though its successors read the store for it and had told it of the version. The class: acting on what only a record makes safe before that record exists.

Change: - A stream that callers may go on with waits for the record of its version while engines of a recorded version serve, however long that takes. Other requests wait for a second, as before. So does a write whose answer is missing count: until the store answers, it may hold the old record or the new one. - The two successors of an owner that can't reach the store add the versions that are listed to a complete record, and send the owner what the store holds (RecordRelay, message RecordCopy). In calm they make no call. - What parses and builds records is a module of its own (recorded_names.py).

tests/store/test_records_of_out_of_step_owners.py had a red test that demanded of a reader to know that an unrecorded version had served. No reader can; the test now demands that such a version begins no streams, however long its record takes, and that the reader does not join streams once it is recorded.

Evidence: without the hold and the relay three of the new tests fail (the record still names v1 alone when a stream of v2 begins; a stream of v2 is granted after 60 s without a record); without the relay alone the version is never used. tests/store, tests/rollout, tests/process, tests/wire and four files of tests/platform: 232 passed, 2 skipped (known to be red).

--- a/hornbeamdeck/connection/store_revision.py
+++ b/hornbeamdeck/connection/store_revision.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple, Self
 
-__all__ = ('NUMBER_BITS', 'StoreRevision')
+__all__ = ('NO_REVISION', 'NUMBER_BITS', 'StoreRevision')
 
 # Bits for the number where one integer carries both parts.
 NUMBER_BITS: Final = 40
@@ -31,3 +31,7 @@
     def packed(self) -> int:
         """Both parts in one integer, which keeps the order."""
         return self.era << NUMBER_BITS | self.number
+
+
+# Before the first read.
+NO_REVISION: Final = StoreRevision(0, 0)
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -63,7 +63,7 @@
     FreshnessDependencies,
     FreshnessGuard,
 )
-from hornbeamdeck.wire import Message, RelayedStatement
+from hornbeamdeck.wire import Message, RecordCopy, RelayedStatement
 
 __all__ = ('Gateway',)
 
@@ -296,6 +296,10 @@
                 components.grants.engine_statements, message
             )
             return
+        if isinstance(message, RecordCopy):
+            components.fleet_memory.apply_relayed(message)
+            await components.scheduler.async_evaluate_cells()
+            return
         await components.heartbeats.async_handle_request(
             peer_id, message, deliver
         )
--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -40,8 +40,10 @@
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.fleet_memory import FleetMemory
+from hornbeamdeck.store.fleet_record import ENGINE_VERSIONS
 from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
 from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.record_relay import RecordRelay
 from hornbeamdeck.store.snapshots import Snapshots
 from hornbeamdeck.store.store_interface import (
     ConfigurationRead,
@@ -247,6 +249,13 @@
                 lambda: store_calls.era.current,
                 metrics.count_stored_origins,
                 readers[0].async_read_engines,
+                RecordRelay(
+                    ENGINE_VERSIONS.record_name,
+                    store,
+                    cells.cells,
+                    lambda: _owner_without_store(heartbeats, membership),
+                    peers.async_send,
+                ),
             ),
             heartbeats=heartbeats,
             reader=readers[0],
@@ -272,6 +281,15 @@
     return membership.owner_of(FLEET_CELL) == membership.own_status.instance_id
 
 
+def _owner_without_store(
+    heartbeats: Heartbeats, membership: Membership
+) -> str | None:
+    """Return the owner that this process has to help, if any."""
+    if _is_owner(membership) or not _has_to_help_owner(heartbeats):
+        return None
+    return membership.owner_of(FLEET_CELL)
+
+
 def _make_configuration_read(
     store: StoreInterface,
     readers: list[StoreReader],
--- a/hornbeamdeck/scheduling/service_engines.py
+++ b/hornbeamdeck/scheduling/service_engines.py
@@ -112,7 +112,9 @@
         A request may use them if no other engine is left for it. One that is
         bound to a version begins no stream.
         """
-        unrecorded = self.origins.history.unrecorded(now)
+        unrecorded = self.origins.history.unrecorded(
+            now, is_resumable=request.resumable_ms is not None
+        )
         if not unrecorded or request.version is not None:
             return free
         excluded = request.excluded or ()
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -13,7 +13,9 @@
 # Callers go on with streams for no longer than this.
 HISTORY_MS: Final = 120_000.0
 # How long a new version waits for its record while others serve. A store that
-# takes no writes must not keep engines from being used.
+# takes no writes must not keep engines from being used. Only streams that can
+# be resumed wait until it is recorded: one that outlives all processes would
+# go on at a version that the record takes for the only one.
 MAX_HOLD_MS: Final = 1000.0
 
 
@@ -102,14 +104,25 @@
         """
         self._recorded = None if versions is None else frozenset(versions)
 
-    def unrecorded(self, now: float) -> frozenset[str]:
-        """Return new versions whose streams would outlast all knowledge."""
+    @property
+    def listed(self) -> frozenset[str]:
+        """The versions that are listed now."""
+        return frozenset(self._listed_since_ms)
+
+    def unrecorded(
+        self, now: float, *, is_resumable: bool = False
+    ) -> frozenset[str]:
+        """Return new versions whose streams would outlast all knowledge.
+
+        :param is_resumable: whether callers may go on with these streams.
+        """
         if self._recorded is None:
             return frozenset()
         return frozenset(
             version
             for version, since_ms in self._listed_since_ms.items()
-            if version not in self._recorded and now < since_ms + MAX_HOLD_MS
+            if version not in self._recorded
+            and (is_resumable or now < since_ms + MAX_HOLD_MS)
         )
 
     def is_complete(self, now: float) -> bool:
--- a/hornbeamdeck/store/fleet_memory.py
+++ b/hornbeamdeck/store/fleet_memory.py
@@ -6,8 +6,10 @@
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.store.fleet_record import FleetRecord
 from hornbeamdeck.store.origin_store import OriginStore
+from hornbeamdeck.store.record_relay import RecordRelay, record_from_wire
 from hornbeamdeck.store.store_interface import StoreInterface
 from hornbeamdeck.store.version_confirmation import VersionConfirmation
+from hornbeamdeck.wire import RecordCopy
 
 __all__ = ('FleetMemory',)
 
@@ -20,6 +22,7 @@
     records: tuple[FleetRecord, ...]
     origins: OriginStore
     confirmation: VersionConfirmation
+    relay: RecordRelay
 
     @classmethod
     def from_store(
@@ -30,6 +33,7 @@
         era: Callable[[], int],
         count_origins: Callable[[str, int], None],
         read_engines: Callable[[], Coroutine[Any, Any, bool]],
+        relay: RecordRelay,
     ) -> Self:
         """Create all parts; nothing is called yet.
 
@@ -39,6 +43,7 @@
         :param count_origins: counts origins that were `read` or `written`.
         :param read_engines: reads the list of engines and returns whether the
             store has responded.
+        :param relay: helps an owner that can't reach the store.
         """
         records = FleetRecord.of_every_kind(store, cells, is_writer, era)
         versions, _ = records
@@ -46,8 +51,16 @@
             records,
             OriginStore(store, cells, is_writer, era, count_origins),
             VersionConfirmation(versions, read_engines, cells),
+            relay,
         )
 
+    def apply_relayed(self, message: RecordCopy) -> None:
+        """Apply what a successor has found in the store."""
+        stored = record_from_wire(message)
+        for record in self.records:
+            if stored is not None and record.name == message.record_name:
+                record.apply_relayed(stored)
+
     async def async_request_records(self) -> None:
         """Have the records written now that are outdated."""
         for record in self.records:
@@ -59,3 +72,4 @@
             yield record.async_run
         yield self.origins.async_run
         yield self.confirmation.async_run
+        yield self.relay.async_run
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -7,18 +7,26 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from contextlib import suppress
 from itertools import count
-from typing import Any, Final, NamedTuple, Self, TypeAlias
+from typing import Any, Final, NamedTuple, Self
 
 import structlog
-import voluptuous as vol
 from curio import Event, sleep
 from curio.errors import TaskTimeout
 from result import Err
 
 from hornbeamdeck.clock import async_with_timeout, now_ms
-from hornbeamdeck.connection.json_validators import encodable_text
+from hornbeamdeck.connection.store_revision import NO_REVISION
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.engine_cell import EngineCell
+from hornbeamdeck.store.recorded_names import (
+    NOTHING_RECORDED,
+    Recorded,
+    is_empty,
+    make_fields,
+    names_for_all,
+    parse_fields,
+    parse_record,
+)
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 
 __all__ = ('FleetRecord',)
@@ -31,22 +39,6 @@
 START_CHECKS: Final = 100
 RETRY_MS: Final = 500
 
-_Names: TypeAlias = dict[str, list[str]]
-_NAMES: Final = vol.Schema({encodable_text: [encodable_text]})
-_FIELD_ERA: Final = 'era'
-_FIELD_NAMES: Final = 'names'
-_FIELD_COMPLETE: Final = 'complete'
-_FIELD_DOUBTED: Final = 'doubted'
-_RECORD: Final = vol.Schema(
-    {
-        vol.Required(_FIELD_ERA): int,
-        vol.Required(_FIELD_NAMES): _NAMES,
-        vol.Required(_FIELD_COMPLETE): [encodable_text],
-        vol.Optional(_FIELD_DOUBTED, default=list): [encodable_text],
-    }
-)
-
-
 # What the store holds before this process has written to it.
 _UNKNOWN: Final = StoredRecord(None, {})
 
@@ -71,28 +63,11 @@
     current: Callable[[EngineCell, float], Collection[str] | None]
     is_complete: Callable[[EngineCell, float], bool]
     is_doubted: Callable[[EngineCell, float], bool]
-    add_earlier: Callable[[EngineCell, '_Recorded', float], None]
+    add_earlier: Callable[[EngineCell, Recorded, float], None]
     apply_recorded: Callable[[EngineCell, Collection[str] | None], None]
     confirm: Callable[[EngineCell, float], None]
 
 
-class _Recorded(NamedTuple):
-    """What a record says of one service.
-
-    :param is_complete: whether its writer knew all names. A record that an
-        earlier era of the store holds may have been followed by a newer one.
-    :param is_doubted: whether its writer knew that there may be others, which
-        no owner knows.
-    """
-
-    names: Collection[str]
-    is_complete: bool
-    is_doubted: bool = False
-
-
-_NOTHING_RECORDED: Final = _Recorded((), is_complete=False)
-
-
 def _current_versions(cell: EngineCell, now: float) -> Collection[str] | None:
     return cell.origins.history.versions(now) or None
 
@@ -105,7 +80,7 @@
     return cell.origins.history.has_unlisted(now)
 
 
-def _add_versions(cell: EngineCell, recorded: _Recorded, now: float) -> None:
+def _add_versions(cell: EngineCell, recorded: Recorded, now: float) -> None:
     history = cell.origins.history
     history.add_earlier(recorded.names, now, is_complete=recorded.is_complete)
     if recorded.is_doubted:
@@ -127,7 +102,7 @@
 
 
 def _add_crashing_requests(
-    cell: EngineCell, recorded: _Recorded, now: float
+    cell: EngineCell, recorded: Recorded, now: float
 ) -> None:
     for fingerprint in recorded.names:
         cell.crash_tracker.add_confirmed(fingerprint, now)
@@ -180,6 +155,8 @@
         self._is_writer = is_writer
         self._era = era
         self._stored = _UNKNOWN
+        # Written since, without an answer: the store may hold any of them.
+        self._unanswered: list[Any] = []
         # Services whose cells know what was recorded.
         self._informed: set[str] = set()
         self._is_wanted = Event()
@@ -198,6 +175,11 @@
             for kind in (ENGINE_VERSIONS, CRASHING_REQUESTS)
         )
 
+    @property
+    def name(self) -> str:
+        """Name of the record in the store."""
+        return self._kind.record_name
+
     async def async_run(self) -> None:
         """Keep the record current while this process is the owner; forever."""
         for checks in count():
@@ -208,7 +190,7 @@
                 await async_with_timeout(interval_ms, self._is_wanted.wait())
             self._is_wanted.clear()
             if not self._is_writer():
-                self._stored = _UNKNOWN
+                self._replace(_UNKNOWN)
                 self._tell_what_is_recorded()
             elif not await self.async_sync():
                 await sleep(RETRY_MS / MILLIS_PER_SECOND)
@@ -225,17 +207,24 @@
         revision = self._stored.revision
         if revision is not None and revision.era < self._era():
             # A restored store may hold an older record, or none.
-            self._stored = _UNKNOWN
+            self._replace(_UNKNOWN)
         self._inform_cells()
         current = self._current_fields()
-        if not current[_FIELD_NAMES] or current == self._stored.fields:
+        if is_empty(current) or current == self._stored.fields:
             return True
         due = self._stored._replace(fields=current)
+        if current not in self._unanswered:
+            self._unanswered.append(current)
+            # Until the store answers, it may hold what is written now.
+            self._tell_what_is_recorded()
         record_name = self._kind.record_name
         response = await self._store.write_record(record_name, due)
         if isinstance(response, Err):
             return False
-        self._stored = response.ok_value
+        if (self._stored.revision or NO_REVISION) <= (
+            response.ok_value.revision or NO_REVISION
+        ):
+            self._replace(response.ok_value)
         self._informed.clear()
         self._inform_cells()
         _LOGGER.info(
@@ -267,12 +256,33 @@
         if stored.revision != known:
             self._inform(stored, self._cells.keys())
         if stored.revision and known and stored.revision > known:
-            self._stored = stored
-        recorded = _parse(stored)
+            self._replace(stored)
+        recorded = parse_record(stored)
         for service, cell in self._cells.items():
-            if recorded.get(service, _NOTHING_RECORDED).is_complete:
+            if recorded.get(service, NOTHING_RECORDED).is_complete:
                 self._kind.confirm(cell, asked_ms)
 
+    def apply_relayed(self, stored: StoredRecord) -> None:
+        """Apply what another instance has found in the store.
+
+        The owner may not reach it itself.
+        """
+        known = self._stored.revision
+        if stored.revision is None or not self._is_writer():
+            return
+        if known is None or stored.revision > known:
+            self._replace(stored)
+            self._informed.clear()
+            self._inform_cells()
+
+    def _replace(self, stored: StoredRecord) -> None:
+        """Replace what is known of the store's record.
+
+        What was written on an earlier revision can't take effect any more.
+        """
+        self._stored = stored
+        self._unanswered.clear()
+
     def _inform_cells(self) -> None:
         """Tell the cells what was recorded before this process owned them."""
         self._tell_what_is_recorded()
@@ -284,71 +294,34 @@
 
     def _inform(self, stored: StoredRecord, services: Iterable[str]) -> None:
         now = now_ms()
-        recorded = _parse(stored)
+        recorded = parse_record(stored)
         for service in services:
             self._kind.add_earlier(
                 self._cells[service],
-                recorded.get(service, _NOTHING_RECORDED),
+                recorded.get(service, NOTHING_RECORDED),
                 now,
             )
 
     def _tell_what_is_recorded(self) -> None:
-        recorded = _parse(self._stored)
+        """Tell the cells which names a reader of the store takes for all."""
+        era = self._era()
+        possible = [
+            parse_record(self._stored),
+            *(parse_fields(fields, era) for fields in self._unanswered),
+        ]
         for service, cell in self._cells.items():
-            of_service = recorded.get(service, _NOTHING_RECORDED)
-            names = of_service.names if of_service.is_complete else None
-            self._kind.apply_recorded(cell, names)
+            self._kind.apply_recorded(cell, names_for_all(service, possible))
 
     def _current_fields(self) -> dict[str, Any]:
         now = now_ms()
-        names = {
-            service: self._kind.current(cell, now)
+        kind = self._kind
+        recorded = {
+            service: Recorded(
+                names,
+                is_complete=kind.is_complete(cell, now),
+                is_doubted=kind.is_doubted(cell, now),
+            )
             for service, cell in self._cells.items()
+            if (names := kind.current(cell, now)) is not None
         }
-        return {
-            _FIELD_ERA: self._era(),
-            _FIELD_NAMES: {
-                service: sorted(of_service)
-                for service, of_service in names.items()
-                if of_service is not None
-            },
-            _FIELD_COMPLETE: self._services(self._kind.is_complete, now),
-            _FIELD_DOUBTED: self._services(self._kind.is_doubted, now),
-        }
-
-    def _services(
-        self, is_listed: Callable[[EngineCell, float], bool], now: float
-    ) -> list[str]:
-        return sorted(
-            service
-            for service, cell in self._cells.items()
-            if is_listed(cell, now)
-        )
-
-
-def _parse(stored: StoredRecord) -> dict[str, _Recorded]:
-    """Return what a record says, by service.
-
-    Only what was written in the era of the store that it was read in is
-    complete: what a restored store holds may have been followed by more.
-    """
-    if stored.revision is None:
-        return {}
-    fields = stored.fields
-    if not isinstance(fields, dict) or _FIELD_NAMES not in fields:
-        # The format of earlier releases.
-        fields = {_FIELD_ERA: -1, _FIELD_NAMES: fields, _FIELD_COMPLETE: []}
-    try:
-        parsed = _RECORD(fields)
-    except vol.Invalid as error:
-        _LOGGER.warning('record ignored', cause=str(error))
-        return {}
-    is_current = parsed[_FIELD_ERA] == stored.revision.era
-    return {
-        service: _Recorded(
-            names,
-            is_current and service in parsed[_FIELD_COMPLETE],
-            service in parsed[_FIELD_DOUBTED],
-        )
-        for service, names in parsed[_FIELD_NAMES].items()
-    }
+        return make_fields(self._era(), recorded)
--- a/hornbeamdeck/store/store_reader.py
+++ b/hornbeamdeck/store/store_reader.py
@@ -20,7 +20,10 @@
     StoreUnavailable,
     WatchGap,
 )
-from hornbeamdeck.connection.store_revision import StoreRevision
+from hornbeamdeck.connection.store_revision import (
+    NO_REVISION,
+    StoreRevision,
+)
 from hornbeamdeck.const import KEY_CONFIGURATION, MILLIS_PER_SECOND
 from hornbeamdeck.membership.liveness import HEARTBEAT_RECEIVERS
 from hornbeamdeck.store.engine_directory import EngineDirectory
@@ -54,8 +57,6 @@
 # Additional wait per rank before an instance reads the store itself.
 RANK_DELAY_MS: Final = 100
 MAX_RANK_DELAY_MS: Final = 900
-# The revision before the first read.
-NO_REVISION: Final = StoreRevision(0, 0)
 # Intervals between checks whether a read is due. The first ranks, which may
 # become the next owners, check often. The others read up to a second later or
 # not at all, and check less often.
--- a/hornbeamdeck/wire/codec.py
+++ b/hornbeamdeck/wire/codec.py
@@ -23,6 +23,7 @@
     OpenTunnel,
     Progress,
     Proof,
+    RecordCopy,
     Refuse,
     Register,
     RelayedStatement,
@@ -91,6 +92,7 @@
     | OpenTunnel
     | TunnelAnswer
     | RelayedStatement
+    | RecordCopy
 )
 
 _ENVELOPE_FIELDS: Final[Mapping[type, str]] = MappingProxyType(
@@ -116,6 +118,7 @@
         RelayedStatement: 'relayed_statement',
         StreamOrigins: 'stream_origins',
         UpstreamEnd: 'upstream_end',
+        RecordCopy: 'record_copy',
     }
 )
 
--- a/hornbeamdeck/wire/gen/peer/ttypes.py
+++ b/hornbeamdeck/wire/gen/peer/ttypes.py
@@ -3602,6 +3602,118 @@
         return not (self == other)
 
 
+class RecordCopy(object):
+    """
+    Attributes:
+     - record_name
+     - era
+     - revision
+     - fields
+
+    """
+
+    __slots__ = (
+        'record_name',
+        'era',
+        'revision',
+        'fields',
+    )
+
+
+    def __init__(self, record_name=None, era=None, revision=None, fields=None,):
+        self.record_name = record_name
+        self.era = era
+        self.revision = revision
+        self.fields = fields
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.record_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.fields = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RecordCopy')
+        if self.record_name is not None:
+            oprot.writeFieldBegin('record_name', TType.STRING, 1)
+            oprot.writeString(self.record_name.encode('utf-8') if sys.version_info[0] == 2 else self.record_name)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.fields is not None:
+            oprot.writeFieldBegin('fields', TType.STRING, 4)
+            oprot.writeString(self.fields.encode('utf-8') if sys.version_info[0] == 2 else self.fields)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.record_name is None:
+            raise TProtocolException(message='Required field record_name is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.fields is None:
+            raise TProtocolException(message='Required field fields is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -3628,6 +3740,7 @@
      - relayed_statement
      - stream_origins
      - upstream_end
+     - record_copy
 
     """
 
@@ -3655,10 +3768,11 @@
         'relayed_statement',
         'stream_origins',
         'upstream_end',
+        'record_copy',
     )
 
 
-    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, engine_observation=None, open_tunnel=None, tunnel_answer=None, relayed_statement=None, stream_origins=None, upstream_end=None,):
+    def __init__(self, configuration_version=None, clock_us=None, hello=None, proof=None, enqueue=None, grant=None, refuse=None, withdraw=None, register_run=None, progress=None, release=None, heartbeat=None, suspect=None, ask_snapshot=None, snapshot=None, beat=None, engine_list=None, engine_observation=None, open_tunnel=None, tunnel_answer=None, relayed_statement=None, stream_origins=None, upstream_end=None, record_copy=None,):
         self.configuration_version = configuration_version
         self.clock_us = clock_us
         self.hello = hello
@@ -3682,6 +3796,7 @@
         self.relayed_statement = relayed_statement
         self.stream_origins = stream_origins
         self.upstream_end = upstream_end
+        self.record_copy = record_copy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3828,6 +3943,12 @@
                     self.upstream_end.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.record_copy = RecordCopy()
+                    self.record_copy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3930,6 +4051,10 @@
             oprot.writeFieldBegin('upstream_end', TType.STRUCT, 23)
             self.upstream_end.write(oprot)
             oprot.writeFieldEnd()
+        if self.record_copy is not None:
+            oprot.writeFieldBegin('record_copy', TType.STRUCT, 24)
+            self.record_copy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4208,6 +4333,14 @@
     (4, TType.BOOL, 'is_leaving', None, None, ),  # 4
     (5, TType.I64, 'rest_ms', None, None, ),  # 5
 )
+all_structs.append(RecordCopy)
+RecordCopy.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'record_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'fields', 'UTF8', None, ),  # 4
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -4234,6 +4367,7 @@
     (21, TType.STRUCT, 'relayed_statement', [RelayedStatement, None], None, ),  # 21
     (22, TType.STRUCT, 'stream_origins', [StreamOrigins, None], None, ),  # 22
     (23, TType.STRUCT, 'upstream_end', [UpstreamEnd, None], None, ),  # 23
+    (24, TType.STRUCT, 'record_copy', [RecordCopy, None], None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
--- a/hornbeamdeck/wire/peer.thrift
+++ b/hornbeamdeck/wire/peer.thrift
@@ -277,6 +277,15 @@
   5: required i64 rest_ms
 }
 
+// A record as a successor has found it in the store, for an owner that can't
+// reach the store.
+struct RecordCopy {
+  1: required string record_name
+  2: required i64 era              // of the store
+  3: required i64 revision
+  4: required string fields        // JSON
+}
+
 // Exactly one of the fields from 3 on is set.
 struct Envelope {
   1: required i64 configuration_version
@@ -302,4 +311,5 @@
   21: optional RelayedStatement relayed_statement
   22: optional StreamOrigins stream_origins
   23: optional UpstreamEnd upstream_end
+  24: optional RecordCopy record_copy
 }
--- a/tests/platform/stream_caller.py
+++ b/tests/platform/stream_caller.py
@@ -134,4 +134,6 @@
     )
     # New versions get streams once they are recorded.
     history = fleet.owner.components.cells.cells['desk'].origins.history
-    await fleet.async_until(lambda: not history.unrecorded(now_ms()))
+    await fleet.async_until(
+        lambda: not history.unrecorded(now_ms(), is_resumable=True)
+    )
--- a/tests/platform/test_arbitrary_content.py
+++ b/tests/platform/test_arbitrary_content.py
@@ -37,9 +37,9 @@
 from hornbeamdeck.rollout.book import RolloutBook
 from hornbeamdeck.scheduling.origin_buckets import OriginBuckets
 from hornbeamdeck.scheduling.rollout import RolloutBounds
-from hornbeamdeck.store import fleet_record
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.list_version import ListVersion
+from hornbeamdeck.store.recorded_names import parse_record
 from hornbeamdeck.store.store_interface import StoredRecord
 from hornbeamdeck.store.stored_objects import usable_events, usable_objects
 from hornbeamdeck.wire import (
@@ -291,7 +291,7 @@
 def test_any_record_is_ignored_or_can_be_told_to_peers(found: Any) -> None:
     """Guards against recorded names that end connections to peers."""
     record = StoredRecord(REVISION, _as_read(found))
-    for service, recorded in fleet_record._parse(record).items():
+    for service, recorded in parse_record(record).items():
         for name in recorded.names:
             encode_frame(Suspect(cell=service, fingerprint=name, crashes=1))
 
--- a/tests/scheduling/test_resumed_streams.py
+++ b/tests/scheduling/test_resumed_streams.py
@@ -148,6 +148,21 @@
     assert granted(cell, 1000) == [('1', 'of-v2')]
 
 
+def test_resumable_stream_waits_until_its_version_is_recorded() -> None:
+    """Guards against streams of a version that no later owner can know."""
+    cell = _cell('v1', 'v2')
+    cell.origins.history.apply_recorded(['v1'])
+    for number in range(2):
+        enqueue(
+            cell,
+            make_request(f'{number}', objective_ms=90_000, resumable_ms=90_000),
+        )
+    assert granted(cell) == [('0', 'of-v1')]
+    assert not granted(cell, 60_000)
+    cell.origins.history.apply_recorded(['v1', 'v2'])
+    assert granted(cell, 60_030) == [('1', 'of-v2')]
+
+
 def test_unrecorded_version_serves_if_it_is_the_only_one() -> None:
     """Guards against a service that stops while its record is written."""
     cell = _cell('v2')
--- a/tests/store/test_records_of_out_of_step_owners.py
+++ b/tests/store/test_records_of_out_of_step_owners.py
@@ -11,7 +11,7 @@
 from hornbeamdeck.connection.store_revision import StoreRevision
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import OriginBook
-from hornbeamdeck.scheduling.version_history import MAX_HOLD_MS
+from hornbeamdeck.scheduling.version_history import HISTORY_MS
 from hornbeamdeck.store.fleet_record import ENGINE_VERSIONS, FleetRecord
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 from tests.scheduling.engine_cell_factories import (
@@ -80,6 +80,10 @@
         for _ in range(3):
             assert run(self.record.async_sync)
 
+    def held_from_streams(self, now: float) -> frozenset[str]:
+        history = self.cell.origins.history
+        return history.unrecorded(now, is_resumable=True)
+
     def version_of_unknown_stream(self) -> str | None:
         asked_ms = now_ms()
         self.confirmed_ms = math.inf
@@ -121,8 +125,8 @@
     assert out_of_step.version_of_unknown_stream() is None
 
 
-def test_version_that_serves_before_it_is_recorded_is_not_missed() -> None:
-    """Guards against a version that is used since the store takes no writes."""
+def test_version_begins_no_streams_before_it_is_recorded() -> None:
+    """Guards against streams of a version that the record does not name."""
     store = _Store()
     out_of_step, other = _Owner(store), _Owner(store)
     out_of_step.list_versions('v1')
@@ -132,5 +136,19 @@
     store.takes_writes = False
     other.list_versions('v1', 'v2')
     assert not run(other.record.async_sync)
-    assert not other.cell.origins.history.unrecorded(now_ms() + MAX_HOLD_MS)
+    assert other.held_from_streams(now_ms() + HISTORY_MS) == {'v2'}
+    store.takes_writes = True
+    other.sync()
+    assert not other.held_from_streams(now_ms())
     assert out_of_step.version_of_unknown_stream() is None
+
+
+def test_version_is_held_while_the_answer_to_a_write_is_missing() -> None:
+    """Guards against a record that lands after its writer has given up."""
+    store = _Store()
+    owner = _Owner(store)
+    owner.list_versions('v1')
+    store.takes_writes = False
+    assert not run(owner.record.async_sync)
+    owner.list_versions('v1', 'v2')
+    assert owner.held_from_streams(now_ms()) == {'v2'}
