Let only an owner that was in step vouch to a restored store

Cause: an owner stood still for five seconds. Its successor recorded that v2 serves beside v1; the store then came back from a copy without that record, and the successor had been killed. The first owner still took its own memory for complete, wrote to the store of the new era that v1 is all, and read its own record as the store's confirmation.

Change: - `Tenure` holds since when a process has been the only owner: it was the owner, heard a majority of the fleet, and ran, with no gap over a second. - Within an era, a record stays complete by the store: a write that succeeds shows that nobody else has written. What a process knows by itself counts only if it has been the only owner since the store named all versions, or for 120 s. - An owner whose tenure has begun anew reads the record again, one call, so that it may vouch later. - A record that is doubted is never complete.

--- a/hornbeamdeck/ownership/engine_cells.py
+++ b/hornbeamdeck/ownership/engine_cells.py
@@ -68,6 +68,7 @@
             ),
             instances=view.instances,
             engines_confirmed_ms=view.engines_confirmed_ms,
+            owned_since=lambda now: self._served_share.tenure.since_ms(now),
         )
         self._is_first_start = is_first_start
         self._fleet_share = view.fleet_share
--- a/hornbeamdeck/scheduling/admission_control.py
+++ b/hornbeamdeck/scheduling/admission_control.py
@@ -19,6 +19,7 @@
     OriginBook,
     always_confirmed,
 )
+from hornbeamdeck.scheduling.tenure import OwnedSince, never_owned
 from hornbeamdeck.scheduling.token_quota import (
     SMALL_REQUEST_SHARE,
     TokenNeed,
@@ -63,6 +64,7 @@
     :param rate_rules: how engines expect their request limits to be kept.
     :param instances: returns the ids of all instances that serve callers.
     :param engines_confirmed_ms: as in `FleetView`.
+    :param owned_since: returns since when this process has been the only owner.
     """
 
     quotas: TokenQuotas
@@ -71,6 +73,7 @@
     rate_rules: RateRules = RateRules()
     instances: ListInstances = tuple
     engines_confirmed_ms: Callable[[], float] = always_confirmed
+    owned_since: OwnedSince = never_owned
 
     def make_origins(self) -> OriginBook:
         """Create the book for the streams of one service."""
@@ -78,6 +81,7 @@
             self.is_certain,
             self.rate_rules.fleet_share,
             self.engines_confirmed_ms,
+            self.owned_since,
         )
 
 
--- a/hornbeamdeck/scheduling/served_share.py
+++ b/hornbeamdeck/scheduling/served_share.py
@@ -7,13 +7,11 @@
 """
 
 from collections import deque
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
-__all__ = ('MAX_RECORD_GAP_MS', 'ServedShare')
+from hornbeamdeck.scheduling.tenure import MAX_RECORD_GAP_MS, Tenure
 
-# An owner that is silent for this long is replaced by the others. A process
-# that has not run for this long may have been.
-MAX_RECORD_GAP_MS: Final = 1000
+__all__ = ('ServedShare',)
 
 
 class _Lowest(NamedTuple):
@@ -37,6 +35,7 @@
         self._share = 1.0 if is_first_start else 0.0
         self._recorded_ms = now
         self._lowest: deque[_Lowest] = deque()
+        self.tenure = Tenure(is_first_start=is_first_start)
         if not is_first_start:
             self._lowest.append(_Lowest(now, 0.0))
 
@@ -47,6 +46,7 @@
         :returns: whether others may have granted for the whole fleet since the
             last call.
         """
+        self.tenure.record(share, now)
         if now - self._recorded_ms > MAX_RECORD_GAP_MS:
             self._share = 0.0
         lowest = min(self._share, share)
--- a/hornbeamdeck/scheduling/stream_origins.py
+++ b/hornbeamdeck/scheduling/stream_origins.py
@@ -21,6 +21,7 @@
     GrantedIncarnation,
     Origin,
 )
+from hornbeamdeck.scheduling.tenure import OwnedSince, never_owned
 from hornbeamdeck.scheduling.version_history import HISTORY_MS, VersionHistory
 from hornbeamdeck.wire import Enqueue, Progress, StreamOrigin
 
@@ -140,6 +141,7 @@
         is_certain: IsCertain,
         fleet_share: Callable[[], float] = _hear_of_all,
         engines_confirmed_ms: Callable[[], float] = always_confirmed,
+        owned_since: OwnedSince = never_owned,
     ) -> None:
         """Start without streams.
 
@@ -149,11 +151,13 @@
             heard of here.
         :param engines_confirmed_ms: returns when the store was last asked for
             the list of engines that is held here.
+        :param owned_since: returns since when this process has been the only
+            owner.
         """
         self._is_certain = is_certain
         self._fleet_share = fleet_share
         self._engines_confirmed_ms = engines_confirmed_ms
-        self.history = VersionHistory()
+        self.history = VersionHistory(owned_since)
         # Whether the store may hold origins that were not read yet.
         self.awaits_stored = False
         # Of the last change.
--- a/hornbeamdeck/scheduling/token_quota.py
+++ b/hornbeamdeck/scheduling/token_quota.py
@@ -17,7 +17,7 @@
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 from hornbeamdeck.scheduling.owner_share import OwnerShare
-from hornbeamdeck.scheduling.served_share import MAX_RECORD_GAP_MS
+from hornbeamdeck.scheduling.tenure import MAX_RECORD_GAP_MS
 from hornbeamdeck.version.gateway import GatewayTeam
 
 __all__ = (
--- a/hornbeamdeck/scheduling/version_history.py
+++ b/hornbeamdeck/scheduling/version_history.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection, Iterable
 from typing import Final
 
+from hornbeamdeck.scheduling.tenure import OwnedSince, never_owned
+
 __all__ = ('HISTORY_MS', 'VersionHistory')
 
 # Callers go on with streams for no longer than this.
@@ -22,8 +24,13 @@
 class VersionHistory:
     """Versions that were listed within `HISTORY_MS`."""
 
-    def __init__(self) -> None:
-        """Start without versions; what was listed before is not known."""
+    def __init__(self, owned_since: OwnedSince = never_owned) -> None:
+        """Start without versions; what was listed before is not known.
+
+        :param owned_since: returns since when this process has been the only
+            owner.
+        """
+        self._owned_since = owned_since
         # Whether what the store holds of the past has been read.
         self.is_read = False
         # When the store was last asked for the record of all versions.
@@ -125,6 +132,19 @@
             and (is_resumable or now < since_ms + MAX_HOLD_MS)
         )
 
+    def may_vouch(self, now: float) -> bool:
+        """Return whether no other owner can have begun streams unnoticed.
+
+        That is so if this process has been the only owner since the store
+        named all versions, or for all the time that matters.
+        """
+        proven_ms = max(self._recorded_ms, now - HISTORY_MS)
+        return self.is_complete(now) and self._owned_since(now) <= proven_ms
+
+    def lacks_proof(self, now: float) -> bool:
+        """Return whether the store was not asked since the ownership began."""
+        return self._recorded_ms < self._owned_since(now) < math.inf
+
     def is_complete(self, now: float) -> bool:
         """Return whether all versions of the last `HISTORY_MS` are known."""
         known_since_ms = max(self._known_since_ms, self._unlisted_ms)
--- a/hornbeamdeck/store/fleet_record.py
+++ b/hornbeamdeck/store/fleet_record.py
@@ -49,7 +49,8 @@
     :param record_name: name of the record in the store.
     :param current: returns the names that a cell knows; `None`: nothing is to
         be recorded of its service yet.
-    :param is_complete: whether these are all names that matter.
+    :param may_vouch: whether this process knows by itself that these are all
+        names that matter.
     :param is_doubted: whether there may be a name that no owner knows.
     :param add_earlier: tells a cell which names were recorded before, and
         whether these are all.
@@ -57,23 +58,30 @@
         for all; `None`: none.
     :param confirm: tells a cell when the store was asked for a record that has
         all names, and told which.
+    :param lacks_proof: whether a cell has not been told so since this process
+        became the only owner.
     """
 
     record_name: str
     current: Callable[[EngineCell, float], Collection[str] | None]
-    is_complete: Callable[[EngineCell, float], bool]
+    may_vouch: Callable[[EngineCell, float], bool]
     is_doubted: Callable[[EngineCell, float], bool]
     add_earlier: Callable[[EngineCell, Recorded, float], None]
     apply_recorded: Callable[[EngineCell, Collection[str] | None], None]
     confirm: Callable[[EngineCell, float], None]
+    lacks_proof: Callable[[EngineCell, float], bool]
 
 
 def _current_versions(cell: EngineCell, now: float) -> Collection[str] | None:
     return cell.origins.history.versions(now) or None
 
 
-def _knows_all_versions(cell: EngineCell, now: float) -> bool:
-    return cell.origins.history.is_complete(now)
+def _may_vouch(cell: EngineCell, now: float) -> bool:
+    return cell.origins.history.may_vouch(now)
+
+
+def _lacks_proof(cell: EngineCell, now: float) -> bool:
+    return cell.origins.history.lacks_proof(now)
 
 
 def _may_miss_a_version(cell: EngineCell, now: float) -> bool:
@@ -113,11 +121,12 @@
 ENGINE_VERSIONS: Final = RecordKind(
     'engine-versions',
     _current_versions,
-    _knows_all_versions,
+    _may_vouch,
     _may_miss_a_version,
     _add_versions,
     _apply_recorded_versions,
     _confirm_versions,
+    _lacks_proof,
 )
 # Without them, each would crash several engines again. That one is not recorded
 # proves nothing.
@@ -129,6 +138,7 @@
     _add_crashing_requests,
     lambda _cell, _names: None,
     lambda _cell, _asked_ms: None,
+    lambda _cell, _now: False,
 )
 
 
@@ -208,6 +218,8 @@
         if revision is not None and revision.era < self._era():
             # A restored store may hold an older record, or none.
             self._replace(_UNKNOWN)
+        if self._lacks_proof() and not await self.async_confirm():
+            return False
         self._inform_cells()
         current = self._current_fields()
         if is_empty(current) or current == self._stored.fields:
@@ -218,6 +230,7 @@
             # Until the store answers, it may hold what is written now.
             self._tell_what_is_recorded()
         record_name = self._kind.record_name
+        asked_ms = now_ms()
         response = await self._store.write_record(record_name, due)
         if isinstance(response, Err):
             return False
@@ -227,6 +240,7 @@
             self._replace(response.ok_value)
         self._informed.clear()
         self._inform_cells()
+        self._confirm(response.ok_value, asked_ms)
         _LOGGER.info(
             'record written',
             record=record_name,
@@ -257,10 +271,7 @@
             self._inform(stored, self._cells.keys())
         if stored.revision and known and stored.revision > known:
             self._replace(stored)
-        recorded = parse_record(stored)
-        for service, cell in self._cells.items():
-            if recorded.get(service, NOTHING_RECORDED).is_complete:
-                self._kind.confirm(cell, asked_ms)
+        self._confirm(stored, asked_ms)
 
     def apply_relayed(self, stored: StoredRecord) -> None:
         """Apply what another instance has found in the store.
@@ -275,6 +286,31 @@
             self._informed.clear()
             self._inform_cells()
 
+    def _complete_cells(self, stored: StoredRecord) -> dict[str, EngineCell]:
+        """Return the cells of the services of which a record has all names."""
+        recorded = parse_record(stored)
+        return {
+            service: cell
+            for service, cell in self._cells.items()
+            if recorded.get(service, NOTHING_RECORDED).is_complete
+        }
+
+    def _confirm(self, stored: StoredRecord, asked_ms: float) -> None:
+        for cell in self._complete_cells(stored).values():
+            self._kind.confirm(cell, asked_ms)
+
+    def _lacks_proof(self) -> bool:
+        """Return whether the record has to be read again.
+
+        Another owner may have written to it while this process stood still or
+        was cut off.
+        """
+        now = now_ms()
+        return any(
+            self._kind.lacks_proof(cell, now)
+            for cell in self._complete_cells(self._stored).values()
+        )
+
     def _replace(self, stored: StoredRecord) -> None:
         """Replace what is known of the store's record.
 
@@ -315,10 +351,13 @@
     def _current_fields(self) -> dict[str, Any]:
         now = now_ms()
         kind = self._kind
+        # A write that succeeds shows that no other owner has written since.
+        complete = self._complete_cells(self._stored)
         recorded = {
             service: Recorded(
                 names,
-                is_complete=kind.is_complete(cell, now),
+                is_complete=(service in complete or kind.may_vouch(cell, now))
+                and not kind.is_doubted(cell, now),
                 is_doubted=kind.is_doubted(cell, now),
             )
             for service, cell in self._cells.items()
--- a/tests/store/test_fleet_record.py
+++ b/tests/store/test_fleet_record.py
@@ -1,5 +1,6 @@
 """Tests of what a process concludes from a record in the store."""
 
+import math
 from typing import Any
 
 import pytest
@@ -106,6 +107,6 @@
     """Guards against streams that are refused for as long as a fleet lives."""
     cell = _cell()
     listed = [engine('of-v1', version='v1')]
-    cell.origins.history = VersionHistory()
+    cell.origins.history = VersionHistory(lambda _now: -math.inf)
     cell.origins.update_engines(listed, now_ms() - HISTORY_MS - 1)
     assert _can_begin_nowhere_else(_written_by(cell), 3)
--- a/tests/store/test_records_of_out_of_step_owners.py
+++ b/tests/store/test_records_of_out_of_step_owners.py
@@ -32,7 +32,11 @@
         self._changes = 0
         unused: dict[str, Any] = dict.fromkeys(StoreInterface._fields)
         self.interface = StoreInterface(
-            **{**unused, 'write_record': self._async_write}
+            **{
+                **unused,
+                'write_record': self._async_write,
+                'read_record': self._async_read,
+            }
         )
 
     def restore(self, copy: StoredRecord) -> None:
@@ -40,6 +44,11 @@
         revision = StoreRevision(self.era, self._changes)
         self.record = copy._replace(revision=revision)
 
+    async def _async_read(
+        self, _name: str
+    ) -> Result[StoredRecord, StoreUnavailable]:
+        return Ok(self.record)
+
     async def _async_write(
         self, _name: str, record: StoredRecord
     ) -> Result[StoredRecord, StoreUnavailable]:
@@ -58,9 +67,13 @@
     def __init__(self, store: _Store) -> None:
         self.store = store
         self.confirmed_ms = now_ms()
+        self.owned_since_ms = -math.inf
         self.cell: EngineCell = make_cell()
         self.cell.origins = OriginBook(
-            always_certain, lambda: 1.0, lambda: self.confirmed_ms
+            always_certain,
+            lambda: 1.0,
+            lambda: self.confirmed_ms,
+            lambda _now: self.owned_since_ms,
         )
         self.cell.origins.history.add_earlier((), now_ms())
         self.record = FleetRecord(
@@ -119,12 +132,58 @@
     other.sync()
     # The list that the instance out of step has missed is 5 s old.
     out_of_step.confirmed_ms = now_ms() - 5000
+    out_of_step.owned_since_ms = now_ms()
     store.restore(copy)
     out_of_step.list_versions('v1')
     out_of_step.sync()
     assert out_of_step.version_of_unknown_stream() is None
 
 
+def test_owner_that_was_in_step_tells_a_restored_store() -> None:
+    """Guards against streams that are refused after each drill."""
+    store = _Store()
+    owner = _Owner(store)
+    copy = store.record
+    owner.list_versions('v1')
+    owner.sync()
+    store.restore(copy)
+    owner.sync()
+    assert owner.version_of_unknown_stream() == 'v1'
+
+
+def test_owner_that_stood_still_is_told_before_it_vouches() -> None:
+    """Guards against a claim that only the read after it would refute."""
+    store = _Store()
+    out_of_step, other = _Owner(store), _Owner(store)
+    out_of_step.list_versions('v1')
+    out_of_step.sync()
+    for versions in (('v1', 'v2'), ('v1',)):
+        other.list_versions(*versions)
+        other.sync()
+    out_of_step.owned_since_ms = now_ms()
+    out_of_step.sync()
+    store.restore(StoredRecord(None, {}))
+    out_of_step.sync()
+    assert out_of_step.version_of_unknown_stream() is None
+
+
+def test_new_owner_goes_on_with_the_proof_of_the_one_before() -> None:
+    """Guards against streams that are refused after each change of owner."""
+    store = _Store()
+    former, successor = _Owner(store), _Owner(store)
+    former.list_versions('v1')
+    former.sync()
+    successor.owned_since_ms = now_ms()
+    successor.list_versions('v1')
+    successor.sync()
+    assert successor.version_of_unknown_stream() == 'v1'
+    copy = store.record
+    successor.list_versions('v1')
+    store.restore(copy)
+    successor.sync()
+    assert successor.version_of_unknown_stream() == 'v1'
+
+
 def test_version_begins_no_streams_before_it_is_recorded() -> None:
     """Guards against streams of a version that the record does not name."""
     store = _Store()
