Answer requests whose connection is chosen to make room

A whole request got neither a response nor a refusal, and its engine had run it or was running it, where a listener had as many connections as it may have.

Cause: to make room for a new connection, the listener shuts one down for reading that is idle, or waits for the rest of a request. The rest may have arrived by then, or arrive in that moment: what is in the socket is still read, and the request is served. The task that looks for callers who leave then found the end of the input, which this side had made, took it for the caller's, and cancelled the request.

Change: a connection that was chosen knows it. The end of its input is not the caller's; its request is answered, and the response ends the connection. One that is incomplete is refused as before (408, not run).

--- a/hornbeamdeck/connection/pending_input.py
+++ b/hornbeamdeck/connection/pending_input.py
@@ -11,7 +11,8 @@
 
 # Interval at which a connection with unread input is checked for its end.
 CLOSE_POLL_MS: Final = 100
-_CLOSED: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+_RESET: Final = select.POLLHUP | select.POLLERR
+_CLOSED: Final = select.POLLRDHUP | _RESET
 
 
 def has_pending_input(sock: socket.socket) -> bool:
@@ -19,9 +20,16 @@
     return _poll(sock, select.POLLIN)
 
 
-async def async_wait_closed(sock: socket.socket) -> None:
-    """Return when the other side has closed, also behind unread bytes."""
-    while not _poll(sock, _CLOSED):
+async def async_wait_closed(
+    sock: socket.socket, *, is_input_ended: bool = False
+) -> None:
+    """Return when the other side has closed, also behind unread bytes.
+
+    :param is_input_ended: whether this side has shut down its input, so that
+        only a reset shows it.
+    """
+    signs = _RESET if is_input_ended else _CLOSED
+    while not _poll(sock, signs):
         await sleep(CLOSE_POLL_MS / MILLIS_PER_SECOND)
 
 
--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -72,8 +72,8 @@
 
 # Returns the limits in force now.
 GetLimits: TypeAlias = Callable[[], ReadLimits]
-# Called when a request begins, with what refuses it while it is incomplete.
-OnBegun: TypeAlias = Callable[[Callable[[], None]], None]
+# Called when a request begins.
+OnBegun: TypeAlias = Callable[[], None]
 AsyncEndOther: TypeAlias = Callable[[], Awaitable[bool]]
 
 
@@ -102,7 +102,8 @@
         self._protocol = protocol
         self._current_limits = limits
         self._limits = limits()
-        self._is_refused = False
+        # Whether this side receives no more, to make room for others.
+        self._is_ended = False
         # Of the body, as far as the head states its length.
         self._body_left = 0
         # Of the head, counted as bytes of the body.
@@ -126,7 +127,7 @@
             return first_byte
         self._limits = self._current_limits()
         if on_begun is not None:
-            on_begun(self._refuse)
+            on_begun()
         try:
             return await async_with_timeout(
                 self._limits.request_ms,
@@ -138,17 +139,25 @@
     async def async_wait_disconnected(self) -> None:
         """Return when the caller has disconnected.
 
-        Up to `MAX_AHEAD_BYTES` of the requests that follow are buffered,
-        including those that were received with the current one.
+        The end of the input shows that, unless this side has ended it. Up to
+        `MAX_AHEAD_BYTES` of the requests that follow are buffered, including
+        those that were received with the current one.
         """
-        while self._buffered_bytes < MAX_AHEAD_BYTES:
+        while not self._is_ended and self._buffered_bytes < MAX_AHEAD_BYTES:
             try:
                 is_open = await self._async_receive_ahead()
             except OSError:
                 return
             if not is_open:
                 return
-        await async_wait_closed(self._sock)
+        await async_wait_closed(self._sock, is_input_ended=self._is_ended)
+
+    def end_input(self) -> None:
+        """Receive no more, since the socket is shut down for reading.
+
+        A request that is incomplete then is refused.
+        """
+        self._is_ended = True
 
     async def async_discard_input(self) -> None:
         """Discard received bytes until the caller closes."""
@@ -161,14 +170,17 @@
         """How many bytes to receive, so that few belong to later requests."""
         return min(max(self._body_left, MAX_AHEAD_BYTES), READ_BYTES)
 
+    @property
+    def _has_begun(self) -> bool:
+        """Whether a part of a request was received."""
+        is_idle = self._protocol.their_state is h11.IDLE
+        return bool(self._buffered_bytes) or not is_idle
+
     @property
     def _buffered_bytes(self) -> int:
         """Number of bytes that are received and not parsed."""
         return len(self._protocol.trailing_data[0])
 
-    def _refuse(self) -> None:
-        self._is_refused = True
-
     async def _async_receive_ahead(self) -> bool:
         """Buffer a part of the next requests; return whether there was one."""
         received = await self._sock.recv(MAX_AHEAD_BYTES - self._buffered_bytes)
@@ -202,7 +214,7 @@
             received = await self._sock.recv(self._wanted_bytes)
         except OSError as error:
             return Err(ConnectionBroken(repr(error)))
-        if not received and self._is_refused:
+        if not received and self._is_ended and self._has_begun:
             return Err(slow_request())
         if not received and self._protocol.their_state is h11.IDLE:
             return Err(CallerClosed())
--- a/hornbeamdeck/connection/request_loop.py
+++ b/hornbeamdeck/connection/request_loop.py
@@ -59,12 +59,11 @@
     to_error_response: ErrorResponseBuilder,
     connections: ConnectionLimit,
 ) -> None:
-    on_begun = partial(_enter_reading, connection.sock, connections)
+    end_input = partial(connection.close_after_response, is_input_ended=True)
+    on_begun = partial(_enter_reading, connection.sock, connections, end_input)
     is_new = True
     while True:
-        connections.enter_idle(
-            connection.sock, connection.close_after_response, is_new=is_new
-        )
+        connections.enter_idle(connection.sock, end_input, is_new=is_new)
         request = await connection.async_read_request(on_begun)
         connections.leave_waiting(connection.sock)
         if isinstance(request, Err):
@@ -82,11 +81,11 @@
 def _enter_reading(
     sock: socket.socket,
     connections: ConnectionLimit,
-    refuse: Callable[[], None],
+    end_input: Callable[[], None],
 ) -> None:
     begun_ms = now_ms()
     connections.leave_idle(sock)
-    connections.enter_waiting(sock, refuse, lambda: begun_ms)
+    connections.enter_waiting(sock, end_input, lambda: begun_ms)
 
 
 async def _async_handle_read_error(
--- a/hornbeamdeck/connection/server.py
+++ b/hornbeamdeck/connection/server.py
@@ -114,13 +114,17 @@
         """Write through an outlet from now on; `None`: write to the socket."""
         self._outlet = outlet
 
-    def close_after_response(self) -> None:
+    def close_after_response(self, *, is_input_ended: bool = False) -> None:
         """Send `connection: close` with the next response.
 
         The caller then opens a new connection, which may reach another
         instance.
+
+        :param is_input_ended: whether the socket is shut down for reading.
         """
         self._is_closing = True
+        if is_input_ended:
+            self._reader.end_input()
 
     def start_next(self) -> None:
         """Prepare to read the next request."""
--- a/tests/connection/test_connection_limit.py
+++ b/tests/connection/test_connection_limit.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from unittest.mock import patch
 
 from curio import TaskGroup, run, sleep, socket
 
@@ -24,6 +25,7 @@
 LONG_IDLE_S = 1.1
 READ_BYTES = 4096
 SLOW = b'GET /?5 HTTP/1.1\r\nhost: x\r\n\r\n'
+BRIEF = b'GET /?0.05 HTTP/1.1\r\nhost: x\r\n\r\n'
 ENCODED = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
 REQUEST = HttpRequest('GET', '/', '', {}, b'')
 
@@ -82,6 +84,13 @@
     return flood
 
 
+async def _async_read_head(sock: socket.socket) -> bytes:
+    """Read the head of a response, which comes in one piece."""
+    return bytes(
+        await async_with_timeout(TIMEOUT_MS, sock.recv(READ_BYTES))
+    ).lower()
+
+
 async def _async_is_closed(sock: socket.socket) -> bool:
     return not await async_with_timeout(TIMEOUT_MS, sock.recv(1))
 
@@ -188,6 +197,36 @@
     assert connections.open_count <= MOST + 1
 
 
+@_on_limited_listener
+async def test_request_that_ends_as_room_is_made_is_answered(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against whole requests that get neither response nor refusal."""
+    caller = (await _async_flood(address, opened, 1))[0]
+    await caller.sendall(BRIEF[:9])
+    await sleep(0.1)
+    # The listener has not read the rest when it ends the connection.
+    await caller.sendall(BRIEF[9:])
+    assert await connections.async_end_waiting(0)
+    assert b'connection: close' in await _async_read_head(caller)
+
+
+@_on_limited_listener
+async def test_request_that_arrives_as_an_idle_connection_ends_is_answered(
+    address: Address, connections: ConnectionLimit, opened: AsyncExitStack
+) -> None:
+    """Guards against the same for a connection that has just been chosen."""
+    caller = (await _async_flood(address, opened, 1))[0]
+    await caller.sendall(ENCODED)
+    await _async_read_head(caller)
+    await sleep(0.1)
+    with patch(f'{ConnectionLimit.__module__}.has_pending_input') as is_pending:
+        is_pending.return_value = False
+        await caller.sendall(BRIEF)
+        assert await connections._async_end_first(connections._kept, 0)  # noqa: SLF001
+    assert b'connection: close' in await _async_read_head(caller)
+
+
 @_on_limited_listener
 async def test_requests_that_arrive_slowly_are_read_while_there_is_room(
     address: Address, connections: ConnectionLimit, opened: AsyncExitStack
