Find time limits that pass while the process is busy

A request got neither a response nor a refusal: its connection was closed where two of its time limits passed while the process was busy, for instance with applying a large configuration. The log had `connection failed` with an `UncaughtTimeoutError`.

Cause: a limit that passes while its task is ready to run, since what it waited for has come, is kept pending. If a limit around it passes before the task runs, curio does not drop the pending one. It is raised in the outer block, with the time at which the inner limit passed; none of the limits that are left had passed by then, so curio reports an error instead of a time-out. A route with a short time limit is enough: the wait for the list of engines (300 ms) or for a connection (400 ms) is the inner limit, the request's is the outer one.

Change: async_with_timeout raises the time-out that it is. If its own limit has not passed, a limit around it has, and the work is cancelled for that.

In a request, the limit that passes is its own, so it is late when this happens; found by reading for the report of a whole request without an answer.

--- a/hornbeamdeck/clock.py
+++ b/hornbeamdeck/clock.py
@@ -5,6 +5,11 @@
 from typing import Any, Final, TypeVar, cast
 
 from curio import timeout_after
+from curio.errors import (
+    TaskTimeout,
+    TimeoutCancellationError,
+    UncaughtTimeoutError,
+)
 
 from hornbeamdeck.const import MILLIS_PER_SECOND
 
@@ -40,7 +45,18 @@
     :raises curio.errors.TaskTimeout: if the limit passed; the coroutine is
         cancelled.
     """
-    return cast(
-        _Returned,
-        await timeout_after(limit_ms / MILLIS_PER_SECOND, work),
-    )
+    until_ms = now_ms() + limit_ms
+    try:
+        return cast(
+            _Returned,
+            await timeout_after(limit_ms / MILLIS_PER_SECOND, work),
+        )
+    except UncaughtTimeoutError as error:
+        # An inner limit passed while the task was ready to run, and this one,
+        # or one around it, before it ran: the process was busy. curio finds no
+        # limit that had passed by then, and the task would end without a trace
+        # for whoever waits for its response.
+        passed_s = time.monotonic()
+        if now_ms() < until_ms:
+            raise TimeoutCancellationError(passed_s) from error
+        raise TaskTimeout(passed_s) from error
