Don't break a stream for silence where no other engine may go on

A stream whose events had reached its caller was broken off though its engine was sound, and the caller got neither its end nor a refusal.

Cause: an engine that is silent for three times the objective or the allowed gap is abandoned, so that another one may go on. That was done on the last attempt, too, and where the ids of the events can't be told to another engine.

Change: once a response has begun, the limit is lifted for an attempt after which there is none. Its caller and its deadline end it. A request without a response yet is still given up, which its caller hears at once.

Evidence: a stream over one engine, and over two that are both silent for longer than the limit, ended early before (the test failed) and is complete now.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -122,6 +122,10 @@
         """Set the limits for the responses to further requests."""
         self._reader.limits = limits
 
+    def lift_silence_limit(self) -> None:
+        """Wait for the rest of the response however long nothing comes."""
+        self._reader.limits = self._reader.limits._replace(silence_ms=0)
+
     def open_account(self, open_response: OpenResponse) -> None:
         """Count what is held of the response to the next request."""
         self._reader.account = open_response(self._async_shut_down)
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -65,6 +65,7 @@
         self._admission = admission
         self._caller = caller
         self._last_event_ms = 0.0
+        self._is_last = False
         # Attempts in which at least one byte was sent.
         self._sent_count = 0
         self._was_possibly_executing = False
@@ -85,13 +86,18 @@
         digest.update(request.body)
         return digest.hexdigest()[:FINGERPRINT_CHARS]
 
-    async def async_run(self, grant: Grant) -> RunEnd | WithholdReason:
+    async def async_run(
+        self, grant: Grant, *, is_last: bool
+    ) -> RunEnd | WithholdReason:
         """Send the request to the granted engine and relay its response.
 
+        :param is_last: whether no other engine may get the request after this
+            one.
         :returns: how the attempt ended; a complete response that is not a
             stream is left in `response`. Or why nothing was sent.
         """
         self.event_count = 0
+        self._is_last = is_last
         dialing_ms = now_ms()
         opened = await self._engine_connection.async_open(
             grant, self._admission.left_ms
@@ -155,6 +161,8 @@
                 limits.max_body_bytes, admission.silence_limit_ms
             )
         )
+        if self._is_last and self._caller.has_response_started:
+            connection.lift_silence_limit()
         attempt = EngineAttempt(
             engine=engine,
             team=utf8_field(admission.team_name),
@@ -280,6 +288,10 @@
         if not unsent:
             return None
         await self._async_begin(head)
+        connection = self._engine_connection.connection
+        if connection and (self._is_last or not self.position.is_resumable):
+            # What has begun would be broken for nothing.
+            connection.lift_silence_limit()
         if not self.first_byte_ms:
             self._record_first_byte(sent_ms)
             self._context.metrics.record_first_token(self.first_byte_ms)
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -323,7 +323,10 @@
         end = RunEnd.CANCELLED
         withheld: WithholdReason | None = None
         try:
-            outcome = await self._engine_attempts.async_run(grant)
+            runs = self._attempts.possible_runs + 1
+            outcome = await self._engine_attempts.async_run(
+                grant, is_last=runs >= self._admission.route.max_attempts
+            )
             if isinstance(outcome, WithholdReason):
                 withheld = outcome
             else:
