Keep a silent engine whose stream no other engine may go on with

Beside a change of the configuration, streams that had begun got neither their end nor a refusal: their connections were reset though their engine was sound.

The logs: `try ended`, end silent, after 1.5 s; `request refused`, too_many_tries, left 0; `request failed`.

Cause: a silent engine was left first, its connection closed and its slot given back, and only then the owner was asked for another one.

Change: once a response has begun, another engine is granted first, under an id of its own, while the silent one stays connected. If none is, the silent one is kept, without a limit to its silence (`silent engine kept` in the log). What attempts allow is a module of its own (attempts.py), as is what happens around a run (gateway_answer.py); behaviour besides is as it was.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -45,7 +45,7 @@
 class ClientConnection:
     """Sends requests on one connection and reads the responses.
 
-    After an error it must be closed.
+    After an error it must be closed, unless the server was only silent.
     """
 
     def __init__(
--- a/hornbeamdeck/process/gateway.py
+++ b/hornbeamdeck/process/gateway.py
@@ -51,12 +51,12 @@
 )
 from hornbeamdeck.request.engine_end_check import EngineEndCheck
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
+from hornbeamdeck.request.gateway_answer import async_run_gateway_request
 from hornbeamdeck.request.gateway_context import GatewayContext
 from hornbeamdeck.request.gateway_handler import (
     make_gateway_handler,
     refuse_unreadable,
 )
-from hornbeamdeck.request.gateway_run import async_run_gateway_request
 from hornbeamdeck.scheduling.queued_request import Deliver
 from hornbeamdeck.scheduling.shutdown import Shutdown
 from hornbeamdeck.store.freshness_guard import (
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -66,6 +66,8 @@
         self._caller = caller
         self._last_event_ms = 0.0
         self._is_last = False
+        # The head that a stream began with, and when its request was sent.
+        self._streamed: tuple[HttpResponse, float] | None = None
         # Attempts in which at least one byte was sent.
         self._sent_count = 0
         self._was_possibly_executing = False
@@ -132,6 +134,17 @@
         )
         return await self._async_relay(head.ok_value, verdict, sent_ms)
 
+    async def async_go_on(self) -> RunEnd:
+        """Relay the rest of a stream whose engine was silent for too long.
+
+        There is no limit to further silence.
+        """
+        connection = self._engine_connection.connection
+        if connection is None or self._streamed is None:
+            return RunEnd.SILENT
+        connection.lift_silence_limit()
+        return await self._async_relay_stream(*self._streamed)
+
     @property
     def relay(self) -> str:
         """The instance that the last attempt led through; empty: none."""
@@ -203,6 +216,8 @@
                 return RunEnd.FAILED
         is_stream = EVENT_STREAM in head.headers.get('content-type', '')
         if head.status == HTTPStatus.OK and is_stream:
+            self.position.start_attempt()
+            self._streamed = (head, sent_ms)
             return await self._async_relay_stream(head, sent_ms)
         return await self._async_read_complete(head, sent_ms)
 
@@ -232,7 +247,6 @@
     async def _async_relay_stream(
         self, head: HttpResponse, sent_ms: float
     ) -> RunEnd:
-        self.position.start_attempt()
         connection = self._engine_connection.connection
         end: RunEnd | None = None
         while connection is not None and end is None:
@@ -243,6 +257,9 @@
                 return await self._async_end_stream(head)
             selection = self.position.add_chunk(chunk.ok_value)
             end = await self._async_relay_events(head, selection, sent_ms)
+            if end is None and not selection.is_in_order:
+                self.cause = 'events that do not follow each other'
+                return RunEnd.FAILED
         return end or RunEnd.CANCELLED
 
     async def _async_end_stream(self, head: HttpResponse) -> RunEnd:
@@ -272,18 +289,6 @@
 
         :returns: how the attempt ends if it can't continue, else `None`.
         """
-        end = await self._async_relay_unsent(head, selection, sent_ms)
-        if end is None and not selection.is_in_order:
-            self.cause = 'events that do not follow each other'
-            return RunEnd.FAILED
-        return end
-
-    async def _async_relay_unsent(
-        self,
-        head: HttpResponse,
-        selection: Selection,
-        sent_ms: float,
-    ) -> RunEnd | None:
         unsent = selection.unsent
         if not unsent:
             return None
--- a/hornbeamdeck/request/gateway_run.py
+++ b/hornbeamdeck/request/gateway_run.py
@@ -1,18 +1,15 @@
 """Sends an admitted request to engines and the response to the caller."""
 
 from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import Final
 
 import structlog
-from curio.errors import TaskTimeout
-from result import Err, Result
+from result import Err, Ok, Result
 
-from hornbeamdeck.clock import async_with_timeout, now_ms
-from hornbeamdeck.connection.server import (
-    ServerConnection,
-    confirm_delivered,
-)
+from hornbeamdeck.clock import now_ms
+from hornbeamdeck.connection.server import ServerConnection
 from hornbeamdeck.observability.logs import age_for_log
+from hornbeamdeck.request.attempts import Attempts
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import (
     GatewayAdmission,
@@ -31,95 +28,17 @@
     admission_fields,
     attempt_fields,
     freshness_fields,
+    log_ended_try,
 )
-from hornbeamdeck.request.response_delivery import (
-    ResponseDelivery,
-    open_delivery,
-)
+from hornbeamdeck.request.response_delivery import ResponseDelivery
 from hornbeamdeck.wire import Grant, RunEnd
 
-__all__ = ('async_run_gateway_request',)
+__all__ = ('GatewayRun',)
 
 _LOGGER = structlog.get_logger(prefix='request')
 
-# Ends after which the request has certainly not run, so it may be sent to
-# another engine.
-_NOT_RUN: Final = frozenset(
-    (
-        RunEnd.NOT_DISPATCHED,
-        RunEnd.UNREACHABLE,
-        RunEnd.REJECTED,
-        RunEnd.MISDIRECTED,
-    ),
-)
-# Ends before any byte of the request was sent.
-_NOT_SENT: Final = frozenset((RunEnd.NOT_DISPATCHED, RunEnd.UNREACHABLE))
-# Ends after which it is possible that none of its bytes was sent.
-_POSSIBLY_UNSENT: Final = _NOT_SENT | {RunEnd.CANCELLED}
-# Ends after which a request that may run twice is sent to another engine.
-_RETRYABLE: Final = frozenset((RunEnd.FAILED, RunEnd.SILENT, RunEnd.ERRORED))
-# A request is refused after this many engines that neither this instance nor
-# any other that it asked could reach. Another instance may reach them.
-MAX_UNREACHABLE: Final = 2
-
-
-class _Attempts(NamedTuple):
-    """Attempts made for a request so far.
-
-    :param excluded: engines that it must not be sent to again.
-    :param engines_reached: number of engines that its bytes have reached.
-    :param possible_runs: number of engines that may have worked on it.
-    :param unreachable: number of engines that neither this instance nor any
-        other that it asked could reach.
-    """
-
-    excluded: tuple[str, ...] = ()
-    engines_reached: int = 0
-    possible_runs: int = 0
-    unreachable: int = 0
-
-
-async def async_run_gateway_request(
-    context: GatewayContext,
-    admission: GatewayAdmission,
-    caller: ServerConnection,
-) -> None:
-    """Answer a request.
-
-    However it ends, the caller gets exactly one final response, or its
-    connection is broken.
-    """
-    async with open_delivery(context.spools, admission, caller) as delivery:
-        run = GatewayRun(context, admission, caller, delivery)
-        try:
-            failure = await _async_run_in_time(run, admission, caller)
-            if failure is None:
-                failure = await delivery.async_complete()
-            else:
-                await delivery.async_break_off()
-        except BaseException:
-            if context.shutdown.has_ended:
-                run.log('request cut off', code='cut_off')
-            else:
-                run.log('caller left', code=delivery.left_code)
-            raise
-        if failure is None:
-            confirm_delivered(caller)
-            run.log('request answered')
-        else:
-            await run.async_fail(failure)
-            if await delivery.async_complete() is not None:
-                caller.reset_on_close()
-
-
-async def _async_run_in_time(
-    run: 'GatewayRun', admission: GatewayAdmission, caller: ServerConnection
-) -> Failure | None:
-    try:
-        return await async_with_timeout(admission.left_ms, run.async_run())
-    except TaskTimeout:
-        # The deadline may pass just after the end of the response was written.
-        return None if caller.is_response_complete else run.timeout_failure()
+# Not part of any request id, since no header may contain it.
+SUCCESSOR_SUFFIX: Final = '\x1fsuccessor'
 
 
 class GatewayRun:
@@ -137,11 +56,13 @@
         self._admission = admission
         self._caller = caller
         self._delivery = delivery
-        self._attempts = _Attempts()
+        self._attempts = Attempts()
         self._engine_attempts = EngineAttempts(context, admission, caller)
         self._engine = ''
         self._version = ''
         self._waited_ms = 0.0
+        # Another engine that was granted while the current one is silent.
+        self._successor: Grant | None = None
         self._return_tokens = context.record_granted_tokens('', 0)
 
     async def async_run(self) -> Failure | None:
@@ -156,6 +77,8 @@
             # A grant that was not used yet would hold its slot for as long as
             # this process runs. One that was released before stays released.
             await self._async_release()
+            if self._successor is not None:
+                await self._async_release(self._successor.request_id)
 
     def timeout_failure(self) -> Failure:
         """Make the failure of a request whose time limit has passed."""
@@ -205,7 +128,9 @@
 
     async def _async_run_attempts(self) -> Failure | None:
         while True:
-            granted = await self._async_grant()
+            successor = self._successor
+            self._successor = None
+            granted = Ok(successor) if successor else await self._async_grant()
             if isinstance(granted, Err):
                 return await self._async_handle_refusal(granted.err_value)
             end = await self._async_use(granted.ok_value)
@@ -214,13 +139,19 @@
             if not await self._engine_attempts.evidence.async_may_go_on():
                 return _uncertain_version()
 
-    async def _async_grant(self) -> Result[Grant, NotRun]:
+    async def _async_grant(self, suffix: str = '') -> Result[Grant, NotRun]:
+        """Wait for a grant.
+
+        :param suffix: tells the grant apart from another one that is in use.
+        """
         admission = self._admission
         requested_ms = now_ms()
+        request_id = f'{admission.request.request_id}{suffix}'
         granted = await self._context.acquire_grant(
             make_enqueue(
                 admission,
                 self._engine_attempts,
+                request_id=request_id,
                 excluded=self._attempts.excluded,
                 engines_reached=self._attempts.engines_reached,
                 has_response_started=self._caller.has_response_started,
@@ -235,10 +166,10 @@
             admission,
             may_accept_keys=self._context.freshness_guard.may_accept_keys(),
         )
-        if self._would_be_cut_off():
+        if _would_be_cut_off(self._context, admission):
             allowed = Err(instance_stops())
         if isinstance(allowed, Err):
-            await self._async_release()
+            await self._async_release(request_id)
             return allowed
         if not self._attempts.engines_reached and admission.team is not None:
             self._return_tokens = self._context.record_granted_tokens(
@@ -258,19 +189,6 @@
             return WithholdReason.EARLIER_ATTEMPT
         return await self._context.send_guard.async_check(grant)
 
-    def _would_be_cut_off(self) -> bool:
-        """Return whether a planned stop may cut off what would be sent now.
-
-        A call that runs once may have waited for longer than the stop leaves.
-        Streams, and calls that may run again, are sent while their usual time
-        is left, since most end long before their deadline.
-        """
-        shutdown = self._context.shutdown
-        route = self._admission.route
-        if route.is_stream or route.is_repeatable:
-            return not shutdown.may_be_sent(now_ms(), route.objective_ms)
-        return not shutdown.may_begin(now_ms(), self._admission.deadline_ms)
-
     def _record_returned_grant(
         self, engine: str, reason: WithholdReason
     ) -> None:
@@ -294,23 +212,27 @@
         if reason is None:
             return await self._async_attempt(grant)
         self._record_returned_grant(grant.upstream, reason)
-        await self._async_release()
+        await self._async_release(grant.request_id)
         return None
 
     async def _async_release(
         self,
+        request_id: str | None = None,
         end: RunEnd = RunEnd.CANCELLED,
         summary: RunSummary | None = None,
     ) -> None:
-        """Release the grant, with its tokens if no engine got the request."""
-        is_unsent = end in _POSSIBLY_UNSENT and not (
-            self._attempts.engines_reached
-            or self._engine_attempts.is_possibly_executing
+        """Release a grant, with its tokens if no engine got the request.
+
+        :param request_id: that the grant names; `None`: the request's own.
+        """
+        is_unsent = self._attempts.is_unsent(
+            end,
+            is_possibly_executing=self._engine_attempts.is_possibly_executing,
         )
         if is_unsent:
             self._return_tokens()
         await self._context.release_grant(
-            self._admission.request.request_id,
+            request_id or self._admission.request.request_id,
             end,
             (summary or RunSummary())._replace(is_unsent=is_unsent),
         )
@@ -323,10 +245,7 @@
         end = RunEnd.CANCELLED
         withheld: WithholdReason | None = None
         try:
-            runs = self._attempts.possible_runs + 1
-            outcome = await self._engine_attempts.async_run(
-                grant, is_last=runs >= self._admission.route.max_attempts
-            )
+            outcome = await self._async_try(grant)
             if isinstance(outcome, WithholdReason):
                 withheld = outcome
             else:
@@ -334,76 +253,89 @@
         finally:
             await self._engine_attempts.async_close(end)
             await self._async_release(
-                end,
-                RunSummary(
-                    total_ms=now_ms() - granted_ms,
-                    first_byte_ms=self._engine_attempts.first_byte_ms,
-                    longest_gap_ms=self._single_engine_gap_ms(),
-                    output_tokens=self._generated_tokens(),
-                    relay=self._engine_attempts.relay,
-                ),
+                grant.request_id, end, self._summarize(now_ms() - granted_ms)
             )
         if withheld is not None:
             self._record_returned_grant(grant.upstream, withheld)
             return None
         if end == RunEnd.FAILED:
             await self._context.check_engine(grant, self._engine_attempts.relay)
-        attempts = self._attempts
         if end != RunEnd.ANSWERED:
-            _LOGGER.info(
-                'try ended',
-                request_id=self._admission.request.request_id,
-                engine=grant.upstream,
-                engine_version=grant.version or '',
-                events=self._engine_attempts.event_count,
-                end=end.name.lower(),
-                cause=self._engine_attempts.cause,
-                took_ms=int(now_ms() - granted_ms),
-                fingerprint=self._engine_attempts.fingerprint,
-                shared_parts=self._admission.request.shared_part_ids,
+            log_ended_try(
+                self._admission,
+                self._engine_attempts,
+                grant,
+                end,
+                now_ms() - granted_ms,
             )
-        self._attempts = _Attempts(
-            excluded=(*attempts.excluded, grant.upstream),
-            engines_reached=attempts.engines_reached + (end not in _NOT_SENT),
-            possible_runs=attempts.possible_runs + (end not in _NOT_RUN),
-            unreachable=attempts.unreachable + (end == RunEnd.UNREACHABLE),
-        )
+        self._attempts = self._attempts.after(grant.upstream, end)
         return end
 
-    def _single_engine_gap_ms(self) -> float:
-        """Return the longest gap in the stream; 0 if two engines sent it.
+    async def _async_try(self, grant: Grant) -> RunEnd | WithholdReason:
+        """Relay what a granted engine responds.
 
-        The gap in which the second engine took over describes neither engine.
+        A silent engine is left for another one, or else awaited.
         """
-        return (
-            0
-            if self._attempts.possible_runs
-            else self._engine_attempts.longest_gap_ms
+        runs = self._attempts.possible_runs + 1
+        outcome = await self._engine_attempts.async_run(
+            grant, is_last=runs >= self._admission.route.max_attempts
         )
+        if outcome != RunEnd.SILENT or await self._async_replace(grant):
+            return outcome
+        return await self._engine_attempts.async_go_on()
+
+    async def _async_replace(self, grant: Grant) -> bool:
+        """Return whether another engine may go on for one that is silent.
 
-    def _generated_tokens(self) -> int:
+        A stream that has begun would be broken for nothing if none may: its
+        engine is likely to go on after a while.
+        """
+        if not self._caller.has_response_started:
+            return True
+        attempts = self._attempts
+        self._attempts = attempts.after(grant.upstream, RunEnd.SILENT)
+        granted: Result[Grant, NotRun] | None = None
+        try:
+            if self._may_use_another_engine(RunEnd.SILENT) and (
+                await self._engine_attempts.evidence.async_may_go_on()
+            ):
+                granted = await self._async_grant(SUCCESSOR_SUFFIX)
+        finally:
+            self._attempts = attempts
+        if isinstance(granted, Ok):
+            self._successor = granted.ok_value
+            return True
+        _LOGGER.info(
+            'silent engine kept',
+            request_id=self._admission.request.request_id,
+            engine=grant.upstream,
+            code=granted.err_value.code if granted else 'no_more_tries',
+        )
+        return False
+
+    def _summarize(self, total_ms: float) -> RunSummary:
+        attempts = self._engine_attempts
         properties = self._context.configuration().services.get(
             self._admission.service
         )
-        if properties is None:
-            return 0
-        return self._engine_attempts.event_count * properties.tokens_per_event
+        per_event = properties.tokens_per_event if properties else 0
+        # The gap in which a second engine took over describes neither engine.
+        is_single = not self._attempts.possible_runs
+        return RunSummary(
+            total_ms=total_ms,
+            first_byte_ms=attempts.first_byte_ms,
+            longest_gap_ms=attempts.longest_gap_ms if is_single else 0,
+            output_tokens=attempts.event_count * per_event,
+            relay=attempts.relay,
+        )
 
     def _may_use_another_engine(self, end: RunEnd) -> bool:
-        if end == RunEnd.UNREACHABLE:
-            return self._attempts.unreachable < MAX_UNREACHABLE
-        if end in _NOT_RUN:
-            return True
-        if end not in _RETRYABLE:
-            return False
-        route = self._admission.route
-        if (
-            not route.is_repeatable
-            or not self._engine_attempts.position.is_resumable
-            or self._attempts.possible_runs >= route.max_attempts
-        ):
-            return False
-        return not self._caller.has_response_started or route.is_resumable
+        return self._attempts.allow_another(
+            self._admission,
+            end,
+            is_resumable=self._engine_attempts.position.is_resumable,
+            has_response_started=self._caller.has_response_started,
+        )
 
     async def _async_handle_refusal(self, refusal: NotRun) -> Failure | None:
         if not self._attempts.possible_runs:
@@ -443,3 +375,19 @@
         'uncertain_version',
         'which version began the stream is not certain',
     )
+
+
+def _would_be_cut_off(
+    context: GatewayContext, admission: GatewayAdmission
+) -> bool:
+    """Return whether a planned stop may cut off what would be sent now.
+
+    A call that runs once may have waited for longer than the stop leaves.
+    Streams, and calls that may run again, are sent while their usual time is
+    left, since most end long before their deadline.
+    """
+    shutdown = context.shutdown
+    route = admission.route
+    if route.is_stream or route.is_repeatable:
+        return not shutdown.may_be_sent(now_ms(), route.objective_ms)
+    return not shutdown.may_begin(now_ms(), admission.deadline_ms)
--- a/hornbeamdeck/request/queue_request.py
+++ b/hornbeamdeck/request/queue_request.py
@@ -16,6 +16,7 @@
     admission: GatewayAdmission,
     attempts: EngineAttempts,
     *,
+    request_id: str,
     excluded: Iterable[str],
     engines_reached: int,
     has_response_started: bool,
@@ -25,6 +26,7 @@
 
     :param attempts: the attempts so far; a stream that has begun goes on at
         the version that began it.
+    :param request_id: by which the owner tells this grant from others.
     :param excluded: engines that the request must not be sent to again.
     :param engines_reached: number of engines that its bytes have reached.
     :param zone: this instance's availability zone.
@@ -32,7 +34,7 @@
     request = admission.request
     version = next(iter(attempts.evidence.versions), None)
     return Enqueue(
-        request_id=request.request_id,
+        request_id=request_id,
         cell=admission.service,
         team=admission.team_name,
         tier_rank=admission.rank,
--- a/hornbeamdeck/request/request_log.py
+++ b/hornbeamdeck/request/request_log.py
@@ -1,16 +1,22 @@
-"""Fields of the log lines about a request."""
+"""Log lines about a request, and the fields of others."""
+
+import structlog
 
 from hornbeamdeck.observability.logs import age_for_log
 from hornbeamdeck.request.engine_attempts import EngineAttempts
 from hornbeamdeck.request.gateway_admission import GatewayAdmission
 from hornbeamdeck.request.gateway_context import GatewayContext
+from hornbeamdeck.wire import Grant, RunEnd
 
 __all__ = (
     'admission_fields',
     'attempt_fields',
     'freshness_fields',
+    'log_ended_try',
 )
 
+_LOGGER = structlog.get_logger(prefix='request')
+
 
 def admission_fields(admission: GatewayAdmission) -> dict[str, object]:
     """Return what a request asks for."""
@@ -57,3 +63,25 @@
         'proof_age_ms': age_for_log(guard.configuration_age_ms()),
         'engines_age_ms': age_for_log(guard.engines_age_ms()),
     }
+
+
+def log_ended_try(
+    admission: GatewayAdmission,
+    attempts: EngineAttempts,
+    grant: Grant,
+    end: RunEnd,
+    took_ms: float,
+) -> None:
+    """Log how an attempt has ended that brought no whole response."""
+    _LOGGER.info(
+        'try ended',
+        request_id=admission.request.request_id,
+        engine=grant.upstream,
+        engine_version=grant.version or '',
+        events=attempts.event_count,
+        end=end.name.lower(),
+        cause=attempts.cause,
+        took_ms=int(took_ms),
+        fingerprint=attempts.fingerprint,
+        shared_parts=admission.request.shared_part_ids,
+    )
