Move the limits on callers' requests out of the reader

RecordRelay took 0 for a time long ago, which it is not on a machine that has just started: the first message to an owner could come a second late. Change: read_limits.py; infinity in place of 0. Nothing else changes.

--- a/hornbeamdeck/connection/reader.py
+++ b/hornbeamdeck/connection/reader.py
@@ -4,7 +4,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, TypeAlias
 
 import h11
 from curio import sleep, socket
@@ -21,12 +21,13 @@
 )
 from hornbeamdeck.connection.http import HttpRequest, join_headers
 from hornbeamdeck.connection.pending_input import async_wait_closed
+from hornbeamdeck.connection.read_limits import GetLimits, ReadLimits
 from hornbeamdeck.connection.read_refusals import (
     no_room,
     request_too_slow,
     slow_request,
 )
-from hornbeamdeck.const import MEBIBYTE, MILLIS_PER_SECOND
+from hornbeamdeck.const import MILLIS_PER_SECOND
 
 __all__ = ('GetLimits', 'OnBegun', 'ReadLimits', 'RequestReader')
 
@@ -34,7 +35,6 @@
 # What is buffered of requests that a caller sends ahead. The rest stays in the
 # operating system, whose buffer then fills up, so that the caller has to wait.
 MAX_AHEAD_BYTES: Final = 16_384
-MAX_HEADER_BYTES: Final = 32_768
 # A chunk of a body takes some 25 µs, however short it is. Other tasks run after
 # so many, also if the caller always has more to read.
 CHUNKS_PER_TURN: Final = 64
@@ -53,25 +53,6 @@
 ROOM_WAIT_MS: Final = 20
 
 
-class ReadLimits(NamedTuple):
-    """Limits on one caller's requests.
-
-    :param idle_ms: longest wait for the first byte of a request, milliseconds.
-    :param header_ms: longest time from the first byte of a request to the end
-        of its head, milliseconds.
-    :param request_ms: longest time from the first byte of a request to the
-        last, milliseconds.
-    """
-
-    idle_ms: int = 75_000
-    header_ms: int = 15_000
-    request_ms: int = 15_000
-    max_body_bytes: int = 4 * MEBIBYTE
-    max_header_bytes: int = MAX_HEADER_BYTES
-
-
-# Returns the limits in force now.
-GetLimits: TypeAlias = Callable[[], ReadLimits]
 # Called when a request begins.
 OnBegun: TypeAlias = Callable[[], None]
 AsyncEndOther: TypeAlias = Callable[[], Awaitable[bool]]
--- a/hornbeamdeck/store/record_relay.py
+++ b/hornbeamdeck/store/record_relay.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
 
@@ -59,7 +60,7 @@
         self._owner_without_store = owner_without_store
         self._send = send
         self._known: StoredRecord | None = None
-        self._told_ms = 0.0
+        self._told_ms = -math.inf
 
     async def async_run(self) -> None:
         """Help the owner whenever that is needed; forever."""
@@ -75,7 +76,7 @@
             return
         if self._known is None or self._extended_fields(self._known):
             self._known = await self._async_extend()
-            self._told_ms = 0.0
+            self._told_ms = -math.inf
         known = self._known
         if known is None or known.revision is None:
             return
