--- a/hornbeamdeck/process/gateway_components.py
+++ b/hornbeamdeck/process/gateway_components.py
@@ -40,9 +40,9 @@
 from hornbeamdeck.scheduling.rollout import RolloutBounds
 from hornbeamdeck.store.engine_directory import EngineDirectory
 from hornbeamdeck.store.fleet_memory import FleetMemory
-from hornbeamdeck.store.fleet_record import ENGINE_VERSIONS
 from hornbeamdeck.store.follower import ConfigurationFollower, DocumentSource
 from hornbeamdeck.store.freshness import Freshness
+from hornbeamdeck.store.record_kinds import ENGINE_VERSIONS
 from hornbeamdeck.store.record_relay import RecordRelay
 from hornbeamdeck.store.snapshots import Snapshots
 from hornbeamdeck.store.store_interface import (
--- a/tests/store/test_records_of_out_of_step_owners.py
+++ b/tests/store/test_records_of_out_of_step_owners.py
@@ -12,7 +12,8 @@
 from hornbeamdeck.scheduling.engine_cell import EngineCell
 from hornbeamdeck.scheduling.stream_origins import OriginBook
 from hornbeamdeck.scheduling.version_history import HISTORY_MS
-from hornbeamdeck.store.fleet_record import ENGINE_VERSIONS, FleetRecord
+from hornbeamdeck.store.fleet_record import FleetRecord
+from hornbeamdeck.store.record_kinds import ENGINE_VERSIONS
 from hornbeamdeck.store.store_interface import StoredRecord, StoreInterface
 from tests.scheduling.engine_cell_factories import (
     always_certain,
