Don't read on from a connection that has timed out

Cause: an acknowledgement that is missing for too long also counts as silence of an engine. The error is reported once; what is read after it looks like the end of the connection, and a response without a length ends with its connection. Change: a silent engine is kept only if nothing came, not if the operating system has given the connection up. Result: found by reading, not shown: that error comes while a request is written, and no stream has begun then. Tests of silent engines and of response limits pass.

--- a/hornbeamdeck/connection/client.py
+++ b/hornbeamdeck/connection/client.py
@@ -122,9 +122,14 @@
         """Set the limits for the responses to further requests."""
         self._reader.limits = limits
 
-    def lift_silence_limit(self) -> None:
-        """Wait for the rest of the response however long nothing comes."""
+    def lift_silence_limit(self) -> bool:
+        """Wait for the rest of the response however long nothing comes.
+
+        :returns: whether reading has ended since the server was silent, so that
+            it may go on.
+        """
         self._reader.limits = self._reader.limits._replace(silence_ms=0)
+        return self._reader.is_silent
 
     def open_account(self, open_response: OpenResponse) -> None:
         """Count what is held of the response to the next request."""
--- a/hornbeamdeck/connection/response_reader.py
+++ b/hornbeamdeck/connection/response_reader.py
@@ -81,6 +81,8 @@
     ) -> None:
         """Share the socket and the protocol state with the sending half."""
         self.limits = limits
+        # Whether reading has ended since nothing came. It may go on.
+        self.is_silent = False
         self.account: ResponseAccount = UnlimitedResponse()
         self._sock = sock
         self._protocol = protocol
@@ -268,6 +270,7 @@
         limit_ms = self.limits.silence_ms
         if self._received_bytes:
             return LimitExceeded(ResponseLimit.PROGRESS, limit_ms)
+        self.is_silent = True
         return SilenceError(f'silent for {limit_ms} ms')
 
     def _record_progress(self) -> None:
--- a/hornbeamdeck/request/engine_attempts.py
+++ b/hornbeamdeck/request/engine_attempts.py
@@ -142,7 +142,9 @@
         connection = self._engine_connection.connection
         if connection is None or self._streamed is None:
             return RunEnd.SILENT
-        connection.lift_silence_limit()
+        if not connection.lift_silence_limit():
+            # The operating system has given the connection up.
+            return RunEnd.SILENT
         return await self._async_relay_stream(*self._streamed)
 
     @property
