--- a/tests/platform/gateway_process.py
+++ b/tests/platform/gateway_process.py
@@ -119,10 +119,12 @@
     """Find ports that no connection is given before the process listens."""
     free: list[Address] = []
     while len(free) < count:
-        port = random.choice(PROCESS_PORTS)
+        address = Address('127.0.0.1', random.choice(PROCESS_PORTS))
+        if address in free:
+            continue
         with suppress(OSError):
-            await listen(Address('127.0.0.1', port)).close()
-            free.append(Address('127.0.0.1', port))
+            await listen(address).close()
+            free.append(address)
     return free
 
 
