Share the set-up of an owner that missed a version

Cause: two tests of out-of-step owners had the same six lines of set-up, found in the last read-through.

--- a/tests/store/test_records_of_out_of_step_owners.py
+++ b/tests/store/test_records_of_out_of_step_owners.py
@@ -107,15 +107,21 @@
         return None if request.version is None else str(request.version)
 
 
-def test_owner_that_was_out_of_step_is_told_by_the_record() -> None:
-    """Guards against a version that has come and gone meanwhile."""
-    store = _Store()
+def _owner_that_missed_v2(store: _Store) -> _Owner:
+    """Let another owner record that v2 has come and gone."""
     out_of_step, other = _Owner(store), _Owner(store)
     out_of_step.list_versions('v1')
     out_of_step.sync()
     for versions in (('v1', 'v2'), ('v1',)):
         other.list_versions(*versions)
         other.sync()
+    return out_of_step
+
+
+def test_owner_that_was_out_of_step_is_told_by_the_record() -> None:
+    """Guards against a version that has come and gone meanwhile."""
+    store = _Store()
+    out_of_step = _owner_that_missed_v2(store)
     out_of_step.sync()
     assert out_of_step.version_of_unknown_stream() is None
 
@@ -155,12 +161,7 @@
 def test_owner_that_stood_still_is_told_before_it_vouches() -> None:
     """Guards against a claim that only the read after it would refute."""
     store = _Store()
-    out_of_step, other = _Owner(store), _Owner(store)
-    out_of_step.list_versions('v1')
-    out_of_step.sync()
-    for versions in (('v1', 'v2'), ('v1',)):
-        other.list_versions(*versions)
-        other.sync()
+    out_of_step = _owner_that_missed_v2(store)
     out_of_step.owned_since_ms = now_ms()
     out_of_step.sync()
     store.restore(StoredRecord(None, {}))
